--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# Each target sets up what it needs from the pinned requirements.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+ARGS ?=
+
+.PHONY: demo test bench slopes golden clean
+
+$(VENV)/run.stamp: requirements.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --requirement requirements.txt
+	touch $@
+
+$(VENV)/dev.stamp: requirements.txt requirements-dev.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --requirement requirements-dev.txt
+	touch $@
+
+demo: $(VENV)/run.stamp
+	$(BIN)/python -m mulleinreach demo $(ARGS)
+
+test: $(VENV)/dev.stamp
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/python -m pytest $(ARGS)
+
+bench: $(VENV)/dev.stamp
+	$(BIN)/python -m benchmarks.all $(ARGS)
+
+slopes: $(VENV)/dev.stamp
+	$(BIN)/python -m benchmarks.slopes $(ARGS)
+
+golden: $(VENV)/dev.stamp
+	$(BIN)/python -m pytest tests --force-regen -q || true
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/mulleinreach/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/mulleinreach/cli/main.py
@@ -0,0 +1,200 @@
+"""The ``mulleinreach`` command."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from pathlib import Path
+from typing import Annotated
+
+import typer
+from absl import logging
+
+from mulleinreach.cli.client import Connection, Exit, Output
+from mulleinreach.cli.show import (
+    describe_audit,
+    describe_config,
+    describe_confirmation,
+    describe_plan,
+    show,
+    table,
+)
+from mulleinreach.common import MulleinreachError
+from mulleinreach.intents import Intent
+from mulleinreach.node import Node
+from mulleinreach.settings import NodeSettings, load_file, parse_yaml
+
+app = typer.Typer(help="Serves models whose replicas span several hosts.", no_args_is_help=True)
+settings_app = typer.Typer(help="Settings files.", no_args_is_help=True)
+app.add_typer(settings_app, name="settings")
+
+ServerOption = Annotated[
+    str, typer.Option("--server", envvar="MULLEINREACH_SERVER", help="A node, as host:port.")
+]
+TokenOption = Annotated[
+    Path | None, typer.Option("--token-file", help="Holds your token; else MULLEINREACH_TOKEN.")
+]
+OutputOption = Annotated[Output, typer.Option("--output", help="How to write the answer.")]
+
+DEFAULT_SERVER = "127.0.0.1:8081"
+STOP_GRACE_S = 60.0
+
+
+@app.command()
+def node(
+    settings: Annotated[Path, typer.Option(help="The node's settings file.")],
+    verbosity: Annotated[int, typer.Option(help="0 for events, -1 for warnings only.")] = 0,
+) -> None:
+    """Run a node until it gets SIGTERM or SIGINT, then stop as planned."""
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO if verbosity >= 0 else logging.WARNING)
+    checked = _load_or_exit(settings, NodeSettings)
+    asyncio.run(_run_node(checked))
+
+
+async def _run_node(settings: NodeSettings) -> None:
+    running = Node(settings)
+    stopped = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stopped.set)
+    await running.start()
+    await stopped.wait()
+    await running.stop(STOP_GRACE_S)
+
+
+def _load_or_exit(path: Path, model):
+    try:
+        return load_file(path, model)
+    except MulleinreachError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(Exit.BAD_INPUT) from error
+
+
+@settings_app.command("check")
+def check(file: Annotated[Path, typer.Argument(help="A node's settings, or an intent.")]) -> None:
+    """Check a settings file or an intent; tells the key, the value and what is allowed."""
+    try:
+        document = parse_yaml(file.read_text(), str(file))
+    except (OSError, UnicodeDecodeError, MulleinreachError) as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(Exit.BAD_INPUT) from error
+    kind = document.get("kind") if isinstance(document, dict) else None
+    models = {"node": NodeSettings, "intent": Intent}
+    if kind not in models:
+        typer.echo(f"{file}: kind: wrong value {kind!r}, must be 'node' or 'intent'", err=True)
+        raise typer.Exit(Exit.BAD_INPUT)
+    _load_or_exit(file, models[kind])
+    typer.echo(f"{file}: correct settings of kind {kind}")
+
+
+@app.command()
+def plan(
+    file: Annotated[Path, typer.Option("-f", "--file", help="The intent, in YAML.")],
+    server: ServerOption = DEFAULT_SERVER,
+    token_file: TokenOption = None,
+    output: OutputOption = Output.TEXT,
+) -> None:
+    """State an intent and get a plan; nothing changes until you confirm it."""
+    intent = _load_or_exit(file, Intent)
+    connection = Connection(server, token_file, output)
+    answer = connection.call("POST", "/plans", {"intent": intent.model_dump(mode="json")})
+    show(answer, output, describe_plan(answer))
+
+
+@app.command()
+def drain(
+    hosts: Annotated[list[str], typer.Argument(help="Hosts that shall get no more work.")],
+    undo: Annotated[bool, typer.Option("--undo", help="Return them to work instead.")] = False,
+    server: ServerOption = DEFAULT_SERVER,
+    token_file: TokenOption = None,
+    output: OutputOption = Output.TEXT,
+) -> None:
+    """Plan to drain hosts, or to return them to work; confirm the plan to do it."""
+    connection = Connection(server, token_file, output)
+    answer = connection.call("POST", "/plans", {"undrain" if undo else "drain": hosts})
+    show(answer, output, describe_plan(answer))
+
+
+@app.command()
+def confirm(
+    plan_id: Annotated[str, typer.Argument(help="The plan's id.")],
+    server: ServerOption = DEFAULT_SERVER,
+    token_file: TokenOption = None,
+    output: OutputOption = Output.TEXT,
+) -> None:
+    """Carry a plan out and wait until it is in force on every host."""
+    connection = Connection(server, token_file, output)
+    answer = connection.call("POST", f"/plans/{plan_id}/confirm")
+    show(answer, output, describe_confirmation(answer))
+    if not answer["accepted"]:
+        raise typer.Exit(Exit.NOT_YET_ACCEPTED)
+
+
+@app.command()
+def get(
+    what: Annotated[str, typer.Argument(help="config, services, replicas, hosts or nodes.")],
+    server: ServerOption = DEFAULT_SERVER,
+    token_file: TokenOption = None,
+    output: OutputOption = Output.TEXT,
+) -> None:
+    """List what there is."""
+    answer = Connection(server, token_file, output).call("GET", f"/get/{what}")
+    text = describe_config(answer) if isinstance(answer, dict) else table(answer)
+    show(answer, output, text)
+
+
+@app.command()
+def explain(
+    kind: Annotated[str, typer.Argument(help="request, replica, host or plan.")],
+    name: Annotated[str, typer.Argument(help="Its name or id.")],
+    server: ServerOption = DEFAULT_SERVER,
+    token_file: TokenOption = None,
+    output: OutputOption = Output.TEXT,
+) -> None:
+    """Tell why something is as it is, and what else was weighed."""
+    answer = Connection(server, token_file, output).call("GET", f"/explain/{kind}/{name}")
+    show(answer, output, answer["lines"])
+
+
+@app.command()
+def audit(
+    everything: Annotated[bool, typer.Option("--all", help="Read the object store too.")] = False,
+    server: ServerOption = DEFAULT_SERVER,
+    token_file: TokenOption = None,
+    output: OutputOption = Output.TEXT,
+) -> None:
+    """List who or what changed something, and why."""
+    path = "/audit?all=true" if everything else "/audit"
+    answer = Connection(server, token_file, output).call("GET", path)
+    show(answer, output, describe_audit(answer["entries"]))
+
+
+@app.command()
+def watch(
+    server: ServerOption = DEFAULT_SERVER,
+    token_file: TokenOption = None,
+    output: OutputOption = Output.TEXT,
+) -> None:
+    """Follow the state of replicas and of the configuration until interrupted."""
+    connection = Connection(server, token_file, output)
+
+    async def follow() -> None:
+        async for event in connection.lines("/watch"):
+            show(event, output, [f"{event['subject']}: {event['state']}"])
+
+    asyncio.run(follow())
+
+
+@app.command()
+def demo(
+    stay: Annotated[bool, typer.Option("--stay", help="Keep it up and print addresses.")] = False,
+) -> None:
+    """Run a whole small deployment in this process and show it at work."""
+    from mulleinreach.standins.demo import run_demo
+
+    raise typer.Exit(asyncio.run(run_demo(stay)))
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
--- /dev/null
+++ b/mulleinreach/common/net.py
@@ -0,0 +1,113 @@
+"""Listening and connecting, in one place so that a test can put in another network."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import aiohttp
+from aiohttp import web
+
+StreamHandler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+CONNECT_TIMEOUT_S = 1.0
+MAX_LINE_BYTES = 8190
+MAX_HEADER_BYTES = 16380
+
+
+@dataclass(frozen=True)
+class Address:
+    """An IP address and a TCP port."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> Address:
+        """Read ``host:port``.
+
+        Examples
+        ========
+
+        >>> Address.parse("127.0.0.1:80")
+        Address(host='127.0.0.1', port=80)
+        """
+        host, _, port = text.rpartition(":")
+        if not host or not port.isdigit() or not 0 <= int(port) <= 65535:
+            raise ValueError(f"{text!r} is not host:port with a port of 0 to 65535")
+        return cls(host, int(port))
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+    @property
+    def url(self) -> str:
+        """The address as the base of HTTP URLs."""
+        return f"http://{self.host}:{self.port}"
+
+
+class HttpServer:
+    """An aiohttp application that listens on one address."""
+
+    def __init__(self, runner: web.AppRunner, server: asyncio.AbstractServer):
+        self._runner = runner
+        self._server = server
+
+    async def close(self) -> None:
+        """Stop listening and end the connections that are open."""
+        self._server.close()
+        await self._runner.cleanup()
+
+
+class Network:
+    """TCP and HTTP of a real process."""
+
+    def __init__(self, origin: str = ""):
+        self.origin = origin
+
+    async def serve_http(self, app: web.Application, address: Address) -> HttpServer:
+        """Serve ``app``; a handler is cancelled when its caller hangs up."""
+        runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+            shutdown_timeout=0.1,
+        )
+        await runner.setup()
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(runner.server, address.host, address.port)
+        return HttpServer(runner, server)
+
+    def http_client(self) -> aiohttp.ClientSession:
+        """Return a client session without limits of its own on time or connections.
+
+        Explanation
+        ===========
+
+        aiohttp sends a request again by itself when a kept connection turns out
+        to be closed. That is switched off: only this project's code may decide
+        that a request is sent twice.
+        """
+        session = aiohttp.ClientSession(
+            connector=self._connector(),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+        session._retry_connection = False
+        return session
+
+    def _connector(self) -> aiohttp.TCPConnector:
+        return aiohttp.TCPConnector(limit=0, use_dns_cache=False)
+
+    async def listen(self, address: Address, handler: StreamHandler) -> asyncio.AbstractServer:
+        """Accept stream connections; ``handler`` runs once for each."""
+        return await asyncio.start_server(handler, address.host, address.port)
+
+    async def connect(self, address: Address) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a stream connection, within ``CONNECT_TIMEOUT_S`` seconds."""
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            return await asyncio.open_connection(address.host, address.port)
--- /dev/null
+++ b/mulleinreach/evidence.py
@@ -0,0 +1,189 @@
+"""What a node tells its peers in pings and pongs, and makes of what they tell.
+
+Explanation
+===========
+
+One exchange carries evidence of the configuration's version, of replicas being
+whole, their load, leaving hosts, and shares of limits. All of it is dated from
+before the ping was sent. A stale, doubled or missing answer is harmless:
+evidence ages out, loans lapse, and load is corrected by what we sent ourselves.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from mulleinreach.common import Address
+from mulleinreach.groups.model import GroupRecord, GroupState
+from mulleinreach.groups.watch import watchers_of
+from mulleinreach.intents import ConfigDocument
+from mulleinreach.platform import HostKind, HostState
+from mulleinreach.roster.messages import ConfigPush, HostReport, Ping, Pong, Withdrawal
+
+if TYPE_CHECKING:
+    from mulleinreach.node import Node
+
+
+class Evidence:
+    """The node's side of the exchange with its peers."""
+
+    def __init__(self, node: Node):
+        self._node = node
+        self._peer_hosts: dict[str, tuple[HostReport, float]] = {}
+        self._peer_leaving: dict[str, tuple[set[str], float]] = {}
+
+    # What we tell.
+
+    def make_ping(self, peer: str, seq: int) -> Ping:
+        """Ask ``peer`` for its evidence, and for a part of its shares."""
+        node = self._node
+        return Ping(
+            seq,
+            node.force.version,
+            demands=node.shares.demands(),
+            wants_hosts=node.lease.is_held(),
+        )
+
+    def make_pong(self, peer: str, ping: Ping) -> Pong:
+        """Answer a ping with what we know ourselves, never with what peers told us."""
+        node = self._node
+        reports = []
+        for group in self._watched_groups():
+            report = node.watch.report_replica(
+                group, node.replicas.load_of(group.replica).in_flight
+            )
+            if report is not None:
+                reports.append(report)
+        return Pong(
+            seq=ping.seq,
+            config_version=node.force.version,
+            vouches=node.force.vouches(),
+            replicas=reports,
+            hosts=node.watch.report_hosts() if ping.wants_hosts else [],
+            grants=node.shares.lend(peer, ping.demands),
+            leaving=node.is_stopping,
+            leaving_hosts=sorted(self._own_leaving()),
+        )
+
+    def config_for(self, peer_version: int) -> ConfigPush | None:
+        """Return our configuration for a peer that is behind."""
+        document = self._node.force.document
+        if document.version <= peer_version:
+            return None
+        return ConfigPush(document.version, document.model_dump_json())
+
+    async def tell_withdrawal(self, group: GroupRecord, reason: str) -> None:
+        """Tell all peers at once that a replica is no longer whole."""
+        await self._node.roster.broadcast(Withdrawal(group.replica, group.epoch, reason))
+
+    # What we are told.
+
+    def on_pong(self, peer: str, pong: Pong, asked_at: float) -> None:
+        """Take in a peer's answer."""
+        node = self._node
+        node.force.hear(peer, pong.config_version, pong.vouches, asked_at)
+        for report in pong.replicas:
+            node.wholeness.take(report, asked_at)
+        for host in pong.hosts:
+            self._take_host(host, asked_at - host.age_ms / 1000)
+        node.shares.take_grants(peer, pong.grants, asked_at)
+        self._peer_leaving[peer] = (set(pong.leaving_hosts), asked_at)
+        node.queue.pump_all()
+
+    def _take_host(self, report: HostReport, seen_at: float) -> None:
+        known = self._peer_hosts.get(report.host)
+        if known is None or seen_at > known[1]:
+            self._peer_hosts[report.host] = (report, seen_at)
+
+    def on_config(self, push: ConfigPush) -> None:
+        """Apply a configuration that a peer has and we don't."""
+        self._node.force.learn(ConfigDocument.model_validate_json(push.document))
+
+    def on_withdrawal(self, peer: str, withdrawal: Withdrawal) -> None:
+        """Stop using a replica at once."""
+        node = self._node
+        node.wholeness.withdraw(withdrawal.replica, withdrawal.epoch)
+        node.log.event(
+            "replica_withdrawn",
+            replica=withdrawal.replica,
+            epoch=withdrawal.epoch,
+            by=peer,
+            why=withdrawal.reason,
+        )
+        node.active.sweep()
+
+    # What follows for this node.
+
+    def host_reports(self) -> dict[str, tuple[HostReport, float]]:
+        """Return the latest report on each host, of ours and those of peers."""
+        node = self._node
+        now = node.clock.now()
+        reports = dict(self._peer_hosts)
+        for report in node.watch.report_hosts():
+            seen_at = now - report.age_ms / 1000
+            known = reports.get(report.host)
+            if known is None or seen_at > known[1]:
+                reports[report.host] = (report, seen_at)
+        return reports
+
+    def _own_leaving(self) -> set[str]:
+        """Return the hosts that leave by the host list, the operator, or a drain."""
+        node = self._node
+        leaving = set(node.force.document.drained_hosts)
+        for kind in (HostKind.ENGINE, HostKind.PLAIN):
+            hosts = node.directory.of_kind(kind)
+            leaving.update(h.name for h in hosts if h.state is HostState.LEAVING)
+        for group in node.replicas.all_groups():
+            if group.state is GroupState.DRAINING:
+                leaving.update(group.hosts)
+        return leaving
+
+    def leaving_hosts(self) -> set[str]:
+        """Return the hosts that leave by our own word or that of a peer, lately."""
+        node = self._node
+        leaving = self._own_leaving()
+        oldest = node.clock.now() - node.settings.timing.evidence_fresh_s
+        for hosts, asked_at in self._peer_leaving.values():
+            if asked_at > oldest:
+                leaving |= hosts
+        return leaving
+
+    def _watched_groups(self) -> list[GroupRecord]:
+        """Return the groups that this node watches."""
+        nodes = self._node.roster.live_names()
+        return [
+            group
+            for group in self._node.replicas.all_groups()
+            if self._node.name in watchers_of(group.replica, nodes)
+        ]
+
+    def assign_watch(self) -> None:
+        """Watch the hosts that rendezvous hashing gives to this node, and report on them."""
+        node = self._node
+        groups = self._watched_groups()
+        grouped = {host for group in node.replicas.all_groups() for host in group.hosts}
+        watched = {host for group in groups for host in group.hosts}
+        nodes = node.roster.live_names()
+        for host in node.directory.of_kind(HostKind.ENGINE):
+            is_ours = host.name not in grouped and node.name in watchers_of(host.name, nodes)
+            if is_ours or (node.lease.is_held() and self._is_unreported(host.name)):
+                watched.add(host.name)
+        addresses = {}
+        for name in sorted(watched):
+            host = node.directory.get(name)
+            if host is not None and host.state is not HostState.GONE:
+                addresses[name] = Address.parse(host.address)
+        node.watch.assign(addresses, groups)
+        now = node.clock.now()
+        for group in groups:
+            in_flight = node.replicas.load_of(group.replica).in_flight
+            report = node.watch.report_replica(group, in_flight)
+            if report is not None:
+                node.wholeness.take(report, now)
+
+    def _is_unreported(self, host: str) -> bool:
+        """Whether the holder should look for itself: no peer has told of a host lately."""
+        known = self._peer_hosts.get(host)
+        if known is None:
+            return True
+        return self._node.clock.now() - known[1] > self._node.settings.timing.whole_fresh_s
--- /dev/null
+++ b/mulleinreach/groups/planner.py
@@ -0,0 +1,296 @@
+"""Decides the next changes of the fleet, from one view of it.
+
+Explanation
+===========
+
+The planner has no state but the reasons it gave; it can be run again at any
+time and by any holder of the duty. Each decision is a :class:`Change`: rows to
+write in one transaction, and why.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+
+from mulleinreach.groups.formation import Placement, Shortage, place_replica
+from mulleinreach.groups.model import GroupRecord, GroupState, HostRecord, HostUse
+from mulleinreach.groups.repair import (
+    LoadModel,
+    RepairKind,
+    RepairOption,
+    RepairPlanner,
+    loading_hosts,
+)
+from mulleinreach.groups.view import FleetView
+from mulleinreach.intents import ServiceIntent
+
+
+@dataclass(frozen=True)
+class Change:
+    """Rows to write together, and the reason.
+
+    Parameters
+    ==========
+
+    action : the name of the change in the audit trail.
+    subject : the replica or host that it is about.
+    group : the group's new row; ``None`` leaves it alone.
+    removed : a group's row to delete.
+    hosts : new rows of hosts; their ``version`` is the one to be conditional on.
+    """
+
+    action: str
+    subject: str
+    why: str
+    group: GroupRecord | None = None
+    removed: tuple[GroupRecord, ...] = ()
+    hosts: tuple[HostRecord, ...] = ()
+
+
+@dataclass
+class Decision:
+    """The changes of one round, and what was weighed for those not made."""
+
+    changes: list[Change] = field(default_factory=list)
+    notes: dict[str, str] = field(default_factory=dict)
+
+
+class FleetPlanner:
+    """Forms, repairs, drains and dissolves groups so that they fit the intent."""
+
+    def __init__(
+        self, loads: LoadModel, unchecked_domains: frozenset[str], drain_deadline_s: float
+    ):
+        self._repairs = RepairPlanner(loads)
+        self._unchecked = unchecked_domains
+        self._drain_deadline_s = drain_deadline_s
+
+    def decide(self, view: FleetView, epoch: int, is_drained, lease_epoch: int) -> Decision:
+        """Return the next changes.
+
+        Parameters
+        ==========
+
+        epoch : the last epoch in use; each new group gets a higher one.
+        is_drained : tells whether a draining group has no work in flight.
+        """
+        round_ = _Round(self, view, epoch, lease_epoch)
+        for group in sorted(view.groups, key=lambda g: g.replica):
+            round_.tend(group, is_drained)
+        services = [s for s in view.config.intent.services if s.kind == "model"]
+        for service in sorted(services, key=lambda s: (s.priority, s.name)):
+            round_.fill(service)
+        return round_.decision
+
+
+class _Round:
+    """One run of the planner over one view."""
+
+    def __init__(self, planner: FleetPlanner, view: FleetView, epoch: int, lease_epoch: int):
+        self._planner = planner
+        self._view = view
+        self._epoch = epoch
+        self._lease_epoch = lease_epoch
+        self._busy = loading_hosts(view)
+        self.decision = Decision()
+
+    def tend(self, group: GroupRecord, is_drained) -> None:
+        """Decide about a group that exists."""
+        view = self._view
+        if group.replica in view.taken:
+            return
+        lost = view.lost_members(group)
+        service = view.config.intent.service(group.service)
+        if service is None and lost:
+            self._dissolve(group, "its service was removed and a member is lost")
+        elif group.state is GroupState.DRAINING:
+            self._finish_drain(group, lost, is_drained)
+        elif lost and view.is_condemned(group):
+            self._dissolve(group, f"lost {', '.join(lost)} while it was to be replaced")
+        elif lost:
+            self._repair(group, lost)
+        elif group.state is GroupState.LOADING and view.is_ready(group):
+            serving = replace(group, state=GroupState.SERVING)
+            self._add(Change("serve", group.replica, "all members are ready", group=serving))
+        elif view.is_condemned(group) or self._is_surplus(group):
+            self._condemn(group)
+
+    def _finish_drain(self, group: GroupRecord, lost: list[str], is_drained) -> None:
+        waited_s = self._view.wall - group.since
+        if lost:
+            self._dissolve(group, f"lost {', '.join(lost)} while draining")
+        elif is_drained(group):
+            self._dissolve(group, "drained: nothing is in flight")
+        elif waited_s > self._planner._drain_deadline_s:
+            self._dissolve(group, f"drained for {waited_s:.0f} s, its deadline")
+
+    def _repair(self, group: GroupRecord, lost: list[str]) -> None:
+        options = self._planner._repairs.weigh(self._view, group, self._busy)
+        best = options[0]
+        weighed = "; ".join(option.explain() for option in options)
+        why = f"lost {', '.join(lost)}; {weighed}"
+        self.decision.notes[group.replica] = why
+        if best.kind is RepairKind.WAIT:
+            return
+        self._regroup(group, best, f"{best.kind}: {why}")
+
+    def _regroup(self, group: GroupRecord, option: RepairOption, why: str) -> None:
+        removed, hosts = (), []
+        if option.victim:
+            victim = next(g for g in self._view.groups if g.replica == option.victim)
+            removed = (victim,)
+            hosts += self._stop_rows(victim, set(option.hosts))
+        new_group = self._new_group(
+            group.replica, group.service, option.domain, option.hosts, why, group.version
+        )
+        hosts += self._stop_rows(group, set(option.hosts))
+        hosts += self._member_rows(new_group)
+        self._add(
+            Change(
+                "repair", group.replica, why, group=new_group, removed=removed, hosts=tuple(hosts)
+            )
+        )
+        self._busy += len(option.hosts)
+
+    def _condemn(self, group: GroupRecord) -> None:
+        """Drain a group once what replaces it serves, or can't be formed anyway."""
+        view = self._view
+        service = view.config.intent.service(group.service)
+        if service is not None and not self._is_surplus(group):
+            others = [g for g in view.groups_of(group.service) if not view.is_condemned(g)]
+            serving = sum(g.state is GroupState.SERVING for g in others)
+            can_replace = isinstance(place_replica(view, service), Placement)
+            if serving < service.replicas and (can_replace or len(others) > serving):
+                return
+            draining = any(
+                g.state is GroupState.DRAINING or g.replica in view.taken
+                for g in view.groups_of(group.service)
+            )
+            if serving < service.replicas and draining:
+                return
+        why = self._condemned_because(group)
+        draining_group = replace(group, state=GroupState.DRAINING, since=view.wall, why=why)
+        self._add(Change("drain", group.replica, why, group=draining_group))
+
+    def _condemned_because(self, group: GroupRecord) -> str:
+        leaving = [n for n in group.hosts if n in self._view.hosts and self._view.hosts[n].leaving]
+        if leaving:
+            return f"{', '.join(leaving)} is leaving"
+        if self._view.config.intent.service(group.service) is None:
+            return "its service was removed"
+        if self._view.is_outdated(group):
+            return "the service asks for another model, version or size"
+        return "more replicas than the service asks for"
+
+    def _is_surplus(self, group: GroupRecord) -> bool:
+        """Whether the service has enough other groups; the last by name goes first."""
+        service = self._view.config.intent.service(group.service)
+        if service is None:
+            return True
+        staying = [
+            g.replica
+            for g in self._view.groups_of(group.service)
+            if not self._view.is_condemned(g) and g.replica not in self._view.taken
+        ]
+        return group.replica in sorted(staying, key=_replica_order)[service.replicas :]
+
+    def fill(self, service: ServiceIntent) -> None:
+        """Form the replicas that a service lacks."""
+        view = self._view
+        staying = [g for g in view.groups_of(service.name) if not view.is_condemned(g)]
+        names = {g.replica for g in view.groups}
+        held = len(staying)
+        for _ in range(service.replicas - len(staying)):
+            placement = place_replica(view, service)
+            weighed = "; ".join(choice.explain() for choice in placement.weighed)
+            if isinstance(placement, Shortage):
+                self.decision.notes[service.name] = (
+                    f"{service.name} lacks replicas: {placement.short} more hosts needed in one"
+                    f" domain; {weighed}"
+                )
+                return
+            replica = _free_name(service.name, names)
+            names.add(replica)
+            why = f"{service.name} wants {service.replicas}, has {held}; {weighed}"
+            held += 1
+            group = self._new_group(replica, service.name, placement.domain, placement.hosts, why)
+            rows = tuple(self._member_rows(group))
+            self._add(Change("form", replica, why, group=group, hosts=rows))
+
+    def _new_group(self, replica, service_name, domain, hosts, why, version=0) -> GroupRecord:
+        service = self._view.config.intent.service(service_name)
+        self._epoch += 1
+        return GroupRecord(
+            replica=replica,
+            service=service_name,
+            epoch=self._epoch,
+            domain=domain,
+            hosts=tuple(hosts),
+            model=service.model,
+            model_version=service.version,
+            adapters=tuple(service.adapters),
+            state=GroupState.LOADING,
+            why=why,
+            since=self._view.wall,
+            version=version,
+        )
+
+    def _member_rows(self, group: GroupRecord) -> list[HostRecord]:
+        return [
+            self._order(name, HostUse.MEMBER, group.replica, group.epoch) for name in group.hosts
+        ]
+
+    def _stop_rows(self, group: GroupRecord, kept: set[str]) -> list[HostRecord]:
+        """Order the members that aren't kept to stop, under an epoch of their own."""
+        self._epoch += 1
+        return [
+            self._order(name, HostUse.STOPPING, group.replica, self._epoch)
+            for name in group.hosts
+            if name not in kept
+        ]
+
+    def _order(self, name: str, use: HostUse, replica: str, epoch: int) -> HostRecord:
+        view = self._view.hosts[name]
+        unchecked = view.host.domain in self._planner._unchecked
+        action = "load" if use is HostUse.MEMBER else "stop"
+        incarnation = view.report.incarnation if view.report else view.record.incarnation
+        return view.record.ordered(
+            action,
+            use=use,
+            replica=replica,
+            epoch=epoch,
+            incarnation=incarnation,
+            unresolved=view.record.unresolved + 1 if unchecked else 0,
+            copies=1,
+            sender=self._lease_epoch,
+        )
+
+    def _dissolve(self, group: GroupRecord, why: str) -> None:
+        rows = tuple(self._stop_rows(group, set()))
+        self._add(Change("dissolve", group.replica, why, removed=(group,), hosts=rows))
+
+    def _add(self, change: Change) -> None:
+        self.decision.changes.append(change)
+        self._view.taken.update(row.name for row in change.hosts)
+        self._view.taken.add(change.subject)
+        self._view.taken.update(group.replica for group in change.removed)
+        if change.action == "form":
+            # Later choices of this round must see where this one stands.
+            self._view.groups.append(change.group)
+
+    @property
+    def epoch(self) -> int:
+        """The last epoch that this round gave out."""
+        return self._epoch
+
+
+def _free_name(service: str, taken: set[str]) -> str:
+    number = 1
+    while f"{service}-{number}" in taken:
+        number += 1
+    return f"{service}-{number}"
+
+
+def _replica_order(replica: str) -> tuple[int, str]:
+    _, _, number = replica.rpartition("-")
+    return (int(number) if number.isdigit() else 0, replica)
--- /dev/null
+++ b/mulleinreach/groups/watch.py
@@ -0,0 +1,221 @@
+"""Watching hosts: which nodes watch which, and what each knows of a replica.
+
+Explanation
+===========
+
+Each replica is watched by ``WATCHERS`` nodes, chosen by rendezvous hashing over
+the nodes that answer. A watcher asks every member for its status, one task for
+each host. What a status says is dated from before it was asked for.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from mulleinreach.common import Address, Clock, EventLog, TaskGroup, rendezvous_rank
+from mulleinreach.groups.model import GroupRecord
+from mulleinreach.orders import EngineClient, EngineStatus
+from mulleinreach.roster.messages import HostReport, ReplicaReport
+
+WATCHERS = 2
+NEVER = float("-inf")
+
+
+@dataclass(frozen=True)
+class Sighting:
+    """A status, and the monotonic time before which it was asked for."""
+
+    status: EngineStatus
+    asked_at: float
+
+
+def is_member_ready(status: EngineStatus, replica: str, epoch: int) -> bool:
+    """Whether an engine says that it works in the group (replica, epoch)."""
+    return status.replica == replica and status.epoch == epoch and status.state == "ready"
+
+
+class HostWatch:
+    """Asks hosts for their status; one task for each host that this node watches."""
+
+    def __init__(
+        self,
+        engines: EngineClient,
+        clock: Clock,
+        log: EventLog,
+        interval_s: float,
+        on_broken: Callable[[GroupRecord, str], None],
+    ):
+        self._engines = engines
+        self._clock = clock
+        self._log = log
+        self._interval_s = interval_s
+        self._on_broken = on_broken
+        self._tasks = TaskGroup()
+        self._pollers: dict[str, asyncio.Task] = {}
+        self._addresses: dict[str, Address] = {}
+        self._groups: dict[str, GroupRecord] = {}
+        self.sightings: dict[str, Sighting] = {}
+
+    def assign(self, addresses: dict[str, Address], groups: list[GroupRecord]) -> None:
+        """Watch exactly the hosts in ``addresses``; ``groups`` are those that we report."""
+        self._groups = {host: group for group in groups for host in group.hosts}
+        for host in list(self._pollers):
+            if addresses.get(host) != self._addresses.get(host):
+                self._pollers.pop(host).cancel()
+                self.sightings.pop(host, None)
+        self._addresses = dict(addresses)
+        for host in addresses:
+            if host not in self._pollers:
+                self._pollers[host] = self._tasks.spawn(self._poll(host))
+
+    async def _poll(self, host: str) -> None:
+        while True:
+            asked_at = self._clock.now()
+            status = await self._engines.status(self._addresses[host], host)
+            if status is not None:
+                self._take(host, Sighting(status, asked_at))
+            await asyncio.sleep(self._interval_s)
+
+    def _take(self, host: str, sighting: Sighting) -> None:
+        before = self.sightings.get(host)
+        self.sightings[host] = sighting
+        group = self._groups.get(host)
+        if group is None or before is None:
+            return
+        was_ready = is_member_ready(before.status, group.replica, group.epoch)
+        is_ready = is_member_ready(sighting.status, group.replica, group.epoch)
+        if was_ready and not is_ready:
+            self._on_broken(group, f"{host} is no longer ready in epoch {group.epoch}")
+
+    async def stop(self) -> None:
+        """End all polling."""
+        await self._tasks.close()
+
+    def report_hosts(self) -> list[HostReport]:
+        """Return what is known of each watched host."""
+        now = self._clock.now()
+        return [_report_host(s, now) for s in self.sightings.values()]
+
+    def report_replica(self, group: GroupRecord, sent: int) -> ReplicaReport | None:
+        """Return what is known of a group, or ``None`` while a member was never seen."""
+        sightings = [self.sightings.get(host) for host in group.hosts]
+        if any(sighting is None for sighting in sightings):
+            return None
+        now = self._clock.now()
+        head = sightings[0].status
+        ready = [is_member_ready(s.status, group.replica, group.epoch) for s in sightings]
+        return ReplicaReport(
+            replica=group.replica,
+            epoch=group.epoch,
+            whole=all(ready),
+            age_ms=int(1000 * (now - min(s.asked_at for s in sightings))),
+            running=head.running,
+            waiting=head.waiting,
+            slots=head.slots,
+            sent=sent,
+        )
+
+
+def _report_host(sighting: Sighting, now: float) -> HostReport:
+    status = sighting.status
+    return HostReport(
+        host=status.host,
+        incarnation=status.incarnation,
+        replica=status.replica,
+        epoch=status.epoch,
+        state=status.state,
+        last_order=status.last_order,
+        age_ms=int(1000 * (now - sighting.asked_at)),
+        in_flight=status.running + status.waiting,
+    )
+
+
+def watchers_of(key: str, nodes: list[str]) -> list[str]:
+    """Return the nodes that watch a replica, or a host that is in none.
+
+    Examples
+    ========
+
+    >>> len(watchers_of("tint-model-1", ["a", "b", "c"]))
+    2
+    """
+    return rendezvous_rank(key, nodes)[:WATCHERS]
+
+
+@dataclass
+class ReplicaEvidence:
+    """What a node knows of a replica; times on its own monotonic clock."""
+
+    epoch: int
+    confirmed_at: float = NEVER
+    running: int = 0
+    waiting: int = 0
+    slots: int = 0
+    reported_at: float = NEVER
+
+
+class WholenessView:
+    """Which replicas are known, by fresh evidence, to be whole.
+
+    Explanation
+    ===========
+
+    Silence makes evidence age out by itself; a withdrawal voids at once all
+    evidence that was asked for before the withdrawal came.
+    """
+
+    def __init__(self, clock: Clock, fresh_s: float):
+        self._clock = clock
+        self._fresh_s = fresh_s
+        self._evidence: dict[str, ReplicaEvidence] = {}
+        self._withdrawn_at: dict[str, tuple[int, float]] = {}
+
+    def take(self, report: ReplicaReport, asked_at: float) -> None:
+        """Take in a report whose answer was asked for at ``asked_at``."""
+        known = self._evidence.get(report.replica)
+        if known is None or report.epoch > known.epoch:
+            known = self._evidence[report.replica] = ReplicaEvidence(report.epoch)
+        if report.epoch < known.epoch:
+            return
+        confirmed_at = asked_at - report.age_ms / 1000
+        if report.whole and not self._is_void(report, confirmed_at):
+            known.confirmed_at = max(known.confirmed_at, confirmed_at)
+        if asked_at >= known.reported_at:
+            known.running, known.waiting = report.running, report.waiting
+            known.slots, known.reported_at = report.slots, asked_at
+
+    def _is_void(self, report: ReplicaReport, confirmed_at: float) -> bool:
+        epoch, at = self._withdrawn_at.get(report.replica, (0, NEVER))
+        return report.epoch <= epoch and confirmed_at <= at
+
+    def withdraw(self, replica: str, epoch: int) -> None:
+        """Void the evidence of a replica up to ``epoch``."""
+        self._withdrawn_at[replica] = (epoch, self._clock.now())
+        known = self._evidence.get(replica)
+        if known is not None and known.epoch <= epoch:
+            known.confirmed_at = NEVER
+
+    def is_whole(self, replica: str, epoch: int) -> bool:
+        """Whether the group (replica, epoch) may be sent work at this moment."""
+        known = self._evidence.get(replica)
+        if known is None or known.epoch != epoch:
+            return False
+        return self._clock.now() - known.confirmed_at < self._fresh_s
+
+    def evidence(self, replica: str) -> ReplicaEvidence | None:
+        """Return what is known of a replica, for routing and explanations."""
+        return self._evidence.get(replica)
+
+    def age_s(self, replica: str) -> float:
+        """Return the age of the latest confirmation in seconds, infinite without one."""
+        known = self._evidence.get(replica)
+        return self._clock.now() - known.confirmed_at if known else float("inf")
+
+    def keep_only(self, replicas: set[str]) -> None:
+        """Forget replicas that are in no group any more."""
+        for name in list(self._evidence):
+            if name not in replicas:
+                del self._evidence[name]
+                self._withdrawn_at.pop(name, None)
--- /dev/null
+++ b/mulleinreach/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Carrying out requests: attempts, retries, resumes, and claims on once-only ones."""
--- /dev/null
+++ b/mulleinreach/requests/active.py
@@ -0,0 +1,91 @@
+"""The attempts in progress, and what ends one from outside.
+
+Explanation
+===========
+
+A single sweep over all attempts, a few times a second, costs less than a timer
+for each chunk. It ends an attempt whose upstream is silent for too long, whose
+replica is no longer whole, that is past its caller's deadline, or that must
+move because its replica's drain is near its own deadline.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from mulleinreach.common import Clock
+from mulleinreach.requests.call import AttemptEnd, End
+
+
+@dataclass(eq=False)
+class ActiveAttempt:
+    """One attempt; times in monotonic seconds."""
+
+    request_id: str
+    replica: str
+    epoch: int
+    deadline: float
+    progress_at: float
+    timeout: asyncio.Timeout
+    has_begun: bool = False
+    is_resumable: bool = False
+    ended_by: AttemptEnd | None = None
+
+    def abort(self, end: AttemptEnd) -> None:
+        """End the attempt now; the task that runs it gets a ``TimeoutError``."""
+        if self.ended_by is None:
+            self.ended_by = end
+            self.timeout.reschedule(asyncio.get_running_loop().time())
+
+
+class ActiveAttempts:
+    """All attempts of a node that are in progress."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        is_whole: Callable[[str, int], bool],
+        must_move: Callable[[str], bool],
+        first_token_s: float,
+        token_gap_s: float,
+    ):
+        self._clock = clock
+        self.is_whole = is_whole
+        self._must_move = must_move
+        self._first_token_s = first_token_s
+        self._token_gap_s = token_gap_s
+        self._attempts: set[ActiveAttempt] = set()
+
+    def __len__(self) -> int:
+        return len(self._attempts)
+
+    def add(self, attempt: ActiveAttempt) -> None:
+        """Watch an attempt from now on."""
+        self._attempts.add(attempt)
+
+    def discard(self, attempt: ActiveAttempt) -> None:
+        """Stop watching an attempt."""
+        self._attempts.discard(attempt)
+
+    def sweep(self) -> None:
+        """End the attempts that have to end."""
+        now = self._clock.now()
+        for attempt in list(self._attempts):
+            end = self._why_end(attempt, now)
+            if end is not None:
+                attempt.abort(end)
+
+    def _why_end(self, attempt: ActiveAttempt, now: float) -> AttemptEnd | None:
+        if not self.is_whole(attempt.replica, attempt.epoch):
+            return AttemptEnd(End.LOST, f"{attempt.replica} is no longer whole")
+        if now > attempt.deadline:
+            return AttemptEnd(End.FAILED, "the request's deadline passed")
+        silent_s = now - attempt.progress_at
+        limit_s = self._token_gap_s if attempt.has_begun else self._first_token_s
+        if silent_s > limit_s:
+            return AttemptEnd(End.FAILED, f"{attempt.replica} was silent for {silent_s:.1f} s")
+        if attempt.is_resumable and self._must_move(attempt.replica):
+            return AttemptEnd(End.MOVED, f"{attempt.replica} is draining, near its deadline")
+        return None
--- /dev/null
+++ b/mulleinreach/requests/journal.py
@@ -0,0 +1,58 @@
+"""What was weighed for each request, kept for explanations within a bound."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from mulleinreach.common import Clock
+
+MAX_STEPS = 24
+
+
+@dataclass
+class RequestStory:
+    """The decisions about one request, in order; times in seconds since it came."""
+
+    request_id: str
+    organisation: str
+    service: str
+    began_at: float
+    steps: list[tuple[float, str]] = field(default_factory=list)
+
+    def lines(self) -> list[str]:
+        """Return the story as lines for a person."""
+        head = f"request {self.request_id} of {self.organisation} to {self.service}"
+        return [head] + [f"  {after:8.3f} s  {text}" for after, text in self.steps]
+
+
+class RequestJournal:
+    """The stories of the latest requests; the oldest are forgotten first."""
+
+    def __init__(self, clock: Clock, most: int):
+        self._clock = clock
+        self._most = most
+        self._stories: OrderedDict[str, RequestStory] = OrderedDict()
+
+    def open(self, request_id: str, organisation: str, service: str) -> RequestStory:
+        """Begin the story of a request."""
+        story = RequestStory(request_id, organisation, service, self._clock.now())
+        self._stories[request_id] = story
+        if len(self._stories) > self._most:
+            self._stories.popitem(last=False)
+        return story
+
+    def note(self, story: RequestStory, text: str) -> None:
+        """Add a step; beyond ``MAX_STEPS`` only the last is kept up to date."""
+        step = (self._clock.now() - story.began_at, text)
+        if len(story.steps) >= MAX_STEPS:
+            story.steps[-1] = step
+        else:
+            story.steps.append(step)
+
+    def get(self, request_id: str) -> RequestStory | None:
+        """Return the story of a request, if it isn't forgotten."""
+        return self._stories.get(request_id)
+
+    def __len__(self) -> int:
+        return len(self._stories)
--- /dev/null
+++ b/mulleinreach/requests/runner.py
@@ -0,0 +1,409 @@
+"""Runs requests to model services: choose a replica, try, retry, resume, move.
+
+Explanation
+===========
+
+A request is retried only as far as this is safe and bounded: one that may run
+once only is never sent again after a byte of it was sent; others spend from the
+retry budget, except where nothing was sent or the replica is known to be lost.
+A streamed answer goes on at the position delivered, first on the same replica.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import aiohttp
+
+from mulleinreach.admission import AdmissionQueue, Ticket
+from mulleinreach.common import Clock, Code, EventLog, MulleinreachError, Ran
+from mulleinreach.requests.active import ActiveAttempt, ActiveAttempts
+from mulleinreach.requests.budget import RetryBudget
+from mulleinreach.requests.call import AttemptEnd, Attempts, End, ModelCall, Sink, WholeAnswer
+from mulleinreach.requests.journal import RequestJournal
+from mulleinreach.requests.stream import OrderedStream, StreamError
+from mulleinreach.routing import Candidate, ReplicaTable, Router
+
+MAX_ATTEMPTS = 4
+NO_REPLICA_WAIT_S = 2.0
+NO_REPLICA_POLL_S = 0.1
+KV_TIMEOUT_S = 2.0
+LOST_RETRY_AFTER_S = 2.0
+
+NOT_SENT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+SENT_ERRORS = (aiohttp.ClientError, ConnectionError, OSError)
+
+
+@dataclass
+class RequestMetrics:
+    """Counts of what became of attempts, for the metrics page."""
+
+    attempts: int = 0
+    retries: int = 0
+    resumes: int = 0
+    moves: int = 0
+    foreign_events: int = 0
+    duplicate_events: int = 0
+
+
+@dataclass
+class PlaceUse:
+    """How the attempt that holds a place ended; ``None`` if it was cancelled."""
+
+    end: AttemptEnd | None = None
+
+
+class ModelRunner:
+    """Carries requests to model services to their end."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        replicas: ReplicaTable,
+        router: Router,
+        queue: AdmissionQueue,
+        active: ActiveAttempts,
+        budget: RetryBudget,
+        journal: RequestJournal,
+        clock: Clock,
+        log: EventLog,
+        answer_bytes: int,
+        resume_bytes: int,
+    ):
+        self._session = session
+        self._replicas = replicas
+        self._router = router
+        self._queue = queue
+        self._active = active
+        self._budget = budget
+        self._journal = journal
+        self._clock = clock
+        self._log = log
+        self._answer_bytes = answer_bytes
+        self._resume_bytes = resume_bytes
+        self.metrics = RequestMetrics()
+
+    async def stream(self, call: ModelCall, sink: Sink) -> None:
+        """Deliver a streamed answer whole, or raise; what was delivered is never repeated."""
+        stream = OrderedStream(call.request_id, self._resume_bytes)
+        attempts = Attempts()
+        self._budget.earn()
+        place: Candidate | None = None
+        try:
+            while not stream.is_done:
+                previous, place = place, await self._next_place(call, attempts, place, stream)
+                with self._occupy(call, place) as use:
+                    if attempts.ends and attempts.ends[-1].end is End.MOVED:
+                        await self._move_kv(call, previous, place)
+                    use.end = await self._try_stream(call, place, attempts, stream, sink)
+                self._after_attempt(call, place, attempts, use.end, stream)
+        finally:
+            self.metrics.foreign_events += stream.counts.foreign
+            self.metrics.duplicate_events += stream.counts.duplicates
+
+    async def whole(self, call: ModelCall) -> WholeAnswer:
+        """Return the whole answer, or raise."""
+        attempts = Attempts()
+        self._budget.earn()
+        place: Candidate | None = None
+        while True:
+            place = await self._next_place(call, attempts, place, None)
+            with self._occupy(call, place) as use:
+                use.end, answer = await self._try_whole(call, place, attempts)
+            self._after_attempt(call, place, attempts, use.end, None)
+            if answer is not None:
+                return answer
+
+    # Choosing where the next attempt goes.
+
+    async def _next_place(
+        self,
+        call: ModelCall,
+        attempts: Attempts,
+        last: Candidate | None,
+        stream: OrderedStream | None,
+    ) -> Candidate:
+        attempts.count += 1
+        if last is not None and self._may_resume_on(last, attempts, stream):
+            self._replicas.note_sent(last.replica)
+            self._journal.note(call.story, f"resume on {last.replica}, which has the stream")
+            return last
+        await self._await_candidates(call, attempts)
+        ticket = Ticket(
+            call.service.name,
+            call.organisation.name,
+            call.organisation.weight,
+            call.organisation.priority,
+            call.deadline,
+        )
+        try:
+            place = await self._queue.enter(
+                ticket,
+                lambda: self._take_place(call, attempts),
+                lambda place: self._replicas.note_finished(place.replica, failed=False),
+            )
+        except MulleinreachError as error:
+            raise self._final(call, attempts, error) from None
+        if self._clock.now() - call.story.began_at > NO_REPLICA_POLL_S:
+            self._journal.note(call.story, "left the queue")
+        return place
+
+    def _may_resume_on(
+        self, last: Candidate, attempts: Attempts, stream: OrderedStream | None
+    ) -> bool:
+        """Whether to go on where the stream was cut: once, if the replica is whole."""
+        if stream is None or stream.next_position == 0 or attempts.ends[-1].end is not End.FAILED:
+            return False
+        if sum(end.end is End.FAILED for end in attempts.ends) > 1:
+            return False
+        return self._active.is_whole(last.replica, last.epoch)
+
+    async def _await_candidates(self, call: ModelCall, attempts: Attempts) -> None:
+        give_up_at = min(call.deadline, self._clock.now() + NO_REPLICA_WAIT_S)
+        while not self._replicas.candidates(call.service.name):
+            if self._clock.now() >= give_up_at:
+                message = f"no replica of {call.service.name!r} serves at the moment"
+                error = MulleinreachError(
+                    Code.NO_REPLICA, message, retry_after_s=LOST_RETRY_AFTER_S
+                )
+                raise self._final(call, attempts, error)
+            await asyncio.sleep(NO_REPLICA_POLL_S)
+
+    def _take_place(self, call: ModelCall, attempts: Attempts) -> Candidate | None:
+        """Choose a replica with room and count the request in; ``None`` if none has."""
+        usable = self._replicas.candidates(call.service.name)
+        fresh = [c for c in usable if c.replica not in attempts.failed_replicas]
+        roomy = [c for c in (fresh or usable) if c.has_room]
+        choice = self._router.choose(roomy, call.affinity)
+        if choice is None:
+            return None
+        self._replicas.note_sent(choice.candidate.replica)
+        place = choice.candidate
+        self._journal.note(
+            call.story,
+            f"attempt {attempts.count} to {place.replica} (epoch {place.epoch}): {choice.why}",
+        )
+        return place
+
+    @contextlib.contextmanager
+    def _occupy(self, call: ModelCall, place: Candidate) -> Iterator[PlaceUse]:
+        """Hold the place that was taken; give it back however the attempt ends."""
+        use = PlaceUse()
+        try:
+            yield use
+        finally:
+            failed = use.end is not None and use.end.is_failure
+            self._replicas.note_finished(place.replica, failed)
+            self._queue.pump(call.service.name)
+
+    # One attempt.
+
+    def _headers(self, call: ModelCall, place: Candidate, attempt: int) -> dict[str, str]:
+        return {
+            "content-type": "application/json",
+            "x-request-id": call.request_id,
+            "x-attempt": str(attempt),
+            "x-replica": place.replica,
+            "x-group-epoch": str(place.epoch),
+            "x-priority": str(call.organisation.priority),
+        }
+
+    async def _try_stream(
+        self,
+        call: ModelCall,
+        place: Candidate,
+        attempts: Attempts,
+        stream: OrderedStream,
+        sink: Sink,
+    ) -> AttemptEnd:
+        headers = self._headers(call, place, attempts.count)
+        body = call.body
+        if stream.next_position > 0:
+            last = f"{call.request_id}/{attempts.count}:{stream.next_position - 1}"
+            headers["last-event-id"] = last
+            body = _with_resume_text(call, stream)
+            self.metrics.resumes += 1
+        stream.begin_attempt(attempts.count)
+
+        async def relay(response: aiohttp.ClientResponse, active: ActiveAttempt) -> AttemptEnd:
+            loop = asyncio.get_running_loop()
+            async for chunk in response.content.iter_any():
+                active.progress_at = loop.time()
+                active.has_begun = True
+                ready = stream.feed(chunk)
+                if ready:
+                    await sink.write(ready)
+                if stream.is_done:
+                    return AttemptEnd(End.DONE, "complete")
+            return AttemptEnd(End.FAILED, f"the stream ended at position {stream.next_position}")
+
+        resumable = not call.once_only
+        return await self._attempt(call, place, headers, body, relay, resumable)
+
+    async def _try_whole(
+        self, call: ModelCall, place: Candidate, attempts: Attempts
+    ) -> tuple[AttemptEnd, WholeAnswer | None]:
+        headers = self._headers(call, place, attempts.count)
+        expected_id = f"{call.request_id}/{attempts.count}"
+        answers: list[WholeAnswer] = []
+
+        async def read(response: aiohttp.ClientResponse, active: ActiveAttempt) -> AttemptEnd:
+            body = await _read_bounded(response, self._answer_bytes)
+            if response.headers.get("x-request-id") != expected_id:
+                self.metrics.foreign_events += 1
+                return AttemptEnd(End.FAILED, "the answer is to another request")
+            try:
+                json.loads(body)
+            except ValueError:
+                return AttemptEnd(End.FAILED, "the answer is not JSON")
+            answers.append(WholeAnswer(200, "application/json", body))
+            return AttemptEnd(End.DONE, "complete")
+
+        end = await self._attempt(call, place, headers, call.body, read, resumable=False)
+        return end, answers[0] if answers else None
+
+    async def _attempt(self, call, place, headers, body, consume, resumable: bool) -> AttemptEnd:
+        """Send the request once and let ``consume`` read the answer."""
+        self.metrics.attempts += 1
+        timeout = asyncio.timeout(None)
+        active = ActiveAttempt(
+            call.request_id,
+            place.replica,
+            place.epoch,
+            call.deadline,
+            self._clock.now(),
+            timeout,
+            is_resumable=resumable,
+        )
+        self._active.add(active)
+        try:
+            async with timeout:
+                url = place.address.url + call.path
+                async with self._session.post(url, data=body, headers=headers) as response:
+                    end = _judge_head(response)
+                    return end or await consume(response, active)
+        except NOT_SENT_ERRORS as error:
+            return AttemptEnd(End.NOT_SENT, f"{place.replica} was not reached: {error}")
+        except (*SENT_ERRORS, StreamError) as error:
+            return AttemptEnd(End.FAILED, f"{type(error).__name__}: {error}")
+        except TimeoutError:
+            if active.ended_by is None:
+                raise
+            return active.ended_by
+        finally:
+            self._active.discard(active)
+
+    # What follows an attempt.
+
+    def _after_attempt(
+        self,
+        call: ModelCall,
+        place: Candidate,
+        attempts: Attempts,
+        end: AttemptEnd,
+        stream: OrderedStream | None,
+    ) -> None:
+        """Note the end; raise the final error unless another attempt may follow."""
+        failed = end.is_failure
+        self._journal.note(call.story, f"attempt {attempts.count} ended: {end.end}, {end.reason}")
+        if not failed:
+            if end.end is End.MOVED:
+                attempts.note(place.replica, end)
+            return
+        attempts.note(place.replica, end)
+        self._log.event(
+            "attempt_failed",
+            request=call.request_id,
+            replica=place.replica,
+            end=str(end.end),
+            reason=end.reason,
+        )
+        refusal = self._why_no_retry(call, attempts, end, stream)
+        if refusal is not None:
+            self._journal.note(call.story, f"given up: {refusal}")
+            raise self._final(call, attempts, None, f"{end.reason}; {refusal}")
+        self.metrics.retries += 1
+
+    def _why_no_retry(
+        self, call: ModelCall, attempts: Attempts, end: AttemptEnd, stream: OrderedStream | None
+    ) -> str | None:
+        if attempts.count >= MAX_ATTEMPTS:
+            return f"{attempts.count} attempts were made"
+        if self._clock.now() >= call.deadline:
+            return "its deadline has passed"
+        if end.end is End.NOT_SENT:
+            return None
+        if call.once_only and end.may_have_run:
+            return "it may run at most once"
+        if stream is not None and stream.next_position and stream.delivered_text() is None:
+            return "too much was delivered to resume elsewhere"
+        if end.end is End.LOST:
+            return None
+        if not self._budget.try_spend():
+            return "the retry budget is spent"
+        return None
+
+    def _final(
+        self,
+        call: ModelCall,
+        attempts: Attempts,
+        error: MulleinreachError | None,
+        reason: str = "",
+    ) -> MulleinreachError:
+        """Return the error that the caller gets, with what is known of its outcome."""
+        if error is None:
+            expired = self._clock.now() >= call.deadline
+            code = Code.DEADLINE_EXCEEDED if expired else Code.UPSTREAM_FAILED
+            error = MulleinreachError(code, reason, retry_after_s=LOST_RETRY_AFTER_S)
+        error.ran = Ran.UNKNOWN if attempts.may_have_run else Ran.NOT_RUN
+        if error.ran is Ran.UNKNOWN and call.once_only:
+            error.retry_after_s = None
+        return error
+
+    async def _move_kv(self, call: ModelCall, source: Candidate | None, target: Candidate) -> None:
+        """Take the KV cache along when a stream moves; it is only a saving of time."""
+        if source is None:
+            return
+        self.metrics.moves += 1
+        path = f"/kv/{call.request_id}"
+        try:
+            async with asyncio.timeout(KV_TIMEOUT_S):
+                async with self._session.get(source.address.url + path) as response:
+                    exported = await response.read() if response.status == 200 else None
+                if exported is not None:
+                    async with self._session.post(target.address.url + path, data=exported):
+                        pass
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            exported = None
+        moved = "with its KV cache" if exported is not None else "without its KV cache"
+        note = f"moved from {source.replica} to {target.replica} {moved}"
+        self._journal.note(call.story, note)
+
+
+def _judge_head(response: aiohttp.ClientResponse) -> AttemptEnd | None:
+    """Return how an attempt ended, if the head of the answer says so already."""
+    if response.status == 200:
+        return None
+    if response.headers.get("x-ran") == "not_run":
+        return AttemptEnd(End.REFUSED, f"the upstream refused it, status {response.status}")
+    return AttemptEnd(End.FAILED, f"the upstream answered status {response.status}")
+
+
+def _with_resume_text(call: ModelCall, stream: OrderedStream) -> bytes:
+    text = stream.delivered_text()
+    if text is None:
+        return call.body
+    return json.dumps({**call.fields, "resume_text": text}).encode()
+
+
+async def _read_bounded(response: aiohttp.ClientResponse, most: int) -> bytes:
+    body = bytearray()
+    async for chunk in response.content.iter_any():
+        body += chunk
+        if len(body) > most:
+            raise aiohttp.ClientPayloadError(f"an answer of over {most} bytes")
+    return bytes(body)
--- /dev/null
+++ b/mulleinreach/roster/messages.py
@@ -0,0 +1,193 @@
+"""The messages between nodes as typed values, and their Cap'n Proto form."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, fields
+from pathlib import Path
+
+import capnp
+
+SCHEMA_PATH = Path(__file__).with_name("peer.capnp")
+capnp.remove_import_hook()
+_schema = capnp.load(str(SCHEMA_PATH))
+
+
+@dataclass(frozen=True)
+class Hello:
+    """First message of each side of a connection; ``nonce`` is fresh and random."""
+
+    node: str
+    incarnation: str
+    nonce: bytes
+
+
+@dataclass(frozen=True)
+class Proof:
+    """Second message of each side: shows that it holds the key ``key_id``."""
+
+    key_id: str
+    digest: bytes
+
+
+@dataclass(frozen=True)
+class Demand:
+    """What callers of an organisation ask for at the sender; rate in requests/s."""
+
+    organisation: str
+    rate: float
+    running: float
+
+
+@dataclass(frozen=True)
+class Grant:
+    """A part of the sender's share, lent to the receiver for a fixed time."""
+
+    organisation: str
+    rate: float
+    slots: int
+
+
+@dataclass(frozen=True)
+class ReplicaReport:
+    """What the sender knows of a replica that it watches; ``age_ms`` in milliseconds."""
+
+    replica: str
+    epoch: int
+    whole: bool
+    age_ms: int
+    running: int
+    waiting: int
+    slots: int
+    sent: int
+
+
+@dataclass(frozen=True)
+class HostReport:
+    """What the sender last read from an engine, ``age_ms`` milliseconds ago."""
+
+    host: str
+    incarnation: int
+    replica: str
+    epoch: int
+    state: str
+    last_order: str
+    age_ms: int
+    in_flight: int = 0
+
+
+@dataclass(frozen=True)
+class Ping:
+    """Asks a peer for evidence and load."""
+
+    seq: int
+    config_version: int
+    demands: list[Demand] = field(default_factory=list)
+    wants_hosts: bool = False
+
+
+@dataclass(frozen=True)
+class Pong:
+    """Answers the ping ``seq``; ``vouches`` is false until the sender has read the table."""
+
+    seq: int
+    config_version: int
+    vouches: bool
+    replicas: list[ReplicaReport] = field(default_factory=list)
+    hosts: list[HostReport] = field(default_factory=list)
+    grants: list[Grant] = field(default_factory=list)
+    leaving: bool = False
+    leaving_hosts: list[str] = field(default_factory=list)
+
+
+@dataclass(frozen=True)
+class Withdrawal:
+    """The sender saw that a replica is no longer whole; voids earlier evidence."""
+
+    replica: str
+    epoch: int
+    reason: str
+
+
+@dataclass(frozen=True)
+class ConfigPush:
+    """A configuration that the receiver doesn't have yet, as JSON."""
+
+    version: int
+    document: str
+
+
+Message = Hello | Proof | Ping | Pong | Withdrawal | ConfigPush
+
+_NAMES: dict[type, str] = {
+    Hello: "hello",
+    Proof: "proof",
+    Ping: "ping",
+    Pong: "pong",
+    Withdrawal: "withdrawal",
+    ConfigPush: "config",
+}
+_TYPES = {name: kind for kind, name in _NAMES.items()}
+_ITEMS = {
+    "demands": Demand,
+    "replicas": ReplicaReport,
+    "hosts": HostReport,
+    "grants": Grant,
+}
+_TEXT_LISTS = {"leaving_hosts"}
+
+
+def _camel(name: str) -> str:
+    head, *rest = name.split("_")
+    return head + "".join(part.capitalize() for part in rest)
+
+
+_FIELDS = {
+    kind: [(f.name, _camel(f.name)) for f in fields(kind)] for kind in [*_NAMES, *_ITEMS.values()]
+}
+
+
+def encode(message: Message) -> bytes:
+    """Return ``message`` packed, without the length before it.
+
+    Examples
+    ========
+
+    >>> decode(encode(Withdrawal("r1", 3, "host lost")))
+    Withdrawal(replica='r1', epoch=3, reason='host lost')
+    """
+    envelope = _schema.Envelope.new_message()
+    _fill(envelope.init(_NAMES[type(message)]), message)
+    return envelope.to_bytes_packed()
+
+
+def _fill(builder, value) -> None:
+    for name, camel in _FIELDS[type(value)]:
+        content = getattr(value, name)
+        if name not in _ITEMS:
+            setattr(builder, camel, content)
+            continue
+        items = builder.init(camel, len(content))
+        for index, item in enumerate(content):
+            _fill(items[index], item)
+
+
+def decode(packed: bytes) -> Message:
+    """Read one message; raises ``ValueError`` on anything that isn't one."""
+    try:
+        envelope = _schema.Envelope.from_bytes_packed(packed)
+        name = str(envelope.which)
+        return _read(_TYPES[name], getattr(envelope, name))
+    except (capnp.KjException, KeyError, UnicodeDecodeError) as error:
+        raise ValueError(f"{len(packed)} bytes are not a message: {error}") from error
+
+
+def _read(kind: type, reader):
+    values = {}
+    for name, camel in _FIELDS[kind]:
+        content = getattr(reader, camel)
+        if name in _ITEMS:
+            content = [_read(_ITEMS[name], item) for item in content]
+        elif name in _TEXT_LISTS:
+            content = list(content)
+        values[name] = content
+    return kind(**values)
--- /dev/null
+++ b/mulleinreach/roster/peer.capnp
@@ -0,0 +1,89 @@
+# Messages between nodes. Each goes over TCP as a 4-byte big-endian length and
+# one packed message. See docs/ARCHITECTURE.md for what a stale, doubled or
+# missing one does.
+@0xd1f7a3c2b8e64590;
+
+struct Hello {
+  node @0 :Text;
+  incarnation @1 :Text;
+  nonce @2 :Data;
+}
+
+struct Proof {
+  keyId @0 :Text;
+  digest @1 :Data;
+}
+
+struct Demand {
+  organisation @0 :Text;
+  rate @1 :Float32;       # requests a second that callers ask for here
+  running @2 :Float32;    # requests in flight here
+}
+
+struct Grant {
+  organisation @0 :Text;
+  rate @1 :Float32;       # requests a second lent to the asker
+  slots @2 :UInt16;       # places for requests in flight lent to the asker
+}
+
+struct ReplicaReport {
+  replica @0 :Text;
+  epoch @1 :UInt64;
+  whole @2 :Bool;
+  ageMs @3 :UInt32;       # age of the oldest evidence it rests on
+  running @4 :UInt16;
+  waiting @5 :UInt16;
+  slots @6 :UInt16;
+  sent @7 :UInt16;        # in flight from the reporting node
+}
+
+struct HostReport {
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  replica @2 :Text;
+  epoch @3 :UInt64;
+  state @4 :Text;
+  lastOrder @5 :Text;
+  ageMs @6 :UInt32;
+  inFlight @7 :UInt16;    # requests running or waiting in the engine
+}
+
+struct Ping {
+  seq @0 :UInt32;
+  configVersion @1 :UInt32;
+  demands @2 :List(Demand);
+  wantsHosts @3 :Bool;
+}
+
+struct Pong {
+  seq @0 :UInt32;
+  configVersion @1 :UInt32;
+  vouches @2 :Bool;
+  replicas @3 :List(ReplicaReport);
+  hosts @4 :List(HostReport);
+  grants @5 :List(Grant);
+  leaving @6 :Bool;       # the sender itself is about to stop
+  leavingHosts @7 :List(Text);
+}
+
+struct Withdrawal {
+  replica @0 :Text;
+  epoch @1 :UInt64;
+  reason @2 :Text;
+}
+
+struct ConfigPush {
+  version @0 :UInt32;
+  document @1 :Text;
+}
+
+struct Envelope {
+  union {
+    hello @0 :Hello;
+    proof @1 :Proof;
+    ping @2 :Ping;
+    pong @3 :Pong;
+    withdrawal @4 :Withdrawal;
+    config @5 :ConfigPush;
+  }
+}
--- /dev/null
+++ b/mulleinreach/routing/__init__.py
@@ -0,0 +1,6 @@
+"""Choosing the replica that a request is sent to."""
+
+from mulleinreach.routing.replicas import Candidate, ReplicaTable
+from mulleinreach.routing.router import Choice, Router
+
+__all__ = ["Candidate", "Choice", "ReplicaTable", "Router"]
--- /dev/null
+++ b/mulleinreach/routing/replicas.py
@@ -0,0 +1,166 @@
+"""The replicas that a node may send work to, and how loaded it thinks they are."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from mulleinreach.common import Address, Clock
+from mulleinreach.groups.model import GROUPS_PREFIX, GroupRecord, GroupState
+from mulleinreach.groups.watch import ReplicaEvidence, WholenessView
+from mulleinreach.platform import HostDirectory, TableCache
+
+EJECT_MIN_S = 0.5
+EJECT_MAX_S = 10.0
+FAILURES_TO_EJECT = 3
+DEFAULT_SLOTS = 8
+QUEUE_FACTOR = 1.25
+
+
+@dataclass
+class ReplicaLoad:
+    """This node's own work on one replica, for correcting a report that lags.
+
+    Parameters
+    ==========
+
+    sent, finished : counts since the node started.
+    sent_at_report, finished_at_report : the counts when the latest report was asked for.
+    failures : in a row; ``ejected_until`` in monotonic seconds.
+    """
+
+    sent: int = 0
+    finished: int = 0
+    sent_at_report: int = 0
+    finished_at_report: int = 0
+    reported_at: float = float("-inf")
+    failures: int = 0
+    ejected_until: float = float("-inf")
+
+    @property
+    def in_flight(self) -> int:
+        """Requests of this node that the replica works on."""
+        return self.sent - self.finished
+
+
+@dataclass(frozen=True)
+class Candidate:
+    """A replica that may be sent work; ``load`` in requests running or waiting."""
+
+    replica: str
+    epoch: int
+    address: Address
+    load: float
+    slots: int
+
+    @property
+    def has_room(self) -> bool:
+        """Whether the replica's own queue is short enough for one more."""
+        return self.load < self.slots * QUEUE_FACTOR
+
+
+class ReplicaTable:
+    """Joins groups, evidence of wholeness, leaving hosts and own load."""
+
+    def __init__(
+        self,
+        cache: TableCache,
+        directory: HostDirectory,
+        wholeness: WholenessView,
+        clock: Clock,
+        leaving_hosts: Callable[[], set[str]],
+    ):
+        self._directory = directory
+        self._wholeness = wholeness
+        self._clock = clock
+        self._leaving_hosts = leaving_hosts
+        self._cache = cache
+        self._groups: dict[str, list[GroupRecord]] = {}
+        self._loads: dict[str, ReplicaLoad] = {}
+        cache.listeners.append(self._follow_table)
+
+    def _follow_table(self) -> None:
+        self._groups = {}
+        names = set()
+        for row in self._cache.under(GROUPS_PREFIX):
+            group = GroupRecord.from_row(row)
+            names.add(group.replica)
+            self._groups.setdefault(group.service, []).append(group)
+        self._wholeness.keep_only(names)
+        for name in list(self._loads):
+            if name not in names and self._loads[name].in_flight == 0:
+                del self._loads[name]
+
+    def groups(self, service: str) -> list[GroupRecord]:
+        """Return all groups of a service, usable or not."""
+        return self._groups.get(service, [])
+
+    def all_groups(self) -> list[GroupRecord]:
+        """Return all groups of all services."""
+        return [group for groups in self._groups.values() for group in groups]
+
+    def load_of(self, replica: str) -> ReplicaLoad:
+        """Return this node's own count of work on a replica."""
+        return self._loads.setdefault(replica, ReplicaLoad())
+
+    def candidates(self, service: str) -> list[Candidate]:
+        """Return the replicas of a service that may be sent work at this moment."""
+        leaving = self._leaving_hosts()
+        found = []
+        for group in self._groups.get(service, []):
+            if self.why_unusable(group, leaving) is None:
+                found.append(self._candidate(group))
+        return found
+
+    def why_unusable(self, group: GroupRecord, leaving: set[str]) -> str | None:
+        """Return why a group gets no new work, or ``None`` if it may."""
+        if group.state is GroupState.DRAINING:
+            return "it is draining"
+        if not leaving.isdisjoint(group.hosts):
+            return f"{', '.join(sorted(leaving.intersection(group.hosts)))} is leaving"
+        if not self._wholeness.is_whole(group.replica, group.epoch):
+            age = self._wholeness.age_s(group.replica)
+            return f"not known to be whole in epoch {group.epoch} (last confirmed {age:.1f} s ago)"
+        if self._directory.get(group.head) is None:
+            return f"the address of {group.head} is not known"
+        if self._clock.now() < self.load_of(group.replica).ejected_until:
+            return f"it failed {self.load_of(group.replica).failures} times in a row"
+        return None
+
+    def _candidate(self, group: GroupRecord) -> Candidate:
+        evidence = self._wholeness.evidence(group.replica)
+        load = self.load_of(group.replica)
+        self._note_report(load, evidence)
+        since = (load.sent - load.sent_at_report) - (load.finished - load.finished_at_report)
+        estimate = evidence.running + evidence.waiting + since
+        head = self._directory.get(group.head)
+        return Candidate(
+            replica=group.replica,
+            epoch=group.epoch,
+            address=Address.parse(head.address),
+            load=max(estimate, load.in_flight, 0),
+            slots=evidence.slots or DEFAULT_SLOTS,
+        )
+
+    def _note_report(self, load: ReplicaLoad, evidence: ReplicaEvidence) -> None:
+        if evidence.reported_at > load.reported_at:
+            load.reported_at = evidence.reported_at
+            load.sent_at_report = load.sent
+            load.finished_at_report = load.finished
+
+    def note_sent(self, replica: str) -> None:
+        """Count a request that is sent to a replica."""
+        self.load_of(replica).sent += 1
+
+    def note_finished(self, replica: str, failed: bool) -> None:
+        """Count a request that has ended; failures in a row eject the replica a while."""
+        load = self.load_of(replica)
+        load.finished += 1
+        if not failed:
+            load.failures = 0
+            return
+        load.failures += 1
+        if load.failures >= FAILURES_TO_EJECT:
+            doublings = load.failures - FAILURES_TO_EJECT
+            pause_s = min(EJECT_MAX_S, EJECT_MIN_S * 2 ** min(doublings, 10))
+            load.ejected_until = self._clock.now() + pause_s
--- /dev/null
+++ b/mulleinreach/standins/virtual.py
@@ -0,0 +1,151 @@
+"""A network in memory, on a virtual clock, whose links can be cut.
+
+Explanation
+===========
+
+``async_solipsism`` gives an event loop with virtual time and in-memory
+connections, so that whole nodes run in one process, in the same order on every
+run. The connector overrides a private method of aiohttp; it stands only here.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Coroutine
+
+import aiohttp
+import async_solipsism
+
+from mulleinreach.common.net import CONNECT_TIMEOUT_S, Address, Network
+
+
+class Links:
+    """Which processes can reach which; a cut breaks open connections too."""
+
+    def __init__(self) -> None:
+        self.names: dict[str, str] = {}
+        self._cuts: set[tuple[str, str]] = set()
+        self._refusing: set[str] = set()
+        self._transports: dict[tuple[str, str], list[asyncio.Transport]] = {}
+
+    def cut(self, origin: str, target: str) -> None:
+        """Break all connections from ``origin`` to ``target``; new ones hang."""
+        self._cuts.add((origin, target))
+        for transport in self._transports.pop((origin, target), []):
+            transport.abort()
+
+    def cut_both(self, first: str, second: str) -> None:
+        """Cut two processes off from each other."""
+        self.cut(first, second)
+        self.cut(second, first)
+
+    def mend(self) -> None:
+        """Join everything again."""
+        self._cuts.clear()
+        self._refusing.clear()
+
+    def refuse(self, target: str) -> None:
+        """Let nobody connect to ``target``, and break its connections: it is dead."""
+        self._refusing.add(target)
+        for (origin, other), transports in list(self._transports.items()):
+            if other == target:
+                del self._transports[origin, other]
+                for transport in transports:
+                    transport.abort()
+
+    def accept(self, target: str) -> None:
+        """Let connections to ``target`` through again."""
+        self._refusing.discard(target)
+
+    async def connect(self, origin: str, factory, host: str, port: int):
+        """Open a connection, unless a cut or a dead target is in the way."""
+        target = self.names.get(f"{host}:{port}", f"{host}:{port}")
+        if (origin, target) in self._cuts:
+            await asyncio.sleep(CONNECT_TIMEOUT_S)
+            raise TimeoutError(f"no way from {origin} to {target}")
+        if target in self._refusing:
+            raise ConnectionRefusedError(f"{target} refuses connections")
+        loop = asyncio.get_running_loop()
+        transport, protocol = await loop.create_connection(factory, host, port)
+        known = self._transports.setdefault((origin, target), [])
+        known[:] = [t for t in known if not t.is_closing()]
+        known.append(transport)
+        return transport, protocol
+
+
+class _FixedResolver(aiohttp.abc.AbstractResolver):
+    async def resolve(self, host, port=0, family=socket.AF_INET):
+        return [
+            {
+                "hostname": host,
+                "host": host,
+                "port": port,
+                "family": socket.AF_INET,
+                "proto": 0,
+                "flags": 0,
+            }
+        ]
+
+    async def close(self) -> None:
+        return None
+
+
+class _LinkConnector(aiohttp.TCPConnector):
+    """Connects through the links."""
+
+    def __init__(self, links: Links, origin: str, **options):
+        super().__init__(resolver=_FixedResolver(), **options)
+        self._links = links
+        self._origin = origin
+
+    async def _wrap_create_connection(self, factory, *args, addr_infos, req, **kwargs):
+        host, port = addr_infos[0][4][:2]
+        try:
+            return await self._links.connect(self._origin, factory, host, port)
+        except TimeoutError as error:
+            raise aiohttp.ConnectionTimeoutError(str(error)) from error
+        except OSError as error:
+            raise aiohttp.ClientConnectorError(req.connection_key, error) from error
+
+
+class VirtualNetwork(Network):
+    """The network as one process sees it."""
+
+    def __init__(self, links: Links, origin: str):
+        super().__init__(origin)
+        self._links = links
+
+    def _connector(self) -> aiohttp.TCPConnector:
+        return _LinkConnector(self._links, self.origin, limit=0, force_close=False)
+
+    async def connect(self, address: Address) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        loop = asyncio.get_running_loop()
+        reader = asyncio.StreamReader(loop=loop)
+        protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+        transport, _ = await self._links.connect(
+            self.origin, lambda: protocol, address.host, address.port
+        )
+        return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
+
+
+def run_virtual(main: Coroutine) -> object:
+    """Run ``main`` to its end on a loop with virtual time.
+
+    Examples
+    ========
+
+    >>> run_virtual(asyncio.sleep(3600, "done"))
+    'done'
+    """
+    loop = async_solipsism.EventLoop()
+    asyncio.set_event_loop(loop)
+    try:
+        return loop.run_until_complete(main)
+    finally:
+        left = asyncio.all_tasks(loop)
+        for task in left:
+            task.cancel()
+        loop.run_until_complete(asyncio.gather(*left, return_exceptions=True))
+        loop.close()
+        asyncio.set_event_loop(None)
