--- a/mulleinreach/common/tasks.py
+++ b/mulleinreach/common/tasks.py
@@ -18,17 +18,18 @@
     """
 
     def __init__(self) -> None:
-        self._tasks: set[asyncio.Task] = set()
+        # A dict keeps the order of starting, so that a run can be repeated.
+        self._tasks: dict[asyncio.Task, None] = {}
 
     def spawn(self, coroutine: Coroutine) -> asyncio.Task:
         """Run ``coroutine`` until it ends or the group is closed."""
         task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
+        self._tasks[task] = None
         task.add_done_callback(self._finished)
         return task
 
     def _finished(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
+        self._tasks.pop(task, None)
         if not task.cancelled() and task.exception() is not None:
             logging.error("event=task_failed error=%r", task.exception(), exc_info=task.exception())
 
--- a/mulleinreach/entry/explain.py
+++ b/mulleinreach/entry/explain.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from mulleinreach.common import Code, MulleinreachError
 from mulleinreach.groups.view import FleetView
@@ -25,6 +25,7 @@
         notes: Callable[[], dict[str, str]],
         leaving: Callable[[], set[str]],
         holders: Callable[[], dict[str, str]],
+        gather_hosts: Callable[[], Awaitable[None]],
     ):
         self._force = force
         self._replicas = replicas
@@ -34,9 +35,12 @@
         self._notes = notes
         self._leaving = leaving
         self._holders = holders
+        self._gather_hosts = gather_hosts
 
-    def get(self, what: str) -> object:
+    async def get(self, what: str) -> object:
         """Return a list of things of one kind, or the configuration."""
+        if what == "hosts":
+            await self._gather_hosts()
         kinds = {
             "config": self._get_config,
             "services": self._get_services,
@@ -119,8 +123,10 @@
             states[group.replica] = f"{group.state}, epoch {group.epoch}, {usable}"
         return states
 
-    def explain(self, kind: str, name: str) -> list[str]:
+    async def explain(self, kind: str, name: str) -> list[str]:
         """Return a few lines on why a request, replica or host is as it is."""
+        if kind == "host":
+            await self._gather_hosts()
         kinds = {
             "request": self._explain_request,
             "replica": self._explain_replica,
--- a/mulleinreach/entry/operators.py
+++ b/mulleinreach/entry/operators.py
@@ -117,7 +117,7 @@
 
     async def _get(self, request: web.Request) -> web.Response:
         self._authenticate(request, "viewer")
-        return web.json_response(self._parts.explainer.get(request.match_info["what"]))
+        return web.json_response(await self._parts.explainer.get(request.match_info["what"]))
 
     async def _explain(self, request: web.Request) -> web.Response:
         self._authenticate(request, "viewer")
@@ -126,7 +126,7 @@
             plan, _ = await self._parts.plans.get(name)
             lines = [f"plan {plan.id} by {plan.operator} is {plan.state}", *plan.lines]
         else:
-            lines = self._parts.explainer.explain(kind, name)
+            lines = await self._parts.explainer.explain(kind, name)
         return web.json_response({"kind": kind, "name": name, "lines": lines})
 
     async def _audit(self, request: web.Request) -> web.Response:
--- a/mulleinreach/evidence.py
+++ b/mulleinreach/evidence.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from mulleinreach.common import Address
@@ -31,6 +32,7 @@
         self._node = node
         self._peer_hosts: dict[str, tuple[HostReport, float]] = {}
         self._peer_leaving: dict[str, tuple[set[str], float]] = {}
+        self._wanted_until = float("-inf")
 
     # What we tell.
 
@@ -41,7 +43,7 @@
             seq,
             node.force.version,
             demands=node.shares.demands(),
-            wants_hosts=node.lease.is_held(),
+            wants_hosts=node.lease.is_held() or node.clock.now() < self._wanted_until,
         )
 
     def make_pong(self, peer: str, ping: Ping) -> Pong:
@@ -72,6 +74,11 @@
             return None
         return ConfigPush(document.version, document.model_dump_json())
 
+    async def tell_configuration(self, document: ConfigDocument) -> None:
+        """Send a configuration that was just written to all peers at once."""
+        push = ConfigPush(document.version, document.model_dump_json())
+        await self._node.roster.broadcast(push)
+
     async def tell_withdrawal(self, group: GroupRecord, reason: str) -> None:
         """Tell all peers at once that a replica is no longer whole."""
         await self._node.roster.broadcast(Withdrawal(group.replica, group.epoch, reason))
@@ -114,6 +121,24 @@
 
     # What follows for this node.
 
+    async def gather_hosts(self) -> None:
+        """Ask all peers for what they know of hosts, and wait for their next answers.
+
+        Explanation
+        ===========
+
+        Only the holder of the duty hears of all hosts all the time; another node
+        needs them for the moment in which it makes a plan or explains a host.
+        """
+        node = self._node
+        if not any(self._is_unknown(h.name) for h in node.directory.of_kind(HostKind.ENGINE)):
+            return
+        rounds_s = 2 * node.settings.timing.peer_ping_s
+        is_recent = node.clock.now() < self._wanted_until - rounds_s
+        self._wanted_until = node.clock.now() + 2 * rounds_s
+        if not is_recent:
+            await asyncio.sleep(rounds_s)
+
     def host_reports(self) -> dict[str, tuple[HostReport, float]]:
         """Return the latest report on each host, of ours and those of peers."""
         node = self._node
@@ -182,8 +207,14 @@
                 node.wholeness.take(report, now)
 
     def _is_unreported(self, host: str) -> bool:
-        """Whether the holder should look for itself: no peer has told of a host lately."""
+        """Whether no peer has told of a host lately, so that we have to ask or look."""
         known = self._peer_hosts.get(host)
-        if known is None:
-            return True
-        return self._node.clock.now() - known[1] > self._node.settings.timing.whole_fresh_s
+        return known is None or self._is_old(known[1])
+
+    def _is_unknown(self, host: str) -> bool:
+        """Whether neither a peer nor our own watch has told of a host lately."""
+        own = self._node.watch.sightings.get(host)
+        return self._is_unreported(host) and (own is None or self._is_old(own.asked_at))
+
+    def _is_old(self, seen_at: float) -> bool:
+        return self._node.clock.now() - seen_at > self._node.settings.timing.whole_fresh_s
--- a/mulleinreach/groups/planner.py
+++ b/mulleinreach/groups/planner.py
@@ -254,13 +254,16 @@
         unchecked = view.host.domain in self._planner._unchecked
         action = "load" if use is HostUse.MEMBER else "stop"
         incarnation = view.report.incarnation if view.report else view.record.incarnation
+        # Copies that were meant for an earlier process can't reach this one.
+        same_process = incarnation == view.record.incarnation
+        before = view.record.unresolved if same_process else 0
         return view.record.ordered(
             action,
             use=use,
             replica=replica,
             epoch=epoch,
             incarnation=incarnation,
-            unresolved=view.record.unresolved + 1 if unchecked else 0,
+            unresolved=before + 1 if unchecked else 0,
             copies=1,
             sender=self._lease_epoch,
         )
--- a/mulleinreach/intents/force.py
+++ b/mulleinreach/intents/force.py
@@ -85,11 +85,9 @@
 
     def _follow_table(self) -> None:
         value = self._cache.get(CONFIG_KEY).value
-        if value is not None:
-            self.learn(ConfigDocument.model_validate(value))
-            if value["version"] == self.version and self._in_table_at == NEVER:
-                self._in_table_at = self._clock.now()
-        self._count_acks()
+        if value is not None and value["version"] >= self.version:
+            known = value["version"] == self.version
+            self.learn_written(self.document if known else ConfigDocument.model_validate(value))
 
     def learn(self, document: ConfigDocument) -> None:
         """Apply ``document`` if it is newer than what we have."""
@@ -103,6 +101,13 @@
         for listener in self.listeners:
             listener(document)
 
+    def learn_written(self, document: ConfigDocument) -> None:
+        """Apply a configuration that we know to be in the table: we wrote it."""
+        self.learn(document)
+        if document.version == self.version and self._in_table_at == NEVER:
+            self._in_table_at = self._clock.now()
+        self._count_acks()
+
     def hear(self, peer: str, version: int, vouches: bool, asked_at: float) -> None:
         """Take in a peer's answer; a peer that doesn't vouch counts for nothing."""
         if not vouches:
--- a/mulleinreach/intents/plan.py
+++ b/mulleinreach/intents/plan.py
@@ -11,8 +11,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import enum
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import asdict, dataclass, replace
 
 from mulleinreach.audit import AuditTrail
@@ -99,7 +100,9 @@
         force: ConfigInForce,
         trail: AuditTrail,
         clock: Clock,
+        gather_hosts: Callable[[], Awaitable[None]],
         preview: Callable[[ConfigDocument], list[str]],
+        tell_peers: Callable[[ConfigDocument], Awaitable[None]],
     ):
         self._node = node
         self._table = table
@@ -107,7 +110,9 @@
         self._force = force
         self._trail = trail
         self._clock = clock
+        self._gather_hosts = gather_hosts
         self._preview = preview
+        self._tell_peers = tell_peers
         self._count = 0
 
     async def create(self, operator: str, **wanted) -> PlanRecord:
@@ -122,6 +127,7 @@
         """
         if not await self._cache.refresh():
             raise unavailable("the plan was not made")
+        await self._gather_hosts()
         document = self._force.document
         now = self._clock.wall()
         self._count += 1
@@ -156,12 +162,17 @@
 
     async def confirm(self, operator: str, plan_id: str) -> Confirmation:
         """Carry a plan out: write the next configuration."""
-        plan, plan_version = await self.get(plan_id)
+        # Both reads at once: a slow table should cost its delay only once.
+        refreshing = asyncio.ensure_future(self._cache.refresh())
+        try:
+            plan, plan_version = await self.get(plan_id)
+        finally:
+            was_refreshed = await refreshing
         if plan.state is PlanState.CONFIRMED:
             return Confirmation(plan_id, plan.config_version, repeated=True)
         if self._clock.wall() > plan.expires:
             raise MulleinreachError(Code.PLAN_EXPIRED, f"plan {plan_id!r} has expired; plan again")
-        if not await self._cache.refresh():
+        if not was_refreshed:
             raise unavailable("nothing was changed")
         document = self._force.document
         self._check_basis(plan, document)
@@ -207,7 +218,8 @@
         )
         if isinstance(result, Committed):
             self._trail.announce(entry)
-            await self._cache.refresh()
+            self._force.learn_written(following)
+            await self._tell_peers(following)
             return Confirmation(plan.id, following.version, repeated=False)
         return await self._resolve(result, plan)
 
--- a/mulleinreach/node.py
+++ b/mulleinreach/node.py
@@ -214,7 +214,9 @@
             self.force,
             self.trail,
             self.clock,
+            self.evidence.gather_hosts,
             lambda document: preview(self.controller.view(), document, planner, self.directory),
+            self.evidence.tell_configuration,
         )
 
     def _make_lease(self, duty: str) -> Lease:
@@ -242,6 +244,7 @@
             lambda: self.controller.notes,
             self.leaving_hosts,
             lambda: {DUTY: self.lease.holder()},
+            self.evidence.gather_hosts,
         )
         self.callers = CallerInterface(
             CallerParts(
--- a/mulleinreach/requests/active.py
+++ b/mulleinreach/requests/active.py
@@ -56,18 +56,19 @@
         self._must_move = must_move
         self._first_token_s = first_token_s
         self._token_gap_s = token_gap_s
-        self._attempts: set[ActiveAttempt] = set()
+        # A dict keeps the order of arrival, so that a run can be repeated.
+        self._attempts: dict[ActiveAttempt, None] = {}
 
     def __len__(self) -> int:
         return len(self._attempts)
 
     def add(self, attempt: ActiveAttempt) -> None:
         """Watch an attempt from now on."""
-        self._attempts.add(attempt)
+        self._attempts[attempt] = None
 
     def discard(self, attempt: ActiveAttempt) -> None:
         """Stop watching an attempt."""
-        self._attempts.discard(attempt)
+        self._attempts.pop(attempt, None)
 
     def sweep(self) -> None:
         """End the attempts that have to end."""
--- a/mulleinreach/requests/stream.py
+++ b/mulleinreach/requests/stream.py
@@ -89,7 +89,8 @@
 
     def feed(self, data: bytes) -> bytes:
         """Take what arrived; returns what is to be delivered, which may be nothing."""
-        if not self._tail and data.endswith(EVENT_END) and data.count(EVENT_END) == 1:
+        is_plain = not self._tail and not self._held and data.endswith(EVENT_END)
+        if is_plain and data.count(EVENT_END) == 1:
             # The common case: one whole event, the next one.
             event = data[:-2]
             if event.startswith(b"%b%d\ndata: " % (self._prefix, self.next_position)):
--- a/mulleinreach/settings/model.py
+++ b/mulleinreach/settings/model.py
@@ -91,7 +91,7 @@
     peer_ping_s: float = Field(0.5, gt=0, le=10)
     host_poll_s: float = Field(0.5, gt=0, le=10)
     host_list_poll_s: float = Field(1.0, gt=0, le=60)
-    evidence_fresh_s: float = Field(2.5, gt=0, le=60)
+    evidence_fresh_s: float = Field(2.0, gt=0, le=60)
     whole_fresh_s: float = Field(2.0, gt=0, le=60)
     host_lost_s: float = Field(3.0, gt=0, le=600)
     lease_s: float = Field(6.0, gt=0, le=600)
--- a/mulleinreach/standins/engine.py
+++ b/mulleinreach/standins/engine.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import xxhash
@@ -53,7 +54,7 @@
 
     def __init__(self) -> None:
         self.engines: dict[str, EngineStandIn] = {}
-        self.serving_history: list[tuple[float, str, str, int]] = []
+        self.on_obey: Callable[[EngineStandIn, dict], None] = lambda engine, order: None
 
     def is_whole(self, replica: str, epoch: int, members: list[str]) -> bool:
         """Whether every member is ready in this group."""
@@ -213,6 +214,7 @@
     def obey(self, order: dict) -> None:
         """Carry out an order, whatever its epoch."""
         self.orders.append(order)
+        self.fabric.on_obey(self, order)
         if order["order_id"] == self.state.last_order:
             return
         if self._loading:
--- a/mulleinreach/standins/virtual.py
+++ b/mulleinreach/standins/virtual.py
@@ -60,7 +60,8 @@
 
     async def connect(self, origin: str, factory, host: str, port: int):
         """Open a connection, unless a cut or a dead target is in the way."""
-        target = self.names.get(f"{host}:{port}", f"{host}:{port}")
+        # A node's listeners are called "node/callers" and so on.
+        target = self.names.get(f"{host}:{port}", f"{host}:{port}").partition("/")[0]
         if (origin, target) in self._cuts:
             await asyncio.sleep(CONNECT_TIMEOUT_S)
             raise TimeoutError(f"no way from {origin} to {target}")
