--- a/mulleinreach/entry/explain.py
+++ b/mulleinreach/entry/explain.py
@@ -6,7 +6,8 @@
 
 from mulleinreach.common import Code, MulleinreachError
 from mulleinreach.groups.view import FleetView
-from mulleinreach.intents import ConfigInForce
+from mulleinreach.intents import ConfigInForce, ServiceIntent
+from mulleinreach.platform import HostDirectory
 from mulleinreach.requests.journal import RequestJournal
 from mulleinreach.roster import Roster
 from mulleinreach.routing import ReplicaTable
@@ -19,6 +20,7 @@
         self,
         force: ConfigInForce,
         replicas: ReplicaTable,
+        directory: HostDirectory,
         roster: Roster,
         journal: RequestJournal,
         view: Callable[[], FleetView],
@@ -29,6 +31,7 @@
     ):
         self._force = force
         self._replicas = replicas
+        self._directory = directory
         self._roster = roster
         self._journal = journal
         self._view = view
@@ -62,7 +65,7 @@
     def _get_services(self) -> list[dict]:
         found = []
         for service in self._force.document.intent.services:
-            serving = len(self._replicas.candidates(service.name))
+            serving = self._count_serving(service)
             groups = len(self._replicas.groups(service.name))
             found.append(
                 {
@@ -75,6 +78,14 @@
             )
         return found
 
+    def _count_serving(self, service: ServiceIntent) -> int:
+        """Return how many replicas, or hosts of a plain service, get work."""
+        if service.kind == "model":
+            return len(self._replicas.candidates(service.name))
+        leaving = self._leaving()
+        hosts = self._directory.plain_service(service.name)
+        return sum(host.name not in leaving for host in hosts)
+
     def _get_replicas(self) -> list[dict]:
         leaving = self._leaving()
         found = []
--- a/mulleinreach/evidence.py
+++ b/mulleinreach/evidence.py
@@ -109,7 +109,8 @@
     def on_withdrawal(self, peer: str, withdrawal: Withdrawal) -> None:
         """Stop using a replica at once."""
         node = self._node
-        node.wholeness.withdraw(withdrawal.replica, withdrawal.epoch)
+        if not node.wholeness.withdraw(withdrawal.replica, withdrawal.epoch):
+            return
         node.log.event(
             "replica_withdrawn",
             replica=withdrawal.replica,
--- a/mulleinreach/groups/controller.py
+++ b/mulleinreach/groups/controller.py
@@ -260,7 +260,7 @@
 
     def _needs_order(self, host: HostView) -> bool:
         record = host.record
-        if record.use is HostUse.FREE or host.report is None or is_process_gone(host):
+        if record.use is HostUse.FREE or host.lost or is_process_gone(host):
             return False
         if is_order_seen(host) or (record.use is HostUse.STOPPING and is_stopped(host)):
             return False
--- a/mulleinreach/groups/watch.py
+++ b/mulleinreach/groups/watch.py
@@ -56,6 +56,7 @@
         self._pollers: dict[str, asyncio.Task] = {}
         self._addresses: dict[str, Address] = {}
         self._groups: dict[str, GroupRecord] = {}
+        self._told_broken: dict[str, int] = {}
         self.sightings: dict[str, Sighting] = {}
 
     def assign(self, addresses: dict[str, Address], groups: list[GroupRecord]) -> None:
@@ -86,7 +87,9 @@
             return
         was_ready = is_member_ready(before.status, group.replica, group.epoch)
         is_ready = is_member_ready(sighting.status, group.replica, group.epoch)
-        if was_ready and not is_ready:
+        is_new = self._told_broken.get(group.replica, 0) < group.epoch
+        if was_ready and not is_ready and is_new:
+            self._told_broken[group.replica] = group.epoch
             self._on_broken(group, f"{host} is no longer ready in epoch {group.epoch}")
 
     async def stop(self) -> None:
@@ -190,12 +193,14 @@
         epoch, at = self._withdrawn_at.get(report.replica, (0, NEVER))
         return report.epoch <= epoch and confirmed_at <= at
 
-    def withdraw(self, replica: str, epoch: int) -> None:
-        """Void the evidence of a replica up to ``epoch``."""
+    def withdraw(self, replica: str, epoch: int) -> bool:
+        """Void the evidence of a replica up to ``epoch``; returns whether that is news."""
+        is_news = self._withdrawn_at.get(replica, (0, NEVER))[0] < epoch
         self._withdrawn_at[replica] = (epoch, self._clock.now())
         known = self._evidence.get(replica)
         if known is not None and known.epoch <= epoch:
             known.confirmed_at = NEVER
+        return is_news
 
     def is_whole(self, replica: str, epoch: int) -> bool:
         """Whether the group (replica, epoch) may be sent work at this moment."""
--- a/mulleinreach/node.py
+++ b/mulleinreach/node.py
@@ -238,6 +238,7 @@
         self.explainer = Explainer(
             self.force,
             self.replicas,
+            self.directory,
             self.roster,
             self.journal,
             self.controller.view,
--- a/mulleinreach/requests/runner.py
+++ b/mulleinreach/requests/runner.py
@@ -288,12 +288,11 @@
                     return end or await consume(response, active)
         except NOT_SENT_ERRORS as error:
             return AttemptEnd(End.NOT_SENT, f"{place.replica} was not reached: {error}")
+        except TimeoutError as error:
+            # Before OSError, which it is a kind of: the sweep ends attempts so.
+            return active.ended_by or AttemptEnd(End.FAILED, f"timed out: {error}")
         except (*SENT_ERRORS, StreamError) as error:
             return AttemptEnd(End.FAILED, f"{type(error).__name__}: {error}")
-        except TimeoutError:
-            if active.ended_by is None:
-                raise
-            return active.ended_by
         finally:
             self._active.discard(active)
 
