--- a/mulleinreach/cli/main.py
+++ b/mulleinreach/cli/main.py
@@ -195,6 +195,18 @@
     raise typer.Exit(asyncio.run(run_demo(stay)))
 
 
+@app.command()
+def standins(
+    directory: Annotated[Path, typer.Option(help="Where settings for the nodes are written.")],
+    nodes: Annotated[int, typer.Option(help="For how many nodes.")] = 3,
+) -> None:
+    """Run stand-ins of the platform and of engines, for nodes that you start yourself."""
+    from mulleinreach.standins.serve import serve_standins
+    from mulleinreach.standins.world import WorldSpec
+
+    asyncio.run(serve_standins(directory, WorldSpec(nodes=nodes)))
+
+
 def main() -> None:
     """Run the command line."""
     app()
--- a/mulleinreach/standins/world.py
+++ b/mulleinreach/standins/world.py
@@ -108,6 +108,12 @@
     async def start(self) -> None:
         """Start the stand-ins, then the nodes."""
         os.environ[PEER_SECRET_ENV] = "a secret for stand-ins only"
+        await self.start_standins()
+        for name in self.node_names():
+            await self.start_node(name)
+
+    async def start_standins(self) -> None:
+        """Start the stand-ins and make the settings of the nodes."""
         await self._serve("table", self.table.app())
         await self._serve("objects", self.objects.app())
         await self._serve("host-list", self.host_list.app())
@@ -115,16 +121,14 @@
             await self._start_domain(number)
         for number in range(2):
             await self.add_plain(f"desk-{number + 1}", "shop-desk")
-        names = [self.node_name(number) for number in range(self.spec.nodes)]
-        for number, name in enumerate(names):
+        for number, name in enumerate(self.node_names()):
             self._settings[name] = self._make_settings(name, number)
-        for name in names:
-            await self.start_node(name)
 
-    def node_name(self, number: int) -> str:
-        """Return the name of a node; halls take turns."""
+    def node_names(self) -> list[str]:
+        """Return the names of all nodes; halls take turns."""
         halls = self.spec.halls
-        return f"{halls[number % len(halls)]}-{number // len(halls) + 1}"
+        numbers = range(self.spec.nodes)
+        return [f"{halls[n % len(halls)]}-{n // len(halls) + 1}" for n in numbers]
 
     async def _serve(self, name: str, app: web.Application) -> str:
         address = self._addresses.get(name) or self.book.new(name)
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,145 @@
+"""The whole path as separate processes on loopback: kills and freezes of real processes.
+
+Nothing here depends on speed: each wait has a bound that only a hang exceeds.
+"""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+
+import pytest
+import yaml
+
+from mulleinreach.standins.world import CALLER_KEYS, OPERATOR_TOKENS, PEER_SECRET_ENV
+
+PATIENCE_S = 90
+ENVIRONMENT = {
+    **os.environ,
+    PEER_SECRET_ENV: "a secret of this test",
+    "MULLEINREACH_TOKEN": OPERATOR_TOKENS["amaka"],
+}
+
+
+def run(*arguments, check=True):
+    command = [sys.executable, "-m", "mulleinreach", *arguments]
+    done = subprocess.run(
+        command, env=ENVIRONMENT, capture_output=True, text=True, timeout=PATIENCE_S
+    )
+    if check:
+        assert done.returncode == 0, done.stdout + done.stderr
+    return done
+
+
+def until(condition):
+    began = time.monotonic()
+    while not condition():
+        assert time.monotonic() - began < PATIENCE_S, "it hangs"
+        time.sleep(0.1)
+
+
+class Processes:
+    """Stand-ins and nodes, each a process of its own."""
+
+    def __init__(self, directory):
+        self.directory = directory
+        self.running = {}
+        self.start("standins", "standins", "--directory", str(directory))
+        until((directory / "ready").exists)
+        self.settings = {}
+        for path in sorted(directory.glob("*-*.yaml")):
+            self.settings[path.stem] = yaml.safe_load(path.read_text())
+            self.start_node(path.stem)
+
+    def start(self, name, *arguments):
+        command = [sys.executable, "-m", "mulleinreach", *arguments]
+        log = (self.directory / f"{name}.log").open("ab")
+        self.running[name] = subprocess.Popen(command, env=ENVIRONMENT, stdout=log, stderr=log)
+
+    def start_node(self, name):
+        self.start(name, "node", "--settings", str(self.directory / f"{name}.yaml"))
+
+    def signal(self, name, number):
+        self.running[name].send_signal(number)
+
+    def operators(self, name):
+        return self.settings[name]["listen"]["operators"]
+
+    def curl(self, name, method, path, body=None, headers=None):
+        """Send one request as a caller; returns the status and the body."""
+        import http.client
+
+        host, _, port = self.settings[name]["listen"]["callers"].rpartition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=PATIENCE_S)
+        sent = {"authorization": f"Bearer {CALLER_KEYS['shop-lagos']}", **(headers or {})}
+        connection.request(method, path, body, sent)
+        response = connection.getresponse()
+        return response.status, response.read().decode()
+
+    def answers(self, name, path="/readyz"):
+        try:
+            return self.curl(name, "GET", path)[0] == 200
+        except OSError:
+            return False
+
+    def serving(self, name):
+        done = run("get", "services", "--server", self.operators(name), "--output", "json")
+        return {row["service"]: row["serving"] for row in json.loads(done.stdout)}
+
+    def close(self):
+        for process in self.running.values():
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+            process.wait()
+
+
+@pytest.fixture
+def processes(tmp_path):
+    made = Processes(tmp_path)
+    yield made
+    made.close()
+
+
+def test_a_request_is_served_and_a_killed_and_a_frozen_node_are_lived_with(processes):
+    first, second, third = processes.settings
+    at = ("--server", processes.operators(first))
+    # A node can plan once it has heard of all hosts.
+    intent = str(processes.directory / "intent.yaml")
+    until(lambda: run("plan", "-f", intent, *at, check=False).returncode == 0)
+    plan = json.loads(run("plan", "-f", intent, *at, "--output", "json").stdout)
+    until(lambda: run("confirm", plan["id"], *at, check=False).returncode == 0)
+    for name in processes.settings:
+        until(
+            lambda name=name: processes.answers(name) and processes.serving(name)["tint-model"] == 4
+        )
+
+    body = json.dumps({"model": "tint-model", "prompt": "ochre", "stream": True, "max_tokens": 5})
+    status, text = processes.curl(first, "POST", "/v1/completions", body)
+    assert status == 200
+    assert text.rstrip().endswith("data: [DONE]")
+
+    order = {"idempotency-key": "order-1"}
+    path = "/services/shop-desk/orders"
+    assert processes.curl(first, "POST", path, b"2 tins", order)[0] == 200
+
+    processes.signal(first, signal.SIGKILL)
+    status, text = processes.curl(second, "POST", path, b"2 tins", order)
+    assert json.loads(text).get("number") == 1 or json.loads(text)["error"]["ran"] == "unknown"
+
+    processes.signal(third, signal.SIGSTOP)
+    time.sleep(3)
+    drained = run("drain", "a02", "--server", processes.operators(second), "--output", "json")
+    plan_id = json.loads(drained.stdout)["id"]
+    confirm = run("confirm", plan_id, "--server", processes.operators(second), check=False)
+    assert confirm.returncode in (0, 9), confirm.stdout + confirm.stderr
+    processes.signal(third, signal.SIGCONT)
+    processes.start_node(first)
+    for name in processes.settings:
+        until(lambda name=name: processes.answers(name))
+        config = run("get", "config", "--server", processes.operators(name), "--output", "json")
+        assert json.loads(config.stdout)["drained_hosts"] == ["a02"]
+
+    processes.signal(second, signal.SIGTERM)
+    assert processes.running[second].wait(PATIENCE_S) == 0
