--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: ratios in one run, or figures on the virtual clock with fixed seeds."""
