Routing: a conversation's ranking with a bound on load replaces least load

Cause: on reports half a second to a second old, nine nodes ran to the same least loaded replica. Conclusion: the walk is kept.

--- a/mulleinreach/requests/runner.py
+++ b/mulleinreach/requests/runner.py
@@ -177,8 +177,7 @@
         """Choose a replica with room and count the request in; ``None`` if none has."""
         usable = self._replicas.candidates(call.service.name)
         fresh = [c for c in usable if c.replica not in attempts.failed_replicas]
-        roomy = [c for c in (fresh or usable) if c.has_room]
-        choice = self._router.choose(roomy, call.affinity)
+        choice = self._router.choose(fresh or usable, call.affinity)
         if choice is None:
             return None
         self._replicas.note_sent(choice.candidate.replica)
--- a/mulleinreach/routing/replicas.py
+++ b/mulleinreach/routing/replicas.py
@@ -42,6 +42,15 @@
         """Requests of this node that the replica works on."""
         return self.sent - self.finished
 
+    def estimate(self, evidence: ReplicaEvidence) -> float:
+        """Return the requests at the replica: as reported, and what we did since."""
+        if evidence.reported_at > self.reported_at:
+            self.reported_at = evidence.reported_at
+            self.sent_at_report = self.sent
+            self.finished_at_report = self.finished
+        since = (self.sent - self.sent_at_report) - (self.finished - self.finished_at_report)
+        return max(evidence.running + evidence.waiting + since, self.in_flight, 0)
+
 
 @dataclass(frozen=True)
 class Candidate:
@@ -130,24 +139,15 @@
     def _candidate(self, group: GroupRecord) -> Candidate:
         evidence = self._wholeness.evidence(group.replica)
         load = self.load_of(group.replica)
-        self._note_report(load, evidence)
-        since = (load.sent - load.sent_at_report) - (load.finished - load.finished_at_report)
-        estimate = evidence.running + evidence.waiting + since
         head = self._directory.get(group.head)
         return Candidate(
             replica=group.replica,
             epoch=group.epoch,
             address=Address.parse(head.address),
-            load=max(estimate, load.in_flight, 0),
+            load=load.estimate(evidence),
             slots=evidence.slots or DEFAULT_SLOTS,
         )
 
-    def _note_report(self, load: ReplicaLoad, evidence: ReplicaEvidence) -> None:
-        if evidence.reported_at > load.reported_at:
-            load.reported_at = evidence.reported_at
-            load.sent_at_report = load.sent
-            load.finished_at_report = load.finished
-
     def note_sent(self, replica: str) -> None:
         """Count a request that is sent to a replica."""
         self.load_of(replica).sent += 1
--- a/mulleinreach/routing/router.py
+++ b/mulleinreach/routing/router.py
@@ -3,17 +3,22 @@
 Explanation
 ===========
 
-The preferred replica of a key is the first by rendezvous hashing, so that all
-nodes prefer the same one without talking. It is taken unless its load exceeds
-that of the least loaded one by more than ``SLACK`` of a replica's slots; then
-the least loaded of all is taken. docs/design/08-routing.md gives the figures.
+Requests of a conversation share the beginning of their prompts, and rendezvous
+hashing ranks the replicas for each conversation, the same at every node. The
+request goes to the first in that ranking that is not over the bound: ``BUSY`` of
+its slots, or ``EXCESS`` above the mean load of all, whichever is more. So a
+conversation that spills goes to the same second choice each time, and nodes
+that share reports which lag do not all run to the same least loaded replica.
+A request without a key goes to the less loaded of two at random, for the same
+reason. docs/design/08-routing.md gives the figures, and those of what lost.
 
 References
 ==========
 
 .. [1] Mirrokni, Thorup, Zadimoghaddam, "Consistent hashing with bounded loads", 2016.
-.. [2] "Prefix-Aware Routing", Inference Platform Engineering, section 4: affinity
-   with a load threshold.
+.. [2] Mitzenmacher, "The power of two choices in randomized load balancing", 2001.
+.. [3] "Prefix-Aware Routing", Inference Platform Engineering, section 3: affinity by
+   conversation up to 85% of a replica's capacity.
 """
 
 from __future__ import annotations
@@ -24,7 +29,8 @@
 from mulleinreach.common import rendezvous_rank
 from mulleinreach.routing.replicas import Candidate
 
-SLACK = 0.25
+EXCESS = 0.25
+BUSY = 0.85
 
 
 @dataclass(frozen=True)
@@ -36,39 +42,52 @@
 
 
 class Router:
-    """Affinity by key, with a bound on load."""
+    """Affinity by conversation, with a bound on load."""
 
-    def __init__(self, rng: random.Random, slack: float = SLACK):
+    def __init__(self, rng: random.Random):
         self._rng = rng
-        self._slack = slack
 
     def choose(self, candidates: list[Candidate], key: str) -> Choice | None:
-        """Return the choice among ``candidates``, or ``None`` if there are none.
+        """Return the choice, or ``None`` if no candidate has room.
 
         Parameters
         ==========
 
+        candidates : all replicas that may be sent work, full ones too.
         key : what should stay together; empty for no preference.
         """
-        if not candidates:
+        roomy = [candidate for candidate in candidates if candidate.has_room]
+        if not roomy:
             return None
-        least = self._least_loaded(candidates)
-        if not key:
-            return Choice(least, f"least loaded of {len(candidates)} ({least.load:.0f})")
-        by_name = {c.replica: c for c in candidates}
-        preferred = by_name[rendezvous_rank(key, by_name)[0]]
-        bound = least.load + self._slack * preferred.slots
-        if preferred.load <= bound:
-            why = f"preferred for its prefix (load {preferred.load:.0f}, bound {bound:.1f})"
-            return Choice(preferred, why)
-        why = (
-            f"{preferred.replica} is preferred but over the bound"
-            f" ({preferred.load:.0f} > {bound:.1f}); least loaded ({least.load:.0f})"
-        )
-        return Choice(least, why)
-
-    def _least_loaded(self, candidates: list[Candidate]) -> Candidate:
-        """Return the least loaded by share of slots; a tie is broken at random."""
-        lowest = min(c.load / c.slots for c in candidates)
-        tied = [c for c in candidates if c.load / c.slots == lowest]
-        return tied[0] if len(tied) == 1 else self._rng.choice(tied)
+        if not key or len(roomy) == 1:
+            return self._choose_of_two(roomy)
+        return self._walk_ranking(candidates, roomy, key)
+
+    def _choose_of_two(self, roomy: list[Candidate]) -> Choice:
+        two = roomy if len(roomy) == 1 else self._rng.sample(roomy, 2)
+        least = min(two, key=lambda c: c.load / c.slots)
+        return Choice(least, f"less loaded of {len(two)} at random ({least.load:.0f})")
+
+    def _walk_ranking(
+        self, candidates: list[Candidate], roomy: list[Candidate], key: str
+    ) -> Choice:
+        mean = sum(c.load / c.slots for c in candidates) / len(candidates)
+        bound = max(BUSY, (1 + EXCESS) * mean)
+        by_name = {c.replica: c for c in roomy}
+        passed = []
+        for name in rendezvous_rank(key, by_name):
+            candidate = by_name[name]
+            if candidate.load <= bound * candidate.slots:
+                return Choice(candidate, _explain(candidate, passed, bound))
+            passed.append(candidate)
+        least = min(passed, key=lambda c: c.load / c.slots)
+        return Choice(least, f"all are over the bound of {bound:.0%}; least loaded")
+
+
+def _explain(candidate: Candidate, passed: list[Candidate], bound: float) -> str:
+    """Say which place in the conversation's ranking the choice has, and why not before."""
+    load = f"load {candidate.load:.0f} of {candidate.slots}, bound {bound:.0%}"
+    if not passed:
+        return f"first choice of its conversation ({load})"
+    names = ", ".join(f"{c.replica} with {c.load:.0f}" for c in passed)
+    return f"choice {len(passed) + 1} of its conversation ({load}); over it: {names}"
--- a/mulleinreach/standins/engine_core.py
+++ b/mulleinreach/standins/engine_core.py
@@ -4,7 +4,8 @@
 ===========
 
 A request waits for a slot by priority, spends ``prefill_s_per_token`` for each
-prompt token that isn't cached, then ``token_gap_s`` for each token. The prefix
+prompt token that isn't cached (one prompt at a time: prefill is bound by the
+accelerators), then ``token_gap_s`` for each token. The prefix
 cache holds blocks of ``BLOCK_CHARS`` characters of the prompt, least recently
 used ones dropped. Batching slows tokens as slots fill.
 """
@@ -62,6 +63,7 @@
         self.cache_log: list[int] = []
         self._waiting: list[tuple[int, int, asyncio.Future]] = []
         self._order = itertools.count()
+        self._prefill = asyncio.Lock()
 
     @property
     def waiting(self) -> int:
@@ -114,10 +116,11 @@
 
     async def prefill(self, prompt: str) -> None:
         """Spend the time that the uncached part of the prompt takes."""
-        tokens = len(prompt) // CHARS_PER_TOKEN - self.take_cached_tokens(prompt)
-        await asyncio.sleep(tokens * self.speed.prefill_s_per_token * self.slow_factor)
+        async with self._prefill:
+            tokens = len(prompt) // CHARS_PER_TOKEN - self.take_cached_tokens(prompt)
+            await asyncio.sleep(tokens * self.speed.prefill_s_per_token * self.slow_factor)
 
-    async def next_token(self) -> None:
-        """Spend the time that one token takes at the present batch size."""
+    async def next_token(self, count: int = 1) -> None:
+        """Spend the time that ``count`` tokens take at the present batch size."""
         load = 1 + self.speed.batch_slowdown * self.kv_use
-        await asyncio.sleep(self.speed.token_gap_s * load * self.slow_factor)
+        await asyncio.sleep(count * self.speed.token_gap_s * load * self.slow_factor)
