--- a/benchmarks/baselines.py
+++ b/benchmarks/baselines.py
@@ -86,7 +86,6 @@
         for group in sorted(view.groups, key=lambda g: g.replica):
             if view.lost_members(group):
                 round_._dissolve(group, "greedy")
-                view.groups.remove(group)
             else:
                 round_._serve_if_ready(group)
         round_._fill_first_fit(0)
--- a/benchmarks/repair.py
+++ b/benchmarks/repair.py
@@ -18,9 +18,9 @@
 
 SERVICES = [("small", 4, 30, 1), ("medium", 8, 12, 1), ("large", 16, 4, 1), ("huge", 32, 2, 1)]
 DOMAINS, RACKS, HOSTS = 5, 9, 8
-DAYS = 1.0
-DEPLOYMENTS = {"tint desk": (3.0, 1.0), "Kozha Optika": (1.0, 3.0)}
-PLANNERS = ["ours", "spares 1", "spares 2", "spares 4", "greedy", "bound"]
+DAYS = 0.5
+DEPLOYMENTS = {"tint desk": (30.0, 1.0), "Kozha Optika": (1.0, 3.0)}
+PLANNERS = ["ours", "spares 1", "spares 4", "greedy", "bound"]
 SEEDS = (1, 2, 3)
 
 
--- a/mulleinreach/admission/shares.py
+++ b/mulleinreach/admission/shares.py
@@ -25,9 +25,9 @@
 from mulleinreach.intents import ConfigDocument, OrganisationIntent
 from mulleinreach.roster.messages import Demand, Grant
 
-LOAN_S = 2.0
+LOAN_S = 1.2
 BURST_S = 1.0
-DEMAND_WINDOW_S = 1.0
+DEMAND_WINDOW_S = 0.5
 HEADROOM = 1.2
 KEEP_SHARE = 0.1
 
--- a/mulleinreach/groups/formation.py
+++ b/mulleinreach/groups/formation.py
@@ -20,6 +20,7 @@
 
 SPREAD_WEIGHT = 4.0
 HALL_WEIGHT = 2.0
+SPARE_WEIGHT = 2.0
 
 
 @dataclass(frozen=True)
@@ -111,10 +112,24 @@
     spread = SPREAD_WEIGHT * in_domain + HALL_WEIGHT * in_hall
     sizes = [s.hosts_per_replica for s in view.config.intent.services if s.kind == "model"]
     fragments = unusable_hosts(len(free) - size, sizes) - unusable_hosts(len(free), sizes)
-    cost = spread / max(1, service.replicas) + fragments
+    wanted = fair_spares(view)
+    short = max(0.0, wanted - (len(free) - size)) - max(0.0, wanted - len(free))
+    cost = spread / max(1, service.replicas) + fragments + SPARE_WEIGHT * short / size
     return DomainChoice(domain, len(free), cost, pick_hosts(free, size))
 
 
+def fair_spares(view: FleetView) -> float:
+    """Return how many hosts a domain keeps free if each has its share of what is left over.
+
+    A spare helps only in its own domain, so what the intent leaves over is best
+    spread over all of them.
+    """
+    services = [s for s in view.config.intent.services if s.kind == "model"]
+    wanted = sum(s.hosts_per_replica * s.replicas for s in services)
+    domains = {h.host.domain for h in view.hosts.values()}
+    return max(0, len(view.hosts) - wanted) / max(1, len(domains))
+
+
 def _hall_of(view: FleetView, host: str) -> str:
     known = view.hosts.get(host)
     return known.host.hall if known else ""
--- a/mulleinreach/groups/planner.py
+++ b/mulleinreach/groups/planner.py
@@ -19,6 +19,7 @@
     RepairKind,
     RepairOption,
     RepairPlanner,
+    downtime_weight,
     loading_hosts,
 )
 from mulleinreach.groups.view import FleetView
@@ -75,7 +76,7 @@
         is_drained : tells whether a draining group has no work in flight.
         """
         round_ = _Round(self, view, epoch, lease_epoch)
-        for group in sorted(view.groups, key=lambda g: g.replica):
+        for group in sorted(view.groups, key=round_.urgency):
             round_.tend(group, is_drained)
         services = [s for s in view.config.intent.services if s.kind == "model"]
         for service in sorted(services, key=lambda s: (s.priority, s.name)):
@@ -92,8 +93,20 @@
         self._epoch = epoch
         self._lease_epoch = lease_epoch
         self._busy = loading_hosts(view)
+        self._surplus = self._find_surplus()
         self.decision = Decision()
 
+    def urgency(self, group: GroupRecord) -> tuple:
+        """Order groups so that those which cost most for each host they lack go first."""
+        lost = len(self._view.lost_members(group))
+        service = self._view.config.intent.service(group.service)
+        if not lost or service is None:
+            return (0.0, group.replica)
+        weights = self._view.config.intent.measures
+        rate = downtime_weight(weights, service)
+        rate += weights.stranded_accelerators * (len(group.hosts) - lost)
+        return (-rate / lost, group.replica)
+
     def tend(self, group: GroupRecord, is_drained) -> None:
         """Decide about a group that exists."""
         view = self._view
@@ -125,29 +138,41 @@
             self._dissolve(group, f"drained for {waited_s:.0f} s, its deadline")
 
     def _repair(self, group: GroupRecord, lost: list[str]) -> None:
-        options = self._planner._repairs.weigh(self._view, group, self._busy)
-        best = options[0]
+        options = self._planner._repairs.weigh_group(self._view, group, self._busy)
         weighed = "; ".join(option.explain() for option in options)
         why = f"lost {', '.join(lost)}; {weighed}"
         self.decision.notes[group.replica] = why
-        if best.kind is RepairKind.WAIT:
-            return
-        self._regroup(group, best, f"{best.kind}: {why}")
+        if options and options[0].kind is not RepairKind.WAIT:
+            self._regroup(group, options[0], f"{options[0].kind}: {why}")
 
     def _regroup(self, group: GroupRecord, option: RepairOption, why: str) -> None:
-        removed, hosts = (), []
-        if option.victim:
-            victim = next(g for g in self._view.groups if g.replica == option.victim)
-            removed = (victim,)
-            hosts += self._stop_rows(victim, set(option.hosts))
         new_group = self._new_group(
             group.replica, group.service, option.domain, option.hosts, why, group.version
         )
-        hosts += self._stop_rows(group, set(option.hosts))
-        hosts += self._member_rows(new_group)
+        hosts = self._stop_rows(group, set(option.hosts))
+        self._carry_out("repair", new_group, option, why, hosts)
+
+    def _carry_out(
+        self,
+        action: str,
+        new_group: GroupRecord,
+        option: RepairOption,
+        why: str,
+        hosts: list[HostRecord],
+    ) -> None:
+        """Write the new group, and stop what is left of the victims."""
+        victims = [g for g in self._view.groups if g.replica in option.victims]
+        for victim in victims:
+            hosts = hosts + self._stop_rows(victim, set(option.hosts))
+        hosts = hosts + self._member_rows(new_group)
         self._add(
             Change(
-                "repair", group.replica, why, group=new_group, removed=removed, hosts=tuple(hosts)
+                action,
+                new_group.replica,
+                why,
+                group=new_group,
+                removed=tuple(victims),
+                hosts=tuple(hosts),
             )
         )
         self._busy += len(option.hosts)
@@ -184,38 +209,65 @@
 
     def _is_surplus(self, group: GroupRecord) -> bool:
         """Whether the service has enough other groups; the last by name goes first."""
-        service = self._view.config.intent.service(group.service)
-        if service is None:
-            return True
-        staying = [
-            g.replica
-            for g in self._view.groups_of(group.service)
-            if not self._view.is_condemned(g) and g.replica not in self._view.taken
-        ]
-        return group.replica in sorted(staying, key=_replica_order)[service.replicas :]
+        return group.replica in self._surplus
+
+    def _find_surplus(self) -> set[str]:
+        """Return the replicas beyond what their services want, and those of removed ones."""
+        staying: dict[str, list[str]] = {}
+        surplus = set()
+        for group in self._view.groups:
+            if self._view.config.intent.service(group.service) is None:
+                surplus.add(group.replica)
+            elif not self._view.is_condemned(group):
+                staying.setdefault(group.service, []).append(group.replica)
+        for name, replicas in staying.items():
+            wanted = self._view.config.intent.service(name).replicas
+            surplus.update(sorted(replicas, key=_replica_order)[wanted:])
+        return surplus
 
     def fill(self, service: ServiceIntent) -> None:
         """Form the replicas that a service lacks."""
         view = self._view
         staying = [g for g in view.groups_of(service.name) if not view.is_condemned(g)]
-        names = {g.replica for g in view.groups}
         held = len(staying)
-        for _ in range(service.replicas - len(staying)):
+        while held < service.replicas:
             placement = place_replica(view, service)
             weighed = "; ".join(choice.explain() for choice in placement.weighed)
             if isinstance(placement, Shortage):
-                self.decision.notes[service.name] = (
-                    f"{service.name} lacks replicas: {placement.short} more hosts needed in one"
-                    f" domain; {weighed}"
+                if not self._assemble_missing(service):
+                    self._note_shortage(service, placement, weighed)
+                    return
+            else:
+                why = f"{service.name} wants {service.replicas}, has {held}; {weighed}"
+                group = self._new_group(
+                    self._free_name(service), service.name, placement.domain, placement.hosts, why
                 )
-                return
-            replica = _free_name(service.name, names)
-            names.add(replica)
-            why = f"{service.name} wants {service.replicas}, has {held}; {weighed}"
+                rows = tuple(self._member_rows(group))
+                self._add(Change("form", group.replica, why, group=group, hosts=rows))
             held += 1
-            group = self._new_group(replica, service.name, placement.domain, placement.hosts, why)
-            rows = tuple(self._member_rows(group))
-            self._add(Change("form", replica, why, group=group, hosts=rows))
+
+    def _assemble_missing(self, service: ServiceIntent) -> bool:
+        """Form a replica out of free hosts and victims, if that costs less than waiting."""
+        options = self._planner._repairs.weigh_missing(self._view, service, self._busy)
+        best = options[0]
+        if best.kind is RepairKind.WAIT:
+            return False
+        why = "; ".join(option.explain() for option in options)
+        group = self._new_group(
+            self._free_name(service), service.name, best.domain, best.hosts, why
+        )
+        self._carry_out("form", group, best, why, [])
+        return True
+
+    def _note_shortage(self, service: ServiceIntent, shortage: Shortage, weighed: str) -> None:
+        self.decision.notes[service.name] = (
+            f"{service.name} lacks replicas: {shortage.short} more hosts needed in one"
+            f" domain; {weighed}"
+        )
+
+    def _free_name(self, service: ServiceIntent) -> str:
+        taken = {group.replica for group in self._view.groups} | self._view.taken
+        return _free_name(service.name, taken)
 
     def _new_group(self, replica, service_name, domain, hosts, why, version=0) -> GroupRecord:
         service = self._view.config.intent.service(service_name)
@@ -277,6 +329,9 @@
         self._view.taken.update(row.name for row in change.hosts)
         self._view.taken.add(change.subject)
         self._view.taken.update(group.replica for group in change.removed)
+        gone = {group.replica for group in change.removed}
+        if gone:
+            self._view.groups[:] = [g for g in self._view.groups if g.replica not in gone]
         if change.action == "form":
             # Later choices of this round must see where this one stands.
             self._view.groups.append(change.group)
--- a/mulleinreach/groups/repair.py
+++ b/mulleinreach/groups/repair.py
@@ -1,16 +1,23 @@
-"""Choosing what to do with a replica that has lost a member.
+"""Choosing what to do with a replica that has lost a member, or isn't formed.
 
 Explanation
 ===========
 
-Each way to repair is given an expected cost: seconds until the replica serves
-again, times the weight of group downtime, plus host-seconds that stay idle
+Each way to bring a replica back is given an expected cost: seconds until it
+serves, times the weight of group downtime, plus host-seconds that stay idle
 because of it, times the weight of stranded accelerators. The lowest one is
-taken, and all are kept for the explanation.
+taken, and all are kept for the explanation. The ways are to wait, and to
+assemble the replica in one of the fabric domains, out of
+
+- its own survivors (in its own domain; they keep their ranks and weights),
+- free hosts,
+- the hosts of victims: replicas that are broken themselves, matter less, or can
+  be formed again elsewhere at once. What a victim loses is part of the cost.
 
 How long an absent host stays away isn't known. The longer it has been away,
 the longer it is expected to stay (a heavy-tailed absence): the rest is taken
-as ``ABSENCE_FACTOR`` times the time so far, and at least ``MIN_ABSENCE_S``.
+as the time so far, and at least ``MIN_ABSENCE_S``. A short absence may be a
+pause, after which nothing has to be loaded.
 """
 
 from __future__ import annotations
@@ -19,19 +26,20 @@
 import math
 from dataclasses import dataclass
 
-from mulleinreach.groups.formation import Placement, place_replica
+from mulleinreach.groups.formation import allowed_hosts, pick_hosts
 from mulleinreach.groups.model import GroupRecord, HostUse
 from mulleinreach.groups.view import FleetView, HostView
 from mulleinreach.intents import MeasureWeights, ServiceIntent
 
 MIN_ABSENCE_S = 10.0
-ABSENCE_FACTOR = 1.0
-PLANNING_HORIZON_S = 900.0
+MAX_ABSENCE_S = 3600.0
+PAUSE_S = 40.0
 PRIORITY_STEP = 4.0
+STORE_SHARE_S = 5.0
 
 
 class RepairKind(enum.StrEnum):
-    """The ways to repair a replica."""
+    """The ways to bring a replica back."""
 
     WAIT = "wait"
     REJOIN = "rejoin"
@@ -63,15 +71,15 @@
 
 @dataclass(frozen=True)
 class RepairOption:
-    """One way to repair, with its expected consequences.
+    """One way to bring a replica back, with its expected consequences.
 
     Parameters
     ==========
 
-    downtime_s : replica-seconds until service, those of a victim included.
+    downtime_s : weighted replica-seconds until service, those of victims included.
     stranded_s : host-seconds that stay idle.
-    hosts : the members of the new group; empty for ``WAIT``.
-    victim : the replica that hosts are taken from.
+    hosts : the members of the new group, by rank; empty for ``WAIT``.
+    victims : the replicas that hosts are taken from; they are dissolved.
     """
 
     kind: RepairKind
@@ -80,17 +88,29 @@
     cost: float
     domain: str = ""
     hosts: tuple[str, ...] = ()
-    victim: str = ""
+    victims: tuple[str, ...] = ()
 
     def explain(self) -> str:
         """Return the option in a few words."""
-        target = f" from {self.victim}" if self.victim else ""
+        target = f" from {', '.join(self.victims)}" if self.victims else ""
+        where = f" in {self.domain}" if self.domain else ""
         return (
-            f"{self.kind}{target}: cost {self.cost:.0f}"
+            f"{self.kind}{target}{where}: cost {self.cost:.0f}"
             f" (down {self.downtime_s:.0f} s, stranded {self.stranded_s:.0f} host-s)"
         )
 
 
+@dataclass(frozen=True)
+class Victim:
+    """A replica that could give its hosts, and what it would lose by that."""
+
+    group: GroupRecord
+    hosts: tuple[str, ...]
+    downtime_s: float
+    stranded_s: float
+    cost: float
+
+
 def expected_absence_s(absent_s: float) -> float:
     """Return how much longer a host is expected to stay away.
 
@@ -100,17 +120,17 @@
     >>> expected_absence_s(3.0), expected_absence_s(120.0)
     (10.0, 120.0)
     """
-    return min(PLANNING_HORIZON_S, max(MIN_ABSENCE_S, ABSENCE_FACTOR * absent_s))
+    return min(MAX_ABSENCE_S, max(MIN_ABSENCE_S, absent_s))
 
 
 class RepairPlanner:
-    """Weighs the ways to repair one broken group."""
+    """Weighs the ways to bring one replica back."""
 
     def __init__(self, loads: LoadModel):
         self._loads = loads
 
-    def weigh(self, view: FleetView, group: GroupRecord, busy: int) -> list[RepairOption]:
-        """Return the options for ``group``, the cheapest first.
+    def weigh_group(self, view: FleetView, group: GroupRecord, busy: int) -> list[RepairOption]:
+        """Return the options for a broken group, the cheapest first.
 
         Parameters
         ==========
@@ -119,17 +139,39 @@
         """
         service = view.config.intent.service(group.service)
         lost = view.lost_members(group)
-        options = [self._wait(view, service, group, lost, busy)]
-        if all(self._is_back(view, name) for name in lost):
-            options.append(self._rejoin(view, service, group, lost, busy))
-        options += self._spare(view, service, group, lost, busy)
-        options += self._take(view, service, group, lost, busy)
-        options += self._reform(view, service, group, lost, busy)
-        return sorted(options, key=lambda o: (o.cost, o.kind))
-
-    def _is_back(self, view: FleetView, name: str) -> bool:
-        host = view.hosts.get(name)
-        return host is not None and not host.lost and not host.leaving
+        options = []
+        if any(self._absence_of(view.hosts.get(name)) > 0 for name in lost):
+            # Where all are back as new processes there is nothing to wait for.
+            options.append(self._wait(view, service, group, lost, busy))
+        for domain in self._domains(view, service, group.domain):
+            option = self._assemble(view, service, domain, group, busy)
+            if option is not None:
+                options.append(option)
+        return sorted(options, key=lambda o: (o.cost, o.kind, o.domain))
+
+    def weigh_missing(
+        self, view: FleetView, service: ServiceIntent, busy: int
+    ) -> list[RepairOption]:
+        """Return the options for a replica that isn't formed, the cheapest first."""
+        horizon_s = self._shortest_absence(view)
+        idle = len(view.free_hosts())
+        wait = self._price(
+            view,
+            service,
+            RepairKind.WAIT,
+            horizon_s,
+            min(idle, service.hosts_per_replica) * horizon_s,
+        )
+        options = [wait]
+        for domain in self._domains(view, service, None):
+            option = self._assemble(view, service, domain, None, busy)
+            if option is not None:
+                options.append(option)
+        return sorted(options, key=lambda o: (o.cost, o.kind, o.domain))
+
+    def _domains(self, view: FleetView, service: ServiceIntent, own: str | None) -> list[str]:
+        domains = set(allowed_hosts(service, list(view.hosts.values())))
+        return sorted(domains | ({own} if own else set()))
 
     def _price(
         self,
@@ -138,119 +180,149 @@
         kind: RepairKind,
         downtime_s: float,
         stranded_s: float,
+        victim_cost: float = 0.0,
         **fields,
     ) -> RepairOption:
         weights = view.config.intent.measures
-        cost = downtime_s * downtime_weight(weights, service) + (
-            stranded_s * weights.stranded_accelerators
-        )
+        cost = downtime_s * downtime_weight(weights, service)
+        cost += stranded_s * weights.stranded_accelerators + victim_cost
         return RepairOption(kind, downtime_s, stranded_s, cost, **fields)
 
+    # How long hosts stay away.
+
     def _absence(self, view: FleetView, lost: list[str]) -> float:
         return max((self._absence_of(view.hosts.get(name)) for name in lost), default=0.0)
 
     def _absence_of(self, host: HostView | None) -> float:
         if host is None or host.leaving:
-            return PLANNING_HORIZON_S
+            return MAX_ABSENCE_S
         if not host.lost:
             return 0.0
         return expected_absence_s(host.absent_s)
 
+    def _shortest_absence(self, view: FleetView) -> float:
+        """Return when the next of the absent hosts is expected back."""
+        absences = [self._absence_of(h) for h in view.hosts.values() if h.lost]
+        return min(absences, default=MAX_ABSENCE_S)
+
     def _wait(self, view, service, group, lost, busy) -> RepairOption:
         absence = self._absence(view, lost)
-        down = absence + self._loads.seconds(len(lost), busy)
+        load = self._loads.seconds(len(lost), busy)
+        is_maybe_pause = all(
+            view.hosts[n].lost and view.hosts[n].absent_s < PAUSE_S for n in lost if n in view.hosts
+        )
+        down = absence + (load / 2 if is_maybe_pause else load)
         idle = len(group.hosts) - len(lost)
         return self._price(view, service, RepairKind.WAIT, down, idle * down)
 
-    def _rejoin(self, view, service, group, lost, busy) -> RepairOption:
-        down = self._loads.seconds(len(lost), busy)
-        idle = len(group.hosts) * down
+    # Putting a replica together in a domain.
+
+    def _assemble(
+        self,
+        view: FleetView,
+        service: ServiceIntent,
+        domain: str,
+        group: GroupRecord | None,
+        busy: int,
+    ) -> RepairOption | None:
+        """Return the cheapest way to have the replica in ``domain``, if there is one."""
+        in_place = group is not None and group.domain == domain
+        gone = [n for n in group.hosts if self._is_gone(view, n)] if in_place else []
+        needed = len(gone) if in_place else service.hosts_per_replica
+        free = allowed_hosts(service, view.free_hosts()).get(domain, [])
+        victims: list[Victim] = []
+        if len(free) < needed:
+            victims = self._choose_victims(view, service, domain, group, needed - len(free), busy)
+            if victims is None:
+                return None
+        found = list(pick_hosts(free, min(needed, len(free))))
+        found += [name for victim in victims for name in victim.hosts]
+        found = found[:needed]
+        if in_place:
+            replacement = dict(zip(gone, found, strict=True))
+            hosts = tuple(replacement.get(name, name) for name in group.hosts)
+        else:
+            hosts = tuple(found)
+        return self._price_assembly(view, service, domain, group, hosts, victims, busy)
+
+    def _is_gone(self, view: FleetView, name: str) -> bool:
+        """Whether a member can't be in the new group; a new process can."""
+        host = view.hosts.get(name)
+        return host is None or host.lost or host.leaving
+
+    def _price_assembly(self, view, service, domain, group, hosts, victims, busy) -> RepairOption:
+        in_place = group is not None and group.domain == domain
+        lost = view.lost_members(group) if group else []
+        kept = len([n for n in group.hosts if n not in lost]) if in_place else 0
+        down = self._loads.seconds(len(hosts) - kept, busy)
+        # Each load takes the store from others that may need it.
+        idle = len(hosts) * down + STORE_SHARE_S * (len(hosts) - kept)
+        if group is not None and not in_place:
+            # The survivors are freed; they idle until something is made of them.
+            idle += max(0, len(group.hosts) - len(lost) - len(hosts)) * down
+        kind = RepairKind.REFORM
+        if victims:
+            kind = RepairKind.TAKE
+        elif in_place:
+            kind = RepairKind.REJOIN if hosts == group.hosts else RepairKind.SPARE
         return self._price(
             view,
             service,
-            RepairKind.REJOIN,
+            kind,
             down,
-            idle,
-            domain=group.domain,
-            hosts=group.hosts,
+            idle + sum(v.stranded_s for v in victims),
+            sum(v.cost for v in victims),
+            domain=domain,
+            hosts=hosts,
+            victims=tuple(v.group.replica for v in victims),
         )
 
-    def _replace(self, group: GroupRecord, lost: list[str], new: list[str]) -> tuple[str, ...]:
-        """Put each new host at the rank of a lost one: the others keep their weights."""
-        replacement = dict(zip(lost, new, strict=True))
-        return tuple(replacement.get(name, name) for name in group.hosts)
-
-    def _spare(self, view, service, group, lost, busy) -> list[RepairOption]:
-        spares = [h.name for h in view.free_hosts() if h.host.domain == group.domain]
-        if len(spares) < len(lost):
-            return []
-        hosts = self._replace(group, lost, spares[: len(lost)])
-        down = self._loads.seconds(len(lost), busy)
-        idle = (len(group.hosts) - len(lost)) * down
-        return [
-            self._price(
-                view, service, RepairKind.SPARE, down, idle, domain=group.domain, hosts=hosts
-            )
+    # Victims.
+
+    def _choose_victims(
+        self, view, service, domain, group, needed: int, busy: int
+    ) -> list[Victim] | None:
+        """Return the cheapest victims by host that give ``needed`` hosts, or ``None``."""
+        replica = group.replica if group else ""
+        weighed = [
+            self._weigh_victim(view, service, other, busy)
+            for other in view.groups
+            if other.domain == domain and other.replica != replica
         ]
-
-    def _take(self, view, service, group, lost, busy) -> list[RepairOption]:
-        """Take members of another replica that matters less or is broken itself."""
-        options = []
-        for victim in view.groups:
-            if victim.domain != group.domain or victim.replica == group.replica:
-                continue
-            option = self._take_from(view, service, group, lost, busy, victim)
-            if option is not None:
-                options.append(option)
-        return options
-
-    def _take_from(self, view, service, group, lost, busy, victim) -> RepairOption | None:
-        owner = view.config.intent.service(victim.service)
-        if owner is None or victim.replica in view.taken:
-            return None
-        victim_lost = view.lost_members(victim)
-        usable = [n for n in victim.hosts if n not in victim_lost and not view.hosts[n].leaving]
-        if len(usable) < len(lost):
+        usable = [victim for victim in weighed if victim is not None and victim.hosts]
+        usable.sort(key=lambda v: (v.cost / min(len(v.hosts), needed), v.group.replica))
+        chosen, have = [], 0
+        for victim in usable:
+            chosen.append(victim)
+            have += len(victim.hosts)
+            if have >= needed:
+                return chosen
+        return None
+
+    def _weigh_victim(self, view, service, group: GroupRecord, busy: int) -> Victim | None:
+        owner = view.config.intent.service(group.service)
+        if owner is None or group.replica in view.taken:
             return None
-        down = self._loads.seconds(len(lost), busy)
-        own_absence = self._absence(view, lost)
-        # The victim waits for the lost hosts in our place; if it is broken
-        # already it loses only what its own wait would have been shorter by.
-        already = self._absence(view, victim_lost) if victim_lost else 0.0
-        victim_down = max(0.0, own_absence - already) + (0.0 if victim_lost else down)
-        idle = (len(victim.hosts) - len(lost)) * victim_down
+        lost = view.lost_members(group)
+        hosts = tuple(n for n in group.hosts if not self._is_gone(view, n))
+        reload_s = self._loads.seconds(len(group.hosts), busy)
+        if self._fits_elsewhere(view, owner, group.domain):
+            down = reload_s
+        else:
+            down = reload_s + self._shortest_absence(view)
+        if lost:
+            # It is down already: it loses only what its own wait is shorter by.
+            down = max(0.0, down - self._absence(view, lost) - self._loads.seconds(len(lost), busy))
+        idle = max(0, len(hosts) - len(lost)) * min(down, reload_s)
         weights = view.config.intent.measures
-        ratio = downtime_weight(weights, owner) / max(1e-9, downtime_weight(weights, service))
-        return self._price(
-            view,
-            service,
-            RepairKind.TAKE,
-            down + victim_down * ratio,
-            idle + (len(group.hosts) - len(lost)) * down,
-            domain=group.domain,
-            hosts=self._replace(group, lost, usable[: len(lost)]),
-            victim=victim.replica,
-        )
-
-    def _reform(self, view, service, group, lost, busy) -> list[RepairOption]:
-        placement = place_replica(view, service)
-        if not isinstance(placement, Placement):
-            return []
-        down = self._loads.seconds(len(placement.hosts), busy)
-        survivors = len(group.hosts) - len(lost)
-        # The survivors change places with hosts that were idle anyway.
-        idle = len(placement.hosts) * down + max(0, survivors - len(placement.hosts)) * down
-        return [
-            self._price(
-                view,
-                service,
-                RepairKind.REFORM,
-                down,
-                idle,
-                domain=placement.domain,
-                hosts=placement.hosts,
-            )
-        ]
+        cost = down * downtime_weight(weights, owner) + idle * weights.stranded_accelerators
+        return Victim(group, hosts, down, idle, cost)
+
+    def _fits_elsewhere(self, view: FleetView, owner: ServiceIntent, domain: str) -> bool:
+        for other, free in allowed_hosts(owner, view.free_hosts()).items():
+            if other != domain and len(free) >= owner.hosts_per_replica:
+                return True
+        return False
 
 
 def downtime_weight(weights: MeasureWeights, service: ServiceIntent) -> float:
--- a/mulleinreach/node.py
+++ b/mulleinreach/node.py
@@ -123,7 +123,12 @@
         self.force.listeners += [self.keys.follow, self.shares.follow]
         self.wholeness = WholenessView(self.clock, timing.whole_fresh_s)
         self.replicas = ReplicaTable(
-            self.cache, self.directory, self.wholeness, self.clock, self.leaving_hosts
+            self.cache,
+            self.directory,
+            self.wholeness,
+            self.clock,
+            self.leaving_hosts,
+            lambda: len(self.roster.live_names()),
         )
         self.journal = RequestJournal(self.clock, limits.explained_requests)
         owner = f"{self.name}.{self.incarnation}"
--- a/mulleinreach/routing/replicas.py
+++ b/mulleinreach/routing/replicas.py
@@ -61,11 +61,21 @@
     address: Address
     load: float
     slots: int
+    in_flight: int = 0
+    nodes: int = 1
 
     @property
     def has_room(self) -> bool:
-        """Whether the replica's own queue is short enough for one more."""
-        return self.load < self.slots * QUEUE_FACTOR
+        """Whether the replica may be sent one more.
+
+        Explanation
+        ===========
+
+        Reports lag, so a node may see a replica full of the work of others that
+        has ended since. Its fair part of the places it may use all the same.
+        """
+        places = self.slots * QUEUE_FACTOR
+        return self.load < places or self.in_flight < places / self.nodes
 
 
 class ReplicaTable:
@@ -78,11 +88,13 @@
         wholeness: WholenessView,
         clock: Clock,
         leaving_hosts: Callable[[], set[str]],
+        count_nodes: Callable[[], int],
     ):
         self._directory = directory
         self._wholeness = wholeness
         self._clock = clock
         self._leaving_hosts = leaving_hosts
+        self._count_nodes = count_nodes
         self._cache = cache
         self._groups: dict[str, list[GroupRecord]] = {}
         self._loads: dict[str, ReplicaLoad] = {}
@@ -146,6 +158,8 @@
             address=Address.parse(head.address),
             load=load.estimate(evidence),
             slots=evidence.slots or DEFAULT_SLOTS,
+            in_flight=load.in_flight,
+            nodes=self._count_nodes(),
         )
 
     def note_sent(self, replica: str) -> None:
--- a/mulleinreach/routing/tests/test_router.py
+++ b/mulleinreach/routing/tests/test_router.py
@@ -11,7 +11,10 @@
 
 def candidates(loads=None, slots=16):
     loads = loads or {}
-    return [Candidate(name, 1, ADDRESS, loads.get(name, 0), slots) for name in NAMES]
+    return [
+        Candidate(name, 1, ADDRESS, loads.get(name, 0), slots, in_flight=loads.get(name, 0))
+        for name in NAMES
+    ]
 
 
 def router():
@@ -44,6 +47,12 @@
     assert only.candidate.replica == "r3"
 
 
+def test_a_node_may_use_its_fair_part_of_a_replica_that_reports_show_full():
+    reported = Candidate("r0", 1, ADDRESS, load=20, slots=16, in_flight=6, nodes=3)
+    assert reported.has_room
+    assert not Candidate("r0", 1, ADDRESS, load=20, slots=16, in_flight=7, nodes=3).has_room
+
+
 def test_a_replica_that_goes_moves_only_its_own_conversations():
     keys = [f"c{number}" for number in range(300)]
     before = {k: router().choose(candidates(), k).candidate.replica for k in keys}
--- a/mulleinreach/standins/plain.py
+++ b/mulleinreach/standins/plain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from aiohttp import web
 
@@ -14,6 +15,7 @@
         self.name = name
         self.orders: list[str] = []
         self.delay_s = 0.0
+        self.on_headers: Callable[[dict], None] = lambda headers: None
         self.break_at = ""  # "head": run it, then cut; "body": cut in mid-body
 
     def app(self) -> web.Application:
@@ -39,6 +41,7 @@
 
     async def _echo(self, request: web.Request) -> web.Response:
         body = await request.read()
+        self.on_headers(dict(request.headers))
         await asyncio.sleep(self.delay_s)
         answer = {"method": request.method, "path": request.path_qs, "bytes": len(body)}
         return web.json_response({**answer, "by": self.name})
