Slopes, and what they showed: watchers ranked anew for each pong

Cause: a ranking of 9 nodes takes 6 us; each pong ranked them for each replica, and at 350 nodes and 710 replicas one pong would take 181 ms by the slope. Change: kept until nodes or groups change. Also: requests enter the queue only while enough of their time is left for the work.

--- a/mulleinreach/evidence.py
+++ b/mulleinreach/evidence.py
@@ -33,6 +33,8 @@
         self._peer_hosts: dict[str, tuple[HostReport, float]] = {}
         self._peer_leaving: dict[str, tuple[set[str], float]] = {}
         self._wanted_until = float("-inf")
+        self._watched_basis: tuple = ()
+        self._watched: list[GroupRecord] = []
 
     # What we tell.
 
@@ -177,11 +179,16 @@
     def _watched_groups(self) -> list[GroupRecord]:
         """Return the groups that this node watches."""
         nodes = self._node.roster.live_names()
-        return [
-            group
-            for group in self._node.replicas.all_groups()
-            if self._node.name in watchers_of(group.replica, nodes)
-        ]
+        basis = (self._node.replicas.changes, tuple(nodes))
+        if basis != self._watched_basis:
+            # Ranking every replica over all nodes is too much for each pong.
+            self._watched_basis = basis
+            self._watched = [
+                group
+                for group in self._node.replicas.all_groups()
+                if self._node.name in watchers_of(group.replica, nodes)
+            ]
+        return self._watched
 
     def assign_watch(self) -> None:
         """Watch the hosts that rendezvous hashing gives to this node, and report on them."""
--- a/mulleinreach/groups/controller.py
+++ b/mulleinreach/groups/controller.py
@@ -188,7 +188,9 @@
         if view.config.version == 0:
             return
         last_epoch = (self._cache.get(EPOCH_KEY).value or {"last": 0})["last"]
-        decision = self._planner.decide(view, last_epoch, self._drained(view), self._lease.epoch)
+        decision = self._planner.decide(
+            view, last_epoch, self._drained(view), self._lease.epoch, MAX_CHANGES_PER_ROUND
+        )
         self._note(decision)
         for change in decision.changes[:MAX_CHANGES_PER_ROUND]:
             if not self._lease.is_held() or not await self._commit(change):
--- a/mulleinreach/groups/planner.py
+++ b/mulleinreach/groups/planner.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 from mulleinreach.groups.formation import Placement, Shortage, place_replica
@@ -25,6 +26,8 @@
 from mulleinreach.groups.view import FleetView
 from mulleinreach.intents import ServiceIntent
 
+UNLIMITED = 1_000_000
+
 
 @dataclass(frozen=True)
 class Change:
@@ -66,7 +69,14 @@
         self._unchecked = unchecked_domains
         self._drain_deadline_s = drain_deadline_s
 
-    def decide(self, view: FleetView, epoch: int, is_drained, lease_epoch: int) -> Decision:
+    def decide(
+        self,
+        view: FleetView,
+        epoch: int,
+        is_drained: Callable[[GroupRecord], bool],
+        lease_epoch: int,
+        most_changes: int = UNLIMITED,
+    ) -> Decision:
         """Return the next changes.
 
         Parameters
@@ -74,13 +84,15 @@
 
         epoch : the last epoch in use; each new group gets a higher one.
         is_drained : tells whether a draining group has no work in flight.
+        lease_epoch : the epoch of the lease under which orders will be sent.
+        most_changes : where to stop, so that a round stays short; the next goes on.
         """
         round_ = _Round(self, view, epoch, lease_epoch)
         for group in sorted(view.groups, key=round_.urgency):
             round_.tend(group, is_drained)
         services = [s for s in view.config.intent.services if s.kind == "model"]
         for service in sorted(services, key=lambda s: (s.priority, s.name)):
-            round_.fill(service)
+            round_.fill(service, most_changes)
         return round_.decision
 
 
@@ -225,12 +237,12 @@
             surplus.update(sorted(replicas, key=_replica_order)[wanted:])
         return surplus
 
-    def fill(self, service: ServiceIntent) -> None:
+    def fill(self, service: ServiceIntent, most_changes: int = UNLIMITED) -> None:
         """Form the replicas that a service lacks."""
         view = self._view
         staying = [g for g in view.groups_of(service.name) if not view.is_condemned(g)]
         held = len(staying)
-        while held < service.replicas:
+        while held < service.replicas and len(self.decision.changes) < most_changes:
             placement = place_replica(view, service)
             weighed = "; ".join(choice.explain() for choice in placement.weighed)
             if isinstance(placement, Shortage):
--- a/mulleinreach/platform/cache.py
+++ b/mulleinreach/platform/cache.py
@@ -21,7 +21,8 @@
     ``read_at`` is the monotonic time at which the latest successful read was
     *asked for*: whatever the table held then is in the copy. A copy that is
     behind is safe to decide on, since each change is conditional on the
-    versions of the rows it was decided from.
+    versions of the rows it was decided from. ``changes`` counts the reads that
+    brought anything new, so that what is derived from the rows can be kept.
     """
 
     def __init__(self, table: TableClient, clock: Clock, prefix: str = SHARED_PREFIX):
@@ -32,7 +33,7 @@
         self._revision = 0
         self._lock = asyncio.Lock()
         self.read_at = NEVER
-        self.changed = asyncio.Event()
+        self.changes = 0
         self.listeners: list[Callable[[], None]] = []
 
     async def refresh(self) -> bool:
@@ -56,8 +57,7 @@
                 self._rows[row.key] = row
         self._revision = max(self._revision, snapshot.revision)
         if snapshot.rows:
-            self.changed.set()
-            self.changed = asyncio.Event()
+            self.changes += 1
 
     @property
     def was_read(self) -> bool:
--- a/mulleinreach/requests/runner.py
+++ b/mulleinreach/requests/runner.py
@@ -33,6 +33,7 @@
 NO_REPLICA_POLL_S = 0.1
 KV_TIMEOUT_S = 2.0
 LOST_RETRY_AFTER_S = 2.0
+WORK_WEIGHT = 0.05
 
 NOT_SENT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 SENT_ERRORS = (aiohttp.ClientError, ConnectionError, OSError)
@@ -85,6 +86,7 @@
         self._log = log
         self._answer_bytes = answer_bytes
         self._resume_bytes = resume_bytes
+        self._work_s: dict[str, float] = {}
         self.metrics = RequestMetrics()
 
     async def stream(self, call: ModelCall, sink: Sink) -> None:
@@ -112,12 +114,19 @@
         place: Candidate | None = None
         while True:
             place = await self._next_place(call, attempts, place, None)
+            began = self._clock.now()
             with self._occupy(call, place) as use:
                 use.end, answer = await self._try_whole(call, place, attempts)
             self._after_attempt(call, place, attempts, use.end, None)
             if answer is not None:
+                self._note_work(call.service.name, self._clock.now() - began)
                 return answer
 
+    def _note_work(self, service: str, seconds: float) -> None:
+        """Learn how long whole answers take, so that none enters too late to be in time."""
+        known = self._work_s.get(service, seconds)
+        self._work_s[service] = known + WORK_WEIGHT * (seconds - known)
+
     # Choosing where the next attempt goes.
 
     async def _next_place(
@@ -139,6 +148,7 @@
             call.organisation.weight,
             call.organisation.priority,
             call.deadline,
+            0.0 if call.is_streamed else self._work_s.get(call.service.name, 0.0),
         )
         try:
             place = await self._queue.enter(
--- a/mulleinreach/routing/replicas.py
+++ b/mulleinreach/routing/replicas.py
@@ -96,11 +96,15 @@
         self._leaving_hosts = leaving_hosts
         self._count_nodes = count_nodes
         self._cache = cache
+        self.changes = 0
         self._groups: dict[str, list[GroupRecord]] = {}
         self._loads: dict[str, ReplicaLoad] = {}
         cache.listeners.append(self._follow_table)
 
     def _follow_table(self) -> None:
+        if self.changes == self._cache.changes:
+            return
+        self.changes = self._cache.changes
         self._groups = {}
         names = set()
         for row in self._cache.under(GROUPS_PREFIX):
