--- a/mulleinreach/entry/callers.py
+++ b/mulleinreach/entry/callers.py
@@ -358,6 +358,7 @@
 ) -> KeptAnswer | None:
     """Pass an answer on as it arrives; returns it whole if it is to be kept."""
     headers = pass_headers(upstream.headers)
+    headers = {k: v for k, v in headers.items() if k.lower() != "x-request-id"}
     headers["x-request-id"] = call.request_id
     response = web.StreamResponse(status=upstream.status, headers=headers)
     response.content_length = upstream.content_length
--- a/mulleinreach/groups/planner.py
+++ b/mulleinreach/groups/planner.py
@@ -27,6 +27,7 @@
 from mulleinreach.intents import ServiceIntent
 
 UNLIMITED = 1_000_000
+MAX_WHY_CHARS = 2_000
 
 
 @dataclass(frozen=True)
@@ -294,7 +295,7 @@
             model_version=service.version,
             adapters=tuple(service.adapters),
             state=GroupState.LOADING,
-            why=why,
+            why=why[:MAX_WHY_CHARS],
             since=self._view.wall,
             version=version,
         )
--- a/mulleinreach/intents/voters.py
+++ b/mulleinreach/intents/voters.py
@@ -1,4 +1,4 @@
-"""Keeps the voters of the configuration up to date, without an operator.
+"""Keeps voters and the list of nodes up to date, without an operator.
 
 Explanation
 ===========
@@ -6,7 +6,9 @@
 Voters are nodes whose word counts as evidence that a version is the latest. A
 change of voters is itself a configuration, written by the holder of the
 ``groups`` duty once the version before is accepted. It is made when there are
-too few voters, or when one has not answered for ``ABSENT_S``.
+too few voters, or when one has not answered for ``ABSENT_S``. The row of a node
+that has been silent for ``FORGET_S`` is deleted, so that it no longer counts in
+the shares of limits; a node that lives writes its row again.
 """
 
 from __future__ import annotations
@@ -17,9 +19,11 @@
 from mulleinreach.intents.force import ConfigInForce
 from mulleinreach.platform import Committed, Condition, TableCache, TableClient, Write
 from mulleinreach.roster import Lease, Roster
+from mulleinreach.roster.roster import NODES_PREFIX
 
 MAX_VOTERS = 9
 ABSENT_S = 20.0
+FORGET_S = 600.0
 
 
 class VoterKeeper:
@@ -52,6 +56,7 @@
         now = self._clock.now()
         if self._held_since is None:
             self._held_since = now
+        await self._forget_silent(now)
         if self._force.version == 0 or not self._force.acceptance().accepted:
             return
         voters = self._wanted(now)
@@ -75,6 +80,26 @@
         peer = self._roster.peers.get(voter)
         return peer is not None and peer.answered_at >= since
 
+    async def _forget_silent(self, now: float) -> None:
+        """Delete the rows of nodes that neither answer nor vote any more."""
+        since = max(self._held_since, now - FORGET_S)
+        if now - since < FORGET_S:
+            return
+        voters = self._force.document.voters
+        for name, peer in list(self._roster.peers.items()):
+            if name in voters or peer.answered_at >= since:
+                continue
+            row = self._cache.get(NODES_PREFIX + name)
+            entry = self._trail.entry(
+                "duty groups", "forget-node", name, f"silent for {FORGET_S:.0f} s"
+            )
+            result = await self._table.transact(
+                [Condition(row.key, row.version)], [Write(row.key, None), entry]
+            )
+            if isinstance(result, Committed):
+                self._trail.announce(entry)
+                await self._cache.refresh()
+
     def _by_hall(self, names: list[str]) -> list[str]:
         """Order nodes so that halls take turns."""
         halls: dict[str, list[str]] = {}
--- a/mulleinreach/node.py
+++ b/mulleinreach/node.py
@@ -211,7 +211,9 @@
         self.voters = VoterKeeper(
             self.lease, self.table, self.cache, self.force, self.trail, self.clock, self.roster
         )
-        self.housekeeping = Housekeeping(self._make_lease("housekeeping"), self.trail, self.claims)
+        self.housekeeping = Housekeeping(
+            self._make_lease("housekeeping"), self.trail, self.claims, self.clock
+        )
         self.plans = PlanStore(
             self.name,
             self.table,
--- a/mulleinreach/settings/model.py
+++ b/mulleinreach/settings/model.py
@@ -111,7 +111,6 @@
     resume_bytes: int = Field(1_000_000, ge=0, le=64_000_000)
     queue_length: int = Field(256, ge=0, le=100_000)
     explained_requests: int = Field(10_000, ge=10, le=1_000_000)
-    explained_decisions: int = Field(1_000, ge=10, le=100_000)
 
 
 class EngineSettings(Strict):
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -88,6 +88,10 @@
         done = run("get", "services", "--server", self.operators(name), "--output", "json")
         return {row["service"]: row["serving"] for row in json.loads(done.stdout)}
 
+    def config(self, name):
+        done = run("get", "config", "--server", self.operators(name), "--output", "json")
+        return json.loads(done.stdout)
+
     def close(self):
         for process in self.running.values():
             process.send_signal(signal.SIGCONT)
@@ -115,6 +119,10 @@
             lambda name=name: processes.answers(name) and processes.serving(name)["tint-model"] == 4
         )
 
+    for name in processes.settings:
+        # Voters are chosen after the first configuration, and that has to be accepted.
+        until(lambda name=name: (c := processes.config(name))["voters"] and c["accepted"])
+
     body = json.dumps({"model": "tint-model", "prompt": "ochre", "stream": True, "max_tokens": 5})
     status, text = processes.curl(first, "POST", "/v1/completions", body)
     assert status == 200
@@ -138,8 +146,7 @@
     processes.start_node(first)
     for name in processes.settings:
         until(lambda name=name: processes.answers(name))
-        config = run("get", "config", "--server", processes.operators(name), "--output", "json")
-        assert json.loads(config.stdout)["drained_hosts"] == ["a02"]
+        assert processes.config(name)["drained_hosts"] == ["a02"]
 
     processes.signal(second, signal.SIGTERM)
     assert processes.running[second].wait(PATIENCE_S) == 0
--- a/tests/test_promise_8_configuration.py
+++ b/tests/test_promise_8_configuration.py
@@ -132,6 +132,23 @@
     run_deployed(scenario)
 
 
+def test_a_node_that_is_silent_for_long_is_forgotten_and_may_come_back():
+    async def scenario(d):
+        gone = next(n for n in d.nodes if not n.lease.is_held()).name
+        await d.world.kill_node(gone)
+        holder = d.holder()
+        # Ten minutes of silence, without playing them out.
+        holder.voters._held_since -= 700
+        holder.roster.peers[gone].answered_at -= 700
+        await asyncio.sleep(45)
+        assert gone not in holder.roster.names()
+        node = await d.world.start_node(gone)
+        await d.world.until(lambda: gone in holder.roster.live_names(), 20)
+        assert node.force.is_fresh()
+
+    run_deployed(scenario)
+
+
 def test_most_voters_lost_at_once_while_the_table_is_up():
     """Nodes go on by the table; the change waits until lost voters come back."""
 
