--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -25,7 +25,6 @@
 CLAIM_WRITES = 2
 CPU_LIMIT_US, BYTES_LIMIT, MEMORY_LIMIT_MB = 12_000, 3 * 1024, 256
 TABLE_WRITES, TABLE_READS = 100, 2_000
-NUMBERED_BYTES, NUMBERED_US = 9, 3.3
 FRAME_BYTES, PACKET_BYTES = 4, 40
 BARE_PROCESS_MB = 50
 LETTERS = {"cpu": "1.2% of a core", "bytes": "3 KB/s", "writes": "100 writes/s"}
@@ -80,20 +79,11 @@
     return Cost("", per_second * (small_us + large_us), 2 * per_second * (ping + pong))
 
 
-def describe_passing_on() -> str:
-    """Return what the exchange would cost through passers-on, by the first slope.
-
-    Explanation
-    ===========
-
-    ``NUMBERED_BYTES`` and ``NUMBERED_US`` for each replica are of an earlier trial
-    with numbers for names, not of the code as it is built.
-    """
-    exchanges = 2 * 3
-    heads = 2 * (FRAME_BYTES + PACKET_BYTES)
-    wire = exchanges * (heads + 40 + 40 * NUMBERED_BYTES)
-    cpu_us = exchanges * (90 + 40 * NUMBERED_US)
-    return f"{cpu_us / 1e4:.2f}% of a core, {wire / 1024:.1f} KB/s; worked out, not built"
+def describe_passing_on(slopes: Slopes) -> str:
+    """Return what the exchange would cost with three passers-on, asked once a second."""
+    cost = exchange_cost(slopes, 3, 40)
+    cpu_us, wire = cost.cpu_us / PINGS_S, cost.wire / PINGS_S
+    return f"{cpu_us / 1e4:.2f}% of a core, {wire / 1024:.1f} KB/s by the slopes; not built"
 
 
 def node_costs(slopes: Slopes) -> list[Cost]:
@@ -107,8 +97,8 @@
             "exchange with every other node",
             peers.cpu_us,
             peers.wire,
-            "each node asks 3 passers-on, once a second, for evidence and 40 numbered replicas",
-            describe_passing_on(),
+            "each node asks 3 passers-on, once a second, for evidence and 40 replicas",
+            describe_passing_on(slopes),
         ),
         Cost(
             "watching hosts, 2 watchers, polls over HTTP",
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -117,10 +117,7 @@
 
 def make_pong(replicas: int, hosts: int = 0, organisations: int = 0) -> Pong:
     """Return a pong of a size."""
-    reports = [
-        ReplicaReport(f"tint-model-{n}", 1000 + n, True, 400 + n % 90, 9, 1, 16, 4)
-        for n in range(replicas)
-    ]
+    reports = [ReplicaReport(1000 + n, True, 400 + n % 90, 9, 1, 16, 4) for n in range(replicas)]
     seen = [
         HostReport(f"lagos-h{n:04d}", 3, f"tint-model-{n // 4}", 1000, "ready", "t@1/load", 300, 9)
         for n in range(hosts)
--- a/mulleinreach/entry/callers.py
+++ b/mulleinreach/entry/callers.py
@@ -8,12 +8,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import aiohttp
 from aiohttp import web
 from prometheus_client import CollectorRegistry, generate_latest
 
 from mulleinreach.admission import KeyTable, ShareLimits
-from mulleinreach.common import Clock, Code, EventLog, MulleinreachError, Ran
+from mulleinreach.common import Clock, Code, EventLog, MulleinreachError
 from mulleinreach.entry.once import OnceRequest, run_once
 from mulleinreach.entry.parsing import (
     check_completion,
@@ -22,6 +21,7 @@
     read_deadline_s,
     read_key,
 )
+from mulleinreach.entry.relay import Answer, StreamSink, relay_plain
 from mulleinreach.intents import ConfigInForce, OrganisationIntent, ServiceIntent
 from mulleinreach.requests.call import CallerGone, ModelCall
 from mulleinreach.requests.claims import ClaimStore, KeptAnswer
@@ -35,41 +35,6 @@
 SERVICES_PATH = "/services/"
 
 
-class StreamSink:
-    """Sends a streamed answer to the caller; the head goes with the first bytes."""
-
-    def __init__(self, request: web.Request, request_id: str):
-        self._request = request
-        self._request_id = request_id
-        self.response: web.StreamResponse | None = None
-
-    async def write(self, data: bytes) -> None:
-        """Send bytes; raises :class:`CallerGone` if there is nobody to send them to."""
-        try:
-            if self.response is None:
-                self.response = web.StreamResponse(
-                    headers={
-                        "content-type": "text/event-stream",
-                        "cache-control": "no-cache",
-                        "x-request-id": self._request_id,
-                    }
-                )
-                await self.response.prepare(self._request)
-            await self.response.write(data)
-        except OSError as error:
-            raise CallerGone(str(error)) from error
-
-    async def end_with(self, error: MulleinreachError) -> web.StreamResponse:
-        """Tell an error inside a stream that has begun; there is no end mark then."""
-        body = web.json_response(error.to_json()).body
-        try:
-            await self.response.write(b"event: error\ndata: " + body + b"\n\n")
-            await self.response.write_eof()
-        except OSError:
-            pass
-        return self.response
-
-
 @dataclass
 class CallerParts:
     """What the interface for callers works with."""
@@ -199,7 +164,7 @@
     async def _run_model(
         self, request: web.Request, call: ModelCall, key: str | None
     ) -> web.StreamResponse:
-        answer = _Answer()
+        answer = Answer()
         if call.is_streamed:
 
             async def run() -> KeptAnswer | None:
@@ -287,13 +252,13 @@
     async def _run_plain(
         self, request: web.Request, call: PlainCall, key: str | None
     ) -> web.StreamResponse:
-        answer = _Answer()
+        answer = Answer()
 
         async def run() -> KeptAnswer | None:
             response, host = await self._parts.plain.open(call)
             try:
                 async with response:
-                    return await _relay_plain(request, call, response, answer, key is not None)
+                    return await relay_plain(request, call, response, answer, key is not None)
             finally:
                 self._parts.plain.finish(host)
 
@@ -316,13 +281,6 @@
         return web.Response(body=generate_latest(self._parts.metrics), content_type="text/plain")
 
 
-@dataclass
-class _Answer:
-    """The response that one of several ways to answer has made."""
-
-    response: web.StreamResponse | None = None
-
-
 def error_response(error: MulleinreachError, status: int | None = None) -> web.Response:
     """Return the response that tells an error."""
     headers = {}
@@ -347,57 +305,3 @@
         content_type=kept.content_type,
         headers={"x-request-id": request_id, "idempotency-replayed": "true"},
     )
-
-
-async def _relay_plain(
-    request: web.Request,
-    call: PlainCall,
-    upstream: aiohttp.ClientResponse,
-    answer: _Answer,
-    keep: bool,
-) -> KeptAnswer | None:
-    """Pass an answer on as it arrives; returns it whole if it is to be kept."""
-    headers = pass_headers(upstream.headers)
-    headers = {k: v for k, v in headers.items() if k.lower() != "x-request-id"}
-    headers["x-request-id"] = call.request_id
-    response = web.StreamResponse(status=upstream.status, headers=headers)
-    response.content_length = upstream.content_length
-    answer.response = response
-    kept = bytearray()
-    has_begun = False
-    try:
-        async for chunk in upstream.content.iter_any():
-            if not has_begun:
-                await _prepare(response, request)
-                has_begun = True
-            await _write(response, chunk)
-            if keep:
-                kept += chunk
-    except (aiohttp.ClientError, TimeoutError) as error:
-        if has_begun:
-            # The head has gone out: only a broken connection tells the caller
-            # that the answer is not whole.
-            if request.transport is not None:
-                request.transport.abort()
-            raise CallerGone("the upstream's answer broke off") from error
-        raise MulleinreachError(Code.UPSTREAM_FAILED, str(error), ran=Ran.UNKNOWN) from error
-    if not has_begun:
-        await _prepare(response, request)
-    await response.write_eof()
-    if not keep:
-        return None
-    return KeptAnswer(upstream.status, upstream.content_type, kept.decode(errors="replace"))
-
-
-async def _prepare(response: web.StreamResponse, request: web.Request) -> None:
-    try:
-        await response.prepare(request)
-    except OSError as error:
-        raise CallerGone(str(error)) from error
-
-
-async def _write(response: web.StreamResponse, chunk: bytes) -> None:
-    try:
-        await response.write(chunk)
-    except OSError as error:
-        raise CallerGone(str(error)) from error
--- a/mulleinreach/evidence.py
+++ b/mulleinreach/evidence.py
@@ -92,7 +92,10 @@
         node = self._node
         node.force.hear(peer, pong.config_version, pong.vouches, asked_at)
         for report in pong.replicas:
-            node.wholeness.take(report, asked_at)
+            # A group that our rows don't show yet gets no work from us anyway.
+            replica = node.replicas.replica_of(report.epoch)
+            if replica is not None:
+                node.wholeness.take(replica, report, asked_at)
         for host in pong.hosts:
             self._take_host(host, asked_at - host.age_ms / 1000)
         node.shares.take_grants(peer, pong.grants, asked_at)
@@ -212,7 +215,7 @@
             in_flight = node.replicas.load_of(group.replica).in_flight
             report = node.watch.report_replica(group, in_flight)
             if report is not None:
-                node.wholeness.take(report, now)
+                node.wholeness.take(group.replica, report, now)
 
     def _is_unreported(self, host: str) -> bool:
         """Whether no peer has told of a host lately, so that we have to ask or look."""
--- a/mulleinreach/groups/watch.py
+++ b/mulleinreach/groups/watch.py
@@ -110,7 +110,6 @@
         head = sightings[0].status
         ready = [is_member_ready(s.status, group.replica, group.epoch) for s in sightings]
         return ReplicaReport(
-            replica=group.replica,
             epoch=group.epoch,
             whole=all(ready),
             age_ms=int(1000 * (now - min(s.asked_at for s in sightings))),
@@ -175,23 +174,23 @@
         self._evidence: dict[str, ReplicaEvidence] = {}
         self._withdrawn_at: dict[str, tuple[int, float]] = {}
 
-    def take(self, report: ReplicaReport, asked_at: float) -> None:
-        """Take in a report whose answer was asked for at ``asked_at``."""
-        known = self._evidence.get(report.replica)
+    def take(self, replica: str, report: ReplicaReport, asked_at: float) -> None:
+        """Take in a report on ``replica`` whose answer was asked for at ``asked_at``."""
+        known = self._evidence.get(replica)
         if known is None or report.epoch > known.epoch:
-            known = self._evidence[report.replica] = ReplicaEvidence(report.epoch)
+            known = self._evidence[replica] = ReplicaEvidence(report.epoch)
         if report.epoch < known.epoch:
             return
         confirmed_at = asked_at - report.age_ms / 1000
-        if report.whole and not self._is_void(report, confirmed_at):
+        if report.whole and not self._is_void(replica, report.epoch, confirmed_at):
             known.confirmed_at = max(known.confirmed_at, confirmed_at)
         if asked_at >= known.reported_at:
             known.running, known.waiting = report.running, report.waiting
             known.slots, known.reported_at = report.slots, asked_at
 
-    def _is_void(self, report: ReplicaReport, confirmed_at: float) -> bool:
-        epoch, at = self._withdrawn_at.get(report.replica, (0, NEVER))
-        return report.epoch <= epoch and confirmed_at <= at
+    def _is_void(self, replica: str, epoch: int, confirmed_at: float) -> bool:
+        withdrawn, at = self._withdrawn_at.get(replica, (0, NEVER))
+        return epoch <= withdrawn and confirmed_at <= at
 
     def withdraw(self, replica: str, epoch: int) -> bool:
         """Void the evidence of a replica up to ``epoch``; returns whether that is news."""
--- a/mulleinreach/requests/runner.py
+++ b/mulleinreach/requests/runner.py
@@ -22,6 +22,7 @@
 from mulleinreach.admission import AdmissionQueue, Ticket
 from mulleinreach.common import Clock, Code, EventLog, MulleinreachError, Ran
 from mulleinreach.requests.active import ActiveAttempt, ActiveAttempts
+from mulleinreach.requests.answers import judge_head, move_kv, read_bounded, with_resume_text
 from mulleinreach.requests.budget import RetryBudget
 from mulleinreach.requests.call import AttemptEnd, Attempts, End, ModelCall, Sink, WholeAnswer
 from mulleinreach.requests.journal import RequestJournal
@@ -31,7 +32,6 @@
 MAX_ATTEMPTS = 4
 NO_REPLICA_WAIT_S = 2.0
 NO_REPLICA_POLL_S = 0.1
-KV_TIMEOUT_S = 2.0
 LOST_RETRY_AFTER_S = 2.0
 WORK_WEIGHT = 0.05
 
@@ -234,7 +234,7 @@
         if stream.next_position > 0:
             last = f"{call.request_id}/{attempts.count}:{stream.next_position - 1}"
             headers["last-event-id"] = last
-            body = _with_resume_text(call, stream)
+            body = with_resume_text(call, stream)
             self.metrics.resumes += 1
         stream.begin_attempt(attempts.count)
 
@@ -261,7 +261,7 @@
         answers: list[WholeAnswer] = []
 
         async def read(response: aiohttp.ClientResponse, active: ActiveAttempt) -> AttemptEnd:
-            body = await _read_bounded(response, self._answer_bytes)
+            body = await read_bounded(response, self._answer_bytes)
             if response.headers.get("x-request-id") != expected_id:
                 self.metrics.foreign_events += 1
                 return AttemptEnd(End.FAILED, "the answer is to another request")
@@ -293,7 +293,7 @@
             async with timeout:
                 url = place.address.url + call.path
                 async with self._session.post(url, data=body, headers=headers) as response:
-                    end = _judge_head(response)
+                    end = judge_head(response)
                     return end or await consume(response, active)
         except NOT_SENT_ERRORS as error:
             return AttemptEnd(End.NOT_SENT, f"{place.replica} was not reached: {error}")
@@ -377,41 +377,7 @@
         if source is None:
             return
         self.metrics.moves += 1
-        path = f"/kv/{call.request_id}"
-        try:
-            async with asyncio.timeout(KV_TIMEOUT_S):
-                async with self._session.get(source.address.url + path) as response:
-                    exported = await response.read() if response.status == 200 else None
-                if exported is not None:
-                    async with self._session.post(target.address.url + path, data=exported):
-                        pass
-        except (aiohttp.ClientError, TimeoutError, OSError):
-            exported = None
-        moved = "with its KV cache" if exported is not None else "without its KV cache"
-        note = f"moved from {source.replica} to {target.replica} {moved}"
+        is_moved = await move_kv(self._session, source.address, target.address, call.request_id)
+        how = "with" if is_moved else "without"
+        note = f"moved from {source.replica} to {target.replica} {how} its KV cache"
         self._journal.note(call.story, note)
-
-
-def _judge_head(response: aiohttp.ClientResponse) -> AttemptEnd | None:
-    """Return how an attempt ended, if the head of the answer says so already."""
-    if response.status == 200:
-        return None
-    if response.headers.get("x-ran") == "not_run":
-        return AttemptEnd(End.REFUSED, f"the upstream refused it, status {response.status}")
-    return AttemptEnd(End.FAILED, f"the upstream answered status {response.status}")
-
-
-def _with_resume_text(call: ModelCall, stream: OrderedStream) -> bytes:
-    text = stream.delivered_text()
-    if text is None:
-        return call.body
-    return json.dumps({**call.fields, "resume_text": text}).encode()
-
-
-async def _read_bounded(response: aiohttp.ClientResponse, most: int) -> bytes:
-    body = bytearray()
-    async for chunk in response.content.iter_any():
-        body += chunk
-        if len(body) > most:
-            raise aiohttp.ClientPayloadError(f"an answer of over {most} bytes")
-    return bytes(body)
--- a/mulleinreach/roster/messages.py
+++ b/mulleinreach/roster/messages.py
@@ -49,9 +49,11 @@
 
 @dataclass(frozen=True)
 class ReplicaReport:
-    """What the sender knows of a replica that it watches; ``age_ms`` in milliseconds."""
+    """What the sender knows of a group that it watches; ``age_ms`` in milliseconds.
+
+    The epoch names the group: each is given out once.
+    """
 
-    replica: str
     epoch: int
     whole: bool
     age_ms: int
@@ -129,11 +131,11 @@
 _TYPES = {name: kind for kind, name in _NAMES.items()}
 _ITEMS = {
     "demands": Demand,
-    "replicas": ReplicaReport,
-    "hosts": HostReport,
     "grants": Grant,
 }
 _TEXT_LISTS = {"leaving_hosts"}
+# Sent a column a field: one call for each column costs less than one for each value.
+_COLUMNS = {"replicas": ReplicaReport, "hosts": HostReport}
 
 
 def _camel(name: str) -> str:
@@ -142,7 +144,8 @@
 
 
 _FIELDS = {
-    kind: [(f.name, _camel(f.name)) for f in fields(kind)] for kind in [*_NAMES, *_ITEMS.values()]
+    kind: [(f.name, _camel(f.name)) for f in fields(kind)]
+    for kind in [*_NAMES, *_ITEMS.values(), *_COLUMNS.values()]
 }
 
 
@@ -163,6 +166,9 @@
 def _fill(builder, value) -> None:
     for name, camel in _FIELDS[type(value)]:
         content = getattr(value, name)
+        if name in _COLUMNS:
+            _fill_columns(builder.init(camel), _COLUMNS[name], content)
+            continue
         if name not in _ITEMS:
             setattr(builder, camel, content)
             continue
@@ -171,6 +177,21 @@
             _fill(items[index], item)
 
 
+def _fill_columns(builder, kind: type, rows: list) -> None:
+    if not rows:
+        return
+    for name, camel in _FIELDS[kind]:
+        setattr(builder, camel, [getattr(row, name) for row in rows])
+
+
+def _read_columns(kind: type, reader) -> list:
+    """Return the rows; a message whose columns differ in length is refused."""
+    columns = [list(getattr(reader, camel)) for _, camel in _FIELDS[kind]]
+    if len({len(column) for column in columns}) > 1:
+        raise ValueError(f"columns of {kind.__name__} differ in length")
+    return [kind(*row) for row in zip(*columns, strict=True)]
+
+
 def decode(packed: bytes) -> Message:
     """Read one message; raises ``ValueError`` on anything that isn't one."""
     try:
@@ -185,7 +206,9 @@
     values = {}
     for name, camel in _FIELDS[kind]:
         content = getattr(reader, camel)
-        if name in _ITEMS:
+        if name in _COLUMNS:
+            content = _read_columns(_COLUMNS[name], content)
+        elif name in _ITEMS:
             content = [_read(_ITEMS[name], item) for item in content]
         elif name in _TEXT_LISTS:
             content = list(content)
--- a/mulleinreach/roster/peer.capnp
+++ b/mulleinreach/roster/peer.capnp
@@ -26,26 +26,27 @@
   slots @2 :UInt16;       # places for requests in flight lent to the asker
 }
 
-struct ReplicaReport {
-  replica @0 :Text;
-  epoch @1 :UInt64;
-  whole @2 :Bool;
-  ageMs @3 :UInt32;       # age of the oldest evidence it rests on
-  running @4 :UInt16;
-  waiting @5 :UInt16;
-  slots @6 :UInt16;
-  sent @7 :UInt16;        # in flight from the reporting node
+# Reports of replicas, a column a field: the n-th of each belongs together. An
+# epoch is given out once, so it names a group without the replica's name.
+struct ReplicaReports {
+  epoch @0 :List(UInt64);
+  whole @1 :List(Bool);
+  ageMs @2 :List(UInt32);   # age of the oldest evidence it rests on
+  running @3 :List(UInt16);
+  waiting @4 :List(UInt16);
+  slots @5 :List(UInt16);
+  sent @6 :List(UInt16);    # in flight from the reporting node
 }
 
-struct HostReport {
-  host @0 :Text;
-  incarnation @1 :UInt64;
-  replica @2 :Text;
-  epoch @3 :UInt64;
-  state @4 :Text;
-  lastOrder @5 :Text;
-  ageMs @6 :UInt32;
-  inFlight @7 :UInt16;    # requests running or waiting in the engine
+struct HostReports {
+  host @0 :List(Text);
+  incarnation @1 :List(UInt64);
+  replica @2 :List(Text);
+  epoch @3 :List(UInt64);
+  state @4 :List(Text);
+  lastOrder @5 :List(Text);
+  ageMs @6 :List(UInt32);
+  inFlight @7 :List(UInt16);  # requests running or waiting in the engine
 }
 
 struct Ping {
@@ -59,8 +60,8 @@
   seq @0 :UInt32;
   configVersion @1 :UInt32;
   vouches @2 :Bool;
-  replicas @3 :List(ReplicaReport);
-  hosts @4 :List(HostReport);
+  replicas @3 :ReplicaReports;
+  hosts @4 :HostReports;
   grants @5 :List(Grant);
   leaving @6 :Bool;       # the sender itself is about to stop
   leavingHosts @7 :List(Text);
--- a/mulleinreach/routing/replicas.py
+++ b/mulleinreach/routing/replicas.py
@@ -98,6 +98,7 @@
         self._cache = cache
         self.changes = 0
         self._groups: dict[str, list[GroupRecord]] = {}
+        self._by_epoch: dict[int, str] = {}
         self._loads: dict[str, ReplicaLoad] = {}
         cache.listeners.append(self._follow_table)
 
@@ -106,16 +107,22 @@
             return
         self.changes = self._cache.changes
         self._groups = {}
+        self._by_epoch = {}
         names = set()
         for row in self._cache.under(GROUPS_PREFIX):
             group = GroupRecord.from_row(row)
             names.add(group.replica)
             self._groups.setdefault(group.service, []).append(group)
+            self._by_epoch[group.epoch] = group.replica
         self._wholeness.keep_only(names)
         for name in list(self._loads):
             if name not in names and self._loads[name].in_flight == 0:
                 del self._loads[name]
 
+    def replica_of(self, epoch: int) -> str | None:
+        """Return the replica whose group has this epoch; each is given out once."""
+        return self._by_epoch.get(epoch)
+
     def groups(self, service: str) -> list[GroupRecord]:
         """Return all groups of a service, usable or not."""
         return self._groups.get(service, [])
--- a/tests/test_promise_3_whole_answers.py
+++ b/tests/test_promise_3_whole_answers.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from mulleinreach.standins.engine import whole_text
 from mulleinreach.standins.engine_core import EngineSpeed
+from mulleinreach.standins.frames import whole_text
 from mulleinreach.standins.world import WorldSpec
 from tests.support import run_deployed
 
--- a/tests/test_promise_7_planned_stops.py
+++ b/tests/test_promise_7_planned_stops.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from mulleinreach.standins.engine import whole_text
 from mulleinreach.standins.engine_core import EngineSpeed
+from mulleinreach.standins.frames import whole_text
 from mulleinreach.standins.world import WorldSpec
 from tests.support import run_deployed
 
