--- a/mulleinreach/roster/messages.py
+++ b/mulleinreach/roster/messages.py
@@ -186,7 +186,11 @@
 
 def _read_columns(kind: type, reader) -> list:
     """Return the rows; a message whose columns differ in length is refused."""
-    columns = [list(getattr(reader, camel)) for _, camel in _FIELDS[kind]]
+    names = [camel for _, camel in _FIELDS[kind]]
+    if len(getattr(reader, names[0])) == 0:
+        # Most answers carry no hosts: eight empty lists would cost as much as ten rows.
+        return []
+    columns = [list(getattr(reader, camel)) for camel in names]
     if len({len(column) for column in columns}) > 1:
         raise ValueError(f"columns of {kind.__name__} differ in length")
     return [kind(*row) for row in zip(*columns, strict=True)]
