The demo runs without what only tests install

Cause: a fresh clone's make demo failed: the world of stand-ins imported the virtual loop's library at its head, and only the tests' requirements have it. Ruled out: a missing pin. Change: links stand in a module of their own, the virtual network is imported where it is used. A test looks at what the demo imports. The demo also lost a host and drained one with 20 of 24 hosts in use, which leaves no room when both are in different domains; it uses 16 now.

--- a/mulleinreach/standins/demo.py
+++ b/mulleinreach/standins/demo.py
@@ -13,7 +13,7 @@
 from mulleinreach.standins.people import Caller, Operator, Reply, demo_intent
 from mulleinreach.standins.world import CALLER_KEYS, OPERATOR_TOKENS, World, WorldSpec
 
-REPLICAS = 5
+REPLICAS = 4
 ORDER_KEY = {"idempotency-key": "order-4711"}
 
 
--- /dev/null
+++ b/mulleinreach/standins/links.py
@@ -0,0 +1,62 @@
+"""The links between processes on a virtual network, and the cuts that a test makes."""
+
+from __future__ import annotations
+
+import asyncio
+
+from mulleinreach.common.net import CONNECT_TIMEOUT_S
+
+
+class Links:
+    """Which processes can reach which; a cut breaks open connections too."""
+
+    def __init__(self) -> None:
+        self.names: dict[str, str] = {}
+        self._cuts: set[tuple[str, str]] = set()
+        self._refusing: set[str] = set()
+        self._transports: dict[tuple[str, str], list[asyncio.Transport]] = {}
+
+    def cut(self, origin: str, target: str) -> None:
+        """Break all connections from ``origin`` to ``target``; new ones hang."""
+        self._cuts.add((origin, target))
+        for transport in self._transports.pop((origin, target), []):
+            transport.abort()
+
+    def cut_both(self, first: str, second: str) -> None:
+        """Cut two processes off from each other."""
+        self.cut(first, second)
+        self.cut(second, first)
+
+    def mend(self) -> None:
+        """Join everything again."""
+        self._cuts.clear()
+        self._refusing.clear()
+
+    def refuse(self, target: str) -> None:
+        """Let nobody connect to ``target``, and break its connections: it is dead."""
+        self._refusing.add(target)
+        for (origin, other), transports in list(self._transports.items()):
+            if other == target:
+                del self._transports[origin, other]
+                for transport in transports:
+                    transport.abort()
+
+    def accept(self, target: str) -> None:
+        """Let connections to ``target`` through again."""
+        self._refusing.discard(target)
+
+    async def connect(self, origin: str, factory, host: str, port: int):
+        """Open a connection, unless a cut or a dead target is in the way."""
+        # A node's listeners are called "node/callers" and so on.
+        target = self.names.get(f"{host}:{port}", f"{host}:{port}").partition("/")[0]
+        if (origin, target) in self._cuts:
+            await asyncio.sleep(CONNECT_TIMEOUT_S)
+            raise TimeoutError(f"no way from {origin} to {target}")
+        if target in self._refusing:
+            raise ConnectionRefusedError(f"{target} refuses connections")
+        loop = asyncio.get_running_loop()
+        transport, protocol = await loop.create_connection(factory, host, port)
+        known = self._transports.setdefault((origin, target), [])
+        known[:] = [t for t in known if not t.is_closing()]
+        known.append(transport)
+        return transport, protocol
--- a/mulleinreach/standins/world.py
+++ b/mulleinreach/standins/world.py
@@ -19,6 +19,7 @@
 from mulleinreach.settings import NodeSettings
 from mulleinreach.standins.engine import EngineStandIn, Fabric
 from mulleinreach.standins.engine_core import EngineSpeed
+from mulleinreach.standins.links import Links
 from mulleinreach.standins.plain import PlainServiceStandIn
 from mulleinreach.standins.platform import (
     HostListStandIn,
@@ -26,7 +27,6 @@
     WeightStoreStandIn,
 )
 from mulleinreach.standins.table import TableStandIn
-from mulleinreach.standins.virtual import Links, VirtualNetwork
 
 PEER_SECRET_ENV = "MULLEINREACH_STANDIN_PEER_SECRET"
 OPERATOR_TOKENS = {"amaka": "amaka-token", "bola": "bola-token", "viewer": "viewer-token"}
@@ -103,7 +103,12 @@
 
     def network(self, origin: str) -> Network:
         """Return the network as the process ``origin`` sees it."""
-        return VirtualNetwork(self.links, origin) if self.virtual else Network(origin)
+        if not self.virtual:
+            return Network(origin)
+        # Only tests have the virtual loop's library; the demo runs without it.
+        from mulleinreach.standins.virtual import VirtualNetwork
+
+        return VirtualNetwork(self.links, origin)
 
     async def start(self) -> None:
         """Start the stand-ins, then the nodes."""
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import time
+from pathlib import Path
 
 import pytest
 import yaml
@@ -106,6 +107,21 @@
     made.close()
 
 
+def test_the_demo_needs_nothing_that_only_tests_install():
+    """It once did: a fresh machine had no library of the virtual loop."""
+    listed = Path("requirements.txt").read_text().lower().replace("-", "_")
+    program = (
+        "import sys, mulleinreach.cli.main, mulleinreach.standins.demo, mulleinreach.standins.serve\n"
+        "print(*{m.partition('.')[0] for m, v in sys.modules.items()"
+        " if 'site-packages' in str(getattr(v, '__file__', ''))})"
+    )
+    done = subprocess.run([sys.executable, "-c", program], capture_output=True, text=True)
+    assert done.returncode == 0, done.stderr
+    for package in ("async_solipsism", "pytest", "hypothesis", "matplotlib", "xdist"):
+        assert package not in done.stdout.split()
+        assert f"\n{package}==" not in listed
+
+
 def test_a_request_is_served_and_a_killed_and_a_frozen_node_are_lived_with(processes):
     first, second, third = processes.settings
     at = ("--server", processes.operators(first))
--- a/tests/test_security.py
+++ b/tests/test_security.py
@@ -8,8 +8,9 @@
 from mulleinreach.roster.link import KeyRing, Link, LinkError, PeerKey, new_hello
 from mulleinreach.roster.messages import Ping, Pong, decode, encode
 from mulleinreach.settings.model import PeerKeySettings
+from mulleinreach.standins.links import Links
 from mulleinreach.standins.people import Caller, Operator, demo_intent
-from mulleinreach.standins.virtual import Links, VirtualNetwork, run_virtual
+from mulleinreach.standins.virtual import VirtualNetwork, run_virtual
 from mulleinreach.standins.world import CALLER_KEYS, sha256
 from tests.support import run_deployed
 
