--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -111,7 +111,8 @@
     """It once did: a fresh machine had no library of the virtual loop."""
     listed = Path("requirements.txt").read_text().lower().replace("-", "_")
     program = (
-        "import sys, mulleinreach.cli.main, mulleinreach.standins.demo, mulleinreach.standins.serve\n"
+        "import sys, mulleinreach.cli.main\n"
+        "import mulleinreach.standins.demo, mulleinreach.standins.serve\n"
         "print(*{m.partition('.')[0] for m, v in sys.modules.items()"
         " if 'site-packages' in str(getattr(v, '__file__', ''))})"
     )
