A refused request's story ends with what its caller was told

Cause: a request refused by the queue left no line of why, so explain was silent on shedding. Change: the final error is the story's last line, with a test.

--- a/mulleinreach/requests/runner.py
+++ b/mulleinreach/requests/runner.py
@@ -370,6 +370,7 @@
         error.ran = Ran.UNKNOWN if attempts.may_have_run else Ran.NOT_RUN
         if error.ran is Ran.UNKNOWN and call.once_only:
             error.retry_after_s = None
+        self._journal.note(call.story, f"told {error.code}, {error.ran}: {error.message}")
         return error
 
     async def _move_kv(self, call: ModelCall, source: Candidate | None, target: Candidate) -> None:
--- a/tests/test_promise_4_not_run.py
+++ b/tests/test_promise_4_not_run.py
@@ -130,6 +130,19 @@
     run_deployed(scenario)
 
 
+def test_what_a_caller_was_told_is_in_the_explanation():
+    async def scenario(d):
+        refuse_requests(d)
+        reply = await model(d)
+        assert reply.error["ran"] == "not_run"
+        request_id = next(iter(d.nodes[0].journal._stories))
+        told = await d.operator.request(d.nodes[0], "GET", f"/explain/request/{request_id}")
+        assert reply.error["code"] in told.json["lines"][-1]
+        assert "not_run" in told.json["lines"][-1]
+
+    run_deployed(scenario)
+
+
 def test_a_refusal_is_tried_elsewhere_and_then_told_as_not_run():
     async def scenario(d):
         group = d.group(0)
