Leaving hosts are worked out once a change, not once a request

Each request listed and sorted all hosts and groups. Change: kept until host list, groups or configuration change.

--- a/mulleinreach/evidence.py
+++ b/mulleinreach/evidence.py
@@ -34,6 +34,8 @@
         self._peer_leaving: dict[str, tuple[set[str], float]] = {}
         self._wanted_until = float("-inf")
         self._watched_basis: tuple = ()
+        self._leaving_basis: tuple = ()
+        self._leaving: frozenset[str] = frozenset()
         self._watched: list[GroupRecord] = []
 
     # What we tell.
@@ -157,9 +159,12 @@
                 reports[report.host] = (report, seen_at)
         return reports
 
-    def _own_leaving(self) -> set[str]:
+    def _own_leaving(self) -> frozenset[str]:
         """Return the hosts that leave by the host list, the operator, or a drain."""
         node = self._node
+        basis = (node.directory.reads, node.replicas.changes, node.force.version)
+        if basis == self._leaving_basis:
+            return self._leaving
         leaving = set(node.force.document.drained_hosts)
         for kind in (HostKind.ENGINE, HostKind.PLAIN):
             hosts = node.directory.of_kind(kind)
@@ -167,12 +172,13 @@
         for group in node.replicas.all_groups():
             if group.state is GroupState.DRAINING:
                 leaving.update(group.hosts)
-        return leaving
+        self._leaving_basis, self._leaving = basis, frozenset(leaving)
+        return self._leaving
 
     def leaving_hosts(self) -> set[str]:
         """Return the hosts that leave by our own word or that of a peer, lately."""
         node = self._node
-        leaving = self._own_leaving()
+        leaving = set(self._own_leaving())
         oldest = node.clock.now() - node.settings.timing.evidence_fresh_s
         for hosts, asked_at in self._peer_leaving.values():
             if asked_at > oldest:
--- a/mulleinreach/platform/hostlist.py
+++ b/mulleinreach/platform/hostlist.py
@@ -95,7 +95,7 @@
     def __init__(self) -> None:
         self._hosts: dict[str, Host] = {}
         self._missing: dict[str, int] = {}
-        self._reads = 0
+        self.reads = 0
 
     def update(self, hosts: list[Host]) -> None:
         """Take in a list that was read."""
@@ -106,7 +106,7 @@
             else:
                 self._count_missing(name)
         self._hosts.update(fresh)
-        self._reads += 1
+        self.reads += 1
 
     def _count_missing(self, name: str) -> None:
         self._missing[name] = self._missing.get(name, 0) + 1
@@ -117,7 +117,7 @@
     @property
     def was_read(self) -> bool:
         """Whether enough lists were read to tell that a host is not listed."""
-        return self._reads >= self.GONE_AFTER_READS
+        return self.reads >= self.GONE_AFTER_READS
 
     def get(self, name: str) -> Host | None:
         """Return the host called ``name``, if it was ever listed."""
