Live nodes are counted once a choice, not once a replica

Cause: found on reading the change again: each candidate of each request sorted the list of live nodes anew. Behaviour is the same; 20 tests of sessions, leaving and routing pass. Not measured.

--- a/mulleinreach/routing/replicas.py
+++ b/mulleinreach/routing/replicas.py
@@ -138,10 +138,11 @@
     def candidates(self, service: str) -> list[Candidate]:
         """Return the replicas of a service that may be sent work at this moment."""
         leaving = self._leaving_hosts()
+        nodes = self._count_nodes()
         found = []
         for group in self._groups.get(service, []):
             if self.why_unusable(group, leaving) is None:
-                found.append(self._candidate(group))
+                found.append(self._candidate(group, nodes))
         return found
 
     def why_unusable(self, group: GroupRecord, leaving: set[str]) -> str | None:
@@ -159,7 +160,7 @@
             return f"it failed {self.load_of(group.replica).failures} times in a row"
         return None
 
-    def _candidate(self, group: GroupRecord) -> Candidate:
+    def _candidate(self, group: GroupRecord, nodes: int) -> Candidate:
         evidence = self._wholeness.evidence(group.replica)
         load = self.load_of(group.replica)
         head = self._directory.get(group.head)
@@ -170,7 +171,7 @@
             load=load.estimate(evidence),
             slots=evidence.slots or DEFAULT_SLOTS,
             in_flight=load.in_flight,
-            nodes=self._count_nodes(),
+            nodes=nodes,
         )
 
     def note_sent(self, replica: str) -> None:
