--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -14,8 +14,8 @@
 from mulleinreach.groups.planner import Change
 from mulleinreach.groups.view import FleetView, HostView
 from mulleinreach.intents import ConfigDocument, Intent
-from mulleinreach.platform import Host, HostKind
 from mulleinreach.roster.messages import HostReport
+from mulleinreach.stores import Host, HostKind
 
 HOST_LOAD_S = 90.0
 LOAD_STREAMS = 16
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -31,7 +31,6 @@
 from mulleinreach.groups.watch import ReplicaEvidence
 from mulleinreach.intents import ConfigDocument, Intent
 from mulleinreach.orders import EngineClient
-from mulleinreach.platform import TableCache, TableClient
 from mulleinreach.requests.claims import ClaimStore, claim_key
 from mulleinreach.requests.journal import RequestJournal
 from mulleinreach.roster.messages import (
@@ -49,6 +48,7 @@
 from mulleinreach.standins.platform import WeightStoreStandIn
 from mulleinreach.standins.table import TableStandIn
 from mulleinreach.standins.world import AddressBook
+from mulleinreach.stores import TableCache, TableClient
 
 DATA = Path("docs/slopes.json")
 PLOT = Path("docs/slopes.png")
--- a/mulleinreach/audit/trail.py
+++ b/mulleinreach/audit/trail.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass
 
 from mulleinreach.common import Clock, EventLog
-from mulleinreach.platform import (
+from mulleinreach.stores import (
     Committed,
     ObjectStore,
     Row,
--- a/mulleinreach/entry/explain.py
+++ b/mulleinreach/entry/explain.py
@@ -7,10 +7,10 @@
 from mulleinreach.common import Code, MulleinreachError
 from mulleinreach.groups.view import FleetView
 from mulleinreach.intents import ConfigInForce, ServiceIntent
-from mulleinreach.platform import HostDirectory
 from mulleinreach.requests.journal import RequestJournal
 from mulleinreach.roster import Roster
 from mulleinreach.routing import ReplicaTable
+from mulleinreach.stores import HostDirectory
 
 
 class Explainer:
--- a/mulleinreach/evidence.py
+++ b/mulleinreach/evidence.py
@@ -18,8 +18,8 @@
 from mulleinreach.groups.model import GroupRecord, GroupState
 from mulleinreach.groups.watch import watchers_of
 from mulleinreach.intents import ConfigDocument
-from mulleinreach.platform import HostKind, HostState
 from mulleinreach.roster.messages import ConfigPush, HostReport, Ping, Pong, Withdrawal
+from mulleinreach.stores import HostKind, HostState
 
 if TYPE_CHECKING:
     from mulleinreach.node import Node
--- /dev/null
+++ b/mulleinreach/gateway/active.py
@@ -0,0 +1,78 @@
+"""The exchanges that this node has in flight, so that a lost upstream's can be ended at once."""
+
+from __future__ import annotations
+
+import asyncio
+
+from mulleinreach.gateway.exchange import (
+    Broken,
+    ExchangeResult,
+    OutgoingRequest,
+    Streaming,
+    UpstreamClient,
+)
+from mulleinreach.gateway.upstreams import Upstream
+
+
+class ActiveExchange:
+    """An exchange that can be ended from outside."""
+
+    def __init__(self, upstream_id: str):
+        self.upstream_id = upstream_id
+        self.is_withdrawn = False
+        self._task: asyncio.Task | None = None
+        self._streaming: Streaming | None = None
+
+    async def send(
+        self,
+        client: UpstreamClient,
+        upstream: Upstream,
+        request: OutgoingRequest,
+        wants_stream: bool,
+    ) -> ExchangeResult:
+        """Send a request; ends as :class:`Broken` if the upstream is withdrawn meanwhile."""
+        self._task = asyncio.create_task(client.send(upstream, request, wants_stream))
+        try:
+            result = await self._task
+        except asyncio.CancelledError:
+            if self.is_withdrawn and not asyncio.current_task().cancelling():
+                return Broken("the upstream was lost")
+            raise
+        if isinstance(result, Streaming):
+            self._streaming = result
+        return result
+
+    def withdraw(self) -> None:
+        """End the exchange because its upstream is lost."""
+        self.is_withdrawn = True
+        if self._streaming is not None:
+            self._streaming.close()
+        elif self._task is not None:
+            self._task.cancel()
+
+
+class ActiveExchanges:
+    """All exchanges in flight, by upstream."""
+
+    def __init__(self) -> None:
+        self._by_upstream: dict[str, set[ActiveExchange]] = {}
+
+    def begin(self, upstream_id: str) -> ActiveExchange:
+        """Note an exchange that is about to start."""
+        exchange = ActiveExchange(upstream_id)
+        self._by_upstream.setdefault(upstream_id, set()).add(exchange)
+        return exchange
+
+    def end(self, exchange: ActiveExchange) -> None:
+        """Forget an exchange."""
+        exchanges = self._by_upstream.get(exchange.upstream_id, set())
+        exchanges.discard(exchange)
+        if not exchanges:
+            self._by_upstream.pop(exchange.upstream_id, None)
+
+    def withdraw(self, upstream_id: str) -> int:
+        """End all exchanges with a lost upstream; returns how many there were."""
+        exchanges = list(self._by_upstream.get(upstream_id, ()))
+        for exchange in exchanges:
+            exchange.withdraw()
+        return len(exchanges)
--- /dev/null
+++ b/mulleinreach/gateway/admission.py
@@ -0,0 +1,71 @@
+"""Decides whether a request may be served, from the configuration in force and its age."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from mulleinreach.gateway.following import ConfigurationInForce
+from mulleinreach.gateway.model import Configuration, Route
+from mulleinreach.gateway.ports import Bounds, CallerHeaders
+
+# A node that has heard nothing for this long may have missed a new route or key.
+CURRENT_EVIDENCE_S = 2.2
+RETRY_AFTER_S = 0.3
+
+
+@dataclass(frozen=True)
+class Admitted:
+    """The request may be sent on."""
+
+    configuration: Configuration
+    route: Route
+    organisation: str | None
+    priority: int
+
+
+@dataclass(frozen=True)
+class Denied:
+    """The request isn't served; ``retry_after_s`` is set where another try may be."""
+
+    status: int
+    reason: str
+    retry_after_s: float | None = None
+
+
+class Admission:
+    """Checks the route and the API key of a request."""
+
+    def __init__(self, in_force: ConfigurationInForce, bounds: Bounds):
+        self._in_force = in_force
+        self._bounds = bounds
+
+    def check(self, host: str, path: str, headers: CallerHeaders) -> Admitted | Denied:
+        """Return under which terms a request is served, or why it isn't."""
+        configuration = self._in_force.configuration
+        if configuration is None:
+            return Denied(503, "no configuration was read yet", RETRY_AFTER_S)
+        route = configuration.match(host.partition(":")[0], path)
+        if route is None:
+            return self._deny(404, "no route")
+        if route.is_public or not configuration.needs_keys:
+            return Admitted(configuration, route, None, route.priority)
+        return self._check_key(configuration, route, headers)
+
+    def _check_key(
+        self, configuration: Configuration, route: Route, headers: CallerHeaders
+    ) -> Admitted | Denied:
+        age_s = self._in_force.evidence_age_s()
+        if age_s > self._bounds.key_evidence_s:
+            # A key may have been taken away without our knowing it.
+            return Denied(503, "the configuration can't be confirmed", RETRY_AFTER_S)
+        organisation = configuration.organisation_of(headers.api_key or "")
+        if organisation is None:
+            return self._deny(401, "unknown key")
+        own_priority = organisation.priority
+        priority = route.priority if own_priority is None else own_priority
+        return Admitted(configuration, route, organisation.name, priority)
+
+    def _deny(self, status: int, reason: str) -> Denied:
+        if self._in_force.evidence_age_s() > CURRENT_EVIDENCE_S:
+            return Denied(503, f"{reason} in an old configuration", RETRY_AFTER_S)
+        return Denied(status, reason)
--- /dev/null
+++ b/mulleinreach/gateway/choosing.py
@@ -0,0 +1,82 @@
+"""Which upstreams may take a request now."""
+
+from __future__ import annotations
+
+from mulleinreach.common import Clock
+from mulleinreach.gateway.model import Service
+from mulleinreach.gateway.ports import CallerHeaders
+from mulleinreach.gateway.routing import Router
+from mulleinreach.gateway.upstreams import (
+    Head,
+    Upstream,
+    UpstreamDirectory,
+    UpstreamState,
+    open_heads,
+)
+
+SUSPECT_S = 1.0
+
+
+class SuspectList:
+    """Upstreams that failed a request lately; each is avoided for a while."""
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._until: dict[str, float] = {}
+
+    def add(self, upstream_id: str, for_s: float = SUSPECT_S) -> None:
+        """Avoid an upstream for a while."""
+        self._until[upstream_id] = self._clock.now() + for_s
+
+    def current(self) -> set[str]:
+        """Return the upstreams to avoid now."""
+        now = self._clock.now()
+        self._until = {u: until for u, until in self._until.items() if until > now}
+        return set(self._until)
+
+
+class UpstreamChooser:
+    """Lists the upstreams of a request, the best one first.
+
+    Parameters
+    ==========
+
+    lost : ids that the coordinator found to be lost.
+    opened : heads that the coordinator saw open; ahead of this node's own list.
+    """
+
+    def __init__(self, directory: UpstreamDirectory, router: Router, suspects: SuspectList):
+        self._directory = directory
+        self._router = router
+        self._suspects = suspects
+        self.lost: frozenset[str] = frozenset()
+        self.opened: list[Head] = []
+
+    def choose(self, service: Service, headers: CallerHeaders, tried: set[str]) -> Upstream | None:
+        """Return the best upstream that wasn't tried yet."""
+        suspects = self._suspects.current()
+        if service.engine is None:
+            upstreams = [u for u in self._usable(service.name) if u.id not in tried]
+            ranked = self._router.rank_plain(upstreams, suspects)
+            return ranked[0] if ranked else None
+        heads = [h for h in self.heads(service.name, headers.model) if h.upstream.id not in tried]
+        tokens = headers.prompt_tokens or 0
+        predictions = self._router.rank_heads(heads, service.engine, tokens, suspects)
+        return predictions[0].head.upstream if predictions else None
+
+    def heads(self, service: str, model: str | None) -> list[Head]:
+        """Return the heads that serve a model."""
+        usable = self._usable(service)
+        heads = {head.upstream.id: head for head in open_heads(usable)}
+        usable_ids = {u.id for u in usable}
+        for head in self.opened:
+            if head.upstream.id in usable_ids:
+                heads.setdefault(head.upstream.id, head)
+        return [h for h in heads.values() if model is None or h.model == model]
+
+    def _usable(self, service: str) -> list[Upstream]:
+        return [
+            u
+            for u in self._directory.of_service(service)
+            if u.state is UpstreamState.READY and u.id not in self.lost
+        ]
--- /dev/null
+++ b/mulleinreach/gateway/coordination.py
@@ -0,0 +1,263 @@
+"""Finds or becomes the coordinator, and exchanges reports with it.
+
+Explanation
+===========
+
+Every node has one connection to the coordinator. Over it go what the node has in
+flight, and back come the totals, the heads that are open and the upstreams that
+are lost. A node that is connected has no need to read the lease. A refused
+connection shows that the holder's process has ended, so the lease may be taken
+at once; silence shows nothing, and the lease has to lapse first.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from mulleinreach.common import Address, Clock, EventLog, Network
+from mulleinreach.gateway.lease import RENEW_S, CoordinatorLease, LeaseState
+from mulleinreach.gateway.load import LoadBook, LoadReport
+from mulleinreach.gateway.messages import (
+    CoordinatorReport,
+    NodeReport,
+    OpenHead,
+    PeerError,
+    decode_coordinator_report,
+    decode_node_report,
+    encode_coordinator_report,
+    encode_node_report,
+    read_frame,
+    write_frame,
+)
+
+REPORT_INTERVAL_S = 0.1
+SILENCE_S = 1.0
+CONNECT_S = 0.5
+RETRY_S = 0.3
+RECONNECT_S = 0.05
+MAX_ELECTION_DELAY_S = 0.06
+MAX_BUFFERED_BYTES = 262_144
+
+
+class _Ended(enum.Enum):
+    """Why following a coordinator came to its end."""
+
+    PROCESS_GONE = enum.auto()
+    UNREACHED = enum.auto()
+    LOST = enum.auto()
+
+
+@dataclass
+class _Member:
+    """A node that is connected to this coordinator."""
+
+    writer: asyncio.StreamWriter
+    report: NodeReport | None = None
+
+
+class Coordination:
+    """This node's part: coordinator or one that reports to it.
+
+    Parameters
+    ==========
+
+    coordinate : runs for as long as the lease is held; cancelled when it is lost.
+    describe : returns the open heads and lost upstreams, at the coordinator.
+    on_report : called with each report of the coordinator, at every node.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        lease: CoordinatorLease,
+        loads: LoadBook,
+        network: Network,
+        address: Address,
+        clock: Clock,
+        log: EventLog,
+        rng: random.Random,
+        coordinate: Callable[[], Awaitable[None]],
+        describe: Callable[[], tuple[list[OpenHead], list[str]]],
+        on_report: Callable[[CoordinatorReport], None],
+    ):
+        self._name = name
+        self._lease = lease
+        self._loads = loads
+        self._network = network
+        self._address = address
+        self._clock = clock
+        self._log = log
+        self._rng = rng
+        self._coordinate = coordinate
+        self._describe = describe
+        self._on_report = on_report
+        self._members: dict[object, _Member] = {}
+        self._server: asyncio.AbstractServer | None = None
+        self.node_count = 1
+        self.is_stopping = False
+
+    async def listen(self) -> None:
+        """Accept connections of other nodes."""
+        self._server = await self._network.listen(self._address, self._serve_member)
+
+    async def close(self) -> None:
+        """Stop listening and end the connections."""
+        self._lease.give_up()
+        if self._server is not None:
+            self._server.close()
+        for member in list(self._members.values()):
+            member.writer.close()
+
+    async def run(self) -> None:
+        """Take part for ever."""
+        while True:
+            try:
+                await self._take_part_once()
+            except (OSError, PeerError) as error:
+                self._log.event("coordination_failed", why=repr(error))
+                await asyncio.sleep(RETRY_S)
+
+    async def _take_part_once(self) -> None:
+        state = await self._lease.look()
+        if state is LeaseState.UNKNOWN:
+            await asyncio.sleep(RETRY_S)
+        elif state is LeaseState.FREE:
+            await self._stand_for_election()
+        elif state is LeaseState.OTHERS:
+            ended = await self._follow(Address.parse(self._lease.record.address))
+            if ended is _Ended.PROCESS_GONE:
+                await self._stand_for_election()
+            else:
+                is_new = ended is _Ended.LOST
+                await asyncio.sleep(RECONNECT_S if is_new else RETRY_S)
+
+    async def _stand_for_election(self) -> None:
+        if self.is_stopping:
+            await asyncio.sleep(RETRY_S)
+            return
+        await asyncio.sleep(self._rng.uniform(0, MAX_ELECTION_DELAY_S))
+        if await self._lease.acquire():
+            await self._hold()
+
+    # At the coordinator.
+
+    async def _hold(self) -> None:
+        duty = asyncio.create_task(self._coordinate())
+        reporting = asyncio.create_task(self._report_to_members())
+        try:
+            while not self.is_stopping:
+                await asyncio.sleep(RENEW_S)
+                if not await self._lease.renew() or not self._lease.is_held():
+                    break
+        finally:
+            self._lease.give_up()
+            self._log.event("lease_ended", token=self._lease.token)
+            for task in (duty, reporting):
+                task.cancel()
+            await asyncio.gather(duty, reporting, return_exceptions=True)
+            if self.is_stopping:
+                # Others take the lease at once where they find nobody listening.
+                self._server.close()
+            for member in list(self._members.values()):
+                member.writer.close()
+
+    async def _report_to_members(self) -> None:
+        while True:
+            heads, lost = self._describe()
+            reports = self.node_reports()
+            self.node_count = len(reports)
+            for member in list(self._members.values()):
+                if member.report is not None:
+                    loads = sum_loads([r for r in reports if r is not member.report])
+                    message = CoordinatorReport(self._lease.token, len(reports), loads, heads, lost)
+                    self._send(member.writer, encode_coordinator_report(message))
+            own = sum_loads(reports[1:])
+            self._on_report(CoordinatorReport(self._lease.token, len(reports), own, heads, lost))
+            await asyncio.sleep(REPORT_INTERVAL_S)
+
+    def node_reports(self) -> list[NodeReport]:
+        """Return the latest report of each node, our own first."""
+        own = NodeReport(self._name, self._loads.own_reports(), self.is_stopping)
+        return [own] + [m.report for m in self._members.values() if m.report is not None]
+
+    async def _serve_member(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        member = _Member(writer)
+        key = object()
+        self._members[key] = member
+        try:
+            while self._lease.is_held():
+                async with asyncio.timeout(SILENCE_S):
+                    member.report = decode_node_report(await read_frame(reader))
+        except (PeerError, OSError, TimeoutError):
+            pass
+        finally:
+            self._members.pop(key, None)
+            writer.close()
+
+    # At the other nodes.
+
+    async def _follow(self, address: Address) -> _Ended:
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                reader, writer = await self._network.connect(address)
+        except ConnectionRefusedError:
+            return _Ended.PROCESS_GONE
+        except (OSError, TimeoutError):
+            return _Ended.UNREACHED
+        sending = asyncio.create_task(self._report_to_coordinator(writer))
+        ended = _Ended.UNREACHED
+        try:
+            while True:
+                async with asyncio.timeout(SILENCE_S):
+                    report = decode_coordinator_report(await read_frame(reader))
+                ended = _Ended.LOST
+                self.node_count = report.nodes
+                self._on_report(report)
+        except (PeerError, OSError, TimeoutError):
+            return ended
+        finally:
+            sending.cancel()
+            writer.close()
+
+    async def _report_to_coordinator(self, writer: asyncio.StreamWriter) -> None:
+        while not writer.is_closing():
+            report = NodeReport(self._name, self._loads.own_reports(), self.is_stopping)
+            self._send(writer, encode_node_report(report))
+            await asyncio.sleep(REPORT_INTERVAL_S)
+
+    def _send(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        """Send a report unless the receiver is too slow; the next one replaces it."""
+        if writer.transport.get_write_buffer_size() < MAX_BUFFERED_BYTES:
+            write_frame(writer, data)
+
+
+def sum_loads(reports: list[NodeReport]) -> list[LoadReport]:
+    """Return the load of several nodes together, one report an upstream.
+
+    Examples
+    ========
+
+    >>> one = NodeReport("a", [LoadReport("u", 1, 10, 0.5)])
+    >>> two = NodeReport("b", [LoadReport("u", 2, 0, 0.1)])
+    >>> sum_loads([one, two])
+    [LoadReport(upstream_id='u', running=3, pending_tokens=10, silent_s=0.1)]
+    """
+    totals: dict[str, LoadReport] = {}
+    for report in reports:
+        for load in report.loads:
+            known = totals.get(load.upstream_id)
+            if known is not None:
+                load = LoadReport(
+                    load.upstream_id,
+                    known.running + load.running,
+                    known.pending_tokens + load.pending_tokens,
+                    min(known.silent_s, load.silent_s),
+                )
+            totals[load.upstream_id] = load
+    return list(totals.values())
--- /dev/null
+++ b/mulleinreach/gateway/exchange.py
@@ -0,0 +1,192 @@
+"""One exchange with an upstream; each way in which it can end is a value.
+
+Explanation
+===========
+
+Each request has a connection of its own. A kept connection may hold a surplus
+answer or may be gone without a word, and a new one costs a millisecond.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+import aiohttp
+from multidict import CIMultiDict, CIMultiDictProxy
+from yarl import URL
+
+from mulleinreach.gateway.ports import Dialect
+from mulleinreach.gateway.upstreams import Upstream
+
+CONNECT_TIMEOUT_S = 0.35
+MAX_ANSWER_BYTES = 64_000_000
+CHUNK_BYTES = 65_536
+_NO_AUTOMATIC_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+
+
+@dataclass(frozen=True)
+class OutgoingRequest:
+    """What is sent to an upstream: ``target`` is the path and query as they came."""
+
+    method: str
+    target: str
+    headers: CIMultiDict[str]
+    body: bytes
+    request_id: str | None
+
+
+@dataclass(frozen=True)
+class NotSent:
+    """No byte of the request was sent."""
+
+    reason: str
+
+
+@dataclass(frozen=True)
+class Refused:
+    """The upstream says that it didn't and won't run the request."""
+
+    status: int
+
+
+@dataclass(frozen=True)
+class Broken:
+    """No whole answer came; the request may have run."""
+
+    reason: str
+
+
+@dataclass(frozen=True)
+class Answered:
+    """A whole answer."""
+
+    status: int
+    headers: CIMultiDictProxy[str]
+    body: bytes
+
+
+@dataclass
+class Streaming:
+    """The head of a successful answer whose body is still to be read."""
+
+    status: int
+    headers: CIMultiDictProxy[str]
+    response: aiohttp.ClientResponse
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield bytes as they come; raises :class:`AnswerCut` unless the end was sound."""
+        protocol = self.response.connection.protocol if self.response.connection else None
+        try:
+            async for data in self.response.content.iter_any():
+                yield data
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            raise AnswerCut(f"{type(error).__name__}: {error}") from error
+        _check_end(self.response, protocol)
+
+    def close(self) -> None:
+        """End the exchange; the upstream sees its connection closed."""
+        self.response.close()
+
+
+class AnswerCut(Exception):
+    """An answer's body ended before it was whole."""
+
+
+ExchangeResult = NotSent | Refused | Broken | Answered | Streaming
+
+
+def _check_end(response: aiohttp.ClientResponse, protocol) -> None:
+    """Raise :class:`AnswerCut` if a body without length ended with a reset.
+
+    Such a body ends with its connection; aiohttp ends it in the same way whether
+    the connection was closed or reset, but keeps the error at the protocol.
+    """
+    headers = response.headers
+    has_length = "Content-Length" in headers or "Transfer-Encoding" in headers
+    if has_length or protocol is None:
+        return
+    error = protocol.exception()
+    if error is not None and not isinstance(error, aiohttp.ServerDisconnectedError):
+        raise AnswerCut(f"reset: {error}")
+
+
+class UpstreamClient:
+    """Sends requests to upstreams."""
+
+    def __init__(self, session: aiohttp.ClientSession, dialect: Dialect):
+        self._session = session
+        self._dialect = dialect
+
+    async def send(
+        self, upstream: Upstream, request: OutgoingRequest, wants_stream: bool
+    ) -> ExchangeResult:
+        """Send a request; a successful answer to be streamed is given back unread."""
+        try:
+            response = await self._session.request(
+                request.method,
+                URL(upstream.address.url + request.target, encoded=True),
+                data=request.body or None,
+                headers=request.headers,
+                allow_redirects=False,
+                skip_auto_headers=_NO_AUTOMATIC_HEADERS,
+            )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            return NotSent(f"{type(error).__name__}: {error}")
+        except (aiohttp.ClientError, OSError, ValueError, TimeoutError) as error:
+            return Broken(f"{type(error).__name__}: {error}")
+        return await self._read(response, request, wants_stream)
+
+    async def _read(
+        self, response: aiohttp.ClientResponse, request: OutgoingRequest, wants_stream: bool
+    ) -> ExchangeResult:
+        is_kept_open = False
+        try:
+            if not self._dialect.belongs_to(response.headers, request.request_id):
+                return Broken("the answer is to another request")
+            if self._dialect.was_refused(response.status, response.headers):
+                return Refused(response.status)
+            is_success = 200 <= response.status < 300
+            if is_success and not self._dialect.is_signed(response.headers):
+                return Broken("a success without signature")
+            if is_success and wants_stream:
+                is_kept_open = True
+                return Streaming(response.status, response.headers, response)
+            return await self._read_whole(response)
+        finally:
+            if not is_kept_open:
+                response.close()
+
+    async def _read_whole(self, response: aiohttp.ClientResponse) -> ExchangeResult:
+        protocol = response.connection.protocol if response.connection else None
+        parts = []
+        size = 0
+        try:
+            async for data in response.content.iter_chunked(CHUNK_BYTES):
+                parts.append(data)
+                size += len(data)
+                if size > MAX_ANSWER_BYTES:
+                    return Broken(f"an answer over {MAX_ANSWER_BYTES} bytes")
+            _check_end(response, protocol)
+        except (aiohttp.ClientError, OSError, ValueError, AnswerCut) as error:
+            return Broken(f"{type(error).__name__}: {error}")
+        return Answered(response.status, response.headers, b"".join(parts))
+
+
+def make_session() -> aiohttp.ClientSession:
+    """Return a session that opens a connection for each request and never repeats one."""
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, use_dns_cache=False, force_close=True),
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
+    session._retry_connection = False
+    return session
+
+
+async def cancel_and_wait(task: asyncio.Task) -> None:
+    """Cancel a task and wait until it has ended."""
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
--- /dev/null
+++ b/mulleinreach/gateway/fleet/formation.py
@@ -0,0 +1,229 @@
+"""Carries out the forming and ending of groups by orders to hosts.
+
+Explanation
+===========
+
+Three facts keep a late or doubled order harmless. Epochs rise over all
+coordinators, so that a late join is refused by a host that has seen a newer one.
+``open`` is sent only when every member was seen ready under the group's name and
+epoch, and an epoch is used for one list of members only. And no member is taken
+out of a group before its head was seen to have left it; if the head can't be
+reached, the members are told to leave first.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+
+from mulleinreach.common import Clock, EventLog
+from mulleinreach.gateway.fleet.hosts import HostBook
+from mulleinreach.gateway.lease import CoordinatorLease
+from mulleinreach.gateway.metrics import GatewayMetrics
+from mulleinreach.gateway.ports import (
+    Accepted,
+    EngineOrders,
+    NoAnswer,
+    OrderResult,
+    Rejected,
+    Unavailable,
+)
+from mulleinreach.gateway.upstreams import Group, MemberState, Upstream
+
+EPOCHS_PER_TOKEN = 1_000_000
+ORDER_TRIES = 4
+PROBE_TIMEOUT_S = 0.25
+POLL_S = 0.4
+OPEN_TIMEOUT_S = 2.0
+
+
+class Outcome(enum.Enum):
+    """How an attempt to form a group ended."""
+
+    DONE = enum.auto()
+    FAILED = enum.auto()
+
+
+class LeaseLost(Exception):
+    """The lease ended, so no more orders may be given."""
+
+
+class GroupOperator:
+    """Gives the orders of one coordinator."""
+
+    def __init__(
+        self,
+        orders: EngineOrders,
+        lease: CoordinatorLease,
+        hosts: HostBook,
+        metrics: GatewayMetrics,
+        clock: Clock,
+        log: EventLog,
+    ):
+        self._orders = orders
+        self._lease = lease
+        self._hosts = hosts
+        self._metrics = metrics
+        self._clock = clock
+        self._log = log
+        self._count = 0
+        self._changed = asyncio.Event()
+
+    def notify(self) -> None:
+        """Wake those who wait for a host's state."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def next_epoch(self) -> int:
+        """Return an epoch above all that were used under this and earlier leases."""
+        self._count += 1
+        return self._lease.token * EPOCHS_PER_TOKEN + self._count
+
+    async def probe(self, host: Upstream) -> Upstream | Unavailable:
+        """Ask a host for its state, and take the answer in."""
+        report = await self._orders.report(host, PROBE_TIMEOUT_S)
+        if isinstance(report, Upstream):
+            self._hosts.take_report(report)
+            self.notify()
+        return report
+
+    # Forming.
+
+    async def join_all(
+        self, model: str, members: list[Upstream], patience_s: float
+    ) -> Group | None:
+        """Join hosts into a new group and wait until all are ready."""
+        epoch = self.next_epoch()
+        name = f"g{epoch}"
+        ids = [member.id for member in members]
+        self._log.event("group_joining", group=name, model=model, members=",".join(ids))
+        joins = [self._join(member, name, epoch, model, ids) for member in members]
+        results = await asyncio.gather(*joins)
+        if not all(results):
+            return None
+        if not await self._wait_until(
+            lambda: self._are_ready(name, epoch, ids), members, patience_s
+        ):
+            self._log.event("group_not_ready", group=name, model=model)
+            return None
+        return Group(name, epoch, dict(enumerate(members)))
+
+    async def _join(
+        self, member: Upstream, name: str, epoch: int, model: str, ids: list[str]
+    ) -> bool:
+        for _ in range(ORDER_TRIES):
+            self._check_lease()
+            result = await self._orders.join(member, name, epoch, model, ids)
+            self._note("join", member, name, result)
+            if isinstance(result, Accepted):
+                return True
+            if isinstance(result, Rejected):
+                return False
+            if self._stands_in(member.id, name, epoch):
+                return True
+            if isinstance(await self.probe(member), Unavailable):
+                self._hosts.mark_lost(member.id)
+                return False
+        return False
+
+    async def open(self, group: Group) -> Outcome:
+        """Let a group serve whose members were all seen ready."""
+        head = group.head
+        until = self._clock.now() + OPEN_TIMEOUT_S
+        while self._clock.now() < until:
+            self._check_lease()
+            if not self._are_ready(group.name, group.epoch, [m.id for m in self._ranked(group)]):
+                return Outcome.FAILED
+            result = await self._orders.open(head, group.name, group.epoch)
+            self._note("open", head, group.name, result)
+            if isinstance(result, Rejected):
+                return Outcome.FAILED
+            if await self._wait_until(lambda: self._is_open(head.id, group), [head], POLL_S * 2):
+                self._log.event("group_open", group=group.name, head=head.id)
+                return Outcome.DONE
+        return Outcome.FAILED
+
+    # Ending.
+
+    async def dissolve(self, group: Group, size: int) -> bool:
+        """End a group, so that its members may be used in others."""
+        head = group.head
+        if head is not None and not self._hosts.is_lost(head.id):
+            if await self._leave(head, group):
+                return True
+            self._hosts.mark_lost(head.id)
+        members = [m for m in self._ranked(group) if m.membership.rank != 0]
+        alive = [m for m in members if not self._hosts.is_lost(m.id)]
+        results = await asyncio.gather(*(self._leave(member, group) for member in alive))
+        return all(results)
+
+    async def _leave(self, member: Upstream, group: Group) -> bool:
+        for _ in range(ORDER_TRIES):
+            self._check_lease()
+            result = await self._orders.leave(member, group.name, group.epoch)
+            self._note("leave", member, group.name, result)
+            if not isinstance(result, NoAnswer):
+                # A host that refuses to leave a group does not stand in it.
+                return True
+            report = await self.probe(member)
+            if isinstance(report, Unavailable):
+                return False
+            if not self._stands_in(member.id, group.name, group.epoch):
+                return True
+        return False
+
+    # What hosts say.
+
+    def _stands_in(self, host: str, name: str, epoch: int) -> bool:
+        known = self._hosts.get(host)
+        membership = known.membership if known else None
+        return membership is not None and (membership.group, membership.epoch) == (name, epoch)
+
+    def _are_ready(self, name: str, epoch: int, ids: list[str]) -> bool:
+        for rank, host in enumerate(ids):
+            known = self._hosts.get(host)
+            if known is None or self._hosts.is_lost(host) or known.membership is None:
+                return False
+            membership = known.membership
+            if (membership.group, membership.epoch, membership.rank) != (name, epoch, rank):
+                return False
+            if membership.state is not MemberState.READY:
+                return False
+        return True
+
+    def _is_open(self, host: str, group: Group) -> bool:
+        known = self._hosts.get(host)
+        if not self._stands_in(host, group.name, group.epoch):
+            return False
+        return known.membership.state is MemberState.OPEN
+
+    async def _wait_until(self, holds, members: list[Upstream], patience_s: float) -> bool:
+        """Wait until hosts say what is hoped for; ask them when their list is silent."""
+        until = self._clock.now() + patience_s
+        while not holds():
+            changed = self._changed
+            remaining_s = until - self._clock.now()
+            if remaining_s <= 0 or any(self._hosts.is_lost(m.id) for m in members):
+                return False
+            try:
+                async with asyncio.timeout(min(POLL_S, remaining_s)):
+                    await changed.wait()
+            except TimeoutError:
+                if patience_s < 3:
+                    await asyncio.gather(*(self.probe(member) for member in members))
+        return True
+
+    def _ranked(self, group: Group) -> list[Upstream]:
+        return [group.members[rank] for rank in sorted(group.members)]
+
+    def _check_lease(self) -> None:
+        if not self._lease.is_held():
+            raise LeaseLost
+
+    def _note(self, order: str, host: Upstream, group: str, result: OrderResult) -> None:
+        outcome = type(result).__name__
+        self._metrics.count_order(order, outcome)
+        detail = getattr(result, "reason", getattr(result, "status", ""))
+        self._log.event(
+            "order", order=order, host=host.id, group=group, outcome=outcome, detail=detail
+        )
--- /dev/null
+++ b/mulleinreach/gateway/fleet/hosts.py
@@ -0,0 +1,157 @@
+"""What the coordinator knows of hosts beyond their list: who is busy, lost or free."""
+
+from __future__ import annotations
+
+import itertools
+from dataclasses import dataclass
+
+from mulleinreach.common import Clock
+from mulleinreach.gateway.upstreams import (
+    Group,
+    MemberState,
+    Upstream,
+    UpstreamDirectory,
+    UpstreamState,
+)
+
+LOST_MEMORY_S = 30.0
+
+
+@dataclass(frozen=True)
+class Forming:
+    """A group, or a standby on its own, that is being formed."""
+
+    domain: str
+    model: str
+    is_group: bool
+
+
+class HostBook:
+    """Hosts by id: the list, what hosts reported themselves, and what was found out.
+
+    Explanation
+    ===========
+
+    A host is *lost* when it gave no answer while its group stood still. A host
+    that is on no list any more is remembered for a while, since it may still run.
+    """
+
+    def __init__(self, directory: UpstreamDirectory, clock: Clock):
+        self._directory = directory
+        self._clock = clock
+        self._last_model: dict[str, str] = {}
+        self._remembered: dict[str, Upstream] = {}
+        self._lost_at: dict[str, float] = {}
+        self._heads: dict[tuple[str, int], str] = {}
+        self._dissolved_at: dict[tuple[str, int], float] = {}
+        self._numbers = itertools.count()
+        self.forming: dict[int, Forming] = {}
+        self.busy: set[str] = set()
+
+    def refresh(self, service: str) -> None:
+        """Take in the latest list."""
+        for upstream in self._directory.of_service(service):
+            self._remembered[upstream.id] = upstream
+            if upstream.models:
+                self._last_model[upstream.id] = upstream.models[0]
+            membership = upstream.membership
+            if membership is not None and membership.rank == 0:
+                self._heads[(membership.group, membership.epoch)] = upstream.id
+
+    def take_report(self, report: Upstream) -> None:
+        """Take in what a host said itself, until the list says something newer."""
+        if self._directory.get(report.id) is not None:
+            self._directory.apply([report], [])
+        self._remembered[report.id] = report
+        self._lost_at.pop(report.id, None)
+
+    def mark_lost(self, host: str) -> None:
+        """Note that a host gives no answer."""
+        self._lost_at[host] = self._clock.now()
+
+    def is_lost(self, host: str) -> bool:
+        """Whether a host was found to give no answer."""
+        return host in self._lost_at
+
+    def lost(self) -> list[str]:
+        """Return the hosts that give no answer."""
+        oldest = self._clock.now() - LOST_MEMORY_S
+        self._lost_at = {h: at for h, at in self._lost_at.items() if at > oldest}
+        return list(self._lost_at)
+
+    def last_model(self, host: str) -> str | None:
+        """Return the model of a host's last group, as far as this coordinator saw it."""
+        return self._last_model.get(host)
+
+    def get(self, host: str) -> Upstream | None:
+        """Return a host, listed or remembered."""
+        return self._directory.get(host) or self._remembered.get(host)
+
+    def is_listed(self, host: str) -> bool:
+        """Whether the host is on the list."""
+        return self._directory.get(host) is not None
+
+    def usable(self, service: str) -> list[Upstream]:
+        """Return the hosts that may be members of groups from now on."""
+        return [
+            u
+            for u in self._directory.of_service(service)
+            if u.state is UpstreamState.READY and u.id not in self._lost_at
+        ]
+
+    def listed(self, service: str) -> list[Upstream]:
+        """Return all hosts on the list."""
+        return self._directory.of_service(service)
+
+    def remembered(self) -> list[Upstream]:
+        """Return all hosts that were ever listed."""
+        return list(self._remembered.values())
+
+    def note_model(self, host: str, model: str) -> None:
+        """Note the model of a host's latest group."""
+        self._last_model[host] = model
+
+    # Groups.
+
+    def begin_forming(self, domain: str, model: str, is_group: bool) -> int:
+        """Note that a group is being formed; returns its number."""
+        number = next(self._numbers)
+        self.forming[number] = Forming(domain, model, is_group)
+        return number
+
+    def end_forming(self, number: int) -> None:
+        """Note that a group was formed, or given up."""
+        self.forming.pop(number, None)
+
+    def mark_dissolved(self, group: Group) -> None:
+        """Note that a group's head, or else all its reachable members, have left it."""
+        self._dissolved_at[(group.name, group.epoch)] = self._clock.now()
+
+    def is_dissolved(self, key: tuple[str, int]) -> bool:
+        """Whether this coordinator saw the end of a group."""
+        return key in self._dissolved_at
+
+    def dissolved_for_s(self, key: tuple[str, int]) -> float | None:
+        """Return how long ago this coordinator ended a group, or ``None``."""
+        ended_at = self._dissolved_at.get(key)
+        return None if ended_at is None else self._clock.now() - ended_at
+
+    def head_has_left(self, key: tuple[str, int]) -> bool:
+        """Whether a group's head was seen to stand in no group or in another one."""
+        heads = (h for h in self._remembered.values() if self._was_head_of(h, key))
+        return any(self._stands_elsewhere(self.get(head.id), key) for head in heads)
+
+    def _was_head_of(self, host: Upstream, key: tuple[str, int]) -> bool:
+        return self._heads.get(key) == host.id
+
+    def _stands_elsewhere(self, host: Upstream, key: tuple[str, int]) -> bool:
+        membership = host.membership
+        return membership is None or (membership.group, membership.epoch) != key
+
+
+def is_serving(group: Group) -> bool:
+    """Whether a group's head says that it takes or finishes requests."""
+    head = group.head
+    if head is None or head.membership is None:
+        return False
+    return head.membership.state in (MemberState.OPEN, MemberState.CLOSING)
--- /dev/null
+++ b/mulleinreach/gateway/fleet/loads.py
@@ -0,0 +1,38 @@
+"""Keeps the loads of weights within what the weight store bears."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from mulleinreach.common import Clock
+from mulleinreach.gateway.model import EngineProfile
+
+WINDOW_S = 5.0
+SHARE_USED = 0.85
+
+
+class LoadGate:
+    """Counts the loads that run and those that began lately."""
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._begun: deque[float] = deque()
+        self._running = 0
+
+    def may_begin(self, profile: EngineProfile) -> bool:
+        """Whether one more load may begin now."""
+        oldest = self._clock.now() - WINDOW_S
+        while self._begun and self._begun[0] < oldest:
+            self._begun.popleft()
+        if self._running >= profile.loads_at_once:
+            return False
+        return len(self._begun) + 1 <= profile.loads_per_s * WINDOW_S * SHARE_USED
+
+    def begin(self) -> None:
+        """Count a load that begins."""
+        self._begun.append(self._clock.now())
+        self._running += 1
+
+    def end(self) -> None:
+        """Count a load that has ended or was given up."""
+        self._running -= 1
--- /dev/null
+++ b/mulleinreach/gateway/fleet/planner.py
@@ -0,0 +1,177 @@
+"""Decides which groups a fabric domain should have, and which hosts form them.
+
+Explanation
+===========
+
+A group stands within one domain. Beside its groups a domain keeps one host for
+each model as a standby, with the model loaded: a group that loses a member is
+formed anew from its survivors and the standby in well under a second, where a
+host without the weights takes many. Everything here is a function of what is
+known of the domain, so that a new coordinator decides as the one before.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from mulleinreach.gateway.model import EngineModel
+
+STANDBYS_PER_MODEL = 1
+
+
+@dataclass(frozen=True)
+class FreeHost:
+    """A host that stands in no group that serves or is being formed.
+
+    Parameters
+    ==========
+
+    model : the model of its last group in this life; a join with it is quickest.
+    staged : the models whose weights lie on the host.
+    """
+
+    id: str
+    model: str | None = None
+    staged: tuple[str, ...] = ()
+
+    def holds(self, model: str) -> bool:
+        """Whether the host can run a model without a load."""
+        return self.model == model or model in self.staged
+
+
+@dataclass(frozen=True)
+class DomainView:
+    """What is known of one domain.
+
+    Parameters
+    ==========
+
+    hosts : how many hosts of the domain can be used in all.
+    groups : serving or forming groups of each model.
+    loading : hosts of each model that are being loaded as standbys.
+    """
+
+    name: str
+    hosts: int
+    groups: dict[str, int]
+    loading: dict[str, int]
+    free: tuple[FreeHost, ...]
+
+
+@dataclass(frozen=True)
+class FormGroup:
+    """Form a group of these hosts, the first one as its head."""
+
+    model: str
+    members: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class LoadStandby:
+    """Load a model on a free host; low ``order`` goes first when loads are scarce."""
+
+    host: str
+    model: str
+    order: int
+    needs_load: bool
+
+
+def target_groups(hosts: int, models: tuple[EngineModel, ...]) -> dict[str, int]:
+    """Return how many groups of each model a domain of ``hosts`` hosts should have.
+
+    Explanation
+    ===========
+
+    Groups are added to the model that has the fewest hosts for its share of the
+    work, as long as one host for each model stays over as its standby.
+
+    Examples
+    ========
+
+    >>> models = (EngineModel("a", 4, share=0.67), EngineModel("b", 2, share=0.33))
+    >>> target_groups(8, models)
+    {'a': 1, 'b': 1}
+    >>> target_groups(5, models)
+    {'a': 0, 'b': 1}
+    """
+    room = hosts - STANDBYS_PER_MODEL * len(models)
+    if room < min(model.size for model in models):
+        # A group serves more than a standby does.
+        room = hosts
+    targets = {model.name: 0 for model in models}
+    while True:
+        fitting = [model for model in models if model.size <= room]
+        if not fitting:
+            return targets
+        neediest = min(fitting, key=lambda m: targets[m.name] * m.size / max(m.share, 0.01))
+        targets[neediest.name] += 1
+        room -= neediest.size
+
+
+def plan_groups(view: DomainView, models: tuple[EngineModel, ...]) -> list[FormGroup]:
+    """Return the groups that can be formed at once from free hosts that hold the model."""
+    targets = target_groups(view.hosts, models)
+    free = list(view.free)
+    plans = []
+    for model in sorted(models, key=lambda m: view.groups.get(m.name, 0) / max(m.share, 0.01)):
+        missing = targets[model.name] - view.groups.get(model.name, 0)
+        for _ in range(missing):
+            holders = [host for host in free if host.holds(model.name)]
+            if len(holders) < model.size:
+                break
+            holders.sort(key=lambda host: host.model != model.name)
+            chosen = holders[: model.size]
+            plans.append(FormGroup(model.name, tuple(host.id for host in chosen)))
+            free = [host for host in free if host not in chosen]
+    return plans
+
+
+def plan_standbys(view: DomainView, models: tuple[EngineModel, ...]) -> list[LoadStandby]:
+    """Return which free hosts should load or warm up which model."""
+    targets = target_groups(view.hosts, models)
+    wanted = {m.name: targets[m.name] * m.size + STANDBYS_PER_MODEL for m in models}
+    held = {
+        m.name: view.groups.get(m.name, 0) * m.size
+        + view.loading.get(m.name, 0)
+        + sum(host.model == m.name for host in view.free)
+        for m in models
+    }
+    group_hosts = {m.name: targets[m.name] * m.size for m in models}
+    plans = []
+    idle = [host for host in view.free if host.model is None]
+    surplus = [host for host in view.free if _is_surplus(host, held, wanted)]
+    for host in idle + surplus:
+        if host.model is not None and not _is_surplus(host, held, wanted):
+            continue
+        lacking = [m for m in models if held[m.name] < wanted[m.name]]
+        if not lacking:
+            break
+        model = _most_urgent(lacking, host, held, group_hosts)
+        is_standby = held[model.name] >= group_hosts[model.name]
+        order = held[model.name] + (1000 if is_standby else 0)
+        plans.append(
+            LoadStandby(host.id, model.name, order, needs_load=model.name not in host.staged)
+        )
+        held[model.name] += 1
+        if host.model is not None:
+            held[host.model] -= 1
+    return plans
+
+
+def _is_surplus(host: FreeHost, held: dict[str, int], wanted: dict[str, int]) -> bool:
+    """Whether a host holds a model of which the domain has more hosts than it can use."""
+    if host.model is None or host.model not in held:
+        return False
+    return held[host.model] > wanted[host.model]
+
+
+def _most_urgent(
+    lacking: list[EngineModel], host: FreeHost, held: dict[str, int], group_hosts: dict[str, int]
+) -> EngineModel:
+    """Return the model to load: hosts of a group first, then what is staged already."""
+
+    def urgency(model: EngineModel) -> tuple:
+        is_for_group = held[model.name] < group_hosts[model.name]
+        return (not is_for_group, model.name not in host.staged, held[model.name] / model.size)
+
+    return min(lacking, key=urgency)
--- /dev/null
+++ b/mulleinreach/gateway/metrics.py
@@ -0,0 +1,52 @@
+"""Counters and histograms of a gateway node, for Prometheus."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+SECONDS_BUCKETS = (0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 1, 2, 4, 8)
+
+
+class GatewayMetrics:
+    """The metrics of one node."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self._answers = self._counter("answers", "Answers to callers", ["kind", "status"])
+        self._denied = self._counter("denied", "Requests that aren't allowed", ["status"])
+        self._sends = self._counter("sends", "Requests sent to upstreams", ["kind"])
+        self._failed = self._counter("failed_sends", "Sends without an answer", ["outcome"])
+        self._orders = self._counter("orders", "Orders to hosts", ["order", "outcome"])
+        self._seconds = Histogram(
+            "mulleinreach_gateway_answer_seconds",
+            "Time to the end of an answer",
+            ["kind"],
+            buckets=SECONDS_BUCKETS,
+            registry=self.registry,
+        )
+        self.holds_lease = Gauge(
+            "mulleinreach_gateway_holds_lease",
+            "1 at the coordinator",
+            registry=self.registry,
+        )
+
+    def _counter(self, name: str, text: str, labels: list[str]) -> Counter:
+        return Counter(f"mulleinreach_gateway_{name}", text, labels, registry=self.registry)
+
+    def count_answer(self, kind: str, status: int, seconds: float, sends: int) -> None:
+        """Count an answer and the sends that it took."""
+        self._answers.labels(kind, status).inc()
+        self._seconds.labels(kind).observe(seconds)
+        self._sends.labels(kind).inc(sends)
+
+    def count_denied(self, status: int) -> None:
+        """Count a request that was denied."""
+        self._denied.labels(status).inc()
+
+    def count_failed_send(self, outcome: str) -> None:
+        """Count a send that brought no answer."""
+        self._failed.labels(outcome).inc()
+
+    def count_order(self, order: str, outcome: str) -> None:
+        """Count an order to a host."""
+        self._orders.labels(order, outcome).inc()
--- /dev/null
+++ b/mulleinreach/gateway/node.py
@@ -0,0 +1,219 @@
+"""One gateway node: puts the slices together, runs their tasks and stops as planned."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+
+from aiohttp import web
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from mulleinreach.common import Address, Clock, EventLog, Network, TaskGroup
+from mulleinreach.gateway.active import ActiveExchanges
+from mulleinreach.gateway.admission import Admission
+from mulleinreach.gateway.budget import WindowedRetryBudget
+from mulleinreach.gateway.choosing import SuspectList, UpstreamChooser
+from mulleinreach.gateway.coordination import Coordination, sum_loads
+from mulleinreach.gateway.exchange import UpstreamClient, make_session
+from mulleinreach.gateway.fleet.controller import FleetController
+from mulleinreach.gateway.fleet.formation import GroupOperator
+from mulleinreach.gateway.fleet.hosts import HostBook
+from mulleinreach.gateway.following import ConfigurationInForce, UpstreamFollower
+from mulleinreach.gateway.lease import CoordinatorLease
+from mulleinreach.gateway.load import LoadBook
+from mulleinreach.gateway.messages import CoordinatorReport
+from mulleinreach.gateway.metrics import GatewayMetrics
+from mulleinreach.gateway.ports import Bounds, GatewayIdentity, Ports
+from mulleinreach.gateway.relay import Relay
+from mulleinreach.gateway.routing import Router
+from mulleinreach.gateway.upstreams import Head, UpstreamDirectory
+
+COORDINATOR_PAUSE_S = 0.02
+MEMBER_PAUSE_S = 0.6
+IDLE_TIMEOUT_S = 20.0
+MAX_LINE_BYTES = 16_384
+STOP_TAIL_S = 1.0
+STOP_QUIET_S = 3.2
+STOP_POLL_S = 0.05
+
+
+class GatewayNode:
+    """A whole node, on the ports that an adapter gives it."""
+
+    def __init__(
+        self,
+        identity: GatewayIdentity,
+        bounds: Bounds,
+        ports: Ports,
+        network: Network | None = None,
+        clock: Clock | None = None,
+        seed: int | None = None,
+    ):
+        self.identity = identity
+        self.bounds = bounds
+        self.ports = ports
+        self.network = network or Network(identity.name)
+        self.clock = clock or Clock()
+        self.log = EventLog(identity.name)
+        self.rng = random.Random(secrets.randbits(64) if seed is None else seed)
+        self.is_stopping = False
+        self._tasks = TaskGroup()
+        self._servers: list[tuple[web.Server, asyncio.AbstractServer]] = []
+        self._make_state()
+        self._make_relay()
+        self._make_control()
+
+    def _make_state(self) -> None:
+        self.metrics = GatewayMetrics()
+        self.directory = UpstreamDirectory()
+        self.loads = LoadBook(self.clock)
+        self.suspects = SuspectList(self.clock)
+        self.active = ActiveExchanges()
+        self.in_force = ConfigurationInForce(self.ports.configurations, self.clock, self.log)
+        self.follower = UpstreamFollower(
+            self.ports.upstreams,
+            self.directory,
+            self.clock,
+            self.log,
+            self._pause_s,
+            self._on_upstreams,
+        )
+
+    def _make_relay(self) -> None:
+        self.chooser = UpstreamChooser(self.directory, Router(self.loads, self.rng), self.suspects)
+        self.session = make_session()
+        self.relay = Relay(
+            Admission(self.in_force, self.bounds),
+            self.chooser,
+            UpstreamClient(self.session, self.ports.dialect),
+            self.ports.dialect,
+            self.loads,
+            self.active,
+            self.suspects,
+            WindowedRetryBudget(self.bounds, self.clock, self._node_count),
+            self.metrics,
+            self.clock,
+            self.log,
+            self.rng,
+        )
+
+    def _make_control(self) -> None:
+        holder = f"{self.identity.name}.{self.rng.getrandbits(48):012x}"
+        self.lease = CoordinatorLease(
+            self.ports.lease, holder, str(self.identity.peers), self.clock, self.log
+        )
+        self.hosts = HostBook(self.directory, self.clock)
+        self.operator = GroupOperator(
+            self.ports.orders, self.lease, self.hosts, self.metrics, self.clock, self.log
+        )
+        self.controller = FleetController(
+            self.hosts, self.operator, self.in_force, self._all_loads, self.clock, self.log
+        )
+        self.coordination = Coordination(
+            self.identity.name,
+            self.lease,
+            self.loads,
+            self.network,
+            self.identity.peers,
+            self.clock,
+            self.log,
+            self.rng,
+            self.controller.run,
+            self.controller.describe,
+            self._on_coordinator_report,
+        )
+
+    async def start(self) -> None:
+        """Listen, then begin all tasks."""
+        await self.coordination.listen()
+        await self._serve(self.relay.handle, self.identity.callers)
+        await self._serve(self._answer_ready, self.identity.readiness)
+        if self.identity.metrics is not None:
+            await self._serve(self._answer_metrics, self.identity.metrics)
+        self._tasks.spawn(self.in_force.follow())
+        self._tasks.spawn(self.follower.follow())
+        self._tasks.spawn(self.coordination.run())
+        self.log.event("node_started", callers=self.identity.callers, hall=self.identity.hall)
+
+    async def _serve(self, handler, address: Address) -> None:
+        server = web.Server(
+            handler,
+            handler_cancellation=True,
+            access_log=None,
+            auto_decompress=False,
+            keepalive_timeout=IDLE_TIMEOUT_S,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+        )
+        loop = asyncio.get_running_loop()
+        listener = await loop.create_server(server, address.host, address.port, backlog=512)
+        self._servers.append((server, listener))
+
+    # What the slices ask and tell.
+
+    def _pause_s(self) -> float:
+        return COORDINATOR_PAUSE_S if self.lease.is_held() else MEMBER_PAUSE_S
+
+    def _on_upstreams(self) -> None:
+        self.controller.notify()
+
+    def _node_count(self) -> int:
+        return self.coordination.node_count
+
+    def _all_loads(self):
+        return sum_loads(self.coordination.node_reports())
+
+    def _on_coordinator_report(self, report: CoordinatorReport) -> None:
+        self.loads.take_others(report.loads)
+        self.metrics.holds_lease.set(self.lease.is_held())
+        newly_lost = set(report.lost) - self.chooser.lost
+        self.chooser.lost = frozenset(report.lost)
+        self.chooser.opened = [
+            Head(upstream, head.group, head.epoch, head.model)
+            for head in report.heads
+            if (upstream := self.directory.get(head.upstream_id)) is not None
+        ]
+        for upstream_id in newly_lost:
+            count = self.active.withdraw(upstream_id)
+            self.log.event("upstream_lost", upstream=upstream_id, in_flight=count)
+
+    # Readiness and metrics.
+
+    def is_ready(self) -> bool:
+        """Whether new connections should come to this node."""
+        return not self.is_stopping and self.in_force.configuration is not None
+
+    async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
+        if request.path != self.ports.dialect.ready_path:
+            return web.Response(status=404)
+        return web.Response(status=200 if self.is_ready() else 503)
+
+    async def _answer_metrics(self, request: web.BaseRequest) -> web.Response:
+        body = generate_latest(self.metrics.registry)
+        return web.Response(body=body, headers={"Content-Type": CONTENT_TYPE_LATEST})
+
+    # Ending.
+
+    async def stop(self) -> None:
+        """Stop as planned: not ready at once, hand duties over, finish what is in flight."""
+        started_at = self.clock.now()
+        self.is_stopping = self.relay.is_stopping = self.coordination.is_stopping = True
+        self.log.event("node_stopping", in_flight=self.relay.in_flight)
+        give_up_at = started_at + self.bounds.stop_grace_s - STOP_TAIL_S
+        quiet_at = min(started_at + STOP_QUIET_S, give_up_at)
+        while self.clock.now() < quiet_at or self.relay.in_flight:
+            if self.clock.now() >= give_up_at:
+                break
+            await asyncio.sleep(STOP_POLL_S)
+        await self.kill()
+        self.log.event("node_stopped", in_flight=self.relay.in_flight)
+
+    async def kill(self) -> None:
+        """End everything at once."""
+        await self._tasks.close()
+        await self.coordination.close()
+        for server, listener in self._servers:
+            listener.close()
+            await server.shutdown(0.2)
+        await self.session.close()
--- /dev/null
+++ b/mulleinreach/gateway/ports.py
@@ -0,0 +1,253 @@
+"""What a gateway needs from the world around it, as protocols and typed messages.
+
+Explanation
+===========
+
+The slices of the gateway own these protocols; an adapter implements them for one
+platform. Nothing here knows how a platform spells its fields.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from mulleinreach.common import Address
+from mulleinreach.gateway.model import Configuration
+from mulleinreach.gateway.upstreams import Upstream
+
+# Results of reading a source.
+
+
+@dataclass(frozen=True)
+class Unavailable:
+    """The platform gave no usable answer; nothing is known."""
+
+    reason: str
+
+
+@dataclass(frozen=True)
+class HistoryLost:
+    """The revision to continue from is too old; read everything anew."""
+
+
+@dataclass(frozen=True)
+class ConfigurationRead:
+    """The newest configuration at ``revision``; ``None`` when there is none, or no new one."""
+
+    revision: int
+    configuration: Configuration | None
+
+
+@dataclass(frozen=True)
+class UpstreamsRead:
+    """Upstreams that stand or changed at ``revision``, and the ids of those removed."""
+
+    revision: int
+    upstreams: list[Upstream]
+    removed: list[str]
+
+
+class ConfigurationSource(Protocol):
+    """Where the operator's configuration comes from."""
+
+    async def read(self) -> ConfigurationRead | Unavailable:
+        """Return the newest configuration."""
+
+    async def wait(
+        self, revision: int, wait_s: float
+    ) -> ConfigurationRead | HistoryLost | Unavailable:
+        """Return as soon as there is a change after ``revision``, or when the wait is over."""
+
+
+class UpstreamSource(Protocol):
+    """Where the list of upstreams comes from."""
+
+    async def read(self) -> UpstreamsRead | Unavailable:
+        """Return all upstreams."""
+
+    async def wait(self, revision: int, wait_s: float) -> UpstreamsRead | HistoryLost | Unavailable:
+        """Return the changes after ``revision`` as soon as there are any."""
+
+
+# The lease of the coordinator.
+
+
+@dataclass(frozen=True)
+class LeaseRecord:
+    """Who coordinates; ``token`` rises with each change of holder."""
+
+    holder: str
+    address: str
+    token: int
+    renewal: int
+
+
+@dataclass(frozen=True)
+class LeaseRead:
+    """The lease's row; ``version`` is 0 and ``record`` is ``None`` when it is absent."""
+
+    version: int
+    record: LeaseRecord | None
+
+
+@dataclass(frozen=True)
+class LeaseWritten:
+    """The write was carried out."""
+
+    version: int
+
+
+@dataclass(frozen=True)
+class LeaseConflict:
+    """Somebody else wrote the row first."""
+
+
+class LeaseStore(Protocol):
+    """A row that is written under a condition on its version."""
+
+    async def read(self) -> LeaseRead | Unavailable:
+        """Return the row."""
+
+    async def write(
+        self, version: int, record: LeaseRecord
+    ) -> LeaseWritten | LeaseConflict | Unavailable:
+        """Replace the row if it still has ``version``."""
+
+
+# Orders to engines.
+
+
+@dataclass(frozen=True)
+class Accepted:
+    """The order was begun, or what it asks for holds already."""
+
+
+@dataclass(frozen=True)
+class Rejected:
+    """The order was refused and had no effect."""
+
+    status: int
+
+
+@dataclass(frozen=True)
+class NoAnswer:
+    """It is not known whether the order was, or will be, carried out."""
+
+    reason: str
+
+
+OrderResult = Accepted | Rejected | NoAnswer
+
+
+class EngineOrders(Protocol):
+    """Orders to one host of a model service."""
+
+    async def join(
+        self, host: Upstream, group: str, epoch: int, model: str, members: list[str]
+    ) -> OrderResult:
+        """Make the host a member of a group; the first member is the head."""
+
+    async def open(self, head: Upstream, group: str, epoch: int) -> OrderResult:
+        """Let a group that is ready serve."""
+
+    async def leave(self, host: Upstream, group: str, epoch: int) -> OrderResult:
+        """Take the host out of a group at once."""
+
+    async def report(self, host: Upstream, timeout_s: float) -> Upstream | Unavailable:
+        """Ask the host itself for its state; ``Unavailable`` if it gives no answer."""
+
+
+# The dialect that callers and upstreams speak.
+
+
+@dataclass(frozen=True)
+class CallerHeaders:
+    """What a caller's headers say, each ``None`` where it is absent or unreadable."""
+
+    request_id: str | None
+    deadline_s: float | None
+    api_key: str | None
+    model: str | None
+    prompt_tokens: int | None
+    answer_tokens: int | None
+    last_event_id: str | None
+
+
+class Dialect(Protocol):
+    """Names of headers and meanings of answers, towards callers and upstreams."""
+
+    ready_path: str
+
+    def read_request(self, headers: CIMultiDictProxy[str]) -> CallerHeaders:
+        """Return what a request's headers say."""
+
+    def forward_headers(
+        self,
+        headers: CIMultiDictProxy[str],
+        upstream_id: str,
+        organisation: str | None,
+        remaining_s: float,
+        last_event_id: str | None,
+        priority: int | None,
+    ) -> CIMultiDict[str]:
+        """Return the headers of the request to an upstream."""
+
+    def was_refused(self, status: int, headers: CIMultiDictProxy[str]) -> bool:
+        """Whether the upstream says that it did not and won't run the request."""
+
+    def belongs_to(self, headers: CIMultiDictProxy[str], request_id: str | None) -> bool:
+        """Whether an answer is the one to the request of this id."""
+
+    def is_signed(self, headers: CIMultiDictProxy[str]) -> bool:
+        """Whether an answer carries the upstream's signature."""
+
+    def refuse_headers(self, request_id: str | None) -> CIMultiDict[str]:
+        """Return the headers of an answer that the gateway makes itself."""
+
+
+@dataclass(frozen=True)
+class Ports:
+    """All that an adapter provides."""
+
+    configurations: ConfigurationSource
+    upstreams: UpstreamSource
+    lease: LeaseStore
+    orders: EngineOrders
+    dialect: Dialect
+
+
+@dataclass(frozen=True)
+class Bounds:
+    """Times and shares that the operators of a deployment have agreed on.
+
+    Parameters
+    ==========
+
+    key_evidence_s : the greatest age of evidence on which a key is accepted.
+    stop_grace_s : the time between the order to stop and the kill.
+    stall_s : how long a head with a missing member stands still before it breaks.
+    retry_ratio, retry_slack, retry_window_s : the budget of second sends of a service.
+    recover_s : the time in which a deployment has to serve again.
+    """
+
+    key_evidence_s: float = 4.5
+    stop_grace_s: float = 8.0
+    stall_s: float = 5.0
+    retry_ratio: float = 0.2
+    retry_slack: float = 100.0
+    retry_window_s: float = 10.0
+
+
+@dataclass(frozen=True)
+class GatewayIdentity:
+    """Who a node is and where it listens."""
+
+    name: str
+    hall: str
+    callers: Address
+    readiness: Address
+    peers: Address
+    metrics: Address | None = None
--- /dev/null
+++ b/mulleinreach/gateway/upstreams.py
@@ -0,0 +1,154 @@
+"""The upstreams that a node knows, and the groups that they form."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+
+from mulleinreach.common import Address
+
+
+class UpstreamState(enum.StrEnum):
+    """Whether an upstream takes new work."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+class MemberState(enum.StrEnum):
+    """The state of one host's membership in a group."""
+
+    JOINING = "joining"
+    READY = "ready"
+    OPEN = "open"
+    CLOSING = "closing"
+    BROKEN = "broken"
+
+
+@dataclass(frozen=True)
+class Membership:
+    """The group that a host stands in; rank 0 is the head."""
+
+    group: str
+    epoch: int
+    rank: int
+    state: MemberState
+
+
+@dataclass(frozen=True)
+class Upstream:
+    """One incarnation of an upstream, as the list or the host itself tells it.
+
+    Parameters
+    ==========
+
+    id : a new one at each start.
+    models : the names of the models that it runs.
+    staged : the names of the models whose weights lie on the host.
+    domain : the fabric domain; ``None`` for plain services.
+    """
+
+    id: str
+    service: str
+    address: Address
+    hall: str
+    state: UpstreamState = UpstreamState.READY
+    slots: int = 1
+    models: tuple[str, ...] = ()
+    staged: tuple[str, ...] = ()
+    domain: str | None = None
+    membership: Membership | None = None
+
+
+@dataclass
+class Group:
+    """The hosts that stand in one group under one epoch, by rank."""
+
+    name: str
+    epoch: int
+    members: dict[int, Upstream] = field(default_factory=dict)
+
+    @property
+    def head(self) -> Upstream | None:
+        """The member that takes requests, if it is known."""
+        return self.members.get(0)
+
+    @property
+    def model(self) -> str | None:
+        """The model that the group runs."""
+        for member in self.members.values():
+            if member.models:
+                return member.models[0]
+        return None
+
+    def is_whole(self, size: int) -> bool:
+        """Whether all ``size`` members are known."""
+        return len(self.members) == size and all(rank in self.members for rank in range(size))
+
+
+@dataclass(frozen=True)
+class Head:
+    """A group that takes requests, as the router sees it."""
+
+    upstream: Upstream
+    group: str
+    epoch: int
+    model: str
+
+
+class UpstreamDirectory:
+    """The list of upstreams as this node last heard it."""
+
+    def __init__(self) -> None:
+        self._by_id: dict[str, Upstream] = {}
+        self.changes = 0
+
+    def replace_all(self, upstreams: list[Upstream]) -> None:
+        """Take a complete list."""
+        self._by_id = {u.id: u for u in upstreams}
+        self.changes += 1
+
+    def apply(self, upstreams: list[Upstream], removed: list[str]) -> None:
+        """Take changes to the list."""
+        for upstream in upstreams:
+            self._by_id[upstream.id] = upstream
+        for upstream_id in removed:
+            self._by_id.pop(upstream_id, None)
+        if upstreams or removed:
+            self.changes += 1
+
+    def get(self, upstream_id: str) -> Upstream | None:
+        """Return an upstream that is on the list."""
+        return self._by_id.get(upstream_id)
+
+    def of_service(self, service: str) -> list[Upstream]:
+        """Return all upstreams of a service."""
+        return [u for u in self._by_id.values() if u.service == service]
+
+    def __len__(self) -> int:
+        return len(self._by_id)
+
+
+def collect_groups(upstreams: list[Upstream]) -> dict[tuple[str, int], Group]:
+    """Return the groups that hosts say they stand in, by name and epoch."""
+    groups: dict[tuple[str, int], Group] = {}
+    for upstream in upstreams:
+        membership = upstream.membership
+        if membership is None:
+            continue
+        key = (membership.group, membership.epoch)
+        group = groups.setdefault(key, Group(*key))
+        group.members[membership.rank] = upstream
+    return groups
+
+
+def open_heads(upstreams: list[Upstream]) -> list[Head]:
+    """Return the heads that say they are open and that don't leave."""
+    heads = []
+    for upstream in upstreams:
+        membership = upstream.membership
+        if membership is None or membership.rank != 0 or not upstream.models:
+            continue
+        if membership.state is MemberState.OPEN and upstream.state is UpstreamState.READY:
+            heads.append(Head(upstream, membership.group, membership.epoch, upstream.models[0]))
+    return heads
--- a/mulleinreach/groups/controller.py
+++ b/mulleinreach/groups/controller.py
@@ -29,7 +29,9 @@
 from mulleinreach.groups.view import FleetView, HostView
 from mulleinreach.intents import ConfigDocument
 from mulleinreach.orders import EngineClient, Order
-from mulleinreach.platform import (
+from mulleinreach.roster.lease import Lease
+from mulleinreach.roster.messages import HostReport
+from mulleinreach.stores import (
     Committed,
     Condition,
     Host,
@@ -40,8 +42,6 @@
     TableClient,
     Write,
 )
-from mulleinreach.roster.lease import Lease
-from mulleinreach.roster.messages import HostReport
 
 DUTY = "groups"
 EPOCH_KEY = "state/epoch"
--- a/mulleinreach/groups/ledger.py
+++ b/mulleinreach/groups/ledger.py
@@ -21,7 +21,7 @@
 from mulleinreach.groups.model import HostRecord, HostUse
 from mulleinreach.groups.view import HostView
 from mulleinreach.orders import OrderResult
-from mulleinreach.platform import HostState
+from mulleinreach.stores import HostState
 
 
 class OrderLedger:
--- a/mulleinreach/groups/model.py
+++ b/mulleinreach/groups/model.py
@@ -13,7 +13,7 @@
 import enum
 from dataclasses import asdict, dataclass, replace
 
-from mulleinreach.platform import ABSENT, Row
+from mulleinreach.stores import ABSENT, Row
 
 HOSTS_PREFIX = "state/hosts/"
 GROUPS_PREFIX = "state/groups/"
--- a/mulleinreach/groups/tests/test_repair.py
+++ b/mulleinreach/groups/tests/test_repair.py
@@ -10,8 +10,8 @@
 from mulleinreach.groups.repair import LoadModel, RepairKind, RepairPlanner
 from mulleinreach.groups.view import FleetView, HostView
 from mulleinreach.intents import ConfigDocument, Intent
-from mulleinreach.platform import Host, HostKind
 from mulleinreach.roster.messages import HostReport
+from mulleinreach.stores import Host, HostKind
 
 LOADS = LoadModel(host_load_s=90.0, streams=16)
 
--- a/mulleinreach/groups/view.py
+++ b/mulleinreach/groups/view.py
@@ -6,8 +6,8 @@
 
 from mulleinreach.groups.model import GroupRecord, GroupState, HostRecord, HostUse
 from mulleinreach.intents import ConfigDocument
-from mulleinreach.platform import Host, HostState
 from mulleinreach.roster.messages import HostReport
+from mulleinreach.stores import Host, HostState
 
 
 @dataclass(frozen=True)
--- a/mulleinreach/intents/force.py
+++ b/mulleinreach/intents/force.py
@@ -25,7 +25,7 @@
 
 from mulleinreach.common import Clock, EventLog
 from mulleinreach.intents.document import CONFIG_KEY, ConfigDocument
-from mulleinreach.platform import TableCache
+from mulleinreach.stores import TableCache
 
 NEVER = float("-inf")
 
--- a/mulleinreach/intents/plan.py
+++ b/mulleinreach/intents/plan.py
@@ -21,7 +21,7 @@
 from mulleinreach.intents.document import CONFIG_KEY, ConfigDocument
 from mulleinreach.intents.force import ConfigInForce
 from mulleinreach.intents.intent import Intent
-from mulleinreach.platform import (
+from mulleinreach.stores import (
     ABSENT,
     Committed,
     Condition,
--- a/mulleinreach/intents/preview.py
+++ b/mulleinreach/intents/preview.py
@@ -9,7 +9,7 @@
 from mulleinreach.groups.planner import FleetPlanner
 from mulleinreach.groups.view import FleetView
 from mulleinreach.intents.document import ConfigDocument
-from mulleinreach.platform import HostDirectory, HostState
+from mulleinreach.stores import HostDirectory, HostState
 
 MAX_LINES = 60
 
--- a/mulleinreach/intents/tests/test_force.py
+++ b/mulleinreach/intents/tests/test_force.py
@@ -14,7 +14,7 @@
 
 from mulleinreach.common import EventLog
 from mulleinreach.intents import CONFIG_KEY, ConfigDocument, ConfigInForce
-from mulleinreach.platform import Row
+from mulleinreach.stores import Row
 
 NODES = [f"n{number}" for number in range(5)]
 TICK_S = 0.1
--- a/mulleinreach/intents/voters.py
+++ b/mulleinreach/intents/voters.py
@@ -17,9 +17,9 @@
 from mulleinreach.common import Clock
 from mulleinreach.intents.document import CONFIG_KEY
 from mulleinreach.intents.force import ConfigInForce
-from mulleinreach.platform import Committed, Condition, TableCache, TableClient, Write
 from mulleinreach.roster import Lease, Roster
 from mulleinreach.roster.roster import NODES_PREFIX
+from mulleinreach.stores import Committed, Condition, TableCache, TableClient, Write
 
 MAX_VOTERS = 9
 ABSENT_S = 20.0
--- a/mulleinreach/node.py
+++ b/mulleinreach/node.py
@@ -27,13 +27,6 @@
 from mulleinreach.intents.voters import VoterKeeper
 from mulleinreach.metrics import NodeMetrics
 from mulleinreach.orders import EngineClient
-from mulleinreach.platform import (
-    HostDirectory,
-    HostListClient,
-    ObjectStore,
-    TableCache,
-    TableClient,
-)
 from mulleinreach.requests.active import ActiveAttempts
 from mulleinreach.requests.budget import RetryBudget
 from mulleinreach.requests.claims import ClaimStore
@@ -43,6 +36,13 @@
 from mulleinreach.roster import KeyRing, Lease, NodeRecord, PeerKey, Roster
 from mulleinreach.routing import ReplicaTable, Router
 from mulleinreach.settings import NodeSettings
+from mulleinreach.stores import (
+    HostDirectory,
+    HostListClient,
+    ObjectStore,
+    TableCache,
+    TableClient,
+)
 
 SWEEP_S = 0.1
 STOP_POLL_S = 0.05
--- a/mulleinreach/platform/__init__.py
+++ b/mulleinreach/platform/__init__.py
@@ -1,39 +1,8 @@
-"""Clients of the platform's services, one narrow class each."""
+"""Translates between the gateway's ports and the users' platform, and decides nothing.
 
-from mulleinreach.platform.cache import TableCache
-from mulleinreach.platform.hostlist import Host, HostDirectory, HostKind, HostListClient, HostState
-from mulleinreach.platform.objects import ObjectStore
-from mulleinreach.platform.table import (
-    ABSENT,
-    Committed,
-    Condition,
-    Conflict,
-    Row,
-    Snapshot,
-    TableClient,
-    TransactionResult,
-    Unavailable,
-    Unresolved,
-    Write,
-)
+Explanation
+===========
 
-__all__ = [
-    "ABSENT",
-    "Committed",
-    "Condition",
-    "Conflict",
-    "Host",
-    "HostDirectory",
-    "HostKind",
-    "HostListClient",
-    "HostState",
-    "ObjectStore",
-    "Row",
-    "Snapshot",
-    "TableCache",
-    "TableClient",
-    "TransactionResult",
-    "Unavailable",
-    "Unresolved",
-    "Write",
-]
+The name stands in the package ``mulleinreach``, so that it doesn't hide the
+standard library's module ``platform``.
+"""
--- /dev/null
+++ b/mulleinreach/platform/dialect.py
@@ -0,0 +1,103 @@
+"""The platform's names of headers, towards callers and replicas."""
+
+from __future__ import annotations
+
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from mulleinreach.gateway.ports import CallerHeaders
+from mulleinreach.platform.orders import EXPECT_INSTANCE
+
+REQUEST_ID = "X-Mulleinreach-Request-Id"
+DEADLINE_MS = "X-Mulleinreach-Deadline-Ms"
+TENANT = "X-Mulleinreach-Tenant"
+PRIORITY = "X-Mulleinreach-Request-Priority"
+MODEL = "X-Mulleinreach-Model"
+TOKEN_USAGE = "X-Mulleinreach-Token-Usage"
+SIGNATURE = "X-Mulleinreach-Server-Signature"
+NOT_EXECUTED = "X-Mulleinreach-Not-Executed"
+LAST_EVENT_ID = "Last-Event-Id"
+BEARER = "bearer "
+MISDIRECTED = 421
+_SET_BY_THE_SYSTEM = (DEADLINE_MS, TENANT, PRIORITY, EXPECT_INSTANCE, "Authorization")
+
+
+class PlatformDialect:
+    """Reads callers' headers and writes those for replicas."""
+
+    ready_path = "/mulleinreach/ready"
+
+    def read_request(self, headers: CIMultiDictProxy[str]) -> CallerHeaders:
+        """Return what a request's headers say.
+
+        Examples
+        ========
+
+        >>> headers = CIMultiDict({DEADLINE_MS: "8000", "Authorization": "Bearer k"})
+        >>> read = PlatformDialect().read_request(headers)
+        >>> read.deadline_s, read.api_key
+        (8.0, 'k')
+        """
+        deadline_ms = _number(headers.get(DEADLINE_MS))
+        prompt, _, answer = headers.get(TOKEN_USAGE, "").partition(",")
+        prompt_tokens, answer_tokens = _number(prompt), _number(answer)
+        return CallerHeaders(
+            request_id=headers.get(REQUEST_ID),
+            deadline_s=None if deadline_ms is None else deadline_ms / 1000,
+            api_key=_bearer(headers.get("Authorization", "")),
+            model=headers.get(MODEL),
+            prompt_tokens=None if prompt_tokens is None else int(prompt_tokens),
+            answer_tokens=None if answer_tokens is None else int(answer_tokens),
+            last_event_id=headers.get(LAST_EVENT_ID),
+        )
+
+    def forward_headers(
+        self,
+        headers: CIMultiDictProxy[str],
+        upstream_id: str,
+        organisation: str | None,
+        remaining_s: float,
+        last_event_id: str | None,
+        priority: int | None,
+    ) -> CIMultiDict[str]:
+        """Return the headers of the request to a replica."""
+        forwarded = CIMultiDict(headers)
+        for name in _SET_BY_THE_SYSTEM:
+            forwarded.popall(name, None)
+        forwarded[DEADLINE_MS] = str(max(1, int(remaining_s * 1000)))
+        forwarded[EXPECT_INSTANCE] = upstream_id
+        if organisation is not None:
+            forwarded[TENANT] = organisation
+        if last_event_id is not None:
+            forwarded[LAST_EVENT_ID] = last_event_id
+        if priority is not None:
+            forwarded[PRIORITY] = str(min(9, max(0, priority)))
+        return forwarded
+
+    def was_refused(self, status: int, headers: CIMultiDictProxy[str]) -> bool:
+        """Whether the replica says that it didn't run the request."""
+        return NOT_EXECUTED in headers or status == MISDIRECTED
+
+    def belongs_to(self, headers: CIMultiDictProxy[str], request_id: str | None) -> bool:
+        """Whether an answer echoes the request's id."""
+        return request_id is None or headers.get(REQUEST_ID) == request_id
+
+    def is_signed(self, headers: CIMultiDictProxy[str]) -> bool:
+        """Whether an answer carries the replica's signature."""
+        return SIGNATURE in headers
+
+    def refuse_headers(self, request_id: str | None) -> CIMultiDict[str]:
+        """Return the headers of an answer that the gateway makes itself."""
+        return CIMultiDict({} if request_id is None else {REQUEST_ID: request_id})
+
+
+def _bearer(value: str) -> str | None:
+    if value[: len(BEARER)].lower() != BEARER:
+        return None
+    return value[len(BEARER) :].strip()
+
+
+def _number(text: str | None) -> float | None:
+    try:
+        return float(text) if text else None
+    except ValueError:
+        return None
--- /dev/null
+++ b/mulleinreach/platform/settings.py
@@ -0,0 +1,120 @@
+"""Reads the settings file that the platform lays for a process."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from mulleinreach.common import Address
+from mulleinreach.gateway.ports import Bounds, GatewayIdentity
+
+METRICS_PORT_OFFSET = 1
+# The bound on keys counts from the acknowledgement; the rest covers the way.
+KEY_EVIDENCE_SHARE = 0.9
+
+
+class SettingsError(Exception):
+    """A field is missing or malformed; the text names it."""
+
+
+@dataclass(frozen=True)
+class PlatformSettings:
+    """What a process is told at its start."""
+
+    identity: GatewayIdentity
+    bounds: Bounds
+    store: Address
+
+
+def parse_lines(text: str) -> dict[str, str]:
+    """Return the fields of a settings file.
+
+    Examples
+    ========
+
+    >>> parse_lines("ip=10.0.0.1\\nbounds.config_ms=2000\\n")
+    {'ip': '10.0.0.1', 'bounds.config_ms': '2000'}
+    """
+    fields = {}
+    for line in text.splitlines():
+        name, separator, value = line.partition("=")
+        if separator:
+            fields[name.strip()] = value.strip()
+    return fields
+
+
+def read_settings(path: str) -> PlatformSettings:
+    """Return the settings in a file; raises :class:`SettingsError`."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            text = file.read()
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(f"can't read {path!r}: {error}") from error
+    return make_settings(parse_lines(text))
+
+
+def make_settings(fields: dict[str, str]) -> PlatformSettings:
+    """Check the fields that are used; others are ignored.
+
+    Examples
+    ========
+
+    >>> make_settings({"node_name": "a"})
+    Traceback (most recent call last):
+    ...
+    mulleinreach.platform.settings.SettingsError: field 'internal_ports' is missing
+    """
+    reader = _FieldReader(fields)
+    peer_port = reader.first_port("internal_ports")
+    ip = reader.text("ip")
+    identity = GatewayIdentity(
+        name=reader.text("node_name"),
+        hall=reader.text("zone"),
+        callers=reader.address("listen.front"),
+        readiness=reader.address("listen.readiness"),
+        peers=Address(ip, peer_port),
+        metrics=Address(ip, peer_port + METRICS_PORT_OFFSET),
+    )
+    bounds = Bounds(
+        key_evidence_s=KEY_EVIDENCE_SHARE * reader.seconds("bounds.revoke_ms"),
+        stop_grace_s=reader.number("bounds.grace_s"),
+        stall_s=reader.seconds("bounds.stall_ms"),
+        retry_ratio=reader.number("bounds.retry_budget_ratio"),
+        retry_slack=reader.number("bounds.retry_slack"),
+        retry_window_s=reader.number("bounds.budget_window_s"),
+    )
+    return PlatformSettings(identity, bounds, reader.address("platform.address"))
+
+
+class _FieldReader:
+    """Reads typed fields."""
+
+    def __init__(self, fields: dict[str, str]):
+        self._fields = fields
+
+    def text(self, name: str) -> str:
+        value = self._fields.get(name, "")
+        if not value:
+            raise SettingsError(f"field {name!r} is missing")
+        return value
+
+    def address(self, name: str) -> Address:
+        try:
+            return Address.parse(self.text(name))
+        except ValueError as error:
+            raise SettingsError(f"field {name!r}: {error}") from error
+
+    def number(self, name: str) -> float:
+        value = self.text(name)
+        try:
+            return float(value)
+        except ValueError as error:
+            raise SettingsError(f"field {name!r}: {value!r} is not a number") from error
+
+    def seconds(self, name: str) -> float:
+        return self.number(name) / 1000
+
+    def first_port(self, name: str) -> int:
+        value = self.text(name).partition(",")[0]
+        if not value.isdigit():
+            raise SettingsError(f"field {name!r}: {value!r} is not a port")
+        return int(value)
--- /dev/null
+++ b/mulleinreach/platform/sources.py
@@ -0,0 +1,141 @@
+"""Implements the gateway's sources and its lease on the platform's store."""
+
+from __future__ import annotations
+
+from absl import logging
+
+from mulleinreach.gateway.ports import (
+    ConfigurationRead,
+    HistoryLost,
+    LeaseConflict,
+    LeaseRead,
+    LeaseRecord,
+    LeaseWritten,
+    Unavailable,
+    UpstreamsRead,
+)
+from mulleinreach.gateway.upstreams import Upstream
+from mulleinreach.platform.configuration import parse_configuration
+from mulleinreach.platform.store import (
+    Conflict,
+    PlatformStore,
+    StoreRow,
+    StoreRows,
+    Written,
+)
+from mulleinreach.platform.upstreams import parse_upstream
+
+CONFIGURATION_TABLE = "op"
+CONFIGURATION_KEY = "config"
+UPSTREAM_TABLE = "servers"
+LEASE_TABLE = "mulleinreach"
+LEASE_KEY = "coordinator"
+
+
+class PlatformConfigurations:
+    """The operator's configuration, one row of the store."""
+
+    def __init__(self, store: PlatformStore):
+        self._store = store
+
+    async def read(self) -> ConfigurationRead | Unavailable:
+        """Return the newest configuration."""
+        result = await self._store.read_table(CONFIGURATION_TABLE)
+        return result if isinstance(result, Unavailable) else self._translate(result)
+
+    async def wait(
+        self, revision: int, wait_s: float
+    ) -> ConfigurationRead | HistoryLost | Unavailable:
+        """Return the configuration as soon as it has changed."""
+        result = await self._store.wait(CONFIGURATION_TABLE, revision, wait_s)
+        return self._translate(result) if isinstance(result, StoreRows) else result
+
+    def _translate(self, result: StoreRows) -> ConfigurationRead:
+        configuration = None
+        for row in result.rows:
+            if row.key != CONFIGURATION_KEY or row.value is None:
+                continue
+            try:
+                configuration = parse_configuration(row.value)
+            except (KeyError, TypeError, ValueError) as error:
+                logging.error(
+                    "event=configuration_unreadable version=%s why=%r", row.version, error
+                )
+        return ConfigurationRead(result.revision, configuration)
+
+
+class PlatformUpstreams:
+    """The rows that replicas write of themselves."""
+
+    def __init__(self, store: PlatformStore):
+        self._store = store
+
+    async def read(self) -> UpstreamsRead | Unavailable:
+        """Return all upstreams."""
+        result = await self._store.read_table(UPSTREAM_TABLE)
+        return result if isinstance(result, Unavailable) else self._translate(result)
+
+    async def wait(self, revision: int, wait_s: float) -> UpstreamsRead | HistoryLost | Unavailable:
+        """Return the upstreams that changed."""
+        result = await self._store.wait(UPSTREAM_TABLE, revision, wait_s)
+        return self._translate(result) if isinstance(result, StoreRows) else result
+
+    def _translate(self, result: StoreRows) -> UpstreamsRead:
+        by_id: dict[str, Upstream] = {}
+        removed: dict[str, None] = {}
+        for row in result.rows:
+            by_id.pop(row.key, None)
+            removed.pop(row.key, None)
+            upstream = None if row.is_removed else self._parse(row)
+            if row.is_removed:
+                removed[row.key] = None
+            elif upstream is not None:
+                by_id[row.key] = upstream
+        return UpstreamsRead(result.revision, list(by_id.values()), list(removed))
+
+    def _parse(self, row: StoreRow) -> Upstream | None:
+        try:
+            return parse_upstream(row.key, row.value)
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            logging.warning("event=row_skipped key=%s why=%r", row.key, error)
+            return None
+
+
+class PlatformLease:
+    """The coordinator's lease, one row of the store."""
+
+    def __init__(self, store: PlatformStore):
+        self._store = store
+
+    async def read(self) -> LeaseRead | Unavailable:
+        """Return the row."""
+        row = await self._store.read_row(LEASE_TABLE, LEASE_KEY)
+        if isinstance(row, Unavailable):
+            return row
+        if row is None or row.value is None:
+            return LeaseRead(row.version if row else 0, None)
+        try:
+            record = LeaseRecord(
+                str(row.value["holder"]),
+                str(row.value["address"]),
+                int(row.value["token"]),
+                int(row.value["renewal"]),
+            )
+        except (KeyError, TypeError, ValueError) as error:
+            return Unavailable(f"a lease of another shape: {error!r}")
+        return LeaseRead(row.version, record)
+
+    async def write(
+        self, version: int, record: LeaseRecord
+    ) -> LeaseWritten | LeaseConflict | Unavailable:
+        """Replace the row if it still has ``version``."""
+        value = {
+            "holder": record.holder,
+            "address": record.address,
+            "token": record.token,
+            "renewal": record.renewal,
+        }
+        result = await self._store.write_row(LEASE_TABLE, LEASE_KEY, version, value)
+        if isinstance(result, Written):
+            return LeaseWritten(result.version)
+        return LeaseConflict() if isinstance(result, Conflict) else result
--- /dev/null
+++ b/mulleinreach/platform/store.py
@@ -0,0 +1,165 @@
+"""Calls to the platform's store: rows and feeds, each answer as a value."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import binascii
+import json
+from dataclasses import dataclass
+
+import aiohttp
+from absl import logging
+
+from mulleinreach.common import Address
+from mulleinreach.gateway.ports import HistoryLost, Unavailable
+
+CALL_TIMEOUT_S = 1.0
+PAGE_ROWS = 500
+
+
+@dataclass(frozen=True)
+class StoreRow:
+    """A row; ``value`` is ``None`` for one that was removed or can't be read."""
+
+    key: str
+    version: int
+    value: dict | None
+    is_removed: bool = False
+
+
+@dataclass(frozen=True)
+class StoreRows:
+    """Rows of one moment, and the store's newest version at that moment."""
+
+    revision: int
+    rows: list[StoreRow]
+
+
+@dataclass(frozen=True)
+class Written:
+    """The row was written."""
+
+    version: int
+
+
+@dataclass(frozen=True)
+class Conflict:
+    """The row had another version; nothing was written."""
+
+
+def decode_row(raw: dict) -> StoreRow:
+    """Return a row as the store tells it; an unreadable value is logged and left out.
+
+    Examples
+    ========
+
+    >>> decode_row({"tls_key": "k", "ver": 3, "value": "e30="})
+    StoreRow(key='k', version=3, value={}, is_removed=False)
+    """
+    key, version = str(raw["tls_key"]), int(raw["ver"])
+    if raw.get("deleted"):
+        return StoreRow(key, version, None, is_removed=True)
+    try:
+        value = json.loads(base64.b64decode(raw["value"]))
+    except (KeyError, ValueError, TypeError, binascii.Error) as error:
+        logging.warning("event=row_skipped key=%s why=%r", key, error)
+        return StoreRow(key, version, None)
+    return StoreRow(key, version, value if isinstance(value, dict) else None)
+
+
+class PlatformStore:
+    """One narrow client of the store."""
+
+    def __init__(self, session: aiohttp.ClientSession, address: Address):
+        self._session = session
+        self._url = address.url + "/mulleinreach/"
+
+    async def read_table(self, table: str) -> StoreRows | Unavailable:
+        """Return all rows of a table's empty part."""
+        rows: list[StoreRow] = []
+        revision = None
+        source = ""
+        while True:
+            params = {"table": table, "part": "", "limit": str(PAGE_ROWS)}
+            if source:
+                params["source"] = source
+            answer = await self._call("rows-get", params, CALL_TIMEOUT_S)
+            if not isinstance(answer, dict):
+                return answer if isinstance(answer, Unavailable) else Unavailable("no rows")
+            page = self._decode(answer)
+            if isinstance(page, Unavailable):
+                return page
+            rows += page.rows
+            # Later pages may miss what changed after the first one.
+            revision = page.revision if revision is None else revision
+            if not answer.get("has_more") or not page.rows:
+                return StoreRows(revision, rows)
+            source = page.rows[-1].key + "\0"
+
+    async def read_row(self, table: str, key: str) -> StoreRow | None | Unavailable:
+        """Return one row, or ``None`` if it is absent."""
+        params = {"table": table, "part": "", "source": key, "limit": "1"}
+        answer = await self._call("rows-get", params, CALL_TIMEOUT_S)
+        if not isinstance(answer, dict):
+            return answer if isinstance(answer, Unavailable) else Unavailable("no rows")
+        page = self._decode(answer)
+        if isinstance(page, Unavailable):
+            return page
+        return next((row for row in page.rows if row.key == key), None)
+
+    async def wait(
+        self, table: str, revision: int, wait_s: float
+    ) -> StoreRows | HistoryLost | Unavailable:
+        """Return the rows of a table that changed after ``revision``."""
+        params = {
+            "table": table,
+            "after_rev": str(revision),
+            "wait_ms": str(int(wait_s * 1000)),
+        }
+        answer = await self._call("rows-feed", params, wait_s + CALL_TIMEOUT_S)
+        return self._decode(answer) if isinstance(answer, dict) else answer
+
+    async def write_row(
+        self, table: str, key: str, version: int, value: dict
+    ) -> Written | Conflict | Unavailable:
+        """Replace a row that still has ``version``; 0 means that it is absent."""
+        place = {"table": table, "part": "", "tls_key": key}
+        encoded = base64.b64encode(json.dumps(value).encode()).decode()
+        body = {
+            "expected_rev": [{**place, "ver": version}],
+            "puts": [{**place, "value": encoded}],
+            "remove": [],
+        }
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                url = self._url + "rows-tx"
+                async with self._session.post(url, json=body) as response:
+                    if response.status == 412:
+                        return Conflict()
+                    if response.status != 200:
+                        return Unavailable(f"status {response.status}")
+                    return Written(int(json.loads(await response.read())["ver"]))
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError, KeyError) as error:
+            return Unavailable(f"{type(error).__name__}: {error}")
+
+    async def _call(
+        self, name: str, params: dict[str, str], timeout_s: float
+    ) -> dict | HistoryLost | Unavailable:
+        try:
+            async with asyncio.timeout(timeout_s):
+                async with self._session.get(self._url + name, params=params) as response:
+                    if response.status == 410:
+                        return HistoryLost()
+                    if response.status != 200:
+                        return Unavailable(f"status {response.status}")
+                    answer = json.loads(await response.read())
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+            return Unavailable(f"{type(error).__name__}: {error}")
+        return answer if isinstance(answer, dict) else Unavailable("not an object")
+
+    def _decode(self, answer: dict) -> StoreRows | Unavailable:
+        try:
+            return StoreRows(int(answer["ver"]), [decode_row(raw) for raw in answer["rows"]])
+        except (KeyError, TypeError, ValueError) as error:
+            return Unavailable(f"rows of another shape: {error!r}")
--- a/mulleinreach/requests/claims.py
+++ b/mulleinreach/requests/claims.py
@@ -23,7 +23,7 @@
 from dataclasses import asdict, dataclass, field, replace
 
 from mulleinreach.common import Clock, EventLog, Ran, TaskGroup
-from mulleinreach.platform import (
+from mulleinreach.stores import (
     ABSENT,
     Committed,
     Condition,
--- a/mulleinreach/requests/plain.py
+++ b/mulleinreach/requests/plain.py
@@ -10,9 +10,9 @@
 
 from mulleinreach.common import Address, Clock, Code, EventLog, MulleinreachError, Ran
 from mulleinreach.intents import ServiceIntent
-from mulleinreach.platform import Host, HostDirectory
 from mulleinreach.requests.budget import RetryBudget
 from mulleinreach.requests.journal import RequestJournal, RequestStory
+from mulleinreach.stores import Host, HostDirectory
 
 MAX_ATTEMPTS = 3
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
--- a/mulleinreach/roster/lease.py
+++ b/mulleinreach/roster/lease.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass
 
 from mulleinreach.common import Clock, EventLog
-from mulleinreach.platform import (
+from mulleinreach.stores import (
     Committed,
     Condition,
     Row,
--- a/mulleinreach/roster/roster.py
+++ b/mulleinreach/roster/roster.py
@@ -17,7 +17,9 @@
 from typing import Protocol
 
 from mulleinreach.common import Address, Clock, EventLog, Network, TaskGroup
-from mulleinreach.platform import (
+from mulleinreach.roster.link import KeyRing, Link, LinkError, new_hello
+from mulleinreach.roster.messages import ConfigPush, Message, Ping, Pong, Withdrawal
+from mulleinreach.stores import (
     Committed,
     Condition,
     HostDirectory,
@@ -27,8 +29,6 @@
     Unresolved,
     Write,
 )
-from mulleinreach.roster.link import KeyRing, Link, LinkError, new_hello
-from mulleinreach.roster.messages import ConfigPush, Message, Ping, Pong, Withdrawal
 
 NODES_PREFIX = "state/nodes/"
 RECONNECT_S = 0.5
--- a/mulleinreach/routing/replicas.py
+++ b/mulleinreach/routing/replicas.py
@@ -8,7 +8,7 @@
 from mulleinreach.common import Address, Clock
 from mulleinreach.groups.model import GROUPS_PREFIX, GroupRecord, GroupState
 from mulleinreach.groups.watch import ReplicaEvidence, WholenessView
-from mulleinreach.platform import HostDirectory, TableCache
+from mulleinreach.stores import HostDirectory, TableCache
 
 EJECT_MIN_S = 0.5
 EJECT_MAX_S = 10.0
--- a/mulleinreach/standins/platform.py
+++ b/mulleinreach/standins/platform.py
@@ -6,8 +6,8 @@
 
 from aiohttp import web
 
-from mulleinreach.platform.hostlist import Host, HostState
 from mulleinreach.standins.faults import FaultyService
+from mulleinreach.stores.hostlist import Host, HostState
 
 
 class ObjectStoreStandIn(FaultyService):
--- a/mulleinreach/standins/table.py
+++ b/mulleinreach/standins/table.py
@@ -10,7 +10,7 @@
 
 
 class TableStandIn(FaultyService):
-    """Serves the protocol that ``mulleinreach.platform.table`` speaks.
+    """Serves the protocol that ``mulleinreach.stores.table`` speaks.
 
     Explanation
     ===========
--- a/mulleinreach/standins/world.py
+++ b/mulleinreach/standins/world.py
@@ -15,7 +15,6 @@
 from mulleinreach.common import Address, Clock, Network, VirtualClock
 from mulleinreach.common.net import HttpServer
 from mulleinreach.node import Node
-from mulleinreach.platform import Host, HostKind
 from mulleinreach.settings import NodeSettings
 from mulleinreach.standins.engine import EngineStandIn, Fabric
 from mulleinreach.standins.engine_core import EngineSpeed
@@ -27,6 +26,7 @@
     WeightStoreStandIn,
 )
 from mulleinreach.standins.table import TableStandIn
+from mulleinreach.stores import Host, HostKind
 
 PEER_SECRET_ENV = "MULLEINREACH_STANDIN_PEER_SECRET"
 OPERATOR_TOKENS = {"amaka": "amaka-token", "bola": "bola-token", "viewer": "viewer-token"}
--- a/mulleinreach/platform/cache.py
+++ b/mulleinreach/stores/cache.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from mulleinreach.common import Clock
-from mulleinreach.platform.table import ABSENT, Row, Snapshot, TableClient
+from mulleinreach.stores.table import ABSENT, Row, Snapshot, TableClient
 
 SHARED_PREFIX = "state/"
 NEVER = float("-inf")
--- a/tests/test_promise_6_leaving.py
+++ b/tests/test_promise_6_leaving.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from mulleinreach.platform import HostState
 from mulleinreach.standins.faults import Fault
 from mulleinreach.standins.world import WorldSpec
+from mulleinreach.stores import HostState
 from tests.support import run_deployed
 
 LEAVING_S = 3.0
