Weights are loaded all at once before traffic; a stalled head is seen through new requests

Cause: of 48 hosts 12 standbys were not loaded when traffic began, since loads were held to the store's daily rate although none counts before the first request, so no group was formed anew; each new request at a stalled head made it look alive; a new coordinator took ready standbys for empty hosts and loaded them with another model. Ruled out: too few hosts (759 server-seconds idle), detection (0.6 s after the loss). Change: no limit before traffic under the first lease; age of the oldest request beside the time since the last byte; the model of a joined host is the one that it has staged.

--- a/mulleinreach/gateway/admission.py
+++ b/mulleinreach/gateway/admission.py
@@ -4,12 +4,13 @@
 
 from dataclasses import dataclass
 
-from mulleinreach.gateway.following import ConfigurationInForce
+from mulleinreach.gateway.following import CONFIGURATION_WAIT_S, ConfigurationInForce
 from mulleinreach.gateway.model import Configuration, Route
 from mulleinreach.gateway.ports import Bounds, CallerHeaders
 
-# A node that has heard nothing for this long may have missed a new route or key.
-CURRENT_EVIDENCE_S = 2.2
+# A node that has heard nothing for longer than two waits may have missed a new
+# route or key.
+CURRENT_EVIDENCE_S = 2 * CONFIGURATION_WAIT_S + 0.2
 RETRY_AFTER_S = 0.3
 
 
--- a/mulleinreach/gateway/coordination.py
+++ b/mulleinreach/gateway/coordination.py
@@ -243,10 +243,10 @@
     Examples
     ========
 
-    >>> one = NodeReport("a", [LoadReport("u", 1, 10, 0.5)])
-    >>> two = NodeReport("b", [LoadReport("u", 2, 0, 0.1)])
+    >>> one = NodeReport("a", [LoadReport("u", 1, 10, 0.5, 0.5)])
+    >>> two = NodeReport("b", [LoadReport("u", 2, 0, 0.1, 2.0)])
     >>> sum_loads([one, two])
-    [LoadReport(upstream_id='u', running=3, pending_tokens=10, silent_s=0.1)]
+    [LoadReport(upstream_id='u', running=3, pending_tokens=10, silent_s=0.1, oldest_s=2.0)]
     """
     totals: dict[str, LoadReport] = {}
     for report in reports:
@@ -258,6 +258,7 @@
                     known.running + load.running,
                     known.pending_tokens + load.pending_tokens,
                     min(known.silent_s, load.silent_s),
+                    max(known.oldest_s, load.oldest_s),
                 )
             totals[load.upstream_id] = load
     return list(totals.values())
--- a/mulleinreach/gateway/fleet/controller.py
+++ b/mulleinreach/gateway/fleet/controller.py
@@ -58,6 +58,7 @@
     ==========
 
     loads : returns the load of all nodes together, for the first sign of trouble.
+    is_first_holder : whether no other life of a node has coordinated before.
     """
 
     def __init__(
@@ -66,10 +67,12 @@
         operator: GroupOperator,
         in_force: ConfigurationInForce,
         loads: Callable[[], list[LoadReport]],
+        is_first_holder: Callable[[], bool],
         clock: Clock,
         log: EventLog,
     ):
         self._hosts = hosts
+        self._is_first_holder = is_first_holder
         self._operator = operator
         self._in_force = in_force
         self._loads = loads
@@ -91,6 +94,7 @@
         """Do the duty until cancelled."""
         self._is_running = True
         self._hosts.busy.clear()
+        self._gate.is_limited = not self._is_first_holder()
         try:
             while True:
                 for service in self._model_services():
@@ -125,6 +129,7 @@
         self._hosts.refresh(service.name)
         groups = collect_groups(self._known_hosts(service))
         loads = {load.upstream_id: load for load in self._loads()}
+        self._gate.is_limited |= bool(loads)
         for key, group in groups.items():
             self._look_at_group(service.engine, key, group, loads)
         self._recheck_lost()
@@ -149,7 +154,7 @@
         head = group.head
         if is_serving(group):
             load = loads.get(head.id)
-            is_silent = load is not None and load.silent_s > SILENCE_SUSPECT_S
+            is_silent = load is not None and load.stalled_s > SILENCE_SUSPECT_S
             is_missing = not group.is_whole(model.size)
             if self._has_known_loss(group, model):
                 self._spawn_dissolve(group, model, "a member is lost")
--- a/mulleinreach/gateway/fleet/hosts.py
+++ b/mulleinreach/gateway/fleet/hosts.py
@@ -80,8 +80,18 @@
         return list(self._lost_at)
 
     def last_model(self, host: str) -> str | None:
-        """Return the model of a host's last group, as far as this coordinator saw it."""
-        return self._last_model.get(host)
+        """Return the model of a host's last group, as far as this coordinator can tell.
+
+        A host tells its model only while it serves. One that stands in a group
+        without serving has that group's model staged; a coordinator that is new
+        knows it by that.
+        """
+        known = self._last_model.get(host)
+        upstream = self.get(host)
+        if known is not None or upstream is None or upstream.membership is None:
+            return known
+        is_joined = upstream.membership.state is not MemberState.JOINING
+        return upstream.staged[-1] if is_joined and upstream.staged else None
 
     def get(self, host: str) -> Upstream | None:
         """Return a host, listed or remembered."""
--- a/mulleinreach/gateway/fleet/loads.py
+++ b/mulleinreach/gateway/fleet/loads.py
@@ -12,15 +12,22 @@
 
 
 class LoadGate:
-    """Counts the loads that run and those that began lately."""
+    """Counts the loads that run and those that began lately.
+
+    Before the first request of a deployment loads are quick and not limited;
+    ``is_limited`` tells that this time is over, and it doesn't come back.
+    """
 
     def __init__(self, clock: Clock):
         self._clock = clock
+        self.is_limited = True
         self._begun: deque[float] = deque()
         self._running = 0
 
     def may_begin(self, profile: EngineProfile) -> bool:
         """Whether one more load may begin now."""
+        if not self.is_limited:
+            return True
         oldest = self._clock.now() - WINDOW_S
         while self._begun and self._begun[0] < oldest:
             self._begun.popleft()
--- a/mulleinreach/gateway/load.py
+++ b/mulleinreach/gateway/load.py
@@ -6,6 +6,9 @@
 
 from mulleinreach.common import Clock
 
+PROGRESS_MEMORY_S = 0.6
+NO_PROGRESS_S = 1000.0
+
 
 @dataclass(frozen=True)
 class LoadReport:
@@ -16,13 +19,23 @@
 
     running : requests in flight.
     pending_tokens : prompt tokens of requests that have had no event yet.
-    silent_s : time since the upstream last gave a byte while a request waited for one.
+    silent_s : time since the upstream last gave a byte of any answer.
+    oldest_s : age of the oldest request in flight; 0 without one.
     """
 
     upstream_id: str
     running: int
     pending_tokens: int
     silent_s: float
+    oldest_s: float = 0.0
+
+    @property
+    def stalled_s(self) -> float:
+        """For how long requests have waited there without a byte for any of them.
+
+        A request that has just begun must not hide that others stand still.
+        """
+        return min(self.silent_s, self.oldest_s)
 
 
 class Ticket:
@@ -32,12 +45,12 @@
         self._book = book
         self.upstream_id = upstream_id
         self.pending_tokens = prompt_tokens
-        self.progress_at = started_at
+        self.started_at = started_at
         self.is_finished = False
 
     def progress(self) -> None:
         """Note that the upstream gave bytes of the answer."""
-        self.progress_at = self._book.now()
+        self._book.note_progress(self.upstream_id)
         self.pending_tokens = 0
 
     def finish(self) -> None:
@@ -54,6 +67,7 @@
         self._clock = clock
         self._tickets: dict[str, list[Ticket]] = {}
         self._others: dict[str, LoadReport] = {}
+        self._progress_at: dict[str, float] = {}
 
     def now(self) -> float:
         """Return the time on the book's clock."""
@@ -72,15 +86,30 @@
         if not tickets:
             del self._tickets[ticket.upstream_id]
 
+    def note_progress(self, upstream_id: str) -> None:
+        """Note that an upstream gave a byte of an answer."""
+        self._progress_at[upstream_id] = self.now()
+
     def own_reports(self) -> list[LoadReport]:
-        """Return what this node has in flight."""
+        """Return what this node has in flight, and who has answered lately."""
         now = self.now()
-        reports = []
-        for upstream_id, tickets in self._tickets.items():
-            latest = max(ticket.progress_at for ticket in tickets)
-            pending = sum(ticket.pending_tokens for ticket in tickets)
-            reports.append(LoadReport(upstream_id, len(tickets), pending, now - latest))
-        return reports
+        recent = {u: at for u, at in self._progress_at.items() if now - at < PROGRESS_MEMORY_S}
+        self._progress_at = recent | {
+            u: at for u, at in self._progress_at.items() if u in self._tickets
+        }
+        return [self.own_report(u, now) for u in {**recent, **self._tickets}]
+
+    def own_report(self, upstream_id: str, now: float) -> LoadReport:
+        """Return what this node has in flight at one upstream."""
+        tickets = self._tickets.get(upstream_id, ())
+        pending = sum(ticket.pending_tokens for ticket in tickets)
+        silent_s = now - self._progress_at.get(upstream_id, now - NO_PROGRESS_S)
+        oldest_s = max((now - ticket.started_at for ticket in tickets), default=0.0)
+        return LoadReport(upstream_id, len(tickets), pending, silent_s, oldest_s)
+
+    def stalled_s(self, upstream_id: str) -> float:
+        """Return for how long our requests at an upstream have stood still."""
+        return self.own_report(upstream_id, self.now()).stalled_s
 
     def take_others(self, reports: list[LoadReport]) -> None:
         """Take the load that the other nodes put on upstreams."""
--- a/mulleinreach/gateway/messages.py
+++ b/mulleinreach/gateway/messages.py
@@ -61,11 +61,18 @@
         row.running = min(load.running, MAX_COUNT)
         row.pendingTokens = min(load.pending_tokens, MAX_UINT32)
         row.silentMs = min(int(load.silent_s * 1000), MAX_UINT32)
+        row.oldestMs = min(int(load.oldest_s * 1000), MAX_UINT32)
 
 
 def _unpack_loads(rows) -> list[LoadReport]:
     return [
-        LoadReport(row.upstream, row.running, row.pendingTokens, row.silentMs / 1000)
+        LoadReport(
+            row.upstream,
+            row.running,
+            row.pendingTokens,
+            row.silentMs / 1000,
+            row.oldestMs / 1000,
+        )
         for row in rows
     ]
 
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -108,7 +108,13 @@
             self.ports.orders, self.lease, self.hosts, self.metrics, self.clock, self.log
         )
         self.controller = FleetController(
-            self.hosts, self.operator, self.in_force, self._all_loads, self.clock, self.log
+            self.hosts,
+            self.operator,
+            self.in_force,
+            self._all_loads,
+            lambda: self.lease.token == 1,
+            self.clock,
+            self.log,
         )
         self.coordination = Coordination(
             self.identity.name,
--- a/mulleinreach/gateway/peer.capnp
+++ b/mulleinreach/gateway/peer.capnp
@@ -7,7 +7,8 @@
   upstream @0 :Text;
   running @1 :UInt16;        # requests in flight
   pendingTokens @2 :UInt32;  # prompt tokens of requests that had no event yet
-  silentMs @3 :UInt32;       # since the last byte while a request waited for one
+  silentMs @3 :UInt32;       # since the last byte of any answer
+  oldestMs @4 :UInt32;       # age of the oldest request in flight
 }
 
 struct NodeReport {
--- a/mulleinreach/gateway/relay.py
+++ b/mulleinreach/gateway/relay.py
@@ -368,10 +368,7 @@
 
     def _is_silent(self, upstream_id: str) -> bool:
         """Whether none of our requests at an upstream has had a byte for too long."""
-        for report in self._loads.own_reports():
-            if report.upstream_id == upstream_id:
-                return report.silent_s > SILENCE_LIMIT_S
-        return False
+        return self._loads.stalled_s(upstream_id) > SILENCE_LIMIT_S
 
     async def _begin_response(self, job: _Job, result: Streaming) -> web.StreamResponse:
         response = web.StreamResponse(
--- a/mulleinreach/gateway/upstreams.py
+++ b/mulleinreach/gateway/upstreams.py
@@ -79,6 +79,10 @@
         for member in self.members.values():
             if member.models:
                 return member.models[0]
+        # Hosts tell the model only while they serve; a joined one has it staged.
+        for member in self.members.values():
+            if member.staged:
+                return member.staged[-1]
         return None
 
     def is_whole(self, size: int) -> bool:
