A model's only group in a domain is formed anew even with few hosts left

Ruled out: detection and orders (each loss was noticed in 0.6 s and its head left at once). Change: hosts that hold a model form its only group whatever the target; standbys are given up before groups, and left-over hosts go to the larger model first.

--- a/mulleinreach/gateway/fleet/planner.py
+++ b/mulleinreach/gateway/fleet/planner.py
@@ -83,7 +83,8 @@
     ===========
 
     Groups are added to the model that has the fewest hosts for its share of the
-    work, as long as one host for each model stays over as its standby.
+    work, as long as hosts are left. Where a model has several groups, one of the
+    smallest is given up again for standbys, but never a model's only group.
 
     Examples
     ========
@@ -91,21 +92,42 @@
     >>> models = (EngineModel("a", 4, share=0.67), EngineModel("b", 2, share=0.33))
     >>> target_groups(8, models)
     {'a': 1, 'b': 1}
-    >>> target_groups(5, models)
-    {'a': 0, 'b': 1}
+    >>> target_groups(6, models)
+    {'a': 1, 'b': 1}
     """
-    room = hosts - STANDBYS_PER_MODEL * len(models)
-    if room < min(model.size for model in models):
-        # A group serves more than a standby does.
-        room = hosts
     targets = {model.name: 0 for model in models}
-    while True:
-        fitting = [model for model in models if model.size <= room]
-        if not fitting:
-            return targets
+    room = hosts
+    while fitting := [model for model in models if model.size <= room]:
         neediest = min(fitting, key=lambda m: targets[m.name] * m.size / max(m.share, 0.01))
         targets[neediest.name] += 1
         room -= neediest.size
+    for model in sorted(models, key=lambda m: m.size):
+        while room < STANDBYS_PER_MODEL * len(models) and targets[model.name] > 1:
+            targets[model.name] -= 1
+            room += model.size
+    return targets
+
+
+def target_standbys(
+    hosts: int, targets: dict[str, int], models: tuple[EngineModel, ...]
+) -> dict[str, int]:
+    """Return how many standbys of each model remain beside the groups.
+
+    The larger a model's groups, the likelier the next lost host was in one.
+
+    Examples
+    ========
+
+    >>> models = (EngineModel("a", 4), EngineModel("b", 2))
+    >>> target_standbys(9, {"a": 1, "b": 1}, models)
+    {'a': 2, 'b': 1}
+    """
+    room = hosts - sum(targets[model.name] * model.size for model in models)
+    standbys = {model.name: 0 for model in models}
+    by_size = sorted(models, key=lambda m: -m.size)
+    for number in range(max(0, room)):
+        standbys[by_size[number % len(by_size)].name] += 1
+    return standbys
 
 
 def plan_groups(view: DomainView, models: tuple[EngineModel, ...]) -> list[FormGroup]:
@@ -114,7 +136,8 @@
     free = list(view.free)
     plans = []
     for model in sorted(models, key=lambda m: view.groups.get(m.name, 0) / max(m.share, 0.01)):
-        missing = targets[model.name] - view.groups.get(model.name, 0)
+        # Hosts that already hold a model serve better than they wait.
+        missing = max(1, targets[model.name]) - view.groups.get(model.name, 0)
         for _ in range(missing):
             holders = [host for host in free if host.holds(model.name)]
             if len(holders) < model.size:
@@ -129,7 +152,8 @@
 def plan_standbys(view: DomainView, models: tuple[EngineModel, ...]) -> list[LoadStandby]:
     """Return which free hosts should load or warm up which model."""
     targets = target_groups(view.hosts, models)
-    wanted = {m.name: targets[m.name] * m.size + STANDBYS_PER_MODEL for m in models}
+    standbys = target_standbys(view.hosts, targets, models)
+    wanted = {m.name: targets[m.name] * m.size + standbys[m.name] for m in models}
     held = {
         m.name: view.groups.get(m.name, 0) * m.size
         + view.loading.get(m.name, 0)
