--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -320,8 +320,8 @@
 
     sent = received = 0
 
-    def _connector(self):
-        connector = super()._connector()
+    def _connector(self, force_close):
+        connector = super()._connector(force_close)
         original = connector._wrap_create_connection
 
         async def wrap(factory, *args, **kwargs):
--- a/mulleinreach/common/net.py
+++ b/mulleinreach/common/net.py
@@ -81,7 +81,9 @@
         server = await loop.create_server(runner.server, address.host, address.port)
         return HttpServer(runner, server)
 
-    def http_client(self) -> aiohttp.ClientSession:
+    def http_client(
+        self, keeps_connections: bool = True, connect_timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> aiohttp.ClientSession:
         """Return a client session without limits of its own on time or connections.
 
         Explanation
@@ -92,16 +94,16 @@
         that a request is sent twice.
         """
         session = aiohttp.ClientSession(
-            connector=self._connector(),
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+            connector=self._connector(force_close=not keeps_connections),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s),
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
         )
         session._retry_connection = False
         return session
 
-    def _connector(self) -> aiohttp.TCPConnector:
-        return aiohttp.TCPConnector(limit=0, use_dns_cache=False)
+    def _connector(self, force_close: bool) -> aiohttp.TCPConnector:
+        return aiohttp.TCPConnector(limit=0, use_dns_cache=False, force_close=force_close)
 
     async def listen(self, address: Address, handler: StreamHandler) -> asyncio.AbstractServer:
         """Accept stream connections; ``handler`` runs once for each."""
--- a/mulleinreach/gateway/exchange.py
+++ b/mulleinreach/gateway/exchange.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
@@ -20,7 +19,6 @@
 from mulleinreach.gateway.ports import Dialect
 from mulleinreach.gateway.upstreams import Upstream
 
-CONNECT_TIMEOUT_S = 0.35
 MAX_ANSWER_BYTES = 64_000_000
 CHUNK_BYTES = 65_536
 _NO_AUTOMATIC_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
@@ -172,21 +170,3 @@
         except (aiohttp.ClientError, OSError, ValueError, AnswerCut) as error:
             return Broken(f"{type(error).__name__}: {error}")
         return Answered(response.status, response.headers, b"".join(parts))
-
-
-def make_session() -> aiohttp.ClientSession:
-    """Return a session that opens a connection for each request and never repeats one."""
-    session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, use_dns_cache=False, force_close=True),
-        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
-        auto_decompress=False,
-        cookie_jar=aiohttp.DummyCookieJar(),
-    )
-    session._retry_connection = False
-    return session
-
-
-async def cancel_and_wait(task: asyncio.Task) -> None:
-    """Cancel a task and wait until it has ended."""
-    task.cancel()
-    await asyncio.gather(task, return_exceptions=True)
--- a/mulleinreach/gateway/fleet/controller.py
+++ b/mulleinreach/gateway/fleet/controller.py
@@ -45,6 +45,8 @@
 CHECK_AGAIN_S = 0.8
 RECHECK_LOST_S = 1.0
 QUICK_JOIN_S = 2.5
+# The list drops hosts at times while the store is down; a heartbeat brings them back.
+HEAD_ABSENT_S = 1.5
 # By then the list shows that a head has left its group.
 END_SEEN_S = 1.0
 LOAD_PATIENCE = 4.0
@@ -152,7 +154,9 @@
         if model is None or self._is_standby(group):
             return
         head = group.head
-        if is_serving(group):
+        if head is None:
+            self._look_at_headless(key, group, model)
+        elif is_serving(group):
             load = loads.get(head.id)
             is_silent = load is not None and load.stalled_s > SILENCE_SUSPECT_S
             is_missing = not group.is_whole(model.size)
@@ -162,11 +166,23 @@
                 self._check(key, group, model, "silent" if is_silent else "member not listed")
             elif self._should_replace_draining(group, model):
                 self._spawn_dissolve(group, model, "a member drains")
-        elif head is not None and head.membership.state is MemberState.BROKEN:
+        elif head.membership.state is MemberState.BROKEN:
             self._spawn_dissolve(group, model, "broken")
         elif self._is_ready(group, model):
             self._spawn(self._open(group), group.members.values())
 
+    def _look_at_headless(self, key: tuple[str, int], group: Group, model: EngineModel) -> None:
+        """End a group whose head is off the list: no node may send anything there.
+
+        The head may run on all the same, and it may be back with its next heartbeat.
+        """
+        head = self._hosts.head_of(key)
+        if head is not None and not _stands_in(head, group):
+            return
+        absent_s = HEAD_ABSENT_S if head is None else self._hosts.delisted_for_s(head.id)
+        if absent_s >= HEAD_ABSENT_S:
+            self._spawn_dissolve(group, model, "the head is off the list")
+
     def _has_ended(self, key: tuple[str, int], group: Group) -> bool:
         """Whether a group was ended already; one whose head serves again later was not."""
         ended_s = self._hosts.dissolved_for_s(key)
--- a/mulleinreach/gateway/fleet/hosts.py
+++ b/mulleinreach/gateway/fleet/hosts.py
@@ -42,6 +42,7 @@
         self._last_model: dict[str, str] = {}
         self._remembered: dict[str, Upstream] = {}
         self._lost_at: dict[str, float] = {}
+        self._delisted_at: dict[str, float] = {}
         self._heads: dict[tuple[str, int], str] = {}
         self._dissolved_at: dict[tuple[str, int], float] = {}
         self._numbers = itertools.count()
@@ -50,7 +51,11 @@
 
     def refresh(self, service: str) -> None:
         """Take in the latest list."""
+        for host, upstream in self._remembered.items():
+            if upstream.service == service and self._directory.get(host) is None:
+                self._delisted_at.setdefault(host, self._clock.now())
         for upstream in self._directory.of_service(service):
+            self._delisted_at.pop(upstream.id, None)
             self._remembered[upstream.id] = upstream
             if upstream.models:
                 self._last_model[upstream.id] = upstream.models[0]
@@ -97,6 +102,11 @@
         """Return a host, listed or remembered."""
         return self._directory.get(host) or self._remembered.get(host)
 
+    def delisted_for_s(self, host: str) -> float:
+        """Return for how long a host has been off the list; 0 if it is on it."""
+        since = self._delisted_at.get(host)
+        return 0.0 if since is None else self._clock.now() - since
+
     def is_listed(self, host: str) -> bool:
         """Whether the host is on the list."""
         return self._directory.get(host) is not None
@@ -151,6 +161,11 @@
         heads = (h for h in self._remembered.values() if self._was_head_of(h, key))
         return any(self._stands_elsewhere(self.get(head.id), key) for head in heads)
 
+    def head_of(self, key: tuple[str, int]) -> Upstream | None:
+        """Return the head that a group was seen with, listed or not."""
+        head = self._heads.get(key)
+        return None if head is None else self.get(head)
+
     def _was_head_of(self, host: Upstream, key: tuple[str, int]) -> bool:
         return self._heads.get(key) == host.id
 
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -15,7 +15,7 @@
 from mulleinreach.gateway.budget import WindowedRetryBudget
 from mulleinreach.gateway.choosing import SuspectList, UpstreamChooser
 from mulleinreach.gateway.coordination import Coordination, sum_loads
-from mulleinreach.gateway.exchange import UpstreamClient, make_session
+from mulleinreach.gateway.exchange import UpstreamClient
 from mulleinreach.gateway.fleet.controller import FleetController
 from mulleinreach.gateway.fleet.formation import GroupOperator
 from mulleinreach.gateway.fleet.hosts import HostBook
@@ -29,6 +29,7 @@
 from mulleinreach.gateway.routing import Router
 from mulleinreach.gateway.upstreams import Head, UpstreamDirectory
 
+CONNECT_TIMEOUT_S = 0.35
 COORDINATOR_PAUSE_S = 0.02
 MEMBER_PAUSE_S = 0.6
 IDLE_TIMEOUT_S = 20.0
@@ -82,7 +83,9 @@
 
     def _make_relay(self) -> None:
         self.chooser = UpstreamChooser(self.directory, Router(self.loads, self.rng), self.suspects)
-        self.session = make_session()
+        self.session = self.network.http_client(
+            keeps_connections=False, connect_timeout_s=CONNECT_TIMEOUT_S
+        )
         self.relay = Relay(
             Admission(self.in_force, self.bounds),
             self.chooser,
--- /dev/null
+++ b/mulleinreach/gateway/tests/test_exchange.py
@@ -0,0 +1,90 @@
+"""Answers that end with their connection, over real sockets: only they can be reset."""
+
+import asyncio
+import socket
+import struct
+
+import pytest
+from multidict import CIMultiDict
+
+from mulleinreach.common import Address, Network
+from mulleinreach.gateway.exchange import (
+    AnswerCut,
+    Answered,
+    Broken,
+    NotSent,
+    OutgoingRequest,
+    Streaming,
+    UpstreamClient,
+)
+from mulleinreach.gateway.upstreams import Upstream
+from mulleinreach.standins.gateway.dialect import PlainDialect
+
+HEAD = b"HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Request-Id: r\r\n\r\n"
+LINGER_NONE = struct.pack("ii", 1, 0)
+
+
+async def exchange(ends_with_reset: bool, wants_stream: bool):
+    """Send a request to a server that answers without a length."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD + b"part")
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        if ends_with_reset:
+            raw = writer.get_extra_info("socket")
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+            writer.transport.abort()
+        else:
+            writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    upstream = Upstream("u", "s", Address("127.0.0.1", port), "hall")
+    session = Network("test").http_client(keeps_connections=False)
+    request = OutgoingRequest("GET", "/a", CIMultiDict(), b"", "r")
+    try:
+        result = await UpstreamClient(session, PlainDialect()).send(upstream, request, wants_stream)
+        if isinstance(result, Streaming):
+            return b"".join([data async for data in result.chunks()])
+        return result
+    finally:
+        await session.close()
+        server.close()
+
+
+def test_closed_answer_without_length_is_whole():
+    result = asyncio.run(exchange(ends_with_reset=False, wants_stream=False))
+    assert isinstance(result, Answered)
+    assert result.body == b"part"
+
+
+def test_reset_answer_without_length_is_not_whole():
+    result = asyncio.run(exchange(ends_with_reset=True, wants_stream=False))
+    assert isinstance(result, Broken)
+
+
+def test_closed_stream_without_length_is_whole():
+    assert asyncio.run(exchange(ends_with_reset=False, wants_stream=True)) == b"part"
+
+
+def test_reset_stream_without_length_is_cut():
+    with pytest.raises(AnswerCut):
+        asyncio.run(exchange(ends_with_reset=True, wants_stream=True))
+
+
+def test_refused_connection_means_not_sent():
+    async def run():
+        with socket.socket() as unused:
+            unused.bind(("127.0.0.1", 0))
+            port = unused.getsockname()[1]
+        upstream = Upstream("u", "s", Address("127.0.0.1", port), "hall")
+        session = Network("test").http_client(keeps_connections=False)
+        request = OutgoingRequest("GET", "/a", CIMultiDict(), b"", "r")
+        try:
+            return await UpstreamClient(session, PlainDialect()).send(upstream, request, False)
+        finally:
+            await session.close()
+
+    assert isinstance(asyncio.run(run()), NotSent)
--- /dev/null
+++ b/mulleinreach/gateway/tests/test_fleet.py
@@ -0,0 +1,161 @@
+"""Groups are formed, repaired and taken over, and never wrongly."""
+
+import asyncio
+
+from mulleinreach.gateway.tests.support import run_world
+from mulleinreach.standins.gateway.world import LARGE, MODEL_SERVICE, SMALL, GatewayWorld
+
+REPAIR_S = 1.3
+
+
+def member_of(world: GatewayWorld, model: str, rank: int):
+    """Return a host that stands at a rank of an open group."""
+    head = world.nodes["node-0"].chooser.heads(MODEL_SERVICE, model)[0]
+    standing = world.fabric.hosts[head.upstream.id].standing
+    return world.fabric.hosts[standing.members[rank]]
+
+
+async def keep_asking(world: GatewayWorld, model: str) -> None:
+    """Ask for streams for ever, as the callers do whose silence shows a loss."""
+    running = set()
+    while True:
+        running.add(asyncio.create_task(world.stream(20, model=model)))
+        running = {task for task in running if not task.done()}
+        await asyncio.sleep(0.2)
+
+
+def test_every_domain_gets_its_groups():
+    async def test(world):
+        assert await world.until_formed() < 10
+
+    run_world(test)
+
+
+def test_lost_member_is_replaced_by_a_standby():
+    async def test(world):
+        await world.until_formed()
+        await asyncio.sleep(3)
+        asking = asyncio.create_task(keep_asking(world, LARGE))
+        await asyncio.sleep(1)
+        victim = member_of(world, LARGE, rank=2)
+        head = victim.standing.members[0]
+        dying = asyncio.create_task(victim.die())
+        await world.until(lambda: not _serves(world, head, victim.id))
+        taken_s = await world.until(lambda: world.open_groups(LARGE) == 2)
+        asking.cancel()
+        await dying
+        assert taken_s < REPAIR_S
+
+    run_world(test)
+
+
+def _serves(world, head: str, lost: str) -> bool:
+    standing = world.fabric.hosts[head].standing
+    return standing is not None and lost in standing.members
+
+
+def test_lost_head_has_its_members_leave_before_they_join_anew():
+    async def test(world):
+        await world.until_formed()
+        await asyncio.sleep(3)
+        asking = asyncio.create_task(keep_asking(world, SMALL))
+        await asyncio.sleep(1)
+        head = member_of(world, SMALL, rank=0)
+        dying = asyncio.create_task(head.die())
+        await asyncio.sleep(REPAIR_S)
+        await world.until(lambda: world.open_groups(SMALL) == 2, timeout_s=4)
+        asking.cancel()
+        await dying
+
+    run_world(test)
+
+
+def test_head_that_is_off_the_list_but_alive_leaves_before_its_members_are_used():
+    async def test(world):
+        await world.until_formed()
+        await asyncio.sleep(3)
+        head = member_of(world, LARGE, rank=0)
+        head.cut_from_list()
+        await asyncio.sleep(4)
+        assert head.standing is None or head.standing.state != "open"
+
+    run_world(test)
+
+
+def test_late_orders_break_nothing():
+    async def test(world):
+        for host in list(world.fabric.hosts.values())[::2]:
+            host.late_orders = 2
+        await world.until_formed()
+        await asyncio.sleep(10)
+        await world.until_formed()
+
+    run_world(test)
+
+
+def test_killed_coordinator_is_followed_at_once():
+    async def test(world):
+        await world.until_formed()
+        old = world.coordinator()
+        await world.kill_node(old)
+        taken_s = await world.until(lambda: world.coordinator() is not None)
+        assert taken_s < 0.5
+        await world.until_formed()
+
+    run_world(test, nodes=3)
+
+
+def test_new_coordinator_leaves_what_serves_alone():
+    async def test(world):
+        await world.until_formed()
+        await asyncio.sleep(3)
+        epochs = {h.standing.epoch for h in world.fabric.hosts.values() if h.standing}
+        await world.kill_node(world.coordinator())
+        await asyncio.sleep(3)
+        assert {h.standing.epoch for h in world.fabric.hosts.values() if h.standing} == epochs
+
+    run_world(test, nodes=3)
+
+
+def test_silent_coordinator_is_followed_when_its_lease_has_lapsed():
+    async def test(world):
+        await world.until_formed()
+        old = world.coordinator()
+        for name in world.nodes:
+            if name != old:
+                world.links.cut_both(old, name)
+        others = [n for n in world.nodes if n != old]
+        world.nodes[old].ports.lease.write = _never
+        await world.until(lambda: any(world.nodes[n].lease.is_held() for n in others), 8)
+        assert not world.nodes[old].lease.is_held()
+
+    run_world(test, nodes=3)
+
+
+async def _never(version, record):
+    await asyncio.sleep(3600)
+
+
+def test_two_lost_members_leave_the_smaller_model_served():
+    async def test(world):
+        await world.until_formed()
+        await asyncio.sleep(3)
+        asking = asyncio.create_task(keep_asking(world, SMALL))
+        for _ in range(2):
+            await asyncio.sleep(1)
+            dying = asyncio.create_task(member_of(world, SMALL, rank=1).die())
+            await asyncio.sleep(3)
+            await dying
+        asking.cancel()
+        assert world.open_groups(SMALL) == 1
+
+    run_world(test, domains=1)
+
+
+def test_host_added_later_becomes_a_standby():
+    async def test(world):
+        await world.until_formed()
+        host = await world.add_host("late-host", "domain-0")
+        await world.until(lambda: host.upstream.staged != ())
+
+    run_world(test)
--- /dev/null
+++ b/mulleinreach/standins/gateway/dialect.py
@@ -0,0 +1,70 @@
+"""A dialect of plain header names."""
+
+from __future__ import annotations
+
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from mulleinreach.gateway.ports import CallerHeaders
+
+REQUEST_ID = "X-Request-Id"
+DEADLINE_MS = "X-Deadline-Ms"
+MODEL = "X-Model"
+SIGNATURE = "X-Signature"
+REFUSED = "X-Refused"
+EXPECT = "X-Expect-Upstream"
+ORGANISATION = "X-Organisation"
+
+
+class PlainDialect:
+    """Reads and writes the headers of the stand-ins."""
+
+    ready_path = "/ready"
+
+    def read_request(self, headers: CIMultiDictProxy[str]) -> CallerHeaders:
+        """Return what a request's headers say."""
+        deadline = headers.get(DEADLINE_MS)
+        return CallerHeaders(
+            request_id=headers.get(REQUEST_ID),
+            deadline_s=None if deadline is None else float(deadline) / 1000,
+            api_key=headers.get("Authorization"),
+            model=headers.get(MODEL),
+            prompt_tokens=100,
+            answer_tokens=100,
+            last_event_id=headers.get("Last-Event-Id"),
+        )
+
+    def forward_headers(
+        self,
+        headers: CIMultiDictProxy[str],
+        upstream_id: str,
+        organisation: str | None,
+        remaining_s: float,
+        last_event_id: str | None,
+        priority: int | None,
+    ) -> CIMultiDict[str]:
+        """Return the headers of the request to an upstream."""
+        forwarded = CIMultiDict(headers)
+        forwarded.popall("Authorization", None)
+        forwarded[DEADLINE_MS] = str(int(remaining_s * 1000))
+        forwarded[EXPECT] = upstream_id
+        if organisation is not None:
+            forwarded[ORGANISATION] = organisation
+        if last_event_id is not None:
+            forwarded["Last-Event-Id"] = last_event_id
+        return forwarded
+
+    def was_refused(self, status: int, headers: CIMultiDictProxy[str]) -> bool:
+        """Whether the upstream didn't run the request."""
+        return REFUSED in headers
+
+    def belongs_to(self, headers: CIMultiDictProxy[str], request_id: str | None) -> bool:
+        """Whether an answer echoes the request's id."""
+        return REFUSED in headers or headers.get(REQUEST_ID) == request_id
+
+    def is_signed(self, headers: CIMultiDictProxy[str]) -> bool:
+        """Whether an answer carries a signature."""
+        return SIGNATURE in headers
+
+    def refuse_headers(self, request_id: str | None) -> CIMultiDict[str]:
+        """Return the headers of an answer that the gateway makes itself."""
+        return CIMultiDict({} if request_id is None else {REQUEST_ID: request_id})
--- /dev/null
+++ b/mulleinreach/standins/gateway/hosts.py
@@ -0,0 +1,343 @@
+"""Hosts that form groups and answer requests, and checks of what must always hold."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass, field, replace
+
+from aiohttp import web
+
+from mulleinreach.common import Address, TaskGroup
+from mulleinreach.gateway.ports import Accepted, NoAnswer, OrderResult, Rejected, Unavailable
+from mulleinreach.gateway.upstreams import Membership, MemberState, Upstream, UpstreamState
+from mulleinreach.standins.gateway.dialect import REFUSED, REQUEST_ID, SIGNATURE
+from mulleinreach.standins.gateway.store import UPSTREAMS, MemoryStore
+
+ORDER_S = 0.002
+REJOIN_S = 0.2
+FORM_S = 0.3
+STALL_S = 5.0
+EVENT_GAP_S = 0.04
+LATE_ORDER_S = (2.0, 6.0)
+MISDIRECTED = 421
+
+
+@dataclass(frozen=True)
+class HostTimes:
+    """Seconds that a load and a warm start take."""
+
+    load_s: float = 1.6
+    warm_s: float = 0.5
+
+
+@dataclass
+class _Standing:
+    """What a host knows of its group."""
+
+    group: str
+    epoch: int
+    model: str
+    members: tuple[str, ...]
+    state: MemberState
+
+
+@dataclass
+class FabricChecks:
+    """What broke a promise, and which members were ever ready under which epoch."""
+
+    broken: list[str] = field(default_factory=list)
+    ready: set[tuple[str, int, str]] = field(default_factory=set)
+    runs: dict[str, list[str]] = field(default_factory=dict)
+
+
+class HostStandIn:
+    """One host of a model service.
+
+    Explanation
+    ===========
+
+    Knobs: ``is_dark`` gives no answer to anything; ``is_cut`` takes the host off
+    the list while requests still reach it; ``late_orders`` gives orders no answer
+    and carries them out seconds later; ``breaks_after`` cuts streams partway.
+    """
+
+    def __init__(self, fabric: Fabric, upstream: Upstream, times: HostTimes):
+        self._fabric = fabric
+        self._times = times
+        self.upstream = upstream
+        self.standing: _Standing | None = None
+        self.last_model: str | None = None
+        self.highest_epoch = 0
+        self.is_dark = False
+        self.is_cut = False
+        self.late_orders = 0
+        self.breaks_after: int | None = None
+        self.refuses = 0
+        self.echoes_wrong_id = False
+        self._tasks = TaskGroup()
+
+    @property
+    def id(self) -> str:
+        """The incarnation's id."""
+        return self.upstream.id
+
+    # Orders.
+
+    def join(self, group: str, epoch: int, model: str, members: tuple[str, ...]) -> OrderResult:
+        """Become a member of a group; its weights may have to be loaded first."""
+        standing = self.standing
+        is_same = standing is not None and (standing.group, standing.epoch) == (group, epoch)
+        if epoch < self.highest_epoch or (is_same and standing.members != members):
+            return Rejected(412)
+        if is_same:
+            return Accepted()
+        self._fabric.check_join(self, group, epoch)
+        self.highest_epoch = epoch
+        self.standing = _Standing(group, epoch, model, members, MemberState.JOINING)
+        self._publish()
+        self._tasks.spawn(self._become_ready(self.standing))
+        return Accepted()
+
+    async def _become_ready(self, standing: _Standing) -> None:
+        if self.last_model == standing.model:
+            await asyncio.sleep(REJOIN_S)
+        elif standing.model in self.upstream.staged:
+            await asyncio.sleep(self._times.warm_s)
+        else:
+            await asyncio.sleep(self._times.load_s)
+        if self.standing is not standing or self.is_dark:
+            return
+        self.last_model = standing.model
+        self.upstream = replace(self.upstream, staged=(standing.model,))
+        standing.state = MemberState.READY
+        self._fabric.checks.ready.add((standing.group, standing.epoch, self.id))
+        self._publish()
+
+    def open(self, group: str, epoch: int) -> OrderResult:
+        """Serve, once the group is formed; the other members aren't looked at."""
+        standing = self.standing
+        if standing is None or (standing.group, standing.epoch) != (group, epoch):
+            return Rejected(409)
+        if standing.state is MemberState.OPEN:
+            return Accepted()
+        if standing.state is not MemberState.READY or standing.members[0] != self.id:
+            return Rejected(409)
+        self._tasks.spawn(self._become_open(standing))
+        return Accepted()
+
+    async def _become_open(self, standing: _Standing) -> None:
+        await asyncio.sleep(FORM_S)
+        if self.standing is standing and not self.is_dark:
+            standing.state = MemberState.OPEN
+            self._publish()
+
+    def leave(self, group: str, epoch: int) -> OrderResult:
+        """Stand in no group any more; what runs is cut."""
+        standing = self.standing
+        if standing is None or (standing.group, standing.epoch) != (group, epoch):
+            return Rejected(409)
+        self.standing = None
+        self._publish()
+        return Accepted()
+
+    def membership(self) -> Membership | None:
+        """Return what the host tells of its group."""
+        standing = self.standing
+        if standing is None:
+            return None
+        rank = standing.members.index(self.id)
+        return Membership(standing.group, standing.epoch, rank, standing.state)
+
+    def describe(self) -> Upstream:
+        """Return the host as its row and its reports tell it."""
+        is_serving = self.standing is not None and self.standing.state is MemberState.OPEN
+        models = (self.standing.model,) if is_serving else ()
+        return replace(self.upstream, models=models, membership=self.membership())
+
+    def _publish(self) -> None:
+        if not self.is_cut and not self.is_dark:
+            self._fabric.store.put(UPSTREAMS, self.id, self.describe())
+
+    # Life.
+
+    def list_again(self) -> None:
+        """Write the row as it is now."""
+        self._publish()
+
+    def drain(self) -> None:
+        """Announce a planned end."""
+        self.upstream = replace(self.upstream, state=UpstreamState.DRAINING)
+        self._publish()
+
+    def cut_from_list(self) -> None:
+        """Be taken off the list while running on."""
+        self.is_cut = True
+        self._fabric.store.put(UPSTREAMS, self.id, None)
+
+    async def die(self, listed_for_s: float = 3.0) -> None:
+        """Fall silent for good; the list notices later."""
+        self.is_dark = True
+        await asyncio.sleep(listed_for_s)
+        self._fabric.store.put(UPSTREAMS, self.id, None)
+
+    async def close(self) -> None:
+        """End what runs."""
+        await self._tasks.close()
+
+    # Requests.
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a request as a member of its group would."""
+        body = await request.read()
+        if self.is_dark:
+            await asyncio.sleep(3600)
+        if self.refuses > 0:
+            self.refuses -= 1
+            return web.Response(status=503, headers={REFUSED: "1"})
+        standing = self.standing
+        if standing is None or standing.state is not MemberState.OPEN:
+            return web.Response(status=MISDIRECTED, headers={REFUSED: "1"})
+        request_id = request.headers.get(REQUEST_ID, "")
+        self._fabric.checks.runs.setdefault(request_id, []).append(self.id)
+        return await self._stream(request, standing, request_id, body)
+
+    async def _stream(
+        self, request: web.BaseRequest, standing: _Standing, request_id: str, body: bytes
+    ) -> web.StreamResponse:
+        echoed = "another" if self.echoes_wrong_id else request_id
+        response = web.StreamResponse(headers={REQUEST_ID: echoed, SIGNATURE: self.id})
+        response.content_type = "text/event-stream"
+        response.enable_chunked_encoding()
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        for number in range(first, int(body) + 1):
+            if not await self._step(standing):
+                request.transport.abort()
+                return response
+            if not response.prepared:
+                self._fabric.check_start(self, standing)
+                await response.prepare(request)
+            if self.breaks_after is not None and number > self.breaks_after:
+                await response.write(b"id: torn")
+                request.transport.abort()
+                return response
+            await response.write(f"id: {number}\ndata: piece {number}\n\n".encode())
+        await response.write_eof()
+        return response
+
+    async def _step(self, standing: _Standing) -> bool:
+        """Wait for the next event; a group that lacks a member stands still, then breaks."""
+        await asyncio.sleep(EVENT_GAP_S)
+        stalled_s = 0.0
+        while self.is_dark or not self._fabric.is_whole(standing):
+            await asyncio.sleep(EVENT_GAP_S)
+            stalled_s += EVENT_GAP_S
+            if self.standing is not standing:
+                return False
+            if stalled_s > STALL_S and not self.is_dark:
+                standing.state = MemberState.BROKEN
+                self._publish()
+                return False
+        return self.standing is standing
+
+
+class Fabric:
+    """All hosts, the orders to them, and the checks of what must always hold."""
+
+    def __init__(self, store: MemoryStore, seed: int = 1):
+        self.store = store
+        self.checks = FabricChecks()
+        self.hosts: dict[str, HostStandIn] = {}
+        self._rng = random.Random(seed)
+        self._tasks = TaskGroup()
+
+    def add(self, upstream: Upstream, times: HostTimes) -> HostStandIn:
+        """Add a host and list it."""
+        host = HostStandIn(self, upstream, times)
+        self.hosts[host.id] = host
+        host.list_again()
+        return host
+
+    def is_whole(self, standing: _Standing) -> bool:
+        """Whether all members still stand in the group."""
+        for member in standing.members:
+            host = self.hosts[member]
+            other = host.standing
+            if host.is_dark or other is None:
+                return False
+            if (other.group, other.epoch) != (standing.group, standing.epoch):
+                return False
+        return True
+
+    def check_join(self, host: HostStandIn, group: str, epoch: int) -> None:
+        """No host joins another group while the head of its own serves."""
+        own = host.standing
+        if own is None:
+            return
+        head = self.hosts[own.members[0]]
+        head_standing = head.standing
+        if head.is_dark or head_standing is None:
+            return
+        is_own = (head_standing.group, head_standing.epoch) == (own.group, own.epoch)
+        if is_own and head_standing.state in (MemberState.OPEN, MemberState.CLOSING):
+            self.checks.broken.append(f"{host.id} joined {group} while {own.group} serves")
+
+    def check_start(self, host: HostStandIn, standing: _Standing) -> None:
+        """A request starts only where every member was ready under this epoch."""
+        for member in standing.members:
+            if (standing.group, standing.epoch, member) not in self.checks.ready:
+                self.checks.broken.append(f"{standing.group} serves, {member} was never ready")
+
+    # The port for orders.
+
+    async def join(
+        self, host: Upstream, group: str, epoch: int, model: str, members: list[str]
+    ) -> OrderResult:
+        """Order a join."""
+        return await self._order(host, lambda h: h.join(group, epoch, model, tuple(members)))
+
+    async def open(self, head: Upstream, group: str, epoch: int) -> OrderResult:
+        """Order a head to serve."""
+        return await self._order(head, lambda h: h.open(group, epoch))
+
+    async def leave(self, host: Upstream, group: str, epoch: int) -> OrderResult:
+        """Order a member out of its group."""
+        return await self._order(host, lambda h: h.leave(group, epoch))
+
+    async def report(self, host: Upstream, timeout_s: float) -> Upstream | Unavailable:
+        """Ask a host for its state."""
+        await asyncio.sleep(ORDER_S)
+        target = self.hosts[host.id]
+        if target.is_dark:
+            await asyncio.sleep(timeout_s)
+            return Unavailable("no answer")
+        return target.describe()
+
+    async def _order(self, host: Upstream, action) -> OrderResult:
+        await asyncio.sleep(ORDER_S)
+        target = self.hosts[host.id]
+        if target.is_dark:
+            await asyncio.sleep(0.4)
+            return NoAnswer("no answer")
+        if target.late_orders > 0:
+            target.late_orders -= 1
+            self._tasks.spawn(self._carry_out_late(target, action))
+            await asyncio.sleep(0.4)
+            return NoAnswer("no answer yet")
+        return action(target)
+
+    async def _carry_out_late(self, target: HostStandIn, action) -> None:
+        await asyncio.sleep(self._rng.uniform(*LATE_ORDER_S))
+        if not target.is_dark:
+            action(target)
+
+    async def close(self) -> None:
+        """End what runs."""
+        await self._tasks.close()
+        for host in self.hosts.values():
+            await host.close()
+
+
+def make_upstream(name: str, service: str, port: int, domain: str | None) -> Upstream:
+    """Return a host as it stands on the list after its start."""
+    return Upstream(name, service, Address("10.0.1.1", port), "hall-a", slots=13, domain=domain)
--- /dev/null
+++ b/mulleinreach/standins/gateway/store.py
@@ -0,0 +1,176 @@
+"""A store of rows in memory, with the ports of a gateway on it."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import Any
+
+from mulleinreach.gateway.model import Configuration
+from mulleinreach.gateway.ports import (
+    ConfigurationRead,
+    HistoryLost,
+    LeaseConflict,
+    LeaseRead,
+    LeaseRecord,
+    LeaseWritten,
+    Unavailable,
+    UpstreamsRead,
+)
+from mulleinreach.gateway.upstreams import Upstream
+
+CONFIGURATION = "configuration"
+UPSTREAMS = "upstreams"
+LEASE = "lease"
+ANSWER_S = 0.004
+SILENT_S = 1.0
+
+
+@dataclass(frozen=True)
+class MemoryRow:
+    """A row; ``value`` is ``None`` for a removed one."""
+
+    key: str
+    version: int
+    value: Any
+
+
+class MemoryStore:
+    """Rows by table and key, and one counter of versions over all of them.
+
+    Explanation
+    ===========
+
+    Knobs: ``is_down`` refuses every call, ``is_silent`` lets calls hang, ``loses``
+    carries writes out and loses their answers, ``history_from`` is the oldest
+    version from which a wait may continue.
+    """
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.tables: dict[str, dict[str, MemoryRow]] = {}
+        self.is_down = False
+        self.is_silent = False
+        self.loses = False
+        self.history_from = 0
+        self.calls = 0
+        self._changed = asyncio.Event()
+
+    def put(self, table: str, key: str, value: Any) -> int:
+        """Write a row; ``None`` removes it."""
+        self.version += 1
+        self.tables.setdefault(table, {})[key] = MemoryRow(key, self.version, value)
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return self.version
+
+    def get(self, table: str, key: str) -> MemoryRow:
+        """Return a row; an absent one has version 0."""
+        row = self.tables.get(table, {}).get(key)
+        return row if row is not None and row.value is not None else MemoryRow(key, 0, None)
+
+    def rows(self, table: str, after: int = 0) -> list[MemoryRow]:
+        """Return the rows that changed after a version, in the order of their changes."""
+        rows = [r for r in self.tables.get(table, {}).values() if r.version > after]
+        return sorted(rows, key=lambda row: row.version)
+
+    async def arrive(self) -> Unavailable | None:
+        """Let a call take its time; returns why it fails, if it does."""
+        self.calls += 1
+        await asyncio.sleep(ANSWER_S)
+        if self.is_silent:
+            await asyncio.sleep(SILENT_S)
+            return Unavailable("no answer")
+        return Unavailable("down") if self.is_down else None
+
+    async def wait(
+        self, table: str, after: int, wait_s: float
+    ) -> tuple[int, list[MemoryRow]] | HistoryLost | Unavailable:
+        """Return what changed after a version, as soon as anything has."""
+        failure = await self.arrive()
+        if failure is not None:
+            return failure
+        if after < self.history_from:
+            return HistoryLost()
+        try:
+            async with asyncio.timeout(wait_s):
+                while not self.rows(table, after):
+                    await self._changed.wait()
+        except TimeoutError:
+            pass
+        return self.version, self.rows(table, after)
+
+
+class MemoryConfigurations:
+    """The configuration as one row."""
+
+    def __init__(self, store: MemoryStore):
+        self._store = store
+
+    async def read(self) -> ConfigurationRead | Unavailable:
+        """Return the newest configuration."""
+        failure = await self._store.arrive()
+        if failure is not None:
+            return failure
+        configuration: Configuration | None = self._store.get(CONFIGURATION, "newest").value
+        return ConfigurationRead(self._store.version, configuration)
+
+    async def wait(
+        self, revision: int, wait_s: float
+    ) -> ConfigurationRead | HistoryLost | Unavailable:
+        """Return the configuration as soon as it has changed."""
+        result = await self._store.wait(CONFIGURATION, revision, wait_s)
+        if not isinstance(result, tuple):
+            return result
+        version, rows = result
+        return ConfigurationRead(version, rows[-1].value if rows else None)
+
+
+class MemoryUpstreams:
+    """The list of upstreams, a row each."""
+
+    def __init__(self, store: MemoryStore):
+        self._store = store
+
+    async def read(self) -> UpstreamsRead | Unavailable:
+        """Return all upstreams."""
+        failure = await self._store.arrive()
+        if failure is not None:
+            return failure
+        return self._translate(self._store.version, self._store.rows(UPSTREAMS))
+
+    async def wait(self, revision: int, wait_s: float) -> UpstreamsRead | HistoryLost | Unavailable:
+        """Return the upstreams that changed."""
+        result = await self._store.wait(UPSTREAMS, revision, wait_s)
+        return self._translate(*result) if isinstance(result, tuple) else result
+
+    def _translate(self, version: int, rows: list[MemoryRow]) -> UpstreamsRead:
+        upstreams: list[Upstream] = [row.value for row in rows if row.value is not None]
+        return UpstreamsRead(version, upstreams, [row.key for row in rows if row.value is None])
+
+
+class MemoryLease:
+    """The lease as one row."""
+
+    def __init__(self, store: MemoryStore):
+        self._store = store
+
+    async def read(self) -> LeaseRead | Unavailable:
+        """Return the row."""
+        failure = await self._store.arrive()
+        if failure is not None:
+            return failure
+        row = self._store.get(LEASE, "coordinator")
+        return LeaseRead(row.version, row.value)
+
+    async def write(
+        self, version: int, record: LeaseRecord
+    ) -> LeaseWritten | LeaseConflict | Unavailable:
+        """Replace the row if it still has ``version``."""
+        failure = await self._store.arrive()
+        if failure is not None:
+            return failure
+        if self._store.get(LEASE, "coordinator").version != version:
+            return LeaseConflict()
+        written = self._store.put(LEASE, "coordinator", record)
+        return Unavailable("the answer was lost") if self._store.loses else LeaseWritten(written)
--- a/mulleinreach/standins/virtual.py
+++ b/mulleinreach/standins/virtual.py
@@ -63,8 +63,8 @@
         super().__init__(origin)
         self._links = links
 
-    def _connector(self) -> aiohttp.TCPConnector:
-        return _LinkConnector(self._links, self.origin, limit=0, force_close=False)
+    def _connector(self, force_close: bool) -> aiohttp.TCPConnector:
+        return _LinkConnector(self._links, self.origin, limit=0, force_close=force_close)
 
     async def connect(self, address: Address) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         loop = asyncio.get_running_loop()
