--- /dev/null
+++ b/mulleinreach/platform/tests/standin.py
@@ -0,0 +1,140 @@
+"""Stand-ins of the users' store and of a replica, by their published protocol."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+
+from aiohttp import web
+
+from mulleinreach.gateway.upstreams import Upstream
+from mulleinreach.standins.gateway.store import MemoryStore
+
+PAGE = 3
+
+
+class StoreStandIn:
+    """Speaks the platform's protocol before a :class:`MemoryStore`.
+
+    Rows hold JSON documents; ``page`` is the most rows of one answer.
+    """
+
+    def __init__(self, memory: MemoryStore, page: int = PAGE):
+        self.memory = memory
+        self._page = page
+        self.status: int | None = None
+
+    def app(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application()
+        app.router.add_get("/mulleinreach/rows-get", self._get)
+        app.router.add_get("/mulleinreach/rows-feed", self._feed)
+        app.router.add_post("/mulleinreach/rows-tx", self._transact)
+        return app
+
+    async def _get(self, request: web.Request) -> web.Response:
+        if self.status is not None:
+            return web.Response(status=self.status)
+        query = request.query
+        table = self.memory.tables.get(query["table"], {})
+        rows = [r for key, r in sorted(table.items()) if r.value is not None]
+        rows = [r for r in rows if r.key >= query.get("source", "")]
+        limit = min(self._page, int(query.get("limit", self._page)))
+        return self._answer(query["table"], rows[:limit], len(rows) > limit)
+
+    async def _feed(self, request: web.Request) -> web.Response:
+        if self.status is not None:
+            return web.Response(status=self.status)
+        query = request.query
+        after, wait_s = int(query["after_rev"]), int(query["wait_ms"]) / 1000
+        result = await self.memory.wait(query["table"], after, wait_s)
+        if not isinstance(result, tuple):
+            return web.Response(status=410)
+        return self._answer(query["table"], result[1], False)
+
+    def _answer(self, table: str, rows, has_more: bool) -> web.Response:
+        described = []
+        for row in rows:
+            raw = {"table": table, "part": "", "tls_key": row.key, "ver": row.version}
+            if row.value is None:
+                raw["deleted"] = True
+            elif isinstance(row.value, bytes):
+                raw["value"] = row.value.decode()
+            else:
+                raw["value"] = base64.b64encode(json.dumps(row.value).encode()).decode()
+            described.append(raw)
+        body = {"rows": described, "has_more": has_more, "ver": self.memory.version, "now_ms": 1}
+        return web.json_response(body)
+
+    async def _transact(self, request: web.Request) -> web.Response:
+        if self.status is not None:
+            return web.Response(status=self.status)
+        body = await request.json()
+        for place in body["expected_rev"]:
+            if self.memory.get(place["table"], place["tls_key"]).version != place["ver"]:
+                return web.json_response({"rows": []}, status=412)
+        for put in body["puts"]:
+            value = json.loads(base64.b64decode(put["value"]))
+            version = self.memory.put(put["table"], put["tls_key"], value)
+        if self.memory.loses:
+            request.transport.abort()
+        return web.json_response({"ver": version, "now_ms": 1})
+
+
+class ReplicaStandIn:
+    """Takes orders and reports; ``answers`` are the statuses to give, in turn."""
+
+    def __init__(self, upstream_id: str, answers: list[int]):
+        self.id = upstream_id
+        self.answers = answers
+        self.orders: list[dict] = []
+        self.report: object = {}
+
+    def app(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application()
+        app.router.add_post("/mulleinreach/order", self._order)
+        app.router.add_get("/mulleinreach/report", self._report)
+        return app
+
+    def _is_other(self, request: web.Request) -> bool:
+        return request.headers.get("X-Mulleinreach-Expect-Instance") != self.id
+
+    async def _order(self, request: web.Request) -> web.Response:
+        if self._is_other(request):
+            return web.Response(status=421)
+        self.orders.append(await request.json())
+        status = self.answers.pop(0)
+        if status == 0:
+            await asyncio.sleep(3600)
+        return web.Response(status=status)
+
+    async def _report(self, request: web.Request) -> web.Response:
+        if self._is_other(request):
+            return web.Response(status=421)
+        return web.json_response(self.report)
+
+
+def row_of(upstream: Upstream) -> dict:
+    """Return an upstream's row as a replica writes it."""
+    membership = upstream.membership
+    return {
+        "service": upstream.service,
+        "address": str(upstream.address),
+        "zone": upstream.hall,
+        "state": str(upstream.state),
+        "slots": upstream.slots,
+        "domain": upstream.domain,
+        "models": [{"name": name, "version": 1, "adapters": []} for name in upstream.models],
+        "staged": list(upstream.staged),
+        "group": None
+        if membership is None
+        else {
+            "name": membership.group,
+            "epoch": membership.epoch,
+            "rank": membership.rank,
+            "state": str(membership.state),
+        },
+        "seq": 1,
+    }
--- /dev/null
+++ b/mulleinreach/platform/tests/test_settings.py
@@ -0,0 +1,69 @@
+"""Settings with a missing or malformed field name it; unknown ones are ignored."""
+
+import subprocess
+import sys
+
+import pytest
+
+from mulleinreach.platform.settings import SettingsError, make_settings, parse_lines
+
+COMPLETE = """\
+node_name=front-a-1
+ip=10.1.0.40
+zone=a
+listen.front=10.1.0.40:8227
+listen.readiness=10.1.0.40:8220
+internal_ports=7340,7355
+a.new.field=1
+bounds.grace_s=8
+bounds.revoke_ms=5000
+bounds.stall_ms=5000
+bounds.retry_budget_ratio=0.2
+bounds.budget_window_s=10
+bounds.retry_slack=136
+platform.address=10.200.1.7:8223
+"""
+NEEDED = [name for name in parse_lines(COMPLETE) if name != "a.new.field"]
+
+
+def test_complete_settings_are_read():
+    settings = make_settings(parse_lines(COMPLETE))
+    assert settings.identity.peers.port == 7340
+    assert settings.bounds.key_evidence_s == 4.5
+    assert str(settings.store) == "10.200.1.7:8223"
+
+
+@pytest.mark.parametrize("name", NEEDED)
+def test_missing_field_is_named(name):
+    fields = parse_lines(COMPLETE)
+    del fields[name]
+    with pytest.raises(SettingsError, match=f"field '{name}' is missing"):
+        make_settings(fields)
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("bounds.grace_s", "soon"),
+        ("platform.address", "nowhere"),
+        ("internal_ports", "first"),
+        ("listen.front", "10.1.0.40:99999"),
+    ],
+)
+def test_malformed_field_is_named(name, value):
+    with pytest.raises(SettingsError, match=f"field '{name}'"):
+        make_settings({**parse_lines(COMPLETE), name: value})
+
+
+def test_process_stops_with_one_line_that_names_the_field(tmp_path):
+    file = tmp_path / "settings.conf"
+    file.write_text(COMPLETE.replace("zone=a\n", ""))
+    result = subprocess.run(
+        [sys.executable, "-m", "mulleinreach.platform"],
+        env={"MULLEINREACH_NODE_FILE": str(file), "PATH": ""},
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+    assert result.returncode == 2
+    assert result.stderr.strip() == "MULLEINREACH_NODE_FILE: field 'zone' is missing"
