Slow members are replaced by sound standbys, and heads are weighed by their pace

Ruled out: lost members (all answered), a cut between members (none broke within 5 s). Change: hosts report their pace; a slow group is known to all nodes by its pace, and slow members are replaced where sound hosts with the model stand ready. Tests: replaced within 6 s of virtual time; left alone where all standbys are slow too.

--- a/mulleinreach/gateway/choosing.py
+++ b/mulleinreach/gateway/choosing.py
@@ -69,9 +69,8 @@
         usable = self._usable(service)
         heads = {head.upstream.id: head for head in open_heads(usable)}
         usable_ids = {u.id for u in usable}
-        for head in self.opened:
-            if head.upstream.id in usable_ids:
-                heads.setdefault(head.upstream.id, head)
+        # The coordinator knows of a head's pace, and of its opening before others do.
+        heads |= {h.upstream.id: h for h in self.opened if h.upstream.id in usable_ids}
         return [h for h in heads.values() if model is None or h.model == model]
 
     def _usable(self, service: str) -> list[Upstream]:
--- a/mulleinreach/gateway/fleet/controller.py
+++ b/mulleinreach/gateway/fleet/controller.py
@@ -16,7 +16,7 @@
 
 from mulleinreach.common import Clock, EventLog, TaskGroup
 from mulleinreach.gateway.fleet.formation import GroupOperator, LeaseLost, Outcome
-from mulleinreach.gateway.fleet.hosts import HostBook, is_serving
+from mulleinreach.gateway.fleet.hosts import SLOW_PACE, HostBook, is_serving
 from mulleinreach.gateway.fleet.loads import LoadGate
 from mulleinreach.gateway.fleet.planner import (
     DomainView,
@@ -91,6 +91,7 @@
         self._wake = asyncio.Event()
         self._checked_at: dict[tuple[str, int], float] = {}
         self._rechecked_at: dict[str, float] = {}
+        self._group_paces: dict[tuple[str, int], float] = {}
         self._unfinished_since: dict[tuple[str, int], float] = {}
 
     def notify(self) -> None:
@@ -128,7 +129,8 @@
         heads = []
         for service in self._model_services():
             for head in open_heads(self._hosts.usable(service.name)):
-                heads.append(OpenHead(head.upstream.id, head.group, head.epoch, head.model))
+                pace = self._group_paces.get((head.group, head.epoch), 1.0)
+                heads.append(OpenHead(head.upstream.id, head.group, head.epoch, head.model, pace))
         return heads, self._hosts.lost()
 
     # One look.
@@ -170,8 +172,10 @@
                 self._spawn_dissolve(group, model, "a member is lost")
             elif is_silent or is_missing:
                 self._check(key, group, model, "silent" if is_silent else "member not listed")
-            elif self._should_replace_draining(group, model):
+            elif self._can_replace(group, model, self._draining(group)):
                 self._spawn_dissolve(group, model, "a member drains")
+            elif self._can_replace(group, model, self._slow(key, group, model)):
+                self._spawn_dissolve(group, model, "a member is slow")
         elif head.membership.state is MemberState.BROKEN:
             self._spawn_dissolve(group, model, "broken")
         elif self._is_ready(group, model):
@@ -224,16 +228,33 @@
     def _has_known_loss(self, group: Group) -> bool:
         return any(self._hosts.is_lost(m.id) for m in group.members.values())
 
-    def _should_replace_draining(self, group: Group, model: EngineModel) -> bool:
-        """Whether members drain and others can take their places at once."""
-        draining = [m for m in group.members.values() if m.state is UpstreamState.DRAINING]
-        if not draining:
+    def _draining(self, group: Group) -> list[Upstream]:
+        return [m for m in group.members.values() if m.state is UpstreamState.DRAINING]
+
+    def _slow(self, key: tuple[str, int], group: Group, model: EngineModel) -> list[Upstream]:
+        """Return the slow members of a group; one that was slow is asked again."""
+        if self._group_paces.get(key, 1.0) <= SLOW_PACE:
+            return []
+        self._check(key, group, model, "slow")
+        return [m for m in group.members.values() if self._hosts.is_slow(m.id)]
+
+    def _can_replace(self, group: Group, model: EngineModel, leaving: list[Upstream]) -> bool:
+        """Whether there are members to replace, and sound hosts ready to take their places."""
+        if not leaving:
             return False
-        domain = group.head.domain
-        spare = [
-            host for host in self._free_hosts(group.head.service, domain) if host.holds(model.name)
-        ]
-        return len(spare) >= len(draining)
+        return len(self._spares(group, model)) >= len(leaving)
+
+    def _spares(self, group: Group, model: EngineModel) -> list[FreeHost]:
+        """Return the sound free hosts of a group's domain that hold its model."""
+        free = self._free_hosts(group.head.service, group.head.domain)
+        return [host for host in free if host.holds(model.name) and not host.is_slow]
+
+    async def _probe_spares(self, group: Group, model: EngineModel) -> None:
+        """Ask the hosts that could replace slow members whether they are slow too."""
+        if group.head is None:
+            return
+        spares = [self._hosts.get(host.id) for host in self._spares(group, model)]
+        await asyncio.gather(*(self._operator.probe(spare) for spare in spares))
 
     # Trouble.
 
@@ -256,6 +277,10 @@
         ]
         for host in lost:
             self._hosts.mark_lost(host)
+        key = (group.name, group.epoch)
+        self._group_paces[key] = max((self._hosts.pace(m.id) for m in members), default=1.0)
+        if self._group_paces[key] > SLOW_PACE:
+            await self._probe_spares(group, model)
         self._log.event(
             "group_checked",
             group=group.name,
@@ -263,6 +288,7 @@
             lost=",".join(lost),
             moved=",".join(moved),
             known=len(members),
+            pace=self._group_paces[key],
         )
         if (lost or moved or len(members) < model.size) and not self._is_busy(group):
             self._spawn_dissolve(group, model, f"lost {lost} moved {moved}")
@@ -339,7 +365,8 @@
                 continue
             if self._is_free(host, groups):
                 model = self._hosts.last_model(host.id)
-                free.append(FreeHost(host.id, model, host.staged))
+                is_slow = self._hosts.is_slow(host.id)
+                free.append(FreeHost(host.id, model, host.staged, is_slow))
         return free
 
     def _is_free(self, host: Upstream, groups: dict[tuple[str, int], Group]) -> bool:
--- a/mulleinreach/gateway/fleet/hosts.py
+++ b/mulleinreach/gateway/fleet/hosts.py
@@ -15,6 +15,8 @@
 )
 
 LOST_MEMORY_S = 30.0
+SLOW_PACE = 1.6
+PACE_MEMORY_S = 3.0
 
 
 @dataclass(frozen=True)
@@ -42,6 +44,7 @@
         self._last_model: dict[str, str] = {}
         self._remembered: dict[str, Upstream] = {}
         self._lost_at: dict[str, float] = {}
+        self._paces: dict[str, tuple[float, float]] = {}
         self._delisted_at: dict[str, float] = {}
         self._heads: dict[tuple[str, int], str] = {}
         self._dissolved_at: dict[tuple[str, int], float] = {}
@@ -69,6 +72,16 @@
             self._directory.apply([report], [])
         self._remembered[report.id] = report
         self._lost_at.pop(report.id, None)
+        self._paces[report.id] = (report.pace, self._clock.now())
+
+    def pace(self, host: str) -> float:
+        """Return how many times longer a host's work takes, as it reported lately."""
+        pace, reported_at = self._paces.get(host, (1.0, 0.0))
+        return pace if self._clock.now() - reported_at < PACE_MEMORY_S else 1.0
+
+    def is_slow(self, host: str) -> bool:
+        """Whether a host reported lately that its work takes much longer than usual."""
+        return self.pace(host) > SLOW_PACE
 
     def mark_lost(self, host: str) -> None:
         """Note that a host gives no answer."""
--- a/mulleinreach/gateway/fleet/planner.py
+++ b/mulleinreach/gateway/fleet/planner.py
@@ -28,11 +28,13 @@
 
     model : the model of its last group in this life; a join with it is quickest.
     staged : the models whose weights lie on the host.
+    is_slow : whether the host reported that its work takes much longer than usual.
     """
 
     id: str
     model: str | None = None
     staged: tuple[str, ...] = ()
+    is_slow: bool = False
 
     def holds(self, model: str) -> bool:
         """Whether the host can run a model without a load."""
@@ -142,7 +144,7 @@
             holders = [host for host in free if host.holds(model.name)]
             if len(holders) < model.size:
                 break
-            holders.sort(key=lambda host: host.model != model.name)
+            holders.sort(key=lambda host: (host.is_slow, host.model != model.name))
             chosen = holders[: model.size]
             plans.append(FormGroup(model.name, tuple(host.id for host in chosen)))
             free = [host for host in free if host not in chosen]
--- a/mulleinreach/gateway/messages.py
+++ b/mulleinreach/gateway/messages.py
@@ -42,6 +42,7 @@
     group: str
     epoch: int
     model: str
+    pace: float = 1.0
 
 
 @dataclass(frozen=True)
@@ -112,7 +113,7 @@
     rows = message.init("heads", len(report.heads))
     for row, head in zip(rows, report.heads, strict=True):
         row.upstream, row.group = head.upstream_id, head.group
-        row.epoch, row.model = head.epoch, head.model
+        row.epoch, row.model, row.pace = head.epoch, head.model, head.pace
     message.lost = report.lost
     return message.to_bytes_packed()
 
@@ -121,7 +122,7 @@
     """Return the report that ``data`` holds."""
     try:
         message = _schema.CoordinatorReport.from_bytes_packed(data)
-        heads = [OpenHead(h.upstream, h.group, h.epoch, h.model) for h in message.heads]
+        heads = [OpenHead(h.upstream, h.group, h.epoch, h.model, h.pace) for h in message.heads]
         return CoordinatorReport(
             message.token, message.nodes, _unpack_loads(message.loads), heads, list(message.lost)
         )
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -181,7 +181,7 @@
         newly_lost = set(report.lost) - self.chooser.lost
         self.chooser.lost = frozenset(report.lost)
         self.chooser.opened = [
-            Head(upstream, head.group, head.epoch, head.model)
+            Head(upstream, head.group, head.epoch, head.model, head.pace)
             for head in report.heads
             if (upstream := self.directory.get(head.upstream_id)) is not None
         ]
--- a/mulleinreach/gateway/peer.capnp
+++ b/mulleinreach/gateway/peer.capnp
@@ -23,6 +23,7 @@
   group @1 :Text;
   epoch @2 :UInt64;
   model @3 :Text;
+  pace @4 :Float32;          # how many times longer than usual its work takes
 }
 
 struct CoordinatorReport {
--- a/mulleinreach/gateway/routing.py
+++ b/mulleinreach/gateway/routing.py
@@ -57,7 +57,7 @@
             upstream_id = head.upstream.id
             first_event_ms = predict_first_event_ms(
                 profile,
-                model.pace if model else 1.0,
+                head.pace * (model.pace if model else 1.0),
                 self._loads.running(upstream_id),
                 self._loads.pending_tokens(upstream_id),
                 prompt_tokens,
--- a/mulleinreach/gateway/tests/test_fleet.py
+++ b/mulleinreach/gateway/tests/test_fleet.py
@@ -210,3 +210,40 @@
         await dying
 
     run_world(test, nodes=3)
+
+
+def test_slow_member_is_replaced_by_a_sound_standby():
+    async def test(world):
+        await world.until_formed()
+        await asyncio.sleep(3)
+        asking = asyncio.create_task(keep_asking(world, LARGE))
+        slow = member_of(world, LARGE, rank=2)
+        slow.pace = 12.0
+        await world.until(lambda: not _is_used(world, slow), timeout_s=6)
+        await world.until(lambda: world.open_groups(LARGE) == 2, timeout_s=3)
+        asking.cancel()
+
+    run_world(test)
+
+
+def _is_used(world, host) -> bool:
+    standing = host.standing
+    if standing is None:
+        return False
+    head = world.fabric.hosts[standing.members[0]].standing
+    return head is not None and head.epoch == standing.epoch and head.state == "open"
+
+
+def test_slow_group_is_left_alone_while_no_sound_standby_is_there():
+    async def test(world):
+        await world.until_formed()
+        await asyncio.sleep(3)
+        for host in world.fabric.hosts.values():
+            host.pace = 9.0
+        asking = asyncio.create_task(keep_asking(world, LARGE))
+        epochs = {h.standing.epoch for h in world.fabric.hosts.values()}
+        await asyncio.sleep(5)
+        asking.cancel()
+        assert {h.standing.epoch for h in world.fabric.hosts.values()} == epochs
+
+    run_world(test)
--- a/mulleinreach/gateway/upstreams.py
+++ b/mulleinreach/gateway/upstreams.py
@@ -46,6 +46,7 @@
     models : the names of the models that it runs.
     staged : the names of the models whose weights lie on the host.
     domain : the fabric domain; ``None`` for plain services.
+    pace : how many times longer than usual its work takes, as it reported itself.
     """
 
     id: str
@@ -58,6 +59,7 @@
     staged: tuple[str, ...] = ()
     domain: str | None = None
     membership: Membership | None = None
+    pace: float = 1.0
 
 
 @dataclass
@@ -98,6 +100,7 @@
     group: str
     epoch: int
     model: str
+    pace: float = 1.0
 
 
 class UpstreamDirectory:
--- a/mulleinreach/platform/upstreams.py
+++ b/mulleinreach/platform/upstreams.py
@@ -32,6 +32,7 @@
         models=_model_names(raw),
         staged=_staged_names(raw),
         membership=_parse_membership(raw.get("group")),
+        pace=float(raw.get("pace", 1)),
     )
 
 
--- a/mulleinreach/standins/gateway/hosts.py
+++ b/mulleinreach/standins/gateway/hosts.py
@@ -59,7 +59,8 @@
 
     Knobs: ``is_dark`` gives no answer to anything; ``is_cut`` takes the host off
     the list while requests still reach it; ``late_orders`` gives orders no answer
-    and carries them out seconds later; ``breaks_after`` cuts streams partway.
+    and carries them out seconds later; ``breaks_after`` cuts streams partway;
+    ``pace`` makes the host, and its group, so many times slower.
     """
 
     def __init__(self, fabric: Fabric, upstream: Upstream, times: HostTimes):
@@ -75,6 +76,7 @@
         self.breaks_after: int | None = None
         self.refuses = 0
         self.echoes_wrong_id = False
+        self.pace = 1.0
         self._tasks = TaskGroup()
 
     @property
@@ -153,7 +155,7 @@
         """Return the host as its row and its reports tell it."""
         is_serving = self.standing is not None and self.standing.state is MemberState.OPEN
         models = (self.standing.model,) if is_serving else ()
-        return replace(self.upstream, models=models, membership=self.membership())
+        return replace(self.upstream, models=models, membership=self.membership(), pace=self.pace)
 
     def _publish(self) -> None:
         if not self.is_cut and not self.is_dark:
@@ -227,7 +229,7 @@
 
     async def _step(self, standing: _Standing) -> bool:
         """Wait for the next event; a group that lacks a member stands still, then breaks."""
-        await asyncio.sleep(EVENT_GAP_S)
+        await asyncio.sleep(EVENT_GAP_S * self._fabric.pace(standing))
         stalled_s = 0.0
         while self.is_dark or not self._fabric.is_whole(standing):
             await asyncio.sleep(EVENT_GAP_S)
@@ -269,6 +271,10 @@
                 return False
         return True
 
+    def pace(self, standing: _Standing) -> float:
+        """Return the pace of a group's slowest member."""
+        return max(self.hosts[member].pace for member in standing.members)
+
     def check_join(self, host: HostStandIn, group: str, epoch: int) -> None:
         """No host joins another group while the head of its own serves."""
         own = host.standing
