The coordinator reads the store for all nodes and passes on what it reads, with its age

Change: configuration evidence and changes of the list go over the connection to the coordinator, dated from before the report that they answer; totals are encoded once for all nodes, heads only when they change. A node whose evidence is over 1.2 s old reads itself; a failed duty ends the lease instead of going on silently.

--- a/mulleinreach/gateway/admission.py
+++ b/mulleinreach/gateway/admission.py
@@ -4,13 +4,13 @@
 
 from dataclasses import dataclass
 
-from mulleinreach.gateway.following import CONFIGURATION_WAIT_S, ConfigurationInForce
+from mulleinreach.gateway.following import PASSED_EVIDENCE_S, WAIT_S, ConfigurationInForce
 from mulleinreach.gateway.model import Configuration, Route
 from mulleinreach.gateway.ports import Bounds, CallerHeaders
 
-# A node that has heard nothing for longer than two waits may have missed a new
-# route or key.
-CURRENT_EVIDENCE_S = 2 * CONFIGURATION_WAIT_S + 0.2
+# A node whose evidence is older than it gets while all is well may have missed a
+# new route or key.
+CURRENT_EVIDENCE_S = PASSED_EVIDENCE_S + 2 * WAIT_S + 0.2
 RETRY_AFTER_S = 0.3
 
 
--- a/mulleinreach/gateway/coordination.py
+++ b/mulleinreach/gateway/coordination.py
@@ -16,8 +16,10 @@
 import enum
 import hmac
 import random
+from collections import deque
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from typing import Protocol
 
 from mulleinreach.common import Address, Clock, EventLog, Network
 from mulleinreach.gateway.lease import RENEW_S, CoordinatorLease, LeaseState
@@ -27,15 +29,23 @@
     NodeReport,
     OpenHead,
     PeerError,
+    Totals,
     decode_coordinator_report,
     decode_node_report,
     encode_coordinator_report,
     encode_node_report,
+    encode_totals,
     read_frame,
     write_frame,
 )
+from mulleinreach.gateway.upstreams import ListChange
 
 REPORT_INTERVAL_S = 0.1
+# With many nodes the reports would take too much of the coordinator's time.
+LARGE_INTERVAL_S = 0.2
+LARGE_NODES = 24
+HEADS_EVERY = 10
+OWN_REPORTS_KEPT = 40
 SILENCE_S = 1.0
 CONNECT_S = 0.5
 RETRY_S = 0.3
@@ -58,6 +68,23 @@
 
     writer: asyncio.StreamWriter
     report: NodeReport | None = None
+    sent_revision: int | None = None
+
+
+class Knowledge(Protocol):
+    """What this node knows, to be passed on, and takes what is passed on to it."""
+
+    def totals(self, token: int, nodes: int, loads: list[LoadReport]) -> Totals:
+        """Return what all nodes should know, heads included."""
+
+    def changes_since(self, revision: int) -> list[ListChange] | None:
+        """Return the changes of the list after a revision, ``None`` if too many."""
+
+    def list_revision(self) -> int:
+        """Return the revision of this node's list; 0 before the first one."""
+
+    def take(self, report: CoordinatorReport, asked_at: float, own_loads: list[LoadReport]) -> None:
+        """Take a report that answers what this node had sent at ``asked_at``."""
 
 
 class Coordination:
@@ -67,8 +94,7 @@
     ==========
 
     coordinate : runs for as long as the lease is held; cancelled when it is lost.
-    describe : returns the open heads and lost upstreams, at the coordinator.
-    on_report : called with each report of the coordinator, at every node.
+    knowledge : what is passed on.
     """
 
     def __init__(
@@ -82,8 +108,7 @@
         log: EventLog,
         rng: random.Random,
         coordinate: Callable[[], Awaitable[None]],
-        describe: Callable[[], tuple[list[OpenHead], list[str]]],
-        on_report: Callable[[CoordinatorReport], None],
+        knowledge: Knowledge,
     ):
         self._name = name
         self._lease = lease
@@ -94,10 +119,13 @@
         self._log = log
         self._rng = rng
         self._coordinate = coordinate
-        self._describe = describe
-        self._on_report = on_report
+        self._knowledge = knowledge
         self._members: dict[object, _Member] = {}
         self._server: asyncio.AbstractServer | None = None
+        self._seq = 0
+        self._sent: deque[tuple[int, float, list[LoadReport]]] = deque(maxlen=OWN_REPORTS_KEPT)
+        self._told_heads: list[OpenHead] = []
+        self._round = 0
         self.node_count = 1
         self.is_stopping = False
 
@@ -151,7 +179,10 @@
         reporting = asyncio.create_task(self._report_to_members())
         try:
             while not self.is_stopping:
-                await asyncio.sleep(RENEW_S)
+                done, _ = await asyncio.wait({duty, reporting}, timeout=RENEW_S)
+                if done:
+                    self._log.event("duty_failed", why=repr(done.pop().exception()))
+                    break
                 if not await self._lease.renew() or not self._lease.is_held():
                     break
         finally:
@@ -168,17 +199,48 @@
 
     async def _report_to_members(self) -> None:
         while True:
-            heads, lost = self._describe()
             reports = self.node_reports()
             self.node_count = len(reports)
+            loads = sum_loads(reports)
+            totals = self._knowledge.totals(self._lease.token, len(reports), loads)
+            encoded = encode_totals(self._shortened(totals))
             for member in list(self._members.values()):
                 if member.report is not None:
-                    loads = sum_loads([r for r in reports if r is not member.report])
-                    message = CoordinatorReport(self._lease.token, len(reports), loads, heads, lost)
-                    self._send(member.writer, encode_coordinator_report(message))
-            own = sum_loads(reports[1:])
-            self._on_report(CoordinatorReport(self._lease.token, len(reports), own, heads, lost))
-            await asyncio.sleep(REPORT_INTERVAL_S)
+                    self._report_to(member, encoded)
+            own = CoordinatorReport(0, totals)
+            self._knowledge.take(own, self._clock.now(), reports[0].loads)
+            await asyncio.sleep(self._interval_s())
+
+    def _shortened(self, totals: Totals) -> Totals:
+        """Return totals without what the nodes know already or have no use for."""
+        self._round += 1
+        loads = [load for load in totals.loads if load.running > 0]
+        heads = totals.heads
+        if heads == self._told_heads and self._round % HEADS_EVERY:
+            heads = None
+        else:
+            self._told_heads = heads
+        return replace(totals, loads=loads, heads=heads)
+
+    def _report_to(self, member: _Member, totals: bytes) -> None:
+        if member.sent_revision is None:
+            member.sent_revision = member.report.list_revision
+        changes = self._knowledge.changes_since(member.sent_revision)
+        if changes:
+            member.sent_revision = changes[-1].revision
+        is_unknown = changes is None
+        if is_unknown:
+            # The node reads the list itself, and tells how far it then goes.
+            member.sent_revision = None
+        data = encode_coordinator_report(member.report.seq, totals, changes or [], is_unknown)
+        if member.writer.transport.get_write_buffer_size() > MAX_BUFFERED_BYTES:
+            # Changes can't be left out, so a node that is too slow begins anew.
+            member.writer.close()
+        else:
+            write_frame(member.writer, data)
+
+    def _interval_s(self) -> float:
+        return REPORT_INTERVAL_S if self.node_count <= LARGE_NODES else LARGE_INTERVAL_S
 
     def node_reports(self) -> list[NodeReport]:
         """Return the latest report of each node, our own first."""
@@ -188,7 +250,14 @@
 
     def _own_report(self) -> NodeReport:
         loads = self._loads.own_reports()
-        return NodeReport(self._name, loads, self.is_stopping, self._lease.secret)
+        return NodeReport(
+            self._name,
+            loads,
+            self.is_stopping,
+            self._lease.secret,
+            self._seq,
+            self._knowledge.list_revision(),
+        )
 
     async def _serve_member(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -226,23 +295,30 @@
                 async with asyncio.timeout(SILENCE_S):
                     report = decode_coordinator_report(await read_frame(reader))
                 ended = _Ended.LOST
-                self.node_count = report.nodes
-                self._on_report(report)
+                self.node_count = report.totals.nodes
+                self._take(report)
         except (PeerError, OSError, TimeoutError):
             return ended
         finally:
             sending.cancel()
             writer.close()
 
+    def _take(self, report: CoordinatorReport) -> None:
+        """Take a report; what it tells is no older than what it answers."""
+        for seq, sent_at, loads in self._sent:
+            if seq == report.echoed_seq:
+                self._knowledge.take(report, sent_at, loads)
+                return
+
     async def _report_to_coordinator(self, writer: asyncio.StreamWriter) -> None:
         while not writer.is_closing():
-            self._send(writer, encode_node_report(self._own_report()))
-            await asyncio.sleep(REPORT_INTERVAL_S)
-
-    def _send(self, writer: asyncio.StreamWriter, data: bytes) -> None:
-        """Send a report unless the receiver is too slow; the next one replaces it."""
-        if writer.transport.get_write_buffer_size() < MAX_BUFFERED_BYTES:
-            write_frame(writer, data)
+            self._seq += 1
+            report = self._own_report()
+            self._sent.append((self._seq, self._clock.now(), report.loads))
+            # A report that finds the buffer full is left out; the next one replaces it.
+            if writer.transport.get_write_buffer_size() < MAX_BUFFERED_BYTES:
+                write_frame(writer, encode_node_report(report))
+            await asyncio.sleep(self._interval_s())
 
 
 def sum_loads(reports: list[NodeReport]) -> list[LoadReport]:
--- a/mulleinreach/gateway/fleet/hosts.py
+++ b/mulleinreach/gateway/fleet/hosts.py
@@ -68,8 +68,7 @@
 
     def take_report(self, report: Upstream) -> None:
         """Take in what a host said itself, until the list says something newer."""
-        if self._directory.get(report.id) is not None:
-            self._directory.apply([report], [])
+        self._directory.put_report(report)
         self._remembered[report.id] = report
         self._lost_at.pop(report.id, None)
         self._paces[report.id] = (report.pace, self._clock.now())
--- a/mulleinreach/gateway/following.py
+++ b/mulleinreach/gateway/following.py
@@ -23,11 +23,15 @@
     UpstreamSource,
     UpstreamsRead,
 )
-from mulleinreach.gateway.upstreams import UpstreamDirectory
+from mulleinreach.gateway.upstreams import ListChange, UpstreamDirectory
 
-CONFIGURATION_WAIT_S = 1.5
-UPSTREAM_WAIT_S = 1.5
+WAIT_S = 0.7
 RETRY_S = 0.15
+BATCH_S = 0.02
+CHECK_S = 0.1
+# A coordinator's evidence is renewed each WAIT_S; older evidence shows that it reads
+# no more, and a node has to read itself before a bound of two seconds is reached.
+PASSED_EVIDENCE_S = 1.2
 NEVER = float("-inf")
 
 
@@ -53,25 +57,63 @@
 
 
 class ConfigurationInForce:
-    """The newest configuration that this node has read."""
+    """The newest configuration that this node knows of.
 
-    def __init__(self, source: ConfigurationSource, clock: Clock, log: EventLog):
+    Parameters
+    ==========
+
+    reads_always : whether this node reads for the others. Another node reads only
+        when it has no evidence that is passed on to it and young enough.
+    """
+
+    def __init__(
+        self,
+        source: ConfigurationSource,
+        clock: Clock,
+        log: EventLog,
+        reads_always: Callable[[], bool],
+    ):
         self._source = source
         self._clock = clock
         self._log = log
+        self._reads_always = reads_always
         self._state = _SourceState("configuration", log)
         self._revision: int | None = None
+        self._known_version = 0
+        self._passed_on = asyncio.Event()
         self.configuration: Configuration | None = None
         self.evidence_at = NEVER
 
+    @property
+    def version(self) -> int:
+        """The version in force; 0 before the first one."""
+        return self.configuration.version if self.configuration else 0
+
     def evidence_age_s(self) -> float:
         """Return the age of the latest proof that no newer version exists."""
         return self._clock.now() - self.evidence_at
 
+    def take_passed(self, version: int, evidence_at: float) -> None:
+        """Take the coordinator's evidence that a version is the newest one."""
+        if version > self.version:
+            self._known_version = version
+            self._passed_on.set()
+        elif version == self.version:
+            self.evidence_at = max(self.evidence_at, evidence_at)
+
     async def follow(self) -> None:
-        """Read for ever."""
+        """Read for ever, as far as evidence isn't passed on."""
         while True:
-            await self.read_once()
+            if self._must_read():
+                await self.read_once()
+                continue
+            self._passed_on.clear()
+            await _wait_for(self._passed_on, CHECK_S)
+
+    def _must_read(self) -> bool:
+        if self._reads_always() or self._known_version > self.version:
+            return True
+        return self.evidence_age_s() > PASSED_EVIDENCE_S
 
     async def read_once(self) -> None:
         """Read, or wait for a change, and take in the answer."""
@@ -79,7 +121,7 @@
         if self._revision is None:
             result = await self._source.read()
         else:
-            result = await self._source.wait(self._revision, CONFIGURATION_WAIT_S)
+            result = await self._source.wait(self._revision, WAIT_S)
         if isinstance(result, ConfigurationRead):
             await self._take(result, asked_at)
         elif isinstance(result, HistoryLost):
@@ -100,11 +142,10 @@
             await asyncio.sleep(RETRY_S)
             return
         self._revision = result.revision
-        self.evidence_at = asked_at
+        self.evidence_at = max(self.evidence_at, asked_at)
 
     def _apply(self, configuration: Configuration) -> None:
-        current = self.configuration
-        if current is not None and configuration.version <= current.version:
+        if self.configuration is not None and configuration.version <= self.version:
             return
         self.configuration = configuration
         self._log.event(
@@ -118,8 +159,7 @@
     Parameters
     ==========
 
-    pause_s : how long to let changes gather between two answers; a function,
-        since the coordinator needs them at once and other nodes don't.
+    reads_always : whether this node reads for the others.
     on_change : called after each answer that changed the list.
     """
 
@@ -129,37 +169,61 @@
         directory: UpstreamDirectory,
         clock: Clock,
         log: EventLog,
-        pause_s: Callable[[], float],
+        reads_always: Callable[[], bool],
         on_change: Callable[[], None],
     ):
         self._source = source
         self._directory = directory
         self._clock = clock
         self._state = _SourceState("upstream_list", log)
-        self._pause_s = pause_s
+        self._reads_always = reads_always
         self._on_change = on_change
-        self._revision: int | None = None
+        self._must_read_all = True
         self.heard_at = NEVER
 
+    def list_age_s(self) -> float:
+        """Return the age of what the list shows."""
+        return self._clock.now() - self.heard_at
+
+    def take_passed(self, changes: list[ListChange], revision: int, heard_at: float) -> None:
+        """Take the coordinator's changes of the list, and its evidence of their age."""
+        own = self._directory.revision
+        if own is None:
+            return
+        news = [change for change in changes if change.revision > own]
+        for change in news:
+            self._directory.apply(change)
+        if revision > self._directory.revision:
+            self._directory.revision = revision
+        self.heard_at = max(self.heard_at, heard_at)
+        if news:
+            self._on_change()
+
     async def follow(self) -> None:
-        """Read for ever."""
+        """Read for ever, as far as changes aren't passed on."""
         while True:
-            await self.read_once()
-            await asyncio.sleep(self._pause_s())
+            if self._must_read():
+                await self.read_once()
+                await asyncio.sleep(BATCH_S)
+            else:
+                await asyncio.sleep(CHECK_S)
+
+    def _must_read(self) -> bool:
+        return self._reads_always() or self.list_age_s() > PASSED_EVIDENCE_S
 
     async def read_once(self) -> None:
         """Read, or wait for a change, and take in the answer."""
         asked_at = self._clock.now()
-        is_full = self._revision is None
+        is_full = self._must_read_all
         if is_full:
             result = await self._source.read()
         else:
-            result = await self._source.wait(self._revision, UPSTREAM_WAIT_S)
+            result = await self._source.wait(self._directory.revision, WAIT_S)
         if isinstance(result, Unavailable):
             self._state.lost(result.reason)
             await asyncio.sleep(RETRY_S)
         elif isinstance(result, HistoryLost):
-            self._revision = None
+            self._must_read_all = True
         else:
             self._take(result, is_full, asked_at)
 
@@ -175,14 +239,25 @@
 
     def _take(self, result: UpstreamsRead, is_full: bool, asked_at: float) -> None:
         self._state.answered()
-        if self._revision is not None and result.revision < self._revision:
+        own = self._directory.revision
+        if own is not None and result.revision < own:
             # A wait that began before a newer read; the next one continues from that.
             return
-        self._revision = result.revision
-        self.heard_at = asked_at
+        self._must_read_all = False
+        self.heard_at = max(self.heard_at, asked_at)
         if is_full:
-            self._directory.replace_all(result.upstreams)
+            self._directory.replace_all(result.revision, result.upstreams)
         else:
-            self._directory.apply(result.upstreams, result.removed)
+            change = ListChange(result.revision, result.upstreams, result.removed)
+            self._directory.apply(change)
         if is_full or result.upstreams or result.removed:
             self._on_change()
+
+
+async def _wait_for(event: asyncio.Event, timeout_s: float) -> None:
+    """Wait for an event, or until the time is over."""
+    try:
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
+    except TimeoutError:
+        return
--- /dev/null
+++ b/mulleinreach/gateway/knowledge.py
@@ -0,0 +1,99 @@
+"""What the coordinator passes on to all nodes, and what a node makes of it.
+
+Explanation
+===========
+
+The coordinator reads the store for all. What it passes on keeps its age: a node
+dates it from before it sent the report that is answered, so that a delay on the
+way only makes it older. A node whose evidence grows too old reads the store itself.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from mulleinreach.gateway.choosing import UpstreamChooser
+from mulleinreach.gateway.fleet.controller import FleetController
+from mulleinreach.gateway.following import ConfigurationInForce, UpstreamFollower
+from mulleinreach.gateway.load import LoadBook, LoadReport
+from mulleinreach.gateway.messages import CoordinatorReport, OpenHead, Totals
+from mulleinreach.gateway.upstreams import Head, ListChange, UpstreamDirectory
+
+
+class SharedKnowledge:
+    """One node's side of the exchange."""
+
+    def __init__(
+        self,
+        in_force: ConfigurationInForce,
+        follower: UpstreamFollower,
+        directory: UpstreamDirectory,
+        loads: LoadBook,
+        chooser: UpstreamChooser,
+        controller: FleetController,
+        on_lost: Callable[[str], None],
+    ):
+        self._in_force = in_force
+        self._follower = follower
+        self._directory = directory
+        self._loads = loads
+        self._chooser = chooser
+        self._controller = controller
+        self._on_lost = on_lost
+        self._heads: list[OpenHead] = []
+
+    # What is passed on.
+
+    def totals(self, token: int, nodes: int, loads: list[LoadReport]) -> Totals:
+        """Return what all nodes should know."""
+        heads, lost = self._controller.describe()
+        return Totals(
+            token,
+            nodes,
+            loads,
+            heads,
+            lost,
+            self._in_force.version,
+            self._in_force.evidence_age_s(),
+            self.list_revision(),
+            self._follower.list_age_s(),
+        )
+
+    def changes_since(self, revision: int) -> list[ListChange] | None:
+        """Return the changes of the list after a revision."""
+        return self._directory.changes_since(revision)
+
+    def list_revision(self) -> int:
+        """Return the revision of this node's list; 0 before the first one."""
+        return self._directory.revision or 0
+
+    # What is taken.
+
+    def take(self, report: CoordinatorReport, asked_at: float, own_loads: list[LoadReport]) -> None:
+        """Take a report that answers what this node had sent at ``asked_at``."""
+        totals = report.totals
+        self._loads.take_totals(totals.loads, own_loads)
+        self._in_force.take_passed(
+            totals.configuration_version, asked_at - totals.configuration_age_s
+        )
+        if not report.is_list_unknown:
+            self._follower.take_passed(
+                report.changes, totals.list_revision, asked_at - totals.list_age_s
+            )
+        self._take_heads(totals)
+        self._take_lost(totals.lost)
+
+    def _take_heads(self, totals: Totals) -> None:
+        if totals.heads is not None:
+            self._heads = totals.heads
+        self._chooser.opened = [
+            Head(upstream, head.group, head.epoch, head.model, head.pace)
+            for head in self._heads
+            if (upstream := self._directory.get(head.upstream_id)) is not None
+        ]
+
+    def _take_lost(self, lost: list[str]) -> None:
+        newly_lost = set(lost) - self._chooser.lost
+        self._chooser.lost = frozenset(lost)
+        for upstream_id in sorted(newly_lost):
+            self._on_lost(upstream_id)
--- a/mulleinreach/gateway/load.py
+++ b/mulleinreach/gateway/load.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from mulleinreach.common import Clock
 
@@ -111,9 +111,13 @@
         """Return for how long our requests at an upstream have stood still."""
         return self.own_report(upstream_id, self.now()).stalled_s
 
-    def take_others(self, reports: list[LoadReport]) -> None:
-        """Take the load that the other nodes put on upstreams."""
-        self._others = {report.upstream_id: report for report in reports}
+    def take_totals(self, totals: list[LoadReport], own: list[LoadReport]) -> None:
+        """Take the load of all nodes, of which ``own`` is what this node had reported."""
+        own_running = {report.upstream_id: report for report in own}
+        self._others = {
+            total.upstream_id: _without(total, own_running.get(total.upstream_id))
+            for total in totals
+        }
 
     def running(self, upstream_id: str) -> int:
         """Return the requests in flight at an upstream from all nodes, as known."""
@@ -126,3 +130,14 @@
         others = self._others.get(upstream_id)
         own = sum(ticket.pending_tokens for ticket in self._tickets.get(upstream_id, ()))
         return own + (others.pending_tokens if others else 0)
+
+
+def _without(total: LoadReport, own: LoadReport | None) -> LoadReport:
+    """Return a total less one node's part of it."""
+    if own is None:
+        return total
+    return replace(
+        total,
+        running=max(0, total.running - own.running),
+        pending_tokens=max(0, total.pending_tokens - own.pending_tokens),
+    )
--- a/mulleinreach/gateway/messages.py
+++ b/mulleinreach/gateway/messages.py
@@ -4,14 +4,22 @@
 
 import asyncio
 import struct
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 
 import capnp
 
+from mulleinreach.common import Address
 from mulleinreach.gateway.load import LoadReport
-
-MAX_MESSAGE_BYTES = 1_000_000
+from mulleinreach.gateway.upstreams import (
+    ListChange,
+    Membership,
+    MemberState,
+    Upstream,
+    UpstreamState,
+)
+
+MAX_MESSAGE_BYTES = 4_000_000
 MAX_COUNT = 65_535
 MAX_UINT32 = 4_294_967_295
 _LENGTH = struct.Struct(">I")
@@ -26,12 +34,14 @@
 
 @dataclass(frozen=True)
 class NodeReport:
-    """What a node has in flight."""
+    """What a node has in flight, and how far its list of upstreams goes."""
 
     node: str
     loads: list[LoadReport]
     is_stopping: bool = False
     secret: str = ""
+    seq: int = 0
+    list_revision: int = 0
 
 
 @dataclass(frozen=True)
@@ -46,14 +56,36 @@
 
 
 @dataclass(frozen=True)
-class CoordinatorReport:
-    """What the coordinator knows; ``loads`` are those of all nodes but the receiver."""
+class Totals:
+    """What the coordinator knows, the same for all nodes.
+
+    ``heads`` is ``None`` where they are as they were told last; ages are those of
+    the coordinator's evidence, in seconds.
+    """
 
     token: int
     nodes: int
     loads: list[LoadReport]
-    heads: list[OpenHead]
-    lost: list[str]
+    heads: list[OpenHead] | None = None
+    lost: list[str] = field(default_factory=list)
+    configuration_version: int = 0
+    configuration_age_s: float = 0.0
+    list_revision: int = 0
+    list_age_s: float = 0.0
+
+
+@dataclass(frozen=True)
+class CoordinatorReport:
+    """What one node is told; ``changes`` continue from what it was sent before."""
+
+    echoed_seq: int
+    totals: Totals
+    changes: list[ListChange] = field(default_factory=list)
+    is_list_unknown: bool = False
+
+
+def _milliseconds(seconds: float) -> int:
+    return max(0, int(min(seconds * 1000, MAX_UINT32)))
 
 
 def _pack_loads(message, loads: list[LoadReport]) -> None:
@@ -62,8 +94,8 @@
         row.upstream = load.upstream_id
         row.running = min(load.running, MAX_COUNT)
         row.pendingTokens = min(load.pending_tokens, MAX_UINT32)
-        row.silentMs = min(int(load.silent_s * 1000), MAX_UINT32)
-        row.oldestMs = min(int(load.oldest_s * 1000), MAX_UINT32)
+        row.silentMs = _milliseconds(load.silent_s)
+        row.oldestMs = _milliseconds(load.oldest_s)
 
 
 def _unpack_loads(rows) -> list[LoadReport]:
@@ -82,7 +114,11 @@
 def encode_node_report(report: NodeReport) -> bytes:
     """Return a node's report in its packed form."""
     message = _schema.NodeReport.new_message(
-        node=report.node, stopping=report.is_stopping, secret=report.secret
+        node=report.node,
+        stopping=report.is_stopping,
+        secret=report.secret,
+        seq=report.seq,
+        listRevision=report.list_revision,
     )
     _pack_loads(message, report.loads)
     return message.to_bytes_packed()
@@ -94,27 +130,89 @@
     Examples
     ========
 
-    >>> report = NodeReport("a", [LoadReport("u", 2, 70, 0.5)])
+    >>> report = NodeReport("a", [LoadReport("u", 2, 70, 0.5)], seq=4)
     >>> decode_node_report(encode_node_report(report)) == report
     True
     """
     try:
         message = _schema.NodeReport.from_bytes_packed(data)
-        loads = _unpack_loads(message.loads)
-        return NodeReport(message.node, loads, message.stopping, message.secret)
+        return NodeReport(
+            message.node,
+            _unpack_loads(message.loads),
+            message.stopping,
+            message.secret,
+            message.seq,
+            message.listRevision,
+        )
     except capnp.KjException as error:
         raise PeerError(str(error)) from error
 
 
-def encode_coordinator_report(report: CoordinatorReport) -> bytes:
-    """Return a coordinator's report in its packed form."""
-    message = _schema.CoordinatorReport.new_message(token=report.token, nodes=report.nodes)
-    _pack_loads(message, report.loads)
-    rows = message.init("heads", len(report.heads))
-    for row, head in zip(rows, report.heads, strict=True):
+def encode_totals(totals: Totals) -> bytes:
+    """Return the totals in the form in which they stand in every report."""
+    message = _schema.Totals.new_message(
+        token=totals.token,
+        nodes=totals.nodes,
+        hasHeads=totals.heads is not None,
+        configVersion=totals.configuration_version,
+        configAgeMs=_milliseconds(totals.configuration_age_s),
+        listRevision=totals.list_revision,
+        listAgeMs=_milliseconds(totals.list_age_s),
+    )
+    _pack_loads(message, totals.loads)
+    heads = totals.heads or []
+    rows = message.init("heads", len(heads))
+    for row, head in zip(rows, heads, strict=True):
         row.upstream, row.group = head.upstream_id, head.group
         row.epoch, row.model, row.pace = head.epoch, head.model, head.pace
-    message.lost = report.lost
+    message.lost = totals.lost
+    return message.to_bytes_packed()
+
+
+def _decode_totals(data: bytes) -> Totals:
+    message = _schema.Totals.from_bytes_packed(data)
+    heads = None
+    if message.hasHeads:
+        heads = [OpenHead(h.upstream, h.group, h.epoch, h.model, h.pace) for h in message.heads]
+    return Totals(
+        message.token,
+        message.nodes,
+        _unpack_loads(message.loads),
+        heads,
+        list(message.lost),
+        message.configVersion,
+        message.configAgeMs / 1000,
+        message.listRevision,
+        message.listAgeMs / 1000,
+    )
+
+
+def encode_coordinator_report(
+    echoed_seq: int, totals: bytes, changes: list[ListChange], is_list_unknown: bool
+) -> bytes:
+    """Return a report to one node around totals that were encoded before.
+
+    Examples
+    ========
+
+    >>> totals = Totals(3, 9, [], [OpenHead("u", "g", 5, "m", 2.0)], ["v"], 7, 0.5, 40, 0.25)
+    >>> member = Membership("g", 5, 0, MemberState.OPEN)
+    >>> upstream = Upstream("u", "s", Address("10.0.0.1", 80), "hall", membership=member)
+    >>> changes = [ListChange(41, [upstream], ["w"])]
+    >>> data = encode_coordinator_report(8, encode_totals(totals), changes, False)
+    >>> decode_coordinator_report(data) == CoordinatorReport(8, totals, changes)
+    True
+    """
+    message = _schema.CoordinatorReport.new_message(
+        echoedSeq=echoed_seq, totals=totals, listUnknown=is_list_unknown
+    )
+    rows = message.init("changes", len(changes))
+    for row, change in zip(rows, changes, strict=True):
+        row.revision = change.revision
+        row.removed = change.removed
+        packed = row.init("upstreams", len(change.upstreams))
+        for target, upstream in zip(packed, change.upstreams, strict=True):
+            _pack_upstream(target, upstream)
     return message.to_bytes_packed()
 
 
@@ -122,14 +220,49 @@
     """Return the report that ``data`` holds."""
     try:
         message = _schema.CoordinatorReport.from_bytes_packed(data)
-        heads = [OpenHead(h.upstream, h.group, h.epoch, h.model, h.pace) for h in message.heads]
-        return CoordinatorReport(
-            message.token, message.nodes, _unpack_loads(message.loads), heads, list(message.lost)
-        )
-    except capnp.KjException as error:
+        changes = [
+            ListChange(
+                row.revision, [_unpack_upstream(u) for u in row.upstreams], list(row.removed)
+            )
+            for row in message.changes
+        ]
+        totals = _decode_totals(message.totals)
+        return CoordinatorReport(message.echoedSeq, totals, changes, message.listUnknown)
+    except (capnp.KjException, ValueError) as error:
         raise PeerError(str(error)) from error
 
 
+def _pack_upstream(row, upstream: Upstream) -> None:
+    row.id, row.service = upstream.id, upstream.service
+    row.address, row.hall = str(upstream.address), upstream.hall
+    row.draining = upstream.state is UpstreamState.DRAINING
+    row.slots = min(upstream.slots, MAX_COUNT)
+    row.models, row.staged = list(upstream.models), list(upstream.staged)
+    row.domain = upstream.domain or ""
+    membership = upstream.membership
+    if membership is not None:
+        row.group, row.epoch = membership.group, membership.epoch
+        row.rank, row.state = membership.rank, str(membership.state)
+
+
+def _unpack_upstream(row) -> Upstream:
+    membership = None
+    if row.group:
+        membership = Membership(row.group, row.epoch, row.rank, MemberState(row.state))
+    return Upstream(
+        row.id,
+        row.service,
+        Address.parse(row.address),
+        row.hall,
+        UpstreamState.DRAINING if row.draining else UpstreamState.READY,
+        row.slots,
+        tuple(row.models),
+        tuple(row.staged),
+        row.domain or None,
+        membership,
+    )
+
+
 def write_frame(writer: asyncio.StreamWriter, data: bytes) -> None:
     """Put one message into the send buffer."""
     writer.write(_LENGTH.pack(len(data)) + data)
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -20,18 +20,16 @@
 from mulleinreach.gateway.fleet.formation import GroupOperator
 from mulleinreach.gateway.fleet.hosts import HostBook
 from mulleinreach.gateway.following import ConfigurationInForce, UpstreamFollower
+from mulleinreach.gateway.knowledge import SharedKnowledge
 from mulleinreach.gateway.lease import CoordinatorLease
 from mulleinreach.gateway.load import LoadBook
-from mulleinreach.gateway.messages import CoordinatorReport
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.ports import Bounds, GatewayIdentity, Ports
 from mulleinreach.gateway.relay import Relay
 from mulleinreach.gateway.routing import Router
-from mulleinreach.gateway.upstreams import Head, UpstreamDirectory
+from mulleinreach.gateway.upstreams import UpstreamDirectory
 
 CONNECT_TIMEOUT_S = 0.35
-COORDINATOR_PAUSE_S = 0.02
-MEMBER_PAUSE_S = 0.9
 IDLE_TIMEOUT_S = 20.0
 # Fields up to the limit of the configuration have to be read to be answered.
 MAX_LINE_BYTES = 65_536
@@ -72,13 +70,15 @@
         self.loads = LoadBook(self.clock)
         self.suspects = SuspectList(self.clock)
         self.active = ActiveExchanges()
-        self.in_force = ConfigurationInForce(self.ports.configurations, self.clock, self.log)
+        self.in_force = ConfigurationInForce(
+            self.ports.configurations, self.clock, self.log, self._is_coordinator
+        )
         self.follower = UpstreamFollower(
             self.ports.upstreams,
             self.directory,
             self.clock,
             self.log,
-            self._pause_s,
+            self._is_coordinator,
             self._on_upstreams,
         )
 
@@ -131,8 +131,15 @@
             self.log,
             self.rng,
             self.controller.run,
-            self.controller.describe,
-            self._on_coordinator_report,
+            SharedKnowledge(
+                self.in_force,
+                self.follower,
+                self.directory,
+                self.loads,
+                self.chooser,
+                self.controller,
+                self._on_lost,
+            ),
         )
 
     async def start(self) -> None:
@@ -163,8 +170,8 @@
 
     # What the slices ask and tell.
 
-    def _pause_s(self) -> float:
-        return COORDINATOR_PAUSE_S if self.lease.is_held() else MEMBER_PAUSE_S
+    def _is_coordinator(self) -> bool:
+        return self.lease.is_held()
 
     def _on_upstreams(self) -> None:
         self.controller.notify()
@@ -175,19 +182,9 @@
     def _all_loads(self):
         return sum_loads(self.coordination.node_reports())
 
-    def _on_coordinator_report(self, report: CoordinatorReport) -> None:
-        self.loads.take_others(report.loads)
-        self.metrics.holds_lease.set(self.lease.is_held())
-        newly_lost = set(report.lost) - self.chooser.lost
-        self.chooser.lost = frozenset(report.lost)
-        self.chooser.opened = [
-            Head(upstream, head.group, head.epoch, head.model, head.pace)
-            for head in report.heads
-            if (upstream := self.directory.get(head.upstream_id)) is not None
-        ]
-        for upstream_id in newly_lost:
-            count = self.active.withdraw(upstream_id)
-            self.log.event("upstream_lost", upstream=upstream_id, in_flight=count)
+    def _on_lost(self, upstream_id: str) -> None:
+        count = self.active.withdraw(upstream_id)
+        self.log.event("upstream_lost", upstream=upstream_id, in_flight=count)
 
     # Readiness and metrics.
 
@@ -201,6 +198,7 @@
         return web.Response(status=200 if self.is_ready() else 503)
 
     async def _answer_metrics(self, request: web.BaseRequest) -> web.Response:
+        self.metrics.holds_lease.set(self.lease.is_held())
         body = generate_latest(self.metrics.registry)
         return web.Response(body=body, headers={"Content-Type": CONTENT_TYPE_LATEST})
 
--- a/mulleinreach/gateway/peer.capnp
+++ b/mulleinreach/gateway/peer.capnp
@@ -1,6 +1,6 @@
 # Messages between a node and the coordinator. Each goes over TCP as a 4-byte
-# big-endian length and one packed message. Both kinds are whole statements of
-# the present: a lost one is made good by the next, a doubled one changes nothing.
+# big-endian length and one packed message. All of them are whole statements of
+# the present, but for the changes of the list, which are sent once, in order.
 @0xc7e1f2a98b3d4406;
 
 struct Load {
@@ -16,6 +16,8 @@
   loads @1 :List(Load);
   stopping @2 :Bool;
   secret @3 :Text;           # of the lease: shows that the node has read the store
+  seq @4 :UInt64;            # rises with each report of a node
+  listRevision @5 :UInt64;   # of the node's list of upstreams
 }
 
 struct OpenHead {
@@ -26,10 +28,45 @@
   pace @4 :Float32;          # how many times longer than usual its work takes
 }
 
-struct CoordinatorReport {
+# The same for all nodes at one moment; encoded once.
+struct Totals {
   token @0 :UInt64;          # of the lease
   nodes @1 :UInt16;          # nodes that report, the coordinator included
-  loads @2 :List(Load);      # of all nodes but the receiver
-  heads @3 :List(OpenHead);
-  lost @4 :List(Text);       # upstreams that give no answer
+  loads @2 :List(Load);      # of all nodes together
+  hasHeads @3 :Bool;         # else they are as they were told last
+  heads @4 :List(OpenHead);
+  lost @5 :List(Text);       # upstreams that give no answer
+  configVersion @6 :UInt64;
+  configAgeMs @7 :UInt32;    # of the coordinator's evidence that it is the newest
+  listRevision @8 :UInt64;
+  listAgeMs @9 :UInt32;
+}
+
+struct Upstream {
+  id @0 :Text;
+  service @1 :Text;
+  address @2 :Text;
+  hall @3 :Text;
+  draining @4 :Bool;
+  slots @5 :UInt16;
+  models @6 :List(Text);
+  staged @7 :List(Text);
+  domain @8 :Text;           # empty for plain services
+  group @9 :Text;            # empty without a group
+  epoch @10 :UInt64;
+  rank @11 :UInt16;
+  state @12 :Text;
+}
+
+struct ListChange {
+  revision @0 :UInt64;
+  upstreams @1 :List(Upstream);
+  removed @2 :List(Text);
+}
+
+struct CoordinatorReport {
+  echoedSeq @0 :UInt64;      # of the node's latest report; dates what is told
+  totals @1 :Data;
+  changes @2 :List(ListChange);
+  listUnknown @3 :Bool;      # the node has to read the list itself
 }
--- a/mulleinreach/gateway/upstreams.py
+++ b/mulleinreach/gateway/upstreams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections import deque
 from dataclasses import dataclass, field
 
 from mulleinreach.common import Address
@@ -103,26 +104,76 @@
     pace: float = 1.0
 
 
+@dataclass(frozen=True)
+class ListChange:
+    """What changed in the list of upstreams, up to a revision of the store."""
+
+    revision: int
+    upstreams: list[Upstream]
+    removed: list[str]
+
+
 class UpstreamDirectory:
-    """The list of upstreams as this node last heard it."""
+    """The list of upstreams as this node last heard it, and what changed in it lately.
+
+    Examples
+    ========
+
+    >>> directory = UpstreamDirectory()
+    >>> directory.replace_all(5, [])
+    >>> host = Upstream("u", "s", Address("10.0.0.1", 80), "hall")
+    >>> directory.apply(ListChange(7, [host], []))
+    >>> [change.revision for change in directory.changes_since(5)]
+    [7]
+    >>> directory.changes_since(4) is None
+    True
+    """
+
+    MAX_CHANGES = 500
 
     def __init__(self) -> None:
         self._by_id: dict[str, Upstream] = {}
-        self.changes = 0
+        self._changes: deque[ListChange] = deque()
+        self._changes_from: int | None = None
+        self.revision: int | None = None
 
-    def replace_all(self, upstreams: list[Upstream]) -> None:
+    def replace_all(self, revision: int, upstreams: list[Upstream]) -> None:
         """Take a complete list."""
-        self._by_id = {u.id: u for u in upstreams}
-        self.changes += 1
-
-    def apply(self, upstreams: list[Upstream], removed: list[str]) -> None:
-        """Take changes to the list."""
-        for upstream in upstreams:
+        listed = {u.id: u for u in upstreams}
+        changed = [u for u in upstreams if self._by_id.get(u.id) != u]
+        removed = [upstream_id for upstream_id in self._by_id if upstream_id not in listed]
+        if self.revision is None:
+            self._changes_from = revision
+        else:
+            self._remember(ListChange(revision, changed, removed))
+        self._by_id = listed
+        self.revision = revision
+
+    def apply(self, change: ListChange) -> None:
+        """Take changes that follow on the list's revision."""
+        for upstream in change.upstreams:
             self._by_id[upstream.id] = upstream
-        for upstream_id in removed:
+        for upstream_id in change.removed:
             self._by_id.pop(upstream_id, None)
-        if upstreams or removed:
-            self.changes += 1
+        self._remember(change)
+        self.revision = change.revision
+
+    def _remember(self, change: ListChange) -> None:
+        if change.upstreams or change.removed:
+            self._changes.append(change)
+        while len(self._changes) > self.MAX_CHANGES:
+            self._changes_from = self._changes.popleft().revision
+
+    def changes_since(self, revision: int) -> list[ListChange] | None:
+        """Return what changed after a revision, or ``None`` if that is too long ago."""
+        if self._changes_from is None or revision < self._changes_from:
+            return None
+        return [change for change in self._changes if change.revision > revision]
+
+    def put_report(self, upstream: Upstream) -> None:
+        """Take what a listed host said of itself, until the list says something newer."""
+        if upstream.id in self._by_id:
+            self._by_id[upstream.id] = upstream
 
     def get(self, upstream_id: str) -> Upstream | None:
         """Return an upstream that is on the list."""
