--- a/mulleinreach/gateway/choosing.py
+++ b/mulleinreach/gateway/choosing.py
@@ -57,12 +57,11 @@
         suspects = self._suspects.current()
         if service.engine is None:
             upstreams = [u for u in self._usable(service.name) if u.id not in tried]
-            ranked = self._router.rank_plain(upstreams, suspects)
-            return ranked[0] if ranked else None
+            return self._router.choose_plain(upstreams, suspects)
         heads = [h for h in self.heads(service.name, headers.model) if h.upstream.id not in tried]
         tokens = headers.prompt_tokens or 0
-        predictions = self._router.rank_heads(heads, service.engine, tokens, suspects)
-        return predictions[0].head.upstream if predictions else None
+        head = self._router.choose_head(heads, service.engine, tokens, suspects)
+        return head.upstream if head else None
 
     def heads(self, service: str, model: str | None) -> list[Head]:
         """Return the heads that serve a model."""
--- a/mulleinreach/gateway/routing.py
+++ b/mulleinreach/gateway/routing.py
@@ -3,23 +3,13 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass
 
 from mulleinreach.gateway.load import LoadBook
 from mulleinreach.gateway.model import EngineProfile
 from mulleinreach.gateway.upstreams import Head, Upstream
 
 FULL_PENALTY_MS = 100.0
-NOISE_MS = 4.0
-SUSPECT_PENALTY = 1e6
-
-
-@dataclass(frozen=True)
-class Prediction:
-    """A head and the predicted milliseconds to a request's first event there."""
-
-    head: Head
-    first_event_ms: float
+CHOICES = 2
 
 
 def predict_first_event_ms(
@@ -41,38 +31,49 @@
 
 
 class Router:
-    """Chooses among the heads of a model, or among the upstreams of a plain service."""
+    """Chooses among the heads of a model, or among the upstreams of a plain service.
+
+    Explanation
+    ===========
+
+    What a node knows of other nodes' requests is a tenth of a second old. Were all
+    nodes to take the best of all heads, they would take the same one; so each takes
+    the better one of two that it draws [1]_.
+
+    References
+    ==========
+
+    .. [1] Mitzenmacher, "How useful is old information?", 2000.
+    """
 
     def __init__(self, loads: LoadBook, rng: random.Random):
         self._loads = loads
         self._rng = rng
 
-    def rank_heads(
+    def choose_head(
         self, heads: list[Head], profile: EngineProfile, prompt_tokens: int, suspects: set[str]
-    ) -> list[Prediction]:
-        """Return the heads by predicted time to the first event, the best one first."""
-        predictions = []
-        for head in heads:
-            model = profile.model(head.model)
-            upstream_id = head.upstream.id
-            first_event_ms = predict_first_event_ms(
-                profile,
-                head.pace * (model.pace if model else 1.0),
-                self._loads.running(upstream_id),
-                self._loads.pending_tokens(upstream_id),
-                prompt_tokens,
-            )
-            if upstream_id in suspects:
-                first_event_ms += SUSPECT_PENALTY
-            predictions.append(Prediction(head, first_event_ms + self._rng.uniform(0, NOISE_MS)))
-        predictions.sort(key=lambda p: p.first_event_ms)
-        return predictions
-
-    def rank_plain(self, upstreams: list[Upstream], suspects: set[str]) -> list[Upstream]:
-        """Return a plain service's upstreams, the one with the most room first."""
+    ) -> Head | None:
+        """Return the better one of two heads that aren't suspect, if there are any such."""
+        sound = [head for head in heads if head.upstream.id not in suspects] or heads
+        drawn = self._rng.sample(sound, min(CHOICES, len(sound)))
+        return min(drawn, key=lambda h: self.predict(h, profile, prompt_tokens), default=None)
+
+    def predict(self, head: Head, profile: EngineProfile, prompt_tokens: int) -> float:
+        """Return the predicted milliseconds to a request's first event at a head."""
+        model = profile.model(head.model)
+        return predict_first_event_ms(
+            profile,
+            head.pace * (model.pace if model else 1.0),
+            self._loads.running(head.upstream.id),
+            self._loads.pending_tokens(head.upstream.id),
+            prompt_tokens,
+        )
+
+    def choose_plain(self, upstreams: list[Upstream], suspects: set[str]) -> Upstream | None:
+        """Return a plain service's upstream with the most room, unless it is suspect."""
 
         def cost(upstream: Upstream) -> tuple:
             used = self._loads.running(upstream.id) / max(1, upstream.slots)
             return (upstream.id in suspects, used, self._rng.random())
 
-        return sorted(upstreams, key=cost)
+        return min(upstreams, key=cost, default=None)
