--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 ARGS ?=
 
-.PHONY: demo test bench slopes breakages golden clean
+.PHONY: soak demo test bench slopes breakages golden clean
 
 $(VENV)/run.stamp: requirements.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -35,6 +35,9 @@
 breakages: $(VENV)/dev.stamp
 	$(BIN)/python -m benchmarks.breakages
 
+soak: $(VENV)/dev.stamp
+	$(BIN)/python -m mulleinreach.platform.tests.soak.run $(ARGS)
+
 golden: $(VENV)/dev.stamp
 	$(BIN)/python -m pytest tests --force-regen -q || true
 
--- a/mulleinreach/platform/tests/standin.py
+++ b/mulleinreach/platform/tests/standin.py
@@ -17,12 +17,14 @@
 class StoreStandIn:
     """Speaks the platform's protocol before a :class:`MemoryStore`.
 
-    Rows hold JSON documents; ``page`` is the most rows of one answer.
+    Rows hold JSON documents or upstreams; ``page`` is the most rows of one answer,
+    ``tables`` names those tables that have another name in memory.
     """
 
-    def __init__(self, memory: MemoryStore, page: int = PAGE):
+    def __init__(self, memory: MemoryStore, page: int = PAGE, tables: dict[str, str] | None = None):
         self.memory = memory
         self._page = page
+        self._tables = tables or {}
         self.status: int | None = None
 
     def app(self) -> web.Application:
@@ -37,7 +39,7 @@
         if self.status is not None:
             return web.Response(status=self.status)
         query = request.query
-        table = self.memory.tables.get(query["table"], {})
+        table = self.memory.tables.get(self._name(query["table"]), {})
         rows = [r for key, r in sorted(table.items()) if r.value is not None]
         rows = [r for r in rows if r.key >= query.get("source", "")]
         limit = min(self._page, int(query.get("limit", self._page)))
@@ -48,11 +50,14 @@
             return web.Response(status=self.status)
         query = request.query
         after, wait_s = int(query["after_rev"]), int(query["wait_ms"]) / 1000
-        result = await self.memory.wait(query["table"], after, wait_s)
+        result = await self.memory.wait(self._name(query["table"]), after, wait_s)
         if not isinstance(result, tuple):
             return web.Response(status=410)
         return self._answer(query["table"], result[1], False)
 
+    def _name(self, table: str) -> str:
+        return self._tables.get(table, table)
+
     def _answer(self, table: str, rows, has_more: bool) -> web.Response:
         described = []
         for row in rows:
@@ -62,7 +67,8 @@
             elif isinstance(row.value, bytes):
                 raw["value"] = row.value.decode()
             else:
-                raw["value"] = base64.b64encode(json.dumps(row.value).encode()).decode()
+                value = row_of(row.value) if isinstance(row.value, Upstream) else row.value
+                raw["value"] = base64.b64encode(json.dumps(value).encode()).decode()
             described.append(raw)
         body = {"rows": described, "has_more": has_more, "ver": self.memory.version, "now_ms": 1}
         return web.json_response(body)
--- a/mulleinreach/standins/gateway/dialect.py
+++ b/mulleinreach/standins/gateway/dialect.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from mulleinreach.gateway.ports import CallerHeaders
@@ -15,6 +17,16 @@
 ORGANISATION = "X-Organisation"
 
 
+@dataclass(frozen=True)
+class HeaderNames:
+    """The headers that a stand-in of an upstream reads and writes."""
+
+    request_id: str = REQUEST_ID
+    signature: str = SIGNATURE
+    refused: str = REFUSED
+    expect: str = EXPECT
+
+
 class PlainDialect:
     """Reads and writes the headers of the stand-ins."""
 
--- a/mulleinreach/standins/gateway/hosts.py
+++ b/mulleinreach/standins/gateway/hosts.py
@@ -11,7 +11,7 @@
 from mulleinreach.common import Address, TaskGroup
 from mulleinreach.gateway.ports import Accepted, NoAnswer, OrderResult, Rejected, Unavailable
 from mulleinreach.gateway.upstreams import Membership, MemberState, Upstream, UpstreamState
-from mulleinreach.standins.gateway.dialect import REFUSED, REQUEST_ID, SIGNATURE
+from mulleinreach.standins.gateway.dialect import HeaderNames
 from mulleinreach.standins.gateway.store import UPSTREAMS, MemoryStore
 
 ORDER_S = 0.002
@@ -63,8 +63,9 @@
     ``pace`` makes the host, and its group, so many times slower.
     """
 
-    def __init__(self, fabric: Fabric, upstream: Upstream, times: HostTimes):
+    def __init__(self, fabric: Fabric, upstream: Upstream, times: HostTimes, names: HeaderNames):
         self._fabric = fabric
+        self._names = names
         self._times = times
         self.upstream = upstream
         self.standing: _Standing | None = None
@@ -194,13 +195,15 @@
         body = await request.read()
         if self.is_dark:
             await asyncio.sleep(3600)
+        request_id = request.headers.get(self._names.request_id, "")
+        refusal = {self._names.refused: "1", self._names.request_id: request_id}
         if self.refuses > 0:
             self.refuses -= 1
-            return web.Response(status=503, headers={REFUSED: "1"})
+            return web.Response(status=503, headers=refusal)
         standing = self.standing
-        if standing is None or standing.state is not MemberState.OPEN:
-            return web.Response(status=MISDIRECTED, headers={REFUSED: "1"})
-        request_id = request.headers.get(REQUEST_ID, "")
+        is_other = request.headers.get(self._names.expect) != self.id
+        if is_other or standing is None or standing.state is not MemberState.OPEN:
+            return web.Response(status=MISDIRECTED, headers=refusal)
         self._fabric.checks.runs.setdefault(request_id, []).append(self.id)
         return await self._stream(request, standing, request_id, body)
 
@@ -208,7 +211,8 @@
         self, request: web.BaseRequest, standing: _Standing, request_id: str, body: bytes
     ) -> web.StreamResponse:
         echoed = "another" if self.echoes_wrong_id else request_id
-        response = web.StreamResponse(headers={REQUEST_ID: echoed, SIGNATURE: self.id})
+        headers = {self._names.request_id: echoed, self._names.signature: self.id}
+        response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
         response.enable_chunked_encoding()
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
@@ -246,8 +250,9 @@
 class Fabric:
     """All hosts, the orders to them, and the checks of what must always hold."""
 
-    def __init__(self, store: MemoryStore, seed: int = 1):
+    def __init__(self, store: MemoryStore, seed: int = 1, names: HeaderNames | None = None):
         self.store = store
+        self._names = names or HeaderNames()
         self.checks = FabricChecks()
         self.hosts: dict[str, HostStandIn] = {}
         self._rng = random.Random(seed)
@@ -255,7 +260,7 @@
 
     def add(self, upstream: Upstream, times: HostTimes) -> HostStandIn:
         """Add a host and list it."""
-        host = HostStandIn(self, upstream, times)
+        host = HostStandIn(self, upstream, times, self._names)
         self.hosts[host.id] = host
         host.list_again()
         return host
