Logs are bounded by kind of event and written by a thread that never holds a request up

Cause: a line for each request went straight to standard output; a full pipe would have stopped the loop. Change: at most 60 lines a second of a kind, what is left out is counted; a bounded queue and a writing thread, dropped lines are counted; a line for each send with its inputs. Tests: a pipe that nobody reads, and the bound of a kind.

--- a/mulleinreach/gateway/admission.py
+++ b/mulleinreach/gateway/admission.py
@@ -40,6 +40,10 @@
         self._in_force = in_force
         self._bounds = bounds
 
+    def evidence_age_s(self) -> float:
+        """Return the age of the evidence that decisions rest on."""
+        return self._in_force.evidence_age_s()
+
     def check(self, host: str, path: str, headers: CallerHeaders) -> Admitted | Denied:
         """Return under which terms a request is served, or why it isn't."""
         configuration = self._in_force.configuration
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
-from mulleinreach.common import Address, Clock, EventLog, Network, TaskGroup
+from mulleinreach.common import Address, BoundedEventLog, Clock, Network, TaskGroup
 from mulleinreach.gateway.active import ActiveExchanges
 from mulleinreach.gateway.admission import Admission
 from mulleinreach.gateway.budget import WindowedRetryBudget
@@ -55,7 +55,7 @@
         self.ports = ports
         self.network = network or Network(identity.name)
         self.clock = clock or Clock()
-        self.log = EventLog(identity.name)
+        self.log = BoundedEventLog(identity.name, self.clock)
         self.rng = random.Random(secrets.randbits(64) if seed is None else seed)
         self.is_stopping = False
         self._tasks = TaskGroup()
--- a/mulleinreach/gateway/relay.py
+++ b/mulleinreach/gateway/relay.py
@@ -149,7 +149,11 @@
         if isinstance(decision, Denied):
             self._metrics.count_denied(decision.status)
             self._log.event(
-                "request_denied", id=headers.request_id, status=decision.status, why=decision.reason
+                "request_denied",
+                id=headers.request_id,
+                status=decision.status,
+                why=decision.reason,
+                evidence_age_s=self._admission.evidence_age_s(),
             )
             return self._own_answer(headers, decision.status, decision.retry_after_s)
         if _header_bytes(request) > decision.configuration.limits.header_bytes:
@@ -271,6 +275,17 @@
         job.tried.add(upstream.id)
         job.sends += 1
         job.upstream_id = upstream.id
+        self._log.event(
+            "request_sent",
+            id=job.headers.request_id,
+            route=job.admitted.route.name,
+            version=job.admitted.configuration.version,
+            upstream=upstream.id,
+            attempt=job.sends,
+            running=self._loads.running(upstream.id),
+            pending_tokens=self._loads.pending_tokens(upstream.id),
+            after=job.last_event_id or "",
+        )
         ticket = self._loads.start(upstream.id, job.headers.prompt_tokens or 0)
         return self._active.begin(upstream.id), ticket
 
--- a/mulleinreach/platform/__main__.py
+++ b/mulleinreach/platform/__main__.py
@@ -10,6 +10,7 @@
 from absl import logging
 
 from mulleinreach.common import Clock, Network
+from mulleinreach.common.log import write_without_blocking
 from mulleinreach.gateway.node import GatewayNode
 from mulleinreach.gateway.ports import Ports
 from mulleinreach.platform.dialect import PlatformDialect
@@ -57,9 +58,8 @@
 
 def main() -> None:
     """Read the settings and run the node."""
-    logging.use_absl_handler()
-    logging.get_absl_handler().python_handler.stream = sys.stdout
     logging.set_verbosity(logging.INFO)
+    write_without_blocking()
     path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
         settings = read_settings(path)
