--- a/mulleinreach/cli/main.py
+++ b/mulleinreach/cli/main.py
@@ -20,6 +20,7 @@
     table,
 )
 from mulleinreach.common import MulleinreachError
+from mulleinreach.gateway.explain import explain_request
 from mulleinreach.intents import Intent
 from mulleinreach.node import Node
 from mulleinreach.settings import NodeSettings, load_file, parse_yaml
@@ -150,12 +151,32 @@
     server: ServerOption = DEFAULT_SERVER,
     token_file: TokenOption = None,
     output: OutputOption = Output.TEXT,
+    log: Annotated[
+        Path | None, typer.Option(help="For a request: the nodes' logs instead of a live node.")
+    ] = None,
 ) -> None:
     """Tell why something is as it is, and what else was weighed."""
+    if log is not None:
+        _explain_from_log(kind, name, log)
+        return
     answer = Connection(server, token_file, output).call("GET", f"/explain/{kind}/{name}")
     show(answer, output, answer["lines"])
 
 
+def _explain_from_log(kind: str, name: str, log: Path) -> None:
+    if kind != "request":
+        typer.echo("only requests can be explained from logs", err=True)
+        raise typer.Exit(Exit.BAD_INPUT)
+    try:
+        with log.open(encoding="utf-8", errors="replace") as lines:
+            told = explain_request(lines, name)
+    except OSError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(Exit.BAD_INPUT) from error
+    for line in told or [f"no line names request {name!r}"]:
+        typer.echo(line)
+
+
 @app.command()
 def audit(
     everything: Annotated[bool, typer.Option("--all", help="Read the object store too.")] = False,
--- /dev/null
+++ b/mulleinreach/gateway/counted.py
@@ -0,0 +1,47 @@
+"""Ports that count their calls to the store, by call and outcome."""
+
+from __future__ import annotations
+
+from mulleinreach.gateway.metrics import GatewayMetrics
+from mulleinreach.gateway.ports import LeaseRecord, LeaseStore
+
+
+class CountedSource:
+    """A source of the configuration or of the list of upstreams, with its calls counted."""
+
+    def __init__(self, source, name: str, metrics: GatewayMetrics):
+        self._source = source
+        self._name = name
+        self._metrics = metrics
+
+    async def read(self):
+        """Read everything."""
+        result = await self._source.read()
+        self._metrics.count_store_call(f"{self._name}_read", result)
+        return result
+
+    async def wait(self, revision: int, wait_s: float):
+        """Wait for changes."""
+        result = await self._source.wait(revision, wait_s)
+        self._metrics.count_store_call(f"{self._name}_wait", result)
+        return result
+
+
+class CountedLease:
+    """The lease's row, with its calls counted."""
+
+    def __init__(self, store: LeaseStore, metrics: GatewayMetrics):
+        self._store = store
+        self._metrics = metrics
+
+    async def read(self):
+        """Read the row."""
+        result = await self._store.read()
+        self._metrics.count_store_call("lease_read", result)
+        return result
+
+    async def write(self, version: int, record: LeaseRecord):
+        """Write the row under a condition."""
+        result = await self._store.write(version, record)
+        self._metrics.count_store_call("lease_write", result)
+        return result
--- a/mulleinreach/gateway/fleet/controller.py
+++ b/mulleinreach/gateway/fleet/controller.py
@@ -290,10 +290,18 @@
             known=len(members),
             pace=self._group_paces[key],
         )
-        if (lost or moved or len(members) < model.size) and not self._is_busy(group):
+        is_incomplete = len(members) < model.size and not self._makes_progress(group)
+        if (lost or moved or is_incomplete) and not self._is_busy(group):
             self._spawn_dissolve(group, model, f"lost {lost} moved {moved}")
         self._wake.set()
 
+    def _makes_progress(self, group: Group) -> bool:
+        """Whether requests at a group's head go on, which shows that it is whole."""
+        for load in self._loads():
+            if group.head is not None and load.upstream_id == group.head.id:
+                return load.running > 0 and load.silent_s < SILENCE_SUSPECT_S
+        return False
+
     def _members_ever_known(self, group: Group) -> list[Upstream]:
         """Return a group's members, those too that are on the list no more."""
         members = {m.id: m for m in group.members.values()}
--- a/mulleinreach/gateway/metrics.py
+++ b/mulleinreach/gateway/metrics.py
@@ -24,15 +24,23 @@
             buckets=SECONDS_BUCKETS,
             registry=self.registry,
         )
-        self.holds_lease = Gauge(
-            "mulleinreach_gateway_holds_lease",
-            "1 at the coordinator",
-            registry=self.registry,
+        self._store_calls = self._counter("store_calls", "Calls to the store", ["call", "outcome"])
+        self.holds_lease = self._gauge("holds_lease", "1 at the coordinator")
+        self.evidence_age = self._gauge(
+            "evidence_age_seconds", "Age of the evidence that the configuration is the newest"
         )
+        self.open_groups = self._gauge("open_groups", "Heads that this node may send to")
 
     def _counter(self, name: str, text: str, labels: list[str]) -> Counter:
         return Counter(f"mulleinreach_gateway_{name}", text, labels, registry=self.registry)
 
+    def _gauge(self, name: str, text: str) -> Gauge:
+        return Gauge(f"mulleinreach_gateway_{name}", text, registry=self.registry)
+
+    def count_store_call(self, call: str, result: object) -> None:
+        """Count a call to the store, by the type of its result."""
+        self._store_calls.labels(call, type(result).__name__).inc()
+
     def count_answer(self, kind: str, status: int, seconds: float, sends: int) -> None:
         """Count an answer and the sends that it took."""
         self._answers.labels(kind, status).inc()
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -15,6 +15,7 @@
 from mulleinreach.gateway.budget import WindowedRetryBudget
 from mulleinreach.gateway.choosing import SuspectList, UpstreamChooser
 from mulleinreach.gateway.coordination import Coordination, sum_loads
+from mulleinreach.gateway.counted import CountedLease, CountedSource
 from mulleinreach.gateway.exchange import UpstreamClient
 from mulleinreach.gateway.fleet.controller import FleetController
 from mulleinreach.gateway.fleet.formation import GroupOperator
@@ -71,10 +72,13 @@
         self.suspects = SuspectList(self.clock)
         self.active = ActiveExchanges()
         self.in_force = ConfigurationInForce(
-            self.ports.configurations, self.clock, self.log, self._is_coordinator
+            CountedSource(self.ports.configurations, "configuration", self.metrics),
+            self.clock,
+            self.log,
+            self._is_coordinator,
         )
         self.follower = UpstreamFollower(
-            self.ports.upstreams,
+            CountedSource(self.ports.upstreams, "upstreams", self.metrics),
             self.directory,
             self.clock,
             self.log,
@@ -105,7 +109,11 @@
     def _make_control(self) -> None:
         holder = f"{self.identity.name}.{self.rng.getrandbits(48):012x}"
         self.lease = CoordinatorLease(
-            self.ports.lease, holder, str(self.identity.peers), self.clock, self.log
+            CountedLease(self.ports.lease, self.metrics),
+            holder,
+            str(self.identity.peers),
+            self.clock,
+            self.log,
         )
         self.hosts = HostBook(self.directory, self.clock)
         self.operator = GroupOperator(
@@ -199,6 +207,8 @@
 
     async def _answer_metrics(self, request: web.BaseRequest) -> web.Response:
         self.metrics.holds_lease.set(self.lease.is_held())
+        self.metrics.evidence_age.set(self.in_force.evidence_age_s())
+        self.metrics.open_groups.set(len(self.chooser.opened))
         body = generate_latest(self.metrics.registry)
         return web.Response(body=body, headers={"Content-Type": CONTENT_TYPE_LATEST})
 
--- a/mulleinreach/gateway/tests/test_relay.py
+++ b/mulleinreach/gateway/tests/test_relay.py
@@ -306,6 +306,22 @@
     run_world(test, nodes=2)
 
 
+def test_metrics_are_served_for_prometheus():
+    async def test(world):
+        await world.until_formed()
+        await world.stream(3)
+        text = (await world.nodes["node-0"]._answer_metrics(None)).body.decode()
+        for name in (
+            'answers_total{kind="streaming",status="200"} 1.0',
+            "store_calls_total{call=",
+            "open_groups 4.0",
+            "evidence_age_seconds 0",
+        ):
+            assert f"mulleinreach_gateway_{name}" in text
+
+    run_world(test, nodes=1)
+
+
 def test_nodes_share_what_is_in_flight():
     async def test(world):
         await world.until_formed()
