--- a/mulleinreach/gateway/choosing.py
+++ b/mulleinreach/gateway/choosing.py
@@ -15,6 +15,7 @@
 )
 
 SUSPECT_S = 1.0
+OPENED_FRESH_S = 1.0
 
 
 class SuspectList:
@@ -42,15 +43,32 @@
     ==========
 
     lost : ids that the coordinator found to be lost.
-    opened : heads that the coordinator saw open; ahead of this node's own list.
     """
 
-    def __init__(self, directory: UpstreamDirectory, router: Router, suspects: SuspectList):
+    def __init__(
+        self,
+        directory: UpstreamDirectory,
+        router: Router,
+        suspects: SuspectList,
+        clock: Clock,
+    ):
         self._directory = directory
         self._router = router
         self._suspects = suspects
+        self._clock = clock
+        self._opened: list[Head] = []
+        self._opened_at = float("-inf")
         self.lost: frozenset[str] = frozenset()
-        self.opened: list[Head] = []
+
+    def take_opened(self, heads: list[Head]) -> None:
+        """Take the heads that the coordinator sees open, ahead of this node's own list."""
+        self._opened = heads
+        self._opened_at = self._clock.now()
+
+    def opened(self) -> list[Head]:
+        """Return the heads that the coordinator told lately; older word counts no more."""
+        is_recent = self._clock.now() - self._opened_at < OPENED_FRESH_S
+        return self._opened if is_recent else []
 
     def choose(self, service: Service, headers: CallerHeaders, tried: set[str]) -> Upstream | None:
         """Return the best upstream that wasn't tried yet."""
@@ -69,7 +87,7 @@
         heads = {head.upstream.id: head for head in open_heads(usable)}
         usable_ids = {u.id for u in usable}
         # The coordinator knows of a head's pace, and of its opening before others do.
-        heads |= {h.upstream.id: h for h in self.opened if h.upstream.id in usable_ids}
+        heads |= {h.upstream.id: h for h in self.opened() if h.upstream.id in usable_ids}
         return [h for h in heads.values() if model is None or h.model == model]
 
     def _usable(self, service: str) -> list[Upstream]:
--- a/mulleinreach/gateway/knowledge.py
+++ b/mulleinreach/gateway/knowledge.py
@@ -86,11 +86,13 @@
     def _take_heads(self, totals: Totals) -> None:
         if totals.heads is not None:
             self._heads = totals.heads
-        self._chooser.opened = [
-            Head(upstream, head.group, head.epoch, head.model, head.pace)
-            for head in self._heads
-            if (upstream := self._directory.get(head.upstream_id)) is not None
-        ]
+        self._chooser.take_opened(
+            [
+                Head(upstream, head.group, head.epoch, head.model, head.pace)
+                for head in self._heads
+                if (upstream := self._directory.get(head.upstream_id)) is not None
+            ]
+        )
 
     def _take_lost(self, lost: list[str]) -> None:
         newly_lost = set(lost) - self._chooser.lost
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -87,7 +87,9 @@
         )
 
     def _make_relay(self) -> None:
-        self.chooser = UpstreamChooser(self.directory, Router(self.loads, self.rng), self.suspects)
+        self.chooser = UpstreamChooser(
+            self.directory, Router(self.loads, self.rng), self.suspects, self.clock
+        )
         self.session = self.network.http_client(
             keeps_connections=False, connect_timeout_s=CONNECT_TIMEOUT_S
         )
@@ -208,7 +210,7 @@
     async def _answer_metrics(self, request: web.BaseRequest) -> web.Response:
         self.metrics.holds_lease.set(self.lease.is_held())
         self.metrics.evidence_age.set(self.in_force.evidence_age_s())
-        self.metrics.open_groups.set(len(self.chooser.opened))
+        self.metrics.open_groups.set(len(self.chooser.opened()))
         body = generate_latest(self.metrics.registry)
         return web.Response(body=body, headers={"Content-Type": CONTENT_TYPE_LATEST})
 
--- a/mulleinreach/gateway/tests/test_fleet.py
+++ b/mulleinreach/gateway/tests/test_fleet.py
@@ -249,6 +249,20 @@
     run_world(test)
 
 
+def test_word_of_a_coordinator_that_is_gone_is_not_trusted_for_long():
+    async def test(world):
+        await world.until_formed()
+        node = next(n for name, n in world.nodes.items() if name != world.coordinator())
+        node.coordination.run = _never
+        await world.kill_node(world.coordinator())
+        await asyncio.sleep(1.2)
+        if not node.lease.is_held():
+            assert node.chooser.opened() == []
+        assert world.open_groups(LARGE, node.identity.name) == 2
+
+    run_world(test)
+
+
 def test_only_the_coordinator_reads_the_store_while_all_is_well():
     async def test(world):
         await world.until_formed()
