A member that gave no answer is not free when its group is ended

A slow coordinator found all four members of a group silent, ended the group without anybody told to leave, and joined them elsewhere when they answered again while their head was open (16.76 and 27.79 s; 30.76 and 31.05 s of the log). Ruled out: late orders (the joins were answered at once), a second coordinator (one lease holder). Reproduced first on the virtual clock: test_members_that_were_all_silent_are_not_free_when_they_are_back, five times red, now green. Change: the end of a group says who has left it; only they are free, or all once the head has left. Where nobody left and all are back, the group goes on. Members that are all silent are asked once more, with more time. The coordinator looks at each domain's hosts once, at most every 30 ms, and reports go every 0.2 s above 32 nodes.

--- a/mulleinreach/gateway/coordination.py
+++ b/mulleinreach/gateway/coordination.py
@@ -41,6 +41,9 @@
 from mulleinreach.gateway.upstreams import ListChange
 
 REPORT_INTERVAL_S = 0.1
+# With many nodes the reports would take too much of a slow coordinator's time.
+LARGE_INTERVAL_S = 0.2
+LARGE_NODES = 32
 HEADS_EVERY = 10
 OWN_REPORTS_KEPT = 40
 SILENCE_S = 1.0
@@ -206,7 +209,7 @@
                     self._report_to(member, encoded)
             own = CoordinatorReport(0, totals)
             self._knowledge.take(own, self._clock.now(), reports[0].loads)
-            await asyncio.sleep(REPORT_INTERVAL_S)
+            await asyncio.sleep(self._interval_s())
 
     def _shortened(self, totals: Totals) -> Totals:
         """Return totals without what the nodes know already or have no use for."""
@@ -236,6 +239,9 @@
         else:
             write_frame(member.writer, data)
 
+    def _interval_s(self) -> float:
+        return REPORT_INTERVAL_S if self.node_count <= LARGE_NODES else LARGE_INTERVAL_S
+
     def node_reports(self) -> list[NodeReport]:
         """Return the latest report of each node, our own first."""
         return [self._own_report()] + [
@@ -312,7 +318,7 @@
             # A report that finds the buffer full is left out; the next one replaces it.
             if writer.transport.get_write_buffer_size() < MAX_BUFFERED_BYTES:
                 write_frame(writer, encode_node_report(report))
-            await asyncio.sleep(REPORT_INTERVAL_S)
+            await asyncio.sleep(self._interval_s())
 
 
 def sum_loads(reports: list[NodeReport]) -> list[LoadReport]:
--- a/mulleinreach/gateway/fleet/controller.py
+++ b/mulleinreach/gateway/fleet/controller.py
@@ -41,9 +41,11 @@
 )
 
 TICK_S = 0.1
+MIN_TICK_S = 0.03
 READ_AGAIN_S = 0.1
 SILENCE_SUSPECT_S = 0.3
 CHECK_AGAIN_S = 0.8
+SLOW_PROBE_TIMEOUT_S = 0.5
 RECHECK_LOST_S = 1.0
 QUICK_JOIN_S = 2.5
 UNFINISHED_S = 4.0
@@ -109,6 +111,7 @@
             while True:
                 for service in self._model_services():
                     self._look_at(service)
+                await asyncio.sleep(MIN_TICK_S)
                 self._wake.clear()
                 try:
                     async with asyncio.timeout(TICK_S):
@@ -137,7 +140,7 @@
 
     def _look_at(self, service: Service) -> None:
         self._hosts.refresh(service.name)
-        groups = collect_groups(self._known_hosts(service))
+        groups = collect_groups(self._hosts.listed(service.name))
         loads = {load.upstream_id: load for load in self._loads()}
         self._gate.is_limited |= bool(loads)
         for key, group in groups.items():
@@ -145,10 +148,6 @@
         self._recheck_lost()
         self._plan(service, groups)
 
-    def _known_hosts(self, service: Service) -> list[Upstream]:
-        """Return the hosts on the list, with those that reported more recently themselves."""
-        return [self._hosts.get(u.id) for u in self._hosts.listed(service.name)]
-
     def _look_at_group(
         self,
         engine: EngineProfile,
@@ -162,6 +161,11 @@
         if model is None or self._is_standby(group):
             return
         head = group.head
+        if self._hosts.ended_for_s(key) is not None:
+            is_intact = group.is_whole(model.size) and not self._has_known_loss(group)
+            if not (is_intact and self._hosts.revive(key)):
+                self._spawn_dissolve(group, model, "a member is back that was not told to leave")
+            return
         if head is None:
             self._look_at_headless(key, group, model)
         elif is_serving(group):
@@ -203,12 +207,17 @@
             self._spawn_dissolve(group, model, "the head is off the list")
 
     def _has_ended(self, key: tuple[str, int], group: Group) -> bool:
-        """Whether a group was ended already; one whose head serves again later was not."""
-        ended_s = self._hosts.dissolved_for_s(key)
+        """Whether a group was ended already, and nobody is back who was not told so."""
+        ended_s = self._hosts.ended_for_s(key)
         if ended_s is None:
             return False
-        is_back = is_serving(group) and not self._hosts.is_lost(group.head.id)
-        return not is_back or ended_s < END_SEEN_S
+        is_open = is_serving(group) and not self._hosts.is_lost(group.head.id)
+        bound = [
+            m
+            for m in group.members.values()
+            if not self._hosts.is_lost(m.id) and not self._hosts.has_left(m.id, key)
+        ]
+        return ended_s < END_SEEN_S or not (is_open or bound)
 
     def _is_busy(self, group: Group) -> bool:
         return any(member.id in self._hosts.busy for member in group.members.values())
@@ -246,7 +255,9 @@
 
     def _spares(self, group: Group, model: EngineModel) -> list[FreeHost]:
         """Return the sound free hosts of a group's domain that hold its model."""
-        free = self._free_hosts(group.head.service, group.head.domain)
+        service, domain = group.head.service, group.head.domain
+        usable = self._usable_by_domain(service).get(domain, [])
+        free = self._free_hosts(usable, collect_groups(self._hosts.listed(service)))
         return [host for host in free if host.holds(model.name) and not host.is_slow]
 
     async def _probe_spares(self, group: Group, model: EngineModel) -> None:
@@ -269,6 +280,11 @@
     async def _check_members(self, group: Group, model: EngineModel, why: str) -> None:
         members = self._members_ever_known(group)
         reports = await asyncio.gather(*(self._operator.probe(m) for m in members))
+        if all(isinstance(report, Unavailable) for report in reports):
+            # Rather this node is slow than all members lost at once; asked once more.
+            reports = await asyncio.gather(
+                *(self._operator.probe(m, SLOW_PROBE_TIMEOUT_S) for m in members)
+            )
         lost = [m.id for m, r in zip(members, reports, strict=True) if isinstance(r, Unavailable)]
         moved = [
             m.id
@@ -317,8 +333,7 @@
         self._spawn(self._dissolve(whole, model), whole.members.values())
 
     async def _dissolve(self, group: Group, model: EngineModel) -> None:
-        if await self._operator.dissolve(group, model.size):
-            self._hosts.mark_dissolved(group)
+        self._hosts.mark_ended(group, await self._operator.dissolve(group))
 
     def _recheck_lost(self) -> None:
         """Ask lost hosts that are still listed whether they are back."""
@@ -335,9 +350,8 @@
 
     def _plan(self, service: Service, groups: dict[tuple[str, int], Group]) -> None:
         standbys: list[tuple[LoadStandby, str]] = []
-        domains = {u.domain for u in self._hosts.usable(service.name) if u.domain is not None}
-        for domain in sorted(domains):
-            view = self._view(service, domain, groups)
+        for domain, usable in sorted(self._usable_by_domain(service.name).items()):
+            view = self._view(service, domain, usable, groups)
             formed = plan_groups(view, service.engine.models)
             for plan in formed:
                 self._spawn_form(service.engine, plan)
@@ -347,10 +361,20 @@
         for plan, _ in standbys:
             self._start_standby(service.engine, plan)
 
+    def _usable_by_domain(self, service: str) -> dict[str, list[Upstream]]:
+        domains: dict[str, list[Upstream]] = {}
+        for host in self._hosts.usable(service):
+            if host.domain is not None:
+                domains.setdefault(host.domain, []).append(host)
+        return domains
+
     def _view(
-        self, service: Service, domain: str, groups: dict[tuple[str, int], Group]
+        self,
+        service: Service,
+        domain: str,
+        usable: list[Upstream],
+        groups: dict[tuple[str, int], Group],
     ) -> DomainView:
-        usable = [u for u in self._hosts.usable(service.name) if u.domain == domain]
         counts = {m.name: 0 for m in service.engine.models}
         loading = dict(counts)
         for group in groups.values():
@@ -362,18 +386,16 @@
         for form in self._hosts.forming.values():
             if form.domain == domain and form.model in counts:
                 (counts if form.is_group else loading)[form.model] += 1
-        free = tuple(self._free_hosts(service.name, domain))
+        free = tuple(self._free_hosts(usable, groups))
         return DomainView(domain, len(usable), counts, loading, free)
 
-    def _free_hosts(self, service: str, domain: str) -> list[FreeHost]:
+    def _free_hosts(
+        self, usable: list[Upstream], groups: dict[tuple[str, int], Group]
+    ) -> list[FreeHost]:
         free = []
-        groups = collect_groups(self._hosts.listed(service))
-        for host in self._hosts.usable(service):
-            if host.domain != domain or host.id in self._hosts.busy:
-                continue
-            if self._is_free(host, groups):
-                model = self._hosts.last_model(host.id)
-                is_slow = self._hosts.is_slow(host.id)
+        for host in usable:
+            if host.id not in self._hosts.busy and self._is_free(host, groups):
+                model, is_slow = self._hosts.last_model(host.id), self._hosts.is_slow(host.id)
                 free.append(FreeHost(host.id, model, host.staged, is_slow))
         return free
 
@@ -382,7 +404,7 @@
         if membership is None:
             return True
         key = (membership.group, membership.epoch)
-        if self._hosts.is_dissolved(key):
+        if self._hosts.has_left(host.id, key):
             return True
         group = groups[key]
         # Members of a group are taken only once its head was told to leave: what is
--- a/mulleinreach/gateway/fleet/formation.py
+++ b/mulleinreach/gateway/fleet/formation.py
@@ -79,9 +79,11 @@
         self._count += 1
         return self._lease.token * EPOCHS_PER_TOKEN + self._count
 
-    async def probe(self, host: Upstream) -> Upstream | Unavailable:
+    async def probe(
+        self, host: Upstream, timeout_s: float = PROBE_TIMEOUT_S
+    ) -> Upstream | Unavailable:
         """Ask a host for its state, and take the answer in."""
-        report = await self._orders.report(host, PROBE_TIMEOUT_S)
+        report = await self._orders.report(host, timeout_s)
         if isinstance(report, Upstream):
             self._hosts.take_report(report)
             self.notify()
@@ -146,17 +148,21 @@
 
     # Ending.
 
-    async def dissolve(self, group: Group, size: int) -> bool:
-        """End a group, so that its members may be used in others."""
+    async def dissolve(self, group: Group) -> set[str] | None:
+        """End a group, so that its members may be used in others.
+
+        Returns ``None`` if the head has left, which frees all members; else the
+        members that have left themselves.
+        """
         head = group.head
         if head is not None and not self._hosts.is_lost(head.id):
             if await self._leave(head, group):
-                return True
+                return None
             self._hosts.mark_lost(head.id)
         members = [m for m in self._ranked(group) if head is None or m.id != head.id]
         alive = [m for m in members if not self._hosts.is_lost(m.id)]
         results = await asyncio.gather(*(self._leave(member, group) for member in alive))
-        return all(results)
+        return {m.id for m, has_left in zip(alive, results, strict=True) if has_left}
 
     async def _leave(self, member: Upstream, group: Group) -> bool:
         for _ in range(ORDER_TRIES):
--- a/mulleinreach/gateway/fleet/hosts.py
+++ b/mulleinreach/gateway/fleet/hosts.py
@@ -19,6 +19,17 @@
 PACE_MEMORY_S = 3.0
 
 
+@dataclass
+class EndedGroup:
+    """A group that this coordinator ended, and who is known to have left it.
+
+    ``left`` is ``None`` if the head has left, after which every member is free.
+    """
+
+    ended_at: float
+    left: set[str] | None
+
+
 @dataclass(frozen=True)
 class Forming:
     """A group, or a standby on its own, that is being formed."""
@@ -47,7 +58,7 @@
         self._paces: dict[str, tuple[float, float]] = {}
         self._delisted_at: dict[str, float] = {}
         self._heads: dict[tuple[str, int], str] = {}
-        self._dissolved_at: dict[tuple[str, int], float] = {}
+        self._ended: dict[tuple[str, int], EndedGroup] = {}
         self._numbers = itertools.count()
         self.forming: dict[int, Forming] = {}
         self.busy: set[str] = set()
@@ -155,18 +166,35 @@
         """Note that a group was formed, or given up."""
         self.forming.pop(number, None)
 
-    def mark_dissolved(self, group: Group) -> None:
-        """Note that a group's head, or else all its reachable members, have left it."""
-        self._dissolved_at[(group.name, group.epoch)] = self._clock.now()
-
-    def is_dissolved(self, key: tuple[str, int]) -> bool:
-        """Whether this coordinator saw the end of a group."""
-        return key in self._dissolved_at
+    def mark_ended(self, group: Group, left: set[str] | None) -> None:
+        """Note who has left a group: the members ``left``, or its head (``None``)."""
+        key = (group.name, group.epoch)
+        known = self._ended.get(key)
+        if left is not None and known is not None:
+            left = None if known.left is None else known.left | left
+        self._ended[key] = EndedGroup(self._clock.now(), left)
+
+    def revive(self, key: tuple[str, int]) -> bool:
+        """Forget the end of a group that nobody has left; returns whether that is so."""
+        ended = self._ended[key]
+        if ended.left is None or ended.left:
+            return False
+        del self._ended[key]
+        return True
+
+    def has_left(self, host: str, key: tuple[str, int]) -> bool:
+        """Whether a host is free of a group that this coordinator ended.
+
+        A member that gave no answer was not told to leave; while its head may still
+        serve, it is as bound as before.
+        """
+        ended = self._ended.get(key)
+        return ended is not None and (ended.left is None or host in ended.left)
 
-    def dissolved_for_s(self, key: tuple[str, int]) -> float | None:
+    def ended_for_s(self, key: tuple[str, int]) -> float | None:
         """Return how long ago this coordinator ended a group, or ``None``."""
-        ended_at = self._dissolved_at.get(key)
-        return None if ended_at is None else self._clock.now() - ended_at
+        ended = self._ended.get(key)
+        return None if ended is None else self._clock.now() - ended.ended_at
 
     def head_of(self, key: tuple[str, int]) -> Upstream | None:
         """Return the head that a group was seen with, listed or not."""
--- a/mulleinreach/gateway/tests/test_fleet.py
+++ b/mulleinreach/gateway/tests/test_fleet.py
@@ -292,3 +292,24 @@
 
 async def _hang(revision, wait_s):
     await asyncio.sleep(3600)
+
+
+@pytest.mark.parametrize("silent_s", [1.0, 1.5, 2.0, 2.5, 3.0])
+def test_members_that_were_all_silent_are_not_free_when_they_are_back(silent_s):
+    async def test(world):
+        await world.until_formed()
+        await asyncio.sleep(3)
+        asking = asyncio.create_task(keep_asking(world, LARGE))
+        await asyncio.sleep(0.5)
+        head = member_of(world, LARGE, rank=0)
+        silent = [world.fabric.hosts[member] for member in head.standing.members]
+        for host in silent:
+            host.is_dark = True
+        await asyncio.sleep(silent_s)
+        for host in silent:
+            host.is_dark = False
+        await asyncio.sleep(6)
+        await world.until(lambda: world.open_groups(LARGE) == 2)
+        asking.cancel()
+
+    run_world(test)
