--- /dev/null
+++ b/mulleinreach/gateway/fleet/duties.py
@@ -0,0 +1,44 @@
+"""Runs duties on hosts, and marks the hosts busy meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine, Iterable
+
+from mulleinreach.common import EventLog, TaskGroup
+from mulleinreach.gateway.fleet.formation import LeaseLost
+from mulleinreach.gateway.fleet.hosts import HostBook
+from mulleinreach.gateway.upstreams import Upstream
+
+
+class HostDuties:
+    """The duties under way; ``wake`` is set when one has ended or the list has changed."""
+
+    def __init__(self, hosts: HostBook, log: EventLog):
+        self._hosts = hosts
+        self._log = log
+        self._tasks = TaskGroup()
+        self.wake = asyncio.Event()
+
+    def spawn(self, duty: Coroutine, hosts: Iterable[Upstream]) -> None:
+        """Run a duty that no other one may disturb on these hosts."""
+        taken = {host.id for host in hosts}
+        self._hosts.busy |= taken
+        self._tasks.spawn(self._guarded(duty, taken))
+
+    def spawn_question(self, question: Coroutine) -> None:
+        """Ask hosts something, which disturbs no duty."""
+        self._tasks.spawn(question)
+
+    async def _guarded(self, duty: Coroutine, taken: set[str]) -> None:
+        try:
+            await duty
+        except LeaseLost:
+            self._log.event("order_withheld", why="the lease has ended")
+        finally:
+            self._hosts.busy -= taken
+            self.wake.set()
+
+    async def close(self) -> None:
+        """End everything."""
+        await self._tasks.close()
--- a/mulleinreach/gateway/fleet/hosts.py
+++ b/mulleinreach/gateway/fleet/hosts.py
@@ -154,6 +154,10 @@
         """Note the model of a host's latest group."""
         self._last_model[host] = model
 
+    def has_lost_member(self, group: Group) -> bool:
+        """Whether a member of a group was found to give no answer."""
+        return any(member.id in self._lost_at for member in group.members.values())
+
     # Groups.
 
     def begin_forming(self, domain: str, model: str, is_group: bool) -> int:
@@ -208,3 +212,17 @@
     if head is None or head.membership is None:
         return False
     return head.membership.state in (MemberState.OPEN, MemberState.CLOSING)
+
+
+def is_standby(group: Group) -> bool:
+    """Whether this is a host that stands ready on its own; such a group is never opened."""
+    return len(group.members) == 1 and not is_serving(group) and group.head is not None
+
+
+def stands_in(host: Upstream, group: Group) -> bool:
+    """Whether a host says that it is a member of a group."""
+    membership = host.membership
+    return membership is not None and (membership.group, membership.epoch) == (
+        group.name,
+        group.epoch,
+    )
--- /dev/null
+++ b/mulleinreach/gateway/fleet/placement.py
@@ -0,0 +1,160 @@
+"""Sees which hosts are free, and has groups and standbys formed of them."""
+
+from __future__ import annotations
+
+from mulleinreach.common import Clock, EventLog
+from mulleinreach.gateway.fleet.duties import HostDuties
+from mulleinreach.gateway.fleet.formation import GroupOperator, Outcome
+from mulleinreach.gateway.fleet.hosts import HostBook, is_serving, is_standby
+from mulleinreach.gateway.fleet.loads import LoadGate
+from mulleinreach.gateway.fleet.planner import (
+    DomainView,
+    FormGroup,
+    FreeHost,
+    LoadStandby,
+    plan_groups,
+    plan_standbys,
+)
+from mulleinreach.gateway.model import EngineModel, EngineProfile, Service
+from mulleinreach.gateway.upstreams import Group, MemberState, Upstream, collect_groups
+
+QUICK_JOIN_S = 2.5
+LOAD_PATIENCE = 4.0
+LOAD_PATIENCE_MIN_S = 30.0
+
+
+class Placement:
+    """Turns the plans for each domain into duties on its hosts."""
+
+    def __init__(
+        self,
+        hosts: HostBook,
+        operator: GroupOperator,
+        duties: HostDuties,
+        clock: Clock,
+        log: EventLog,
+    ):
+        self._hosts = hosts
+        self._operator = operator
+        self._duties = duties
+        self._log = log
+        self.gate = LoadGate(clock)
+
+    def plan(self, service: Service, groups: dict[tuple[str, int], Group]) -> None:
+        """Have groups formed where hosts are ready, and standbys loaded where not."""
+        standbys: list[tuple[LoadStandby, str]] = []
+        for domain, usable in sorted(self._usable_by_domain(service.name).items()):
+            view = self._view(service, domain, usable, groups)
+            formed = plan_groups(view, service.engine.models)
+            for plan in formed:
+                self._spawn_form(service.engine, plan)
+            if not formed:
+                standbys += [(p, domain) for p in plan_standbys(view, service.engine.models)]
+        standbys.sort(key=lambda pair: pair[0].order)
+        for plan, _ in standbys:
+            self._start_standby(service.engine, plan)
+
+    def _usable_by_domain(self, service: str) -> dict[str, list[Upstream]]:
+        domains: dict[str, list[Upstream]] = {}
+        for host in self._hosts.usable(service):
+            if host.domain is not None:
+                domains.setdefault(host.domain, []).append(host)
+        return domains
+
+    def _view(
+        self,
+        service: Service,
+        domain: str,
+        usable: list[Upstream],
+        groups: dict[tuple[str, int], Group],
+    ) -> DomainView:
+        counts = {m.name: 0 for m in service.engine.models}
+        loading = dict(counts)
+        for group in groups.values():
+            head = group.head
+            if head is None or head.domain != domain or group.model not in counts:
+                continue
+            if is_serving(group) and not self._hosts.has_lost_member(group):
+                counts[group.model] += 1
+        for form in self._hosts.forming.values():
+            if form.domain == domain and form.model in counts:
+                (counts if form.is_group else loading)[form.model] += 1
+        free = tuple(self._free_hosts(usable, groups))
+        return DomainView(domain, len(usable), counts, loading, free)
+
+    def _free_hosts(
+        self, usable: list[Upstream], groups: dict[tuple[str, int], Group]
+    ) -> list[FreeHost]:
+        free = []
+        for host in usable:
+            if host.id not in self._hosts.busy and self._is_free(host, groups):
+                model, is_slow = self._hosts.last_model(host.id), self._hosts.is_slow(host.id)
+                free.append(FreeHost(host.id, model, host.staged, is_slow))
+        return free
+
+    def _is_free(self, host: Upstream, groups: dict[tuple[str, int], Group]) -> bool:
+        membership = host.membership
+        if membership is None:
+            return True
+        key = (membership.group, membership.epoch)
+        if self._hosts.has_left(host.id, key):
+            return True
+        group = groups[key]
+        # Members of a group are taken only once its head was told to leave: what is
+        # known of the head may be old, and an order to open it may still be on its way.
+        return is_standby(group) and membership.state is not MemberState.JOINING
+
+    def spares(self, group: Group, model: EngineModel) -> list[FreeHost]:
+        """Return the sound free hosts of a group's domain that hold its model."""
+        service, domain = group.head.service, group.head.domain
+        usable = self._usable_by_domain(service).get(domain, [])
+        free = self._free_hosts(usable, collect_groups(self._hosts.listed(service)))
+        return [host for host in free if host.holds(model.name) and not host.is_slow]
+
+    def _spawn_form(self, engine: EngineProfile, plan: FormGroup) -> None:
+        members = [self._hosts.get(host) for host in plan.members]
+        form = self._hosts.begin_forming(members[0].domain, plan.model, is_group=True)
+        self._duties.spawn(self._form(engine, plan, members, form), members)
+
+    async def _form(
+        self, engine: EngineProfile, plan: FormGroup, members: list[Upstream], form: int
+    ) -> None:
+        try:
+            is_warm = all(self._hosts.last_model(m.id) == plan.model for m in members)
+            model = engine.model(plan.model)
+            patience_s = QUICK_JOIN_S if is_warm else QUICK_JOIN_S + 2 * model.warm_s
+            group, is_ready = await self._operator.join_all(plan.model, members, patience_s)
+            if not is_ready:
+                self._hosts.mark_ended(group, await self._operator.dissolve(group))
+                return
+            for member in members:
+                self._hosts.note_model(member.id, plan.model)
+            if await self._operator.open(group) is not Outcome.DONE:
+                self._log.event("group_not_opened", group=group.name)
+        finally:
+            self._hosts.end_forming(form)
+
+    def _start_standby(self, engine: EngineProfile, plan: LoadStandby) -> None:
+        if plan.needs_load and not self.gate.may_begin(engine):
+            return
+        host = self._hosts.get(plan.host)
+        if host is None:
+            return
+        if plan.needs_load:
+            self.gate.begin()
+        form = self._hosts.begin_forming(host.domain, plan.model, is_group=False)
+        self._duties.spawn(self._load_standby(engine, plan, host, form), [host])
+
+    async def _load_standby(
+        self, engine: EngineProfile, plan: LoadStandby, host: Upstream, form: int
+    ) -> None:
+        try:
+            model = engine.model(plan.model)
+            patience_s = max(LOAD_PATIENCE_MIN_S, LOAD_PATIENCE * model.load_s)
+            _, is_ready = await self._operator.join_all(plan.model, [host], patience_s)
+            if is_ready:
+                self._hosts.note_model(host.id, plan.model)
+        finally:
+            if plan.needs_load:
+                self.gate.end()
+            self._hosts.end_forming(form)
--- /dev/null
+++ b/mulleinreach/gateway/fleet/watch.py
@@ -0,0 +1,251 @@
+"""Watches groups: notices lost, slow and leaving members, and ends what is broken."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from mulleinreach.common import Clock, EventLog
+from mulleinreach.gateway.fleet.duties import HostDuties
+from mulleinreach.gateway.fleet.formation import GroupOperator
+from mulleinreach.gateway.fleet.hosts import (
+    SLOW_PACE,
+    HostBook,
+    is_serving,
+    is_standby,
+    stands_in,
+)
+from mulleinreach.gateway.fleet.placement import Placement
+from mulleinreach.gateway.load import LoadReport
+from mulleinreach.gateway.model import EngineModel, EngineProfile
+from mulleinreach.gateway.ports import Unavailable
+from mulleinreach.gateway.upstreams import Group, MemberState, Upstream, UpstreamState
+
+SILENCE_SUSPECT_S = 0.3
+CHECK_AGAIN_S = 0.8
+SLOW_PROBE_TIMEOUT_S = 0.5
+RECHECK_LOST_S = 1.0
+UNFINISHED_S = 4.0
+# The list drops hosts at times while the store is down; a heartbeat brings them back.
+HEAD_ABSENT_S = 1.5
+# By then the list shows that a head has left its group.
+END_SEEN_S = 1.0
+
+
+class GroupWatch:
+    """Looks at one group after the other.
+
+    Parameters
+    ==========
+
+    loads : returns the load of all nodes together, for the first sign of trouble.
+    """
+
+    def __init__(
+        self,
+        hosts: HostBook,
+        operator: GroupOperator,
+        placement: Placement,
+        duties: HostDuties,
+        loads: Callable[[], list[LoadReport]],
+        clock: Clock,
+        log: EventLog,
+    ):
+        self._hosts = hosts
+        self._operator = operator
+        self._placement = placement
+        self._duties = duties
+        self._loads = loads
+        self._clock = clock
+        self._log = log
+        self._checked_at: dict[tuple[str, int], float] = {}
+        self._rechecked_at: dict[str, float] = {}
+        self._paces: dict[tuple[str, int], float] = {}
+        self._unfinished_since: dict[tuple[str, int], float] = {}
+
+    def pace(self, key: tuple[str, int]) -> float:
+        """Return the pace of a group, as its members last reported it."""
+        return self._paces.get(key, 1.0)
+
+    def look_at(
+        self,
+        engine: EngineProfile,
+        key: tuple[str, int],
+        group: Group,
+        loads: dict[str, LoadReport],
+    ) -> None:
+        """Decide whether a group goes on, is opened, asked or ended."""
+        if self._is_busy(group) or self._has_ended(key, group):
+            return
+        model = engine.model(group.model) if group.model else None
+        if model is None or is_standby(group):
+            return
+        head = group.head
+        if self._hosts.ended_for_s(key) is not None:
+            is_intact = group.is_whole(model.size) and not self._hosts.has_lost_member(group)
+            if not (is_intact and self._hosts.revive(key)):
+                self._spawn_dissolve(group, model, "a member is back that was not told to leave")
+            return
+        if head is None:
+            self._look_at_headless(key, group, model)
+        elif is_serving(group):
+            load = loads.get(head.id)
+            is_silent = load is not None and load.stalled_s > SILENCE_SUSPECT_S
+            is_missing = not group.is_whole(model.size)
+            if self._hosts.has_lost_member(group):
+                self._spawn_dissolve(group, model, "a member is lost")
+            elif is_silent or is_missing:
+                self._check(key, group, model, "silent" if is_silent else "member not listed")
+            elif self._can_replace(group, model, self._draining(group)):
+                self._spawn_dissolve(group, model, "a member drains")
+            elif self._can_replace(group, model, self._slow(key, group, model)):
+                self._spawn_dissolve(group, model, "a member is slow")
+        elif head.membership.state is MemberState.BROKEN:
+            self._spawn_dissolve(group, model, "broken")
+        elif self._is_ready(group, model):
+            self._duties.spawn(self._operator.open(group), group.members.values())
+        elif self._is_stuck(key, group, model):
+            self._spawn_dissolve(group, model, "it was left unfinished")
+
+    def _is_stuck(self, key: tuple[str, int], group: Group, model: EngineModel) -> bool:
+        """Whether a group that an earlier coordinator began will not be ready any more."""
+        since = self._unfinished_since.setdefault(key, self._clock.now())
+        if not group.is_whole(model.size) or self._hosts.has_lost_member(group):
+            return True
+        return self._clock.now() - since > UNFINISHED_S
+
+    def _look_at_headless(self, key: tuple[str, int], group: Group, model: EngineModel) -> None:
+        """End a group whose head is off the list: no node may send anything there.
+
+        The head may run on all the same, and it may be back with its next heartbeat.
+        """
+        head = self._hosts.head_of(key)
+        if head is not None and not stands_in(head, group):
+            return
+        absent_s = HEAD_ABSENT_S if head is None else self._hosts.delisted_for_s(head.id)
+        if absent_s >= HEAD_ABSENT_S:
+            self._spawn_dissolve(group, model, "the head is off the list")
+
+    def _has_ended(self, key: tuple[str, int], group: Group) -> bool:
+        """Whether a group was ended already, and nobody is back who was not told so."""
+        ended_s = self._hosts.ended_for_s(key)
+        if ended_s is None:
+            return False
+        is_open = is_serving(group) and not self._hosts.is_lost(group.head.id)
+        bound = [
+            m
+            for m in group.members.values()
+            if not self._hosts.is_lost(m.id) and not self._hosts.has_left(m.id, key)
+        ]
+        return ended_s < END_SEEN_S or not (is_open or bound)
+
+    def _is_busy(self, group: Group) -> bool:
+        return any(member.id in self._hosts.busy for member in group.members.values())
+
+    def _is_ready(self, group: Group, model: EngineModel) -> bool:
+        if not group.is_whole(model.size):
+            return False
+        return all(
+            m.membership.state is MemberState.READY and not self._hosts.is_lost(m.id)
+            for m in group.members.values()
+        )
+
+    def _draining(self, group: Group) -> list[Upstream]:
+        return [m for m in group.members.values() if m.state is UpstreamState.DRAINING]
+
+    def _slow(self, key: tuple[str, int], group: Group, model: EngineModel) -> list[Upstream]:
+        """Return the slow members of a group; one that was slow is asked again."""
+        if self.pace(key) <= SLOW_PACE:
+            return []
+        self._check(key, group, model, "slow")
+        return [m for m in group.members.values() if self._hosts.is_slow(m.id)]
+
+    def _can_replace(self, group: Group, model: EngineModel, leaving: list[Upstream]) -> bool:
+        """Whether there are members to replace, and sound hosts ready to take their places."""
+        if not leaving:
+            return False
+        return len(self._placement.spares(group, model)) >= len(leaving)
+
+    async def _probe_spares(self, group: Group, model: EngineModel) -> None:
+        """Ask the hosts that could replace slow members whether they are slow too."""
+        if group.head is None:
+            return
+        spares = [self._hosts.get(host.id) for host in self._placement.spares(group, model)]
+        await asyncio.gather(*(self._operator.probe(spare) for spare in spares))
+
+    def _check(self, key: tuple[str, int], group: Group, model: EngineModel, why: str) -> None:
+        """Ask a group's members for their state, at most once in a while."""
+        now = self._clock.now()
+        if now - self._checked_at.get(key, float("-inf")) < CHECK_AGAIN_S:
+            return
+        self._checked_at[key] = now
+        self._duties.spawn_question(self._check_members(group, model, why))
+
+    async def _check_members(self, group: Group, model: EngineModel, why: str) -> None:
+        members = self._members_ever_known(group)
+        reports = await asyncio.gather(*(self._operator.probe(m) for m in members))
+        if all(isinstance(report, Unavailable) for report in reports):
+            # Rather this node is slow than all members lost at once; asked once more.
+            reports = await asyncio.gather(
+                *(self._operator.probe(m, SLOW_PROBE_TIMEOUT_S) for m in members)
+            )
+        lost = [m.id for m, r in zip(members, reports, strict=True) if isinstance(r, Unavailable)]
+        moved = [
+            m.id
+            for m, r in zip(members, reports, strict=True)
+            if isinstance(r, Upstream) and not stands_in(r, group)
+        ]
+        for host in lost:
+            self._hosts.mark_lost(host)
+        key = (group.name, group.epoch)
+        self._paces[key] = max((self._hosts.pace(m.id) for m in members), default=1.0)
+        if self._paces[key] > SLOW_PACE:
+            await self._probe_spares(group, model)
+        self._log.event(
+            "group_checked",
+            group=group.name,
+            why=why,
+            lost=",".join(lost),
+            moved=",".join(moved),
+            known=len(members),
+            pace=self._paces[key],
+        )
+        is_incomplete = len(members) < model.size and not self._makes_progress(group)
+        if (lost or moved or is_incomplete) and not self._is_busy(group):
+            self._spawn_dissolve(group, model, f"lost {lost} moved {moved}")
+        self._duties.wake.set()
+
+    def _makes_progress(self, group: Group) -> bool:
+        """Whether requests at a group's head go on, which shows that it is whole."""
+        for load in self._loads():
+            if group.head is not None and load.upstream_id == group.head.id:
+                return load.running > 0 and load.silent_s < SILENCE_SUSPECT_S
+        return False
+
+    def _members_ever_known(self, group: Group) -> list[Upstream]:
+        """Return a group's members, those too that are on the list no more."""
+        members = {m.id: m for m in group.members.values()}
+        for host in self._hosts.remembered():
+            if host.id not in members and stands_in(host, group):
+                members[host.id] = host
+        return list(members.values())
+
+    def _spawn_dissolve(self, group: Group, model: EngineModel, why: str) -> None:
+        self._log.event("group_dissolving", group=group.name, model=model.name, why=why)
+        known = {m.membership.rank: m for m in self._members_ever_known(group) if m.membership}
+        whole = Group(group.name, group.epoch, {**known, **group.members})
+        self._duties.spawn(self._dissolve(whole), whole.members.values())
+
+    async def _dissolve(self, group: Group) -> None:
+        self._hosts.mark_ended(group, await self._operator.dissolve(group))
+
+    def recheck_lost(self) -> None:
+        """Ask lost hosts that are still listed whether they are back."""
+        now = self._clock.now()
+        for host in self._hosts.lost():
+            known = self._hosts.get(host)
+            if known is None or not self._hosts.is_listed(host):
+                continue
+            if now - self._rechecked_at.get(host, float("-inf")) > RECHECK_LOST_S:
+                self._rechecked_at[host] = now
+                self._duties.spawn_question(self._operator.probe(known))
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -28,6 +28,7 @@
 from mulleinreach.gateway.ports import Bounds, GatewayIdentity, Ports
 from mulleinreach.gateway.relay import Relay
 from mulleinreach.gateway.routing import Router
+from mulleinreach.gateway.sending import Sender
 from mulleinreach.gateway.upstreams import UpstreamDirectory
 
 CONNECT_TIMEOUT_S = 0.35
@@ -93,15 +94,24 @@
         self.session = self.network.http_client(
             keeps_connections=False, connect_timeout_s=CONNECT_TIMEOUT_S
         )
-        self.relay = Relay(
-            Admission(self.in_force, self.bounds),
+        budget = WindowedRetryBudget(self.bounds, self.clock, self._node_count)
+        sender = Sender(
             self.chooser,
             UpstreamClient(self.session, self.ports.dialect),
             self.ports.dialect,
             self.loads,
             self.active,
             self.suspects,
-            WindowedRetryBudget(self.bounds, self.clock, self._node_count),
+            budget,
+            self.metrics,
+            self.clock,
+            self.log,
+        )
+        self.relay = Relay(
+            Admission(self.in_force, self.bounds),
+            sender,
+            self.ports.dialect,
+            budget,
             self.metrics,
             self.clock,
             self.log,
--- a/mulleinreach/gateway/relay.py
+++ b/mulleinreach/gateway/relay.py
@@ -1,75 +1,23 @@
-"""Takes a caller's request, sends it to upstreams and gives back the answer."""
+"""Takes a caller's request, has it sent to upstreams and gives back the answer."""
 
 from __future__ import annotations
 
 import asyncio
 import random
-from dataclasses import dataclass
 
 from aiohttp import web
-from multidict import CIMultiDict, CIMultiDictProxy
 
 from mulleinreach.common import Clock, EventLog
-from mulleinreach.gateway.active import ActiveExchange, ActiveExchanges
+from mulleinreach.gateway.active import ActiveExchange
 from mulleinreach.gateway.admission import RETRY_AFTER_S, Admission, Admitted, Denied
 from mulleinreach.gateway.budget import WindowedRetryBudget
-from mulleinreach.gateway.choosing import SuspectList, UpstreamChooser
 from mulleinreach.gateway.events import EventSplitter
-from mulleinreach.gateway.exchange import (
-    AnswerCut,
-    Answered,
-    Broken,
-    ExchangeResult,
-    NotSent,
-    OutgoingRequest,
-    Refused,
-    Streaming,
-    UpstreamClient,
-)
-from mulleinreach.gateway.load import LoadBook, Ticket
+from mulleinreach.gateway.exchange import AnswerCut, Answered, Broken, Streaming
+from mulleinreach.gateway.load import Ticket
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.model import RouteKind, Service
 from mulleinreach.gateway.ports import CallerHeaders, Dialect
-from mulleinreach.gateway.upstreams import Upstream
-
-MIN_REMAINING_S = 0.005
-SILENCE_STEP_S = 0.4
-SILENCE_LIMIT_S = 1.3
-# Streams that lost their replica may be sent once more than the route allows:
-# a replica that was cut off no longer runs the request.
-EXTRA_RESUMES = 2
-_HOP_HEADERS = frozenset(
-    name.casefold()
-    for name in (
-        "Connection",
-        "Keep-Alive",
-        "Proxy-Connection",
-        "Transfer-Encoding",
-        "TE",
-        "Trailer",
-        "Upgrade",
-        "Content-Length",
-    )
-)
-
-
-def end_to_end_headers(headers: CIMultiDictProxy[str]) -> CIMultiDict[str]:
-    """Return a message's headers without those that concern one connection only.
-
-    Examples
-    ========
-
-    >>> headers = CIMultiDictProxy(CIMultiDict({"Connection": "x-own", "X-Own": "1", "A": "2"}))
-    >>> dict(end_to_end_headers(headers))
-    {'A': '2'}
-    """
-    named = {
-        token.strip().casefold()
-        for value in headers.getall("Connection", ())
-        for token in value.split(",")
-    }
-    dropped = _HOP_HEADERS | named
-    return CIMultiDict((k, v) for k, v in headers.items() if k.casefold() not in dropped)
+from mulleinreach.gateway.sending import MIN_REMAINING_S, RelayJob, Sender, end_to_end_headers
 
 
 def _header_bytes(request: web.BaseRequest) -> int:
@@ -77,38 +25,14 @@
     return sum(len(name) + len(value) for name, value in request.raw_headers)
 
 
-@dataclass
-class _Job:
-    """One request of a caller, with what has become of it so far."""
-
-    request: web.BaseRequest
-    headers: CallerHeaders
-    admitted: Admitted
-    service: Service
-    body: bytes
-    caller_deadline: float
-    deadline: float
-    tried: set[str]
-    sends: int = 0
-    may_have_run: bool = False
-    failure: Answered | None = None
-    last_event_id: str | None = None
-    events_sent: int = 0
-    upstream_id: str = ""
-
-
 class Relay:
     """The handler of callers' requests."""
 
     def __init__(
         self,
         admission: Admission,
-        chooser: UpstreamChooser,
-        client: UpstreamClient,
+        sender: Sender,
         dialect: Dialect,
-        loads: LoadBook,
-        active: ActiveExchanges,
-        suspects: SuspectList,
         budget: WindowedRetryBudget,
         metrics: GatewayMetrics,
         clock: Clock,
@@ -116,12 +40,8 @@
         rng: random.Random,
     ):
         self._admission = admission
-        self._chooser = chooser
-        self._client = client
+        self._sender = sender
         self._dialect = dialect
-        self._loads = loads
-        self._active = active
-        self._suspects = suspects
         self._budget = budget
         self._metrics = metrics
         self._clock = clock
@@ -170,7 +90,7 @@
         self._note(job, response, started_at)
         return response
 
-    def _note(self, job: _Job, response: web.StreamResponse, started_at: float) -> None:
+    def _note(self, job: RelayJob, response: web.StreamResponse, started_at: float) -> None:
         elapsed_s = self._clock.now() - started_at
         kind = job.admitted.route.kind
         self._metrics.count_answer(kind, response.status, elapsed_s, job.sends)
@@ -206,11 +126,11 @@
         admitted: Admitted,
         body: bytes,
         started_at: float,
-    ) -> _Job:
+    ) -> RelayJob:
         route = admitted.route
         caller_s = route.timeout_s if headers.deadline_s is None else headers.deadline_s
         name = route.pick_service(self._rng)
-        return _Job(
+        return RelayJob(
             request=request,
             headers=headers,
             admitted=admitted,
@@ -218,132 +138,30 @@
             body=body,
             caller_deadline=started_at + caller_s,
             deadline=started_at + min(caller_s, route.timeout_s),
-            tried=set(),
             last_event_id=headers.last_event_id,
         )
 
-    # Requests with one whole answer.
-
-    async def _relay_plain(self, job: _Job) -> web.StreamResponse:
-        while (upstream := self._next_upstream(job)) is not None:
-            result = await self._send_once(job, upstream, wants_stream=False)
+    async def _relay_plain(self, job: RelayJob) -> web.StreamResponse:
+        while (upstream := self._sender.next_upstream(job)) is not None:
+            result = await self._sender.send_once(job, upstream, wants_stream=False)
             if isinstance(result, Answered):
                 if not self._is_worth_repeating(job, result):
                     return self._pass_on(result)
                 job.failure = result
-            elif not self._may_continue(job, result):
+            elif not self._sender.may_continue(job, result):
                 break
         return self._final_failure(job)
 
-    def _is_worth_repeating(self, job: _Job, result: Answered) -> bool:
+    def _is_worth_repeating(self, job: RelayJob, result: Answered) -> bool:
         """Whether a failure may be tried elsewhere."""
         return result.status >= 500 and job.admitted.route.is_repeatable
 
-    def _may_continue(self, job: _Job, result: ExchangeResult) -> bool:
-        """Whether the request may be sent again after an exchange without an answer."""
-        if isinstance(result, NotSent | Refused):
-            return True
-        job.may_have_run = True
-        return job.admitted.route.is_repeatable
-
-    def _next_upstream(self, job: _Job) -> Upstream | None:
-        """Return where to send the request next, or ``None`` if it is given up."""
-        if job.deadline - self._clock.now() < MIN_REMAINING_S:
-            return None
-        limit = job.admitted.route.max_attempts
-        if job.events_sent:
-            limit += EXTRA_RESUMES
-        if job.sends >= limit:
-            return None
-        upstream = self._chooser.choose(job.service, job.headers, job.tried)
-        if upstream is None:
-            return None
-        if job.sends > 0 and not self._budget.try_spend(job.service.name):
-            return None
-        return upstream
-
-    async def _send_once(self, job: _Job, upstream: Upstream, wants_stream: bool) -> ExchangeResult:
-        """Send the request; a streaming result leaves the ticket to the caller."""
-        exchange, ticket = self._begin(job, upstream)
-        try:
-            return await self._send(job, exchange, upstream, wants_stream)
-        finally:
-            ticket.finish()
-            self._active.end(exchange)
-
-    def _begin(self, job: _Job, upstream: Upstream) -> tuple[ActiveExchange, Ticket]:
-        job.tried.add(upstream.id)
-        job.sends += 1
-        job.upstream_id = upstream.id
-        self._log.event(
-            "request_sent",
-            id=job.headers.request_id,
-            route=job.admitted.route.name,
-            version=job.admitted.configuration.version,
-            upstream=upstream.id,
-            attempt=job.sends,
-            running=self._loads.running(upstream.id),
-            pending_tokens=self._loads.pending_tokens(upstream.id),
-            after=job.last_event_id or "",
-        )
-        ticket = self._loads.start(upstream.id, job.headers.prompt_tokens or 0)
-        return self._active.begin(upstream.id), ticket
-
-    async def _send(
-        self, job: _Job, exchange: ActiveExchange, upstream: Upstream, wants_stream: bool
-    ) -> ExchangeResult:
-        remaining_s = job.deadline - self._clock.now()
-        request = self._outgoing(job, upstream, remaining_s)
-        try:
-            async with asyncio.timeout(self._patience_s(job, remaining_s)):
-                result = await exchange.send(self._client, upstream, request, wants_stream)
-        except TimeoutError:
-            result = Broken("no answer in time")
-        self._take_result(job, upstream, result)
-        return result
-
-    def _patience_s(self, job: _Job, remaining_s: float) -> float:
-        """Return how long to wait for an answer before another upstream is tried."""
-        route = job.admitted.route
-        if route.kind is RouteKind.SAFE and job.sends < route.max_attempts:
-            return min(remaining_s, max(3 * route.objective_s, remaining_s / 2))
-        return remaining_s
-
-    def _take_result(self, job: _Job, upstream: Upstream, result: ExchangeResult) -> None:
-        if isinstance(result, NotSent):
-            job.sends -= 1
-        if isinstance(result, NotSent | Refused | Broken):
-            self._suspects.add(upstream.id)
-            self._metrics.count_failed_send(type(result).__name__)
-            self._log.event(
-                "send_failed",
-                id=job.headers.request_id,
-                upstream=upstream.id,
-                outcome=type(result).__name__,
-                why=getattr(result, "reason", getattr(result, "status", "")),
-            )
-
-    def _outgoing(self, job: _Job, upstream: Upstream, remaining_s: float) -> OutgoingRequest:
-        headers = self._dialect.forward_headers(
-            end_to_end_headers(job.request.headers),
-            upstream.id,
-            job.admitted.organisation,
-            remaining_s,
-            job.last_event_id,
-            job.admitted.priority if job.service.engine else None,
-        )
-        return OutgoingRequest(
-            job.request.method, job.request.raw_path, headers, job.body, job.headers.request_id
-        )
-
-    # Streams.
-
-    async def _relay_stream(self, job: _Job) -> web.StreamResponse:
+    async def _relay_stream(self, job: RelayJob) -> web.StreamResponse:
         response: web.StreamResponse | None = None
-        while (upstream := self._next_upstream(job)) is not None:
-            exchange, ticket = self._begin(job, upstream)
+        while (upstream := self._sender.next_upstream(job)) is not None:
+            exchange, ticket = self._sender.begin(job, upstream)
             try:
-                result = await self._open_stream(job, exchange, upstream, ticket)
+                result = await self._sender.open_stream(job, exchange, upstream, ticket)
                 if isinstance(result, Streaming):
                     if response is None:
                         response = await self._begin_response(job, result)
@@ -351,15 +169,14 @@
                         await response.write_eof()
                         return response
                     result = Broken("the stream was cut")
-                    self._suspects.add(upstream.id)
+                    self._sender.suspect(upstream.id)
             finally:
-                ticket.finish()
-                self._active.end(exchange)
+                self._sender.end(exchange, ticket)
             if isinstance(result, Answered):
                 if response is None and not self._is_worth_repeating(job, result):
                     return self._pass_on(result)
                 job.failure = result
-            elif not self._may_continue(job, result):
+            elif not self._sender.may_continue(job, result):
                 break
         if response is None:
             return self._final_failure(job)
@@ -367,32 +184,7 @@
         job.request.transport.close()
         return response
 
-    async def _open_stream(
-        self, job: _Job, exchange: ActiveExchange, upstream: Upstream, ticket: Ticket
-    ) -> ExchangeResult:
-        """Send the request and wait for the head of the answer."""
-        sending = asyncio.ensure_future(self._send(job, exchange, upstream, wants_stream=True))
-        try:
-            while True:
-                done, _ = await asyncio.wait({sending}, timeout=SILENCE_STEP_S)
-                if done:
-                    return sending.result()
-                if self._is_silent(upstream.id) and self._can_move(job):
-                    exchange.withdraw()
-        finally:
-            sending.cancel()
-
-    def _can_move(self, job: _Job) -> bool:
-        """Whether a stream could be moved to another replica."""
-        if not job.admitted.route.is_repeatable:
-            return False
-        return self._chooser.choose(job.service, job.headers, job.tried) is not None
-
-    def _is_silent(self, upstream_id: str) -> bool:
-        """Whether none of our requests at an upstream has had a byte for too long."""
-        return self._loads.stalled_s(upstream_id) > SILENCE_LIMIT_S
-
-    async def _begin_response(self, job: _Job, result: Streaming) -> web.StreamResponse:
+    async def _begin_response(self, job: RelayJob, result: Streaming) -> web.StreamResponse:
         response = web.StreamResponse(
             status=result.status, headers=end_to_end_headers(result.headers)
         )
@@ -404,7 +196,7 @@
 
     async def _copy_events(
         self,
-        job: _Job,
+        job: RelayJob,
         result: Streaming,
         exchange: ActiveExchange,
         ticket: Ticket,
@@ -431,7 +223,7 @@
         return not exchange.is_withdrawn and not splitter.rest
 
     async def _write_events(
-        self, job: _Job, splitter: EventSplitter, data: bytes, response: web.StreamResponse
+        self, job: RelayJob, splitter: EventSplitter, data: bytes, response: web.StreamResponse
     ) -> None:
         events = splitter.feed(data)
         if not events:
@@ -442,14 +234,12 @@
                 job.last_event_id = event.id
         job.events_sent += len(events)
 
-    # Answers.
-
     def _pass_on(self, result: Answered) -> web.Response:
         return web.Response(
             status=result.status, headers=end_to_end_headers(result.headers), body=result.body
         )
 
-    def _final_failure(self, job: _Job) -> web.Response:
+    def _final_failure(self, job: RelayJob) -> web.Response:
         """Return the answer to a request that is given up."""
         if job.failure is not None:
             return self._pass_on(job.failure)
--- /dev/null
+++ b/mulleinreach/gateway/sending.py
@@ -0,0 +1,249 @@
+"""Sends a request to upstreams, one after the other, as far as its route allows."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+from aiohttp import web
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from mulleinreach.common import Clock, EventLog
+from mulleinreach.gateway.active import ActiveExchange, ActiveExchanges
+from mulleinreach.gateway.admission import Admitted
+from mulleinreach.gateway.budget import WindowedRetryBudget
+from mulleinreach.gateway.choosing import SuspectList, UpstreamChooser
+from mulleinreach.gateway.exchange import (
+    Answered,
+    Broken,
+    ExchangeResult,
+    NotSent,
+    OutgoingRequest,
+    Refused,
+    UpstreamClient,
+)
+from mulleinreach.gateway.load import LoadBook, Ticket
+from mulleinreach.gateway.metrics import GatewayMetrics
+from mulleinreach.gateway.model import RouteKind, Service
+from mulleinreach.gateway.ports import CallerHeaders, Dialect
+from mulleinreach.gateway.upstreams import Upstream
+
+MIN_REMAINING_S = 0.005
+SILENCE_STEP_S = 0.4
+SILENCE_LIMIT_S = 1.3
+# Streams that lost their replica may be sent once more than the route allows:
+# a replica that was cut off no longer runs the request.
+EXTRA_RESUMES = 2
+_HOP_HEADERS = frozenset(
+    name.casefold()
+    for name in (
+        "Connection",
+        "Keep-Alive",
+        "Proxy-Connection",
+        "Transfer-Encoding",
+        "TE",
+        "Trailer",
+        "Upgrade",
+        "Content-Length",
+    )
+)
+
+
+def end_to_end_headers(headers: CIMultiDictProxy[str]) -> CIMultiDict[str]:
+    """Return a message's headers without those that concern one connection only.
+
+    Examples
+    ========
+
+    >>> headers = CIMultiDictProxy(CIMultiDict({"Connection": "x-own", "X-Own": "1", "A": "2"}))
+    >>> dict(end_to_end_headers(headers))
+    {'A': '2'}
+    """
+    named = {
+        token.strip().casefold()
+        for value in headers.getall("Connection", ())
+        for token in value.split(",")
+    }
+    dropped = _HOP_HEADERS | named
+    return CIMultiDict((k, v) for k, v in headers.items() if k.casefold() not in dropped)
+
+
+@dataclass
+class RelayJob:
+    """One request of a caller, with what has become of it so far."""
+
+    request: web.BaseRequest
+    headers: CallerHeaders
+    admitted: Admitted
+    service: Service
+    body: bytes
+    caller_deadline: float
+    deadline: float
+    tried: set[str] = field(default_factory=set)
+    sends: int = 0
+    may_have_run: bool = False
+    failure: Answered | None = None
+    last_event_id: str | None = None
+    events_sent: int = 0
+    upstream_id: str = ""
+
+
+class Sender:
+    """Chooses upstreams for requests and exchanges with them."""
+
+    def __init__(
+        self,
+        chooser: UpstreamChooser,
+        client: UpstreamClient,
+        dialect: Dialect,
+        loads: LoadBook,
+        active: ActiveExchanges,
+        suspects: SuspectList,
+        budget: WindowedRetryBudget,
+        metrics: GatewayMetrics,
+        clock: Clock,
+        log: EventLog,
+    ):
+        self._chooser = chooser
+        self._client = client
+        self._dialect = dialect
+        self._loads = loads
+        self._active = active
+        self._suspects = suspects
+        self._budget = budget
+        self._metrics = metrics
+        self._clock = clock
+        self._log = log
+
+    def next_upstream(self, job: RelayJob) -> Upstream | None:
+        """Return where to send the request next, or ``None`` if it is given up."""
+        if job.deadline - self._clock.now() < MIN_REMAINING_S:
+            return None
+        limit = job.admitted.route.max_attempts
+        if job.events_sent:
+            limit += EXTRA_RESUMES
+        if job.sends >= limit:
+            return None
+        upstream = self._chooser.choose(job.service, job.headers, job.tried)
+        if upstream is None:
+            return None
+        if job.sends > 0 and not self._budget.try_spend(job.service.name):
+            return None
+        return upstream
+
+    def may_continue(self, job: RelayJob, result: ExchangeResult) -> bool:
+        """Whether the request may be sent again after an exchange without an answer."""
+        if isinstance(result, NotSent | Refused):
+            return True
+        job.may_have_run = True
+        return job.admitted.route.is_repeatable
+
+    async def send_once(
+        self, job: RelayJob, upstream: Upstream, wants_stream: bool
+    ) -> ExchangeResult:
+        """Send the request; a streaming result leaves the ticket to the caller."""
+        exchange, ticket = self.begin(job, upstream)
+        try:
+            return await self._send(job, exchange, upstream, wants_stream)
+        finally:
+            self.end(exchange, ticket)
+
+    def begin(self, job: RelayJob, upstream: Upstream) -> tuple[ActiveExchange, Ticket]:
+        """Note that a request is about to be sent; :meth:`end` has to follow."""
+        job.tried.add(upstream.id)
+        job.sends += 1
+        job.upstream_id = upstream.id
+        self._log.event(
+            "request_sent",
+            id=job.headers.request_id,
+            route=job.admitted.route.name,
+            version=job.admitted.configuration.version,
+            upstream=upstream.id,
+            attempt=job.sends,
+            running=self._loads.running(upstream.id),
+            pending_tokens=self._loads.pending_tokens(upstream.id),
+            after=job.last_event_id or "",
+        )
+        ticket = self._loads.start(upstream.id, job.headers.prompt_tokens or 0)
+        return self._active.begin(upstream.id), ticket
+
+    def end(self, exchange: ActiveExchange, ticket: Ticket) -> None:
+        """Note that an exchange is over."""
+        ticket.finish()
+        self._active.end(exchange)
+
+    def suspect(self, upstream_id: str) -> None:
+        """Avoid an upstream whose stream was cut."""
+        self._suspects.add(upstream_id)
+
+    async def open_stream(
+        self, job: RelayJob, exchange: ActiveExchange, upstream: Upstream, ticket: Ticket
+    ) -> ExchangeResult:
+        """Send the request and wait for the head of the answer."""
+        sending = asyncio.ensure_future(self._send(job, exchange, upstream, wants_stream=True))
+        try:
+            while True:
+                done, _ = await asyncio.wait({sending}, timeout=SILENCE_STEP_S)
+                if done:
+                    return sending.result()
+                if self._is_silent(upstream.id) and self._can_move(job):
+                    exchange.withdraw()
+        finally:
+            sending.cancel()
+
+    def _can_move(self, job: RelayJob) -> bool:
+        """Whether a stream could be moved to another replica."""
+        if not job.admitted.route.is_repeatable:
+            return False
+        return self._chooser.choose(job.service, job.headers, job.tried) is not None
+
+    def _is_silent(self, upstream_id: str) -> bool:
+        """Whether none of our requests at an upstream has had a byte for too long."""
+        return self._loads.stalled_s(upstream_id) > SILENCE_LIMIT_S
+
+    async def _send(
+        self, job: RelayJob, exchange: ActiveExchange, upstream: Upstream, wants_stream: bool
+    ) -> ExchangeResult:
+        remaining_s = job.deadline - self._clock.now()
+        request = self._outgoing(job, upstream, remaining_s)
+        try:
+            async with asyncio.timeout(self._patience_s(job, remaining_s)):
+                result = await exchange.send(self._client, upstream, request, wants_stream)
+        except TimeoutError:
+            result = Broken("no answer in time")
+        self._take_result(job, upstream, result)
+        return result
+
+    def _patience_s(self, job: RelayJob, remaining_s: float) -> float:
+        """Return how long to wait for an answer before another upstream is tried."""
+        route = job.admitted.route
+        if route.kind is RouteKind.SAFE and job.sends < route.max_attempts:
+            return min(remaining_s, max(3 * route.objective_s, remaining_s / 2))
+        return remaining_s
+
+    def _take_result(self, job: RelayJob, upstream: Upstream, result: ExchangeResult) -> None:
+        if isinstance(result, NotSent):
+            job.sends -= 1
+        if isinstance(result, NotSent | Refused | Broken):
+            self._suspects.add(upstream.id)
+            self._metrics.count_failed_send(type(result).__name__)
+            self._log.event(
+                "send_failed",
+                id=job.headers.request_id,
+                upstream=upstream.id,
+                outcome=type(result).__name__,
+                why=getattr(result, "reason", getattr(result, "status", "")),
+            )
+
+    def _outgoing(self, job: RelayJob, upstream: Upstream, remaining_s: float) -> OutgoingRequest:
+        headers = self._dialect.forward_headers(
+            end_to_end_headers(job.request.headers),
+            upstream.id,
+            job.admitted.organisation,
+            remaining_s,
+            job.last_event_id,
+            job.admitted.priority if job.service.engine else None,
+        )
+        return OutgoingRequest(
+            job.request.method, job.request.raw_path, headers, job.body, job.headers.request_id
+        )
