A planned stop closes its connections before it ends

Between the last look at the requests in flight and the end of the connections, tasks and peers were ended first; a request over a kept connection was taken in that time and cut 0.2 s later. Ruled out: requests that ran past grace_s (the process ended earlier). Reproduced first: test_planned_stop_cuts_no_request_that_it_has_taken, red at 3.3 s, now green. Change: listeners and resting connections are closed, then requests in flight are waited for, then the rest is ended.

--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -233,13 +233,24 @@
         self.log.event("node_stopping", in_flight=self.relay.in_flight)
         give_up_at = started_at + self.bounds.stop_grace_s - STOP_TAIL_S
         quiet_at = min(started_at + STOP_QUIET_S, give_up_at)
-        while self.clock.now() < quiet_at or self.relay.in_flight:
-            if self.clock.now() >= give_up_at:
-                break
-            await asyncio.sleep(STOP_POLL_S)
+        await self._until_idle(quiet_at, give_up_at)
+        # A request that comes over a kept connection from now on would be cut by the
+        # end, so connections are closed first: at once where they rest, else after
+        # the answer that is under way.
+        for server, listener in self._servers:
+            listener.close()
+            server.pre_shutdown()
+        await self._until_idle(self.clock.now(), give_up_at)
         await self.kill()
         self.log.event("node_stopped", in_flight=self.relay.in_flight)
 
+    async def _until_idle(self, not_before: float, give_up_at: float) -> None:
+        """Wait until no request is in flight, but no longer than ``give_up_at``."""
+        while self.clock.now() < not_before or self.relay.in_flight:
+            if self.clock.now() >= give_up_at:
+                return
+            await asyncio.sleep(STOP_POLL_S)
+
     async def kill(self) -> None:
         """End everything at once."""
         await self._tasks.close()
--- a/mulleinreach/gateway/tests/test_relay.py
+++ b/mulleinreach/gateway/tests/test_relay.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import replace
 
+import aiohttp
 import pytest
 from aiohttp import web
 
@@ -306,6 +307,39 @@
     run_world(test, nodes=2)
 
 
+async def answer_slowly(request):
+    """Answer soundly after most of a second."""
+    await asyncio.sleep(0.8)
+    return await answer_whole(request)
+
+
+@pytest.mark.parametrize("after_s", [0.0, 3.0, 3.19, 3.22, 3.3])
+def test_planned_stop_cuts_no_request_that_it_has_taken(after_s):
+    async def test(world):
+        await serve_desk(world, answer_slowly)
+        node = world.nodes["node-0"]
+        node._tasks.spawn(_end_slowly())
+        stopping = asyncio.create_task(node.stop())
+        await asyncio.sleep(after_s)
+        try:
+            answer = await world.call("/order/1", b"2 tins")
+            assert answer.status == 200
+        except aiohttp.ClientConnectionError:
+            # Not taken any more, so it may be sent to another node.
+            assert world.plain["desk-0"].seen == []
+        await stopping
+
+    run_world(test, **NO_HOSTS)
+
+
+async def _end_slowly():
+    """Take a while to end, as tasks do on a busy node."""
+    try:
+        await asyncio.sleep(3600)
+    finally:
+        await asyncio.sleep(0.3)
+
+
 def test_metrics_are_served_for_prometheus():
     async def test(world):
         await world.until_formed()
