Connections at rest are closed at once by a stop, not left to read and drop a request

Change: connections without a request are closed at once, the others after their answer; test of a connection at rest.

--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -239,12 +239,24 @@
         # they rest, else after the answer that is under way.
         for server, listener in self._servers:
             listener.close()
-            server.pre_shutdown()
+            self._close_connections(server)
         while self.relay.in_flight and self.clock.now() < give_up_at:
             await asyncio.sleep(STOP_POLL_S)
         await self.kill()
         self.log.event("node_stopped", in_flight=self.relay.in_flight)
 
+    def _close_connections(self, server: web.Server) -> None:
+        """Close connections at rest now, and the others after their answer.
+
+        A connection at rest that was only told to close later would read a request
+        and drop it.
+        """
+        for connection in server.connections:
+            if connection in self.relay.busy_connections:
+                connection.close()
+            else:
+                connection.force_close()
+
     async def kill(self) -> None:
         """End everything at once."""
         await self._tasks.close()
--- a/mulleinreach/gateway/relay.py
+++ b/mulleinreach/gateway/relay.py
@@ -48,16 +48,19 @@
         self._log = log
         self._rng = rng
         self.in_flight = 0
+        self.busy_connections: set[asyncio.Protocol] = set()
         self.is_stopping = False
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
         started_at = self._clock.now()
         self.in_flight += 1
+        self.busy_connections.add(request.protocol)
         try:
             response = await self._answer(request, started_at)
         finally:
             self.in_flight -= 1
+            self.busy_connections.discard(request.protocol)
         if self.is_stopping:
             response.force_close()
         return response
--- a/mulleinreach/gateway/tests/test_relay.py
+++ b/mulleinreach/gateway/tests/test_relay.py
@@ -350,6 +350,29 @@
     run_world(test, **NO_HOSTS)
 
 
+def test_planned_stop_closes_connections_at_rest():
+    async def test(world):
+        await serve_desk(world, answer_slowly)
+        node = world.nodes["node-0"]
+        reader, writer = await node.network.connect(node.identity.callers)
+        running = asyncio.create_task(world.call("/order/1", b"2 tins"))
+        stopping = asyncio.create_task(node.stop())
+        await running
+        later = asyncio.create_task(_call_after(world, 2.5))
+        await asyncio.sleep(2.2)
+        assert await reader.read() == b""
+        writer.close()
+        assert (await later).status == 200
+        await stopping
+
+    run_world(test, **NO_HOSTS)
+
+
+async def _call_after(world, delay_s):
+    await asyncio.sleep(delay_s - 1.0)
+    return await world.call("/order/1", b"2 tins")
+
+
 async def _end_slowly():
     """Take a while to end, as tasks do on a busy node."""
     try:
