Dead pieces of the relay are taken out

A field of RelayJob that nobody read, a flag of send_once that was always false with a docstring that told the opposite, a documented bound that has no field, and a docstring that said the chooser lists. Behaviour is the same; the tests of gateway, adapter, boundary and operators' page pass.

--- a/mulleinreach/gateway/choosing.py
+++ b/mulleinreach/gateway/choosing.py
@@ -37,7 +37,7 @@
 
 
 class UpstreamChooser:
-    """Lists the upstreams of a request, the best one first.
+    """Chooses the upstream of a request among those that may take it.
 
     Parameters
     ==========
--- a/mulleinreach/gateway/ports.py
+++ b/mulleinreach/gateway/ports.py
@@ -234,7 +234,6 @@
     stop_grace_s : the time between the order to stop and the kill.
     stall_s : how long a head with a missing member stands still before it breaks.
     retry_ratio, retry_slack, retry_window_s : the budget of second sends of a service.
-    recover_s : the time in which a deployment has to serve again.
     """
 
     key_evidence_s: float = 4.5
--- a/mulleinreach/gateway/relay.py
+++ b/mulleinreach/gateway/relay.py
@@ -139,14 +139,13 @@
             admitted=admitted,
             service=admitted.configuration.services.get(name, Service(name)),
             body=body,
-            caller_deadline=started_at + caller_s,
             deadline=started_at + min(caller_s, route.timeout_s),
             last_event_id=headers.last_event_id,
         )
 
     async def _relay_plain(self, job: RelayJob) -> web.StreamResponse:
         while (upstream := self._sender.next_upstream(job)) is not None:
-            result = await self._sender.send_once(job, upstream, wants_stream=False)
+            result = await self._sender.send_once(job, upstream)
             if isinstance(result, Answered):
                 if not self._is_worth_repeating(job, result):
                     return self._pass_on(result)
--- a/mulleinreach/gateway/sending.py
+++ b/mulleinreach/gateway/sending.py
@@ -77,7 +77,6 @@
     admitted: Admitted
     service: Service
     body: bytes
-    caller_deadline: float
     deadline: float
     tried: set[str] = field(default_factory=set)
     sends: int = 0
@@ -138,13 +137,11 @@
         job.may_have_run = True
         return job.admitted.route.is_repeatable
 
-    async def send_once(
-        self, job: RelayJob, upstream: Upstream, wants_stream: bool
-    ) -> ExchangeResult:
-        """Send the request; a streaming result leaves the ticket to the caller."""
+    async def send_once(self, job: RelayJob, upstream: Upstream) -> ExchangeResult:
+        """Send a request whose answer is taken whole."""
         exchange, ticket = self.begin(job, upstream)
         try:
-            return await self._send(job, exchange, upstream, wants_stream)
+            return await self._send(job, exchange, upstream, wants_stream=False)
         finally:
             self.end(exchange, ticket)
 
