A host's report undoes nothing that was heard later

One that was asked for right before a leave came in after the host's row had changed, replaced the newer row, and no further change came to correct it. From 38 s on five heads were 'open' for ever: each second a leave was accepted and changed nothing, and requests went on being answered with 421.

The same lag made the question before a join fail after nearly each loss: the head that had just left on our order still reported its old group (9 of 10 repairs withheld once, 0.19 to 0.25 s each; five needless leave orders).

Now reports are dated by the engines' lag and count only where they are newer than what was heard; they change only the fields that they tell (a drain was undone by one too); an accepted leave is taken in at once; a withheld join gives no orders. The stand-in's reports lag as well: a test of draining failed first, with three new ones.

--- a/mulleinreach/gateway/fleet/formation.py
+++ b/mulleinreach/gateway/fleet/formation.py
@@ -15,6 +15,7 @@
 
 import asyncio
 import enum
+from collections.abc import Callable
 
 from mulleinreach.common import Clock, EventLog
 from mulleinreach.gateway.fleet.hosts import HostBook
@@ -35,6 +36,8 @@
 PROBE_TIMEOUT_S = 0.25
 POLL_S = 0.4
 OPEN_TIMEOUT_S = 2.0
+# Reports may be a little older than the engines' settings say.
+REPORT_LAG_MARGIN_S = 0.05
 
 
 class Outcome(enum.Enum):
@@ -44,23 +47,39 @@
     FAILED = enum.auto()
 
 
+class JoinOutcome(enum.Enum):
+    """How an attempt to join hosts ended; ``WITHHELD`` if no order was given."""
+
+    READY = enum.auto()
+    NOT_READY = enum.auto()
+    WITHHELD = enum.auto()
+
+
 class LeaseLost(Exception):
     """The lease ended, so no more orders may be given."""
 
 
 class GroupOperator:
-    """Gives the orders of one coordinator."""
+    """Gives the orders of one coordinator.
+
+    Parameters
+    ==========
+
+    report_lag_s : returns how old the state is that reports of a service's hosts show.
+    """
 
     def __init__(
         self,
         orders: EngineOrders,
         lease: CoordinatorLease,
         hosts: HostBook,
+        report_lag_s: Callable[[str], float],
         metrics: GatewayMetrics,
         clock: Clock,
         log: EventLog,
     ):
         self._orders = orders
+        self._report_lag_s = report_lag_s
         self._lease = lease
         self._hosts = hosts
         self._metrics = metrics
@@ -82,19 +101,24 @@
     async def probe(
         self, host: Upstream, timeout_s: float = PROBE_TIMEOUT_S
     ) -> Upstream | Unavailable:
-        """Ask a host for its state, and take the answer in."""
+        """Ask a host for its state; returns the newest that is known if it answers."""
+        as_of = self._clock.now() - self._lag_s(host)
         report = await self._orders.report(host, timeout_s)
-        if isinstance(report, Upstream):
-            self._hosts.take_report(report)
+        if isinstance(report, Unavailable):
+            return report
+        if self._hosts.take_report(report, as_of):
             self.notify()
-        return report
+        return self._hosts.get(host.id) or report
+
+    def _lag_s(self, host: Upstream) -> float:
+        return self._report_lag_s(host.service) + REPORT_LAG_MARGIN_S
 
     # Forming.
 
     async def join_all(
         self, model: str, members: list[Upstream], patience_s: float
-    ) -> tuple[Group, bool]:
-        """Join hosts into a new group; returns it, and whether all became ready.
+    ) -> tuple[Group, JoinOutcome]:
+        """Join hosts into a new group; returns it, and what came of it.
 
         Rows may be older than what the hosts last did, as after an outage of the
         store; so each host is asked first whether it still stands where it is thought to.
@@ -104,27 +128,35 @@
         ids = [member.id for member in members]
         if not all(await asyncio.gather(*(self._stands_as_known(m) for m in members))):
             self._log.event("group_not_joined", group=name, why="a host stands elsewhere")
-            return Group(name, epoch, dict(enumerate(members))), False
+            return Group(name, epoch, dict(enumerate(members))), JoinOutcome.WITHHELD
         self._log.event("group_joining", group=name, model=model, members=",".join(ids))
         joins = [self._join(member, name, epoch, model, ids) for member in members]
         results = await asyncio.gather(*joins)
         group = Group(name, epoch, dict(enumerate(members)))
         if not all(results):
-            return group, False
+            return group, JoinOutcome.NOT_READY
         if not await self._wait_until(
             lambda: self._are_ready(name, epoch, ids), members, patience_s
         ):
             self._log.event("group_not_ready", group=name, model=model)
-            return group, False
-        return group, True
+            return group, JoinOutcome.NOT_READY
+        return group, JoinOutcome.READY
 
     async def _stands_as_known(self, member: Upstream) -> bool:
-        """Whether a host itself says that it stands in the group that its row tells."""
-        report = await self.probe(member)
+        """Whether a host itself says that it stands in the group that its row tells.
+
+        A report is some tenths of a second old. One that tells of a group which the
+        host has left on our order since then is no contradiction.
+        """
+        as_of = self._clock.now() - self._lag_s(member)
+        report = await self._orders.report(member, PROBE_TIMEOUT_S)
         if isinstance(report, Unavailable):
             self._hosts.mark_lost(member.id)
             return False
-        return report.place == member.place
+        self._hosts.take_report(report, as_of)
+        if report.place == member.place:
+            return True
+        return member.place is None and self._hosts.has_left_since(member.id, as_of)
 
     async def _join(
         self, member: Upstream, name: str, epoch: int, model: str, ids: list[str]
@@ -191,6 +223,7 @@
             self._note("leave", member, group.name, result)
             if not isinstance(result, NoAnswer):
                 # A host that refuses to leave a group does not stand in it.
+                self._hosts.note_left(member.id, group)
                 return True
             report = await self.probe(member)
             if isinstance(report, Unavailable):
--- a/mulleinreach/gateway/fleet/hosts.py
+++ b/mulleinreach/gateway/fleet/hosts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import itertools
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from mulleinreach.common import Clock
 from mulleinreach.gateway.upstreams import (
@@ -19,6 +19,7 @@
 RETIRING_MEMORY_S = 8.0
 SLOW_PACE = 1.6
 PACE_MEMORY_S = 3.0
+NEVER = float("-inf")
 
 
 @dataclass
@@ -67,6 +68,7 @@
         self._lost_at: dict[str, float] = {}
         self._paces: dict[str, tuple[float, float]] = {}
         self._delisted_at: dict[str, float] = {}
+        self._left_at: dict[str, float] = {}
         self._heads: dict[tuple[str, int], str] = {}
         self._ended: dict[tuple[str, int], EndedGroup] = {}
         self._missing_since: dict[tuple[str, str], list[float]] = {}
@@ -89,12 +91,29 @@
             if membership is not None and membership.rank == 0:
                 self._heads[upstream.place] = upstream.id
 
-    def take_report(self, report: Upstream) -> None:
-        """Take in what a host said itself, until the list says something newer."""
-        self._directory.put_report(report)
-        self._remembered[report.id] = report
+    def take_report(self, report: Upstream, as_of: float) -> bool:
+        """Take in what a host said itself; returns whether that is news.
+
+        An answer shows in any case that the host is there.
+        """
+        is_news = self._directory.put_report(report, as_of)
+        if not self.is_listed(report.id):
+            self._remembered[report.id] = report
         self._lost_at.pop(report.id, None)
         self._paces[report.id] = (report.pace, self._clock.now())
+        return is_news
+
+    def note_left(self, host: str, group: Group) -> None:
+        """Note that a host took our order to leave a group, ahead of its row."""
+        now = self._clock.now()
+        self._left_at[host] = now
+        known = self._directory.get(host)
+        if known is not None and stands_in(known, group):
+            self._directory.put_report(replace(known, models=(), membership=None), now)
+
+    def has_left_since(self, host: str, moment: float) -> bool:
+        """Whether a host took an order to leave its group at or after a moment."""
+        return self._left_at.get(host, NEVER) >= moment
 
     def pace(self, host: str) -> float:
         """Return how many times longer a host's work takes, as it reported lately."""
--- a/mulleinreach/gateway/fleet/placement.py
+++ b/mulleinreach/gateway/fleet/placement.py
@@ -4,7 +4,7 @@
 
 from mulleinreach.common import Clock, EventLog
 from mulleinreach.gateway.fleet.duties import HostDuties
-from mulleinreach.gateway.fleet.formation import GroupOperator, Outcome
+from mulleinreach.gateway.fleet.formation import GroupOperator, JoinOutcome, Outcome
 from mulleinreach.gateway.fleet.hosts import HostBook, is_serving, is_standby
 from mulleinreach.gateway.fleet.loads import LoadGate
 from mulleinreach.gateway.fleet.planner import (
@@ -122,9 +122,10 @@
             is_warm = all(self._hosts.last_model(m.id) == plan.model for m in members)
             model = engine.model(plan.model)
             patience_s = QUICK_JOIN_S if is_warm else QUICK_JOIN_S + 2 * model.warm_s
-            group, is_ready = await self._operator.join_all(plan.model, members, patience_s)
-            if not is_ready:
+            group, outcome = await self._operator.join_all(plan.model, members, patience_s)
+            if outcome is JoinOutcome.NOT_READY:
                 self._hosts.mark_ended(group, await self._operator.dissolve(group))
+            if outcome is not JoinOutcome.READY:
                 return
             for member in members:
                 self._hosts.note_model(member.id, plan.model)
@@ -154,8 +155,8 @@
         try:
             model = engine.model(plan.model)
             patience_s = max(LOAD_PATIENCE_MIN_S, LOAD_PATIENCE * model.load_s)
-            _, is_ready = await self._operator.join_all(plan.model, [host], patience_s)
-            if is_ready:
+            _, outcome = await self._operator.join_all(plan.model, [host], patience_s)
+            if outcome is JoinOutcome.READY:
                 self._hosts.note_model(host.id, plan.model)
         finally:
             if plan.needs_load:
--- a/mulleinreach/gateway/following.py
+++ b/mulleinreach/gateway/following.py
@@ -233,7 +233,7 @@
         news = [change for change in changes if change.revision > own]
         self._look_for_outage()
         for change in news:
-            self._directory.apply(change, self._keeps_removed())
+            self._directory.apply(change, self._clock.now(), self._keeps_removed())
         if revision > self._directory.revision:
             self._directory.revision = revision
         self.heard_at = max(self.heard_at, heard_at)
@@ -313,11 +313,12 @@
         self.was_read.set()
         self._look_for_outage()
         self.heard_at = max(self.heard_at, asked_at)
+        now, keeps_removed = self._clock.now(), self._keeps_removed()
         if is_full:
-            self._directory.replace_all(result.revision, result.upstreams, self._keeps_removed())
+            self._directory.replace_all(result.revision, result.upstreams, now, keeps_removed)
         else:
             change = ListChange(result.revision, result.upstreams, result.removed)
-            self._directory.apply(change, self._keeps_removed())
+            self._directory.apply(change, now, keeps_removed)
         if is_full or result.upstreams or result.removed:
             self._on_change()
 
--- a/mulleinreach/gateway/model.py
+++ b/mulleinreach/gateway/model.py
@@ -80,7 +80,13 @@
 
 @dataclass(frozen=True)
 class EngineProfile:
-    """The cost model of a service's engines; times are of a model with pace 1."""
+    """The cost model of a service's engines; times are of a model with pace 1.
+
+    Parameters
+    ==========
+
+    report_lag_s : how old the state is that a host's own report shows.
+    """
 
     models: tuple[EngineModel, ...]
     slots: int = 8
@@ -91,6 +97,7 @@
     form_s: float = 0.3
     loads_per_s: float = 1.0
     loads_at_once: int = 1
+    report_lag_s: float = 0.2
 
     def model(self, name: str) -> EngineModel | None:
         """Return the model of this name."""
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -151,7 +151,13 @@
         )
         self.hosts = HostBook(self.directory, self.clock)
         self.operator = GroupOperator(
-            self.ports.orders, self.lease, self.hosts, self.metrics, self.clock, self.log
+            self.ports.orders,
+            self.lease,
+            self.hosts,
+            self._report_lag_s,
+            self.metrics,
+            self.clock,
+            self.log,
         )
         self.controller = FleetController(
             self.hosts,
@@ -240,6 +246,11 @@
     def _on_upstreams(self) -> None:
         self.controller.notify()
 
+    def _report_lag_s(self, service: str) -> float:
+        configuration = self.in_force.configuration
+        known = configuration.services.get(service) if configuration else None
+        return known.engine.report_lag_s if known and known.engine else 0.0
+
     def _node_count(self) -> int:
         return self.coordination.node_count
 
--- /dev/null
+++ b/mulleinreach/gateway/tests/test_reports.py
@@ -0,0 +1,85 @@
+"""Hosts' own reports are some tenths of a second old, and undo nothing that is newer."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+
+from mulleinreach.gateway.tests.support import run_world
+from mulleinreach.gateway.upstreams import UpstreamState
+from mulleinreach.standins.gateway.hosts import REPORT_LAG_S
+from mulleinreach.standins.gateway.world import LARGE, MODEL_SERVICE
+
+
+def _open_head(world):
+    """Return a host that heads an open group."""
+    head = world.nodes["node-0"].chooser.heads(MODEL_SERVICE, LARGE)[0]
+    return world.fabric.hosts[head.upstream.id]
+
+
+def test_report_from_before_a_host_left_does_not_put_it_back():
+    async def test(world):
+        await world.until_formed()
+        await asyncio.sleep(3)
+        coordinator = world.nodes[world.coordinator()]
+        host = _open_head(world)
+        known = coordinator.hosts.get(host.id)
+        as_of = world.clock.now()
+        await asyncio.sleep(0.01)
+        host.leave(*known.place)
+        await asyncio.sleep(REPORT_LAG_S)
+        assert not coordinator.directory.put_report(known, as_of)
+        assert coordinator.directory.get(host.id).place != known.place
+
+    run_world(test)
+
+
+def test_report_changes_nothing_that_it_does_not_tell():
+    async def test(world):
+        await world.until_formed()
+        await asyncio.sleep(3)
+        directory = world.nodes[world.coordinator()].directory
+        host = _open_head(world)
+        report = directory.get(host.id)
+        host.drain()
+        await asyncio.sleep(0.2)
+        assert directory.put_report(replace(report, pace=2.0), world.clock.now())
+        assert directory.get(host.id).state is UpstreamState.DRAINING
+
+    run_world(test)
+
+
+def test_head_that_has_just_left_is_joined_without_another_try():
+    async def test(world):
+        await world.until_formed()
+        await asyncio.sleep(3)
+        coordinator = world.nodes[world.coordinator()]
+        withheld = []
+        note = coordinator.log.event
+
+        def event(name, **fields):
+            if name == "group_not_joined":
+                withheld.append(fields)
+            note(name, **fields)
+
+        coordinator.log.event = event
+        host = _open_head(world)
+        lost = world.fabric.hosts[host.standing.members[2]]
+        asking = asyncio.create_task(_keep_asking(world))
+        await asyncio.sleep(1)
+        dying = asyncio.create_task(lost.die())
+        await asyncio.sleep(3)
+        await world.until(lambda: world.open_groups(LARGE) == 2)
+        asking.cancel()
+        await dying
+        assert withheld == []
+
+    run_world(test)
+
+
+async def _keep_asking(world) -> None:
+    running = set()
+    while True:
+        running.add(asyncio.create_task(world.stream(20, model=LARGE)))
+        running = {task for task in running if not task.done()}
+        await asyncio.sleep(0.2)
--- a/mulleinreach/gateway/upstreams.py
+++ b/mulleinreach/gateway/upstreams.py
@@ -4,7 +4,7 @@
 
 import enum
 from collections import Counter, deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from mulleinreach.common import Address
 
@@ -119,16 +119,28 @@
     removed: list[str]
 
 
+NEVER = float("-inf")
+
+
 class UpstreamDirectory:
     """The list of upstreams as this node last heard it, and what changed in it lately.
 
+    Explanation
+    ===========
+
+    A host's own report shows how it stood a while ago. It counts only where it is
+    newer than the latest change that was heard of the host: no further change may
+    come to correct what an older report had put in its place.
+
     Examples
     ========
 
     >>> directory = UpstreamDirectory()
-    >>> directory.replace_all(5, [])
+    >>> directory.replace_all(5, [], heard_at=1.0)
     >>> host = Upstream("u", "s", Address("10.0.0.1", 80), "hall")
-    >>> directory.apply(ListChange(7, [host], []))
+    >>> directory.apply(ListChange(7, [host], []), heard_at=2.0)
+    >>> directory.put_report(replace(host, pace=3.0), as_of=1.9)
+    False
     >>> [change.revision for change in directory.changes_since(5)]
     [7]
     >>> directory.changes_since(4) is None
@@ -139,13 +151,18 @@
 
     def __init__(self) -> None:
         self._by_id: dict[str, Upstream] = {}
+        self._changed_at: dict[str, float] = {}
         self._kept: set[str] = set()
         self._changes: deque[ListChange] = deque()
         self._changes_from: int | None = None
         self.revision: int | None = None
 
     def replace_all(
-        self, revision: int, upstreams: list[Upstream], keeps_removed: bool = False
+        self,
+        revision: int,
+        upstreams: list[Upstream],
+        heard_at: float,
+        keeps_removed: bool = False,
     ) -> None:
         """Take a complete list."""
         listed = {u.id for u in upstreams}
@@ -156,23 +173,25 @@
             self._changes_from = revision
         else:
             self._remember(change)
-        self._carry_out(change, keeps_removed)
+        self._carry_out(change, heard_at, keeps_removed)
 
-    def apply(self, change: ListChange, keeps_removed: bool = False) -> None:
+    def apply(self, change: ListChange, heard_at: float, keeps_removed: bool = False) -> None:
         """Take changes that follow on the list's revision.
 
         Parameters
         ==========
 
+        heard_at : when the answer that tells the change came in.
         keeps_removed : upstreams that the change removes stay until
             :meth:`drop_kept`, unless they are listed again.
         """
         self._remember(change)
-        self._carry_out(change, keeps_removed)
+        self._carry_out(change, heard_at, keeps_removed)
 
-    def _carry_out(self, change: ListChange, keeps_removed: bool) -> None:
+    def _carry_out(self, change: ListChange, heard_at: float, keeps_removed: bool) -> None:
         for upstream in change.upstreams:
             self._by_id[upstream.id] = upstream
+            self._changed_at[upstream.id] = heard_at
             self._kept.discard(upstream.id)
         if keeps_removed:
             self._kept.update(self._by_id.keys() & set(change.removed))
@@ -190,6 +209,7 @@
 
     def _drop(self, upstream_id: str) -> None:
         self._by_id.pop(upstream_id, None)
+        self._changed_at.pop(upstream_id, None)
         self._kept.discard(upstream_id)
 
     def _remember(self, change: ListChange) -> None:
@@ -204,10 +224,31 @@
             return None
         return [change for change in self._changes if change.revision > revision]
 
-    def put_report(self, upstream: Upstream) -> None:
-        """Take what a listed host said of itself, until the list says something newer."""
-        if upstream.id in self._by_id:
-            self._by_id[upstream.id] = upstream
+    def put_report(self, report: Upstream, as_of: float) -> bool:
+        """Take what a listed host said of itself, unless something newer is known.
+
+        Parameters
+        ==========
+
+        as_of : the moment that the report shows.
+
+        Returns
+        =======
+
+        Whether the report was taken.
+        """
+        known = self._by_id.get(report.id)
+        if known is None or as_of <= self._changed_at.get(report.id, NEVER):
+            return False
+        self._by_id[report.id] = replace(
+            known,
+            models=report.models,
+            staged=report.staged,
+            membership=report.membership,
+            pace=report.pace,
+        )
+        self._changed_at[report.id] = as_of
+        return True
 
     def get(self, upstream_id: str) -> Upstream | None:
         """Return an upstream that is on the list."""
--- a/mulleinreach/platform/configuration.py
+++ b/mulleinreach/platform/configuration.py
@@ -80,6 +80,7 @@
         form_s=float(raw.get("form_ms", 0)) / 1000,
         loads_per_s=float(raw.get("loads_per_s", 1)),
         loads_at_once=int(raw.get("loads_at_once", 1)),
+        report_lag_s=float(raw.get("report_lag_ms", 200)) / 1000,
     )
 
 
--- a/mulleinreach/standins/gateway/hosts.py
+++ b/mulleinreach/standins/gateway/hosts.py
@@ -20,6 +20,8 @@
 STALL_S = 5.0
 EVENT_GAP_S = 0.04
 LATE_ORDER_S = (2.0, 6.0)
+# A report shows how things stood so long ago.
+REPORT_LAG_S = 0.2
 MISDIRECTED = 421
 
 
@@ -80,6 +82,7 @@
         self.refuses = 0
         self.echoes_wrong_id = False
         self.pace = 1.0
+        self._history: list[tuple[float, Upstream]] = []
         self._tasks = TaskGroup()
 
     @property
@@ -160,7 +163,17 @@
         models = (self.standing.model,) if is_serving else ()
         return replace(self.upstream, models=models, membership=self.membership(), pace=self.pace)
 
+    def report(self) -> Upstream:
+        """Return how the host stood a while ago, as its reports tell it."""
+        as_of = asyncio.get_running_loop().time() - REPORT_LAG_S
+        told = self._history[0][1]
+        for changed_at, described in self._history:
+            if changed_at <= as_of:
+                told = described
+        return replace(told, pace=self.pace)
+
     def _publish(self) -> None:
+        self._history.append((asyncio.get_running_loop().time(), self.describe()))
         if not self.is_cut and not self.is_dark:
             self._fabric.store.put(UPSTREAMS, self.id, self.describe())
 
@@ -328,7 +341,7 @@
         if target.is_dark:
             await asyncio.sleep(timeout_s)
             return Unavailable("no answer")
-        return target.describe()
+        return target.report()
 
     async def _order(self, host: Upstream, action) -> OrderResult:
         await asyncio.sleep(ORDER_S)
