Keys work throughout an outage where taking them away isn't strict

Now three cases are told apart. Strict: as before. Not strict and the store turns this node away while it serves others: config_ms + outer_ms, less a tenth. Not strict and no node can read: for as long as that lasts. The coordinator tells it: it has resigned 2 s ago, and none of the nodes that report to it has left to take its place, as one that can read the store does. A node that hears this dates its trust from before it asked, so that it may go on for 6.3 s after it has lost the coordinator.

--- a/mulleinreach/gateway/admission.py
+++ b/mulleinreach/gateway/admission.py
@@ -59,8 +59,7 @@
     def _check_key(
         self, configuration: Configuration, route: Route, headers: CallerHeaders
     ) -> Admitted | Denied:
-        age_s = self._in_force.evidence_age_s()
-        if age_s > self._bounds.key_evidence_s:
+        if self._key_evidence_age_s() > self._bounds.key_evidence_s:
             # A key may have been taken away without our knowing it.
             return Denied(503, "the configuration can't be confirmed", RETRY_AFTER_S)
         organisation = configuration.organisation_of(headers.api_key or "")
@@ -70,6 +69,13 @@
         priority = route.priority if own_priority is None else own_priority
         return Admitted(configuration, route, organisation.name, priority)
 
+    def _key_evidence_age_s(self) -> float:
+        """Return how long ago no key can have been taken away without our knowing it."""
+        age_s = self._in_force.evidence_age_s()
+        if self._bounds.trusts_keys_in_outages:
+            return min(age_s, self._in_force.store_away_age_s())
+        return age_s
+
     def _deny(self, status: int, reason: str) -> Denied:
         if self._in_force.evidence_age_s() > CURRENT_EVIDENCE_S:
             return Denied(503, f"{reason} in an old configuration", RETRY_AFTER_S)
--- a/mulleinreach/gateway/following.py
+++ b/mulleinreach/gateway/following.py
@@ -118,6 +118,7 @@
         self.was_read = asyncio.Event()
         self.configuration: Configuration | None = None
         self.evidence_at = NEVER
+        self._store_away_at = NEVER
 
     @property
     def version(self) -> int:
@@ -128,6 +129,14 @@
         """Return the age of the latest proof that no newer version exists."""
         return self._clock.now() - self.evidence_at
 
+    def note_store_away(self, seen_at: float) -> None:
+        """Note that no node could read the store at a moment."""
+        self._store_away_at = max(self._store_away_at, seen_at)
+
+    def store_away_age_s(self) -> float:
+        """Return how long ago no node could read the store, as far as known."""
+        return self._clock.now() - self._store_away_at
+
     def take_passed(self, version: int, evidence_at: float) -> None:
         """Take the coordinator's evidence that a version is the newest one."""
         if version > self.version:
--- a/mulleinreach/gateway/hub.py
+++ b/mulleinreach/gateway/hub.py
@@ -40,6 +40,9 @@
 HEADS_EVERY = 10
 SILENCE_S = 1.0
 MAX_BUFFERED_BYTES = 262_144
+# A node that can read the store has by then noticed that its evidence is old (1.5 s),
+# has read and asked for the lease (0.3 s), and has left a coordinator that resigned.
+REPLACED_BY_S = 2.0
 
 
 def report_interval_s(node_count: int) -> float:
@@ -103,10 +106,34 @@
         self._server: asyncio.AbstractServer | None = None
         self._told_heads: list[OpenHead] = []
         self._round = 0
-        self.resignation: Resignation | None = None
+        self._resignation: Resignation | None = None
+        self._resigned_at = 0.0
+        self._has_deserters = False
         self.is_open = False
         self.node_count = 1
 
+    @property
+    def resignation(self) -> Resignation | None:
+        """What the coordinator told when it could not renew its lease, while that holds."""
+        return self._resignation
+
+    @resignation.setter
+    def resignation(self, resignation: Resignation | None) -> None:
+        if self._resignation is None:
+            self._resigned_at = self._clock.now()
+            self._has_deserters = False
+        self._resignation = resignation
+
+    def is_store_away(self) -> bool:
+        """Whether no node can read the store, as far as can be told here.
+
+        A node that can read it replaces a coordinator that has resigned, and leaves.
+        A coordinator that nobody reports to can't tell an outage from a cut.
+        """
+        if self._resignation is None or self._has_deserters or not self._members:
+            return False
+        return self._clock.now() - self._resigned_at > REPLACED_BY_S
+
     async def listen(self) -> None:
         """Listen for other nodes; they are heard while the hub is open."""
         self._server = await self._network.listen(self._address, self._serve_member)
@@ -128,7 +155,9 @@
             self.node_count = len(reports)
             loads = sum_loads(reports)
             totals = self._knowledge.totals(self._lease.token, len(reports), loads)
-            totals = replace(totals, resignation=self.resignation)
+            totals = replace(
+                totals, resignation=self.resignation, is_store_away=self.is_store_away()
+            )
             encoded = encode_totals(self._shortened(totals))
             for member in list(self._members.values()):
                 if member.report is not None:
@@ -188,6 +217,9 @@
             pass
         finally:
             self._members.pop(key, None)
+            is_expected = member.report is None or member.report.is_stopping
+            if self._resignation is not None and not is_expected:
+                self._has_deserters = True
             writer.close()
 
 
--- a/mulleinreach/gateway/knowledge.py
+++ b/mulleinreach/gateway/knowledge.py
@@ -81,6 +81,8 @@
         self._in_force.take_passed(
             totals.configuration_version, asked_at - totals.configuration_age_s
         )
+        if totals.is_store_away:
+            self._in_force.note_store_away(asked_at)
         if not report.is_list_unknown:
             self._follower.take_passed(
                 report.changes, totals.list_revision, asked_at - totals.list_age_s
--- a/mulleinreach/gateway/messages.py
+++ b/mulleinreach/gateway/messages.py
@@ -61,7 +61,8 @@
     """What the coordinator knows, the same for all nodes.
 
     ``heads`` is ``None`` where they are as they were told last; ages are those of
-    the coordinator's evidence, in seconds.
+    the coordinator's evidence, in seconds; ``is_store_away`` if no node that reports
+    to the coordinator can read the store.
     """
 
     token: int
@@ -75,6 +76,7 @@
     list_age_s: float = 0.0
     resignation: Resignation | None = None
     retiring: list[str] = field(default_factory=list)
+    is_store_away: bool = False
 
 
 @dataclass(frozen=True)
@@ -161,6 +163,7 @@
         configAgeMs=_milliseconds(totals.configuration_age_s),
         listRevision=totals.list_revision,
         listAgeMs=_milliseconds(totals.list_age_s),
+        storeAway=totals.is_store_away,
     )
     if totals.resignation is not None:
         message.resigned = True
@@ -193,6 +196,7 @@
         message.listAgeMs / 1000,
         Resignation(message.token, message.renewal) if message.resigned else None,
         list(message.retiring),
+        message.storeAway,
     )
 
 
@@ -205,7 +209,7 @@
     ========
 
     >>> heads = [OpenHead("u", "g", 5, "m", 2.0)]
-    >>> totals = Totals(3, 9, [], heads, ["v"], 7, 0.5, 40, 0.25, Resignation(3, 6), ["w"])
+    >>> totals = Totals(3, 9, [], heads, ["v"], 7, 0.5, 40, 0.25, Resignation(3, 6), ["w"], True)
     >>> member = Membership("g", 5, 0, MemberState.OPEN)
     >>> upstream = Upstream("u", "s", Address("10.0.0.1", 80), "hall", membership=member)
     >>> changes = [ListChange(41, [upstream], ["w"])]
--- a/mulleinreach/gateway/peer.capnp
+++ b/mulleinreach/gateway/peer.capnp
@@ -43,6 +43,7 @@
   resigned @10 :Bool;        # the coordinator gives no orders unless it renews its lease
   renewal @11 :UInt64;       # of the lease, when it resigned
   retiring @12 :List(Text);  # heads that finish their work and take nothing new
+  storeAway @13 :Bool;       # no node can read the store, as far as the coordinator can tell
 }
 
 struct Upstream {
--- /dev/null
+++ b/mulleinreach/gateway/tests/test_keys_in_outages.py
@@ -0,0 +1,97 @@
+"""How long keys are accepted while the store is away, or turns single nodes away."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from mulleinreach.gateway.ports import Bounds, Unavailable
+from mulleinreach.gateway.tests.desk import answer_whole, serve_desk
+from mulleinreach.gateway.tests.support import run_world
+from mulleinreach.standins.gateway.store import CONFIGURATION
+from mulleinreach.standins.gateway.world import make_configuration
+
+LENIENT = Bounds(key_evidence_s=6.3, trusts_keys_in_outages=True)
+STRICT = Bounds(key_evidence_s=6.3)
+LONG_OUTAGE_S = 12.0
+OPTIONS = {"domains": 0, "hosts_per_domain": 0, "nodes": 4}
+
+
+async def _statuses(world) -> dict[str, int]:
+    """Return the answer of each node to a request with a key."""
+    return {name: (await world.call("/order/1", node=name)).status for name in world.nodes}
+
+
+def _turn_away(node) -> None:
+    """Have the store refuse one node's calls."""
+    for port in (node.ports.lease, node.ports.configurations, node.ports.upstreams):
+        for name in ("read", "write", "wait"):
+            if hasattr(port, name):
+                setattr(port, name, _refuse)
+
+
+async def _refuse(*args):
+    return Unavailable("turned away")
+
+
+@pytest.mark.parametrize("outage", ["is_down", "is_silent"])
+def test_keys_work_throughout_an_outage_for_all(outage):
+    async def test(world):
+        await serve_desk(world, answer_whole)
+        await asyncio.sleep(2)
+        setattr(world.store, outage, True)
+        for _ in range(int(LONG_OUTAGE_S)):
+            await asyncio.sleep(1)
+            assert set((await _statuses(world)).values()) == {200}
+        setattr(world.store, outage, False)
+        for _ in range(15):
+            await asyncio.sleep(0.1)
+            assert set((await _statuses(world)).values()) == {200}
+
+    run_world(test, bounds=LENIENT, **OPTIONS)
+
+
+def test_keys_stop_working_in_an_outage_where_taking_them_away_is_strict():
+    async def test(world):
+        await serve_desk(world, answer_whole)
+        await asyncio.sleep(2)
+        world.store.is_down = True
+        await asyncio.sleep(LONG_OUTAGE_S)
+        assert set((await _statuses(world)).values()) == {503}
+
+    run_world(test, bounds=STRICT, **OPTIONS)
+
+
+@pytest.mark.parametrize("turned_away", [1, 2, 3])
+def test_nodes_that_the_store_turns_away_refuse_a_key_that_was_taken_away(turned_away):
+    async def test(world):
+        await serve_desk(world, answer_whole)
+        await asyncio.sleep(2)
+        coordinator = world.coordinator()
+        others = [name for name in world.nodes if name != coordinator]
+        for name in [coordinator, *others][:turned_away]:
+            _turn_away(world.nodes[name])
+        world.store.put(CONFIGURATION, "newest", make_configuration(2, frozenset()))
+        await asyncio.sleep(LENIENT.key_evidence_s + 0.3)
+        for status in (await _statuses(world)).values():
+            assert status in (401, 503)
+
+    run_world(test, bounds=LENIENT, **OPTIONS)
+
+
+def test_keys_work_on_when_the_coordinator_stops_during_an_outage():
+    async def test(world):
+        await serve_desk(world, answer_whole)
+        await asyncio.sleep(2)
+        coordinator = world.coordinator()
+        world.store.is_down = True
+        await asyncio.sleep(5)
+        stopping = asyncio.create_task(world.nodes[coordinator].stop())
+        await asyncio.sleep(4)
+        others = [name for name in world.nodes if name != coordinator]
+        for name in others:
+            assert (await world.call("/order/1", node=name)).status == 200
+        await stopping
+
+    run_world(test, bounds=LENIENT, **OPTIONS)
--- a/mulleinreach/platform/settings.py
+++ b/mulleinreach/platform/settings.py
@@ -8,7 +8,7 @@
 from mulleinreach.gateway.ports import Bounds, GatewayIdentity
 
 METRICS_PORT_OFFSET = 1
-# The bound on keys counts from the acknowledgement; the rest covers the way.
+# The bounds on keys count from the acknowledgement; the rest covers the way.
 KEY_EVIDENCE_SHARE = 0.9
 
 
@@ -76,7 +76,8 @@
         processor_cores=reader.number("limits.cores") * reader.number("limits.cpu_fraction"),
     )
     bounds = Bounds(
-        key_evidence_s=KEY_EVIDENCE_SHARE * reader.seconds("bounds.revoke_ms"),
+        key_evidence_s=KEY_EVIDENCE_SHARE * _key_bound_s(reader),
+        trusts_keys_in_outages=not reader.flag("bounds.strict_revoke"),
         stop_grace_s=reader.number("bounds.grace_s"),
         stall_s=reader.seconds("bounds.stall_ms"),
         retry_ratio=reader.number("bounds.retry_budget_ratio"),
@@ -86,6 +87,18 @@
     return PlatformSettings(identity, bounds, reader.address("platform.address"))
 
 
+def _key_bound_s(reader: _FieldReader) -> float:
+    """Return how long after it was taken away a key may still be accepted.
+
+    ``strict_revoke`` binds every node within ``revoke_ms``. Where it is false, keys are
+    like the rest of a configuration: in force within ``config_ms``, and ``outer_ms``
+    later at a node that the store turns away while it serves others.
+    """
+    if reader.flag("bounds.strict_revoke"):
+        return reader.seconds("bounds.revoke_ms")
+    return reader.seconds("bounds.config_ms") + reader.seconds("bounds.outer_ms")
+
+
 class _FieldReader:
     """Reads typed fields."""
 
@@ -111,6 +124,12 @@
         except ValueError as error:
             raise SettingsError(f"field {name!r}: {value!r} is not a number") from error
 
+    def flag(self, name: str) -> bool:
+        value = self.text(name)
+        if value not in ("true", "false"):
+            raise SettingsError(f"field {name!r}: {value!r} is neither 'true' nor 'false'")
+        return value == "true"
+
     def seconds(self, name: str) -> float:
         return self.number(name) / 1000
 
--- a/mulleinreach/platform/tests/test_settings.py
+++ b/mulleinreach/platform/tests/test_settings.py
@@ -19,13 +19,19 @@
 limits.cpu_fraction=0.5
 bounds.grace_s=8
 bounds.revoke_ms=5000
+bounds.strict_revoke=true
+bounds.config_ms=2000
+bounds.outer_ms=5000
 bounds.stall_ms=5000
 bounds.retry_budget_ratio=0.2
 bounds.budget_window_s=10
 bounds.retry_slack=136
 platform.address=10.200.1.7:8223
 """
-NEEDED = [name for name in parse_lines(COMPLETE) if name != "a.new.field"]
+LENIENT = COMPLETE.replace("strict_revoke=true", "strict_revoke=false")
+# These are needed where keys may outlive an outage of the store.
+ONLY_LENIENT = ("bounds.config_ms", "bounds.outer_ms")
+NEEDED = [name for name in parse_lines(COMPLETE) if name not in ("a.new.field", *ONLY_LENIENT)]
 
 
 def test_complete_settings_are_read():
@@ -44,9 +50,25 @@
         make_settings(fields)
 
 
+@pytest.mark.parametrize("name", ONLY_LENIENT)
+def test_missing_bound_of_a_lenient_deployment_is_named(name):
+    fields = parse_lines(LENIENT)
+    del fields[name]
+    with pytest.raises(SettingsError, match=f"field '{name}' is missing"):
+        make_settings(fields)
+
+
+def test_keys_of_a_lenient_deployment_follow_the_bound_of_configurations():
+    bounds = make_settings(parse_lines(LENIENT)).bounds
+    assert bounds.key_evidence_s == pytest.approx(0.9 * (2 + 5))
+    assert bounds.trusts_keys_in_outages
+    assert not make_settings(parse_lines(COMPLETE)).bounds.trusts_keys_in_outages
+
+
 @pytest.mark.parametrize(
     ("name", "value"),
     [
+        ("bounds.strict_revoke", "maybe"),
         ("bounds.grace_s", "soon"),
         ("platform.address", "nowhere"),
         ("internal_ports", "first"),
--- a/mulleinreach/standins/gateway/world.py
+++ b/mulleinreach/standins/gateway/world.py
@@ -148,9 +148,16 @@
 
     nodes : how many gateway nodes run.
     domains, hosts_per_domain : the model service's hosts.
+    bounds : what the operators of the deployment have agreed on.
     """
 
-    def __init__(self, nodes: int = 2, domains: int = 2, hosts_per_domain: int = 8):
+    def __init__(
+        self,
+        nodes: int = 2,
+        domains: int = 2,
+        hosts_per_domain: int = 8,
+        bounds: Bounds | None = None,
+    ):
         self.links = Links()
         self.clock = VirtualClock()
         self.store = MemoryStore()
@@ -159,6 +166,7 @@
         self.plain: dict[str, PlainStandIn] = {}
         self._node_names = [f"node-{number}" for number in range(nodes)]
         self._domains = domains
+        self._bounds = bounds or Bounds()
         self._hosts_per_domain = hosts_per_domain
         self._listeners: list[tuple[web.Server, asyncio.AbstractServer]] = []
         self._next_port = 9000
@@ -223,7 +231,7 @@
             PlainDialect(),
         )
         network = VirtualNetwork(self.links, name)
-        node = GatewayNode(identity, Bounds(), ports, network, self.clock, seed=self._next_port)
+        node = GatewayNode(identity, self._bounds, ports, network, self.clock, seed=self._next_port)
         self.nodes[name] = node
         await node.start()
         return node
