What a start finds missing may be back; ends and misdirected heads aren't repeated

The new coordinator ended ten sound groups within 0.4 s of its first read, since their heads were off the list.

Guards: the end of a group that was accepted and shows no effect is ordered after 1, 2, 4 .. 16 s; a head that answers 421 twice gets nothing more under that epoch.

--- a/mulleinreach/gateway/choosing.py
+++ b/mulleinreach/gateway/choosing.py
@@ -15,6 +15,8 @@
 )
 
 SUSPECT_S = 1.0
+# One refusal may come from a head that opens a moment later than it was told to.
+MISDIRECTED_OFTEN = 2
 TOLD_FRESH_S = 1.0
 
 
@@ -36,6 +38,31 @@
         return set(self._until)
 
 
+class MisdirectedHeads:
+    """Heads that say again and again that requests don't belong to them.
+
+    Explanation
+    ===========
+
+    Such a head has left the group that it is thought to head. It gets nothing more
+    until it is known to be open under another epoch, as each group that is formed
+    anew has one of its own.
+    """
+
+    def __init__(self) -> None:
+        self._refusals: dict[str, tuple[int, int]] = {}
+
+    def note(self, upstream_id: str, epoch: int) -> None:
+        """Note that a head refused a request as not meant for it."""
+        known_epoch, count = self._refusals.get(upstream_id, (epoch, 0))
+        self._refusals[upstream_id] = (epoch, count + 1 if epoch == known_epoch else 1)
+
+    def is_closed(self, head: Head) -> bool:
+        """Whether a head has refused so often that it can't be open under its epoch."""
+        epoch, count = self._refusals.get(head.upstream.id, (head.epoch, 0))
+        return epoch == head.epoch and count >= MISDIRECTED_OFTEN
+
+
 class UpstreamChooser:
     """Chooses the upstream of a request among those that may take it.
 
@@ -59,6 +86,8 @@
         self._opened: list[Head] = []
         self._retiring: frozenset[str] = frozenset()
         self._told_at = float("-inf")
+        self._misdirected = MisdirectedHeads()
+        self._epochs: dict[str, int] = {}
         self.lost: frozenset[str] = frozenset()
 
     def take_told(self, opened: list[Head], retiring: frozenset[str]) -> None:
@@ -89,7 +118,15 @@
         heads = [h for h in self.heads(service.name, headers.model) if h.upstream.id not in tried]
         tokens = headers.prompt_tokens or 0
         head = self._router.choose_head(heads, service.engine, tokens, suspects)
-        return head.upstream if head else None
+        if head is None:
+            return None
+        self._epochs[head.upstream.id] = head.epoch
+        return head.upstream
+
+    def note_misdirected(self, upstream_id: str) -> None:
+        """Note that a head refused a request as not meant for it."""
+        if upstream_id in self._epochs:
+            self._misdirected.note(upstream_id, self._epochs[upstream_id])
 
     def heads(self, service: str, model: str | None) -> list[Head]:
         """Return the heads that serve a model."""
@@ -102,7 +139,9 @@
         return [
             head
             for head in heads.values()
-            if head.upstream.id not in retiring and model in (None, head.model)
+            if head.upstream.id not in retiring
+            and model in (None, head.model)
+            and not self._misdirected.is_closed(head)
         ]
 
     def _usable(self, service: str) -> list[Upstream]:
--- a/mulleinreach/gateway/fleet/controller.py
+++ b/mulleinreach/gateway/fleet/controller.py
@@ -89,11 +89,11 @@
 
     async def run(self) -> None:
         """Do the duty until cancelled."""
-        self._hosts.begin_term()
         self._placement.gate.is_limited = not self._is_first_holder()
         try:
             while not await self._read_anew():
                 await asyncio.sleep(READ_AGAIN_S)
+            self._hosts.begin_term(self._is_first_holder())
             while True:
                 for service in self._model_services():
                     self._look_at(service)
--- a/mulleinreach/gateway/fleet/hosts.py
+++ b/mulleinreach/gateway/fleet/hosts.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, replace
 
 from mulleinreach.common import Clock
+from mulleinreach.gateway.following import REINSTATED_S
 from mulleinreach.gateway.upstreams import (
     Group,
     MemberState,
@@ -19,6 +20,9 @@
 RETIRING_MEMORY_S = 8.0
 SLOW_PACE = 1.6
 PACE_MEMORY_S = 3.0
+# By then the list shows that a head has left its group.
+END_SEEN_S = 1.0
+MAX_END_DOUBLINGS = 4
 NEVER = float("-inf")
 
 
@@ -26,11 +30,13 @@
 class EndedGroup:
     """A group that this coordinator ended, and who is known to have left it.
 
-    ``left`` is ``None`` if the head has left, after which every member is free.
+    ``left`` is ``None`` if the head has left, after which every member is free;
+    ``tries`` counts how often the group was told to end.
     """
 
     ended_at: float
     left: set[str] | None
+    tries: int = 1
 
 
 @dataclass(frozen=True)
@@ -74,6 +80,7 @@
         self._missing_since: dict[tuple[str, str], list[float]] = {}
         self._retiring: dict[tuple[str, int], RetiringGroup] = {}
         self._numbers = itertools.count()
+        self._settled_at = NEVER
         self.forming: dict[int, Forming] = {}
         self.busy: set[str] = set()
 
@@ -208,7 +215,8 @@
         known = self._ended.get(key)
         if left is not None and known is not None:
             left = None if known.left is None else known.left | left
-        self._ended[key] = EndedGroup(self._clock.now(), left)
+        tries = 1 if known is None else known.tries + 1
+        self._ended[key] = EndedGroup(self._clock.now(), left, tries)
 
     def begin_retiring(self, key: tuple[str, int], head: str) -> None:
         """Let a group finish its work and take nothing new."""
@@ -225,12 +233,27 @@
         self._retiring = {key: r for key, r in self._retiring.items() if r.since > oldest}
         return [retiring.head for retiring in self._retiring.values()]
 
-    def begin_term(self) -> None:
-        """Forget what an earlier term as coordinator had under way."""
+    def begin_term(self, is_first_holder: bool) -> None:
+        """Forget what an earlier term as coordinator had under way.
+
+        Parameters
+        ==========
+
+        is_first_holder : whether nobody has coordinated before.
+        """
+        self._settled_at = NEVER if is_first_holder else self._clock.now() + REINSTATED_S
         self.busy.clear()
         self._retiring.clear()
         self._missing_since.clear()
 
+    def is_settling(self) -> bool:
+        """Whether hosts that are missing may merely have lapsed before this term.
+
+        A coordinator that has just begun can't know how long the store was away. Hosts
+        that live are back on the list soon after its return.
+        """
+        return self._clock.now() < self._settled_at
+
     def note_missing_group(self, domain: str, model: str) -> None:
         """Note that a group that served is ended."""
         self._missing_since.setdefault((domain, model), []).append(self._clock.now())
@@ -262,6 +285,15 @@
         ended = self._ended.get(key)
         return None if ended is None else self._clock.now() - ended.ended_at
 
+    def may_end_again(self, key: tuple[str, int]) -> bool:
+        """Whether the end of a group should have shown by now, so that it may be ordered again.
+
+        Orders that were taken and change nothing are given ever more rarely.
+        """
+        ended = self._ended[key]
+        doublings = min(ended.tries - 1, MAX_END_DOUBLINGS)
+        return self._clock.now() - ended.ended_at >= END_SEEN_S * 2**doublings
+
     def head_of(self, key: tuple[str, int]) -> Upstream | None:
         """Return the head that a group was seen with, listed or not."""
         head = self._heads.get(key)
--- a/mulleinreach/gateway/fleet/placement.py
+++ b/mulleinreach/gateway/fleet/placement.py
@@ -44,16 +44,32 @@
         """Have groups formed where hosts are ready, and standbys loaded where not."""
         standbys: list[tuple[LoadStandby, str]] = []
         for domain, usable in sorted(self._usable_by_domain(service.name).items()):
+            if self._is_incomplete(service.engine, domain, groups):
+                continue
             view = self._view(service, domain, usable, groups)
             formed = plan_groups(view, service.engine.models)
             for plan in formed:
                 self._spawn_form(service.engine, plan)
-            if not formed:
+            if not formed and not self._hosts.is_settling():
                 standbys += [(p, domain) for p in plan_standbys(view, service.engine.models)]
         standbys.sort(key=lambda pair: pair[0].order)
         for plan, _ in standbys:
             self._start_standby(service.engine, plan)
 
+    def _is_incomplete(
+        self, engine: EngineProfile, domain: str, groups: dict[tuple[str, int], Group]
+    ) -> bool:
+        """Whether hosts of a domain's groups may be missing from the list for a moment only."""
+        if not self._hosts.is_settling():
+            return False
+        for group in groups.values():
+            model = engine.model(group.model) if group.model else None
+            if model is None or is_standby(group) or group.is_whole(model.size):
+                continue
+            if any(member.domain == domain for member in group.members.values()):
+                return True
+        return False
+
     def _usable_by_domain(self, service: str) -> dict[str, list[Upstream]]:
         domains: dict[str, list[Upstream]] = {}
         for host in self._hosts.usable(service):
--- a/mulleinreach/gateway/fleet/watch.py
+++ b/mulleinreach/gateway/fleet/watch.py
@@ -32,8 +32,6 @@
 RETIRE_SHORTEST_S = 0.5
 # The list drops hosts at times while the store is down; a heartbeat brings them back.
 HEAD_ABSENT_S = 1.5
-# By then the list shows that a head has left its group.
-END_SEEN_S = 1.0
 
 
 class GroupWatch:
@@ -95,7 +93,7 @@
         elif is_serving(group):
             load = loads.get(head.id)
             is_silent = load is not None and load.stalled_s > SILENCE_SUSPECT_S
-            is_missing = not group.is_whole(model.size)
+            is_missing = not (group.is_whole(model.size) or self._hosts.is_settling())
             if self._hosts.has_lost_member(group):
                 self._spawn_dissolve(group, model, "a member is lost")
             elif is_silent or is_missing:
@@ -130,8 +128,10 @@
     def _is_stuck(self, key: tuple[str, int], group: Group, model: EngineModel) -> bool:
         """Whether a group that an earlier coordinator began will not be ready any more."""
         since = self._unfinished_since.setdefault(key, self._clock.now())
-        if not group.is_whole(model.size) or self._hosts.has_lost_member(group):
+        if self._hosts.has_lost_member(group):
             return True
+        if not group.is_whole(model.size):
+            return not self._hosts.is_settling()
         return self._clock.now() - since > UNFINISHED_S
 
     def _look_at_headless(self, key: tuple[str, int], group: Group, model: EngineModel) -> None:
@@ -142,14 +142,15 @@
         head = self._hosts.head_of(key)
         if head is not None and not stands_in(head, group):
             return
+        if self._hosts.is_settling():
+            return
         absent_s = HEAD_ABSENT_S if head is None else self._hosts.delisted_for_s(head.id)
         if absent_s >= HEAD_ABSENT_S:
             self._spawn_dissolve(group, model, "the head is off the list")
 
     def _has_ended(self, key: tuple[str, int], group: Group) -> bool:
         """Whether a group was ended already, and nobody is back who was not told so."""
-        ended_s = self._hosts.ended_for_s(key)
-        if ended_s is None:
+        if self._hosts.ended_for_s(key) is None:
             return False
         is_open = is_serving(group) and not self._hosts.is_lost(group.head.id)
         bound = [
@@ -157,7 +158,7 @@
             for m in group.members.values()
             if not self._hosts.is_lost(m.id) and not self._hosts.has_left(m.id, key)
         ]
-        return ended_s < END_SEEN_S or not (is_open or bound)
+        return not (self._hosts.may_end_again(key) and (is_open or bound))
 
     def _is_busy(self, group: Group) -> bool:
         return any(member.id in self._hosts.busy for member in group.members.values())
--- a/mulleinreach/gateway/sending.py
+++ b/mulleinreach/gateway/sending.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from http import HTTPStatus
 
 from aiohttp import web
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -242,6 +243,8 @@
             job.sends -= 1
         if isinstance(result, NotSent | Refused | Broken):
             self._suspects.add(upstream.id)
+            if isinstance(result, Refused) and result.status == HTTPStatus.MISDIRECTED_REQUEST:
+                self._chooser.note_misdirected(upstream.id)
             self._metrics.count_failed_send(type(result).__name__)
             self._log.event(
                 "send_failed",
--- /dev/null
+++ b/mulleinreach/gateway/tests/test_stale_groups.py
@@ -0,0 +1,55 @@
+"""What is believed of groups never repeats requests or orders that change nothing."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+
+from mulleinreach.gateway.ports import Accepted
+from mulleinreach.gateway.tests.support import run_world
+from mulleinreach.gateway.upstreams import Group
+from mulleinreach.standins.gateway.store import UPSTREAMS
+from mulleinreach.standins.gateway.world import LARGE, MODEL_SERVICE
+
+
+def test_head_that_refuses_twice_as_misdirected_gets_nothing_until_it_opens_anew():
+    async def test(world):
+        await world.until_formed()
+        await asyncio.sleep(3)
+        node = world.nodes["node-0"]
+        head = node.chooser.heads(MODEL_SERVICE, LARGE)[0]
+        for refusals in (1, 2):
+            node.chooser._epochs[head.upstream.id] = head.epoch
+            node.chooser.note_misdirected(head.upstream.id)
+            ids = [known.upstream.id for known in node.chooser.heads(MODEL_SERVICE, LARGE)]
+            assert (head.upstream.id in ids) == (refusals < 2)
+        opened_anew = replace(head, epoch=head.epoch + 1)
+        node.chooser.take_told([opened_anew], frozenset())
+        assert opened_anew in node.chooser.heads(MODEL_SERVICE, LARGE)
+
+    run_world(test)
+
+
+def test_accepted_end_of_a_group_that_changes_nothing_is_ordered_ever_more_rarely():
+    async def test(world):
+        await world.until_formed()
+        await asyncio.sleep(3)
+        coordinator = world.nodes[world.coordinator()]
+        head = coordinator.chooser.heads(MODEL_SERVICE, LARGE)[0].upstream
+        host = world.fabric.hosts[head.id]
+        orders = []
+
+        async def leave(host, group, epoch):
+            orders.append(world.clock.now())
+            return Accepted()
+
+        world.fabric.leave = leave
+        stale = host.describe()
+        host.report = lambda: stale
+        coordinator.hosts.mark_ended(Group(*head.place, {}), None)
+        for _ in range(400):
+            await asyncio.sleep(0.05)
+            world.store.put(UPSTREAMS, head.id, stale)
+        assert len(orders) <= 6
+
+    run_world(test, domains=1)
--- a/mulleinreach/gateway/tests/test_store_outage.py
+++ b/mulleinreach/gateway/tests/test_store_outage.py
@@ -5,6 +5,8 @@
 import asyncio
 from dataclasses import replace
 
+import pytest
+
 from mulleinreach.gateway.lease import Renewal, Resignation
 from mulleinreach.gateway.ports import Unavailable
 from mulleinreach.gateway.tests.support import run_world
@@ -204,3 +206,49 @@
         await world.until(lambda: world.open_groups(LARGE) == 2)
 
     run_world(test)
+
+
+@pytest.mark.parametrize("back_after_s", [0.5, BACK_AFTER_S])
+def test_nodes_that_start_after_an_outage_leave_groups_whose_rows_lapsed_alone(back_after_s):
+    async def test(world):
+        await world.until_formed()
+        await asyncio.sleep(3)
+        epochs = _epochs(world)
+        world.store.is_down = True
+        for name in list(world.nodes):
+            await world.kill_node(name)
+        await asyncio.sleep(1)
+        for number, host in enumerate(world.fabric.hosts):
+            # The rows of some hosts stand, whatever group they are in.
+            if number % 3:
+                world.store.put(UPSTREAMS, host, None)
+        for name in ("new-0", "new-1", "new-2"):
+            await world.start_node(name)
+        world.store.is_down = False
+        await asyncio.sleep(back_after_s)
+        for host in world.fabric.hosts.values():
+            host.list_again()
+        await asyncio.sleep(4)
+        assert _epochs(world) == epochs
+        assert world.open_groups(LARGE) == 2
+        assert world.open_groups(SMALL) == 2
+
+    run_world(test, nodes=3)
+
+
+def test_group_whose_head_is_gone_when_a_coordinator_starts_is_formed_anew():
+    async def test(world):
+        await world.until_formed()
+        await asyncio.sleep(3)
+        head = world.nodes["node-0"].chooser.heads(MODEL_SERVICE, LARGE)[0].upstream
+        world.store.is_down = True
+        for name in list(world.nodes):
+            await world.kill_node(name)
+        world.fabric.hosts[head.id].is_dark = True
+        world.store.put(UPSTREAMS, head.id, None)
+        await world.start_node("new-0")
+        world.store.is_down = False
+        await asyncio.sleep(1)
+        await world.until(lambda: world.open_groups(LARGE) == 2, timeout_s=5)
+
+    run_world(test, nodes=3)
