Groups and standbys follow how much of each model's places is in use

Now a model needs groups by the square of its usage (share of places in use over all domains, smoothed over 3 s; under a quarter all count alike). Groups that serve stay. A second group of a full model goes before the only one of an idle one; standbys are of the model whose loss would hurt; above 0.7 of places in use no host is kept as a standby.

Ruled out: moving a domain's group that serves (tried earlier; a load takes longer than a burst); groups over two domains: a head 2.5 times slower is in time for the narrow model up to about 5 of 13 places only (reckoned, not built).

--- a/mulleinreach/gateway/fleet/controller.py
+++ b/mulleinreach/gateway/fleet/controller.py
@@ -133,4 +133,4 @@
         for key, group in groups.items():
             self._watch.look_at(service.engine, key, group, loads)
         self._watch.recheck_lost()
-        self._placement.plan(service, groups)
+        self._placement.plan(service, groups, loads)
--- a/mulleinreach/gateway/fleet/placement.py
+++ b/mulleinreach/gateway/fleet/placement.py
@@ -15,8 +15,10 @@
     plan_groups,
     plan_standbys,
 )
+from mulleinreach.gateway.fleet.usage import ModelUsage
+from mulleinreach.gateway.load import LoadReport
 from mulleinreach.gateway.model import EngineModel, EngineProfile, Service
-from mulleinreach.gateway.upstreams import Group, MemberState, Upstream, collect_groups
+from mulleinreach.gateway.upstreams import Group, MemberState, Upstream, collect_groups, open_heads
 
 QUICK_JOIN_S = 2.5
 LOAD_PATIENCE = 4.0
@@ -39,14 +41,23 @@
         self._duties = duties
         self._log = log
         self.gate = LoadGate(clock)
+        self._clock = clock
+        self._usage: dict[str, ModelUsage] = {}
 
-    def plan(self, service: Service, groups: dict[tuple[str, int], Group]) -> None:
+    def plan(
+        self,
+        service: Service,
+        groups: dict[tuple[str, int], Group],
+        loads: dict[str, LoadReport],
+    ) -> None:
         """Have groups formed where hosts are ready, and standbys loaded where not."""
+        usage = self._usage.setdefault(service.name, ModelUsage(self._clock))
+        usage.note(service.engine, open_heads(self._hosts.usable(service.name)), loads)
         standbys: list[tuple[LoadStandby, str]] = []
         for domain, usable in sorted(self._usable_by_domain(service.name).items()):
             if self._is_incomplete(service.engine, domain, groups):
                 continue
-            view = self._view(service, domain, usable, groups)
+            view = self._view(service, domain, usable, groups, usage.by_model())
             formed = plan_groups(view, service.engine.models)
             for plan in formed:
                 self._spawn_form(service.engine, plan)
@@ -83,6 +94,7 @@
         domain: str,
         usable: list[Upstream],
         groups: dict[tuple[str, int], Group],
+        usage: dict[str, float],
     ) -> DomainView:
         counts = {m.name: 0 for m in service.engine.models}
         loading = dict(counts)
@@ -96,7 +108,7 @@
             if form.domain == domain and form.model in counts:
                 (counts if form.is_group else loading)[form.model] += 1
         free = tuple(self._free_hosts(usable, groups))
-        return DomainView(domain, len(usable), counts, loading, free)
+        return DomainView(domain, len(usable), counts, loading, free, usage)
 
     def _free_hosts(
         self, usable: list[Upstream], groups: dict[tuple[str, int], Group]
--- a/mulleinreach/gateway/fleet/planner.py
+++ b/mulleinreach/gateway/fleet/planner.py
@@ -12,11 +12,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from mulleinreach.gateway.model import EngineModel
 
 STANDBYS_PER_MODEL = 1
+# Below this share of places in use, models don't differ in what they need.
+LEAST_USAGE = 0.25
+# Above this share of places in use, the loss of a group makes requests wait.
+FULL_USAGE = 0.7
 
 
 @dataclass(frozen=True)
@@ -51,6 +55,8 @@
     hosts : how many hosts of the domain can be used in all.
     groups : serving or forming groups of each model.
     loading : hosts of each model that are being loaded as standbys.
+    usage : the share of places in use, by model, over all domains of the service;
+        empty before the first requests.
     """
 
     name: str
@@ -58,6 +64,7 @@
     groups: dict[str, int]
     loading: dict[str, int]
     free: tuple[FreeHost, ...]
+    usage: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
@@ -78,66 +85,90 @@
     needs_load: bool
 
 
-def target_groups(hosts: int, models: tuple[EngineModel, ...]) -> dict[str, int]:
-    """Return how many groups of each model a domain of ``hosts`` hosts should have.
+def target_groups(view: DomainView, models: tuple[EngineModel, ...]) -> dict[str, int]:
+    """Return how many groups of each model a domain should have.
 
     Explanation
     ===========
 
-    Groups are added to the model that has the fewest hosts for its share of the
-    work, as long as hosts are left. Where a model has several groups, one of the
-    smallest is given up again for standbys, but never a model's only group.
+    The groups that serve or are being formed stay. The hosts that are left make a group
+    of each model that has none, and more as long as standbys remain; each time for the
+    model that needs it most. Where one model's places are nearly all in use and another's
+    are mostly free, a second group of the first goes before the only one of the other.
 
     Examples
     ========
 
     >>> models = (EngineModel("a", 4, share=0.67), EngineModel("b", 2, share=0.33))
-    >>> target_groups(8, models)
-    {'a': 1, 'b': 1}
-    >>> target_groups(6, models)
+    >>> target_groups(DomainView("d", 8, {}, {}, ()), models)
     {'a': 1, 'b': 1}
+    >>> target_groups(DomainView("d", 5, {"b": 1}, {}, (), {"a": 0.2, "b": 0.9}), models)
+    {'a': 0, 'b': 2}
     """
-    targets = {model.name: 0 for model in models}
-    room = hosts
-    while fitting := [model for model in models if model.size <= room]:
-        neediest = min(fitting, key=lambda m: targets[m.name] * m.size / max(m.share, 0.01))
+    targets = {model.name: view.groups.get(model.name, 0) for model in models}
+    room = view.hosts - sum(targets[model.name] * model.size for model in models)
+    while fitting := [
+        model for model in models if model.size <= room - _kept(view, targets, model)
+    ]:
+        neediest = max(fitting, key=lambda m: _need(view, m) / (targets[m.name] + 0.5))
         targets[neediest.name] += 1
         room -= neediest.size
-    for model in sorted(models, key=lambda m: m.size):
-        while room < STANDBYS_PER_MODEL * len(models) and targets[model.name] > 1:
-            targets[model.name] -= 1
-            room += model.size
     return targets
 
 
+def _kept(view: DomainView, targets: dict[str, int], model: EngineModel) -> int:
+    """Return how many hosts a further group of a model has to leave for standbys.
+
+    Hosts serve better than they wait: none where nearly all places of the model are taken.
+    """
+    if targets[model.name] == 0 or view.usage.get(model.name, 0.0) > FULL_USAGE:
+        return 0
+    return STANDBYS_PER_MODEL * len(targets)
+
+
+def _need(view: DomainView, model: EngineModel) -> float:
+    """Return how much a model needs groups, against others.
+
+    A place that is lost hurts the more, the fewer of the others are free; hence the
+    square. Before the first requests the configuration's share of the work decides.
+    """
+    if not view.usage:
+        return model.share / model.size
+    return max(view.usage.get(model.name, 0.0), LEAST_USAGE) ** 2
+
+
 def target_standbys(
-    hosts: int, targets: dict[str, int], models: tuple[EngineModel, ...]
+    view: DomainView, targets: dict[str, int], models: tuple[EngineModel, ...]
 ) -> dict[str, int]:
     """Return how many standbys of each model remain beside the groups.
 
-    The larger a model's groups, the likelier the next lost host was in one.
+    The larger a model's groups, the likelier the next lost host was in one; and the
+    fewer of its places are free, the more its loss hurts.
 
     Examples
     ========
 
     >>> models = (EngineModel("a", 4), EngineModel("b", 2))
-    >>> target_standbys(9, {"a": 1, "b": 1}, models)
+    >>> target_standbys(DomainView("d", 9, {}, {}, ()), {"a": 1, "b": 1}, models)
     {'a': 2, 'b': 1}
+    >>> view = DomainView("d", 7, {}, {}, (), {"a": 0.2, "b": 0.5})
+    >>> target_standbys(view, {"a": 1, "b": 1}, models)
+    {'a': 0, 'b': 1}
     """
-    room = hosts - sum(targets[model.name] * model.size for model in models)
+    room = view.hosts - sum(targets[model.name] * model.size for model in models)
     standbys = {model.name: 0 for model in models}
-    by_size = sorted(models, key=lambda m: -m.size)
+    by_worth = sorted(models, key=lambda m: -m.size * (_need(view, m) if view.usage else 1))
     for number in range(max(0, room)):
-        standbys[by_size[number % len(by_size)].name] += 1
+        standbys[by_worth[number % len(by_worth)].name] += 1
     return standbys
 
 
 def plan_groups(view: DomainView, models: tuple[EngineModel, ...]) -> list[FormGroup]:
     """Return the groups that can be formed at once from free hosts that hold the model."""
-    targets = target_groups(view.hosts, models)
+    targets = target_groups(view, models)
     free = list(view.free)
     plans = []
-    for model in sorted(models, key=lambda m: view.groups.get(m.name, 0) / max(m.share, 0.01)):
+    for model in sorted(models, key=lambda m: -_need(view, m) / (view.groups.get(m.name, 0) + 0.5)):
         # Hosts that already hold a model serve better than they wait.
         missing = max(1, targets[model.name]) - view.groups.get(model.name, 0)
         for _ in range(missing):
@@ -153,8 +184,8 @@
 
 def plan_standbys(view: DomainView, models: tuple[EngineModel, ...]) -> list[LoadStandby]:
     """Return which free hosts should load or warm up which model."""
-    targets = target_groups(view.hosts, models)
-    standbys = target_standbys(view.hosts, targets, models)
+    targets = target_groups(view, models)
+    standbys = target_standbys(view, targets, models)
     wanted = {m.name: targets[m.name] * m.size + standbys[m.name] for m in models}
     held = {
         m.name: view.groups.get(m.name, 0) * m.size
--- /dev/null
+++ b/mulleinreach/gateway/tests/test_planner.py
@@ -0,0 +1,94 @@
+"""What a domain's hosts do follows from how much of each model's places is in use."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from mulleinreach.common import Address, Clock
+from mulleinreach.gateway.fleet.planner import (
+    DomainView,
+    FreeHost,
+    plan_groups,
+    plan_standbys,
+    target_groups,
+    target_standbys,
+)
+from mulleinreach.gateway.fleet.usage import NO_GROUP_USAGE, ModelUsage
+from mulleinreach.gateway.load import LoadReport
+from mulleinreach.gateway.model import EngineModel
+from mulleinreach.gateway.upstreams import Head, Upstream
+from mulleinreach.standins.gateway.world import LARGE, PROFILE, SMALL
+from mulleinreach.standins.virtual import run_virtual
+
+MODELS = (EngineModel(LARGE, 4, share=0.67), EngineModel(SMALL, 2, share=0.33))
+CALM = {LARGE: 0.2, SMALL: 0.3}
+SMALL_IS_FULL = {LARGE: 0.2, SMALL: 1.1}
+BOTH_ARE_FULL = {LARGE: 1.0, SMALL: 1.0}
+
+
+def _view(hosts: int, groups: dict[str, int], usage: dict[str, float], *free: FreeHost):
+    return DomainView("domain", hosts, groups, {}, free, usage)
+
+
+@pytest.mark.parametrize("usage", [{}, CALM, BOTH_ARE_FULL])
+def test_every_model_gets_a_group_while_no_model_lacks_more_than_the_other(usage):
+    assert target_groups(_view(8, {}, usage), MODELS)[LARGE] == 1
+    assert target_groups(_view(8, {}, usage), MODELS)[SMALL] >= 1
+    assert target_groups(_view(6, {}, usage), MODELS) == {LARGE: 1, SMALL: 1}
+
+
+def test_groups_that_serve_are_kept_whatever_is_in_use():
+    groups = {LARGE: 1, SMALL: 1}
+    targets = target_groups(_view(7, groups, SMALL_IS_FULL), MODELS)
+    assert all(targets[name] >= count for name, count in groups.items())
+
+
+def test_survivors_of_a_wide_group_serve_the_model_that_is_full():
+    survivors = [FreeHost(f"host-{n}", LARGE, (LARGE,)) for n in range(3)]
+    view = _view(5, {SMALL: 1}, SMALL_IS_FULL, *survivors)
+    assert target_groups(view, MODELS) == {LARGE: 0, SMALL: 2}
+    loads = plan_standbys(view, MODELS)
+    assert [plan.model for plan in loads] == [SMALL] * 3
+    calm = _view(5, {SMALL: 1}, CALM, *survivors)
+    # One of them stands by for the group that serves; the others wait for a fourth host.
+    assert [plan.model for plan in plan_standbys(calm, MODELS)] == [SMALL]
+
+
+def test_only_standby_is_of_the_model_whose_loss_would_hurt():
+    groups = {LARGE: 1, SMALL: 1}
+    assert target_standbys(_view(7, groups, {}), groups, MODELS) == {LARGE: 1, SMALL: 0}
+    assert target_standbys(_view(7, groups, SMALL_IS_FULL), groups, MODELS)[SMALL] == 1
+
+
+def test_standbys_that_hold_a_full_model_form_a_group_at_once():
+    free = [FreeHost("a", SMALL, (SMALL,)), FreeHost("b", SMALL, (SMALL,))]
+    groups = {LARGE: 1, SMALL: 1}
+    (plan,) = plan_groups(_view(8, groups, SMALL_IS_FULL, *free), MODELS)
+    assert (plan.model, plan.members) == (SMALL, ("a", "b"))
+    assert plan_groups(_view(8, groups, CALM, *free), MODELS) == []
+
+
+def _head(name: str, model: str) -> Head:
+    return Head(Upstream(name, "models", Address("10.0.0.1", 80), "hall"), name, 1, model)
+
+
+def test_usage_follows_what_lasts_and_not_a_moment():
+    async def test():
+        usage = ModelUsage(Clock())
+        heads = [_head("l", LARGE), _head("s", SMALL)]
+        usage.note(PROFILE, heads, {})
+        assert usage.by_model() == {}
+        half = PROFILE.slots / 2
+        usage.note(PROFILE, heads, {"s": LoadReport("s", half, 0, 0.0)})
+        assert usage.by_model() == pytest.approx({LARGE: 0.0, SMALL: 0.5})
+        await asyncio.sleep(0.1)
+        usage.note(PROFILE, heads, {"s": LoadReport("s", 10 * half, 0, 0.0)})
+        assert usage.by_model()[SMALL] < 0.7
+        for _ in range(100):
+            await asyncio.sleep(0.1)
+            usage.note(PROFILE, heads[:1], {"l": LoadReport("l", half, 0, 0.0)})
+        assert usage.by_model() == pytest.approx({LARGE: 0.5, SMALL: NO_GROUP_USAGE}, rel=0.1)
+
+    run_virtual(test())
