The coordinator passes configurations on; nodes don't read each one themselves

Now a node's report says which version it has, and the coordinator sends the newest as a compressed document to those that lack it. A node that the store turns away follows the configuration too, with the age that the coordinator's evidence has.

--- a/mulleinreach/gateway/coordination.py
+++ b/mulleinreach/gateway/coordination.py
@@ -261,6 +261,7 @@
             self._lease.secret,
             self._seq,
             self._knowledge.list_revision(),
+            self._knowledge.configuration_version(),
         )
 
     # At the other nodes.
--- a/mulleinreach/gateway/counted.py
+++ b/mulleinreach/gateway/counted.py
@@ -27,6 +27,10 @@
         self._metrics.count_store_call(f"{self._name}_wait", result)
         return result
 
+    def decode(self, document: bytes):
+        """Decode what another node has read, which is no call."""
+        return self._source.decode(document)
+
 
 class CountedLease:
     """The lease's row, with its calls counted."""
--- a/mulleinreach/gateway/following.py
+++ b/mulleinreach/gateway/following.py
@@ -117,6 +117,7 @@
         self._passed_on = asyncio.Event()
         self.was_read = asyncio.Event()
         self.configuration: Configuration | None = None
+        self.document = b""
         self.evidence_at = NEVER
         self._store_away_at = NEVER
 
@@ -137,14 +138,28 @@
         """Return how long ago no node could read the store, as far as known."""
         return self._clock.now() - self._store_away_at
 
-    def take_passed(self, version: int, evidence_at: float) -> None:
-        """Take the coordinator's evidence that a version is the newest one."""
+    def take_passed(self, version: int, evidence_at: float, document: bytes = b"") -> None:
+        """Take the coordinator's evidence that a version is the newest one.
+
+        Parameters
+        ==========
+
+        document : the configuration itself, if it was sent along.
+        """
+        if version > self.version and document:
+            self._take_document(document)
         if version > self.version:
             self._known_version = version
             self._passed_on.set()
         elif version == self.version:
             self.evidence_at = max(self.evidence_at, evidence_at)
 
+    def _take_document(self, document: bytes) -> None:
+        configuration = self._source.decode(document)
+        if configuration is not None:
+            self._apply(configuration, document)
+            self.was_read.set()
+
     async def follow(self) -> None:
         """Read for ever, as far as evidence isn't passed on."""
         while True:
@@ -181,7 +196,7 @@
             return
         self._state.answered()
         if result.configuration is not None:
-            self._apply(result.configuration)
+            self._apply(result.configuration, result.document)
         if self.configuration is None:
             await asyncio.sleep(RETRY_S)
             return
@@ -189,10 +204,11 @@
         self._revision = result.revision
         self.evidence_at = max(self.evidence_at, asked_at)
 
-    def _apply(self, configuration: Configuration) -> None:
+    def _apply(self, configuration: Configuration, document: bytes) -> None:
         if self.configuration is not None and configuration.version <= self.version:
             return
         self.configuration = configuration
+        self.document = document
         self._log.event(
             "configuration_applied", version=configuration.version, routes=len(configuration.routes)
         )
--- a/mulleinreach/gateway/hub.py
+++ b/mulleinreach/gateway/hub.py
@@ -57,6 +57,7 @@
     writer: asyncio.StreamWriter
     report: NodeReport | None = None
     sent_revision: int | None = None
+    sent_configuration: int = 0
 
 
 class Knowledge(Protocol):
@@ -71,6 +72,12 @@
     def list_revision(self) -> int:
         """Return the revision of this node's list; 0 before the first one."""
 
+    def configuration_version(self) -> int:
+        """Return the version in force at this node; 0 before the first one."""
+
+    def configuration_document(self) -> bytes:
+        """Return the configuration in force, in a form that other nodes can decode."""
+
     def evidence_age_s(self) -> float:
         """Return the age of the latest proof that the configuration is the newest."""
 
@@ -187,13 +194,23 @@
         if is_unknown:
             # The node reads the list itself, and tells how far it then goes.
             member.sent_revision = None
-        data = encode_coordinator_report(member.report.seq, totals, changes or [], is_unknown)
+        data = encode_coordinator_report(
+            member.report.seq, totals, changes or [], is_unknown, self._lacking(member)
+        )
         if member.writer.transport.get_write_buffer_size() > MAX_BUFFERED_BYTES:
             # Changes can't be left out, so a node that is too slow begins anew.
             member.writer.close()
         else:
             write_frame(member.writer, data)
 
+    def _lacking(self, member: _Member) -> bytes:
+        """Return the configuration if a member lacks it; each is sent to it once."""
+        version = self._knowledge.configuration_version()
+        if max(member.report.configuration_version, member.sent_configuration) >= version:
+            return b""
+        member.sent_configuration = version
+        return self._knowledge.configuration_document()
+
     def node_reports(self) -> list[NodeReport]:
         """Return the latest report of each node, our own first."""
         return [self._own_report()] + [
--- a/mulleinreach/gateway/knowledge.py
+++ b/mulleinreach/gateway/knowledge.py
@@ -68,6 +68,14 @@
         """Return the revision of this node's list; 0 before the first one."""
         return self._directory.revision or 0
 
+    def configuration_version(self) -> int:
+        """Return the version in force at this node; 0 before the first one."""
+        return self._in_force.version
+
+    def configuration_document(self) -> bytes:
+        """Return the configuration in force, in a form that other nodes can decode."""
+        return self._in_force.document
+
     def evidence_age_s(self) -> float:
         """Return the age of the latest proof that the configuration is the newest."""
         return self._in_force.evidence_age_s()
@@ -79,7 +87,9 @@
         totals = report.totals
         self._loads.take_totals(totals.loads, own_loads)
         self._in_force.take_passed(
-            totals.configuration_version, asked_at - totals.configuration_age_s
+            totals.configuration_version,
+            asked_at - totals.configuration_age_s,
+            report.configuration,
         )
         if totals.is_store_away:
             self._in_force.note_store_away(asked_at)
--- a/mulleinreach/gateway/messages.py
+++ b/mulleinreach/gateway/messages.py
@@ -35,7 +35,7 @@
 
 @dataclass(frozen=True)
 class NodeReport:
-    """What a node has in flight, and how far its list of upstreams goes."""
+    """What a node has in flight, and how far its list and its configuration go."""
 
     node: str
     loads: list[LoadReport]
@@ -43,6 +43,7 @@
     secret: str = ""
     seq: int = 0
     list_revision: int = 0
+    configuration_version: int = 0
 
 
 @dataclass(frozen=True)
@@ -81,12 +82,16 @@
 
 @dataclass(frozen=True)
 class CoordinatorReport:
-    """What one node is told; ``changes`` continue from what it was sent before."""
+    """What one node is told; ``changes`` continue from what it was sent before.
+
+    ``configuration`` is the document of the newest one, if the node lacks that.
+    """
 
     echoed_seq: int
     totals: Totals
     changes: list[ListChange] = field(default_factory=list)
     is_list_unknown: bool = False
+    configuration: bytes = b""
 
 
 def _milliseconds(seconds: float) -> int:
@@ -124,6 +129,7 @@
         secret=report.secret,
         seq=report.seq,
         listRevision=report.list_revision,
+        configVersion=report.configuration_version,
     )
     _pack_loads(message, report.loads)
     return message.to_bytes_packed()
@@ -148,6 +154,7 @@
             message.secret,
             message.seq,
             message.listRevision,
+            message.configVersion,
         )
     except capnp.KjException as error:
         raise PeerError(str(error)) from error
@@ -201,7 +208,11 @@
 
 
 def encode_coordinator_report(
-    echoed_seq: int, totals: bytes, changes: list[ListChange], is_list_unknown: bool
+    echoed_seq: int,
+    totals: bytes,
+    changes: list[ListChange],
+    is_list_unknown: bool,
+    configuration: bytes = b"",
 ) -> bytes:
     """Return a report to one node around totals that were encoded before.
 
@@ -213,12 +224,15 @@
     >>> member = Membership("g", 5, 0, MemberState.OPEN)
     >>> upstream = Upstream("u", "s", Address("10.0.0.1", 80), "hall", membership=member)
     >>> changes = [ListChange(41, [upstream], ["w"])]
-    >>> data = encode_coordinator_report(8, encode_totals(totals), changes, False)
-    >>> decode_coordinator_report(data) == CoordinatorReport(8, totals, changes)
+    >>> data = encode_coordinator_report(8, encode_totals(totals), changes, False, b"c")
+    >>> decode_coordinator_report(data) == CoordinatorReport(8, totals, changes, False, b"c")
     True
     """
     message = _schema.CoordinatorReport.new_message(
-        echoedSeq=echoed_seq, totals=totals, listUnknown=is_list_unknown
+        echoedSeq=echoed_seq,
+        totals=totals,
+        listUnknown=is_list_unknown,
+        configuration=configuration,
     )
     rows = message.init("changes", len(changes))
     for row, change in zip(rows, changes, strict=True):
@@ -241,7 +255,13 @@
             for row in message.changes
         ]
         totals = _decode_totals(message.totals)
-        return CoordinatorReport(message.echoedSeq, totals, changes, message.listUnknown)
+        return CoordinatorReport(
+            message.echoedSeq,
+            totals,
+            changes,
+            message.listUnknown,
+            message.configuration,
+        )
     except (capnp.KjException, ValueError) as error:
         raise PeerError(str(error)) from error
 
--- a/mulleinreach/gateway/peer.capnp
+++ b/mulleinreach/gateway/peer.capnp
@@ -18,6 +18,7 @@
   secret @3 :Text;           # of the lease: shows that the node has read the store
   seq @4 :UInt64;            # rises with each report of a node
   listRevision @5 :UInt64;   # of the node's list of upstreams
+  configVersion @6 :UInt64;  # of the configuration in force at the node
 }
 
 struct OpenHead {
@@ -73,4 +74,5 @@
   totals @1 :Data;
   changes @2 :List(ListChange);
   listUnknown @3 :Bool;      # the node has to read the list itself
+  configuration @4 :Data;    # the newest one, if the node lacks it
 }
--- a/mulleinreach/gateway/ports.py
+++ b/mulleinreach/gateway/ports.py
@@ -35,10 +35,14 @@
 
 @dataclass(frozen=True)
 class ConfigurationRead:
-    """The newest configuration at ``revision``; ``None`` when there is none, or no new one."""
+    """The newest configuration at ``revision``; ``None`` when there is none, or no new one.
+
+    ``document`` is the configuration in a form that other nodes can decode.
+    """
 
     revision: int
     configuration: Configuration | None
+    document: bytes = b""
 
 
 @dataclass(frozen=True)
@@ -61,6 +65,9 @@
     ) -> ConfigurationRead | HistoryLost | Unavailable:
         """Return as soon as there is a change after ``revision``, or when the wait is over."""
 
+    def decode(self, document: bytes) -> Configuration | None:
+        """Return the configuration that another node has read, ``None`` if it is unreadable."""
+
 
 class UpstreamSource(Protocol):
     """Where the list of upstreams comes from."""
--- /dev/null
+++ b/mulleinreach/gateway/tests/test_configuration_passed_on.py
@@ -0,0 +1,52 @@
+"""A new configuration is read once and passed on, whoever can read the store."""
+
+from __future__ import annotations
+
+import asyncio
+
+from mulleinreach.gateway.ports import Unavailable
+from mulleinreach.gateway.tests.desk import answer_whole, serve_desk
+from mulleinreach.gateway.tests.support import run_world
+from mulleinreach.standins.gateway.store import CONFIGURATION
+from mulleinreach.standins.gateway.world import API_KEY, make_configuration
+
+CHANGES = 10
+PAUSE_S = 0.4
+
+
+async def _refuse(*args):
+    return Unavailable("turned away")
+
+
+def _versions(world) -> set[int]:
+    return {node.in_force.version for node in world.nodes.values()}
+
+
+def test_changes_are_in_force_everywhere_for_few_calls():
+    async def test(world):
+        await asyncio.sleep(3)
+        calls_before = world.store.calls
+        for version in range(2, 2 + CHANGES):
+            world.store.put(CONFIGURATION, "newest", make_configuration(version))
+            await asyncio.sleep(PAUSE_S)
+        assert _versions(world) == {1 + CHANGES}
+        # Only the coordinator reads: two waits and a renewal each half a second, and one
+        # more wait for each change.
+        assert world.store.calls - calls_before < 10 * CHANGES * PAUSE_S + 3 * CHANGES
+
+    run_world(test, nodes=40, domains=0)
+
+
+def test_node_that_the_store_turns_away_follows_the_configuration():
+    async def test(world):
+        await serve_desk(world, answer_whole)
+        await asyncio.sleep(2)
+        name = next(name for name in world.nodes if name != world.coordinator())
+        ports = world.nodes[name].ports
+        ports.configurations.wait = ports.configurations.read = _refuse
+        world.store.put(CONFIGURATION, "newest", make_configuration(2, frozenset({"new"})))
+        await asyncio.sleep(0.5)
+        assert (await world.call("/order/1", node=name, key=API_KEY)).status == 401
+        assert (await world.call("/order/1", node=name, key="new")).status == 200
+
+    run_world(test, nodes=4, domains=0)
--- a/mulleinreach/platform/sources.py
+++ b/mulleinreach/platform/sources.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import json
+import zlib
+
 from absl import logging
 
+from mulleinreach.gateway.model import Configuration
 from mulleinreach.gateway.ports import (
     ConfigurationRead,
     HistoryLost,
@@ -51,17 +55,43 @@
         return self._translate(result) if isinstance(result, StoreRows) else result
 
     def _translate(self, result: StoreRows) -> ConfigurationRead:
-        configuration = None
+        configuration, document = None, b""
         for row in result.rows:
             if row.key != CONFIGURATION_KEY or row.value is None:
                 continue
-            try:
-                configuration = parse_configuration(row.value)
-            except (KeyError, TypeError, ValueError) as error:
-                logging.error(
-                    "event=configuration_unreadable version=%s why=%r", row.version, error
-                )
-        return ConfigurationRead(result.revision, configuration)
+            configuration = _parse(row.value)
+            document = encode_document(row.value)
+        return ConfigurationRead(result.revision, configuration, document)
+
+    def decode(self, document: bytes) -> Configuration | None:
+        """Return the configuration that another node has read."""
+        try:
+            raw = json.loads(zlib.decompress(document))
+        except (ValueError, zlib.error) as error:
+            logging.error("event=configuration_unreadable why=%r", error)
+            return None
+        return _parse(raw)
+
+
+def encode_document(raw: dict) -> bytes:
+    """Return a configuration as the operator wrote it, compressed for other nodes.
+
+    Examples
+    ========
+
+    >>> zlib.decompress(encode_document({"version": 3}))
+    b'{"version": 3}'
+    """
+    return zlib.compress(json.dumps(raw).encode())
+
+
+def _parse(raw: dict) -> Configuration | None:
+    try:
+        return parse_configuration(raw)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        version = raw.get("version") if isinstance(raw, dict) else None
+        logging.error("event=configuration_unreadable version=%s why=%r", version, error)
+        return None
 
 
 class PlatformUpstreams:
--- a/mulleinreach/standins/gateway/store.py
+++ b/mulleinreach/standins/gateway/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import pickle
 from dataclasses import dataclass
 from typing import Any
 
@@ -113,7 +114,7 @@
         if failure is not None:
             return failure
         configuration: Configuration | None = self._store.get(CONFIGURATION, "newest").value
-        return ConfigurationRead(self._store.version, configuration)
+        return ConfigurationRead(self._store.version, configuration, pickle.dumps(configuration))
 
     async def wait(
         self, revision: int, wait_s: float
@@ -123,7 +124,12 @@
         if not isinstance(result, tuple):
             return result
         version, rows = result
-        return ConfigurationRead(version, rows[-1].value if rows else None)
+        configuration = rows[-1].value if rows else None
+        return ConfigurationRead(version, configuration, pickle.dumps(configuration))
+
+    def decode(self, document: bytes) -> Configuration | None:
+        """Return the configuration that another node has read."""
+        return pickle.loads(document)
 
 
 class MemoryUpstreams:
