Messages between nodes are compressed, a stream for each connection

The framing moves to a module of its own; a message that would grow beyond the bound ends the connection.

--- a/mulleinreach/gateway/coordination.py
+++ b/mulleinreach/gateway/coordination.py
@@ -23,6 +23,7 @@
 from collections.abc import Awaitable, Callable
 
 from mulleinreach.common import Address, Clock, EventLog, Network
+from mulleinreach.gateway.frames import FrameReader, FrameWriter, PeerError
 from mulleinreach.gateway.hub import (
     MAX_BUFFERED_BYTES,
     SILENCE_S,
@@ -41,11 +42,8 @@
 from mulleinreach.gateway.messages import (
     CoordinatorReport,
     NodeReport,
-    PeerError,
     decode_coordinator_report,
     encode_node_report,
-    read_frame,
-    write_frame,
 )
 
 OWN_REPORTS_KEPT = 40
@@ -274,12 +272,13 @@
             return _Ended.PROCESS_GONE
         except (OSError, TimeoutError):
             return _Ended.UNREACHED
-        sending = asyncio.create_task(self._report_to_coordinator(writer))
+        sending = asyncio.create_task(self._report_to_coordinator(FrameWriter(writer)))
+        frames = FrameReader(reader)
         ended = _Ended.UNREACHED
         try:
             while True:
                 async with asyncio.timeout(SILENCE_S):
-                    report = decode_coordinator_report(await read_frame(reader))
+                    report = decode_coordinator_report(await frames.read())
                 ended = _Ended.LOST
                 self._told_node_count = report.totals.nodes
                 self._take(report)
@@ -304,14 +303,14 @@
                 self._knowledge.take(report, sent_at, loads)
                 return
 
-    async def _report_to_coordinator(self, writer: asyncio.StreamWriter) -> None:
+    async def _report_to_coordinator(self, writer: FrameWriter) -> None:
         while not writer.is_closing():
             self._seq += 1
             report = self._own_report()
             self._sent.append((self._seq, self._clock.now(), report.loads))
             # A report that finds the buffer full is left out; the next one replaces it.
-            if writer.transport.get_write_buffer_size() < MAX_BUFFERED_BYTES:
-                write_frame(writer, encode_node_report(report))
+            if writer.buffered_bytes() < MAX_BUFFERED_BYTES:
+                writer.write(encode_node_report(report))
             await asyncio.sleep(report_interval_s(self.node_count))
 
 
--- a/mulleinreach/gateway/hub.py
+++ b/mulleinreach/gateway/hub.py
@@ -17,19 +17,17 @@
 from typing import Protocol
 
 from mulleinreach.common import Address, Clock, Network
+from mulleinreach.gateway.frames import FrameReader, FrameWriter, PeerError
 from mulleinreach.gateway.lease import CoordinatorLease, Resignation
 from mulleinreach.gateway.load import LoadReport
 from mulleinreach.gateway.messages import (
     CoordinatorReport,
     NodeReport,
     OpenHead,
-    PeerError,
     Totals,
     decode_node_report,
     encode_coordinator_report,
     encode_totals,
-    read_frame,
-    write_frame,
 )
 from mulleinreach.gateway.upstreams import ListChange
 
@@ -54,7 +52,7 @@
 class _Member:
     """A node that is connected to this coordinator."""
 
-    writer: asyncio.StreamWriter
+    writer: FrameWriter
     report: NodeReport | None = None
     sent_revision: int | None = None
     sent_configuration: int = 0
@@ -197,11 +195,11 @@
         data = encode_coordinator_report(
             member.report.seq, totals, changes or [], is_unknown, self._lacking(member)
         )
-        if member.writer.transport.get_write_buffer_size() > MAX_BUFFERED_BYTES:
+        if member.writer.buffered_bytes() > MAX_BUFFERED_BYTES:
             # Changes can't be left out, so a node that is too slow begins anew.
             member.writer.close()
         else:
-            write_frame(member.writer, data)
+            member.writer.write(data)
 
     def _lacking(self, member: _Member) -> bytes:
         """Return the configuration if a member lacks it; each is sent to it once."""
@@ -220,13 +218,13 @@
     async def _serve_member(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        member = _Member(writer)
+        member, frames = _Member(FrameWriter(writer)), FrameReader(reader)
         key = object()
         self._members[key] = member
         try:
             while self.is_open:
                 async with asyncio.timeout(SILENCE_S):
-                    report = decode_node_report(await read_frame(reader))
+                    report = decode_node_report(await frames.read())
                 if not hmac.compare_digest(report.secret, self._lease.secret):
                     raise PeerError("a report without the secret of the lease")
                 member.report = report
--- a/mulleinreach/gateway/messages.py
+++ b/mulleinreach/gateway/messages.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
-import struct
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import capnp
 
 from mulleinreach.common import Address
+from mulleinreach.gateway.frames import PeerError
 from mulleinreach.gateway.lease import Resignation
 from mulleinreach.gateway.load import LoadReport
 from mulleinreach.gateway.upstreams import (
@@ -20,19 +19,13 @@
     UpstreamState,
 )
 
-MAX_MESSAGE_BYTES = 4_000_000
 MAX_COUNT = 65_535
 MAX_UINT32 = 4_294_967_295
-_LENGTH = struct.Struct(">I")
 
 capnp.remove_import_hook()
 _schema = capnp.load(str(Path(__file__).with_name("peer.capnp")))
 
 
-class PeerError(Exception):
-    """The connection to a peer is of no use any more."""
-
-
 @dataclass(frozen=True)
 class NodeReport:
     """What a node has in flight, and how far its list and its configuration go."""
@@ -295,19 +288,3 @@
         row.domain or None,
         membership,
     )
-
-
-def write_frame(writer: asyncio.StreamWriter, data: bytes) -> None:
-    """Put one message into the send buffer."""
-    writer.write(_LENGTH.pack(len(data)) + data)
-
-
-async def read_frame(reader: asyncio.StreamReader) -> bytes:
-    """Return the next message; raises :class:`PeerError` when none can come any more."""
-    try:
-        (length,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
-        if length > MAX_MESSAGE_BYTES:
-            raise PeerError(f"a message of {length} bytes")
-        return await reader.readexactly(length)
-    except (asyncio.IncompleteReadError, OSError) as error:
-        raise PeerError(str(error)) from error
--- a/mulleinreach/gateway/tests/test_fleet.py
+++ b/mulleinreach/gateway/tests/test_fleet.py
@@ -4,8 +4,9 @@
 
 import pytest
 
+from mulleinreach.gateway.frames import FrameWriter
 from mulleinreach.gateway.load import LoadReport
-from mulleinreach.gateway.messages import NodeReport, encode_node_report, write_frame
+from mulleinreach.gateway.messages import NodeReport, encode_node_report
 from mulleinreach.gateway.tests.support import run_world
 from mulleinreach.standins.gateway.hosts import HostTimes
 from mulleinreach.standins.gateway.world import LARGE, MODEL_SERVICE, SMALL, GatewayWorld
@@ -173,7 +174,7 @@
         address = coordinator.identity.peers
         reader, writer = await world.nodes["node-0"].network.connect(address)
         report = NodeReport("intruder", [LoadReport("u", 9, 0, 9.0, 9.0)], secret="guess")
-        write_frame(writer, encode_node_report(report))
+        FrameWriter(writer).write(encode_node_report(report))
         await asyncio.sleep(0.3)
         names = [r.node for r in coordinator.coordination.node_reports()]
         writer.close()
