An order to leave frees a host from that group only

Found on reading the diff: a host that stands in another group takes such an order as done already, and from then on its report of that other group counted as older than the leave. What was left is now kept by name and epoch; only an accepted order counts.

--- a/mulleinreach/gateway/fleet/formation.py
+++ b/mulleinreach/gateway/fleet/formation.py
@@ -145,8 +145,8 @@
     async def _stands_as_known(self, member: Upstream) -> bool:
         """Whether a host itself says that it stands in the group that its row tells.
 
-        A report is some tenths of a second old. One that tells of a group which the
-        host has left on our order since then is no contradiction.
+        A report is some tenths of a second old. One that tells of just the group which
+        the host has left on our order since then is no contradiction.
         """
         as_of = self._clock.now() - self._lag_s(member)
         report = await self._orders.report(member, PROBE_TIMEOUT_S)
@@ -156,7 +156,7 @@
         self._hosts.take_report(report, as_of)
         if report.place == member.place:
             return True
-        return member.place is None and self._hosts.has_left_since(member.id, as_of)
+        return member.place is None and self._hosts.has_left_since(member.id, report.place, as_of)
 
     async def _join(
         self, member: Upstream, name: str, epoch: int, model: str, ids: list[str]
@@ -221,9 +221,10 @@
             self._check_lease()
             result = await self._orders.leave(member, group.name, group.epoch)
             self._note("leave", member, group.name, result)
+            if isinstance(result, Accepted):
+                self._hosts.note_left(member.id, group)
             if not isinstance(result, NoAnswer):
                 # A host that refuses to leave a group does not stand in it.
-                self._hosts.note_left(member.id, group)
                 return True
             report = await self.probe(member)
             if isinstance(report, Unavailable):
--- a/mulleinreach/gateway/fleet/hosts.py
+++ b/mulleinreach/gateway/fleet/hosts.py
@@ -47,6 +47,17 @@
     since: float
 
 
+@dataclass(frozen=True)
+class LeftGroup:
+    """A group, by name and epoch, that a host was told to leave and took the order.
+
+    A host that stands in another group takes such an order too, and stays there.
+    """
+
+    place: tuple[str, int]
+    at: float
+
+
 @dataclass(frozen=True)
 class Forming:
     """A group, or a standby on its own, that is being formed."""
@@ -74,7 +85,7 @@
         self._lost_at: dict[str, float] = {}
         self._paces: dict[str, tuple[float, float]] = {}
         self._delisted_at: dict[str, float] = {}
-        self._left_at: dict[str, float] = {}
+        self._left: dict[str, LeftGroup] = {}
         self._heads: dict[tuple[str, int], str] = {}
         self._ended: dict[tuple[str, int], EndedGroup] = {}
         self._missing_since: dict[tuple[str, str], list[float]] = {}
@@ -113,14 +124,15 @@
     def note_left(self, host: str, group: Group) -> None:
         """Note that a host took our order to leave a group, ahead of its row."""
         now = self._clock.now()
-        self._left_at[host] = now
+        self._left[host] = LeftGroup((group.name, group.epoch), now)
         known = self._directory.get(host)
         if known is not None and stands_in(known, group):
             self._directory.put_report(replace(known, models=(), membership=None), now)
 
-    def has_left_since(self, host: str, moment: float) -> bool:
-        """Whether a host took an order to leave its group at or after a moment."""
-        return self._left_at.get(host, NEVER) >= moment
+    def has_left_since(self, host: str, place: tuple[str, int] | None, moment: float) -> bool:
+        """Whether a host took an order to leave just this group at or after a moment."""
+        left = self._left.get(host)
+        return left is not None and left.place == place and left.at >= moment
 
     def pace(self, host: str) -> float:
         """Return how many times longer a host's work takes, as it reported lately."""
--- a/mulleinreach/gateway/tests/test_stale_groups.py
+++ b/mulleinreach/gateway/tests/test_stale_groups.py
@@ -5,9 +5,10 @@
 import asyncio
 from dataclasses import replace
 
+from mulleinreach.gateway.fleet.formation import JoinOutcome
 from mulleinreach.gateway.ports import Accepted
 from mulleinreach.gateway.tests.support import run_world
-from mulleinreach.gateway.upstreams import Group
+from mulleinreach.gateway.upstreams import Group, Membership, MemberState
 from mulleinreach.standins.gateway.store import UPSTREAMS
 from mulleinreach.standins.gateway.world import LARGE, MODEL_SERVICE
 
@@ -53,3 +54,30 @@
         assert len(orders) <= 6
 
     run_world(test, domains=1)
+
+
+def test_leave_of_a_group_that_a_host_is_not_in_frees_it_from_no_other():
+    async def test(world):
+        await world.until_formed()
+        await asyncio.sleep(3)
+        coordinator = world.nodes[world.coordinator()]
+        head = coordinator.chooser.heads(MODEL_SERVICE, LARGE)[0].upstream
+        members = world.fabric.hosts[head.id].standing.members
+        earlier = Group("earlier", 1)
+        for rank, host in enumerate(members):
+            stale = Membership("earlier", 1, rank, MemberState.READY)
+            row = replace(world.fabric.hosts[host].describe(), membership=stale, models=())
+            world.store.put(UPSTREAMS, host, row)
+            earlier.members[rank] = row
+        await asyncio.sleep(0.1)
+        await coordinator.operator.dissolve(earlier)
+        _, outcome = await coordinator.operator.join_all(
+            LARGE, [coordinator.hosts.get(head.id)], patience_s=1.0
+        )
+        assert outcome is JoinOutcome.WITHHELD
+        await asyncio.sleep(2)
+        for host in members:
+            world.fabric.hosts[host].list_again()
+        await world.until(lambda: world.open_groups(LARGE) == 1)
+
+    run_world(test, domains=1)
