--- a/mulleinreach/gateway/tests/test_fleet.py
+++ b/mulleinreach/gateway/tests/test_fleet.py
@@ -8,6 +8,7 @@
 from mulleinreach.gateway.load import LoadReport
 from mulleinreach.gateway.messages import NodeReport, encode_node_report
 from mulleinreach.gateway.tests.support import run_world
+from mulleinreach.gateway.upstreams import Group
 from mulleinreach.standins.gateway.hosts import HostTimes
 from mulleinreach.standins.gateway.world import LARGE, MODEL_SERVICE, SMALL, GatewayWorld
 
@@ -354,3 +355,19 @@
         assert holder.lease.is_held()
 
     run_world(test, nodes=2)
+
+
+def test_host_is_free_of_a_group_only_if_it_or_the_head_has_left():
+    async def test(world):
+        hosts = world.nodes["node-0"].hosts
+        group = Group("ended", 7)
+        hosts.mark_ended(group, set())
+        assert not hosts.has_left("member", ("ended", 7))
+        hosts.mark_ended(group, {"member"})
+        assert hosts.has_left("member", ("ended", 7))
+        assert not hosts.has_left("other", ("ended", 7))
+        assert not hosts.has_left("member", ("another", 7))
+        hosts.mark_ended(group, None)
+        assert hosts.has_left("other", ("ended", 7))
+
+    run_world(test, nodes=1, domains=0)
--- a/mulleinreach/gateway/tests/test_keys_in_outages.py
+++ b/mulleinreach/gateway/tests/test_keys_in_outages.py
@@ -72,6 +72,8 @@
         others = [name for name in world.nodes if name != coordinator]
         for name in [coordinator, *others][:turned_away]:
             _turn_away(world.nodes[name])
+        # A wait that was under way may still be answered.
+        await asyncio.sleep(1)
         world.store.put(CONFIGURATION, "newest", make_configuration(2, frozenset()))
         await asyncio.sleep(LENIENT.key_evidence_s + 0.3)
         for status in (await _statuses(world)).values():
