--- /dev/null
+++ b/mulleinreach/gateway/late.py
@@ -0,0 +1,52 @@
+"""Keeps places at the engines for requests that can still be in time.
+
+Explanation
+===========
+
+After an outage, the requests that it delayed come back together, late already, and
+would fill every place at the engines for as long as a stream lasts; the requests that
+come then would be late too. So a request that is late waits at its node, for a while
+at most, until a head with free places is drawn for it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from mulleinreach.common import Clock
+from mulleinreach.gateway.choosing import UpstreamChooser
+from mulleinreach.gateway.load import LoadBook
+from mulleinreach.gateway.model import Service
+from mulleinreach.gateway.ports import CallerHeaders
+
+PATIENCE_S = 1.0
+SHARE_OF_WAIT = 0.25
+SHORTEST_PAUSE_S, LONGEST_PAUSE_S = 0.03, 0.09
+# The share of a head's places that late requests may fill.
+ROOM_SHARE = 0.6
+
+
+class LateGate:
+    """Holds late requests back while heads are nearly full."""
+
+    def __init__(self, chooser: UpstreamChooser, loads: LoadBook, clock: Clock, rng: random.Random):
+        self._chooser = chooser
+        self._loads = loads
+        self._clock = clock
+        self._rng = rng
+
+    async def wait(self, service: Service, headers: CallerHeaders, remaining_s: float) -> None:
+        """Wait for a head with free places, or until the patience is over."""
+        until = self._clock.now() + min(PATIENCE_S, SHARE_OF_WAIT * remaining_s)
+        while self._clock.now() < until and not self._has_room(service, headers):
+            await asyncio.sleep(self._rng.uniform(SHORTEST_PAUSE_S, LONGEST_PAUSE_S))
+
+    def _has_room(self, service: Service, headers: CallerHeaders) -> bool:
+        if not self._loads.is_told_lately():
+            # What other nodes have sent is unknown, as after a start of all of them.
+            return False
+        head = self._chooser.choose(service, headers, set())
+        if head is None:
+            return False
+        return self._loads.running(head.id) < ROOM_SHARE * service.engine.slots
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -24,6 +24,7 @@
 from mulleinreach.gateway.following import ConfigurationInForce, UpstreamFollower
 from mulleinreach.gateway.hub import sum_loads
 from mulleinreach.gateway.knowledge import SharedKnowledge
+from mulleinreach.gateway.late import LateGate
 from mulleinreach.gateway.lease import CoordinatorLease
 from mulleinreach.gateway.load import LoadBook
 from mulleinreach.gateway.metrics import GatewayMetrics
@@ -35,7 +36,6 @@
 from mulleinreach.gateway.starting import StartGate
 from mulleinreach.gateway.upstreams import UpstreamDirectory
 from mulleinreach.gateway.urgency import FirstWaits
-from mulleinreach.gateway.waiting import PlaceQueue
 
 CONNECT_TIMEOUT_S = 0.35
 BACKLOG = 512
@@ -136,7 +136,7 @@
             budget,
             first_waits,
             StartGate([self.in_force.was_read, self.follower.was_read]),
-            PlaceQueue(self.chooser, self.loads, self.clock),
+            LateGate(self.chooser, self.loads, self.clock, self.rng),
             self.metrics,
             self.clock,
             self.log,
--- a/mulleinreach/gateway/relay.py
+++ b/mulleinreach/gateway/relay.py
@@ -14,14 +14,14 @@
 from mulleinreach.gateway.connections import CallerConnections
 from mulleinreach.gateway.events import EventSplitter
 from mulleinreach.gateway.exchange import AnswerCut, Answered, Broken, Streaming
+from mulleinreach.gateway.late import LateGate
 from mulleinreach.gateway.load import Ticket
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.model import RouteKind, Service
 from mulleinreach.gateway.ports import CallerHeaders, Dialect
 from mulleinreach.gateway.sending import MIN_REMAINING_S, RelayJob, Sender, end_to_end_headers
 from mulleinreach.gateway.starting import StartGate
-from mulleinreach.gateway.urgency import FirstEvents, FirstWaits
-from mulleinreach.gateway.waiting import PlaceQueue
+from mulleinreach.gateway.urgency import FirstWaits
 
 
 def _header_bytes(request: web.BaseRequest) -> int:
@@ -44,7 +44,7 @@
         budget: WindowedRetryBudget,
         first_waits: FirstWaits,
         start_gate: StartGate,
-        place_queue: PlaceQueue,
+        late_gate: LateGate,
         metrics: GatewayMetrics,
         clock: Clock,
         log: EventLog,
@@ -56,8 +56,7 @@
         self._budget = budget
         self._first_waits = first_waits
         self._start_gate = start_gate
-        self._place_queue = place_queue
-        self._first_events = FirstEvents()
+        self._late_gate = late_gate
         self._metrics = metrics
         self._clock = clock
         self._log = log
@@ -116,8 +115,6 @@
         if job.first_event_at is not None:
             first_event_s = job.first_event_at - started_at
             self._metrics.observe_stream(kind, first_event_s, job.longest_pause_s)
-            if job.found_idle and job.sends == 1:
-                self._first_events.note(job.admitted.route.name, job.first_event_at - job.sent_at)
         self._log.event(
             "request_answered",
             id=job.headers.request_id,
@@ -184,11 +181,9 @@
 
     async def _relay_stream(self, job: RelayJob) -> web.StreamResponse:
         response: web.StreamResponse | None = None
-        if job.service.engine is not None:
+        if job.service.engine is not None and self._sender.is_late(job):
             remaining_s = job.deadline - self._clock.now()
-            job.reserved = await self._place_queue.wait(
-                job.service, job.headers, remaining_s, self._timely_for_s(job)
-            )
+            await self._late_gate.wait(job.service, job.headers, remaining_s)
         while (upstream := self._sender.next_upstream(job)) is not None:
             exchange, ticket = self._sender.begin(job, upstream)
             try:
@@ -215,11 +210,6 @@
         job.request.transport.close()
         return response
 
-    def _timely_for_s(self, job: RelayJob) -> float:
-        """Return how long a request may wait and still have its first event in time."""
-        route = job.admitted.route
-        return route.objective_s - self._sender.age_s(job) - self._first_events.usual_s(route.name)
-
     async def _begin_response(self, job: RelayJob, result: Streaming) -> web.StreamResponse:
         response = web.StreamResponse(
             status=result.status, headers=end_to_end_headers(result.headers)
--- a/mulleinreach/gateway/sending.py
+++ b/mulleinreach/gateway/sending.py
@@ -31,8 +31,6 @@
 from mulleinreach.gateway.urgency import FirstWaits, engine_priority
 
 MIN_REMAINING_S = 0.005
-# Below this share of places a head's first events show what it takes without waiting.
-IDLE_SHARE = 0.5
 SILENCE_STEP_S = 0.4
 SILENCE_LIMIT_S = 1.3
 # Streams that lost their replica may be sent once more than the route allows:
@@ -74,14 +72,7 @@
 
 @dataclass
 class RelayJob:
-    """One request of a caller, with what has become of it so far.
-
-    Parameters
-    ==========
-
-    reserved : the head that was found for its first send.
-    sent_at, found_idle : when it was last sent, and whether most places there were free.
-    """
+    """One request of a caller, with what has become of it so far."""
 
     request: web.BaseRequest
     headers: CallerHeaders
@@ -100,9 +91,6 @@
     first_event_at: float | None = None
     last_event_at: float | None = None
     longest_pause_s: float = 0.0
-    reserved: Upstream | None = None
-    sent_at: float = 0.0
-    found_idle: bool = False
     upstream_id: str = ""
 
     def note_events(self, count: int, now: float) -> None:
@@ -153,8 +141,7 @@
             limit += EXTRA_RESUMES
         if job.sends >= limit:
             return None
-        upstream = job.reserved or self._chooser.choose(job.service, job.headers, job.tried)
-        job.reserved = None
+        upstream = self._chooser.choose(job.service, job.headers, job.tried)
         if upstream is None:
             return None
         if job.sends > 0 and not self._budget.try_spend(job.service.name):
@@ -182,8 +169,6 @@
         job.sends += 1
         job.upstream_id = upstream.id
         job.priority = self._priority(job)
-        job.sent_at = self._clock.now()
-        job.found_idle = self._is_idle(job.service, upstream)
         self._log.event(
             "request_sent",
             id=job.headers.request_id,
@@ -199,11 +184,6 @@
         ticket = self._loads.start(upstream.id, job.headers.prompt_tokens or 0)
         return self._active.begin(upstream.id), ticket
 
-    def _is_idle(self, service: Service, upstream: Upstream) -> bool:
-        if service.engine is None:
-            return False
-        return self._loads.running(upstream.id) < IDLE_SHARE * service.engine.slots
-
     def end(self, exchange: ActiveExchange, ticket: Ticket) -> None:
         """Note that an exchange is over."""
         ticket.finish()
@@ -284,11 +264,6 @@
         wait_s = job.caller_gives_up_at - self._clock.now()
         return self._first_waits.is_late(job.admitted.route, wait_s)
 
-    def age_s(self, job: RelayJob) -> float:
-        """Return how long ago the caller first asked."""
-        wait_s = job.caller_gives_up_at - self._clock.now()
-        return self._first_waits.age_s(job.admitted.route, wait_s)
-
     def _outgoing(self, job: RelayJob, upstream: Upstream, remaining_s: float) -> OutgoingRequest:
         headers = self._dialect.forward_headers(
             end_to_end_headers(job.request.headers),
--- a/mulleinreach/gateway/urgency.py
+++ b/mulleinreach/gateway/urgency.py
@@ -26,8 +26,6 @@
 LATE_PRIORITY = 9
 LONGEST_WAIT_MEMORY_S = 30.0
 ENOUGH_SEEN = 20
-# The weight of the latest first event in the average of about twenty.
-FIRST_EVENT_WEIGHT = 0.05
 
 
 def engine_priority(priority: int, is_late: bool, is_moved: bool) -> int:
@@ -68,34 +66,6 @@
     count: int = 0
 
 
-class FirstEvents:
-    """Learns how long the first event takes at a head with free places, by route.
-
-    Examples
-    ========
-
-    >>> events = FirstEvents()
-    >>> events.note("r", 0.2)
-    >>> events.note("r", 0.3)
-    >>> round(events.usual_s("r"), 3)
-    0.205
-    >>> events.usual_s("other")
-    0.0
-    """
-
-    def __init__(self) -> None:
-        self._usual_s: dict[str, float] = {}
-
-    def note(self, route: str, seconds: float) -> None:
-        """Note one first event."""
-        known = self._usual_s.get(route, seconds)
-        self._usual_s[route] = known + FIRST_EVENT_WEIGHT * (seconds - known)
-
-    def usual_s(self, route: str) -> float:
-        """Return the usual time to the first event; 0 before the first one was seen."""
-        return self._usual_s.get(route, 0.0)
-
-
 class FirstWaits:
     """Learns how long callers wait for an answer when they first ask, by route.
 
