--- a/mulleinreach/gateway/tests/support.py
+++ b/mulleinreach/gateway/tests/support.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable, Callable
 
+from mulleinreach.gateway.ports import Unavailable
 from mulleinreach.standins.gateway.world import GatewayWorld
 from mulleinreach.standins.virtual import run_virtual
 
@@ -21,3 +23,25 @@
             await world.close()
 
     run_virtual(run())
+
+
+def turn_away(node) -> None:
+    """Have the store refuse all calls of one node."""
+    for port in (node.ports.lease, node.ports.configurations, node.ports.upstreams):
+        for name in ("read", "write", "wait"):
+            if hasattr(port, name):
+                setattr(port, name, refuse_call)
+
+
+async def refuse_call(*args) -> Unavailable:
+    """Answer a call as the store does for a node that it turns away."""
+    return Unavailable("turned away")
+
+
+async def keep_asking(world: GatewayWorld, model: str) -> None:
+    """Ask for streams for ever, as the callers do whose silence shows a loss."""
+    running = set()
+    while True:
+        running.add(asyncio.create_task(world.stream(20, model=model)))
+        running = {task for task in running if not task.done()}
+        await asyncio.sleep(0.2)
--- a/mulleinreach/gateway/tests/test_configuration_passed_on.py
+++ b/mulleinreach/gateway/tests/test_configuration_passed_on.py
@@ -4,9 +4,8 @@
 
 import asyncio
 
-from mulleinreach.gateway.ports import Unavailable
 from mulleinreach.gateway.tests.desk import answer_whole, serve_desk
-from mulleinreach.gateway.tests.support import run_world
+from mulleinreach.gateway.tests.support import refuse_call, run_world
 from mulleinreach.standins.gateway.store import CONFIGURATION
 from mulleinreach.standins.gateway.world import API_KEY, make_configuration
 
@@ -14,10 +13,6 @@
 PAUSE_S = 0.4
 
 
-async def _refuse(*args):
-    return Unavailable("turned away")
-
-
 def _versions(world) -> set[int]:
     return {node.in_force.version for node in world.nodes.values()}
 
@@ -43,7 +38,7 @@
         await asyncio.sleep(2)
         name = next(name for name in world.nodes if name != world.coordinator())
         ports = world.nodes[name].ports
-        ports.configurations.wait = ports.configurations.read = _refuse
+        ports.configurations.wait = ports.configurations.read = refuse_call
         world.store.put(CONFIGURATION, "newest", make_configuration(2, frozenset({"new"})))
         await asyncio.sleep(0.5)
         assert (await world.call("/order/1", node=name, key=API_KEY)).status == 401
--- a/mulleinreach/gateway/tests/test_fleet.py
+++ b/mulleinreach/gateway/tests/test_fleet.py
@@ -7,7 +7,7 @@
 from mulleinreach.gateway.frames import FrameWriter
 from mulleinreach.gateway.load import LoadReport
 from mulleinreach.gateway.messages import NodeReport, encode_node_report
-from mulleinreach.gateway.tests.support import run_world
+from mulleinreach.gateway.tests.support import keep_asking, run_world
 from mulleinreach.gateway.upstreams import Group
 from mulleinreach.standins.gateway.hosts import HostTimes
 from mulleinreach.standins.gateway.world import LARGE, MODEL_SERVICE, SMALL, GatewayWorld
@@ -22,15 +22,6 @@
     return world.fabric.hosts[standing.members[rank]]
 
 
-async def keep_asking(world: GatewayWorld, model: str) -> None:
-    """Ask for streams for ever, as the callers do whose silence shows a loss."""
-    running = set()
-    while True:
-        running.add(asyncio.create_task(world.stream(20, model=model)))
-        running = {task for task in running if not task.done()}
-        await asyncio.sleep(0.2)
-
-
 def test_every_domain_gets_its_groups():
     async def test(world):
         assert await world.until_formed() < 10
--- a/mulleinreach/gateway/tests/test_keys_in_outages.py
+++ b/mulleinreach/gateway/tests/test_keys_in_outages.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from mulleinreach.gateway.ports import Bounds, Unavailable
+from mulleinreach.gateway.ports import Bounds
 from mulleinreach.gateway.tests.desk import answer_whole, serve_desk
-from mulleinreach.gateway.tests.support import run_world
+from mulleinreach.gateway.tests.support import run_world, turn_away
 from mulleinreach.standins.gateway.store import CONFIGURATION
 from mulleinreach.standins.gateway.world import make_configuration
 
@@ -23,18 +23,6 @@
     return {name: (await world.call("/order/1", node=name)).status for name in world.nodes}
 
 
-def _turn_away(node) -> None:
-    """Have the store refuse one node's calls."""
-    for port in (node.ports.lease, node.ports.configurations, node.ports.upstreams):
-        for name in ("read", "write", "wait"):
-            if hasattr(port, name):
-                setattr(port, name, _refuse)
-
-
-async def _refuse(*args):
-    return Unavailable("turned away")
-
-
 @pytest.mark.parametrize("outage", ["is_down", "is_silent"])
 def test_keys_work_throughout_an_outage_for_all(outage):
     async def test(world):
@@ -71,7 +59,7 @@
         coordinator = world.coordinator()
         others = [name for name in world.nodes if name != coordinator]
         for name in [coordinator, *others][:turned_away]:
-            _turn_away(world.nodes[name])
+            turn_away(world.nodes[name])
         # A wait that was under way may still be answered.
         await asyncio.sleep(1)
         world.store.put(CONFIGURATION, "newest", make_configuration(2, frozenset()))
--- a/mulleinreach/gateway/tests/test_store_outage.py
+++ b/mulleinreach/gateway/tests/test_store_outage.py
@@ -8,8 +8,7 @@
 import pytest
 
 from mulleinreach.gateway.lease import Renewal, Resignation
-from mulleinreach.gateway.ports import Unavailable
-from mulleinreach.gateway.tests.support import run_world
+from mulleinreach.gateway.tests.support import run_world, turn_away
 from mulleinreach.gateway.upstreams import Group, Membership, MemberState
 from mulleinreach.standins.gateway.store import UPSTREAMS
 from mulleinreach.standins.gateway.world import LARGE, MODEL_SERVICE, SMALL
@@ -104,18 +103,6 @@
     await asyncio.sleep(3600)
 
 
-def _refuse_store(node) -> None:
-    """Turn one node away from the store."""
-    for port in (node.ports.lease, node.ports.configurations, node.ports.upstreams):
-        for name in ("read", "write", "wait"):
-            if hasattr(port, name):
-                setattr(port, name, _refuse)
-
-
-async def _refuse(*args):
-    return Unavailable("turned away")
-
-
 def test_coordinator_goes_on_after_an_outage_of_the_store():
     async def test(world):
         await world.until_formed()
@@ -154,7 +141,7 @@
         await world.until_formed()
         await asyncio.sleep(3)
         old = world.nodes[world.coordinator()]
-        _refuse_store(old)
+        turn_away(old)
         await world.until(lambda: not old.lease.is_held(), 3)
         taken_s = await world.until(lambda: world.coordinator() is not None, 3)
         assert taken_s < 1.5
