A coordinator's word that it keeps lapsed upstreams holds while it is given

Cause: nodes took the first such word of an outage as the begin of 2.2 s, whereas the coordinator says so from early in an outage until 2.2 s after its end. A node whose own calls for the list had not failed dropped all upstreams 0.7 s after the store's return (seen on memory, seconds 7.8 to 10.04, 16 of 16 hosts), while the coordinator kept them. Ruled out: the node's own look for an outage (its list's calls had not failed, so it rightly saw none). Before: the new test fails. After: it passes; the word ends 0.5 s after the last one.

--- a/mulleinreach/gateway/tests/test_store_outage.py
+++ b/mulleinreach/gateway/tests/test_store_outage.py
@@ -9,6 +9,7 @@
 
 from mulleinreach.gateway.lease import Renewal, Resignation
 from mulleinreach.gateway.tests.support import run_world, turn_away
+from mulleinreach.gateway.upstream_following import TOLD_TO_KEEP_S
 from mulleinreach.gateway.upstreams import Group, Membership, MemberState
 from mulleinreach.standins.gateway.store import UPSTREAMS
 from mulleinreach.standins.gateway.world import LARGE, MODEL_SERVICE, SMALL
@@ -50,6 +51,21 @@
     run_world(test, nodes=3)
 
 
+def test_a_coordinator_s_word_that_it_keeps_upstreams_holds_for_as_long_as_it_is_given():
+    async def test(world):
+        await world.until_formed()
+        follower = world.nodes["node-0"].follower
+        for _ in range(20):
+            follower.take_outage(keeps_removed=True)
+            await asyncio.sleep(0.2)
+        assert follower.keeps_removed()
+        follower.take_outage(keeps_removed=False)
+        await asyncio.sleep(TOLD_TO_KEEP_S)
+        assert not follower.keeps_removed()
+
+    run_world(test, nodes=1)
+
+
 def test_host_still_missing_after_an_outage_is_taken_as_gone():
     async def test(world):
         await world.until_formed()
--- a/mulleinreach/gateway/upstream_following.py
+++ b/mulleinreach/gateway/upstream_following.py
@@ -37,6 +37,9 @@
 # is gone.
 OUTAGE_S = 1.5
 REINSTATED_S = 2.2
+# How long a coordinator's word holds that it keeps removed upstreams: until its next reports
+# (0.2 s each) have come, one of them late.
+TOLD_TO_KEEP_S = 0.5
 NEVER = float("-inf")
 
 
@@ -76,7 +79,6 @@
         self._must_read_all = True
         self._keeps_removed_until = NEVER
         self._failed_at = NEVER
-        self._was_told_to_keep = False
         self.was_read = asyncio.Event()
         self.heard_at = NEVER
 
@@ -154,9 +156,9 @@
 
     def take_outage(self, keeps_removed: bool) -> None:
         """Take the coordinator's word that it keeps upstreams that are off the list."""
-        if keeps_removed and not self._was_told_to_keep:
-            self._keeps_removed_until = self._clock.now() + REINSTATED_S
-        self._was_told_to_keep = keeps_removed
+        if keeps_removed:
+            until = self._clock.now() + TOLD_TO_KEEP_S
+            self._keeps_removed_until = max(self._keeps_removed_until, until)
 
     def keeps_removed(self) -> bool:
         """Whether the store was away so lately that upstreams off the list may be back."""
