--- a/mulleinreach/gateway/hub.py
+++ b/mulleinreach/gateway/hub.py
@@ -194,7 +194,8 @@
             for member in list(self._members.values()):
                 if member.report is not None:
                     self._report_to(member, encoded)
-            own = CoordinatorReport(0, totals)
+            # Its own word on removed upstreams would keep them for ever.
+            own = CoordinatorReport(0, replace(totals, keeps_removed=False))
             self._knowledge.take(own, self._clock.now(), reports[0].loads)
             await asyncio.sleep(report_interval_s(self.node_count))
 
