Hosts load a second model beside their work

Hypothesis: a group that loses more than its standby is away for 12 to 16 s only since no other host of its domain has the weights. A host is quick to join the group of the model that it ran last (0.2 s) and of the one whose weights lie on it (1.1 to 1.6 s); those may be two models. Change: before the first request all hosts load a second model (loads are quick then and aren't counted), later standbys do, as far as half of the loads that may run at a time are free. The name of a group tells its model, so that a new coordinator knows what a standby holds. Tests that failed first: all hosts hold both before the first request; a group that loses two members is back within 2.5 s where a load takes 12; members of groups load nothing while requests run.

--- a/mulleinreach/gateway/fleet/formation.py
+++ b/mulleinreach/gateway/fleet/formation.py
@@ -30,7 +30,7 @@
     Rejected,
     Unavailable,
 )
-from mulleinreach.gateway.upstreams import Group, MemberState, Upstream
+from mulleinreach.gateway.upstreams import Group, MemberState, Upstream, group_name
 
 EPOCHS_PER_TOKEN = 1_000_000
 ORDER_TRIES = 4
@@ -133,7 +133,7 @@
         store; so each host is asked first whether it still stands where it is thought to.
         """
         epoch = self.next_epoch()
-        name = f"g{epoch}"
+        name = group_name(epoch, model)
         ids = [member.id for member in members]
         if not all(await asyncio.gather(*(self._stands_as_known(m) for m in members))):
             self._log.event("group_not_joined", group=name, why="a host stands elsewhere")
@@ -185,6 +185,22 @@
                 return False
         return False
 
+    async def stage(self, host: Upstream, model: str, patience_s: float) -> bool:
+        """Have a host load a model's weights beside its work; returns whether it has them."""
+        for _ in range(ORDER_TRIES):
+            self._check_lease()
+            result = await self._orders.stage(host, model, self._lease.token)
+            self._take_result("stage", host, "", result)
+            if not isinstance(result, NoAnswer):
+                break
+        if not isinstance(result, Accepted):
+            return False
+        return await self._wait_until(lambda: self._has_staged(host.id, model), [host], patience_s)
+
+    def _has_staged(self, host: str, model: str) -> bool:
+        known = self._hosts.get(host)
+        return known is not None and model in known.staged
+
     async def open(self, group: Group) -> Outcome:
         """Let a group serve whose members were all seen ready."""
         head = group.head
--- a/mulleinreach/gateway/fleet/hosts.py
+++ b/mulleinreach/gateway/fleet/hosts.py
@@ -13,6 +13,7 @@
     Upstream,
     UpstreamDirectory,
     UpstreamState,
+    model_in_name,
 )
 
 LOST_MEMORY_S = 30.0
@@ -160,16 +161,15 @@
     def last_model(self, host: str) -> str | None:
         """Return the model of a host's last group, as far as this coordinator can tell.
 
-        A host tells its model only while it serves. One that stands in a group
-        without serving has that group's model staged; a coordinator that is new
-        knows it by that.
+        A host tells its model only while it serves. A coordinator that is new knows it
+        by the name of the group in which the host stands.
         """
         known = self._last_model.get(host)
         upstream = self.get(host)
         if known is not None or upstream is None or upstream.membership is None:
             return known
         is_joined = upstream.membership.state is not MemberState.JOINING
-        return upstream.staged[-1] if is_joined and upstream.staged else None
+        return model_in_name(upstream.membership.group) if is_joined else None
 
     def get(self, host: str) -> Upstream | None:
         """Return a host, listed or remembered."""
--- a/mulleinreach/gateway/fleet/loads.py
+++ b/mulleinreach/gateway/fleet/loads.py
@@ -9,6 +9,8 @@
 
 WINDOW_S = 5.0
 SHARE_USED = 0.85
+# The share of the loads that may run at a time up to which those begin that nobody waits for.
+STAGING_SHARE = 0.5
 
 
 class LoadGate:
@@ -35,6 +37,13 @@
             return False
         return len(self._begun) + 1 <= profile.loads_per_s * WINDOW_S * SHARE_USED
 
+    def may_stage(self, profile: EngineProfile) -> bool:
+        """Whether a load may begin that nobody waits for."""
+        if not self.is_limited:
+            return True
+        is_idle = self._running < STAGING_SHARE * profile.loads_at_once
+        return is_idle and self.may_begin(profile)
+
     def begin(self) -> None:
         """Count a load that begins."""
         self._begun.append(self._clock.now())
--- a/mulleinreach/gateway/fleet/placement.py
+++ b/mulleinreach/gateway/fleet/placement.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from mulleinreach.common import Clock, EventLog
 from mulleinreach.gateway.fleet.duties import HostDuties
 from mulleinreach.gateway.fleet.formation import GroupOperator, JoinOutcome, Outcome
@@ -15,6 +17,7 @@
     plan_groups,
     plan_standbys,
 )
+from mulleinreach.gateway.fleet.staging import StageModel, plan_stagings
 from mulleinreach.gateway.fleet.usage import ModelUsage
 from mulleinreach.gateway.load import LoadReport
 from mulleinreach.gateway.model import EngineModel, EngineProfile, Service
@@ -23,6 +26,9 @@
 QUICK_JOIN_S = 2.5
 LOAD_PATIENCE = 4.0
 LOAD_PATIENCE_MIN_S = 30.0
+# Longer than a load of usual weights, so that a host which can't load one costs few orders.
+STAGE_AGAIN_S = 15.0
+NEVER = float("-inf")
 
 
 class Placement:
@@ -43,6 +49,8 @@
         self.gate = LoadGate(clock)
         self._clock = clock
         self._usage: dict[str, ModelUsage] = {}
+        # When hosts that were told to load a second model may be told again.
+        self._stage_again_at: dict[str, float] = {}
 
     def plan(
         self,
@@ -66,6 +74,35 @@
         standbys.sort(key=lambda pair: pair[0].order)
         for plan, _ in standbys:
             self._start_standby(service.engine, plan)
+        self._stage_second_models(service, groups, usage.by_model())
+
+    def _stage_second_models(
+        self, service: Service, groups: dict[tuple[str, int], Group], need: dict[str, float]
+    ) -> None:
+        """Have hosts load a second model: all before the first request, then standbys."""
+        usable = self._hosts.usable(service.name)
+        if self.gate.is_limited:
+            hosts = self._free_hosts(usable, groups)
+        else:
+            hosts = [self._as_free(host) for host in usable if host.id not in self._hosts.busy]
+        for plan in plan_stagings(hosts, service.engine.models, need):
+            host = self._hosts.get(plan.host)
+            is_settled = host.membership and host.membership.state is not MemberState.JOINING
+            may_ask = self._clock.now() >= self._stage_again_at.get(plan.host, NEVER)
+            if not (may_ask and is_settled):
+                continue
+            if not self.gate.may_stage(service.engine):
+                return
+            self._stage_again_at[plan.host] = math.inf
+            self.gate.begin()
+            self._duties.spawn(self._stage(service.engine, plan, host), [])
+
+    async def _stage(self, engine: EngineProfile, plan: StageModel, host: Upstream) -> None:
+        try:
+            await self._operator.stage(host, plan.model, _load_patience_s(engine, plan.model))
+        finally:
+            self.gate.end()
+            self._stage_again_at[plan.host] = self._clock.now() + STAGE_AGAIN_S
 
     def _is_incomplete(
         self, engine: EngineProfile, domain: str, groups: dict[tuple[str, int], Group]
@@ -116,10 +153,13 @@
         free = []
         for host in usable:
             if host.id not in self._hosts.busy and self._is_free(host, groups):
-                model, is_slow = self._hosts.last_model(host.id), self._hosts.is_slow(host.id)
-                free.append(FreeHost(host.id, model, host.staged, is_slow))
+                free.append(self._as_free(host))
         return free
 
+    def _as_free(self, host: Upstream) -> FreeHost:
+        model, is_slow = self._hosts.last_model(host.id), self._hosts.is_slow(host.id)
+        return FreeHost(host.id, model, host.staged, is_slow)
+
     def _is_free(self, host: Upstream, groups: dict[tuple[str, int], Group]) -> bool:
         membership = host.membership
         if membership is None:
@@ -181,8 +221,7 @@
         self, engine: EngineProfile, plan: LoadStandby, host: Upstream, form: int
     ) -> None:
         try:
-            model = engine.model(plan.model)
-            patience_s = max(LOAD_PATIENCE_MIN_S, LOAD_PATIENCE * model.load_s)
+            patience_s = _load_patience_s(engine, plan.model)
             _, outcome = await self._operator.join_all(plan.model, [host], patience_s)
             if outcome is JoinOutcome.READY:
                 self._hosts.note_model(host.id, plan.model)
@@ -190,3 +229,8 @@
             if plan.needs_load:
                 self.gate.end()
             self._hosts.end_forming(form)
+
+
+def _load_patience_s(engine: EngineProfile, model: str) -> float:
+    """Return how long to wait at most until a host has loaded a model."""
+    return max(LOAD_PATIENCE_MIN_S, LOAD_PATIENCE * engine.model(model).load_s)
--- a/mulleinreach/gateway/ports.py
+++ b/mulleinreach/gateway/ports.py
@@ -196,6 +196,13 @@
     async def leave(self, host: Upstream, group: str, epoch: int, token: int) -> OrderResult:
         """Take the host out of a group at once."""
 
+    async def stage(self, host: Upstream, model: str, token: int) -> OrderResult:
+        """Make the host load a model's weights beside what it does.
+
+        They take the place of those that lie on the host; the model of its latest group
+        stays as quick to join as before.
+        """
+
     async def report(self, host: Upstream, timeout_s: float) -> Upstream | Unavailable:
         """Ask the host itself for its state; ``Unavailable`` if it gives no answer."""
 
--- a/mulleinreach/gateway/upstreams.py
+++ b/mulleinreach/gateway/upstreams.py
@@ -69,6 +69,25 @@
         return None if membership is None else (membership.group, membership.epoch)
 
 
+def group_name(epoch: int, model: str) -> str:
+    """Return the name of a group, by which any coordinator knows its model."""
+    return f"g{epoch}.{model}"
+
+
+def model_in_name(name: str) -> str | None:
+    """Return the model that a group's name tells.
+
+    Examples
+    ========
+
+    >>> model_in_name(group_name(7, "wide"))
+    'wide'
+    >>> model_in_name("another") is None
+    True
+    """
+    return name.partition(".")[2] or None
+
+
 @dataclass
 class Group:
     """The hosts that stand in one group under one epoch, by rank."""
@@ -88,11 +107,8 @@
         for member in self.members.values():
             if member.models:
                 return member.models[0]
-        # Hosts tell the model only while they serve; a joined one has it staged.
-        for member in self.members.values():
-            if member.staged:
-                return member.staged[-1]
-        return None
+        # Hosts tell the model only while they serve.
+        return model_in_name(self.name)
 
     def is_whole(self, size: int) -> bool:
         """Whether all ``size`` members are known."""
--- a/mulleinreach/platform/orders.py
+++ b/mulleinreach/platform/orders.py
@@ -63,6 +63,10 @@
         """Take the host out of a group at once."""
         return await self._order(host, {"op": "leave", "group": group, "epoch": epoch}, token)
 
+    async def stage(self, host: Upstream, model: str, token: int) -> OrderResult:
+        """Make the host load a model's weights beside what it does."""
+        return await self._order(host, {"op": "stage", "model": model}, token)
+
     async def report(self, host: Upstream, timeout_s: float) -> Upstream | Unavailable:
         """Ask the host for its state."""
         url = host.address.url + "/mulleinreach/report"
--- a/mulleinreach/platform/tests/soak/world.py
+++ b/mulleinreach/platform/tests/soak/world.py
@@ -15,7 +15,7 @@
 from aiohttp import web
 
 from mulleinreach.common import Address
-from mulleinreach.gateway.ports import Accepted
+from mulleinreach.gateway.ports import Accepted, OrderResult
 from mulleinreach.gateway.upstreams import Upstream, UpstreamState
 from mulleinreach.platform.dialect import (
     EXPECT_INSTANCE,
@@ -317,6 +317,8 @@
     """Carry an order out, and return the status of its answer."""
     if not host.admit(int(body["fence"])):
         return 412
+    if body["op"] == "stage":
+        return _status_of(host.stage(body["model"]))
     group, epoch = body["group"], int(body["epoch"])
     if body["op"] == "join":
         result = host.join(group, epoch, body["model"], tuple(body["members"]))
@@ -324,6 +326,10 @@
         result = host.open(group, epoch)
     else:
         result = host.leave(group, epoch)
+    return _status_of(result)
+
+
+def _status_of(result: OrderResult) -> int:
     return 202 if isinstance(result, Accepted) else result.status
 
 
--- a/mulleinreach/standins/gateway/hosts.py
+++ b/mulleinreach/standins/gateway/hosts.py
@@ -129,10 +129,10 @@
             await asyncio.sleep(self.times.warm_s)
         else:
             await asyncio.sleep(self.times.load_s)
+            self._note_staged(standing.model)
         if self.standing is not standing or self.is_dark:
             return
         self.last_model = standing.model
-        self.upstream = replace(self.upstream, staged=(standing.model,))
         standing.state = MemberState.READY
         self._fabric.checks.ready.add((standing.group, standing.epoch, self.id))
         self._publish()
@@ -155,6 +155,21 @@
             standing.state = MemberState.OPEN
             self._publish()
 
+    def stage(self, model: str) -> OrderResult:
+        """Load weights beside everything else."""
+        if model not in self.upstream.staged:
+            self._tasks.spawn(self._load_weights(model))
+        return Accepted()
+
+    async def _load_weights(self, model: str) -> None:
+        await asyncio.sleep(self.times.load_s)
+        self._note_staged(model)
+        self._publish()
+
+    def _note_staged(self, model: str) -> None:
+        """A host keeps the weights of one model."""
+        self.upstream = replace(self.upstream, staged=(model,))
+
     def leave(self, group: str, epoch: int) -> OrderResult:
         """Stand in no group any more; what runs is cut."""
         standing = self.standing
@@ -365,6 +380,10 @@
         """Order a member out of its group."""
         return await self._order(host, token, lambda h: h.leave(group, epoch))
 
+    async def stage(self, host: Upstream, model: str, token: int) -> OrderResult:
+        """Order a load of weights."""
+        return await self._order(host, token, lambda h: h.stage(model))
+
     async def report(self, host: Upstream, timeout_s: float) -> Upstream | Unavailable:
         """Ask a host for its state."""
         await asyncio.sleep(ORDER_S)
