Nodes that start know how long callers usually wait

Change: the coordinator writes the first waits that it has learnt into the lease's row, which each node reads at its start; no further call to the store. Test that failed first: all nodes are killed, a new one gives way a late caller at once. Ports keep the waits. Ruled out: the route's time as a stand-in (half of all first tries late where callers differ by 15 in 100).

--- a/mulleinreach/gateway/coordination.py
+++ b/mulleinreach/gateway/coordination.py
@@ -159,7 +159,7 @@
                 await asyncio.sleep(RETRY_S)
 
     async def _take_part_once(self) -> None:
-        state = self._seen_state or await self._lease.look()
+        state = self._seen_state or await self._look()
         self._seen_state = None
         if state is LeaseState.UNKNOWN:
             await asyncio.sleep(RETRY_S)
@@ -177,6 +177,13 @@
                 is_new = ended is _Ended.LOST
                 await asyncio.sleep(RECONNECT_S if is_new else RETRY_S)
 
+    async def _look(self) -> LeaseState:
+        """Read the lease's row, and what its holder left there for nodes that start."""
+        state = await self._lease.look()
+        if self._lease.record is not None:
+            self._knowledge.take_first_waits(self._lease.record.first_waits)
+        return state
+
     async def _stand_for_election(self) -> None:
         if self.is_stopping:
             await asyncio.sleep(RETRY_S)
@@ -292,7 +299,7 @@
         """Renew the lease, and have the same write prove what is known of the store."""
         row = self._knowledge.configuration_row()
         asked_at = self._clock.now()
-        renewal = await self._lease.renew(row)
+        renewal = await self._lease.renew(row, self._knowledge.first_waits())
         if renewal is Renewal.DONE:
             self._knowledge.confirm(row, asked_at)
         elif renewal is Renewal.DONE_CHANGED:
--- a/mulleinreach/gateway/hub.py
+++ b/mulleinreach/gateway/hub.py
@@ -31,6 +31,7 @@
     encode_totals,
 )
 from mulleinreach.gateway.upstreams import ListChange
+from mulleinreach.gateway.urgency import RouteWait
 
 REPORT_INTERVAL_S = 0.1
 # With many nodes the reports would take too much of a slow coordinator's time.
@@ -96,6 +97,12 @@
     async def read_unproven_configuration(self) -> None:
         """Read the configuration if renewals have not proved it for too long."""
 
+    def first_waits(self) -> tuple[RouteWait, ...]:
+        """Return what nodes that start should know of callers."""
+
+    def take_first_waits(self, waits: tuple[RouteWait, ...]) -> None:
+        """Take what an earlier coordinator knew of callers."""
+
     def note_store_failed(self) -> None:
         """Note that the store has just failed to answer."""
 
--- a/mulleinreach/gateway/knowledge.py
+++ b/mulleinreach/gateway/knowledge.py
@@ -19,6 +19,7 @@
 from mulleinreach.gateway.messages import CoordinatorReport, OpenHead, Totals
 from mulleinreach.gateway.upstream_following import UpstreamFollower
 from mulleinreach.gateway.upstreams import Head, ListChange, UpstreamDirectory
+from mulleinreach.gateway.urgency import FirstWaits, RouteWait
 
 # Older evidence would be too old at the nodes (1.5 s) before the next renewal.
 UNPROVEN_S = 0.7
@@ -35,6 +36,7 @@
         loads: LoadBook,
         chooser: UpstreamChooser,
         controller: FleetController,
+        first_waits: FirstWaits,
         on_lost: Callable[[str], None],
     ):
         self._in_force = in_force
@@ -43,6 +45,7 @@
         self._loads = loads
         self._chooser = chooser
         self._controller = controller
+        self._first_waits = first_waits
         self._on_lost = on_lost
         self._heads: list[OpenHead] = []
 
@@ -89,6 +92,10 @@
         """Return the age of the latest proof that the configuration is the newest."""
         return self._in_force.evidence_age_s()
 
+    def first_waits(self) -> tuple[RouteWait, ...]:
+        """Return what nodes that start should know of callers."""
+        return self._first_waits.known()
+
     # What a renewal of the lease shows.
 
     def configuration_row(self) -> int | None:
@@ -117,6 +124,10 @@
 
     # What is taken.
 
+    def take_first_waits(self, waits: tuple[RouteWait, ...]) -> None:
+        """Take what an earlier coordinator knew of callers."""
+        self._first_waits.take_told(waits)
+
     def take(self, report: CoordinatorReport, asked_at: float, own_loads: list[LoadReport]) -> None:
         """Take a report that answers what this node had sent at ``asked_at``."""
         totals = report.totals
--- a/mulleinreach/gateway/lease.py
+++ b/mulleinreach/gateway/lease.py
@@ -27,6 +27,7 @@
     LeaseWritten,
     Unavailable,
 )
+from mulleinreach.gateway.urgency import RouteWait
 
 LEASE_S = 2.0
 RENEW_S = 0.7
@@ -159,7 +160,8 @@
         """Take the lease that was last seen; fails if anybody wrote the row since."""
         sent_at = self._clock.now()
         secret = secrets.token_hex(SECRET_BYTES)
-        record = LeaseRecord(self._holder, self._address, self.token + 1, 0, secret)
+        known = self.record.first_waits if self.record else ()
+        record = LeaseRecord(self._holder, self._address, self.token + 1, 0, secret, known)
         result = await self._store.write(self._version, record)
         if not isinstance(result, LeaseWritten):
             return False
@@ -179,7 +181,9 @@
             return False
         return await self.acquire()
 
-    async def renew(self, configuration_row: int | None = None) -> Renewal:
+    async def renew(
+        self, configuration_row: int | None = None, first_waits: tuple[RouteWait, ...] = ()
+    ) -> Renewal:
         """Extend the lease, or take it up again while nobody has written the row since.
 
         Parameters
@@ -187,12 +191,13 @@
 
         configuration_row : the version of the configuration's row, if it is known.
             ``DONE`` proves that it was still the newest one when the renewal began.
+        first_waits : what nodes that start should know of callers.
         """
         if self.fenced.is_set():
             return Renewal.LOST
         sent_at = self._clock.now()
         current = self.record
-        record = replace(current, renewal=current.renewal + 1)
+        record = replace(current, renewal=current.renewal + 1, first_waits=first_waits)
         result = await self._store.write(self._version, record, configuration_row)
         is_changed = isinstance(result, ConfigurationChanged)
         if is_changed:
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -131,7 +131,7 @@
             keeps_connections=False, connect_timeout_s=CONNECT_TIMEOUT_S
         )
         budget = WindowedRetryBudget(self.bounds, self.clock, self._node_count)
-        first_waits = FirstWaits()
+        self.first_waits = FirstWaits()
         sender = Sender(
             self.chooser,
             UpstreamClient(self.session, self.ports.dialect),
@@ -140,7 +140,7 @@
             self.active,
             self.suspects,
             budget,
-            first_waits,
+            self.first_waits,
             self.metrics,
             self.clock,
             self.log,
@@ -150,7 +150,7 @@
             sender,
             self.ports.dialect,
             budget,
-            first_waits,
+            self.first_waits,
             StartGate([self.in_force.was_read, self.follower.was_read]),
             LateGate(self.chooser, self.loads, self.clock, self.rng),
             self.metrics,
@@ -206,6 +206,7 @@
                 self.loads,
                 self.chooser,
                 self.controller,
+                self.first_waits,
                 self._on_lost,
             ),
         )
--- a/mulleinreach/gateway/ports.py
+++ b/mulleinreach/gateway/ports.py
@@ -17,6 +17,7 @@
 from mulleinreach.common import Address
 from mulleinreach.gateway.model import Configuration
 from mulleinreach.gateway.upstreams import Upstream
+from mulleinreach.gateway.urgency import RouteWait
 
 # Results of reading a source.
 
@@ -88,7 +89,8 @@
 class LeaseRecord:
     """Who coordinates; ``token`` rises with each change of holder.
 
-    ``secret`` is new with each holder: a node that names it has read the store.
+    ``secret`` is new with each holder: a node that names it has read the store;
+    ``first_waits`` is what the holder has learnt of callers, for nodes that start.
     """
 
     holder: str
@@ -96,6 +98,7 @@
     token: int
     renewal: int
     secret: str = ""
+    first_waits: tuple[RouteWait, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/mulleinreach/gateway/tests/test_urgency.py
+++ b/mulleinreach/gateway/tests/test_urgency.py
@@ -142,3 +142,20 @@
         assert all(len(answer.event_ids) == 40 for answer in answers)
 
     run_world(test, nodes=1)
+
+
+def test_nodes_that_start_know_what_an_earlier_coordinator_had_learnt():
+    async def test(world):
+        await world.until_formed()
+        for name in world.nodes:
+            for _ in range(ENOUGH_SEEN):
+                await world.stream(1, deadline_s=8.0, node=name)
+        await asyncio.sleep(2)
+        for name in list(world.nodes):
+            await world.kill_node(name)
+        await world.start_node("node-new")
+        await world.until(lambda: world.open_groups(LARGE) == 2)
+        await world.stream(1, deadline_s=6.0)
+        assert list(world.fabric.checks.priorities.values())[-1] == [str(LATE_PRIORITY)]
+
+    run_world(test, nodes=2)
--- a/mulleinreach/gateway/urgency.py
+++ b/mulleinreach/gateway/urgency.py
@@ -17,6 +17,7 @@
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import dataclass
 
 from mulleinreach.gateway.model import Route
 
@@ -33,6 +34,9 @@
 # and a kind of caller that is rarer is taken for late. With waits spread evenly over 60% of the
 # longest one, the error is 0.03 of it, less than the objective of usual routes.
 SHORTER_SHARE = 0.05
+# Routes told to nodes that start: services have few kinds of request, and the row that
+# carries them stays under 4 KB.
+MAX_TOLD = 50
 
 
 def engine_priority(priority: int, is_late: bool, is_moved: bool) -> int:
@@ -64,6 +68,14 @@
     return min(HIGHEST_PRIORITY + max(0, priority), LOWEST_PRIORITY)
 
 
+@dataclass(frozen=True)
+class RouteWait:
+    """What nearly all callers of a route wait for at least when they first ask, in seconds."""
+
+    route: str
+    shortest_s: float
+
+
 class _RouteWaits:
     """The latest waits of a route's callers."""
 
@@ -94,7 +106,8 @@
 
     It learns from requests that were answered in time. Where nothing is known yet nobody
     is taken for late: a request that is put back wrongly is late for nothing, and costs
-    more than one that goes too soon.
+    more than one that goes too soon. After an outage of all nodes the requests that it
+    delayed come first, so nodes that start are told what an earlier coordinator knew.
 
     Examples
     ========
@@ -110,6 +123,21 @@
 
     def __init__(self) -> None:
         self._waits: dict[str, _RouteWaits] = {}
+        self._told: dict[str, float] = {}
+
+    def take_told(self, waits: tuple[RouteWait, ...]) -> None:
+        """Take what a coordinator knew, for routes of which this node has seen too little."""
+        self._told = {wait.route: wait.shortest_s for wait in waits}
+
+    def known(self) -> tuple[RouteWait, ...]:
+        """Return what is known of the routes that nodes which start should hear of."""
+        routes = list({**self._waits, **self._told})
+        waits = [RouteWait(route, self._shortest_first_s(route)) for route in routes]
+        return tuple(wait for wait in waits if wait.shortest_s > 0)[:MAX_TOLD]
+
+    def _shortest_first_s(self, route: str) -> float:
+        own = self._waits.get(route)
+        return (own.shortest_first_s() if own else 0.0) or self._told.get(route, 0.0)
 
     def note(self, route: Route, wait_s: float, answered_s: float) -> None:
         """Note how long a caller would have waited, and after which time it had its answer.
@@ -121,7 +149,4 @@
 
     def is_late(self, route: Route, wait_s: float) -> bool:
         """Whether the answer to a caller that waits ``wait_s`` more can't come in time."""
-        known = self._waits.get(route.name)
-        if known is None:
-            return False
-        return known.shortest_first_s() - wait_s > route.objective_s
+        return self._shortest_first_s(route.name) - wait_s > route.objective_s
--- a/mulleinreach/platform/sources.py
+++ b/mulleinreach/platform/sources.py
@@ -20,6 +20,7 @@
     UpstreamsRead,
 )
 from mulleinreach.gateway.upstreams import Upstream
+from mulleinreach.gateway.urgency import RouteWait
 from mulleinreach.platform.configuration import parse_configuration
 from mulleinreach.platform.store import (
     Conflict,
@@ -134,6 +135,10 @@
             return None
 
 
+def _parse_waits(raw: dict) -> tuple[RouteWait, ...]:
+    return tuple(RouteWait(str(route), float(shortest_s)) for route, shortest_s in raw.items())
+
+
 class PlatformLease:
     """The coordinator's lease, one row of the store."""
 
@@ -154,8 +159,9 @@
                 int(row.value["token"]),
                 int(row.value["renewal"]),
                 str(row.value["secret"]),
+                _parse_waits(row.value.get("first_waits", {})),
             )
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
             return Unavailable(f"a lease of another shape: {error!r}")
         return LeaseRead(row.version, record)
 
@@ -169,6 +175,7 @@
             "token": record.token,
             "renewal": record.renewal,
             "secret": record.secret,
+            "first_waits": {wait.route: wait.shortest_s for wait in record.first_waits},
         }
         lease = RowState(LEASE_TABLE, LEASE_KEY, version)
         unchanged = []
--- a/mulleinreach/platform/tests/test_ports.py
+++ b/mulleinreach/platform/tests/test_ports.py
@@ -21,6 +21,7 @@
     UpstreamsRead,
 )
 from mulleinreach.gateway.upstreams import Membership, MemberState, Upstream
+from mulleinreach.gateway.urgency import RouteWait
 from mulleinreach.platform.orders import PlatformOrders
 from mulleinreach.platform.sources import (
     PlatformConfigurations,
@@ -215,7 +216,8 @@
 @both
 def test_lease_is_written_once_under_its_version(kind):
     async def test(ports):
-        record = LeaseRecord("a.1", "10.0.0.1:1", 1, 0)
+        waits = (RouteWait("r", 5.5), RouteWait("s", 0.25))
+        record = LeaseRecord("a.1", "10.0.0.1:1", 1, 0, "secret", waits)
         empty = await ports.lease.read()
         assert (empty.version, empty.record) == (0, None)
         written = await ports.lease.write(0, record)
