Hosts are allocated over all domains; groups give way to a crowded model

Cause: each domain planned for itself, by the configuration's shares. On the shifted site the wide model's groups used 16 in 100 of their places and the narrow one's 66 and more; a fifth of its requests was late. Change: work is counted in places that requests hold or wait for. Once a model is crowded, each further group goes where it shortens waiting most (a cost by the cube of the places in use, with groups held in reserve), over all domains; groups of a model with places to spare retire, and their hosts, which hold the other model's weights already, form groups of the crowded one two to five seconds later. The last groups of a model stay.

--- /dev/null
+++ b/mulleinreach/gateway/fleet/allocation.py
@@ -0,0 +1,248 @@
+"""Decides over all domains of a service how many groups of which model there should be.
+
+Explanation
+===========
+
+While no model is crowded, each domain keeps a group of each model. Once one is, what
+counts is how much longer its requests wait: hosts go where they shorten that most, and
+groups of a model that has places to spare give way to those of the crowded one.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from mulleinreach.gateway.fleet.planner import (
+    FULL_USAGE,
+    STANDBYS_PER_MODEL,
+    DomainView,
+    ServingGroup,
+    target_groups,
+)
+from mulleinreach.gateway.model import EngineModel, EngineProfile
+
+# Groups of a model that may be lost at any moment: the others have to bear its work.
+RESERVE = 1
+# The share of places in use above which a model is crowded.
+CROWDED = 0.45
+# A move has to lower the cost by so much: its hosts serve nobody for two to four seconds.
+MOVE_GAIN = 0.2
+# Moves under way at a time; each is followed by what it changes within some seconds.
+MOVES_AT_ONCE = 3
+# Waiting grows about with the cube of the share of places in use.
+COST_POWER = 3
+
+
+@dataclass(frozen=True)
+class Work:
+    """The work of a service's models.
+
+    Parameters
+    ==========
+
+    slots : places of a group.
+    places : places that requests of each model hold or wait for; empty before the first ones.
+    """
+
+    slots: int
+    places: dict[str, float]
+
+    def crowding(self, model: str, groups: int) -> float:
+        """Return the share of a model's places in use once the reserve is lost.
+
+        Examples
+        ========
+
+        >>> work = Work(24, {"wide": 24, "narrow": 192})
+        >>> work.crowding("wide", 3), work.crowding("narrow", 9)
+        (0.5, 1.0)
+        """
+        spared = max(groups - RESERVE, groups / (1 + RESERVE), 1 / (1 + self.slots))
+        return self.places.get(model, 0.0) / (self.slots * spared)
+
+    def cost(self, model: str, groups: int) -> float:
+        """Return how much the requests of a model wait, in no unit."""
+        return self.places.get(model, 0.0) * self.crowding(model, groups) ** COST_POWER
+
+    def is_crowded(self, model: str, groups: int) -> bool:
+        """Whether so many of a model's places are in use that its requests often wait."""
+        return self.usage(model, groups) > CROWDED
+
+    def usage(self, model: str, groups: int) -> float:
+        """Return the share of a model's places in use."""
+        return self.places.get(model, 0.0) / (self.slots * max(1, groups))
+
+
+@dataclass(frozen=True)
+class Move:
+    """End some groups of one model in a domain, and form groups of another there.
+
+    Parameters
+    ==========
+
+    ended : the groups to be ended.
+    count : how many groups of ``to_model`` the domain has after it.
+    is_ready : whether enough hosts hold the other model already.
+    """
+
+    domain: str
+    from_model: str
+    to_model: str
+    ended: tuple[ServingGroup, ...]
+    count: int
+    is_ready: bool
+
+
+def total_groups(views: list[DomainView]) -> Counter[str]:
+    """Return how many groups of each model all domains have or are about to have."""
+    totals: Counter[str] = Counter()
+    for view in views:
+        totals.update(view.groups)
+    return totals
+
+
+def allocate(
+    views: list[DomainView], engine: EngineProfile, work: Work
+) -> dict[str, dict[str, int]]:
+    """Return how many groups of each model each domain should have.
+
+    Examples
+    ========
+
+    >>> models = (EngineModel("a", 4, share=0.5), EngineModel("b", 2, share=0.5))
+    >>> engine = EngineProfile(models, slots=10)
+    >>> views = [DomainView(name, 8, {"a": 1, "b": 1}, {}, ()) for name in ("e", "f")]
+    >>> views.append(DomainView("d", 8, {"b": 1}, {}, ()))
+    >>> allocate(views, engine, Work(10, {"a": 2, "b": 4}))["d"]
+    {'a': 1, 'b': 1}
+    >>> allocate(views, engine, Work(10, {"a": 2, "b": 25}))["d"]
+    {'a': 0, 'b': 4}
+    """
+    totals = total_groups(views)
+    if not any(work.is_crowded(model.name, totals[model.name]) for model in engine.models):
+        return {view.name: target_groups(view, engine.models) for view in views}
+    targets = {
+        view.name: {m.name: view.groups.get(m.name, 0) for m in engine.models} for view in views
+    }
+    while choices := list(_additions(views, targets, engine, work, totals)):
+        _, domain, model = max(choices)
+        targets[domain][model] += 1
+        totals[model] += 1
+    return targets
+
+
+def _additions(
+    views: list[DomainView],
+    targets: dict[str, dict[str, int]],
+    engine: EngineProfile,
+    work: Work,
+    totals: Counter[str],
+) -> Iterator[tuple[float, str, str]]:
+    """Yield what each further group that fits in a domain would bring, a host."""
+    for model in engine.models:
+        count = totals[model.name]
+        gain = work.cost(model.name, count) - work.cost(model.name, count + 1)
+        if count <= RESERVE:
+            gain = math.inf
+        for view in views:
+            own = targets[view.name]
+            used = sum(own[m.name] * m.size for m in engine.models)
+            if model.size <= view.hosts - used - _kept(own, work, model, count):
+                yield gain / model.size, view.name, model.name
+
+
+def _kept(own: dict[str, int], work: Work, model: EngineModel, count: int) -> int:
+    """Return how many hosts of a domain a further group of a model leaves for standbys."""
+    if own[model.name] == 0 or work.usage(model.name, count) > FULL_USAGE:
+        return 0
+    return STANDBYS_PER_MODEL * len(own)
+
+
+def next_move(
+    views: list[DomainView], resting: list[DomainView], engine: EngineProfile, work: Work
+) -> Move | None:
+    """Return the move that lowers the cost most, if one is worth it.
+
+    Parameters
+    ==========
+
+    resting : the domains in which a move may begin.
+
+    Examples
+    ========
+
+    >>> from mulleinreach.gateway.fleet.planner import FreeHost
+    >>> models = (EngineModel("a", 4), EngineModel("b", 2))
+    >>> engine = EngineProfile(models, slots=10)
+    >>> group = ServingGroup("a", ("g", 1), tuple(FreeHost(f"u{n}", "a") for n in range(4)))
+    >>> views = [
+    ...     DomainView(f"d{n}", 8, {"a": 1, "b": 1}, {}, (), {}, serving=(group,)) for n in range(6)
+    ... ]
+    >>> move = next_move(views, views, engine, Work(10, {"a": 10, "b": 40}))
+    >>> move.from_model, move.to_model, move.count, move.is_ready
+    ('a', 'b', 2, False)
+    >>> next_move(views, views, engine, Work(10, {"a": 10, "b": 20})) is None
+    True
+    """
+    totals = total_groups(views)
+    best: tuple[tuple, Move] | None = None
+    for view in resting:
+        for move in _moves_in(view, engine, work, totals):
+            after = totals.copy()
+            after[move.from_model] -= len(move.ended)
+            after[move.to_model] += move.count - view.groups.get(move.to_model, 0)
+            now, then = _cost(work, engine, totals), _cost(work, engine, after)
+            # Groups of the model that gives way should remain in many halls.
+            in_hall = sum(v.groups.get(move.from_model, 0) for v in views if v.hall == view.hall)
+            rank = (move.is_ready, -then, in_hall, view.name)
+            if then <= (1 - MOVE_GAIN) * now and (best is None or rank > best[0]):
+                best = (rank, move)
+    return None if best is None else best[1]
+
+
+def _cost(work: Work, engine: EngineProfile, totals: Counter[str]) -> float:
+    return sum(work.cost(model.name, totals[model.name]) for model in engine.models)
+
+
+def _moves_in(
+    view: DomainView, engine: EngineProfile, work: Work, totals: Counter[str]
+) -> Iterator[Move]:
+    """Yield the smallest moves in one domain that help a crowded model."""
+    for to in engine.models:
+        if not work.is_crowded(to.name, totals[to.name]):
+            continue
+        for giving in engine.models:
+            # The last groups of a model stay, even if nobody asks for it at the moment.
+            most = totals[giving.name] - RESERVE - 1
+            if giving is to or most < 1:
+                continue
+            move = _smallest_move(view, giving, to, most)
+            if move is not None:
+                yield move
+
+
+def _smallest_move(
+    view: DomainView, giving: EngineModel, to: EngineModel, most: int
+) -> Move | None:
+    """Return the move that ends the fewest groups of a model for a group of another one.
+
+    Parameters
+    ==========
+
+    most : how many groups may be ended.
+    """
+    ending = [group for group in view.serving if group.model == giving.name]
+    ending.sort(key=lambda group: -sum(host.holds(to.name) for host in group.members))
+    hosts = list(view.free)
+    for number, group in enumerate(ending[:most], 1):
+        hosts += group.members
+        formed = max((len(hosts) - STANDBYS_PER_MODEL) // to.size, min(1, len(hosts) // to.size))
+        if formed:
+            count = view.groups.get(to.name, 0) + formed
+            is_ready = sum(host.holds(to.name) for host in hosts) >= formed * to.size
+            ended = tuple(ending[:number])
+            return Move(view.name, giving.name, to.name, ended, count, is_ready)
+    return None
--- a/mulleinreach/gateway/fleet/hosts.py
+++ b/mulleinreach/gateway/fleet/hosts.py
@@ -42,10 +42,14 @@
 
 @dataclass(frozen=True)
 class RetiringGroup:
-    """A group that takes nothing new, and is ended when it has finished its work."""
+    """A group that takes nothing new, and is ended when it has finished its work.
+
+    ``gives_way`` if its hosts are to serve another model.
+    """
 
     head: str
     since: float
+    gives_way: bool = False
 
 
 @dataclass(frozen=True)
@@ -230,9 +234,14 @@
         tries = 1 if known is None else known.tries + 1
         self._ended[key] = EndedGroup(self._clock.now(), left, tries)
 
-    def begin_retiring(self, key: tuple[str, int], head: str) -> None:
+    def begin_retiring(self, key: tuple[str, int], head: str, gives_way: bool = False) -> None:
         """Let a group finish its work and take nothing new."""
-        self._retiring[key] = RetiringGroup(head, self._clock.now())
+        self._retiring[key] = RetiringGroup(head, self._clock.now(), gives_way)
+
+    def gives_way(self, key: tuple[str, int]) -> bool:
+        """Whether a group is being ended so that its hosts may serve another model."""
+        retiring = self._retiring.get(key)
+        return retiring is not None and retiring.gives_way
 
     def retiring_for_s(self, key: tuple[str, int]) -> float | None:
         """Return for how long a group has taken nothing new, or ``None``."""
--- /dev/null
+++ b/mulleinreach/gateway/fleet/moving.py
@@ -0,0 +1,111 @@
+"""Carries out moves of hosts from one model to another, and keeps count of them.
+
+Explanation
+===========
+
+A move is seen in the list only when the new groups are being formed, some seconds after it
+was decided. Until then its domain's targets are those of the move, and other domains count
+on it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+from mulleinreach.common import Clock, EventLog
+from mulleinreach.gateway.fleet.allocation import (
+    MOVES_AT_ONCE,
+    Move,
+    Work,
+    allocate,
+    next_move,
+)
+from mulleinreach.gateway.fleet.hosts import HostBook
+from mulleinreach.gateway.fleet.planner import DomainView
+from mulleinreach.gateway.model import Service
+
+# A retiring group ends within 3.5 s, joins from staged weights take 1 to 2 s, opening 0.3 s.
+MOVE_S = 8.0
+
+
+@dataclass(frozen=True)
+class _Underway:
+    """A move that was begun, and until when it is waited for."""
+
+    move: Move
+    until: float
+
+    def is_over(self, view: DomainView | None, now: float) -> bool:
+        """Whether the new groups are being formed, or won't be."""
+        if view is None or now > self.until:
+            return True
+        return view.groups.get(self.move.to_model, 0) >= self.move.count
+
+
+class GroupMover:
+    """Decides how many groups each domain should have, and begins moves where they pay."""
+
+    def __init__(self, hosts: HostBook, clock: Clock, log: EventLog):
+        self._hosts = hosts
+        self._clock = clock
+        self._log = log
+        self._underway: dict[str, _Underway] = {}
+
+    def targets(
+        self, service: Service, views: list[DomainView], places: dict[str, float]
+    ) -> dict[str, dict[str, int]]:
+        """Return how many groups of each model each domain should have.
+
+        Parameters
+        ==========
+
+        places : what requests of each model hold or wait for; empty while that is unknown.
+        """
+        work = Work(service.engine.slots, places)
+        counted = self._count_moves(views)
+        while places and len(self._underway) < MOVES_AT_ONCE:
+            resting = [view for view in counted if view.name not in self._underway]
+            move = next_move(counted, resting, service.engine, work)
+            if move is None or not move.is_ready:
+                break
+            self._begin(move)
+            counted = self._count_moves(views)
+        return allocate(counted, service.engine, work)
+
+    def _count_moves(self, views: list[DomainView]) -> list[DomainView]:
+        """Return domains as they will be once the moves under way are done."""
+        now = self._clock.now()
+        known = {view.name: view for view in views}
+        self._underway = {
+            domain: underway
+            for domain, underway in self._underway.items()
+            if not underway.is_over(known.get(domain), now)
+        }
+        return [self._counted(view) for view in views]
+
+    def _counted(self, view: DomainView) -> DomainView:
+        underway = self._underway.get(view.name)
+        if underway is None:
+            return view
+        move = underway.move
+        ended = {group.place for group in move.ended}
+        serving = tuple(group for group in view.serving if group.place not in ended)
+        given = len(view.serving) - len(serving)
+        groups = {
+            **view.groups,
+            move.from_model: view.groups.get(move.from_model, 0) - given,
+            move.to_model: move.count,
+        }
+        return replace(view, groups=groups, serving=serving)
+
+    def _begin(self, move: Move) -> None:
+        self._underway[move.domain] = _Underway(move, self._clock.now() + MOVE_S)
+        for group in move.ended:
+            name, epoch = group.place
+            head = self._hosts.head_of(group.place)
+            if head is None:
+                continue
+            self._hosts.begin_retiring(group.place, head.id, gives_way=True)
+            self._log.event(
+                "group_retiring", group=name, epoch=epoch, why=f"hosts move to {move.to_model}"
+            )
--- a/mulleinreach/gateway/fleet/placement.py
+++ b/mulleinreach/gateway/fleet/placement.py
@@ -9,11 +9,13 @@
 from mulleinreach.gateway.fleet.formation import GroupOperator, JoinOutcome, Outcome
 from mulleinreach.gateway.fleet.hosts import HostBook, is_serving, is_standby
 from mulleinreach.gateway.fleet.loads import LoadGate
+from mulleinreach.gateway.fleet.moving import GroupMover
 from mulleinreach.gateway.fleet.planner import (
     DomainView,
     FormGroup,
     FreeHost,
     LoadStandby,
+    ServingGroup,
     plan_groups,
     plan_standbys,
 )
@@ -49,6 +51,7 @@
         self.gate = LoadGate(clock)
         self._clock = clock
         self._usage: dict[str, ModelUsage] = {}
+        self._mover = GroupMover(hosts, clock, log)
         # When hosts that were told to load a second model may be told again.
         self._stage_again_at: dict[str, float] = {}
 
@@ -61,18 +64,21 @@
         """Have groups formed where hosts are ready, and standbys loaded where not."""
         usage = self._usage.setdefault(service.name, ModelUsage(self._clock))
         usage.note(service.engine, open_heads(self._hosts.usable(service.name)), loads)
-        standbys: list[tuple[LoadStandby, str]] = []
-        for domain, usable in sorted(self._usable_by_domain(service.name).items()):
-            if self._is_incomplete(service.engine, domain, groups):
+        views = [
+            self._view(service, domain, usable, groups, usage.by_model())
+            for domain, usable in sorted(self._usable_by_domain(service.name).items())
+        ]
+        targets = self._mover.targets(service, views, usage.places())
+        standbys: list[LoadStandby] = []
+        for view in views:
+            if self._is_incomplete(service.engine, view.name, groups):
                 continue
-            view = self._view(service, domain, usable, groups, usage.by_model())
-            formed = plan_groups(view, service.engine.models)
+            formed = plan_groups(view, service.engine.models, targets[view.name])
             for plan in formed:
                 self._spawn_form(service.engine, plan)
             if not formed and not self._hosts.is_settling():
-                standbys += [(p, domain) for p in plan_standbys(view, service.engine.models)]
-        standbys.sort(key=lambda pair: pair[0].order)
-        for plan, _ in standbys:
+                standbys += plan_standbys(view, service.engine.models, targets[view.name])
+        for plan in sorted(standbys, key=lambda plan: plan.order):
             self._start_standby(service.engine, plan)
         self._stage_second_models(service, groups, usage.by_model())
 
@@ -135,17 +141,23 @@
     ) -> DomainView:
         counts = {m.name: 0 for m in service.engine.models}
         loading = dict(counts)
-        for group in groups.values():
+        serving = []
+        for key, group in groups.items():
             head = group.head
             if head is None or head.domain != domain or group.model not in counts:
                 continue
+            if self._hosts.gives_way(key):
+                continue
             if is_serving(group) and not self._hosts.has_lost_member(group):
                 counts[group.model] += 1
+                members = tuple(self._as_free(member) for member in group.members.values())
+                serving.append(ServingGroup(group.model, key, members))
         for form in self._hosts.forming.values():
             if form.domain == domain and form.model in counts:
                 (counts if form.is_group else loading)[form.model] += 1
         free = tuple(self._free_hosts(usable, groups))
-        return DomainView(domain, len(usable), counts, loading, free, usage)
+        hall = usable[0].hall
+        return DomainView(domain, len(usable), counts, loading, free, usage, hall, tuple(serving))
 
     def _free_hosts(
         self, usable: list[Upstream], groups: dict[tuple[str, int], Group]
--- a/mulleinreach/gateway/fleet/planner.py
+++ b/mulleinreach/gateway/fleet/planner.py
@@ -48,6 +48,15 @@
         return self.model == model or model in self.staged
 
 
+@dataclass(frozen=True)
+class ServingGroup:
+    """A group that takes requests, by its name and epoch."""
+
+    model: str
+    place: tuple[str, int]
+    members: tuple[FreeHost, ...]
+
+
 @dataclass(frozen=True)
 class DomainView:
     """What is known of one domain.
@@ -60,6 +69,7 @@
     loading : hosts of each model that are being loaded as standbys.
     usage : the share of places in use, by model, over all domains of the service;
         empty before the first requests.
+    serving : the groups that serve and are to go on.
     """
 
     name: str
@@ -68,6 +78,8 @@
     loading: dict[str, int]
     free: tuple[FreeHost, ...]
     usage: dict[str, float] = field(default_factory=dict)
+    hall: str = ""
+    serving: tuple[ServingGroup, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -160,20 +172,22 @@
     """
     room = view.hosts - sum(targets[model.name] * model.size for model in models)
     standbys = {model.name: 0 for model in models}
-    by_worth = sorted(models, key=lambda m: -m.size * (_need(view, m) if view.usage else 1))
+    # A standby is of use to groups of its own domain only.
+    served = [model for model in models if targets[model.name]] or list(models)
+    by_worth = sorted(served, key=lambda m: -m.size * (_need(view, m) if view.usage else 1))
     for number in range(max(0, room)):
         standbys[by_worth[number % len(by_worth)].name] += 1
     return standbys
 
 
-def plan_groups(view: DomainView, models: tuple[EngineModel, ...]) -> list[FormGroup]:
+def plan_groups(
+    view: DomainView, models: tuple[EngineModel, ...], targets: dict[str, int]
+) -> list[FormGroup]:
     """Return the groups that can be formed at once from free hosts that hold the model."""
-    targets = target_groups(view, models)
     free = list(view.free)
     plans = []
     for model in sorted(models, key=lambda m: -_need(view, m) / (view.groups.get(m.name, 0) + 0.5)):
-        # Hosts that already hold a model serve better than they wait.
-        missing = max(1, targets[model.name]) - view.groups.get(model.name, 0)
+        missing = targets[model.name] - view.groups.get(model.name, 0)
         for _ in range(missing):
             holders = [host for host in free if host.holds(model.name)]
             if len(holders) < model.size:
@@ -185,9 +199,10 @@
     return plans
 
 
-def plan_standbys(view: DomainView, models: tuple[EngineModel, ...]) -> list[LoadStandby]:
+def plan_standbys(
+    view: DomainView, models: tuple[EngineModel, ...], targets: dict[str, int]
+) -> list[LoadStandby]:
     """Return which free hosts should load or warm up which model."""
-    targets = target_groups(view, models)
     standbys = target_standbys(view, targets, models)
     wanted = {m.name: targets[m.name] * m.size + standbys[m.name] for m in models}
     held = {
--- a/mulleinreach/gateway/fleet/usage.py
+++ b/mulleinreach/gateway/fleet/usage.py
@@ -1,4 +1,4 @@
-"""How much of each model's places is in use, smoothed over some seconds."""
+"""How many places the requests of each model need, smoothed over some seconds."""
 
 from __future__ import annotations
 
@@ -11,12 +11,16 @@
 
 # Plans should follow what lasts: a load takes over ten seconds, a wave of requests less.
 SMOOTHING_S = 3.0
+# Work is unknown until streams have begun and ended for a while; what was seen by then counts
+# as if it had lasted for half of the time.
+SETTLED_S = 2.0
+SHORTEST_SMOOTHING_S = 0.3
 # What a model counts that has no open group: more than one whose places are all taken.
 NO_GROUP_USAGE = 2.0
 
 
 class ModelUsage:
-    """The share of places in use, by model, at the heads of all domains of one service.
+    """The work of the models at the heads of all domains of one service.
 
     Parameters
     ==========
@@ -26,7 +30,9 @@
 
     def __init__(self, clock: Clock):
         self._clock = clock
-        self._noted_at: float | None = None
+        self._began_at: float | None = None
+        self._noted_at = 0.0
+        self._places: dict[str, float] = {}
         self._usage: dict[str, float] = {}
 
     def note(self, engine: EngineProfile, heads: list[Head], loads: dict[str, LoadReport]) -> None:
@@ -34,25 +40,35 @@
         if not loads:
             return
         now = self._clock.now()
-        elapsed_s = SMOOTHING_S if self._noted_at is None else now - self._noted_at
+        if self._began_at is None:
+            self._began_at = self._noted_at = now
+        weight = 1 - math.exp(-(now - self._noted_at) / self._smoothing_s(now))
         self._noted_at = now
-        weight = 1 - math.exp(-elapsed_s / SMOOTHING_S)
         for model in engine.models:
-            latest = _usage_now(engine, model.name, heads, loads)
-            known = self._usage.get(model.name, latest)
-            self._usage[model.name] = known + weight * (latest - known)
+            ids = [head.upstream.id for head in heads if head.model == model.name]
+            # Without an open head the work that there was goes on elsewhere, or waits.
+            places = sum(loads[u].running for u in ids if u in loads) if ids else None
+            usage = NO_GROUP_USAGE if places is None else places / (engine.slots * len(ids))
+            _blend(self._usage, model.name, usage, weight)
+            if places is not None:
+                _blend(self._places, model.name, places, weight)
+
+    def _smoothing_s(self, now: float) -> float:
+        return min(max(SHORTEST_SMOOTHING_S, (now - self._began_at) / 2), SMOOTHING_S)
+
+    def is_settled(self) -> bool:
+        """Whether requests have run for long enough to tell the work by."""
+        return self._began_at is not None and self._noted_at - self._began_at >= SETTLED_S
 
     def by_model(self) -> dict[str, float]:
-        """Return the usage by model; empty before the first requests."""
+        """Return the share of places in use by model; empty before the first requests."""
         return dict(self._usage)
 
+    def places(self) -> dict[str, float]:
+        """Return the places that each model's requests hold or wait for, once that is settled."""
+        return dict(self._places) if self.is_settled() else {}
+
 
-def _usage_now(
-    engine: EngineProfile, model: str, heads: list[Head], loads: dict[str, LoadReport]
-) -> float:
-    """Return the share of a model's places that requests hold or wait for."""
-    ids = [head.upstream.id for head in heads if head.model == model]
-    if not ids:
-        return NO_GROUP_USAGE
-    running = sum(loads[upstream_id].running for upstream_id in ids if upstream_id in loads)
-    return running / (engine.slots * len(ids))
+def _blend(known: dict[str, float], model: str, latest: float, weight: float) -> None:
+    before = known.get(model, latest)
+    known[model] = before + weight * (latest - before)
--- a/mulleinreach/gateway/fleet/watch.py
+++ b/mulleinreach/gateway/fleet/watch.py
@@ -125,7 +125,7 @@
         retiring_s = self._hosts.retiring_for_s(key)
         is_idle = load is None or load.running == 0
         if retiring_s > RETIRE_LONGEST_S or (is_idle and retiring_s > RETIRE_SHORTEST_S):
-            self._spawn_dissolve(group, model, "a member drains")
+            self._spawn_dissolve(group, model, "it has retired")
 
     def _is_stuck(self, key: tuple[str, int], group: Group, model: EngineModel) -> bool:
         """Whether a group that an earlier coordinator began will not be ready any more."""
--- /dev/null
+++ b/mulleinreach/gateway/tests/test_allocation.py
@@ -0,0 +1,117 @@
+"""Over all domains, hosts go to the model whose requests wait."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from mulleinreach.gateway.fleet.allocation import Work, allocate, next_move
+from mulleinreach.gateway.fleet.planner import DomainView, FreeHost, ServingGroup
+from mulleinreach.gateway.model import EngineModel, EngineProfile
+from mulleinreach.gateway.tests.support import run_world
+from mulleinreach.standins.gateway.world import LARGE, SMALL
+
+ENGINE = EngineProfile((EngineModel(LARGE, 12), EngineModel(SMALL, 6)), slots=24)
+FEW_LARGE_MANY_SMALL = {LARGE: 23.0, SMALL: 190.0}
+EVEN = {LARGE: 30.0, SMALL: 60.0}
+
+
+def _hosts(count: int, model: str, staged: str) -> tuple[FreeHost, ...]:
+    return tuple(FreeHost(f"{model}-{n}", model, (staged,)) for n in range(count))
+
+
+def _domain(name: str, hall: str, large: int = 1, small: int = 2, staged: str = SMALL):
+    groups = [
+        ServingGroup(LARGE, (f"{name}-l{n}", 1), _hosts(12, LARGE, staged)) for n in range(large)
+    ]
+    groups += [
+        ServingGroup(SMALL, (f"{name}-s{n}", 1), _hosts(6, SMALL, LARGE)) for n in range(small)
+    ]
+    free = _hosts(27 - 12 * large - 6 * small, SMALL, LARGE)
+    counts = {LARGE: large, SMALL: small}
+    return DomainView(name, 27, counts, {}, free, {}, hall, tuple(groups))
+
+
+def _domains(**options) -> list[DomainView]:
+    return [_domain(f"d{n}", f"hall-{n % 3}", **options) for n in range(6)]
+
+
+def _moves(views: list[DomainView], places: dict[str, float]) -> list[str]:
+    """Return the domains that move one after the other until no move is worth it."""
+    work, moved = Work(ENGINE.slots, places), []
+    while (move := next_move(views, views, ENGINE, work)) is not None:
+        moved.append(move.domain)
+        (view,) = [view for view in views if view.name == move.domain]
+        views[views.index(view)] = _domain(view.name, view.hall, large=0, small=move.count)
+    return moved
+
+
+def test_domains_move_to_the_crowded_model_until_it_is_crowded_no_more():
+    moved = _moves(_domains(), FEW_LARGE_MANY_SMALL)
+    assert 2 <= len(moved) <= 3
+
+
+def test_groups_that_are_left_stand_in_all_halls():
+    views = _domains()
+    _moves(views, FEW_LARGE_MANY_SMALL)
+    assert {view.hall for view in views if view.groups[LARGE]} == {"hall-0", "hall-1", "hall-2"}
+
+
+def test_no_domain_moves_while_no_model_is_crowded():
+    assert _moves(_domains(), EVEN) == []
+    assert _moves(_domains(), {LARGE: 1.0, SMALL: 100.0}) == []
+
+
+@pytest.mark.parametrize("places", [{LARGE: 0.0, SMALL: 500.0}, {LARGE: 500.0, SMALL: 0.0}])
+def test_last_groups_of_a_model_stay(places):
+    views = _domains()
+    moved = _moves(views, places)
+    left = sum(view.groups[LARGE] for view in views)
+    assert left >= 2
+    assert len(moved) == 6 - left or left == 6
+
+
+def test_domain_whose_hosts_hold_the_other_model_moves_first():
+    views = [_domain("unready", "hall-0", staged=LARGE), _domain("ready", "hall-1")] + _domains()[
+        2:
+    ]
+    move = next_move(views, views[:2], ENGINE, Work(24, FEW_LARGE_MANY_SMALL))
+    assert (move.domain, move.is_ready) == ("ready", True)
+
+
+def test_lost_group_is_formed_anew_as_the_crowded_model_needs_it():
+    views = [_domain("d0", "hall-0", large=0)] + _domains()[1:]
+    crowded = allocate(views, ENGINE, Work(24, FEW_LARGE_MANY_SMALL))
+    assert crowded["d0"] == {LARGE: 0, SMALL: 4}
+    even = allocate(views, ENGINE, Work(24, EVEN))
+    assert even["d0"] == {LARGE: 1, SMALL: 2}
+
+
+def test_model_that_has_nearly_lost_all_groups_is_formed_first():
+    views = [_domain(f"d{n}", "hall", large=0, small=0) for n in range(2)]
+    targets = allocate(views, ENGINE, Work(24, {LARGE: 0.5, SMALL: 190.0}))
+    assert sum(target[LARGE] for target in targets.values()) >= 1
+
+
+def test_crowded_model_is_served_by_more_groups_and_nobody_is_cut():
+    async def test(world):
+        await world.until_formed()
+        await asyncio.sleep(5)
+        large, small = world.open_groups(LARGE), world.open_groups(SMALL)
+        running: set[asyncio.Task] = set()
+        until = world.clock.now() + 12
+        while world.clock.now() < until:
+            running.add(asyncio.create_task(world.stream(25, model=SMALL)))
+            running.add(asyncio.create_task(world.stream(25, model=LARGE)))
+            await asyncio.sleep(0.025)
+            if world.clock.now() > until - 4 and len(running) > 900:
+                break
+        grown = world.open_groups(SMALL)
+        answers = await asyncio.gather(*running)
+        assert grown > small
+        assert 2 <= world.open_groups(LARGE) <= large
+        assert all(len(answer.event_ids) == 25 for answer in answers if answer.status == 200)
+        assert all(not answer.is_cut for answer in answers)
+
+    run_world(test, domains=4)
--- a/mulleinreach/gateway/tests/test_planner.py
+++ b/mulleinreach/gateway/tests/test_planner.py
@@ -49,11 +49,12 @@
     survivors = [FreeHost(f"host-{n}", LARGE, (LARGE,)) for n in range(3)]
     view = _view(5, {SMALL: 1}, SMALL_IS_FULL, *survivors)
     assert target_groups(view, MODELS) == {LARGE: 0, SMALL: 2}
-    loads = plan_standbys(view, MODELS)
+    loads = plan_standbys(view, MODELS, target_groups(view, MODELS))
     assert [plan.model for plan in loads] == [SMALL] * 3
     calm = _view(5, {SMALL: 1}, CALM, *survivors)
     # One of them stands by for the group that serves; the others wait for a fourth host.
-    assert [plan.model for plan in plan_standbys(calm, MODELS)] == [SMALL]
+    plans = plan_standbys(calm, MODELS, target_groups(calm, MODELS))
+    assert [plan.model for plan in plans] == [SMALL]
 
 
 def test_only_standby_is_of_the_model_whose_loss_would_hurt():
@@ -65,9 +66,10 @@
 def test_standbys_that_hold_a_full_model_form_a_group_at_once():
     free = [FreeHost("a", SMALL, (SMALL,)), FreeHost("b", SMALL, (SMALL,))]
     groups = {LARGE: 1, SMALL: 1}
-    (plan,) = plan_groups(_view(8, groups, SMALL_IS_FULL, *free), MODELS)
+    full, calm = _view(8, groups, SMALL_IS_FULL, *free), _view(8, groups, CALM, *free)
+    (plan,) = plan_groups(full, MODELS, target_groups(full, MODELS))
     assert (plan.model, plan.members) == (SMALL, ("a", "b"))
-    assert plan_groups(_view(8, groups, CALM, *free), MODELS) == []
+    assert plan_groups(calm, MODELS, target_groups(calm, MODELS)) == []
 
 
 def _head(name: str, model: str) -> Head:
@@ -83,6 +85,11 @@
         half = PROFILE.slots / 2
         usage.note(PROFILE, heads, {"s": LoadReport("s", half, 0, 0.0)})
         assert usage.by_model() == pytest.approx({LARGE: 0.0, SMALL: 0.5})
+        assert usage.places() == {}
+        for _ in range(100):
+            await asyncio.sleep(0.1)
+            usage.note(PROFILE, heads, {"s": LoadReport("s", half, 0, 0.0)})
+        assert usage.places() == pytest.approx({LARGE: 0.0, SMALL: half})
         await asyncio.sleep(0.1)
         usage.note(PROFILE, heads, {"s": LoadReport("s", 10 * half, 0, 0.0)})
         assert usage.by_model()[SMALL] < 0.7
@@ -91,4 +98,6 @@
             usage.note(PROFILE, heads[:1], {"l": LoadReport("l", half, 0, 0.0)})
         assert usage.by_model() == pytest.approx({LARGE: 0.5, SMALL: NO_GROUP_USAGE}, rel=0.1)
 
+        assert usage.places()[LARGE] == pytest.approx(half, rel=0.1)
+
     run_virtual(test())
