--- a/mulleinreach/gateway/fleet/allocation.py
+++ b/mulleinreach/gateway/fleet/allocation.py
@@ -119,7 +119,7 @@
     >>> allocate(views, engine, Work(10, {"a": 2, "b": 4}))["d"]
     {'a': 1, 'b': 1}
     >>> allocate(views, engine, Work(10, {"a": 2, "b": 25}))["d"]
-    {'a': 0, 'b': 4}
+    {'a': 0, 'b': 3}
     """
     totals = total_groups(views)
     if not any(work.is_crowded(model.name, totals[model.name]) for model in engine.models):
--- a/mulleinreach/gateway/fleet/planner.py
+++ b/mulleinreach/gateway/fleet/planner.py
@@ -19,6 +19,8 @@
 # Hosts a model. Standbys are worth 0.14 and 0.20 of a day's worth on two sites of 48 hosts
 # that lose one in three seconds (ten days each, with and without).
 STANDBYS_PER_MODEL = 1
+# How many hosts may still be missing to a group that is worth waiting for.
+HOSTS_SOON = 2
 # Below this share of places in use, models don't differ in what they need. Above the second
 # one, the loss of a group makes requests wait. Planning by usage is worth 0.014 of a day's
 # worth on a site whose groups are lost in turn (ten days), and nothing measurable on another.
@@ -172,8 +174,8 @@
     """
     room = view.hosts - sum(targets[model.name] * model.size for model in models)
     standbys = {model.name: 0 for model in models}
-    # A standby is of use to groups of its own domain only.
-    served = [model for model in models if targets[model.name]] or list(models)
+    # A standby is of use to groups of its own domain, and to one that lacks a host or two.
+    served = [m for m in models if targets[m.name] or m.size - room <= HOSTS_SOON] or list(models)
     by_worth = sorted(served, key=lambda m: -m.size * (_need(view, m) if view.usage else 1))
     for number in range(max(0, room)):
         standbys[by_worth[number % len(by_worth)].name] += 1
