--- a/mulleinreach/gateway/fleet/allocation.py
+++ b/mulleinreach/gateway/fleet/allocation.py
@@ -25,7 +25,7 @@
 from mulleinreach.gateway.model import EngineModel, EngineProfile
 
 # Groups of a model that may be lost at any moment: the others have to bear its work.
-RESERVE = 1
+RESERVE = 2
 # The share of places in use above which a model is crowded.
 CROWDED = 0.45
 # A move has to lower the cost by so much: its hosts serve nobody for two to four seconds.
