--- a/mulleinreach/gateway/fleet/allocation.py
+++ b/mulleinreach/gateway/fleet/allocation.py
@@ -57,7 +57,7 @@
         ========
 
         >>> work = Work(24, {"wide": 24, "narrow": 192})
-        >>> work.crowding("wide", 3), work.crowding("narrow", 9)
+        >>> work.crowding("wide", 4), work.crowding("narrow", 10)
         (0.5, 1.0)
         """
         spared = max(groups - RESERVE, groups / (1 + RESERVE), 1 / (1 + self.slots))
@@ -114,7 +114,7 @@
 
     >>> models = (EngineModel("a", 4, share=0.5), EngineModel("b", 2, share=0.5))
     >>> engine = EngineProfile(models, slots=10)
-    >>> views = [DomainView(name, 8, {"a": 1, "b": 1}, {}, ()) for name in ("e", "f")]
+    >>> views = [DomainView(name, 8, {"a": 1, "b": 1}, {}, ()) for name in ("e", "f", "g")]
     >>> views.append(DomainView("d", 8, {"b": 1}, {}, ()))
     >>> allocate(views, engine, Work(10, {"a": 2, "b": 4}))["d"]
     {'a': 1, 'b': 1}
