Callers that leave end all work for them, wherever their request stands

A test for each place: before the first event, in mid-stream, after a move, while it stands back as late, while its node starts, while its body is read, at plain services.

--- a/benchmarks/gateway_breakages.py
+++ b/benchmarks/gateway_breakages.py
@@ -203,4 +203,28 @@
         "if False:",
         f"{TESTS}/test_fences.py",
     ),
+    Breakage(
+        "GONE",
+        "a handler ends when its caller leaves",
+        f"{GATEWAY}/node.py",
+        "handler_cancellation=True",
+        "handler_cancellation=False",
+        f"{TESTS}/test_leaving_callers.py",
+    ),
+    Breakage(
+        "RECOVER",
+        "the last groups of a model stay",
+        f"{GATEWAY}/fleet/allocation.py",
+        "most = totals[giving.name] - RESERVE - 1",
+        "most = totals[giving.name]",
+        f"{TESTS}/test_allocation.py -k last_groups",
+    ),
+    Breakage(
+        "DRAIN",
+        "a coordinator does not keep lapsed upstreams on its own word",
+        f"{GATEWAY}/hub.py",
+        "own = CoordinatorReport(0, replace(totals, keeps_removed=False))",
+        "own = CoordinatorReport(0, totals)",
+        f"{TESTS}/test_store_outage.py -k still_missing",
+    ),
 ]
--- /dev/null
+++ b/mulleinreach/gateway/tests/test_leaving_callers.py
@@ -0,0 +1,133 @@
+"""Once a caller has left, nothing works for it any more, whatever its request waited for."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from mulleinreach.gateway.tests.desk import NO_HOSTS, serve_desk
+from mulleinreach.gateway.tests.support import run_world
+from mulleinreach.gateway.urgency import ENOUGH_SEEN
+from mulleinreach.standins.gateway.world import API_KEY, CALLER_HOST, LARGE, MODEL_SERVICE
+
+# The users allow half a second from the moment at which the caller has left.
+NOTICED_S = 0.4
+
+
+async def leave(world, asking: asyncio.Task, after_s: float) -> None:
+    """Let a caller leave, and check that nothing goes on for it."""
+    await asyncio.sleep(after_s)
+    assert not asking.done()
+    asking.cancel()
+    await asyncio.sleep(NOTICED_S)
+    runs = {request: list(hosts) for request, hosts in world.fabric.checks.runs.items()}
+    for node in world.nodes.values():
+        assert node.relay.in_flight == 0
+        assert all(node.loads.running(upstream) == 0 for upstream in world.fabric.hosts)
+    await asyncio.sleep(2)
+    assert {request: list(hosts) for request, hosts in world.fabric.checks.runs.items()} == runs
+
+
+def _slow_hosts(world) -> None:
+    for host in world.fabric.hosts.values():
+        host.pace = 40.0
+
+
+def test_before_the_first_event():
+    async def test(world):
+        await world.until_formed()
+        _slow_hosts(world)
+        await leave(world, asyncio.create_task(world.stream(5)), 0.5)
+
+    run_world(test, nodes=1)
+
+
+def test_in_the_middle_of_a_stream():
+    async def test(world):
+        await world.until_formed()
+        await leave(world, asyncio.create_task(world.stream(100)), 0.7)
+
+    run_world(test, nodes=1)
+
+
+def test_after_its_stream_was_moved_to_another_replica():
+    async def test(world):
+        await world.until_formed()
+        await asyncio.sleep(2)
+        heads = world.nodes["node-0"].chooser.heads(MODEL_SERVICE, LARGE)
+        for head in heads:
+            world.fabric.hosts[head.upstream.id].breaks_after = 3
+        asking = asyncio.create_task(world.stream(100))
+        await world.until(lambda: any(len(h) > 1 for h in world.fabric.checks.runs.values()))
+        await leave(world, asking, 0.02)
+
+    run_world(test, nodes=1)
+
+
+def test_while_it_stands_back_as_late():
+    async def test(world):
+        await world.until_formed()
+        for _ in range(ENOUGH_SEEN):
+            await world.stream(1, deadline_s=8.0)
+        _slow_hosts(world)
+        others = [asyncio.create_task(world.stream(5)) for _ in range(60)]
+        await asyncio.sleep(0.5)
+        seen = set(world.fabric.checks.runs)
+        asking = asyncio.create_task(world.stream(5, deadline_s=5.0))
+        await asyncio.sleep(0.3)
+        for other in others:
+            other.cancel()
+        asking.cancel()
+        await asyncio.sleep(2)
+        assert set(world.fabric.checks.runs) == seen
+        assert world.nodes["node-0"].relay.in_flight == 0
+
+    run_world(test, nodes=1)
+
+
+def test_while_its_node_starts():
+    async def test(world):
+        world.store.is_down = True
+        await world.start_node("node-new")
+        asking = asyncio.create_task(world.stream(5, node="node-new"))
+        await leave(world, asking, 0.2)
+
+    run_world(test, nodes=0)
+
+
+def test_while_its_body_is_read():
+    async def test(world):
+        await world.until_formed()
+        address = world.nodes["node-0"].identity.callers
+        _, writer = await world.nodes["node-0"].network.connect(address)
+        head = (
+            f"POST /stream/draft HTTP/1.1\r\nHost: {CALLER_HOST}\r\n"
+            f"Authorization: {API_KEY}\r\nContent-Length: 100\r\n\r\n"
+        )
+        writer.write(head.encode() + b"part")
+        await world.until(lambda: world.nodes["node-0"].relay.in_flight == 1)
+        writer.close()
+        await asyncio.sleep(NOTICED_S)
+        assert world.nodes["node-0"].relay.in_flight == 0
+        assert world.fabric.checks.runs == {}
+
+    run_world(test, nodes=1)
+
+
+@pytest.mark.parametrize("path", ["/stock/paint", "/order/paint"])
+def test_while_a_plain_service_works(path):
+    async def test(world):
+        ended: list[float] = []
+
+        async def work(request):
+            try:
+                await asyncio.sleep(3600)
+            finally:
+                ended.append(world.clock.now())
+
+        await serve_desk(world, work)
+        await leave(world, asyncio.create_task(world.call(path)), 0.3)
+        assert len(ended) == 1
+
+    run_world(test, **NO_HOSTS)
