The gateway's modules stand in folders by duty

request/ (the path of a request), known/ (what a node knows), coordination/ (who coordinates, what nodes tell each other), fleet/ as before; tests beside them. coordination.py is coordination/membership.py.

--- a/mulleinreach/gateway/hub.py
+++ b/mulleinreach/gateway/coordination/hub.py
@@ -17,10 +17,9 @@
 from typing import Protocol
 
 from mulleinreach.common import Address, Clock, Network
-from mulleinreach.gateway.frames import FrameReader, FrameWriter, PeerError
-from mulleinreach.gateway.lease import CoordinatorLease, Resignation, Successor
-from mulleinreach.gateway.load import LoadReport
-from mulleinreach.gateway.messages import (
+from mulleinreach.gateway.coordination.frames import FrameReader, FrameWriter, PeerError
+from mulleinreach.gateway.coordination.lease import CoordinatorLease, Resignation, Successor
+from mulleinreach.gateway.coordination.messages import (
     CoordinatorReport,
     NodeReport,
     OpenHead,
@@ -30,8 +29,9 @@
     encode_list,
     encode_totals,
 )
-from mulleinreach.gateway.upstreams import ListChange
-from mulleinreach.gateway.urgency import RouteWait
+from mulleinreach.gateway.known.load import LoadReport
+from mulleinreach.gateway.known.upstreams import ListChange
+from mulleinreach.gateway.request.urgency import RouteWait
 
 REPORT_INTERVAL_S = 0.1
 # With many nodes the reports would take too much of a slow coordinator's time.
--- a/mulleinreach/gateway/lease.py
+++ b/mulleinreach/gateway/coordination/lease.py
@@ -27,7 +27,7 @@
     LeaseWritten,
     Unavailable,
 )
-from mulleinreach.gateway.urgency import RouteWait
+from mulleinreach.gateway.request.urgency import RouteWait
 
 LEASE_S = 2.0
 RENEW_S = 0.7
--- a/mulleinreach/gateway/coordination.py
+++ b/mulleinreach/gateway/coordination/membership.py
@@ -23,16 +23,16 @@
 from collections.abc import Awaitable, Callable
 
 from mulleinreach.common import Address, Clock, EventLog, Network
-from mulleinreach.gateway.election import election_delay_s
-from mulleinreach.gateway.frames import FrameReader, FrameWriter, PeerError
-from mulleinreach.gateway.hub import (
+from mulleinreach.gateway.coordination.election import election_delay_s
+from mulleinreach.gateway.coordination.frames import FrameReader, FrameWriter, PeerError
+from mulleinreach.gateway.coordination.hub import (
     MAX_BUFFERED_BYTES,
     SILENCE_S,
     Knowledge,
     MemberHub,
     report_interval_s,
 )
-from mulleinreach.gateway.lease import (
+from mulleinreach.gateway.coordination.lease import (
     RENEW_S,
     CoordinatorLease,
     LeaseState,
@@ -40,13 +40,13 @@
     Resignation,
     Successor,
 )
-from mulleinreach.gateway.load import LoadBook, LoadReport
-from mulleinreach.gateway.messages import (
+from mulleinreach.gateway.coordination.messages import (
     CoordinatorReport,
     NodeReport,
     decode_coordinator_report,
     encode_node_report,
 )
+from mulleinreach.gateway.known.load import LoadBook, LoadReport
 from mulleinreach.gateway.ports import LeaseRecord
 
 OWN_REPORTS_KEPT = 40
--- a/mulleinreach/gateway/messages.py
+++ b/mulleinreach/gateway/coordination/messages.py
@@ -8,10 +8,10 @@
 import capnp
 
 from mulleinreach.common import Address
-from mulleinreach.gateway.frames import PeerError
-from mulleinreach.gateway.lease import Resignation, Successor
-from mulleinreach.gateway.load import LoadReport
-from mulleinreach.gateway.upstreams import (
+from mulleinreach.gateway.coordination.frames import PeerError
+from mulleinreach.gateway.coordination.lease import Resignation, Successor
+from mulleinreach.gateway.known.load import LoadReport
+from mulleinreach.gateway.known.upstreams import (
     ListChange,
     Membership,
     MemberState,
--- a/mulleinreach/gateway/tests/test_fences.py
+++ b/mulleinreach/gateway/coordination/tests/test_fences.py
@@ -6,11 +6,11 @@
 
 import pytest
 
+from mulleinreach.gateway.coordination.lease import Renewal
 from mulleinreach.gateway.fleet.formation import LeaseLost
-from mulleinreach.gateway.lease import Renewal
+from mulleinreach.gateway.known.upstreams import collect_groups
 from mulleinreach.gateway.ports import Accepted, Fenced
 from mulleinreach.gateway.tests.support import run_world, turn_away
-from mulleinreach.gateway.upstreams import collect_groups
 from mulleinreach.standins.gateway.world import LARGE, MODEL_SERVICE
 
 
--- a/mulleinreach/gateway/tests/test_frames.py
+++ b/mulleinreach/gateway/coordination/tests/test_frames.py
@@ -8,7 +8,12 @@
 
 import pytest
 
-from mulleinreach.gateway.frames import MAX_MESSAGE_BYTES, FrameReader, FrameWriter, PeerError
+from mulleinreach.gateway.coordination.frames import (
+    MAX_MESSAGE_BYTES,
+    FrameReader,
+    FrameWriter,
+    PeerError,
+)
 
 
 class _Pipe:
--- a/mulleinreach/gateway/tests/test_sharing.py
+++ b/mulleinreach/gateway/coordination/tests/test_sharing.py
@@ -4,8 +4,8 @@
 
 import asyncio
 
+from mulleinreach.gateway.fleet.tests.test_fleet import keep_asking, member_of
 from mulleinreach.gateway.tests.support import run_world
-from mulleinreach.gateway.tests.test_fleet import keep_asking, member_of
 from mulleinreach.standins.gateway.world import LARGE, MODEL_SERVICE
 
 
--- a/mulleinreach/gateway/tests/test_successor.py
+++ b/mulleinreach/gateway/coordination/tests/test_successor.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from mulleinreach.gateway.lease import Successor
+from mulleinreach.gateway.coordination.lease import Successor
 from mulleinreach.gateway.ports import Bounds
 from mulleinreach.gateway.tests.desk import answer_whole, serve_desk
 from mulleinreach.gateway.tests.support import run_world, turn_away
--- a/mulleinreach/gateway/fleet/controller.py
+++ b/mulleinreach/gateway/fleet/controller.py
@@ -16,16 +16,16 @@
 from dataclasses import dataclass
 
 from mulleinreach.common import Clock, EventLog
+from mulleinreach.gateway.coordination.messages import OpenHead
 from mulleinreach.gateway.fleet.duties import HostDuties
 from mulleinreach.gateway.fleet.formation import GroupOperator
 from mulleinreach.gateway.fleet.hosts import HostBook
 from mulleinreach.gateway.fleet.placement import Placement
 from mulleinreach.gateway.fleet.watch import GroupWatch
-from mulleinreach.gateway.following import ConfigurationInForce
-from mulleinreach.gateway.load import LoadReport
-from mulleinreach.gateway.messages import OpenHead
+from mulleinreach.gateway.known.following import ConfigurationInForce
+from mulleinreach.gateway.known.load import LoadReport
+from mulleinreach.gateway.known.upstreams import collect_groups, open_heads
 from mulleinreach.gateway.model import Service
-from mulleinreach.gateway.upstreams import collect_groups, open_heads
 
 TICK_S = 0.1
 MIN_TICK_S = 0.03
--- a/mulleinreach/gateway/fleet/formation.py
+++ b/mulleinreach/gateway/fleet/formation.py
@@ -18,8 +18,9 @@
 from collections.abc import Callable
 
 from mulleinreach.common import Clock, EventLog
+from mulleinreach.gateway.coordination.lease import CoordinatorLease
 from mulleinreach.gateway.fleet.hosts import HostBook
-from mulleinreach.gateway.lease import CoordinatorLease
+from mulleinreach.gateway.known.upstreams import Group, MemberState, Upstream, group_name
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.ports import (
     Accepted,
@@ -30,7 +31,6 @@
     Rejected,
     Unavailable,
 )
-from mulleinreach.gateway.upstreams import Group, MemberState, Upstream, group_name
 
 EPOCHS_PER_TOKEN = 1_000_000
 ORDER_TRIES = 4
--- a/mulleinreach/gateway/fleet/hosts.py
+++ b/mulleinreach/gateway/fleet/hosts.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass, replace
 
 from mulleinreach.common import Clock
-from mulleinreach.gateway.upstream_following import REINSTATED_S
-from mulleinreach.gateway.upstreams import (
+from mulleinreach.gateway.known.upstream_following import REINSTATED_S
+from mulleinreach.gateway.known.upstreams import (
     Group,
     MemberState,
     Upstream,
--- a/mulleinreach/gateway/tests/test_draining.py
+++ b/mulleinreach/gateway/fleet/tests/test_draining.py
@@ -6,8 +6,8 @@
 
 import pytest
 
+from mulleinreach.gateway.fleet.tests.test_fleet import member_of
 from mulleinreach.gateway.tests.support import run_world
-from mulleinreach.gateway.tests.test_fleet import member_of
 from mulleinreach.standins.gateway.world import LARGE, MODEL_SERVICE
 
 # Events of a stream come every 0.04 s.
--- a/mulleinreach/gateway/tests/test_fleet.py
+++ b/mulleinreach/gateway/fleet/tests/test_fleet.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from mulleinreach.gateway.frames import FrameWriter
-from mulleinreach.gateway.load import LoadReport
-from mulleinreach.gateway.messages import NodeReport, encode_node_report
+from mulleinreach.gateway.coordination.frames import FrameWriter
+from mulleinreach.gateway.coordination.messages import NodeReport, encode_node_report
+from mulleinreach.gateway.known.load import LoadReport
+from mulleinreach.gateway.known.upstreams import Group
 from mulleinreach.gateway.tests.support import keep_asking, run_world
-from mulleinreach.gateway.upstreams import Group
 from mulleinreach.standins.gateway.hosts import HostTimes
 from mulleinreach.standins.gateway.world import LARGE, MODEL_SERVICE, SMALL, GatewayWorld
 
--- a/mulleinreach/gateway/tests/test_planner.py
+++ b/mulleinreach/gateway/fleet/tests/test_planner.py
@@ -16,9 +16,9 @@
     target_standbys,
 )
 from mulleinreach.gateway.fleet.usage import NO_GROUP_USAGE, ModelUsage
-from mulleinreach.gateway.load import LoadReport
+from mulleinreach.gateway.known.load import LoadReport
+from mulleinreach.gateway.known.upstreams import Head, Upstream
 from mulleinreach.gateway.model import EngineModel
-from mulleinreach.gateway.upstreams import Head, Upstream
 from mulleinreach.standins.gateway.world import LARGE, PROFILE, SMALL
 from mulleinreach.standins.virtual import run_virtual
 
--- a/mulleinreach/gateway/fleet/usage.py
+++ b/mulleinreach/gateway/fleet/usage.py
@@ -5,9 +5,9 @@
 import math
 
 from mulleinreach.common import Clock
-from mulleinreach.gateway.load import LoadReport
+from mulleinreach.gateway.known.load import LoadReport
+from mulleinreach.gateway.known.upstreams import Head
 from mulleinreach.gateway.model import EngineProfile
-from mulleinreach.gateway.upstreams import Head
 
 # Plans should follow what lasts: a load takes over ten seconds, a wave of requests less.
 SMOOTHING_S = 3.0
--- a/mulleinreach/gateway/fleet/watch.py
+++ b/mulleinreach/gateway/fleet/watch.py
@@ -16,10 +16,10 @@
     stands_in,
 )
 from mulleinreach.gateway.fleet.placement import Placement
-from mulleinreach.gateway.load import LoadReport
+from mulleinreach.gateway.known.load import LoadReport
+from mulleinreach.gateway.known.upstreams import Group, MemberState, Upstream, UpstreamState
 from mulleinreach.gateway.model import EngineModel, EngineProfile
 from mulleinreach.gateway.ports import Unavailable
-from mulleinreach.gateway.upstreams import Group, MemberState, Upstream, UpstreamState
 
 SILENCE_SUSPECT_S = 0.3
 CHECK_AGAIN_S = 0.8
--- a/mulleinreach/gateway/counted.py
+++ b/mulleinreach/gateway/known/counted.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from mulleinreach.common import BoundedEventLog, Clock
+from mulleinreach.gateway.known.store_calls import StoreCalls
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.ports import LeaseRecord, LeaseStore
-from mulleinreach.gateway.store_calls import StoreCalls
 
 
 class CountedSource:
--- a/mulleinreach/gateway/following.py
+++ b/mulleinreach/gateway/known/following.py
@@ -14,15 +14,15 @@
 from collections.abc import Callable
 
 from mulleinreach.common import Clock, EventLog
-from mulleinreach.gateway.model import Configuration
-from mulleinreach.gateway.ports import ConfigurationRead, ConfigurationSource, HistoryLost
-from mulleinreach.gateway.reading import (
+from mulleinreach.gateway.known.reading import (
     CHECK_S,
     ReadingTurn,
     SourceState,
     wait_for,
     wait_for_coordinator,
 )
+from mulleinreach.gateway.model import Configuration
+from mulleinreach.gateway.ports import ConfigurationRead, ConfigurationSource, HistoryLost
 
 OLDER_ANSWER_PAUSE_S = 0.15
 NEVER = float("-inf")
--- a/mulleinreach/gateway/knowledge.py
+++ b/mulleinreach/gateway/known/knowledge.py
@@ -12,14 +12,14 @@
 
 from collections.abc import Callable
 
-from mulleinreach.gateway.choosing import UpstreamChooser
+from mulleinreach.gateway.coordination.messages import CoordinatorReport, OpenHead, Totals
 from mulleinreach.gateway.fleet.controller import FleetController
-from mulleinreach.gateway.following import ConfigurationInForce
-from mulleinreach.gateway.load import LoadBook, LoadReport
-from mulleinreach.gateway.messages import CoordinatorReport, OpenHead, Totals
-from mulleinreach.gateway.upstream_following import UpstreamFollower
-from mulleinreach.gateway.upstreams import Head, ListChange, UpstreamDirectory
-from mulleinreach.gateway.urgency import FirstWaits, RouteWait
+from mulleinreach.gateway.known.choosing import UpstreamChooser
+from mulleinreach.gateway.known.following import ConfigurationInForce
+from mulleinreach.gateway.known.load import LoadBook, LoadReport
+from mulleinreach.gateway.known.upstream_following import UpstreamFollower
+from mulleinreach.gateway.known.upstreams import Head, ListChange, UpstreamDirectory
+from mulleinreach.gateway.request.urgency import FirstWaits, RouteWait
 
 # Older evidence would be too old at the nodes (1.5 s) before the next renewal.
 UNPROVEN_S = 0.7
--- a/mulleinreach/gateway/tests/test_routing.py
+++ b/mulleinreach/gateway/known/tests/test_routing.py
@@ -8,9 +8,9 @@
 import pytest
 
 from mulleinreach.common import Address, VirtualClock
-from mulleinreach.gateway.load import LoadBook, LoadReport
-from mulleinreach.gateway.routing import Router
-from mulleinreach.gateway.upstreams import Head, Upstream
+from mulleinreach.gateway.known.load import LoadBook, LoadReport
+from mulleinreach.gateway.known.routing import Router
+from mulleinreach.gateway.known.upstreams import Head, Upstream
 from mulleinreach.standins.gateway.world import LARGE, PROFILE
 from mulleinreach.standins.virtual import run_virtual
 
--- a/mulleinreach/gateway/tests/test_store_turns.py
+++ b/mulleinreach/gateway/known/tests/test_store_turns.py
@@ -8,10 +8,10 @@
 import pytest
 
 from mulleinreach.common import EventLog, VirtualClock
+from mulleinreach.gateway.known.store_calls import StoreCalls, StoreRole, pause_s
+from mulleinreach.gateway.known.turns import reading_turn
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.ports import Bounds, Unavailable
-from mulleinreach.gateway.store_calls import StoreCalls, StoreRole, pause_s
-from mulleinreach.gateway.turns import reading_turn
 from mulleinreach.standins.virtual import run_virtual
 
 MANY = 195
--- a/mulleinreach/gateway/turns.py
+++ b/mulleinreach/gateway/known/turns.py
@@ -4,9 +4,9 @@
 
 import random
 
-from mulleinreach.gateway.election import AMPLE_CORES
+from mulleinreach.gateway.coordination.election import AMPLE_CORES
+from mulleinreach.gateway.known.reading import ReadingTurn
 from mulleinreach.gateway.ports import Bounds
-from mulleinreach.gateway.reading import ReadingTurn
 
 # By so long after its coordinator's last answer from the store, a node that reads for
 # itself without a turn of its own has heard of what changed: 1.5 s until the evidence is too
--- a/mulleinreach/gateway/upstream_following.py
+++ b/mulleinreach/gateway/known/upstream_following.py
@@ -13,15 +13,15 @@
 from collections.abc import Callable
 
 from mulleinreach.common import Clock, EventLog
-from mulleinreach.gateway.ports import HistoryLost, Unavailable, UpstreamSource, UpstreamsRead
-from mulleinreach.gateway.reading import (
+from mulleinreach.gateway.known.reading import (
     CHECK_S,
     LONG_WAIT_S,
     ReadingTurn,
     SourceState,
     wait_for_coordinator,
 )
-from mulleinreach.gateway.upstreams import ListChange, UpstreamDirectory
+from mulleinreach.gateway.known.upstreams import ListChange, UpstreamDirectory
+from mulleinreach.gateway.ports import HistoryLost, Unavailable, UpstreamSource, UpstreamsRead
 
 # A change of the list ends the wait for it, so that one that is so much older than a call
 # which was answered would have been told. The store's answers take 4 ms.
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -12,34 +12,34 @@
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from mulleinreach.common import Address, Clock, Network, TaskGroup
-from mulleinreach.gateway.active import ActiveExchanges
-from mulleinreach.gateway.admission import Admission
-from mulleinreach.gateway.budget import WindowedRetryBudget
-from mulleinreach.gateway.choosing import SuspectList, UpstreamChooser
-from mulleinreach.gateway.coordination import Coordination
-from mulleinreach.gateway.counted import CountedEventLog, CountedLease, CountedSource
-from mulleinreach.gateway.exchange import UpstreamClient
+from mulleinreach.gateway.coordination.hub import sum_loads
+from mulleinreach.gateway.coordination.lease import CoordinatorLease
+from mulleinreach.gateway.coordination.membership import Coordination
 from mulleinreach.gateway.fleet.controller import FleetController
 from mulleinreach.gateway.fleet.formation import GroupOperator
 from mulleinreach.gateway.fleet.hosts import HostBook
-from mulleinreach.gateway.following import ConfigurationInForce
-from mulleinreach.gateway.hub import sum_loads
-from mulleinreach.gateway.knowledge import SharedKnowledge
-from mulleinreach.gateway.late import LateGate
-from mulleinreach.gateway.lease import CoordinatorLease
-from mulleinreach.gateway.load import LoadBook
+from mulleinreach.gateway.known.choosing import SuspectList, UpstreamChooser
+from mulleinreach.gateway.known.counted import CountedEventLog, CountedLease, CountedSource
+from mulleinreach.gateway.known.following import ConfigurationInForce
+from mulleinreach.gateway.known.knowledge import SharedKnowledge
+from mulleinreach.gateway.known.load import LoadBook
+from mulleinreach.gateway.known.routing import Router
+from mulleinreach.gateway.known.store_calls import StoreCalls, StoreRole, pause_s
+from mulleinreach.gateway.known.turns import reading_turn
+from mulleinreach.gateway.known.upstream_following import UpstreamFollower
+from mulleinreach.gateway.known.upstreams import UpstreamDirectory
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.model import Limits
 from mulleinreach.gateway.ports import Bounds, GatewayIdentity, Ports
-from mulleinreach.gateway.relay import Relay
-from mulleinreach.gateway.routing import Router
-from mulleinreach.gateway.sending import Sender
-from mulleinreach.gateway.starting import StartGate
-from mulleinreach.gateway.store_calls import StoreCalls, StoreRole, pause_s
-from mulleinreach.gateway.turns import reading_turn
-from mulleinreach.gateway.upstream_following import UpstreamFollower
-from mulleinreach.gateway.upstreams import UpstreamDirectory
-from mulleinreach.gateway.urgency import FirstWaits
+from mulleinreach.gateway.request.active import ActiveExchanges
+from mulleinreach.gateway.request.admission import Admission
+from mulleinreach.gateway.request.budget import WindowedRetryBudget
+from mulleinreach.gateway.request.exchange import UpstreamClient
+from mulleinreach.gateway.request.late import LateGate
+from mulleinreach.gateway.request.relay import Relay
+from mulleinreach.gateway.request.sending import Sender
+from mulleinreach.gateway.request.starting import StartGate
+from mulleinreach.gateway.request.urgency import FirstWaits
 
 CONNECT_TIMEOUT_S = 0.35
 BACKLOG = 512
--- a/mulleinreach/gateway/ports.py
+++ b/mulleinreach/gateway/ports.py
@@ -15,9 +15,9 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from mulleinreach.common import Address
+from mulleinreach.gateway.known.upstreams import Upstream
 from mulleinreach.gateway.model import Configuration
-from mulleinreach.gateway.upstreams import Upstream
-from mulleinreach.gateway.urgency import RouteWait
+from mulleinreach.gateway.request.urgency import RouteWait
 
 # Results of reading a source.
 
--- a/mulleinreach/gateway/active.py
+++ b/mulleinreach/gateway/request/active.py
@@ -4,14 +4,14 @@
 
 import asyncio
 
-from mulleinreach.gateway.exchange import (
+from mulleinreach.gateway.known.upstreams import Upstream
+from mulleinreach.gateway.request.exchange import (
     Broken,
     ExchangeResult,
     OutgoingRequest,
     Streaming,
     UpstreamClient,
 )
-from mulleinreach.gateway.upstreams import Upstream
 
 
 class ActiveExchange:
--- a/mulleinreach/gateway/late.py
+++ b/mulleinreach/gateway/request/late.py
@@ -15,8 +15,8 @@
 import random
 
 from mulleinreach.common import Clock
-from mulleinreach.gateway.choosing import UpstreamChooser
-from mulleinreach.gateway.load import LoadBook
+from mulleinreach.gateway.known.choosing import UpstreamChooser
+from mulleinreach.gateway.known.load import LoadBook
 from mulleinreach.gateway.model import Service
 from mulleinreach.gateway.ports import CallerHeaders
 
--- a/mulleinreach/gateway/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -8,20 +8,25 @@
 from aiohttp import web
 
 from mulleinreach.common import Clock, EventLog
-from mulleinreach.gateway.active import ActiveExchange
-from mulleinreach.gateway.admission import RETRY_AFTER_S, Admission, Admitted, Denied
-from mulleinreach.gateway.budget import WindowedRetryBudget
-from mulleinreach.gateway.connections import CallerConnections
-from mulleinreach.gateway.events import EventSplitter
-from mulleinreach.gateway.exchange import AnswerCut, Answered, Broken, Streaming
-from mulleinreach.gateway.late import LateGate
-from mulleinreach.gateway.load import Ticket
+from mulleinreach.gateway.known.load import Ticket
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.model import RouteKind, Service
 from mulleinreach.gateway.ports import CallerHeaders, Dialect
-from mulleinreach.gateway.sending import MIN_REMAINING_S, RelayJob, Sender, end_to_end_headers
-from mulleinreach.gateway.starting import StartGate
-from mulleinreach.gateway.urgency import FirstWaits
+from mulleinreach.gateway.request.active import ActiveExchange
+from mulleinreach.gateway.request.admission import RETRY_AFTER_S, Admission, Admitted, Denied
+from mulleinreach.gateway.request.budget import WindowedRetryBudget
+from mulleinreach.gateway.request.connections import CallerConnections
+from mulleinreach.gateway.request.events import EventSplitter
+from mulleinreach.gateway.request.exchange import AnswerCut, Answered, Broken, Streaming
+from mulleinreach.gateway.request.late import LateGate
+from mulleinreach.gateway.request.sending import (
+    MIN_REMAINING_S,
+    RelayJob,
+    Sender,
+    end_to_end_headers,
+)
+from mulleinreach.gateway.request.starting import StartGate
+from mulleinreach.gateway.request.urgency import FirstWaits
 
 
 def _header_bytes(request: web.BaseRequest) -> int:
--- a/mulleinreach/gateway/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -10,11 +10,16 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from mulleinreach.common import Clock, EventLog
-from mulleinreach.gateway.active import ActiveExchange, ActiveExchanges
-from mulleinreach.gateway.admission import Admitted
-from mulleinreach.gateway.budget import WindowedRetryBudget
-from mulleinreach.gateway.choosing import SuspectList, UpstreamChooser
-from mulleinreach.gateway.exchange import (
+from mulleinreach.gateway.known.choosing import SuspectList, UpstreamChooser
+from mulleinreach.gateway.known.load import LoadBook, Ticket
+from mulleinreach.gateway.known.upstreams import Upstream
+from mulleinreach.gateway.metrics import GatewayMetrics
+from mulleinreach.gateway.model import RouteKind, Service
+from mulleinreach.gateway.ports import CallerHeaders, Dialect
+from mulleinreach.gateway.request.active import ActiveExchange, ActiveExchanges
+from mulleinreach.gateway.request.admission import Admitted
+from mulleinreach.gateway.request.budget import WindowedRetryBudget
+from mulleinreach.gateway.request.exchange import (
     Answered,
     Broken,
     ExchangeResult,
@@ -23,12 +28,7 @@
     Refused,
     UpstreamClient,
 )
-from mulleinreach.gateway.load import LoadBook, Ticket
-from mulleinreach.gateway.metrics import GatewayMetrics
-from mulleinreach.gateway.model import RouteKind, Service
-from mulleinreach.gateway.ports import CallerHeaders, Dialect
-from mulleinreach.gateway.upstreams import Upstream
-from mulleinreach.gateway.urgency import FirstWaits, engine_priority
+from mulleinreach.gateway.request.urgency import FirstWaits, engine_priority
 
 MIN_REMAINING_S = 0.005
 SILENCE_STEP_S = 0.4
--- a/mulleinreach/gateway/tests/test_bounds.py
+++ b/mulleinreach/gateway/request/tests/test_bounds.py
@@ -8,10 +8,10 @@
 from aiohttp import web
 
 from mulleinreach.common import VirtualClock
-from mulleinreach.gateway.budget import WindowedRetryBudget
 from mulleinreach.gateway.fleet.loads import WINDOW_S, LoadGate
 from mulleinreach.gateway.ports import Bounds
-from mulleinreach.gateway.sending import EXTRA_RESUMES
+from mulleinreach.gateway.request.budget import WindowedRetryBudget
+from mulleinreach.gateway.request.sending import EXTRA_RESUMES
 from mulleinreach.gateway.tests.support import run_world
 from mulleinreach.standins.gateway.dialect import DEADLINE_MS, REQUEST_ID, SIGNATURE
 from mulleinreach.standins.gateway.world import PROFILE, make_configuration
--- a/mulleinreach/gateway/tests/test_exchange.py
+++ b/mulleinreach/gateway/request/tests/test_exchange.py
@@ -8,7 +8,8 @@
 from multidict import CIMultiDict
 
 from mulleinreach.common import Address, Network
-from mulleinreach.gateway.exchange import (
+from mulleinreach.gateway.known.upstreams import Upstream
+from mulleinreach.gateway.request.exchange import (
     AnswerCut,
     Answered,
     Broken,
@@ -17,7 +18,6 @@
     Streaming,
     UpstreamClient,
 )
-from mulleinreach.gateway.upstreams import Upstream
 from mulleinreach.standins.gateway.dialect import PlainDialect
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Request-Id: r\r\n\r\n"
--- a/mulleinreach/gateway/tests/test_leaving_callers.py
+++ b/mulleinreach/gateway/request/tests/test_leaving_callers.py
@@ -6,9 +6,9 @@
 
 import pytest
 
+from mulleinreach.gateway.request.urgency import ENOUGH_SEEN
 from mulleinreach.gateway.tests.desk import NO_HOSTS, serve_desk
 from mulleinreach.gateway.tests.support import run_world
-from mulleinreach.gateway.urgency import ENOUGH_SEEN
 from mulleinreach.standins.gateway.world import API_KEY, CALLER_HOST, LARGE, MODEL_SERVICE
 
 # The users allow half a second from the moment at which the caller has left.
--- a/mulleinreach/gateway/tests/test_urgency.py
+++ b/mulleinreach/gateway/request/tests/test_urgency.py
@@ -7,8 +7,8 @@
 
 import pytest
 
+from mulleinreach.gateway.request.urgency import ENOUGH_SEEN, LATE_PRIORITY, WAITS_KEPT, FirstWaits
 from mulleinreach.gateway.tests.support import run_world
-from mulleinreach.gateway.urgency import ENOUGH_SEEN, LATE_PRIORITY, WAITS_KEPT, FirstWaits
 from mulleinreach.standins.gateway.world import (
     LARGE,
     MODEL_SERVICE,
--- a/mulleinreach/platform/orders.py
+++ b/mulleinreach/platform/orders.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from mulleinreach.gateway.known.upstreams import Upstream
 from mulleinreach.gateway.ports import (
     Accepted,
     Fenced,
@@ -16,7 +17,6 @@
     Rejected,
     Unavailable,
 )
-from mulleinreach.gateway.upstreams import Upstream
 from mulleinreach.platform.upstreams import parse_report
 
 ORDER_TIMEOUT_S = 0.4
--- a/mulleinreach/platform/sources.py
+++ b/mulleinreach/platform/sources.py
@@ -7,6 +7,7 @@
 
 from absl import logging
 
+from mulleinreach.gateway.known.upstreams import Upstream
 from mulleinreach.gateway.model import Configuration
 from mulleinreach.gateway.ports import (
     ConfigurationChanged,
@@ -19,8 +20,7 @@
     Unavailable,
     UpstreamsRead,
 )
-from mulleinreach.gateway.upstreams import Upstream
-from mulleinreach.gateway.urgency import RouteWait
+from mulleinreach.gateway.request.urgency import RouteWait
 from mulleinreach.platform.configuration import parse_configuration
 from mulleinreach.platform.store import (
     Conflict,
--- a/mulleinreach/platform/tests/test_ports.py
+++ b/mulleinreach/platform/tests/test_ports.py
@@ -6,6 +6,7 @@
 import pytest
 
 from mulleinreach.common import Address
+from mulleinreach.gateway.known.upstreams import Membership, MemberState, Upstream
 from mulleinreach.gateway.ports import (
     Accepted,
     ConfigurationChanged,
@@ -20,8 +21,7 @@
     Unavailable,
     UpstreamsRead,
 )
-from mulleinreach.gateway.upstreams import Membership, MemberState, Upstream
-from mulleinreach.gateway.urgency import RouteWait
+from mulleinreach.gateway.request.urgency import RouteWait
 from mulleinreach.platform.orders import PlatformOrders
 from mulleinreach.platform.sources import (
     PlatformConfigurations,
--- a/mulleinreach/standins/gateway/hosts.py
+++ b/mulleinreach/standins/gateway/hosts.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from mulleinreach.common import Address, TaskGroup
+from mulleinreach.gateway.known.upstreams import Membership, MemberState, Upstream, UpstreamState
 from mulleinreach.gateway.ports import (
     Accepted,
     Fenced,
@@ -17,7 +18,6 @@
     Rejected,
     Unavailable,
 )
-from mulleinreach.gateway.upstreams import Membership, MemberState, Upstream, UpstreamState
 from mulleinreach.standins.gateway.dialect import PRIORITY, HeaderNames
 from mulleinreach.standins.gateway.store import UPSTREAMS, MemoryStore
 
--- a/mulleinreach/standins/gateway/store.py
+++ b/mulleinreach/standins/gateway/store.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from mulleinreach.gateway.known.upstreams import Upstream
 from mulleinreach.gateway.model import Configuration
 from mulleinreach.gateway.ports import (
     ConfigurationChanged,
@@ -19,7 +20,6 @@
     Unavailable,
     UpstreamsRead,
 )
-from mulleinreach.gateway.upstreams import Upstream
 
 CONFIGURATION = "configuration"
 NEWEST = "newest"
--- a/mulleinreach/standins/gateway/world.py
+++ b/mulleinreach/standins/gateway/world.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from mulleinreach.common import Address, VirtualClock
+from mulleinreach.gateway.known.upstreams import Upstream
 from mulleinreach.gateway.model import (
     Configuration,
     EngineModel,
@@ -22,7 +23,6 @@
 )
 from mulleinreach.gateway.node import GatewayNode
 from mulleinreach.gateway.ports import Bounds, GatewayIdentity, Ports
-from mulleinreach.gateway.upstreams import Upstream
 from mulleinreach.standins.gateway.dialect import DEADLINE_MS, MODEL, REQUEST_ID, PlainDialect
 from mulleinreach.standins.gateway.hosts import Fabric, HostStandIn, HostTimes, make_upstream
 from mulleinreach.standins.gateway.store import (
