A model that lacks most to its reserve is formed first

Cause: models below the reserve all counted the same, and the name decided: on a small site a model without requests was given the hosts of a lost group whose model was crowded. Found by a test of draining that the allocation had turned red; a test of its own failed first. Now the lack counts first, then the gain.

--- a/mulleinreach/gateway/fleet/allocation.py
+++ b/mulleinreach/gateway/fleet/allocation.py
@@ -10,7 +10,6 @@
 
 from __future__ import annotations
 
-import math
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -140,18 +139,20 @@
     engine: EngineProfile,
     work: Work,
     totals: Counter[str],
-) -> Iterator[tuple[float, str, str]]:
-    """Yield what each further group that fits in a domain would bring, a host."""
+) -> Iterator[tuple[tuple[int, float], str, str]]:
+    """Yield what each further group that fits in a domain would bring.
+
+    First counts how many groups its model lacks to the reserve, then the gain of each host.
+    """
     for model in engine.models:
         count = totals[model.name]
+        lacking = max(0, RESERVE + 1 - count)
         gain = work.cost(model.name, count) - work.cost(model.name, count + 1)
-        if count <= RESERVE:
-            gain = math.inf
         for view in views:
             own = targets[view.name]
             used = sum(own[m.name] * m.size for m in engine.models)
             if model.size <= view.hosts - used - _kept(own, work, model, count):
-                yield gain / model.size, view.name, model.name
+                yield (lacking, gain / model.size), view.name, model.name
 
 
 def _kept(own: dict[str, int], work: Work, model: EngineModel, count: int) -> int:
--- a/mulleinreach/gateway/fleet/tests/test_allocation.py
+++ b/mulleinreach/gateway/fleet/tests/test_allocation.py
@@ -97,6 +97,12 @@
     assert sum(target[LARGE] for target in targets.values()) >= 1
 
 
+def test_crowded_model_goes_before_one_that_has_more_groups_and_no_requests():
+    views = [_domain("d0", "hall", large=0, small=1), _domain("d1", "hall", large=1, small=1)]
+    targets = allocate(views, ENGINE, Work(24, {LARGE: 15.0, SMALL: 0.0}))
+    assert targets["d0"][LARGE] == 1
+
+
 def test_crowded_model_is_served_by_more_groups_and_nobody_is_cut():
     async def test(world):
         await world.until_formed()
