Moves begin once they have been wanted for 1.5 s, and hosts that moved stay for 10 s

Now groups that free hosts are about to form count, and the two times hold. Tests that failed first: a wish that lasts half as long begins nothing; hosts that moved stay; a group under repair begins no move.

--- a/mulleinreach/gateway/fleet/allocation.py
+++ b/mulleinreach/gateway/fleet/allocation.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from dataclasses import dataclass
 
 from mulleinreach.gateway.fleet.planner import (
@@ -163,7 +163,11 @@
 
 
 def next_move(
-    views: list[DomainView], resting: list[DomainView], engine: EngineProfile, work: Work
+    views: list[DomainView],
+    resting: list[DomainView],
+    engine: EngineProfile,
+    work: Work,
+    staying: Collection[str] = (),
 ) -> Move | None:
     """Return the move that lowers the cost most, if one is worth it.
 
@@ -171,6 +175,7 @@
     ==========
 
     resting : the domains in which a move may begin.
+    staying : models whose groups don't give way.
 
     Examples
     ========
@@ -192,6 +197,8 @@
     best: tuple[tuple, Move] | None = None
     for view in resting:
         for move in _moves_in(view, engine, work, totals):
+            if move.from_model in staying:
+                continue
             after = totals.copy()
             after[move.from_model] -= len(move.ended)
             after[move.to_model] += move.count - view.groups.get(move.to_model, 0)
--- a/mulleinreach/gateway/fleet/moving.py
+++ b/mulleinreach/gateway/fleet/moving.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, replace
 
 from mulleinreach.common import Clock, EventLog
@@ -21,9 +22,15 @@
     next_move,
 )
 from mulleinreach.gateway.fleet.hosts import HostBook
-from mulleinreach.gateway.fleet.planner import DomainView
-from mulleinreach.gateway.model import Service
-
+from mulleinreach.gateway.fleet.planner import DomainView, plan_groups
+from mulleinreach.gateway.model import EngineProfile, Service
+
+# A model has to be crowded for so long before hosts move to it: a group that is under repair
+# is back by then.
+WANTED_S = 1.5
+# Hosts of a model that others have just moved to stay for so long: bursts last that long, and
+# a domain that moves there and back serves less than one that stays.
+STAY_S = 10.0
 # A retiring group ends within 3.5 s, joins from staged weights take 1 to 2 s, opening 0.3 s.
 MOVE_S = 8.0
 
@@ -50,6 +57,8 @@
         self._clock = clock
         self._log = log
         self._underway: dict[str, _Underway] = {}
+        self._wanted_since: dict[str, float] = {}
+        self._moved_at: dict[str, float] = {}
 
     def targets(
         self, service: Service, views: list[DomainView], places: dict[str, float]
@@ -61,16 +70,37 @@
 
         places : what requests of each model hold or wait for; empty while that is unknown.
         """
-        work = Work(service.engine.slots, places)
+        engine = service.engine
+        work = Work(engine.slots, places)
         counted = self._count_moves(views)
+        targets = allocate(counted, engine, work)
         while places and len(self._underway) < MOVES_AT_ONCE:
-            resting = [view for view in counted if view.name not in self._underway]
-            move = next_move(counted, resting, service.engine, work)
-            if move is None or not move.is_ready:
+            move = self._next_move(counted, targets, engine, work)
+            if move is None:
                 break
             self._begin(move)
             counted = self._count_moves(views)
-        return allocate(counted, service.engine, work)
+            targets = allocate(counted, engine, work)
+        return targets
+
+    def _next_move(
+        self,
+        counted: list[DomainView],
+        targets: dict[str, dict[str, int]],
+        engine: EngineProfile,
+        work: Work,
+    ) -> Move | None:
+        """Return a move that can begin at once and has been wanted for long enough."""
+        now = self._clock.now()
+        staying = {model for model, at in self._moved_at.items() if now - at < STAY_S}
+        repaired = [_with_repairs(view, targets[view.name], engine) for view in counted]
+        resting = [view for view in repaired if view.name not in self._underway]
+        move = next_move(repaired, resting, engine, work, staying)
+        wanted = set() if move is None or not move.is_ready else {move.to_model}
+        self._wanted_since = {model: self._wanted_since.get(model, now) for model in wanted}
+        if not wanted or now - self._wanted_since[move.to_model] < WANTED_S:
+            return None
+        return move
 
     def _count_moves(self, views: list[DomainView]) -> list[DomainView]:
         """Return domains as they will be once the moves under way are done."""
@@ -100,6 +130,7 @@
 
     def _begin(self, move: Move) -> None:
         self._underway[move.domain] = _Underway(move, self._clock.now() + MOVE_S)
+        self._moved_at[move.to_model] = self._clock.now()
         for group in move.ended:
             name, epoch = group.place
             head = self._hosts.head_of(group.place)
@@ -109,3 +140,10 @@
             self._log.event(
                 "group_retiring", group=name, epoch=epoch, why=f"hosts move to {move.to_model}"
             )
+
+
+def _with_repairs(view: DomainView, targets: dict[str, int], engine: EngineProfile) -> DomainView:
+    """Return a domain with the groups that its free hosts are about to form."""
+    groups = Counter(view.groups)
+    groups.update(plan.model for plan in plan_groups(view, engine.models, targets))
+    return replace(view, groups=dict(groups))
--- a/mulleinreach/gateway/fleet/tests/test_allocation.py
+++ b/mulleinreach/gateway/fleet/tests/test_allocation.py
@@ -3,16 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
+from mulleinreach.common import EventLog, VirtualClock
 from mulleinreach.gateway.fleet.allocation import Work, allocate, next_move
+from mulleinreach.gateway.fleet.hosts import HostBook
+from mulleinreach.gateway.fleet.moving import MOVE_S, STAY_S, WANTED_S, GroupMover
 from mulleinreach.gateway.fleet.planner import DomainView, FreeHost, ServingGroup
-from mulleinreach.gateway.model import EngineModel, EngineProfile
+from mulleinreach.gateway.known.upstreams import UpstreamDirectory
+from mulleinreach.gateway.model import EngineModel, EngineProfile, Service
 from mulleinreach.gateway.tests.support import run_world
 from mulleinreach.standins.gateway.world import LARGE, SMALL
+from mulleinreach.standins.virtual import run_virtual
 
 ENGINE = EngineProfile((EngineModel(LARGE, 12), EngineModel(SMALL, 6)), slots=24)
+SERVICE = Service("models", engine=ENGINE)
 FEW_LARGE_MANY_SMALL = {LARGE: 23.0, SMALL: 190.0}
 MANY_MOVES = 20
 EVEN = {LARGE: 30.0, SMALL: 60.0}
@@ -103,6 +110,66 @@
     assert targets["d0"][LARGE] == 1
 
 
+def _mover(clock: VirtualClock) -> GroupMover:
+    return GroupMover(HostBook(UpstreamDirectory(), clock), clock, EventLog("test"))
+
+
+def _begun(mover: GroupMover, views: list[DomainView], places: dict[str, float]) -> set[str]:
+    """Return the domains whose targets differ from what they have."""
+    targets = mover.targets(SERVICE, views, places)
+    return {view.name for view in views if targets[view.name] != view.groups}
+
+
+def test_move_begins_only_after_it_has_been_wanted_for_a_while():
+    async def test():
+        mover = _mover(VirtualClock())
+        assert _begun(mover, _domains(), FEW_LARGE_MANY_SMALL) == set()
+        await asyncio.sleep(WANTED_S / 2)
+        assert _begun(mover, _domains(), EVEN) == set()
+        await asyncio.sleep(WANTED_S)
+        assert _begun(mover, _domains(), FEW_LARGE_MANY_SMALL) == set()
+        await asyncio.sleep(WANTED_S)
+        assert _begun(mover, _domains(), FEW_LARGE_MANY_SMALL)
+
+    run_virtual(test())
+
+
+def test_hosts_that_have_moved_stay_for_a_while():
+    async def test():
+        mover = _mover(VirtualClock())
+        views = [_domain(f"d{n}", "hall", large=0, small=4) for n in range(3)]
+        views += [_domain(f"e{n}", "hall") for n in range(5)]
+        mover.targets(SERVICE, views, FEW_LARGE_MANY_SMALL)
+        await asyncio.sleep(WANTED_S)
+        await asyncio.sleep(MOVE_S)
+        many_large = {LARGE: 200.0, SMALL: 20.0}
+        mover._moved_at[SMALL] = asyncio.get_running_loop().time()
+        mover.targets(SERVICE, views, many_large)
+        await asyncio.sleep(WANTED_S)
+        assert _begun(mover, views, many_large) == set()
+        await asyncio.sleep(STAY_S)
+        mover.targets(SERVICE, views, many_large)
+        await asyncio.sleep(WANTED_S)
+        assert _begun(mover, views, many_large)
+
+    run_virtual(test())
+
+
+def test_group_under_repair_is_not_taken_for_missing():
+    async def test():
+        mover = _mover(VirtualClock())
+        whole = _domains()
+        small = {LARGE: 40.0, SMALL: 10.0}
+        lost = _domain("d0", "hall-0", large=0)
+        lost = replace(lost, free=_hosts(12, LARGE, SMALL))
+        views = [lost, *whole[1:]]
+        mover.targets(SERVICE, views, small)
+        await asyncio.sleep(WANTED_S)
+        assert _begun(mover, views, small) == {"d0"}
+
+    run_virtual(test())
+
+
 def test_crowded_model_is_served_by_more_groups_and_nobody_is_cut():
     async def test(world):
         await world.until_formed()
