No move begins while the lease can't be renewed; groups serve on that were to give way

Tests that failed first: no move under a lease that isn't fresh; a group that retires when the lease lapses serves on.

--- a/mulleinreach/gateway/coordination/lease.py
+++ b/mulleinreach/gateway/coordination/lease.py
@@ -31,6 +31,8 @@
 
 LEASE_S = 2.0
 RENEW_S = 0.7
+# What is left of a lease at least right before a renewal, while the store answers in time.
+FRESH_S = 1.1
 SECRET_BYTES = 16
 CLOCK_RATE_MARGIN = 0.02
 NEVER = float("-inf")
@@ -129,6 +131,10 @@
         """Whether this node may give orders at this moment."""
         return not self.fenced.is_set() and self._clock.now() < self._held_until
 
+    def is_fresh(self) -> bool:
+        """Whether the latest renewal was done in time, so that the store can be written."""
+        return self.is_held() and self._held_until - self._clock.now() >= FRESH_S
+
     async def look(self) -> LeaseState:
         """Read the row."""
         result = await self._store.read()
--- a/mulleinreach/gateway/fleet/controller.py
+++ b/mulleinreach/gateway/fleet/controller.py
@@ -105,6 +105,7 @@
                 except TimeoutError:
                     continue
         finally:
+            self._hosts.end_moves()
             await self._duties.close()
 
     def _model_services(self) -> list[Service]:
--- a/mulleinreach/gateway/fleet/formation.py
+++ b/mulleinreach/gateway/fleet/formation.py
@@ -97,6 +97,10 @@
         """Whether a step that takes no load of weights waits for a host's state."""
         return self._waits > 0
 
+    def is_lease_fresh(self) -> bool:
+        """Whether orders can be given for the next second at least."""
+        return self._lease.is_fresh()
+
     def notify(self) -> None:
         """Wake those who wait for a host's state."""
         self._changed.set()
--- a/mulleinreach/gateway/fleet/hosts.py
+++ b/mulleinreach/gateway/fleet/hosts.py
@@ -243,6 +243,10 @@
         retiring = self._retiring.get(key)
         return retiring is not None and retiring.gives_way
 
+    def end_moves(self) -> None:
+        """Let groups that were to give way serve on, since no more orders can be given."""
+        self._retiring = {key: r for key, r in self._retiring.items() if not r.gives_way}
+
     def retiring_for_s(self, key: tuple[str, int]) -> float | None:
         """Return for how long a group has taken nothing new, or ``None``."""
         retiring = self._retiring.get(key)
--- a/mulleinreach/gateway/fleet/moving.py
+++ b/mulleinreach/gateway/fleet/moving.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 from mulleinreach.common import Clock, EventLog
@@ -50,10 +51,18 @@
 
 
 class GroupMover:
-    """Decides how many groups each domain should have, and begins moves where they pay."""
+    """Decides how many groups each domain should have, and begins moves where they pay.
 
-    def __init__(self, hosts: HostBook, clock: Clock, log: EventLog):
+    Parameters
+    ==========
+
+    may_begin : whether orders can be given for a while. A move that is cut short by an outage
+        of the store leaves hosts that serve nobody until it is back.
+    """
+
+    def __init__(self, hosts: HostBook, may_begin: Callable[[], bool], clock: Clock, log: EventLog):
         self._hosts = hosts
+        self._may_begin = may_begin
         self._clock = clock
         self._log = log
         self._underway: dict[str, _Underway] = {}
@@ -74,7 +83,7 @@
         work = Work(engine.slots, places)
         counted = self._count_moves(views)
         targets = allocate(counted, engine, work)
-        while places and len(self._underway) < MOVES_AT_ONCE:
+        while places and self._may_begin() and len(self._underway) < MOVES_AT_ONCE:
             move = self._next_move(counted, targets, engine, work)
             if move is None:
                 break
--- a/mulleinreach/gateway/fleet/placement.py
+++ b/mulleinreach/gateway/fleet/placement.py
@@ -57,7 +57,7 @@
         self.gate = LoadGate(clock)
         self._clock = clock
         self._usage: dict[str, ModelUsage] = {}
-        self._mover = GroupMover(hosts, clock, log)
+        self._mover = GroupMover(hosts, operator.is_lease_fresh, clock, log)
         # When hosts that were told to load a second model may be told again.
         self._stage_again_at: dict[str, float] = {}
 
--- a/mulleinreach/gateway/fleet/tests/test_allocation.py
+++ b/mulleinreach/gateway/fleet/tests/test_allocation.py
@@ -15,7 +15,7 @@
 from mulleinreach.gateway.known.upstreams import UpstreamDirectory
 from mulleinreach.gateway.model import EngineModel, EngineProfile, Service
 from mulleinreach.gateway.tests.support import run_world
-from mulleinreach.standins.gateway.world import LARGE, SMALL
+from mulleinreach.standins.gateway.world import LARGE, MODEL_SERVICE, SMALL
 from mulleinreach.standins.virtual import run_virtual
 
 ENGINE = EngineProfile((EngineModel(LARGE, 12), EngineModel(SMALL, 6)), slots=24)
@@ -110,8 +110,9 @@
     assert targets["d0"][LARGE] == 1
 
 
-def _mover(clock: VirtualClock) -> GroupMover:
-    return GroupMover(HostBook(UpstreamDirectory(), clock), clock, EventLog("test"))
+def _mover(clock: VirtualClock, may_begin: bool = True) -> GroupMover:
+    hosts = HostBook(UpstreamDirectory(), clock)
+    return GroupMover(hosts, lambda: may_begin, clock, EventLog("test"))
 
 
 def _begun(mover: GroupMover, views: list[DomainView], places: dict[str, float]) -> set[str]:
@@ -134,6 +135,36 @@
     run_virtual(test())
 
 
+def test_no_move_begins_while_the_lease_can_not_be_renewed():
+    async def test():
+        mover = _mover(VirtualClock(), may_begin=False)
+        for _ in range(20):
+            assert _begun(mover, _domains(), FEW_LARGE_MANY_SMALL) == set()
+            await asyncio.sleep(WANTED_S)
+
+    run_virtual(test())
+
+
+def test_groups_that_were_to_give_way_serve_on_once_no_orders_can_be_given():
+    async def test(world):
+        await world.until_formed()
+        await asyncio.sleep(2)
+        coordinator = world.nodes[world.coordinator()]
+        running = [asyncio.create_task(world.stream(150)) for _ in range(8)]
+        await asyncio.sleep(0.3)
+        head = coordinator.chooser.heads(MODEL_SERVICE, LARGE)[0]
+        coordinator.hosts.begin_retiring((head.group, head.epoch), head.upstream.id, gives_way=True)
+        await asyncio.sleep(0.3)
+        assert world.open_groups(LARGE) == 1
+        world.store.is_down = True
+        await asyncio.sleep(3.0)
+        assert world.open_groups(LARGE) == 2
+        answers = await asyncio.gather(*running)
+        assert all(len(answer.event_ids) == 150 for answer in answers)
+
+    run_world(test)
+
+
 def test_hosts_that_have_moved_stay_for_a_while():
     async def test():
         mover = _mover(VirtualClock())
