Hosts that have moved give way at once to a model that is down to its reserve

The stay now doesn't bind there. Test that failed first: a model down to its reserve gets hosts that have moved; one above it does not.

--- a/mulleinreach/gateway/fleet/allocation.py
+++ b/mulleinreach/gateway/fleet/allocation.py
@@ -203,7 +203,7 @@
     ==========
 
     resting : the domains in which a move may begin.
-    staying : models whose groups don't give way.
+    staying : models whose groups give way only to one that is down to its reserve.
 
     Examples
     ========
@@ -225,7 +225,7 @@
     best: tuple[tuple, Move] | None = None
     for view in resting:
         for move in _moves_in(view, engine, work, totals):
-            if move.from_model in staying:
+            if move.from_model in staying and totals[move.to_model] > RESERVE:
                 continue
             after = totals.copy()
             after[move.from_model] -= len(move.ended)
--- a/mulleinreach/gateway/fleet/tests/test_allocation.py
+++ b/mulleinreach/gateway/fleet/tests/test_allocation.py
@@ -199,6 +199,18 @@
     run_virtual(test())
 
 
+def test_hosts_that_have_moved_give_way_to_a_model_that_is_down_to_its_reserve():
+    views = [_domain(f"d{n}", "hall", large=0, small=4) for n in range(4)]
+    views += [_domain(f"e{n}", "hall", large=1, small=2) for n in range(2)]
+    work = _work({LARGE: 40.0, SMALL: 100.0}, views)
+    move = next_move(views, views, ENGINE, work, staying={SMALL})
+    assert (move.from_model, move.to_model) == (SMALL, LARGE)
+    views[0] = _domain("d0", "hall", large=1, small=2)
+    work = _work({LARGE: 60.0, SMALL: 100.0}, views)
+    assert next_move(views, views, ENGINE, work, staying={SMALL}) is None
+    assert next_move(views, views, ENGINE, work) is not None
+
+
 def test_group_under_repair_is_not_taken_for_missing():
     async def test():
         mover = _mover(VirtualClock())
