A stream whose connection falls silent is continued elsewhere after 1.5 s

Cause: connections may fall silent for good without a reset. Between nodes that was bounded (1 s); a stream that had begun stood until its deadline (7.5 s of 8 on memory, then cut at 12 of 60 events), since its group is sound and the coordinator finds nothing. Change: 1.5 s without a byte end the exchange; the stream goes on at another replica within the route's attempts (the old one may still run it, so the two further resumes of a lost replica don't apply).

--- a/mulleinreach/gateway/request/exchange.py
+++ b/mulleinreach/gateway/request/exchange.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
@@ -73,15 +74,31 @@
     headers: CIMultiDictProxy[str]
     response: aiohttp.ClientResponse
 
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield bytes as they come; raises :class:`AnswerCut` unless the end was sound."""
+    async def chunks(self, pause_limit_s: float) -> AsyncIterator[bytes]:
+        """Yield bytes as they come; raises :class:`AnswerCut` unless the end was sound.
+
+        Parameters
+        ==========
+
+        pause_limit_s : the longest time between bytes; :class:`AnswerSilent` after it.
+        """
         protocol = self.response.connection.protocol if self.response.connection else None
+        while data := await self._next_chunk(pause_limit_s):
+            yield data
+        _check_end(self.response, protocol)
+
+    async def _next_chunk(self, pause_limit_s: float) -> bytes:
+        """Return what came next, nothing at the end."""
+        pause = asyncio.timeout(pause_limit_s)
         try:
-            async for data in self.response.content.iter_any():
-                yield data
+            async with pause:
+                return await self.response.content.readany()
+        except TimeoutError as error:
+            if not pause.expired():
+                raise
+            raise AnswerSilent(f"nothing came for {pause_limit_s:g} s") from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise AnswerCut(f"{type(error).__name__}: {error}") from error
-        _check_end(self.response, protocol)
 
     def close(self) -> None:
         """End the exchange; the upstream sees its connection closed."""
@@ -92,6 +109,10 @@
     """An answer's body ended before it was whole."""
 
 
+class AnswerSilent(AnswerCut):
+    """Nothing of an answer's body came for too long; it may still be on its way."""
+
+
 ExchangeResult = NotSent | Refused | Broken | Answered | Streaming
 
 
--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -17,7 +17,13 @@
 from mulleinreach.gateway.request.budget import WindowedRetryBudget
 from mulleinreach.gateway.request.connections import CallerConnections
 from mulleinreach.gateway.request.events import EventSplitter
-from mulleinreach.gateway.request.exchange import AnswerCut, Answered, Broken, Streaming
+from mulleinreach.gateway.request.exchange import (
+    AnswerCut,
+    Answered,
+    AnswerSilent,
+    Broken,
+    Streaming,
+)
 from mulleinreach.gateway.request.late import LateGate
 from mulleinreach.gateway.request.sending import (
     MIN_REMAINING_S,
@@ -28,6 +34,11 @@
 from mulleinreach.gateway.request.starting import StartGate
 from mulleinreach.gateway.request.urgency import FirstWaits
 
+# A stream without a byte for so long is continued elsewhere. A group that lost a member is noticed
+# within a second; callers leave after two seconds and more. Without it, a stream whose
+# connection had fallen silent stood until its deadline (7.5 s on memory), then was cut.
+PAUSE_LIMIT_S = 1.5
+
 
 def _header_bytes(request: web.BaseRequest) -> int:
     """Return the size of a request's header fields."""
@@ -238,10 +249,11 @@
         splitter = EventSplitter()
         try:
             async with asyncio.timeout(max(0, job.deadline - self._clock.now())):
-                async for data in result.chunks():
+                async for data in result.chunks(PAUSE_LIMIT_S):
                     ticket.progress()
                     await self._write_events(job, splitter, data, response)
         except (AnswerCut, TimeoutError) as error:
+            job.fell_silent |= isinstance(error, AnswerSilent)
             self._log.event(
                 "stream_broken",
                 id=job.headers.request_id,
--- a/mulleinreach/gateway/request/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -91,6 +91,8 @@
     first_event_at: float | None = None
     last_event_at: float | None = None
     longest_pause_s: float = 0.0
+    # Whether a stream was left since nothing came; its replica may still run the request.
+    fell_silent: bool = False
     upstream_id: str = ""
 
     def note_events(self, count: int, now: float) -> None:
@@ -137,7 +139,7 @@
         if job.deadline - self._clock.now() < MIN_REMAINING_S:
             return None
         limit = job.admitted.route.max_attempts
-        if job.events_sent:
+        if job.events_sent and not job.fell_silent:
             limit += EXTRA_RESUMES
         if job.sends >= limit:
             return None
--- a/mulleinreach/gateway/request/tests/test_exchange.py
+++ b/mulleinreach/gateway/request/tests/test_exchange.py
@@ -18,6 +18,7 @@
     Streaming,
     UpstreamClient,
 )
+from mulleinreach.gateway.request.relay import PAUSE_LIMIT_S
 from mulleinreach.standins.gateway.dialect import PlainDialect
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Request-Id: r\r\n\r\n"
@@ -47,7 +48,7 @@
     try:
         result = await UpstreamClient(session, PlainDialect()).send(upstream, request, wants_stream)
         if isinstance(result, Streaming):
-            return b"".join([data async for data in result.chunks()])
+            return b"".join([data async for data in result.chunks(PAUSE_LIMIT_S)])
         return result
     finally:
         await session.close()
--- a/mulleinreach/standins/links.py
+++ b/mulleinreach/standins/links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Collection
 
 from mulleinreach.common.net import CONNECT_TIMEOUT_S
 
@@ -27,6 +28,19 @@
         self.cut(first, second)
         self.cut(second, first)
 
+    def silence(self, origins: Collection[str]) -> None:
+        """Let connections that some processes opened fall silent for good, without a reset.
+
+        New connections work.
+        """
+        for origin, target in list(self._transports):
+            if origin not in origins:
+                continue
+            for transport in self._transports.pop((origin, target)):
+                if not transport.is_closing():
+                    transport.write = _drop
+                    transport.pause_reading()
+
     def mend(self) -> None:
         """Join everything again."""
         self._cuts.clear()
@@ -60,3 +74,7 @@
         known[:] = [t for t in known if not t.is_closing()]
         known.append(transport)
         return transport, protocol
+
+
+def _drop(data: bytes) -> None:
+    """Take bytes that never arrive."""
