Each service moves its hosts on its own; the stand-in fabric is a module of its own

Found on reading: two model services would have shared one mover, and each one's round would have forgotten the other's moves. A test of its own failed first on the shared one.

--- a/mulleinreach/gateway/fleet/placement.py
+++ b/mulleinreach/gateway/fleet/placement.py
@@ -57,7 +57,7 @@
         self.gate = LoadGate(clock)
         self._clock = clock
         self._usage: dict[str, ModelUsage] = {}
-        self._mover = GroupMover(hosts, operator.is_lease_fresh, clock, log)
+        self._movers: dict[str, GroupMover] = {}
         # When hosts that were told to load a second model may be told again.
         self._stage_again_at: dict[str, float] = {}
 
@@ -74,7 +74,7 @@
             self._view(service, domain, usable, groups, usage.by_model())
             for domain, usable in sorted(self._usable_by_domain(service.name).items())
         ]
-        targets = self._mover.targets(service, views, usage.places())
+        targets = self._mover(service.name).targets(service, views, usage.places())
         standbys: list[LoadStandby] = []
         for view in views:
             if self._is_incomplete(service.engine, view.name, groups):
@@ -88,6 +88,14 @@
             self._start_standby(service.engine, plan)
         self._stage_second_models(service, groups, usage.by_model())
 
+    def _mover(self, service: str) -> GroupMover:
+        """Return what moves hosts between the models of a service."""
+        if service not in self._movers:
+            self._movers[service] = GroupMover(
+                self._hosts, self._operator.is_lease_fresh, self._clock, self._log
+            )
+        return self._movers[service]
+
     def _stage_second_models(
         self, service: Service, groups: dict[tuple[str, int], Group], need: dict[str, float]
     ) -> None:
--- a/mulleinreach/gateway/fleet/tests/test_allocation.py
+++ b/mulleinreach/gateway/fleet/tests/test_allocation.py
@@ -178,6 +178,25 @@
     run_world(test)
 
 
+def test_services_move_hosts_independently():
+    async def test(world):
+        await world.until_formed()
+        placement = world.nodes[world.coordinator()].controller._placement
+        first, second = placement._mover("first"), placement._mover("second")
+        assert placement._mover("first") is first
+        views = _domains()
+        for _ in range(2):
+            second.targets(SERVICE, [], {LARGE: 1.0})
+            targets = first.targets(SERVICE, views, FEW_LARGE_MANY_SMALL)
+            await asyncio.sleep(WANTED_S)
+        targets = first.targets(SERVICE, views, FEW_LARGE_MANY_SMALL)
+        second.targets(SERVICE, [], {LARGE: 1.0})
+        assert any(targets[view.name] != view.groups for view in views)
+        assert first.targets(SERVICE, views, FEW_LARGE_MANY_SMALL) == targets
+
+    run_world(test, nodes=1)
+
+
 def test_hosts_that_have_moved_stay_for_a_while():
     async def test():
         mover = _mover(VirtualClock())
--- a/mulleinreach/platform/tests/soak/world.py
+++ b/mulleinreach/platform/tests/soak/world.py
@@ -27,7 +27,8 @@
 from mulleinreach.platform.tests.soak.proxy import Link, Proxy
 from mulleinreach.platform.tests.standin import StoreStandIn, row_of
 from mulleinreach.standins.gateway.dialect import HeaderNames
-from mulleinreach.standins.gateway.hosts import Fabric, HostStandIn, HostTimes, make_upstream
+from mulleinreach.standins.gateway.fabric import Fabric
+from mulleinreach.standins.gateway.hosts import HostStandIn, HostTimes, make_upstream
 from mulleinreach.standins.gateway.store import UPSTREAMS, MemoryStore
 
 MODEL_SERVICE, PLAIN_SERVICE = "soak-model", "soak-desk"
--- a/mulleinreach/standins/gateway/hosts.py
+++ b/mulleinreach/standins/gateway/hosts.py
@@ -1,10 +1,10 @@
-"""Hosts that form groups and answer requests, and checks of what must always hold."""
+"""Hosts that form groups and answer requests."""
 
 from __future__ import annotations
 
 import asyncio
-import random
 from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING
 
 from aiohttp import web
 
@@ -12,14 +12,14 @@
 from mulleinreach.gateway.known.upstreams import Membership, MemberState, Upstream, UpstreamState
 from mulleinreach.gateway.ports import (
     Accepted,
-    Fenced,
-    NoAnswer,
     OrderResult,
     Rejected,
-    Unavailable,
 )
 from mulleinreach.standins.gateway.dialect import PRIORITY, HeaderNames
-from mulleinreach.standins.gateway.store import UPSTREAMS, MemoryStore
+from mulleinreach.standins.gateway.store import UPSTREAMS
+
+if TYPE_CHECKING:
+    from mulleinreach.standins.gateway.fabric import Fabric
 
 ORDER_S = 0.002
 REJOIN_S = 0.2
@@ -41,7 +41,7 @@
 
 
 @dataclass
-class _Standing:
+class Standing:
     """What a host knows of its group."""
 
     group: str
@@ -79,7 +79,7 @@
         self._names = names
         self.times = times
         self.upstream = upstream
-        self.standing: _Standing | None = None
+        self.standing: Standing | None = None
         self.last_model: str | None = None
         self.highest_epoch = 0
         self.highest_token = 0
@@ -117,12 +117,12 @@
             return Accepted()
         self._fabric.check_join(self, group, epoch)
         self.highest_epoch = epoch
-        self.standing = _Standing(group, epoch, model, members, MemberState.JOINING)
+        self.standing = Standing(group, epoch, model, members, MemberState.JOINING)
         self._publish()
         self._tasks.spawn(self._become_ready(self.standing))
         return Accepted()
 
-    async def _become_ready(self, standing: _Standing) -> None:
+    async def _become_ready(self, standing: Standing) -> None:
         if self.last_model == standing.model:
             await asyncio.sleep(REJOIN_S)
         elif standing.model in self.upstream.staged:
@@ -149,7 +149,7 @@
         self._tasks.spawn(self._become_open(standing))
         return Accepted()
 
-    async def _become_open(self, standing: _Standing) -> None:
+    async def _become_open(self, standing: Standing) -> None:
         await asyncio.sleep(FORM_S)
         if self.standing is standing and not self.is_dark:
             standing.state = MemberState.OPEN
@@ -258,7 +258,7 @@
         return await self._stream(request, standing, request_id, body)
 
     async def _stream(
-        self, request: web.BaseRequest, standing: _Standing, request_id: str, body: bytes
+        self, request: web.BaseRequest, standing: Standing, request_id: str, body: bytes
     ) -> web.StreamResponse:
         echoed = "another" if self.echoes_wrong_id else request_id
         headers = {self._names.request_id: echoed, self._names.signature: self.id}
@@ -281,7 +281,7 @@
         await response.write_eof()
         return response
 
-    async def _step(self, standing: _Standing) -> bool:
+    async def _step(self, standing: Standing) -> bool:
         """Wait for the next event; a group that lacks a member stands still, then breaks."""
         await asyncio.sleep(EVENT_GAP_S * self._fabric.pace(standing))
         stalled_s = 0.0
@@ -297,133 +297,6 @@
         return self.standing is standing
 
 
-class Fabric:
-    """All hosts, the orders to them, and the checks of what must always hold.
-
-    Explanation
-    ===========
-
-    Knob: ``requires_fence`` has hosts refuse orders whose token is lower than one that
-    they have seen. ``orders_by_token`` tells which hosts were given orders under each.
-    """
-
-    def __init__(self, store: MemoryStore, seed: int = 1, names: HeaderNames | None = None):
-        self.store = store
-        self._names = names or HeaderNames()
-        self.checks = FabricChecks()
-        self.requires_fence = False
-        self.orders_by_token: dict[int, list[str]] = {}
-        self.hosts: dict[str, HostStandIn] = {}
-        self._rng = random.Random(seed)
-        self._tasks = TaskGroup()
-
-    def add(self, upstream: Upstream, times: HostTimes) -> HostStandIn:
-        """Add a host and list it."""
-        host = HostStandIn(self, upstream, times, self._names)
-        self.hosts[host.id] = host
-        host.list_again()
-        return host
-
-    def is_whole(self, standing: _Standing) -> bool:
-        """Whether all members still stand in the group."""
-        for member in standing.members:
-            host = self.hosts[member]
-            other = host.standing
-            if host.is_dark or other is None:
-                return False
-            if (other.group, other.epoch) != (standing.group, standing.epoch):
-                return False
-        return True
-
-    def pace(self, standing: _Standing) -> float:
-        """Return the pace of a group's slowest member."""
-        return max(self.hosts[member].pace for member in standing.members)
-
-    def check_join(self, host: HostStandIn, group: str, epoch: int) -> None:
-        """No host joins another group while the head of its own serves."""
-        own = host.standing
-        if own is None:
-            return
-        head = self.hosts[own.members[0]]
-        head_standing = head.standing
-        if head.is_dark or head_standing is None:
-            return
-        is_own = (head_standing.group, head_standing.epoch) == (own.group, own.epoch)
-        if is_own and head_standing.state in (MemberState.OPEN, MemberState.CLOSING):
-            self.checks.broken.append(f"{host.id} joined {group} while {own.group} serves")
-
-    def check_start(self, host: HostStandIn, standing: _Standing) -> None:
-        """A request starts only where every member was ready under this epoch."""
-        for member in standing.members:
-            if (standing.group, standing.epoch, member) not in self.checks.ready:
-                self.checks.broken.append(f"{standing.group} serves, {member} was never ready")
-
-    # The port for orders.
-
-    async def join(
-        self,
-        host: Upstream,
-        group: str,
-        epoch: int,
-        model: str,
-        members: list[str],
-        token: int,
-    ) -> OrderResult:
-        """Order a join."""
-        return await self._order(host, token, lambda h: h.join(group, epoch, model, tuple(members)))
-
-    async def open(self, head: Upstream, group: str, epoch: int, token: int) -> OrderResult:
-        """Order a head to serve."""
-        return await self._order(head, token, lambda h: h.open(group, epoch))
-
-    async def leave(self, host: Upstream, group: str, epoch: int, token: int) -> OrderResult:
-        """Order a member out of its group."""
-        return await self._order(host, token, lambda h: h.leave(group, epoch))
-
-    async def stage(self, host: Upstream, model: str, token: int) -> OrderResult:
-        """Order a load of weights."""
-        return await self._order(host, token, lambda h: h.stage(model))
-
-    async def report(self, host: Upstream, timeout_s: float) -> Upstream | Unavailable:
-        """Ask a host for its state."""
-        await asyncio.sleep(ORDER_S)
-        target = self.hosts[host.id]
-        if target.is_dark:
-            await asyncio.sleep(timeout_s)
-            return Unavailable("no answer")
-        return target.report()
-
-    async def _order(self, host: Upstream, token: int, action) -> OrderResult:
-        self.orders_by_token.setdefault(token, []).append(host.id)
-        await asyncio.sleep(ORDER_S)
-        target = self.hosts[host.id]
-        if target.is_dark:
-            await asyncio.sleep(0.4)
-            return NoAnswer("no answer")
-        if target.late_orders > 0:
-            target.late_orders -= 1
-            self._tasks.spawn(self._carry_out_late(target, token, action))
-            await asyncio.sleep(0.4)
-            return NoAnswer("no answer yet")
-        return self._carry_out(target, token, action)
-
-    def _carry_out(self, target: HostStandIn, token: int, action) -> OrderResult:
-        if self.requires_fence and not target.admit(token):
-            return Fenced()
-        return action(target)
-
-    async def _carry_out_late(self, target: HostStandIn, token: int, action) -> None:
-        await asyncio.sleep(self._rng.uniform(*LATE_ORDER_S))
-        if not target.is_dark:
-            self._carry_out(target, token, action)
-
-    async def close(self) -> None:
-        """End what runs."""
-        await self._tasks.close()
-        for host in self.hosts.values():
-            await host.close()
-
-
 def make_upstream(name: str, service: str, port: int, domain: str | None) -> Upstream:
     """Return a host as it stands on the list after its start."""
     return Upstream(name, service, Address("10.0.1.1", port), "hall-a", slots=13, domain=domain)
--- a/mulleinreach/standins/gateway/world.py
+++ b/mulleinreach/standins/gateway/world.py
@@ -24,7 +24,8 @@
 from mulleinreach.gateway.node import GatewayNode
 from mulleinreach.gateway.ports import Bounds, GatewayIdentity, Ports
 from mulleinreach.standins.gateway.dialect import DEADLINE_MS, MODEL, REQUEST_ID, PlainDialect
-from mulleinreach.standins.gateway.hosts import Fabric, HostStandIn, HostTimes, make_upstream
+from mulleinreach.standins.gateway.fabric import Fabric
+from mulleinreach.standins.gateway.hosts import HostStandIn, HostTimes, make_upstream
 from mulleinreach.standins.gateway.store import (
     CONFIGURATION,
     UPSTREAMS,
