--- a/mulleinreach/gateway/coordination/membership.py
+++ b/mulleinreach/gateway/coordination/membership.py
@@ -46,11 +46,11 @@
     decode_coordinator_report,
     encode_node_report,
 )
+from mulleinreach.gateway.coordination.succession import CONNECT_S, tell_replaced
 from mulleinreach.gateway.known.load import LoadBook, LoadReport
 from mulleinreach.gateway.ports import LeaseRecord
 
 OWN_REPORTS_KEPT = 40
-CONNECT_S = 0.5
 RETRY_S = 0.3
 RECONNECT_S = 0.05
 RENEW_AGAIN_S = 0.15
@@ -217,29 +217,15 @@
         if replaced is None or replaced.address == str(self._address):
             await self._hold()
             return
-        telling = asyncio.create_task(self._tell_replaced(replaced))
+        own = self._lease.as_successor()
+        telling = asyncio.create_task(
+            tell_replaced(replaced, own, self._name, self._network, self._log)
+        )
         try:
             await self._hold()
         finally:
             telling.cancel()
 
-    async def _tell_replaced(self, replaced: LeaseRecord) -> None:
-        """Tell the coordinator that this node has replaced who is in its place now.
-
-        It can't read that in the store, and neither can some of the nodes that meet there.
-        """
-        try:
-            async with asyncio.timeout(CONNECT_S):
-                _, writer = await self._network.connect(Address.parse(replaced.address))
-            report = NodeReport(
-                self._name, [], secret=replaced.secret, successor=self._lease.as_successor()
-            )
-            FrameWriter(writer).write(encode_node_report(report))
-            await writer.drain()
-            writer.close()
-        except (OSError, TimeoutError) as error:
-            self._log.event("replaced_not_told", address=replaced.address, why=repr(error))
-
     def _election_delay_s(self) -> float:
         return election_delay_s(self._processor_cores, self._rng)
 
