Upstreams and callers' waits are types of the model

Ports took Upstream and RouteWait from slices that stand above them. They stand in gateway/upstream.py and gateway/model.py now; nothing else changes.

--- a/mulleinreach/gateway/coordination/hub.py
+++ b/mulleinreach/gateway/coordination/hub.py
@@ -31,7 +31,7 @@
 )
 from mulleinreach.gateway.known.load import LoadReport
 from mulleinreach.gateway.known.upstreams import ListChange
-from mulleinreach.gateway.request.urgency import RouteWait
+from mulleinreach.gateway.model import RouteWait
 
 REPORT_INTERVAL_S = 0.1
 # With many nodes the reports would take too much of a slow coordinator's time.
--- a/mulleinreach/gateway/coordination/lease.py
+++ b/mulleinreach/gateway/coordination/lease.py
@@ -18,6 +18,7 @@
 from dataclasses import dataclass, replace
 
 from mulleinreach.common import Clock, EventLog
+from mulleinreach.gateway.model import RouteWait
 from mulleinreach.gateway.ports import (
     ConfigurationChanged,
     LeaseConflict,
@@ -27,7 +28,6 @@
     LeaseWritten,
     Unavailable,
 )
-from mulleinreach.gateway.request.urgency import RouteWait
 
 LEASE_S = 2.0
 RENEW_S = 0.7
--- a/mulleinreach/gateway/coordination/messages.py
+++ b/mulleinreach/gateway/coordination/messages.py
@@ -11,13 +11,8 @@
 from mulleinreach.gateway.coordination.frames import PeerError
 from mulleinreach.gateway.coordination.lease import Resignation, Successor
 from mulleinreach.gateway.known.load import LoadReport
-from mulleinreach.gateway.known.upstreams import (
-    ListChange,
-    Membership,
-    MemberState,
-    Upstream,
-    UpstreamState,
-)
+from mulleinreach.gateway.known.upstreams import ListChange
+from mulleinreach.gateway.upstream import Membership, MemberState, Upstream, UpstreamState
 
 MAX_COUNT = 65_535
 MAX_UINT32 = 4_294_967_295
--- a/mulleinreach/gateway/fleet/duties.py
+++ b/mulleinreach/gateway/fleet/duties.py
@@ -8,7 +8,7 @@
 from mulleinreach.common import EventLog, TaskGroup
 from mulleinreach.gateway.fleet.formation import LeaseLost
 from mulleinreach.gateway.fleet.hosts import HostBook
-from mulleinreach.gateway.known.upstreams import Upstream
+from mulleinreach.gateway.upstream import Upstream
 
 
 class HostDuties:
--- a/mulleinreach/gateway/fleet/formation.py
+++ b/mulleinreach/gateway/fleet/formation.py
@@ -20,7 +20,7 @@
 from mulleinreach.common import Clock, EventLog
 from mulleinreach.gateway.coordination.lease import CoordinatorLease
 from mulleinreach.gateway.fleet.hosts import HostBook
-from mulleinreach.gateway.known.upstreams import Group, MemberState, Upstream, group_name
+from mulleinreach.gateway.known.upstreams import Group
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.ports import (
     Accepted,
@@ -31,6 +31,7 @@
     Rejected,
     Unavailable,
 )
+from mulleinreach.gateway.upstream import MemberState, Upstream, group_name
 
 EPOCHS_PER_TOKEN = 1_000_000
 ORDER_TRIES = 4
--- a/mulleinreach/gateway/fleet/hosts.py
+++ b/mulleinreach/gateway/fleet/hosts.py
@@ -7,14 +7,8 @@
 
 from mulleinreach.common import Clock
 from mulleinreach.gateway.known.upstream_following import REINSTATED_S
-from mulleinreach.gateway.known.upstreams import (
-    Group,
-    MemberState,
-    Upstream,
-    UpstreamDirectory,
-    UpstreamState,
-    model_in_name,
-)
+from mulleinreach.gateway.known.upstreams import Group, UpstreamDirectory
+from mulleinreach.gateway.upstream import MemberState, Upstream, UpstreamState, model_in_name
 
 LOST_MEMORY_S = 30.0
 # Retiring takes less; what is older concerns a group that is gone from the list.
--- a/mulleinreach/gateway/fleet/placement.py
+++ b/mulleinreach/gateway/fleet/placement.py
@@ -22,14 +22,9 @@
 from mulleinreach.gateway.fleet.staging import StageModel, plan_stagings
 from mulleinreach.gateway.fleet.usage import ModelUsage
 from mulleinreach.gateway.known.load import LoadReport
-from mulleinreach.gateway.known.upstreams import (
-    Group,
-    MemberState,
-    Upstream,
-    collect_groups,
-    open_heads,
-)
+from mulleinreach.gateway.known.upstreams import Group, collect_groups, open_heads
 from mulleinreach.gateway.model import EngineModel, EngineProfile, Service
+from mulleinreach.gateway.upstream import MemberState, Upstream
 
 QUICK_JOIN_S = 2.5
 LOAD_PATIENCE = 4.0
--- a/mulleinreach/gateway/fleet/watch.py
+++ b/mulleinreach/gateway/fleet/watch.py
@@ -17,9 +17,10 @@
 )
 from mulleinreach.gateway.fleet.placement import Placement
 from mulleinreach.gateway.known.load import LoadReport
-from mulleinreach.gateway.known.upstreams import Group, MemberState, Upstream, UpstreamState
+from mulleinreach.gateway.known.upstreams import Group
 from mulleinreach.gateway.model import EngineModel, EngineProfile
 from mulleinreach.gateway.ports import Unavailable
+from mulleinreach.gateway.upstream import MemberState, Upstream, UpstreamState
 
 SILENCE_SUSPECT_S = 0.3
 CHECK_AGAIN_S = 0.8
--- a/mulleinreach/gateway/known/choosing.py
+++ b/mulleinreach/gateway/known/choosing.py
@@ -4,15 +4,10 @@
 
 from mulleinreach.common import Clock
 from mulleinreach.gateway.known.routing import Router
-from mulleinreach.gateway.known.upstreams import (
-    Head,
-    Upstream,
-    UpstreamDirectory,
-    UpstreamState,
-    open_heads,
-)
+from mulleinreach.gateway.known.upstreams import Head, UpstreamDirectory, open_heads
 from mulleinreach.gateway.model import Service
 from mulleinreach.gateway.ports import CallerHeaders
+from mulleinreach.gateway.upstream import Upstream, UpstreamState
 
 # Seconds for which an upstream that failed a request is avoided: until its group's members
 # were asked, and a new group stands (0.9 s). Worth 0.009 of a day's worth on a site where
--- a/mulleinreach/gateway/known/knowledge.py
+++ b/mulleinreach/gateway/known/knowledge.py
@@ -19,7 +19,8 @@
 from mulleinreach.gateway.known.load import LoadBook, LoadReport
 from mulleinreach.gateway.known.upstream_following import UpstreamFollower
 from mulleinreach.gateway.known.upstreams import Head, ListChange, UpstreamDirectory
-from mulleinreach.gateway.request.urgency import FirstWaits, RouteWait
+from mulleinreach.gateway.model import RouteWait
+from mulleinreach.gateway.request.urgency import FirstWaits
 
 # Older evidence would be too old at the nodes (1.5 s) before the next renewal.
 UNPROVEN_S = 0.7
--- a/mulleinreach/gateway/known/routing.py
+++ b/mulleinreach/gateway/known/routing.py
@@ -5,8 +5,9 @@
 import random
 
 from mulleinreach.gateway.known.load import LoadBook
-from mulleinreach.gateway.known.upstreams import Head, Upstream
+from mulleinreach.gateway.known.upstreams import Head
 from mulleinreach.gateway.model import EngineProfile
+from mulleinreach.gateway.upstream import Upstream
 
 FULL_PENALTY_MS = 100.0
 # The better of two heads against one that is drawn: 0.045 and 0.085 of a day's worth on two
--- a/mulleinreach/gateway/known/tests/test_reports.py
+++ b/mulleinreach/gateway/known/tests/test_reports.py
@@ -5,8 +5,8 @@
 import asyncio
 from dataclasses import replace
 
-from mulleinreach.gateway.known.upstreams import UpstreamState
 from mulleinreach.gateway.tests.support import keep_asking, run_world
+from mulleinreach.gateway.upstream import UpstreamState
 from mulleinreach.standins.gateway.hosts import REPORT_LAG_S
 from mulleinreach.standins.gateway.world import LARGE, MODEL_SERVICE
 
--- a/mulleinreach/gateway/known/tests/test_routing.py
+++ b/mulleinreach/gateway/known/tests/test_routing.py
@@ -10,7 +10,8 @@
 from mulleinreach.common import Address, VirtualClock
 from mulleinreach.gateway.known.load import LoadBook, LoadReport
 from mulleinreach.gateway.known.routing import Router
-from mulleinreach.gateway.known.upstreams import Head, Upstream
+from mulleinreach.gateway.known.upstreams import Head
+from mulleinreach.gateway.upstream import Upstream
 from mulleinreach.standins.gateway.world import LARGE, PROFILE
 from mulleinreach.standins.virtual import run_virtual
 
--- a/mulleinreach/gateway/known/tests/test_store_outage.py
+++ b/mulleinreach/gateway/known/tests/test_store_outage.py
@@ -9,8 +9,9 @@
 
 from mulleinreach.gateway.coordination.lease import Renewal, Resignation
 from mulleinreach.gateway.known.upstream_following import TOLD_TO_KEEP_S
-from mulleinreach.gateway.known.upstreams import Group, Membership, MemberState
+from mulleinreach.gateway.known.upstreams import Group
 from mulleinreach.gateway.tests.support import run_world, turn_away
+from mulleinreach.gateway.upstream import Membership, MemberState
 from mulleinreach.standins.gateway.store import UPSTREAMS
 from mulleinreach.standins.gateway.world import LARGE, MODEL_SERVICE, SMALL
 
--- a/mulleinreach/gateway/model.py
+++ b/mulleinreach/gateway/model.py
@@ -176,3 +176,11 @@
     def needs_keys(self) -> bool:
         """Whether requests on routes that aren't public need an API key."""
         return self.organisations is not None
+
+
+@dataclass(frozen=True)
+class RouteWait:
+    """What nearly all callers of a route wait for at least when they first ask, in seconds."""
+
+    route: str
+    shortest_s: float
--- a/mulleinreach/gateway/ports.py
+++ b/mulleinreach/gateway/ports.py
@@ -15,9 +15,8 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from mulleinreach.common import Address
-from mulleinreach.gateway.known.upstreams import Upstream
-from mulleinreach.gateway.model import Configuration
-from mulleinreach.gateway.request.urgency import RouteWait
+from mulleinreach.gateway.model import Configuration, RouteWait
+from mulleinreach.gateway.upstream import Upstream
 
 # Results of reading a source.
 
--- a/mulleinreach/gateway/request/active.py
+++ b/mulleinreach/gateway/request/active.py
@@ -4,7 +4,6 @@
 
 import asyncio
 
-from mulleinreach.gateway.known.upstreams import Upstream
 from mulleinreach.gateway.request.exchange import (
     Broken,
     ExchangeResult,
@@ -12,6 +11,7 @@
     Streaming,
     UpstreamClient,
 )
+from mulleinreach.gateway.upstream import Upstream
 
 
 class ActiveExchange:
--- a/mulleinreach/gateway/request/exchange.py
+++ b/mulleinreach/gateway/request/exchange.py
@@ -17,8 +17,8 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 from yarl import URL
 
-from mulleinreach.gateway.known.upstreams import Upstream
 from mulleinreach.gateway.ports import Dialect
+from mulleinreach.gateway.upstream import Upstream
 
 MAX_ANSWER_BYTES = 64_000_000
 CHUNK_BYTES = 65_536
--- a/mulleinreach/gateway/request/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -12,7 +12,6 @@
 from mulleinreach.common import Clock, EventLog
 from mulleinreach.gateway.known.choosing import SuspectList, UpstreamChooser
 from mulleinreach.gateway.known.load import LoadBook, Ticket
-from mulleinreach.gateway.known.upstreams import Upstream
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.model import RouteKind, Service
 from mulleinreach.gateway.ports import CallerHeaders, Dialect
@@ -29,6 +28,7 @@
     UpstreamClient,
 )
 from mulleinreach.gateway.request.urgency import FirstWaits, engine_priority
+from mulleinreach.gateway.upstream import Upstream
 
 MIN_REMAINING_S = 0.005
 SILENCE_STEP_S = 0.4
--- a/mulleinreach/gateway/request/tests/test_exchange.py
+++ b/mulleinreach/gateway/request/tests/test_exchange.py
@@ -8,7 +8,6 @@
 from multidict import CIMultiDict
 
 from mulleinreach.common import Address, Network
-from mulleinreach.gateway.known.upstreams import Upstream
 from mulleinreach.gateway.request.exchange import (
     AnswerCut,
     Answered,
@@ -19,6 +18,7 @@
     UpstreamClient,
 )
 from mulleinreach.gateway.request.relay import PAUSE_LIMIT_S
+from mulleinreach.gateway.upstream import Upstream
 from mulleinreach.standins.gateway.dialect import PlainDialect
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Request-Id: r\r\n\r\n"
--- a/mulleinreach/gateway/request/urgency.py
+++ b/mulleinreach/gateway/request/urgency.py
@@ -17,9 +17,8 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
 
-from mulleinreach.gateway.model import Route
+from mulleinreach.gateway.model import Route, RouteWait
 
 MOVED_PRIORITY = 0
 HIGHEST_PRIORITY = 1
@@ -68,14 +67,6 @@
     return min(HIGHEST_PRIORITY + max(0, priority), LOWEST_PRIORITY)
 
 
-@dataclass(frozen=True)
-class RouteWait:
-    """What nearly all callers of a route wait for at least when they first ask, in seconds."""
-
-    route: str
-    shortest_s: float
-
-
 class _RouteWaits:
     """The latest waits of a route's callers."""
 
--- /dev/null
+++ b/mulleinreach/gateway/upstream.py
@@ -0,0 +1,87 @@
+"""The upstreams that take requests, and how their groups are named."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+from mulleinreach.common import Address
+
+
+class UpstreamState(enum.StrEnum):
+    """Whether an upstream takes new work."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+class MemberState(enum.StrEnum):
+    """The state of one host's membership in a group."""
+
+    JOINING = "joining"
+    READY = "ready"
+    OPEN = "open"
+    CLOSING = "closing"
+    BROKEN = "broken"
+
+
+@dataclass(frozen=True)
+class Membership:
+    """The group that a host stands in; rank 0 is the head."""
+
+    group: str
+    epoch: int
+    rank: int
+    state: MemberState
+
+
+@dataclass(frozen=True)
+class Upstream:
+    """One incarnation of an upstream, as the list or the host itself tells it.
+
+    Parameters
+    ==========
+
+    id : a new one at each start.
+    models : the names of the models that it runs.
+    staged : the names of the models whose weights lie on the host.
+    domain : the fabric domain; ``None`` for plain services.
+    pace : how many times longer than usual its work takes, as it reported itself.
+    """
+
+    id: str
+    service: str
+    address: Address
+    hall: str
+    state: UpstreamState = UpstreamState.READY
+    slots: int = 1
+    models: tuple[str, ...] = ()
+    staged: tuple[str, ...] = ()
+    domain: str | None = None
+    membership: Membership | None = None
+    pace: float = 1.0
+
+    @property
+    def place(self) -> tuple[str, int] | None:
+        """The name and epoch of the group that the host stands in."""
+        membership = self.membership
+        return None if membership is None else (membership.group, membership.epoch)
+
+
+def group_name(epoch: int, model: str) -> str:
+    """Return the name of a group, by which any coordinator knows its model."""
+    return f"g{epoch}.{model}"
+
+
+def model_in_name(name: str) -> str | None:
+    """Return the model that a group's name tells.
+
+    Examples
+    ========
+
+    >>> model_in_name(group_name(7, "wide"))
+    'wide'
+    >>> model_in_name("another") is None
+    True
+    """
+    return name.partition(".")[2] or None
--- a/mulleinreach/platform/orders.py
+++ b/mulleinreach/platform/orders.py
@@ -8,7 +8,6 @@
 
 import aiohttp
 
-from mulleinreach.gateway.known.upstreams import Upstream
 from mulleinreach.gateway.ports import (
     Accepted,
     Fenced,
@@ -17,6 +16,7 @@
     Rejected,
     Unavailable,
 )
+from mulleinreach.gateway.upstream import Upstream
 from mulleinreach.platform.upstreams import parse_report
 
 ORDER_TIMEOUT_S = 0.4
--- a/mulleinreach/platform/sources.py
+++ b/mulleinreach/platform/sources.py
@@ -7,8 +7,7 @@
 
 from absl import logging
 
-from mulleinreach.gateway.known.upstreams import Upstream
-from mulleinreach.gateway.model import Configuration
+from mulleinreach.gateway.model import Configuration, RouteWait
 from mulleinreach.gateway.ports import (
     ConfigurationChanged,
     ConfigurationRead,
@@ -20,7 +19,7 @@
     Unavailable,
     UpstreamsRead,
 )
-from mulleinreach.gateway.request.urgency import RouteWait
+from mulleinreach.gateway.upstream import Upstream
 from mulleinreach.platform.configuration import parse_configuration
 from mulleinreach.platform.store import (
     Conflict,
--- a/mulleinreach/platform/tests/soak/world.py
+++ b/mulleinreach/platform/tests/soak/world.py
@@ -15,8 +15,8 @@
 from aiohttp import web
 
 from mulleinreach.common import Address
-from mulleinreach.gateway.known.upstreams import Upstream, UpstreamState
 from mulleinreach.gateway.ports import Accepted, OrderResult
+from mulleinreach.gateway.upstream import Upstream, UpstreamState
 from mulleinreach.platform.dialect import (
     EXPECT_INSTANCE,
     NOT_EXECUTED,
--- a/mulleinreach/platform/tests/standin.py
+++ b/mulleinreach/platform/tests/standin.py
@@ -8,7 +8,7 @@
 
 from aiohttp import web
 
-from mulleinreach.gateway.known.upstreams import Upstream
+from mulleinreach.gateway.upstream import Upstream
 from mulleinreach.standins.gateway.store import MemoryStore
 
 PAGE = 3
--- a/mulleinreach/platform/tests/test_ports.py
+++ b/mulleinreach/platform/tests/test_ports.py
@@ -6,7 +6,7 @@
 import pytest
 
 from mulleinreach.common import Address
-from mulleinreach.gateway.known.upstreams import Membership, MemberState, Upstream
+from mulleinreach.gateway.model import RouteWait
 from mulleinreach.gateway.ports import (
     Accepted,
     ConfigurationChanged,
@@ -21,7 +21,7 @@
     Unavailable,
     UpstreamsRead,
 )
-from mulleinreach.gateway.request.urgency import RouteWait
+from mulleinreach.gateway.upstream import Membership, MemberState, Upstream
 from mulleinreach.platform.orders import PlatformOrders
 from mulleinreach.platform.sources import (
     PlatformConfigurations,
--- a/mulleinreach/platform/upstreams.py
+++ b/mulleinreach/platform/upstreams.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 from mulleinreach.common import Address
-from mulleinreach.gateway.known.upstreams import Membership, MemberState, Upstream, UpstreamState
+from mulleinreach.gateway.upstream import Membership, MemberState, Upstream, UpstreamState
 
 
 def parse_upstream(upstream_id: str, raw: dict) -> Upstream:
--- a/mulleinreach/standins/gateway/fabric.py
+++ b/mulleinreach/standins/gateway/fabric.py
@@ -6,8 +6,8 @@
 import random
 
 from mulleinreach.common import TaskGroup
-from mulleinreach.gateway.known.upstreams import MemberState, Upstream
 from mulleinreach.gateway.ports import Fenced, NoAnswer, OrderResult, Unavailable
+from mulleinreach.gateway.upstream import MemberState, Upstream
 from mulleinreach.standins.gateway.dialect import HeaderNames
 from mulleinreach.standins.gateway.hosts import (
     LATE_ORDER_S,
--- a/mulleinreach/standins/gateway/hosts.py
+++ b/mulleinreach/standins/gateway/hosts.py
@@ -9,12 +9,12 @@
 from aiohttp import web
 
 from mulleinreach.common import Address, TaskGroup
-from mulleinreach.gateway.known.upstreams import Membership, MemberState, Upstream, UpstreamState
 from mulleinreach.gateway.ports import (
     Accepted,
     OrderResult,
     Rejected,
 )
+from mulleinreach.gateway.upstream import Membership, MemberState, Upstream, UpstreamState
 from mulleinreach.standins.gateway.dialect import PRIORITY, HeaderNames
 from mulleinreach.standins.gateway.store import UPSTREAMS
 
--- a/mulleinreach/standins/gateway/store.py
+++ b/mulleinreach/standins/gateway/store.py
@@ -7,7 +7,6 @@
 from dataclasses import dataclass
 from typing import Any
 
-from mulleinreach.gateway.known.upstreams import Upstream
 from mulleinreach.gateway.model import Configuration
 from mulleinreach.gateway.ports import (
     ConfigurationChanged,
@@ -20,6 +19,7 @@
     Unavailable,
     UpstreamsRead,
 )
+from mulleinreach.gateway.upstream import Upstream
 
 CONFIGURATION = "configuration"
 NEWEST = "newest"
--- a/mulleinreach/standins/gateway/world.py
+++ b/mulleinreach/standins/gateway/world.py
@@ -10,7 +10,6 @@
 from aiohttp import web
 
 from mulleinreach.common import Address, VirtualClock
-from mulleinreach.gateway.known.upstreams import Upstream
 from mulleinreach.gateway.model import (
     Configuration,
     EngineModel,
@@ -23,6 +22,7 @@
 )
 from mulleinreach.gateway.node import GatewayNode
 from mulleinreach.gateway.ports import Bounds, GatewayIdentity, Ports
+from mulleinreach.gateway.upstream import Upstream
 from mulleinreach.standins.gateway.dialect import DEADLINE_MS, MODEL, REQUEST_ID, PlainDialect
 from mulleinreach.standins.gateway.fabric import Fabric
 from mulleinreach.standins.gateway.hosts import HostStandIn, HostTimes, make_upstream
