Evacuated halls are read, proved and passed on with the configuration; design of the new parts

Cause: an operator's request to empty a hall is a row beside the configuration that every read of the table brought, and that was dropped. Nobody decided by it.

Change: one place decides which upstreams a request may go to (known/eligibility.py); halls are known as long and as surely as the configuration (known/evacuations.py); the lease's renewal names the rows of all halls. Typed forms of cold hosts, homes, regions and nodes' numbers stand in the model, the ports and the messages for the parts that follow.

--- a/benchmarks/gateway_breakages.py
+++ b/benchmarks/gateway_breakages.py
@@ -183,7 +183,7 @@
         "CONFIG",
         "a renewal proves only the configuration that it named",
         f"{GATEWAY}/known/following.py",
-        "if row_version is not None and row_version == self.row_version:",
+        "if rows is not None and rows == self.operator_rows():",
         "if True:",
         f"{GATEWAY}/known/tests/test_store_calls.py -k proves_nothing",
     ),
--- a/mulleinreach/gateway/coordination/hub.py
+++ b/mulleinreach/gateway/coordination/hub.py
@@ -32,6 +32,7 @@
 from mulleinreach.gateway.known.load import LoadReport
 from mulleinreach.gateway.known.upstreams import ListChange
 from mulleinreach.gateway.model import RouteWait
+from mulleinreach.gateway.ports import OperatorRows
 
 REPORT_INTERVAL_S = 0.1
 # With many nodes the reports would take too much of a slow coordinator's time.
@@ -83,19 +84,19 @@
         """Return the configuration in force, in a form that other nodes can decode."""
 
     def evidence_age_s(self) -> float:
-        """Return the age of the latest proof that the configuration is the newest."""
+        """Return the age of the latest proof that operators have written nothing newer."""
 
-    def configuration_row(self) -> int | None:
-        """Return the version of the configuration's row in the store, if it is known."""
+    def operator_rows(self) -> OperatorRows | None:
+        """Return the operators' rows in the store, if this node has read them."""
 
-    def confirm(self, configuration_row: int | None, asked_at: float) -> None:
-        """Take in that a write under the version of this row was done after ``asked_at``."""
+    def confirm(self, rows: OperatorRows | None, asked_at: float) -> None:
+        """Take in that a write under the versions of these rows was done after ``asked_at``."""
 
-    async def read_changed_configuration(self, configuration_row: int | None) -> None:
-        """Read the configuration, whose row has another version, unless a wait has told it."""
+    async def read_changed_rows(self, rows: OperatorRows | None) -> None:
+        """Read the operators' rows, which have other versions, unless a wait has told it."""
 
-    async def read_unproven_configuration(self) -> None:
-        """Read the configuration if renewals have not proved it for too long."""
+    async def read_unproven_rows(self) -> None:
+        """Read the operators' rows if renewals have not proved them for too long."""
 
     def first_waits(self) -> tuple[RouteWait, ...]:
         """Return what nodes that start should know of callers."""
--- a/mulleinreach/gateway/coordination/lease.py
+++ b/mulleinreach/gateway/coordination/lease.py
@@ -20,12 +20,13 @@
 from mulleinreach.common import Clock, EventLog
 from mulleinreach.gateway.model import RouteWait
 from mulleinreach.gateway.ports import (
-    ConfigurationChanged,
     LeaseConflict,
     LeaseRead,
     LeaseRecord,
     LeaseStore,
     LeaseWritten,
+    OperatorRows,
+    OperatorRowsChanged,
     Unavailable,
 )
 
@@ -188,15 +189,15 @@
         return await self.acquire()
 
     async def renew(
-        self, configuration_row: int | None = None, first_waits: tuple[RouteWait, ...] = ()
+        self, unchanged: OperatorRows | None = None, first_waits: tuple[RouteWait, ...] = ()
     ) -> Renewal:
         """Extend the lease, or take it up again while nobody has written the row since.
 
         Parameters
         ==========
 
-        configuration_row : the version of the configuration's row, if it is known.
-            ``DONE`` proves that it was still the newest one when the renewal began.
+        unchanged : the operators' rows, if they are known. ``DONE`` proves that they had
+            written nothing newer when the renewal began.
         first_waits : what nodes that start should know of callers.
         """
         if self.fenced.is_set():
@@ -204,8 +205,8 @@
         sent_at = self._clock.now()
         current = self.record
         record = replace(current, renewal=current.renewal + 1, first_waits=first_waits)
-        result = await self._store.write(self._version, record, configuration_row)
-        is_changed = isinstance(result, ConfigurationChanged)
+        result = await self._store.write(self._version, record, unchanged)
+        is_changed = isinstance(result, OperatorRowsChanged)
         if is_changed:
             result = await self._store.write(self._version, record)
         if isinstance(result, LeaseWritten):
--- a/mulleinreach/gateway/coordination/membership.py
+++ b/mulleinreach/gateway/coordination/membership.py
@@ -283,15 +283,15 @@
 
     async def _renew(self) -> Renewal:
         """Renew the lease, and have the same write prove what is known of the store."""
-        row = self._knowledge.configuration_row()
+        rows = self._knowledge.operator_rows()
         asked_at = self._clock.now()
-        renewal = await self._lease.renew(row, self._knowledge.first_waits())
+        renewal = await self._lease.renew(rows, self._knowledge.first_waits())
         if renewal is Renewal.DONE:
-            self._knowledge.confirm(row, asked_at)
+            self._knowledge.confirm(rows, asked_at)
         elif renewal is Renewal.DONE_CHANGED:
-            await self._knowledge.read_changed_configuration(row)
+            await self._knowledge.read_changed_rows(rows)
         elif renewal is Renewal.DONE_BEFORE:
-            await self._knowledge.read_unproven_configuration()
+            await self._knowledge.read_unproven_rows()
         elif renewal is Renewal.UNKNOWN:
             self._knowledge.note_store_failed()
         return renewal
--- a/mulleinreach/gateway/coordination/messages.py
+++ b/mulleinreach/gateway/coordination/messages.py
@@ -25,7 +25,8 @@
 class NodeReport:
     """What a node has in flight, and how far its list and its configuration go.
 
-    ``successor`` is told by a new coordinator to the one that it replaces.
+    ``successor`` is told by a new coordinator to the one that it replaces;
+    ``hall`` is that of the node.
     """
 
     node: str
@@ -36,6 +37,7 @@
     list_revision: int = 0
     configuration_version: int = 0
     successor: Successor | None = None
+    hall: str = ""
 
 
 @dataclass(frozen=True)
@@ -56,7 +58,9 @@
     ``heads`` is ``None`` where they are as they were told last; ages are those of
     the coordinator's evidence, in seconds; ``is_store_away`` if no node that reports
     to the coordinator can read the store; ``successor`` if another one has replaced it;
-    ``keeps_removed`` if the store was away, so that upstreams that it misses may be back soon.
+    ``keeps_removed`` if the store was away, so that upstreams that it misses may be back soon;
+    ``evacuated`` names the halls that are to be empty, as of ``operator_revision``;
+    ``numbers`` is one above the highest number that a node has.
     """
 
     token: int
@@ -73,6 +77,9 @@
     is_store_away: bool = False
     successor: Successor | None = None
     keeps_removed: bool = False
+    evacuated: list[str] = field(default_factory=list)
+    operator_revision: int = 0
+    numbers: int = 0
 
 
 @dataclass(frozen=True)
@@ -80,7 +87,8 @@
     """What one node is told; ``changes`` continue from what it was sent before.
 
     ``configuration`` is the document of the newest one, if the node lacks that;
-    ``whole_list`` holds all upstreams, if the node has no list yet.
+    ``whole_list`` holds all upstreams, if the node has no list yet; ``number`` is the
+    node's own among all nodes that report to this coordinator, whose own one is 0.
     """
 
     echoed_seq: int
@@ -89,6 +97,7 @@
     is_list_unknown: bool = False
     configuration: bytes = b""
     whole_list: ListChange | None = None
+    number: int = 0
 
 
 def _milliseconds(seconds: float) -> int:
@@ -137,6 +146,7 @@
         seq=report.seq,
         listRevision=report.list_revision,
         configVersion=report.configuration_version,
+        hall=report.hall,
     )
     _pack_loads(message, report.loads)
     _pack_successor(message.successor, report.successor)
@@ -150,7 +160,7 @@
     ========
 
     >>> successor = Successor(3, "10.0.0.1:80", "secret")
-    >>> report = NodeReport("a", [LoadReport("u", 2, 70, 0.5)], seq=4, successor=successor)
+    >>> report = NodeReport("a", [LoadReport("u", 2, 70, 0.5)], seq=4, successor=successor, hall="h")
     >>> decode_node_report(encode_node_report(report)) == report
     True
     """
@@ -165,6 +175,7 @@
             message.listRevision,
             message.configVersion,
             _unpack_successor(message.successor),
+            message.hall,
         )
     except capnp.KjException as error:
         raise PeerError(str(error)) from error
@@ -182,6 +193,8 @@
         listAgeMs=_milliseconds(totals.list_age_s),
         storeAway=totals.is_store_away,
         keepsRemoved=totals.keeps_removed,
+        operatorRevision=totals.operator_revision,
+        numbers=min(totals.numbers, MAX_COUNT),
     )
     if totals.resignation is not None:
         message.resigned = True
@@ -195,6 +208,7 @@
         row.epoch, row.model, row.pace = head.epoch, head.model, head.pace
     message.lost = totals.lost
     message.retiring = totals.retiring
+    message.evacuated = totals.evacuated
     return message.to_bytes_packed()
 
 
@@ -218,6 +232,9 @@
         message.storeAway,
         _unpack_successor(message.successor),
         message.keepsRemoved,
+        list(message.evacuated),
+        message.operatorRevision,
+        message.numbers,
     )
 
 
@@ -228,6 +245,7 @@
     is_list_unknown: bool,
     configuration: bytes = b"",
     whole_list: bytes = b"",
+    number: int = 0,
 ) -> bytes:
     """Return a report to one node around totals and a list that were encoded before.
 
@@ -237,15 +255,15 @@
     >>> heads = [OpenHead("u", "g", 5, "m", 2.0)]
     >>> totals = Totals(
     ...     3, 9, [], heads, ["v"], 7, 0.5, 40, 0.25, Resignation(3, 6), ["w"], True,
-    ...     Successor(4, "10.0.0.2:80", "secret"),
+    ...     Successor(4, "10.0.0.2:80", "secret"), False, ["hall"], 38, 9,
     ... )
     >>> member = Membership("g", 5, 0, MemberState.OPEN)
-    >>> upstream = Upstream("u", "s", Address("10.0.0.1", 80), "hall", membership=member)
+    >>> upstream = Upstream("u", "s", Address("10.0.0.1", 80), "hall", membership=member, cold_s=2)
     >>> changes = [ListChange(41, [upstream], ["w"])]
     >>> data = encode_coordinator_report(
-    ...     8, encode_totals(totals), changes, False, b"c", encode_list(changes[0])
+    ...     8, encode_totals(totals), changes, False, b"c", encode_list(changes[0]), 5
     ... )
-    >>> report = CoordinatorReport(8, totals, changes, False, b"c", changes[0])
+    >>> report = CoordinatorReport(8, totals, changes, False, b"c", changes[0], 5)
     >>> decode_coordinator_report(data) == report
     True
     """
@@ -255,6 +273,7 @@
         listUnknown=is_list_unknown,
         configuration=configuration,
         wholeList=whole_list,
+        number=number,
     )
     rows = message.init("changes", len(changes))
     for row, change in zip(rows, changes, strict=True):
@@ -299,6 +318,7 @@
             message.listUnknown,
             message.configuration,
             whole_list,
+            message.number,
         )
     except (capnp.KjException, ValueError) as error:
         raise PeerError(str(error)) from error
@@ -311,6 +331,7 @@
     row.slots = min(upstream.slots, MAX_COUNT)
     row.models, row.staged = list(upstream.models), list(upstream.staged)
     row.domain = upstream.domain or ""
+    row.coldMs = _milliseconds(upstream.cold_s)
     membership = upstream.membership
     if membership is not None:
         row.group, row.epoch = membership.group, membership.epoch
@@ -332,4 +353,5 @@
         tuple(row.staged),
         row.domain or None,
         membership,
+        cold_s=row.coldMs / 1000,
     )
--- a/mulleinreach/gateway/coordination/peer.capnp
+++ b/mulleinreach/gateway/coordination/peer.capnp
@@ -20,6 +20,7 @@
   listRevision @5 :UInt64;   # of the node's list of upstreams
   configVersion @6 :UInt64;  # of the configuration in force at the node
   successor @7 :Holder;      # told by a new coordinator to the one that it replaces
+  hall @8 :Text;
 }
 
 # Who holds the lease of the coordinator.
@@ -55,6 +56,9 @@
   storeAway @13 :Bool;       # no node can read the store, as far as the coordinator can tell
   successor @14 :Holder;     # who has replaced the coordinator that tells this
   keepsRemoved @15 :Bool;    # the store was away: upstreams off the list may be back soon
+  evacuated @16 :List(Text); # halls that are to be empty
+  operatorRevision @17 :UInt64;  # of the store, up to which that is known
+  numbers @18 :UInt16;       # one above the highest number that a node has
 }
 
 struct Upstream {
@@ -71,6 +75,7 @@
   epoch @10 :UInt64;
   rank @11 :UInt16;
   state @12 :Text;
+  coldMs @13 :UInt32;        # for how much longer it is cold
 }
 
 struct ListChange {
@@ -86,4 +91,5 @@
   listUnknown @3 :Bool;      # the node has to read the list itself
   configuration @4 :Data;    # the newest one, if the node lacks it
   wholeList @5 :Data;        # a ListChange with all upstreams, if the node has no list
+  number @6 :UInt16;         # of the node that is told, among all that report
 }
--- a/mulleinreach/gateway/known/choosing.py
+++ b/mulleinreach/gateway/known/choosing.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from mulleinreach.common import Clock
+from mulleinreach.gateway.known.eligibility import Eligibility
 from mulleinreach.gateway.known.routing import Router
 from mulleinreach.gateway.known.upstreams import Head, UpstreamDirectory, open_heads
 from mulleinreach.gateway.model import Service
 from mulleinreach.gateway.ports import CallerHeaders
-from mulleinreach.gateway.upstream import Upstream, UpstreamState
+from mulleinreach.gateway.upstream import Upstream
 
 # Seconds for which an upstream that failed a request is avoided: until its group's members
 # were asked, and a new group stands (0.9 s). Worth 0.009 of a day's worth on a site where
@@ -62,31 +63,26 @@
 
 
 class UpstreamChooser:
-    """Chooses the upstream of a request among those that may take it.
-
-    Parameters
-    ==========
-
-    lost : ids that the coordinator found to be lost.
-    """
+    """Chooses the upstream of a request among those that may take it."""
 
     def __init__(
         self,
         directory: UpstreamDirectory,
         router: Router,
         suspects: SuspectList,
+        eligibility: Eligibility,
         clock: Clock,
     ):
         self._directory = directory
         self._router = router
         self._suspects = suspects
+        self._eligibility = eligibility
         self._clock = clock
         self._opened: list[Head] = []
         self._retiring: frozenset[str] = frozenset()
         self._told_at = float("-inf")
         self._misdirected = MisdirectedHeads()
         self._epochs: dict[str, int] = {}
-        self.lost: frozenset[str] = frozenset()
 
     def take_told(self, opened: list[Head], retiring: frozenset[str]) -> None:
         """Take the heads that the coordinator sees open, ahead of this node's own list.
@@ -143,8 +139,4 @@
         ]
 
     def _usable(self, service: str) -> list[Upstream]:
-        return [
-            u
-            for u in self._directory.of_service(service)
-            if u.state is UpstreamState.READY and u.id not in self.lost
-        ]
+        return self._eligibility.usable(self._directory.of_service(service))
--- a/mulleinreach/gateway/known/counted.py
+++ b/mulleinreach/gateway/known/counted.py
@@ -5,7 +5,7 @@
 from mulleinreach.common import BoundedEventLog, Clock
 from mulleinreach.gateway.known.store_calls import StoreCalls
 from mulleinreach.gateway.metrics import GatewayMetrics
-from mulleinreach.gateway.ports import LeaseRecord, LeaseStore
+from mulleinreach.gateway.ports import LeaseRecord, LeaseStore, OperatorRows
 
 
 class CountedSource:
@@ -49,9 +49,9 @@
         self._calls.count("lease_read", result)
         return result
 
-    async def write(self, version: int, record: LeaseRecord, configuration_row: int | None = None):
+    async def write(self, version: int, record: LeaseRecord, unchanged: OperatorRows | None = None):
         """Write the row under a condition."""
-        result = await self._store.write(version, record, configuration_row)
+        result = await self._store.write(version, record, unchanged)
         self._calls.count("lease_write", result)
         return result
 
--- /dev/null
+++ b/mulleinreach/gateway/known/evacuations.py
@@ -0,0 +1,148 @@
+"""The halls that operators have asked to empty.
+
+Explanation
+===========
+
+An operator's request stands as a row beside the configuration, and is read, proved and
+passed on with it. So what is known of halls is as old as what is known of the
+configuration: the evidence of the one is that of the other.
+
+Nothing may be sent to a hall once the deployment's bound is over, which runs from the
+moment at which the store took the request. A node doesn't know that moment, only the
+latest one at which there was no request yet, and counts from that. Until half of the
+bound is over, the hall's share of the requests falls to nothing instead of at once:
+its places are missed less suddenly by those that have to take its work.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from mulleinreach.common import Clock, EventLog
+from mulleinreach.gateway.ports import EvacuationRow
+
+# The part of the bound in which a hall's share of the requests falls to nothing. The rest
+# is for requests on their way and for nodes that hear of it late.
+GIVING_WAY = 0.5
+NEVER = float("-inf")
+
+
+@dataclass
+class _Evacuation:
+    """A hall that gets less and less, and nothing from ``ends_at`` on."""
+
+    known_at: float
+    ends_at: float
+    is_told: bool = False
+
+
+class Evacuations:
+    """What this node knows of halls that operators have asked to empty.
+
+    Parameters
+    ==========
+
+    bound_s : how soon after a request nothing more may be sent to the hall.
+    halls : the halls of the deployment.
+
+    Examples
+    ========
+
+    >>> halls = Evacuations(5.0, ("a", "b"), Clock(), EventLog("node"))
+    >>> halls.take_rows([EvacuationRow("a", 0)], True, 9, unproven_since=NEVER)
+    >>> sorted(halls.halls), halls.share("a")
+    ([], 1.0)
+    >>> halls.rows()
+    (EvacuationRow(hall='a', version=0), EvacuationRow(hall='b', version=0))
+    """
+
+    def __init__(self, bound_s: float, halls: Iterable[str], clock: Clock, log: EventLog):
+        self._bound_s = bound_s
+        self._clock = clock
+        self._log = log
+        self._named = frozenset(halls)
+        self._versions: dict[str, int] = {}
+        self._evacuated: dict[str, _Evacuation] = {}
+        self._taken_back_at: dict[str, float] = {}
+        # The store's revision up to which the halls are known.
+        self.revision = 0
+
+    @property
+    def halls(self) -> frozenset[str]:
+        """The halls that are to be empty."""
+        return frozenset(self._evacuated)
+
+    def rows(self) -> tuple[EvacuationRow, ...]:
+        """Return the rows of all halls, as this node has read them itself."""
+        names = sorted(self._named | self._versions.keys())
+        return tuple(EvacuationRow(hall, self._versions.get(hall, 0)) for hall in names)
+
+    def take_rows(
+        self, rows: Iterable[EvacuationRow], is_whole: bool, revision: int, unproven_since: float
+    ) -> None:
+        """Take what this node has read.
+
+        Parameters
+        ==========
+
+        is_whole : whether halls that aren't named have no request.
+        unproven_since : the latest moment that what was known so far is proved for.
+        """
+        if is_whole:
+            self._versions.clear()
+        for row in rows:
+            self._versions[row.hall] = row.version
+        if revision >= self.revision:
+            asked = frozenset(hall for hall, version in self._versions.items() if version)
+            self._take(asked, revision, unproven_since)
+
+    def take_passed(self, halls: frozenset[str], revision: int, unproven_since: float) -> bool:
+        """Take what the coordinator knows; returns whether this node knows the same now."""
+        if revision >= self.revision:
+            self._take(halls, revision, unproven_since)
+        return halls == self.halls
+
+    def _take(self, halls: frozenset[str], revision: int, unproven_since: float) -> None:
+        self.revision = revision
+        for hall in sorted(halls - self.halls):
+            self._begin(hall, unproven_since)
+        for hall in sorted(self.halls - halls):
+            self._end(hall)
+
+    def _begin(self, hall: str, unproven_since: float) -> None:
+        now = self._clock.now()
+        ends_at = max(now, unproven_since + GIVING_WAY * self._bound_s)
+        self._evacuated[hall] = _Evacuation(now, ends_at)
+        self._log.event(
+            "hall_evacuated",
+            hall=hall,
+            known=hall in self._named,
+            unproven_for_s=round(now - unproven_since, 2),
+            nothing_more_in_s=round(ends_at - now, 2),
+        )
+
+    def _end(self, hall: str) -> None:
+        evacuation = self._evacuated.pop(hall)
+        now = self._clock.now()
+        self._taken_back_at[hall] = now
+        lasted_s = round(now - evacuation.known_at, 2)
+        self._log.event("hall_taken_back", hall=hall, evacuated_for_s=lasted_s)
+
+    def share(self, hall: str) -> float:
+        """Return which part of its usual requests a hall should get now."""
+        evacuation = self._evacuated.get(hall)
+        if evacuation is None:
+            return 1.0
+        now = self._clock.now()
+        if now < evacuation.ends_at:
+            return (evacuation.ends_at - now) / (evacuation.ends_at - evacuation.known_at)
+        if not evacuation.is_told:
+            evacuation.is_told = True
+            after_s = round(now - evacuation.known_at, 2)
+            self._log.event("hall_gets_nothing_more", hall=hall, known_for_s=after_s)
+        return 0.0
+
+    def taken_back_for_s(self, hall: str) -> float:
+        """Return how long ago a hall was taken back; infinite if it never was."""
+        return self._clock.now() - self._taken_back_at.get(hall, NEVER)
--- a/mulleinreach/gateway/known/following.py
+++ b/mulleinreach/gateway/known/following.py
@@ -1,4 +1,4 @@
-"""Follows the configuration, and dates what is known of it.
+"""Follows what operators write, and dates what is known of it.
 
 Explanation
 ===========
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 
 from mulleinreach.common import Clock, EventLog
+from mulleinreach.gateway.known.evacuations import Evacuations
 from mulleinreach.gateway.known.reading import (
     CHECK_S,
     ReadingTurn,
@@ -22,18 +23,25 @@
     wait_for_coordinator,
 )
 from mulleinreach.gateway.model import Configuration
-from mulleinreach.gateway.ports import ConfigurationRead, ConfigurationSource, HistoryLost
+from mulleinreach.gateway.ports import (
+    ConfigurationRead,
+    ConfigurationSource,
+    HistoryLost,
+    OperatorRows,
+)
 
 OLDER_ANSWER_PAUSE_S = 0.15
 NEVER = float("-inf")
 
 
 class ConfigurationInForce:
-    """The newest configuration that this node knows of.
+    """The newest configuration that this node knows of, and the halls to be emptied.
 
     Parameters
     ==========
 
+    evacuations : the halls that operators have asked to empty.
+
     reads_always : whether this node reads for the others. Another node reads only
         when it has no evidence that is passed on to it and young enough.
     turn : when that is.
@@ -42,12 +50,14 @@
     def __init__(
         self,
         source: ConfigurationSource,
+        evacuations: Evacuations,
         clock: Clock,
         log: EventLog,
         reads_always: Callable[[], bool],
         turn: ReadingTurn,
     ):
         self._source = source
+        self.evacuations = evacuations
         self._clock = clock
         self._log = log
         self._reads_always = reads_always
@@ -56,7 +66,7 @@
         self._revision: int | None = None
         self._known_version = 0
         # The version of the configuration's row in the store, as far as it was read here.
-        self.row_version: int | None = None
+        self._row_version: int | None = None
         self._passed_on = asyncio.Event()
         self.was_read = asyncio.Event()
         self.configuration: Configuration | None = None
@@ -69,8 +79,14 @@
         """The version in force; 0 before the first one."""
         return self.configuration.version if self.configuration else 0
 
+    def operator_rows(self) -> OperatorRows | None:
+        """Return the operators' rows as this node has read them, ``None`` before that."""
+        if self._row_version is None:
+            return None
+        return OperatorRows(self._row_version, self.evacuations.rows())
+
     def evidence_age_s(self) -> float:
-        """Return the age of the latest proof that no newer version exists."""
+        """Return the age of the latest proof that operators have written nothing newer."""
         return self._clock.now() - self.evidence_at
 
     def note_store_away(self, seen_at: float) -> None:
@@ -81,20 +97,29 @@
         """Return how long ago no node could read the store, as far as known."""
         return self._clock.now() - self._store_away_at
 
-    def take_passed(self, version: int, evidence_at: float, document: bytes = b"") -> None:
+    def take_passed(
+        self,
+        version: int,
+        evidence_at: float,
+        document: bytes,
+        evacuated: frozenset[str],
+        revision: int,
+    ) -> None:
         """Take the coordinator's evidence that a version is the newest one.
 
         Parameters
         ==========
 
         document : the configuration itself, if it was sent along.
+        evacuated : the halls that are to be empty, as of a revision of the store.
         """
+        is_agreed = self.evacuations.take_passed(evacuated, revision, self.evidence_at)
         if version > self.version and document:
             self._take_document(document)
         if version > self.version:
             self._known_version = version
             self._passed_on.set()
-        elif version == self.version:
+        elif version == self.version and is_agreed:
             self.evidence_at = max(self.evidence_at, evidence_at)
 
     def _take_document(self, document: bytes) -> None:
@@ -142,9 +167,9 @@
         else:
             self._state.lost(result.reason)
 
-    def confirm(self, row_version: int | None, asked_at: float) -> None:
-        """Take in that a row of this version was the newest configuration at a moment."""
-        if row_version is not None and row_version == self.row_version:
+    def confirm(self, rows: OperatorRows | None, asked_at: float) -> None:
+        """Take in that the operators' rows had these versions at a moment."""
+        if rows is not None and rows == self.operator_rows():
             self.evidence_at = max(self.evidence_at, asked_at)
 
     def _take(self, result: ConfigurationRead, asked_at: float) -> bool:
@@ -154,10 +179,13 @@
             return False
         self._state.answered()
         self._revision = result.revision
+        self.evacuations.take_rows(
+            result.evacuations, result.is_whole, result.revision, self.evidence_at
+        )
         self.evidence_at = max(self.evidence_at, asked_at)
         if result.configuration is not None:
             self._apply(result.configuration, result.document)
-            self.row_version = result.row_version
+            self._row_version = result.row_version
         if self.configuration is not None:
             self.was_read.set()
         return True
--- a/mulleinreach/gateway/known/knowledge.py
+++ b/mulleinreach/gateway/known/knowledge.py
@@ -15,11 +15,13 @@
 from mulleinreach.gateway.coordination.messages import CoordinatorReport, OpenHead, Totals
 from mulleinreach.gateway.fleet.controller import FleetController
 from mulleinreach.gateway.known.choosing import UpstreamChooser
+from mulleinreach.gateway.known.eligibility import Eligibility
 from mulleinreach.gateway.known.following import ConfigurationInForce
 from mulleinreach.gateway.known.load import LoadBook, LoadReport
 from mulleinreach.gateway.known.upstream_following import UpstreamFollower
 from mulleinreach.gateway.known.upstreams import Head, ListChange, UpstreamDirectory
 from mulleinreach.gateway.model import RouteWait
+from mulleinreach.gateway.ports import OperatorRows
 from mulleinreach.gateway.request.urgency import FirstWaits
 
 # Older evidence would be too old at the nodes (1.5 s) before the next renewal.
@@ -36,6 +38,7 @@
         directory: UpstreamDirectory,
         loads: LoadBook,
         chooser: UpstreamChooser,
+        eligibility: Eligibility,
         controller: FleetController,
         first_waits: FirstWaits,
         on_lost: Callable[[str], None],
@@ -45,6 +48,7 @@
         self._directory = directory
         self._loads = loads
         self._chooser = chooser
+        self._eligibility = eligibility
         self._controller = controller
         self._first_waits = first_waits
         self._on_lost = on_lost
@@ -67,6 +71,8 @@
             self._follower.list_age_s(),
             retiring=view.retiring,
             keeps_removed=self._follower.keeps_removed(),
+            evacuated=sorted(self._in_force.evacuations.halls),
+            operator_revision=self._in_force.evacuations.revision,
         )
 
     def changes_since(self, revision: int) -> list[ListChange] | None:
@@ -99,22 +105,22 @@
 
     # What a renewal of the lease shows.
 
-    def configuration_row(self) -> int | None:
-        """Return the version of the configuration's row in the store, if it is known."""
-        return self._in_force.row_version
+    def operator_rows(self) -> OperatorRows | None:
+        """Return the operators' rows in the store, if this node has read them."""
+        return self._in_force.operator_rows()
 
-    def confirm(self, configuration_row: int | None, asked_at: float) -> None:
-        """Take in that a write under the version of this row was done after ``asked_at``."""
-        self._in_force.confirm(configuration_row, asked_at)
+    def confirm(self, rows: OperatorRows | None, asked_at: float) -> None:
+        """Take in that a write under the versions of these rows was done after ``asked_at``."""
+        self._in_force.confirm(rows, asked_at)
         self._follower.confirm(asked_at)
 
-    async def read_changed_configuration(self, configuration_row: int | None) -> None:
-        """Read the configuration, whose row has another version, unless a wait has told it."""
-        if self._in_force.row_version == configuration_row:
+    async def read_changed_rows(self, rows: OperatorRows | None) -> None:
+        """Read the operators' rows, which have other versions, unless a wait has told it."""
+        if self._in_force.operator_rows() == rows:
             await self._in_force.read_anew()
 
-    async def read_unproven_configuration(self) -> None:
-        """Read the configuration if renewals have not proved it for too long."""
+    async def read_unproven_rows(self) -> None:
+        """Read the operators' rows if renewals have not proved them for too long."""
         self._follower.confirm(self._loads.now())
         if self._in_force.evidence_age_s() > UNPROVEN_S:
             await self._in_force.read_anew()
@@ -137,6 +143,8 @@
             totals.configuration_version,
             asked_at - totals.configuration_age_s,
             report.configuration,
+            frozenset(totals.evacuated),
+            totals.operator_revision,
         )
         self._follower.take_outage(totals.keeps_removed)
         if totals.is_store_away:
@@ -161,7 +169,7 @@
         self._chooser.take_told(opened, frozenset(totals.retiring))
 
     def _take_lost(self, lost: list[str]) -> None:
-        newly_lost = set(lost) - self._chooser.lost
-        self._chooser.lost = frozenset(lost)
+        newly_lost = set(lost) - self._eligibility.lost
+        self._eligibility.lost = frozenset(lost)
         for upstream_id in sorted(newly_lost):
             self._on_lost(upstream_id)
--- a/mulleinreach/gateway/known/tests/test_store_calls.py
+++ b/mulleinreach/gateway/known/tests/test_store_calls.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from mulleinreach.gateway.ports import OperatorRows
 from mulleinreach.gateway.tests.support import run_world
 from mulleinreach.standins.gateway.store import CONFIGURATION, UPSTREAMS
 from mulleinreach.standins.gateway.world import make_configuration
@@ -138,18 +139,18 @@
     run_world(test, nodes=3)
 
 
-@pytest.mark.parametrize("row", [None, 1])
-def test_renewal_that_named_no_or_another_configuration_proves_nothing(row):
+@pytest.mark.parametrize("rows", [None, OperatorRows(1)])
+def test_renewal_that_named_no_or_another_configuration_proves_nothing(rows):
     async def test(world):
         await asyncio.sleep(3)
         holder = world.nodes[world.coordinator()]
         world.store.put(CONFIGURATION, "newest", make_configuration(2))
         await asyncio.sleep(0.5)
-        assert holder.in_force.row_version not in (None, 1)
+        assert holder.in_force.operator_rows() not in (None, OperatorRows(1))
         dated = holder.in_force.evidence_at
-        holder.in_force.confirm(row, dated + 100)
+        holder.in_force.confirm(rows, dated + 100)
         assert holder.in_force.evidence_at == dated
-        holder.in_force.confirm(holder.in_force.row_version, dated + 100)
+        holder.in_force.confirm(holder.in_force.operator_rows(), dated + 100)
         assert holder.in_force.evidence_at == dated + 100
 
     run_world(test, nodes=1, domains=0)
--- a/mulleinreach/gateway/metrics.py
+++ b/mulleinreach/gateway/metrics.py
@@ -41,6 +41,7 @@
         self.evidence_age = self._gauge(
             "evidence_age_seconds", "Age of the evidence that the configuration is the newest"
         )
+        self.evacuated_halls = self._gauge("evacuated_halls", "Halls that are to be empty")
         self.open_groups = self._gauge("open_groups", "Heads that this node may send to")
 
     def _counter(self, name: str, text: str, labels: list[str]) -> Counter:
--- a/mulleinreach/gateway/model.py
+++ b/mulleinreach/gateway/model.py
@@ -36,6 +36,7 @@
     is_public : whether a request needs no API key.
     is_resumable : whether a stream may be continued at another replica.
     gap_objective_s : the longest pause between events that is in time.
+    homes : the regions whose upstreams may serve it; ``None`` if any may.
     """
 
     name: str
@@ -50,6 +51,7 @@
     is_public: bool = False
     is_resumable: bool = False
     gap_objective_s: float = 1.0
+    homes: frozenset[str] | None = None
 
     @property
     def is_repeatable(self) -> bool:
@@ -106,11 +108,20 @@
 
 @dataclass(frozen=True)
 class Service:
-    """Upstreams that answer the same requests; ``engine`` is set for model services."""
+    """Upstreams that answer the same requests; ``engine`` is set for model services.
+
+    Parameters
+    ==========
+
+    cold_s : for how long an upstream is cold after a start during traffic.
+    cold_per_s : the requests a second that a cold upstream bears; 0 if there is no bound.
+    """
 
     name: str
     max_connections: int = 100
     engine: EngineProfile | None = None
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -125,11 +136,18 @@
 
 @dataclass(frozen=True)
 class Organisation:
-    """An owner of API keys; its priority goes before that of a route."""
+    """An owner of API keys; its priority goes before that of a route.
+
+    Parameters
+    ==========
+
+    homes : the regions whose upstreams may serve it; ``None`` if any may.
+    """
 
     name: str
     api_keys: frozenset[str]
     priority: int | None = None
+    homes: frozenset[str] | None = None
 
 
 @dataclass(frozen=True)
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -20,6 +20,8 @@
 from mulleinreach.gateway.fleet.hosts import HostBook
 from mulleinreach.gateway.known.choosing import SuspectList, UpstreamChooser
 from mulleinreach.gateway.known.counted import CountedEventLog, CountedLease, CountedSource
+from mulleinreach.gateway.known.eligibility import Eligibility
+from mulleinreach.gateway.known.evacuations import Evacuations
 from mulleinreach.gateway.known.following import ConfigurationInForce
 from mulleinreach.gateway.known.knowledge import SharedKnowledge
 from mulleinreach.gateway.known.load import LoadBook
@@ -102,8 +104,13 @@
         )
         # The answer to the first question tells whether the second is worth asking.
         list_turn = replace(turn, extra_s=turn.extra_s + LIST_TURN_S)
+        evacuations = Evacuations(
+            self.bounds.evacuation_s, self.identity.regions, self.clock, self.log
+        )
+        self.eligibility = Eligibility(evacuations, self.rng)
         self.in_force = ConfigurationInForce(
             CountedSource(self.ports.configurations, "configuration", self.store_calls),
+            evacuations,
             self.clock,
             self.log,
             self._reads_for_all,
@@ -125,6 +132,7 @@
             self.directory,
             Router(self.loads, self.rng, self.identity.hall),
             self.suspects,
+            self.eligibility,
             self.clock,
         )
         self.session = self.network.http_client(
@@ -205,6 +213,7 @@
                 self.directory,
                 self.loads,
                 self.chooser,
+                self.eligibility,
                 self.controller,
                 self.first_waits,
                 self._on_lost,
@@ -308,6 +317,7 @@
         self.metrics.holds_lease.set(self.lease.is_held())
         self.metrics.evidence_age.set(self.in_force.evidence_age_s())
         self.metrics.open_groups.set(len(self.chooser.opened()))
+        self.metrics.evacuated_halls.set(len(self.in_force.evacuations.halls))
         body = generate_latest(self.metrics.registry)
         return web.Response(body=body, headers={"Content-Type": CONTENT_TYPE_LATEST})
 
--- a/mulleinreach/gateway/ports.py
+++ b/mulleinreach/gateway/ports.py
@@ -9,7 +9,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -33,18 +34,47 @@
     """The revision to continue from is too old; read everything anew."""
 
 
+@dataclass(frozen=True)
+class EvacuationRow:
+    """An operator's request to send nothing more to the upstreams of a hall.
+
+    ``version`` is that of its row, 0 where there is no such request.
+    """
+
+    hall: str
+    version: int
+
+
+@dataclass(frozen=True)
+class OperatorRows:
+    """The versions of the rows that operators write, as they were read last.
+
+    ``evacuations`` names each hall of the deployment, and others with a request.
+    """
+
+    configuration: int
+    evacuations: tuple[EvacuationRow, ...] = ()
+
+
 @dataclass(frozen=True)
 class ConfigurationRead:
     """The newest configuration at ``revision``; ``None`` when there is none, or no new one.
 
-    ``document`` is the configuration in a form that other nodes can decode;
-    ``row_version`` is the version of its own row, ``None`` if the answer doesn't tell it.
+    Parameters
+    ==========
+
+    document : the configuration in a form that other nodes can decode.
+    row_version : the version of its own row, ``None`` if the answer doesn't tell it.
+    evacuations : the requests to empty halls that stand, or that came and went.
+    is_whole : whether halls that aren't named have no request; else theirs haven't changed.
     """
 
     revision: int
     configuration: Configuration | None
     document: bytes = b""
     row_version: int | None = None
+    evacuations: tuple[EvacuationRow, ...] = ()
+    is_whole: bool = False
 
 
 @dataclass(frozen=True)
@@ -57,7 +87,7 @@
 
 
 class ConfigurationSource(Protocol):
-    """Where the operator's configuration comes from."""
+    """Where the operator's configuration and requests to empty halls come from."""
 
     async def read(self) -> ConfigurationRead | Unavailable:
         """Return the newest configuration."""
@@ -121,8 +151,8 @@
 
 
 @dataclass(frozen=True)
-class ConfigurationChanged:
-    """Nothing was written, since the configuration's row is not as it was said to be."""
+class OperatorRowsChanged:
+    """Nothing was written, since a row of the operators is not as it was said to be."""
 
 
 class LeaseStore(Protocol):
@@ -132,15 +162,15 @@
         """Return the row."""
 
     async def write(
-        self, version: int, record: LeaseRecord, configuration_row: int | None = None
-    ) -> LeaseWritten | LeaseConflict | ConfigurationChanged | Unavailable:
+        self, version: int, record: LeaseRecord, unchanged: OperatorRows | None = None
+    ) -> LeaseWritten | LeaseConflict | OperatorRowsChanged | Unavailable:
         """Replace the row if it still has ``version``.
 
         Parameters
         ==========
 
-        configuration_row : the version that the configuration's row must still have, too.
-            A write that is done then proves that there is no newer configuration.
+        unchanged : the operators' rows, which must still have their versions, too. A write
+            that is done then proves that they have written nothing since.
         """
 
 
@@ -283,6 +313,10 @@
     stop_grace_s : the time between the order to stop and the kill.
     stall_s : how long a head with a missing member stands still before it breaks.
     retry_ratio, retry_slack, retry_window_s : the budget of second sends of a service.
+    evacuation_s : how soon after an operator's request a hall's upstreams get nothing more.
+    cold_ratio, cold_slack : the requests a second that a cold upstream may get from all
+        nodes together: the ratio times what its service tells, and the slack.
+    halls_at_once : how many halls may be lost at once with all promises kept.
     """
 
     key_evidence_s: float = 4.5
@@ -294,6 +328,10 @@
     retry_ratio: float = 0.2
     retry_slack: float = 100.0
     retry_window_s: float = 10.0
+    evacuation_s: float = 5.0
+    cold_ratio: float = 1.0
+    cold_slack: float = 0.0
+    halls_at_once: int = 0
 
 
 @dataclass(frozen=True)
@@ -304,7 +342,9 @@
     ==========
 
     processor_cores : how much processor time the node may use.
+    link_mbps : how many megabits a second its link carries.
     is_first_start : whether the whole system starts for the first time, before any request.
+    regions : the region of each hall of the deployment, by the hall's name.
     """
 
     name: str
@@ -314,4 +354,6 @@
     peers: Address
     metrics: Address | None = None
     processor_cores: float = 1.0
+    link_mbps: float = 1000.0
     is_first_start: bool = False
+    regions: Mapping[str, str] = field(default_factory=dict)
--- a/mulleinreach/gateway/upstream.py
+++ b/mulleinreach/gateway/upstream.py
@@ -47,6 +47,7 @@
     staged : the names of the models whose weights lie on the host.
     domain : the fabric domain; ``None`` for plain services.
     pace : how many times longer than usual its work takes, as it reported itself.
+    cold_s : for how much longer it is cold, from when this was heard; 0 if it is warm.
     """
 
     id: str
@@ -60,6 +61,7 @@
     domain: str | None = None
     membership: Membership | None = None
     pace: float = 1.0
+    cold_s: float = 0.0
 
     @property
     def place(self) -> tuple[str, int] | None:
--- a/mulleinreach/platform/configuration.py
+++ b/mulleinreach/platform/configuration.py
@@ -46,15 +46,24 @@
         is_public=bool(raw.get("public", False)),
         is_resumable=bool(raw.get("resumable", False)),
         gap_objective_s=float(raw.get("gap_target_ms", 1000)) / 1000,
+        homes=_parse_homes(raw),
     )
 
 
+def _parse_homes(raw: dict) -> frozenset[str] | None:
+    """Return the regions that a route or an organisation is bound to."""
+    regions = raw.get("allowed_regions")
+    return frozenset(str(region) for region in regions) if regions else None
+
+
 def _parse_service(raw: dict) -> Service:
     engine = raw.get("engine")
     return Service(
         name=str(raw["name"]),
         max_connections=int(raw.get("max_conns", 100)),
         engine=None if not engine else _parse_engine(engine),
+        cold_s=float(raw.get("cold_s", 0)),
+        cold_per_s=float(raw.get("cold_per_s", 0)),
     )
 
 
@@ -100,4 +109,5 @@
         name=str(raw["name"]),
         api_keys=frozenset(str(key) for key in raw.get("api_keys", [])),
         priority=None if priority is None else int(priority),
+        homes=_parse_homes(raw),
     )
--- a/mulleinreach/platform/settings.py
+++ b/mulleinreach/platform/settings.py
@@ -82,6 +82,8 @@
         metrics=Address(ip, peer_port + METRICS_PORT_OFFSET),
         is_first_start=reader.flag("bootstrap"),
         processor_cores=reader.number("limits.cores") * reader.number("limits.cpu_fraction"),
+        link_mbps=reader.optional("limits.link_mbps", GatewayIdentity.link_mbps),
+        regions=reader.entries("zones."),
     )
     bounds = Bounds(
         key_evidence_s=KEY_EVIDENCE_SHARE * _key_bound_s(reader),
@@ -93,6 +95,10 @@
         retry_ratio=reader.number("bounds.retry_budget_ratio"),
         retry_slack=reader.number("bounds.retry_slack"),
         retry_window_s=reader.number("bounds.budget_window_s"),
+        evacuation_s=reader.optional("bounds.evac_ms", 1000 * Bounds.evacuation_s) / 1000,
+        cold_ratio=reader.optional("bounds.cold_overage", Bounds.cold_ratio),
+        cold_slack=reader.optional("bounds.cold_slack", Bounds.cold_slack),
+        halls_at_once=int(reader.optional("fault_tolerance.zones", Bounds.halls_at_once)),
     )
     return PlatformSettings(
         identity,
@@ -139,6 +145,18 @@
         except ValueError as error:
             raise SettingsError(f"field {name!r}: {value!r} is not a number") from error
 
+    def optional(self, name: str, usual: float) -> float:
+        """Return a number that not every deployment has."""
+        return self.number(name) if self._fields.get(name) else usual
+
+    def entries(self, prefix: str) -> dict[str, str]:
+        """Return the fields of a table, by what follows on its name."""
+        return {
+            name.removeprefix(prefix): value
+            for name, value in self._fields.items()
+            if name.startswith(prefix)
+        }
+
     def flag(self, name: str) -> bool:
         value = self.text(name)
         if value not in ("true", "false"):
--- a/mulleinreach/platform/sources.py
+++ b/mulleinreach/platform/sources.py
@@ -9,13 +9,15 @@
 
 from mulleinreach.gateway.model import Configuration, RouteWait
 from mulleinreach.gateway.ports import (
-    ConfigurationChanged,
     ConfigurationRead,
+    EvacuationRow,
     HistoryLost,
     LeaseConflict,
     LeaseRead,
     LeaseRecord,
     LeaseWritten,
+    OperatorRows,
+    OperatorRowsChanged,
     Unavailable,
     UpstreamsRead,
 )
@@ -33,13 +35,15 @@
 
 CONFIGURATION_TABLE = "op"
 CONFIGURATION_KEY = "config"
+# A row for each hall that is to be empty; that it is there counts, whatever it holds.
+EVACUATION_PREFIX = "evacuate/"
 UPSTREAM_TABLE = "servers"
 LEASE_TABLE = "mulleinreach"
 LEASE_KEY = "coordinator"
 
 
 class PlatformConfigurations:
-    """The operator's configuration, one row of the store."""
+    """The operator's configuration and requests to empty halls, rows of one table."""
 
     def __init__(self, store: PlatformStore):
         self._store = store
@@ -47,24 +51,38 @@
     async def read(self) -> ConfigurationRead | Unavailable:
         """Return the newest configuration."""
         result = await self._store.read_table(CONFIGURATION_TABLE)
-        return result if isinstance(result, Unavailable) else self._translate(result)
+        if isinstance(result, Unavailable):
+            return result
+        return self._translate(result, is_whole=True)
 
     async def wait(
         self, revision: int, wait_s: float
     ) -> ConfigurationRead | HistoryLost | Unavailable:
         """Return the configuration as soon as it has changed."""
         result = await self._store.wait(CONFIGURATION_TABLE, revision, wait_s)
-        return self._translate(result) if isinstance(result, StoreRows) else result
+        if isinstance(result, StoreRows):
+            return self._translate(result, is_whole=False)
+        return result
 
-    def _translate(self, result: StoreRows) -> ConfigurationRead:
+    def _translate(self, result: StoreRows, is_whole: bool) -> ConfigurationRead:
         configuration, document, row_version = None, b"", None
+        evacuations: dict[str, EvacuationRow] = {}
         for row in result.rows:
-            if row.key != CONFIGURATION_KEY or row.value is None:
-                continue
-            configuration = _parse(row.value)
-            document = encode_document(row.value)
-            row_version = row.version
-        return ConfigurationRead(result.revision, configuration, document, row_version)
+            if row.key.startswith(EVACUATION_PREFIX):
+                hall = row.key.removeprefix(EVACUATION_PREFIX)
+                evacuations[hall] = EvacuationRow(hall, 0 if row.is_removed else row.version)
+            elif row.key == CONFIGURATION_KEY and row.value is not None:
+                configuration = _parse(row.value)
+                document = encode_document(row.value)
+                row_version = row.version
+        return ConfigurationRead(
+            result.revision,
+            configuration,
+            document,
+            row_version,
+            tuple(evacuations.values()),
+            is_whole,
+        )
 
     def decode(self, document: bytes) -> Configuration | None:
         """Return the configuration that another node has read."""
@@ -138,6 +156,18 @@
     return tuple(RouteWait(str(route), float(shortest_s)) for route, shortest_s in raw.items())
 
 
+def _row_states(rows: OperatorRows | None) -> list[RowState]:
+    """Return where the operators' rows stand, and the versions that they should have."""
+    if rows is None:
+        return []
+    configuration = RowState(CONFIGURATION_TABLE, CONFIGURATION_KEY, rows.configuration)
+    evacuations = [
+        RowState(CONFIGURATION_TABLE, EVACUATION_PREFIX + row.hall, row.version)
+        for row in rows.evacuations
+    ]
+    return [configuration, *evacuations]
+
+
 class PlatformLease:
     """The coordinator's lease, one row of the store."""
 
@@ -165,9 +195,9 @@
         return LeaseRead(row.version, record)
 
     async def write(
-        self, version: int, record: LeaseRecord, configuration_row: int | None = None
-    ) -> LeaseWritten | LeaseConflict | ConfigurationChanged | Unavailable:
-        """Replace the row if it still has ``version``, and the configuration its own."""
+        self, version: int, record: LeaseRecord, unchanged: OperatorRows | None = None
+    ) -> LeaseWritten | LeaseConflict | OperatorRowsChanged | Unavailable:
+        """Replace the row if it still has ``version``, and the operators' rows theirs."""
         value = {
             "holder": record.holder,
             "address": record.address,
@@ -177,12 +207,9 @@
             "first_waits": {wait.route: wait.shortest_s for wait in record.first_waits},
         }
         lease = RowState(LEASE_TABLE, LEASE_KEY, version)
-        unchanged = []
-        if configuration_row is not None:
-            unchanged = [RowState(CONFIGURATION_TABLE, CONFIGURATION_KEY, configuration_row)]
-        result = await self._store.write_row(lease, value, unchanged)
+        result = await self._store.write_row(lease, value, _row_states(unchanged))
         if isinstance(result, Written):
             return LeaseWritten(result.version)
         if isinstance(result, Conflict):
-            return ConfigurationChanged() if lease in result.rows else LeaseConflict()
+            return OperatorRowsChanged() if lease in result.rows else LeaseConflict()
         return result
--- a/mulleinreach/platform/tests/test_ports.py
+++ b/mulleinreach/platform/tests/test_ports.py
@@ -9,7 +9,6 @@
 from mulleinreach.gateway.model import RouteWait
 from mulleinreach.gateway.ports import (
     Accepted,
-    ConfigurationChanged,
     ConfigurationRead,
     Fenced,
     HistoryLost,
@@ -17,6 +16,8 @@
     LeaseRecord,
     LeaseWritten,
     NoAnswer,
+    OperatorRows,
+    OperatorRowsChanged,
     Rejected,
     Unavailable,
     UpstreamsRead,
@@ -235,14 +236,14 @@
         ports.put_configuration(7)
         record = LeaseRecord("a.1", "10.0.0.1:1", 1, 0)
         written = await ports.lease.write(0, record)
-        row = (await ports.configurations.read()).row_version
-        renewed = await ports.lease.write(written.version, record, row)
+        rows = OperatorRows((await ports.configurations.read()).row_version)
+        renewed = await ports.lease.write(written.version, record, rows)
         assert isinstance(renewed, LeaseWritten)
         ports.put_configuration(8)
-        assert await ports.lease.write(renewed.version, record, row) == ConfigurationChanged()
-        assert await ports.lease.write(written.version, record, row) == LeaseConflict()
-        row = (await ports.configurations.read()).row_version
-        assert isinstance(await ports.lease.write(renewed.version, record, row), LeaseWritten)
+        assert await ports.lease.write(renewed.version, record, rows) == OperatorRowsChanged()
+        assert await ports.lease.write(written.version, record, rows) == LeaseConflict()
+        rows = OperatorRows((await ports.configurations.read()).row_version)
+        assert isinstance(await ports.lease.write(renewed.version, record, rows), LeaseWritten)
 
     run_ports(kind, test)
 
--- a/mulleinreach/platform/upstreams.py
+++ b/mulleinreach/platform/upstreams.py
@@ -22,6 +22,7 @@
         staged=_staged_names(raw),
         domain=None if raw.get("domain") is None else str(raw["domain"]),
         membership=_parse_membership(raw.get("group")),
+        cold_s=float(raw.get("cold_remaining_ms", 0)) / 1000,
     )
 
 
--- a/mulleinreach/standins/gateway/store.py
+++ b/mulleinreach/standins/gateway/store.py
@@ -9,13 +9,15 @@
 
 from mulleinreach.gateway.model import Configuration
 from mulleinreach.gateway.ports import (
-    ConfigurationChanged,
     ConfigurationRead,
+    EvacuationRow,
     HistoryLost,
     LeaseConflict,
     LeaseRead,
     LeaseRecord,
     LeaseWritten,
+    OperatorRows,
+    OperatorRowsChanged,
     Unavailable,
     UpstreamsRead,
 )
@@ -23,6 +25,7 @@
 
 CONFIGURATION = "configuration"
 NEWEST = "newest"
+EVACUATE = "evacuate/"
 UPSTREAMS = "upstreams"
 LEASE = "lease"
 ANSWER_S = 0.004
@@ -115,8 +118,7 @@
         failure = await self._store.arrive()
         if failure is not None:
             return failure
-        row = self._store.get(CONFIGURATION, NEWEST)
-        return _describe_configuration(self._store.version, row)
+        return _describe(self._store.version, self._store.rows(CONFIGURATION), is_whole=True)
 
     async def wait(
         self, revision: int, wait_s: float
@@ -126,17 +128,24 @@
         if not isinstance(result, tuple):
             return result
         version, rows = result
-        return _describe_configuration(version, rows[-1] if rows else None)
+        return _describe(version, rows, is_whole=False)
 
     def decode(self, document: bytes) -> Configuration | None:
         """Return the configuration that another node has read."""
         return pickle.loads(document)
 
 
-def _describe_configuration(version: int, row: MemoryRow | None) -> ConfigurationRead:
-    if row is None or row.value is None:
-        return ConfigurationRead(version, None)
-    return ConfigurationRead(version, row.value, pickle.dumps(row.value), row.version)
+def _describe(version: int, rows: list[MemoryRow], is_whole: bool) -> ConfigurationRead:
+    evacuations = tuple(
+        EvacuationRow(row.key.removeprefix(EVACUATE), 0 if row.value is None else row.version)
+        for row in rows
+        if row.key.startswith(EVACUATE)
+    )
+    newest = next((row for row in rows if row.key == NEWEST and row.value is not None), None)
+    if newest is None:
+        return ConfigurationRead(version, None, evacuations=evacuations, is_whole=is_whole)
+    document = pickle.dumps(newest.value)
+    return ConfigurationRead(version, newest.value, document, newest.version, evacuations, is_whole)
 
 
 class MemoryUpstreams:
@@ -177,15 +186,23 @@
         return LeaseRead(row.version, row.value)
 
     async def write(
-        self, version: int, record: LeaseRecord, configuration_row: int | None = None
-    ) -> LeaseWritten | LeaseConflict | ConfigurationChanged | Unavailable:
-        """Replace the row if it still has ``version``, and the configuration its own."""
+        self, version: int, record: LeaseRecord, unchanged: OperatorRows | None = None
+    ) -> LeaseWritten | LeaseConflict | OperatorRowsChanged | Unavailable:
+        """Replace the row if it still has ``version``, and the operators' rows theirs."""
         failure = await self._store.arrive()
         if failure is not None:
             return failure
         if self._store.get(LEASE, "coordinator").version != version:
             return LeaseConflict()
-        if configuration_row not in (None, self._store.get(CONFIGURATION, NEWEST).version):
-            return ConfigurationChanged()
+        if unchanged is not None and not self._is_unchanged(unchanged):
+            return OperatorRowsChanged()
         written = self._store.put(LEASE, "coordinator", record)
         return Unavailable("the answer was lost") if self._store.loses else LeaseWritten(written)
+
+    def _is_unchanged(self, rows: OperatorRows) -> bool:
+        if self._store.get(CONFIGURATION, NEWEST).version != rows.configuration:
+            return False
+        return all(
+            self._store.get(CONFIGURATION, EVACUATE + row.hall).version == row.version
+            for row in rows.evacuations
+        )
