--- a/mulleinreach/gateway/coordination/messages.py
+++ b/mulleinreach/gateway/coordination/messages.py
@@ -160,7 +160,8 @@
     ========
 
     >>> successor = Successor(3, "10.0.0.1:80", "secret")
-    >>> report = NodeReport("a", [LoadReport("u", 2, 70, 0.5)], seq=4, successor=successor, hall="h")
+    >>> loads = [LoadReport("u", 2, 70, 0.5)]
+    >>> report = NodeReport("a", loads, seq=4, successor=successor, hall="h")
     >>> decode_node_report(encode_node_report(report)) == report
     True
     """
--- a/mulleinreach/standins/gateway/hosts.py
+++ b/mulleinreach/standins/gateway/hosts.py
@@ -90,6 +90,7 @@
         self.refuses = 0
         self.echoes_wrong_id = False
         self.pace = 1.0
+        self._cold_until = float("-inf")
         self._history: list[tuple[float, Upstream]] = []
         self._tasks = TaskGroup()
 
@@ -192,7 +193,13 @@
         """Return the host as its row and its reports tell it."""
         is_serving = self.standing is not None and self.standing.state is MemberState.OPEN
         models = (self.standing.model,) if is_serving else ()
-        return replace(self.upstream, models=models, membership=self.membership(), pace=self.pace)
+        return replace(
+            self.upstream,
+            models=models,
+            membership=self.membership(),
+            pace=self.pace,
+            cold_s=self.cold_s(),
+        )
 
     def report(self) -> Upstream:
         """Return how the host stood a while ago, as its reports tell it."""
@@ -210,6 +217,16 @@
 
     # Life.
 
+    def cold_s(self) -> float:
+        """Return for how much longer the host is cold."""
+        return max(0.0, self._cold_until - asyncio.get_running_loop().time())
+
+    def turn_cold(self, seconds: float, is_told: bool = True) -> None:
+        """Be cold for some seconds; the row may tell it only with its next change."""
+        self._cold_until = asyncio.get_running_loop().time() + seconds
+        if is_told:
+            self._publish()
+
     def list_again(self) -> None:
         """Write the row as it is now."""
         self._publish()
@@ -297,6 +314,8 @@
         return self.standing is standing
 
 
-def make_upstream(name: str, service: str, port: int, domain: str | None) -> Upstream:
+def make_upstream(
+    name: str, service: str, port: int, domain: str | None, hall: str = "hall-a"
+) -> Upstream:
     """Return a host as it stands on the list after its start."""
-    return Upstream(name, service, Address("10.0.1.1", port), "hall-a", slots=13, domain=domain)
+    return Upstream(name, service, Address("10.0.1.1", port), hall, slots=13, domain=domain)
--- a/mulleinreach/standins/gateway/world.py
+++ b/mulleinreach/standins/gateway/world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import string
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -28,6 +29,7 @@
 from mulleinreach.standins.gateway.hosts import HostStandIn, HostTimes, make_upstream
 from mulleinreach.standins.gateway.store import (
     CONFIGURATION,
+    EVACUATE,
     UPSTREAMS,
     MemoryConfigurations,
     MemoryLease,
@@ -149,6 +151,7 @@
 
     nodes : how many gateway nodes run.
     domains, hosts_per_domain : the model service's hosts.
+    halls : how many halls there are; domains and nodes stand in them in turn.
     bounds : what the operators of the deployment have agreed on.
     """
 
@@ -158,6 +161,7 @@
         domains: int = 2,
         hosts_per_domain: int = 8,
         bounds: Bounds | None = None,
+        halls: int = 1,
     ):
         self.links = Links()
         self.clock = VirtualClock()
@@ -167,6 +171,7 @@
         self.plain: dict[str, PlainStandIn] = {}
         self._node_names = [f"node-{number}" for number in range(nodes)]
         self._domains = domains
+        self.halls = [f"hall-{letter}" for letter in string.ascii_lowercase[:halls]]
         self._bounds = bounds or Bounds()
         self._hosts_per_domain = hosts_per_domain
         self._listeners: list[tuple[web.Server, asyncio.AbstractServer]] = []
@@ -179,20 +184,33 @@
         self.store.put(CONFIGURATION, "newest", make_configuration())
         for domain in range(self._domains):
             for number in range(self._hosts_per_domain):
-                await self.add_host(f"host-{domain}-{number}", f"domain-{domain}")
-        for name in self._node_names:
-            await self.start_node(name)
+                name = f"host-{domain}-{number}"
+                await self.add_host(name, f"domain-{domain}", self._hall(domain))
+        for number, name in enumerate(self._node_names):
+            await self.start_node(name, hall=self._hall(number))
 
-    async def add_host(self, name: str, domain: str) -> HostStandIn:
+    def _hall(self, number: int) -> str:
+        """Return the hall of a domain or node by its number."""
+        return self.halls[number % len(self.halls)]
+
+    def evacuate(self, hall: str) -> None:
+        """Ask, as an operator does, that nothing more be sent to a hall."""
+        self.store.put(CONFIGURATION, EVACUATE + hall, True)
+
+    def take_back(self, hall: str) -> None:
+        """Take the operator's request to empty a hall back."""
+        self.store.put(CONFIGURATION, EVACUATE + hall, None)
+
+    async def add_host(self, name: str, domain: str, hall: str = "hall-a") -> HostStandIn:
         """Start an empty host."""
-        upstream = make_upstream(name, MODEL_SERVICE, self._port(), domain)
+        upstream = make_upstream(name, MODEL_SERVICE, self._port(), domain, hall)
         host = self.fabric.add(upstream, HostTimes())
         await self._serve(host.handle, upstream)
         return host
 
-    async def add_plain(self, name: str, script: Callable) -> PlainStandIn:
+    async def add_plain(self, name: str, script: Callable, hall: str = "hall-a") -> PlainStandIn:
         """Start an upstream of the plain service."""
-        upstream = make_upstream(name, PLAIN_SERVICE, self._port(), None)
+        upstream = make_upstream(name, PLAIN_SERVICE, self._port(), None, hall)
         plain = PlainStandIn(upstream, script)
         self.plain[name] = plain
         await self._serve(plain.handle, upstream)
@@ -211,15 +229,18 @@
         self._next_port += 1
         return self._next_port
 
-    async def start_node(self, name: str, processor_cores: float = 1.0) -> GatewayNode:
+    async def start_node(
+        self, name: str, processor_cores: float = 1.0, hall: str = "hall-a"
+    ) -> GatewayNode:
         """Start a node, or start it again at other addresses."""
         identity = GatewayIdentity(
             name,
-            "hall-a",
+            hall,
             callers=Address("10.0.0.1", self._port()),
             readiness=Address("10.0.0.1", self._port()),
             peers=Address("10.0.0.1", self._port()),
             processor_cores=processor_cores,
+            regions=dict.fromkeys(self.halls, "region-1"),
         )
         for address in (identity.callers, identity.readiness, identity.peers):
             self.links.names[str(address)] = name
