The coordinator's term and the following of one are modules of their own

It keeps the choice between them (who coordinates, elections); term.py holds, renews, resigns and gives way; follower.py reports to a coordinator and takes its reports; own_report.py makes and numbers this node's reports, which both sides send. How following ended is a value (FollowingEnded) instead of a state left on the object. No change of behaviour.

Ruled out: to let the term tell the replaced coordinator (it would need name, network and address besides).

Tests: pytest of coordination and fleet/tests/test_fleet.py.

--- a/benchmarks/gateway_breakages.py
+++ b/benchmarks/gateway_breakages.py
@@ -190,7 +190,7 @@
     Breakage(
         "CONFIG",
         "a new coordinator tells the one that it replaces",
-        f"{GATEWAY}/coordination/membership.py",
+        f"{GATEWAY}/coordination/term.py",
         "if self._hub.successor is not None:",
         "if False:",
         f"{GATEWAY}/coordination/tests/test_successor.py",
--- /dev/null
+++ b/mulleinreach/gateway/coordination/follower.py
@@ -0,0 +1,129 @@
+"""A node's side of its connection with the coordinator."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+from dataclasses import dataclass
+
+from mulleinreach.common import Address, Network
+from mulleinreach.gateway.coordination.frames import FrameReader, FrameWriter, PeerError
+from mulleinreach.gateway.coordination.hub import (
+    MAX_BUFFERED_BYTES,
+    SILENCE_S,
+    Knowledge,
+    report_interval_s,
+)
+from mulleinreach.gateway.coordination.lease import CoordinatorLease, Resignation
+from mulleinreach.gateway.coordination.messages import (
+    CoordinatorReport,
+    decode_coordinator_report,
+    encode_node_report,
+)
+from mulleinreach.gateway.coordination.own_report import OwnReports
+from mulleinreach.gateway.coordination.succession import CONNECT_S
+
+# Evidence that is younger shows that this node reads the store itself.
+OWN_EVIDENCE_S = 0.9
+
+
+class EndReason(enum.Enum):
+    """Why following a coordinator came to its end."""
+
+    PROCESS_GONE = enum.auto()
+    UNREACHED = enum.auto()
+    LOST = enum.auto()
+    RESIGNED = enum.auto()
+    REPLACED = enum.auto()
+
+
+@dataclass(frozen=True)
+class FollowingEnded:
+    """The end of following a coordinator.
+
+    Parameters
+    ==========
+
+    resignation : the coordinator's word, if it has resigned.
+    """
+
+    reason: EndReason
+    resignation: Resignation | None = None
+
+
+class Follower:
+    """Reports to the coordinator, and takes in what it tells."""
+
+    def __init__(
+        self,
+        lease: CoordinatorLease,
+        network: Network,
+        own_reports: OwnReports,
+        knowledge: Knowledge,
+    ):
+        self._lease = lease
+        self._network = network
+        self._own_reports = own_reports
+        self._knowledge = knowledge
+        # Whether a coordinator reports to this node.
+        self.is_following = False
+        # How many nodes there are, as the latest coordinator told.
+        self.node_count = 1
+
+    async def follow(self, address: Address) -> FollowingEnded:
+        """Follow the coordinator at an address until that comes to an end."""
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                reader, writer = await self._network.connect(address)
+        except ConnectionRefusedError:
+            return FollowingEnded(EndReason.PROCESS_GONE)
+        except (OSError, TimeoutError):
+            return FollowingEnded(EndReason.UNREACHED)
+        sending = asyncio.create_task(self._send_reports(FrameWriter(writer)))
+        try:
+            return await self._take_reports(FrameReader(reader))
+        finally:
+            self.is_following = False
+            sending.cancel()
+            writer.close()
+
+    async def _take_reports(self, frames: FrameReader) -> FollowingEnded:
+        """Take the coordinator's reports until it falls silent, resigns or is replaced."""
+        try:
+            while True:
+                async with asyncio.timeout(SILENCE_S):
+                    report = decode_coordinator_report(await frames.read())
+                self.is_following = True
+                self.node_count = report.totals.nodes
+                self._take(report)
+                if self._is_replaced(report):
+                    self._lease.adopt(report.totals.successor)
+                    return FollowingEnded(EndReason.REPLACED)
+                if self._can_replace(report):
+                    return FollowingEnded(EndReason.RESIGNED, report.totals.resignation)
+        except (PeerError, OSError, TimeoutError):
+            return FollowingEnded(EndReason.LOST if self.is_following else EndReason.UNREACHED)
+
+    def _take(self, report: CoordinatorReport) -> None:
+        """Take a report; what it tells is no older than what it answers."""
+        answered = self._own_reports.sent(report.echoed_seq)
+        if answered is not None:
+            self._knowledge.take(report, answered.at, answered.loads)
+
+    def _is_replaced(self, report: CoordinatorReport) -> bool:
+        """Whether the coordinator tells of a later one."""
+        successor = report.totals.successor
+        return successor is not None and successor.token > self._lease.token
+
+    def _can_replace(self, report: CoordinatorReport) -> bool:
+        """Whether the coordinator has resigned for want of a store that we can read."""
+        is_resigned = report.totals.resignation is not None
+        return is_resigned and self._knowledge.evidence_age_s() < OWN_EVIDENCE_S
+
+    async def _send_reports(self, writer: FrameWriter) -> None:
+        while not writer.is_closing():
+            report = self._own_reports.next()
+            # A report that finds the buffer full is left out; the next one replaces it.
+            if writer.buffered_bytes() < MAX_BUFFERED_BYTES:
+                writer.write(encode_node_report(report))
+            await asyncio.sleep(report_interval_s(self.node_count))
--- /dev/null
+++ b/mulleinreach/gateway/coordination/own_report.py
@@ -0,0 +1,81 @@
+"""What this node reports of itself, and when it sent each report."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+
+from mulleinreach.common import Clock
+from mulleinreach.gateway.coordination.hub import Knowledge
+from mulleinreach.gateway.coordination.lease import CoordinatorLease
+from mulleinreach.gateway.coordination.messages import NodeReport
+from mulleinreach.gateway.known.load import LoadBook, LoadReport
+
+# A coordinator's answer may be late, but it names a report of the latest seconds.
+REPORTS_KEPT = 40
+
+
+@dataclass(frozen=True)
+class SentReport:
+    """A report that was sent to a coordinator.
+
+    Parameters
+    ==========
+
+    at : when it was sent.
+    loads : what it told of the load of upstreams.
+    """
+
+    seq: int
+    at: float
+    loads: list[LoadReport]
+
+
+class OwnReports:
+    """The reports of this node, numbered from 1.
+
+    Parameters
+    ==========
+
+    node : the name of this node.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        lease: CoordinatorLease,
+        loads: LoadBook,
+        knowledge: Knowledge,
+        clock: Clock,
+    ):
+        self._node = node
+        self._lease = lease
+        self._loads = loads
+        self._knowledge = knowledge
+        self._clock = clock
+        self._seq = 0
+        self._sent: deque[SentReport] = deque(maxlen=REPORTS_KEPT)
+        self.is_stopping = False
+
+    def current(self) -> NodeReport:
+        """Return how things stand now, under the number of the latest report."""
+        return NodeReport(
+            self._node,
+            self._loads.own_reports(),
+            self.is_stopping,
+            self._lease.secret,
+            self._seq,
+            self._knowledge.list_revision(),
+            self._knowledge.configuration_version(),
+        )
+
+    def next(self) -> NodeReport:
+        """Return the next report, which is about to be sent."""
+        self._seq += 1
+        report = self.current()
+        self._sent.append(SentReport(self._seq, self._clock.now(), report.loads))
+        return report
+
+    def sent(self, seq: int) -> SentReport | None:
+        """Return a report that was sent, ``None`` if it is none of the latest ones."""
+        return next((report for report in self._sent if report.seq == seq), None)
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -326,7 +326,8 @@
     async def stop(self) -> None:
         """Stop as planned: not ready at once, hand duties over, finish what is in flight."""
         started_at = self.clock.now()
-        self.is_stopping = self.relay.is_stopping = self.coordination.is_stopping = True
+        self.is_stopping = self.relay.is_stopping = True
+        self.coordination.begin_stopping()
         self.log.event("node_stopping", in_flight=self.relay.in_flight)
         give_up_at = started_at + self.bounds.stop_grace_s - STOP_TAIL_S
         quiet_at = min(started_at + STOP_QUIET_S, give_up_at)
