Stand-in hosts and their fabric no longer import each other

hosts.py imported Fabric for its types, fabric.py imports hosts.py. What both share (Standing, FabricChecks) and what a host needs of its fabric (HostFabric) stand in standings.py. check_join names the host by its id; check_start no longer takes a host, which it never looked at. The checks themselves are unchanged.

Tests: pytest mulleinreach/gateway.

--- a/mulleinreach/standins/gateway/fabric.py
+++ b/mulleinreach/standins/gateway/fabric.py
@@ -9,14 +9,8 @@
 from mulleinreach.gateway.ports import Fenced, NoAnswer, OrderResult, Unavailable
 from mulleinreach.gateway.upstream import MemberState, Upstream
 from mulleinreach.standins.gateway.dialect import HeaderNames
-from mulleinreach.standins.gateway.hosts import (
-    LATE_ORDER_S,
-    ORDER_S,
-    FabricChecks,
-    HostStandIn,
-    HostTimes,
-    Standing,
-)
+from mulleinreach.standins.gateway.hosts import LATE_ORDER_S, ORDER_S, HostStandIn, HostTimes
+from mulleinreach.standins.gateway.standings import FabricChecks, Standing
 from mulleinreach.standins.gateway.store import MemoryStore
 
 
@@ -62,9 +56,9 @@
         """Return the pace of a group's slowest member."""
         return max(self.hosts[member].pace for member in standing.members)
 
-    def check_join(self, host: HostStandIn, group: str, epoch: int) -> None:
+    def check_join(self, host_id: str, group: str, epoch: int) -> None:
         """No host joins another group while the head of its own serves."""
-        own = host.standing
+        own = self.hosts[host_id].standing
         if own is None:
             return
         head = self.hosts[own.members[0]]
@@ -73,9 +67,9 @@
             return
         is_own = (head_standing.group, head_standing.epoch) == (own.group, own.epoch)
         if is_own and head_standing.state in (MemberState.OPEN, MemberState.CLOSING):
-            self.checks.broken.append(f"{host.id} joined {group} while {own.group} serves")
+            self.checks.broken.append(f"{host_id} joined {group} while {own.group} serves")
 
-    def check_start(self, host: HostStandIn, standing: Standing) -> None:
+    def check_start(self, standing: Standing) -> None:
         """A request starts only where every member was ready under this epoch."""
         for member in standing.members:
             if (standing.group, standing.epoch, member) not in self.checks.ready:
--- a/mulleinreach/standins/gateway/hosts.py
+++ b/mulleinreach/standins/gateway/hosts.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field, replace
-from typing import TYPE_CHECKING
+from dataclasses import dataclass, replace
 
 from aiohttp import web
 
@@ -16,11 +15,9 @@
 )
 from mulleinreach.gateway.upstream import Membership, MemberState, Upstream, UpstreamState
 from mulleinreach.standins.gateway.dialect import PRIORITY, HeaderNames
+from mulleinreach.standins.gateway.standings import HostFabric, Standing
 from mulleinreach.standins.gateway.store import UPSTREAMS
 
-if TYPE_CHECKING:
-    from mulleinreach.standins.gateway.fabric import Fabric
-
 ORDER_S = 0.002
 REJOIN_S = 0.2
 FORM_S = 0.3
@@ -40,28 +37,6 @@
     warm_s: float = 0.5
 
 
-@dataclass
-class Standing:
-    """What a host knows of its group."""
-
-    group: str
-    epoch: int
-    model: str
-    members: tuple[str, ...]
-    state: MemberState
-
-
-@dataclass
-class FabricChecks:
-    """What broke a promise, which members were ever ready, and what ran where."""
-
-    broken: list[str] = field(default_factory=list)
-    ready: set[tuple[str, int, str]] = field(default_factory=set)
-    runs: dict[str, list[str]] = field(default_factory=dict)
-    started_at: dict[str, list[float]] = field(default_factory=dict)
-    priorities: dict[str, list[str]] = field(default_factory=dict)
-
-
 class HostStandIn:
     """One host of a model service.
 
@@ -74,7 +49,9 @@
     ``pace`` makes the host, and its group, so many times slower.
     """
 
-    def __init__(self, fabric: Fabric, upstream: Upstream, times: HostTimes, names: HeaderNames):
+    def __init__(
+        self, fabric: HostFabric, upstream: Upstream, times: HostTimes, names: HeaderNames
+    ):
         self._fabric = fabric
         self._names = names
         self.times = times
@@ -116,7 +93,7 @@
             return Rejected(412)
         if is_same:
             return Accepted()
-        self._fabric.check_join(self, group, epoch)
+        self._fabric.check_join(self.id, group, epoch)
         self.highest_epoch = epoch
         self.standing = Standing(group, epoch, model, members, MemberState.JOINING)
         self._publish()
@@ -288,7 +265,7 @@
                 request.transport.abort()
                 return response
             if not response.prepared:
-                self._fabric.check_start(self, standing)
+                self._fabric.check_start(standing)
                 await response.prepare(request)
             if self.breaks_after is not None and number > self.breaks_after:
                 await response.write(b"id: torn")
--- /dev/null
+++ b/mulleinreach/standins/gateway/standings.py
@@ -0,0 +1,50 @@
+"""What hosts know of their groups, and what a host needs of its fabric."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from mulleinreach.gateway.upstream import MemberState
+from mulleinreach.standins.gateway.store import MemoryStore
+
+
+@dataclass
+class Standing:
+    """What a host knows of its group."""
+
+    group: str
+    epoch: int
+    model: str
+    members: tuple[str, ...]
+    state: MemberState
+
+
+@dataclass
+class FabricChecks:
+    """What broke a promise, which members were ever ready, and what ran where."""
+
+    broken: list[str] = field(default_factory=list)
+    ready: set[tuple[str, int, str]] = field(default_factory=set)
+    runs: dict[str, list[str]] = field(default_factory=dict)
+    started_at: dict[str, list[float]] = field(default_factory=dict)
+    priorities: dict[str, list[str]] = field(default_factory=dict)
+
+
+class HostFabric(Protocol):
+    """What a host needs of the fabric that it belongs to."""
+
+    store: MemoryStore
+    checks: FabricChecks
+
+    def check_join(self, host_id: str, group: str, epoch: int) -> None:
+        """Check that a host may join a group now."""
+
+    def check_start(self, standing: Standing) -> None:
+        """Check that a request may start in a group now."""
+
+    def is_whole(self, standing: Standing) -> bool:
+        """Whether all members still stand in the group."""
+
+    def pace(self, standing: Standing) -> float:
+        """Return the pace of a group's slowest member."""
