The test of a replaced coordinator loses the word of the new one again

Cause: since tell_replaced became a function of its own, the test set an attribute that nobody reads, so that the new coordinator's word did reach the old one. It now replaces the function that is called; the assertion is the same, its case as strict as it was meant to be. Passes for 1 and 2 nodes that are turned away.

--- a/mulleinreach/gateway/request/tests/test_keys_in_outages.py
+++ b/mulleinreach/gateway/request/tests/test_keys_in_outages.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from mulleinreach.gateway.coordination import membership
 from mulleinreach.gateway.ports import Bounds
 from mulleinreach.gateway.tests.desk import answer_whole, serve_desk
 from mulleinreach.gateway.tests.support import run_world, turn_away
@@ -89,15 +90,14 @@
 
 
 @pytest.mark.parametrize("turned_away", [1, 2])
-def test_replaced_coordinator_does_not_take_its_own_cut_for_an_outage(turned_away):
+def test_replaced_coordinator_does_not_take_its_own_cut_for_an_outage(turned_away, monkeypatch):
     """Not even if it never hears who is in its place."""
+    monkeypatch.setattr(membership, "tell_replaced", _tell_nobody)
 
     async def test(world):
         await asyncio.sleep(2)
         coordinator = world.nodes[world.coordinator()]
         others = [node for node in world.nodes.values() if node is not coordinator]
-        for node in world.nodes.values():
-            node.coordination._tell_replaced = _tell_nobody
         for node in [coordinator, *others][:turned_away]:
             turn_away(node)
         for _ in range(100):
@@ -107,5 +107,5 @@
     run_world(test, bounds=LENIENT, **OPTIONS)
 
 
-async def _tell_nobody(replaced):
+async def _tell_nobody(*_):
     """Lose the word of a new coordinator."""
