Imports between the gateway's folders run one way

Cause: known/turns.py imported coordination.election for AMPLE_CORES, known/knowledge.py coordination, fleet and request. AMPLE_CORES stands in known/turns.py, which coordination may import. knowledge.py joins all slices, so it moves beside node.py, unchanged. No other import ran up.

Ruled out: to move the messages between nodes below known/ (Totals and the reports are coordination's own; the controller and first waits would still have been imported from above).

Tests: test_imports.py, one case a module; seen red for known/turns.py and known/knowledge.py as they were, and for a new import of coordination in known/turns.py. pytest mulleinreach/gateway passes.

--- a/mulleinreach/gateway/coordination/election.py
+++ b/mulleinreach/gateway/coordination/election.py
@@ -4,11 +4,12 @@
 
 import random
 
+from mulleinreach.gateway.known.turns import AMPLE_CORES
+
 # Nodes that notice together that the lease is free must not all write in the same moment.
 MAX_ELECTION_DELAY_S = 0.06
-# A coordinator decodes the reports of all nodes, so a node with much processor time
-# should be the first to ask. Nodes with this much don't wait for better ones.
-AMPLE_CORES = 1.0
+# A coordinator decodes the reports of all nodes, so a node with ample processor time
+# should be the first to ask; it doesn't wait for better ones.
 SCARCE_CORES_DELAY_S = 0.2
 
 
--- a/mulleinreach/gateway/known/turns.py
+++ b/mulleinreach/gateway/known/turns.py
@@ -4,7 +4,6 @@
 
 import random
 
-from mulleinreach.gateway.coordination.election import AMPLE_CORES
 from mulleinreach.gateway.known.reading import ReadingTurn
 from mulleinreach.gateway.ports import Bounds
 
@@ -12,6 +11,8 @@
 # itself without a turn of its own has heard of what changed: 1.5 s until the evidence is too
 # old, the read, and half a second for one that has to be repeated.
 READ_WITHIN_S = 2.5
+# A node with this much processor time bears a coordinator's work.
+AMPLE_CORES = 1.0
 # Whoever reads first replaces a coordinator that the store turns away. On a machine with half
 # a core, a coordinator of 195 nodes lost its lease five times in half a minute; so nodes with
 # much processor time use the first part of the time that there is, and others the last ones.
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -18,12 +18,12 @@
 from mulleinreach.gateway.fleet.controller import FleetController
 from mulleinreach.gateway.fleet.formation import GroupOperator
 from mulleinreach.gateway.fleet.hosts import HostBook
+from mulleinreach.gateway.knowledge import SharedKnowledge
 from mulleinreach.gateway.known.choosing import SuspectList, UpstreamChooser
 from mulleinreach.gateway.known.counted import CountedEventLog, CountedLease, CountedSource
 from mulleinreach.gateway.known.eligibility import Eligibility
 from mulleinreach.gateway.known.evacuations import Evacuations
 from mulleinreach.gateway.known.following import ConfigurationInForce
-from mulleinreach.gateway.known.knowledge import SharedKnowledge
 from mulleinreach.gateway.known.load import LoadBook
 from mulleinreach.gateway.known.routing import Router
 from mulleinreach.gateway.known.store_calls import StoreCalls, StoreRole, pause_s
--- /dev/null
+++ b/mulleinreach/gateway/tests/test_imports.py
@@ -0,0 +1,62 @@
+"""Imports between the folders of the gateway run one way, from the top down."""
+
+from __future__ import annotations
+
+import ast
+from pathlib import Path
+
+import pytest
+
+import mulleinreach.gateway
+
+FOLDER = Path(mulleinreach.gateway.__file__).parent
+PREFIX = "mulleinreach.gateway."
+# Each may import what stands before it, and modules of its own folder.
+FROM_THE_BOTTOM_UP = [
+    "model",
+    "upstream",
+    "ports",
+    "metrics",
+    "explain",
+    "known",
+    "coordination",
+    "fleet",
+    "request",
+    "knowledge",
+    "node",
+]
+
+
+def _modules() -> list[Path]:
+    return [
+        path
+        for path in sorted(FOLDER.rglob("*.py"))
+        if "tests" not in path.parts and path.name != "__init__.py"
+    ]
+
+
+def _layer(path: Path) -> str:
+    return path.relative_to(FOLDER).with_suffix("").parts[0]
+
+
+def _imported(source: str) -> list[str]:
+    """Return the names of all modules that a source imports, also within functions."""
+    names = []
+    for statement in ast.walk(ast.parse(source)):
+        if isinstance(statement, ast.Import):
+            names += [alias.name for alias in statement.names]
+        elif isinstance(statement, ast.ImportFrom):
+            names += [f"{statement.module}.{alias.name}" for alias in statement.names]
+    return names
+
+
+def _imported_layers(path: Path) -> set[str]:
+    names = _imported(path.read_text())
+    return {name.removeprefix(PREFIX).split(".")[0] for name in names if name.startswith(PREFIX)}
+
+
+@pytest.mark.parametrize("path", _modules(), ids=lambda path: str(path.relative_to(FOLDER)))
+def test_no_module_imports_from_above(path):
+    own = FROM_THE_BOTTOM_UP.index(_layer(path))
+    above = set(FROM_THE_BOTTOM_UP[own + 1 :])
+    assert not _imported_layers(path) & above
