Requests that find no upstream say why; sends to halls that give way are counted

Cause: a request refused since its halls are to be empty left no trace but its 503. Change: event no_upstream with the counts by Exclusion of those that serve the model or service, bounded as all events are and found by mulleinreach explain request; metric mulleinreach_gateway_evacuated_sends_total by hall. Ruled out: the caller's word for the model in the log: only a model of the configuration is named. Tests: pytest mulleinreach/gateway/known, request/tests/test_shortage.py: green.

--- a/mulleinreach/gateway/known/choosing.py
+++ b/mulleinreach/gateway/known/choosing.py
@@ -2,10 +2,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+from dataclasses import dataclass
+
 from mulleinreach.common import Clock
-from mulleinreach.gateway.known.eligibility import Eligibility
+from mulleinreach.gateway.known.eligibility import Eligibility, Exclusion
 from mulleinreach.gateway.known.routing import Router
-from mulleinreach.gateway.known.upstreams import Head, UpstreamDirectory, open_heads
+from mulleinreach.gateway.known.upstreams import (
+    Head,
+    UpstreamDirectory,
+    open_heads,
+    serves_model,
+)
 from mulleinreach.gateway.model import Service
 from mulleinreach.gateway.ports import CallerHeaders
 from mulleinreach.gateway.upstream import Upstream
@@ -62,6 +70,25 @@
         return epoch == head.epoch and count >= MISDIRECTED_OFTEN
 
 
+@dataclass(frozen=True)
+class Shortage:
+    """Why a request finds no upstream.
+
+    Parameters
+    ==========
+
+    listed : how many upstreams are listed that serve the request's model or service.
+    tried : how many of them the request was sent to already.
+    excluded : how many of them may not be sent any request, by the reason.
+    evacuated_halls : the halls that are to be empty.
+    """
+
+    listed: int
+    tried: int
+    excluded: Mapping[Exclusion, int]
+    evacuated_halls: tuple[str, ...]
+
+
 class UpstreamChooser:
     """Chooses the upstream of a request among those that may take it."""
 
@@ -117,6 +144,22 @@
         self._epochs[head.upstream.id] = head.epoch
         return head.upstream
 
+    def shortage(self, service: Service, headers: CallerHeaders, tried: set[str]) -> Shortage:
+        """Return why :meth:`choose` finds nothing for a request."""
+        listed = self._directory.of_service(service.name)
+        if service.engine is not None:
+            listed = [u for u in listed if serves_model(u, headers.model)]
+        return Shortage(
+            len(listed),
+            sum(u.id in tried for u in listed),
+            self._eligibility.count_excluded(listed),
+            tuple(sorted(self._eligibility.evacuated_halls)),
+        )
+
+    def is_evacuated(self, upstream: Upstream) -> bool:
+        """Whether an upstream stands in a hall that is to be empty."""
+        return upstream.hall in self._eligibility.evacuated_halls
+
     def note_misdirected(self, upstream_id: str) -> None:
         """Note that a head refused a request as not meant for it."""
         if upstream_id in self._epochs:
--- a/mulleinreach/gateway/known/eligibility.py
+++ b/mulleinreach/gateway/known/eligibility.py
@@ -4,6 +4,8 @@
 
 import enum
 import random
+from collections import Counter
+from collections.abc import Iterable
 
 from mulleinreach.gateway.known.evacuations import Evacuations
 from mulleinreach.gateway.upstream import Upstream, UpstreamState
@@ -43,6 +45,17 @@
         """Return why an upstream may not be sent a request, ``None`` if it may."""
         return self._exclusion(upstream, self._closed_halls())
 
+    def count_excluded(self, upstreams: Iterable[Upstream]) -> Counter[Exclusion]:
+        """Return how many upstreams may not be sent a request, by the reason."""
+        closed = self._closed_halls()
+        reasons = (self._exclusion(upstream, closed) for upstream in upstreams)
+        return Counter(reason for reason in reasons if reason is not None)
+
+    @property
+    def evacuated_halls(self) -> frozenset[str]:
+        """The halls that are to be empty."""
+        return self._evacuations.halls
+
     def _exclusion(self, upstream: Upstream, closed: frozenset[str]) -> Exclusion | None:
         if upstream.state is not UpstreamState.READY:
             return Exclusion.LEAVING
--- a/mulleinreach/gateway/known/upstreams.py
+++ b/mulleinreach/gateway/known/upstreams.py
@@ -236,3 +236,10 @@
         if membership.state is MemberState.OPEN and upstream.state is UpstreamState.READY:
             heads.append(Head(upstream, membership.group, membership.epoch, upstream.models[0]))
     return heads
+
+
+def serves_model(upstream: Upstream, model: str | None) -> bool:
+    """Whether an upstream is the head of a group that runs a model, or any if that is ``None``."""
+    membership = upstream.membership
+    is_head = membership is not None and membership.rank == 0
+    return is_head and bool(upstream.models) and model in (None, *upstream.models)
--- a/mulleinreach/gateway/metrics.py
+++ b/mulleinreach/gateway/metrics.py
@@ -18,6 +18,9 @@
         self._denied = self._counter("denied", "Requests that aren't allowed", ["status"])
         self._sends = self._counter("sends", "Requests sent to upstreams", ["kind"])
         self._failed = self._counter("failed_sends", "Sends without an answer", ["outcome"])
+        self._evacuated_sends = self._counter(
+            "evacuated_sends", "Requests sent to halls that are to be empty", ["hall"]
+        )
         self._orders = self._counter("orders", "Orders to hosts", ["order", "outcome"])
         self._seconds = self._histogram("answer_seconds", "Time to the end of an answer")
         self._first_event = self._histogram("first_event_seconds", "Time to a stream's first event")
@@ -96,6 +99,10 @@
         """Count a send that brought no answer."""
         self._failed.labels(outcome).inc()
 
+    def count_evacuated_send(self, hall: str) -> None:
+        """Count a request that was sent to a hall that gives way."""
+        self._evacuated_sends.labels(hall).inc()
+
     def count_order(self, order: str, outcome: str) -> None:
         """Count an order to a host."""
         self._orders.labels(order, outcome).inc()
--- a/mulleinreach/gateway/request/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -11,6 +11,7 @@
 
 from mulleinreach.common import Clock, EventLog
 from mulleinreach.gateway.known.choosing import SuspectList, UpstreamChooser
+from mulleinreach.gateway.known.eligibility import Exclusion
 from mulleinreach.gateway.known.load import LoadBook, Ticket
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.model import RouteKind, Service
@@ -145,11 +146,29 @@
             return None
         upstream = self._chooser.choose(job.service, job.headers, job.tried)
         if upstream is None:
+            self._log_shortage(job)
             return None
         if job.sends > 0 and not self._budget.try_spend(job.service.name):
             return None
         return upstream
 
+    def _log_shortage(self, job: RelayJob) -> None:
+        """Tell why a request finds no upstream."""
+        shortage = self._chooser.shortage(job.service, job.headers, job.tried)
+        engine = job.service.engine
+        # Callers may name anything as a model.
+        model = engine.model(job.headers.model or "") if engine else None
+        self._log.event(
+            "no_upstream",
+            id=job.headers.request_id,
+            service=job.service.name,
+            model=model.name if model else "",
+            listed=shortage.listed,
+            tried=shortage.tried,
+            **{reason.value: shortage.excluded.get(reason, 0) for reason in Exclusion},
+            evacuated_halls=",".join(shortage.evacuated_halls),
+        )
+
     def may_continue(self, job: RelayJob, result: ExchangeResult) -> bool:
         """Whether the request may be sent again after an exchange without an answer."""
         if isinstance(result, NotSent | Refused):
@@ -183,6 +202,8 @@
             priority=job.priority,
             after=job.last_event_id or "",
         )
+        if self._chooser.is_evacuated(upstream):
+            self._metrics.count_evacuated_send(upstream.hall)
         ticket = self._loads.start(upstream.id, job.headers.prompt_tokens or 0)
         return self._active.begin(upstream.id), ticket
 
--- /dev/null
+++ b/mulleinreach/gateway/request/tests/test_shortage.py
@@ -0,0 +1,90 @@
+"""The log and the metrics tell why a request found no upstream, and what a hall still got."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from mulleinreach.common.log import format_value
+from mulleinreach.gateway.explain import explain_request, parse_line
+from mulleinreach.gateway.ports import Bounds
+from mulleinreach.gateway.tests.desk import answer_whole, refuse
+from mulleinreach.gateway.tests.support import run_world
+from mulleinreach.gateway.tests.traffic import run_traffic
+
+BOUND_S = Bounds.evacuation_s
+
+
+def _keep_lines(world) -> list[str]:
+    """Return the lines that the first node logs from now on, as they are written."""
+    lines = []
+
+    def event(name, **fields):
+        pairs = [f"{key}={format_value(value)}" for key, value in fields.items()]
+        lines.append(" ".join([f"event={name}", *pairs]))
+
+    world.nodes["node-0"].log.event = event
+    return lines
+
+
+def _told(lines: list[str], request: int) -> dict[str, str]:
+    """Return the one line about a request that tells why it found no upstream."""
+    told = [parse_line(line) for line in explain_request(lines, f"request-{request}")]
+    (shortage,) = [line.fields for line in told if line.event == "no_upstream"]
+    return shortage
+
+
+def test_refused_stream_is_explained_by_its_model_s_heads():
+    async def test(world):
+        await world.until_formed()
+        lines = _keep_lines(world)
+        for hall in world.halls:
+            world.evacuate(hall)
+        await asyncio.sleep(BOUND_S)
+        assert (await world.stream(3)).status == 503
+        fields = _told(lines, 1)
+        assert (fields["service"], fields["model"]) == ("models", "large")
+        assert (fields["listed"], fields["evacuated"], fields["lost"]) == ("2", "2", "0")
+        assert fields["evacuated_halls"] == "hall-a,hall-b"
+
+    run_world(test, halls=2, nodes=1, domains=2)
+
+
+@pytest.mark.parametrize("script", [answer_whole, refuse])
+def test_refused_plain_request_is_explained_by_its_service_s_upstreams(script):
+    async def test(world):
+        await world.add_plain("near", answer_whole, "hall-a")
+        await world.add_plain("far", script, "hall-b")
+        await asyncio.sleep(3)
+        lines = _keep_lines(world)
+        world.evacuate("hall-a")
+        await asyncio.sleep(BOUND_S)
+        is_refused = (await world.call("/order/1")).status == 503
+        assert is_refused == (script is refuse)
+        if is_refused:
+            fields = _told(lines, 1)
+            assert (fields["listed"], fields["tried"], fields["evacuated"]) == ("2", "1", "1")
+        else:
+            assert not any("event=no_upstream" in line for line in lines)
+
+    run_world(test, halls=2, nodes=1, domains=0)
+
+
+def test_sends_to_a_hall_that_gives_way_are_counted():
+    def count(node, hall):
+        name = "mulleinreach_gateway_evacuated_sends_total"
+        return node.metrics.registry.get_sample_value(name, {"hall": hall}) or 0
+
+    async def test(world, traffic):
+        node = world.nodes["node-0"]
+        assert count(node, "hall-a") == 0
+        world.evacuate("hall-a")
+        await asyncio.sleep(BOUND_S)
+        sent = count(node, "hall-a")
+        assert sent > 0
+        assert count(node, "hall-b") == 0
+        await asyncio.sleep(2)
+        assert count(node, "hall-a") == sent
+
+    run_traffic(test, nodes=1)
