A coordinator that falls silent while a hall is half emptied is tested too

Seen red, as the other two, with evacuated halls not excluded in a copy. Tests: pytest mulleinreach/gateway/known/tests/test_evacuations.py: green.

--- a/mulleinreach/gateway/known/tests/test_evacuations.py
+++ b/mulleinreach/gateway/known/tests/test_evacuations.py
@@ -104,7 +104,10 @@
     run_traffic(test)
 
 
-@pytest.mark.parametrize("trouble", [kill_coordinator, turn_all_but_one_away])
+HALF_WAY = [kill_coordinator, silence_coordinator, turn_all_but_one_away]
+
+
+@pytest.mark.parametrize("trouble", HALF_WAY)
 def test_trouble_half_way_sends_nothing_back(trouble):
     async def test(world, traffic):
         asked_at = world.clock.now()
