Connections to the store that fall silent are given up together

Cause: a call on a connection that had fallen silent ended within its bound, but the next one took another idle connection, silent as well, and waited in vain again: a renewal of the lease, 0.6 s each, could so lose a lease of 2 s. And a wait for changes under way noticed nothing for 3 s, though renewals were answered meanwhile.

Change: a call that runs out of time makes the next ones use a new session (connections.py); an answer then ends the waits on the old one, which look again at once. A wait whose connection alone was silent looks again if the store has answered another call since. A wait may take 0.6 s beyond what the store was asked to wait (was 1 s).

Ruled out: keep-alives (a second connection's worth of calls, each with its price); new connections for every call; closing the session at once, which would lose answers of writes that are under way on sound connections; asking again at once after each silence (a silent store would be asked twice).

Links.silence may take a part of the connections.

--- a/mulleinreach/platform/process.py
+++ b/mulleinreach/platform/process.py
@@ -29,7 +29,7 @@
 
 def make_ports(settings: PlatformSettings, network: Network) -> Ports:
     """Return the gateway's ports on the platform's services."""
-    store = PlatformStore(network.http_client(), settings.store)
+    store = PlatformStore(network.http_client, settings.store)
     return Ports(
         configurations=PlatformConfigurations(store),
         upstreams=PlatformUpstreams(store),
--- a/mulleinreach/platform/store.py
+++ b/mulleinreach/platform/store.py
@@ -6,18 +6,29 @@
 import base64
 import binascii
 import json
+from collections.abc import Callable
 from dataclasses import dataclass
+from http import HTTPStatus
 
 import aiohttp
 from absl import logging
 
 from mulleinreach.common import Address
 from mulleinreach.gateway.ports import HistoryLost, Unavailable
+from mulleinreach.platform.connections import StoreConnections
 
-CALL_TIMEOUT_S = 1.0
+# A node that starts, or that has to know who coordinates, asks again after it; a node that
+# takes no evidence older than 1.5 s must have asked by then.
+READ_TIMEOUT_S = 1.0
 # A write without an answer is followed by a look at the row. It has to come while a lease of
 # two seconds still holds; a store that is 60 times slower than usual answers within 0.35 s.
 WRITE_TIMEOUT_S = 0.6
+# What a wait for changes may take beyond the time for which the store was asked to wait. The
+# longest wait of two seconds then ends while nodes still may send to an upstream that leaves.
+WAIT_ANSWER_S = 0.6
+# A wait that was in vain is followed by a look at what has changed meanwhile.
+LOOK_S = 0.01
+NEVER = float("-inf")
 PAGE_ROWS = 500
 # What decoding an answer of another shape raises.
 _OTHER_SHAPE = (ValueError, KeyError, TypeError)
@@ -105,12 +116,54 @@
     return Conflict(tuple(RowState(r["table"], r["tls_key"], int(r["ver"])) for r in rows))
 
 
+@dataclass(frozen=True)
+class _Answer:
+    """An answer of the store, undecoded."""
+
+    status: int
+    body: bytes
+
+
+@dataclass(frozen=True)
+class _Silence:
+    """No answer came in time."""
+
+    waited_s: float
+
+    def as_unavailable(self) -> Unavailable:
+        """Return this as the gateway takes it."""
+        return Unavailable(f"no answer in {self.waited_s} s")
+
+
+def _decode_written(answer: _Answer) -> Written | Conflict | Unavailable:
+    """Return what came of a write that was answered."""
+    try:
+        if answer.status == HTTPStatus.PRECONDITION_FAILED:
+            return _decode_conflict(json.loads(answer.body))
+        if answer.status != HTTPStatus.OK:
+            return Unavailable(f"status {answer.status}")
+        return Written(int(json.loads(answer.body)["ver"]))
+    except _OTHER_SHAPE as error:
+        return Unavailable(f"{type(error).__name__}: {error}")
+
+
 class PlatformStore:
-    """One narrow client of the store."""
+    """One narrow client of the store.
+
+    Parameters
+    ==========
 
-    def __init__(self, session: aiohttp.ClientSession, address: Address):
-        self._session = session
+    make_session : makes a session without connections.
+    """
+
+    def __init__(self, make_session: Callable[[], aiohttp.ClientSession], address: Address):
+        self._connections = StoreConnections(make_session)
         self._url = address.url + "/mulleinreach/"
+        self._answered_at = NEVER
+
+    async def close(self) -> None:
+        """End the connections."""
+        await self._connections.close()
 
     async def read_table(self, table: str) -> StoreRows | Unavailable:
         """Return all rows of a table's empty part."""
@@ -140,7 +193,7 @@
         return next((row for row in page.rows if row.key == key), None)
 
     async def _read_page(self, params: dict[str, str]) -> StoreRows | Unavailable:
-        answer = await self._call("rows-get", params, CALL_TIMEOUT_S)
+        answer = self._read_body(await self._ask("GET", "rows-get", READ_TIMEOUT_S, params=params))
         if isinstance(answer, HistoryLost):
             return Unavailable("no rows")
         return self._decode(answer) if isinstance(answer, dict) else answer
@@ -149,13 +202,24 @@
         self, table: str, revision: int, wait_s: float
     ) -> StoreRows | HistoryLost | Unavailable:
         """Return the rows of a table that changed after ``revision``."""
+        asked_at = asyncio.get_running_loop().time()
+        answer = await self._ask_for_changes(table, revision, wait_s)
+        if isinstance(answer, _Silence) and self._answered_at > asked_at:
+            # The store answers other calls, so only this one's connection was silent.
+            answer = await self._ask_for_changes(table, revision, LOOK_S)
+        body = self._read_body(answer)
+        return self._decode(body) if isinstance(body, dict) else body
+
+    async def _ask_for_changes(
+        self, table: str, revision: int, wait_s: float
+    ) -> _Answer | _Silence | Unavailable:
         params = {
             "table": table,
             "after_rev": str(revision),
             "wait_ms": str(int(wait_s * 1000)),
         }
-        answer = await self._call("rows-feed", params, wait_s + CALL_TIMEOUT_S)
-        return self._decode(answer) if isinstance(answer, dict) else answer
+        timeout_s = wait_s + WAIT_ANSWER_S
+        return await self._ask("GET", "rows-feed", timeout_s, is_wait=True, params=params)
 
     async def write_row(
         self, row: RowState, value: dict, unchanged: list[RowState]
@@ -167,32 +231,59 @@
             "puts": [{**_place(row), "value": encoded}],
             "remove": [],
         }
-        try:
-            async with asyncio.timeout(WRITE_TIMEOUT_S):
-                url = self._url + "rows-tx"
-                async with self._session.post(url, json=body) as response:
-                    if response.status == 412:
-                        return _decode_conflict(json.loads(await response.read()))
-                    if response.status != 200:
-                        return Unavailable(f"status {response.status}")
-                    return Written(int(json.loads(await response.read())["ver"]))
-        except (aiohttp.ClientError, OSError, TimeoutError, *_OTHER_SHAPE) as error:
-            return Unavailable(f"{type(error).__name__}: {error}")
-
-    async def _call(
-        self, name: str, params: dict[str, str], timeout_s: float
+        answer = await self._ask("POST", "rows-tx", WRITE_TIMEOUT_S, json=body)
+        if isinstance(answer, _Silence):
+            return answer.as_unavailable()
+        if isinstance(answer, Unavailable):
+            return answer
+        return _decode_written(answer)
+
+    async def _ask(
+        self, method: str, name: str, timeout_s: float, is_wait: bool = False, **options
+    ) -> _Answer | _Silence | Unavailable:
+        """Make one call, within its time.
+
+        Parameters
+        ==========
+
+        is_wait : whether its time is over as soon as its connection is known to be silent.
+        """
+        limit = asyncio.timeout(timeout_s)
+        async with self._connections.session() as session:
+            try:
+                async with limit:
+                    if is_wait:
+                        self._connections.add_wait(limit, session)
+                    async with session.request(method, self._url + name, **options) as response:
+                        answer = _Answer(response.status, await response.read())
+            except TimeoutError:
+                self._connections.note_silence(session)
+                return _Silence(timeout_s)
+            except (aiohttp.ClientError, OSError) as error:
+                return Unavailable(f"{type(error).__name__}: {error}")
+            finally:
+                self._connections.remove_wait(limit)
+        self._answered_at = asyncio.get_running_loop().time()
+        self._connections.note_answer()
+        return answer
+
+    def _read_body(
+        self, answer: _Answer | _Silence | Unavailable
     ) -> dict | HistoryLost | Unavailable:
+        """Return the document that an answer holds."""
+        if isinstance(answer, _Silence):
+            return answer.as_unavailable()
+        if isinstance(answer, Unavailable):
+            return answer
+        if answer.status == HTTPStatus.GONE:
+            return HistoryLost()
+        if answer.status != HTTPStatus.OK:
+            return Unavailable(f"status {answer.status}")
         try:
-            async with asyncio.timeout(timeout_s):
-                async with self._session.get(self._url + name, params=params) as response:
-                    if response.status == 410:
-                        return HistoryLost()
-                    if response.status != 200:
-                        return Unavailable(f"status {response.status}")
-                    answer = json.loads(await response.read())
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+            body = json.loads(answer.body)
+        except ValueError as error:
             return Unavailable(f"{type(error).__name__}: {error}")
-        return answer if isinstance(answer, dict) else Unavailable("not an object")
+        return body if isinstance(body, dict) else Unavailable("not an object")
 
     def _decode(self, answer: dict) -> StoreRows | Unavailable:
         try:
--- a/mulleinreach/platform/tests/test_ports.py
+++ b/mulleinreach/platform/tests/test_ports.py
@@ -126,11 +126,11 @@
         standin = StoreStandIn(memory)
         network = VirtualNetwork(Links(), "test")
         server = await network.serve_http(standin.app(), STORE_ADDRESS)
-        session = network.http_client()
+        store = PlatformStore(network.http_client, STORE_ADDRESS)
         try:
-            await test(kind(memory, (standin, PlatformStore(session, STORE_ADDRESS))))
+            await test(kind(memory, (standin, store)))
         finally:
-            await session.close()
+            await store.close()
             await server.close()
 
     run_virtual(run())
--- a/mulleinreach/standins/links.py
+++ b/mulleinreach/standins/links.py
@@ -28,18 +28,24 @@
         self.cut(first, second)
         self.cut(second, first)
 
-    def silence(self, origins: Collection[str]) -> None:
+    def silence(self, origins: Collection[str], part: slice = slice(None)) -> None:
         """Let connections that some processes opened fall silent for good, without a reset.
 
         New connections work.
+
+        Parameters
+        ==========
+
+        part : which of the connections to one target, in the order in which they were opened.
         """
-        for origin, target in list(self._transports):
+        for (origin, _), transports in self._transports.items():
             if origin not in origins:
                 continue
-            for transport in self._transports.pop((origin, target)):
-                if not transport.is_closing():
-                    transport.write = _drop
-                    transport.pause_reading()
+            silenced = [t for t in transports if not t.is_closing()][part]
+            transports[:] = [t for t in transports if t not in silenced]
+            for transport in silenced:
+                transport.write = _drop
+                transport.pause_reading()
 
     def mend(self) -> None:
         """Join everything again."""
