--- a/mulleinreach/standins/gateway/world.py
+++ b/mulleinreach/standins/gateway/world.py
@@ -245,18 +245,22 @@
         for address in (identity.callers, identity.readiness, identity.peers):
             self.links.names[str(address)] = name
         self.links.accept(name)
-        ports = Ports(
+        network = VirtualNetwork(self.links, name)
+        ports = self.make_ports(network)
+        node = GatewayNode(identity, self._bounds, ports, network, self.clock, seed=self._next_port)
+        self.nodes[name] = node
+        await node.start()
+        return node
+
+    def make_ports(self, network: VirtualNetwork) -> Ports:
+        """Return the ports of one node, whose calls to the store can't be cut."""
+        return Ports(
             MemoryConfigurations(self.store),
             MemoryUpstreams(self.store),
             MemoryLease(self.store),
             self.fabric,
             PlainDialect(),
         )
-        network = VirtualNetwork(self.links, name)
-        node = GatewayNode(identity, self._bounds, ports, network, self.clock, seed=self._next_port)
-        self.nodes[name] = node
-        await node.start()
-        return node
 
     async def kill_node(self, name: str) -> None:
         """End a node as a crash would."""
