Log lines: changes of the list, the longest pause of a stream, why a request counted as late

Cause: a change of the list of upstreams left no line; a stream's longest pause stood in a metric alone; that a request counted as late showed only as priority 9, and a request that was held back and never sent left nothing.

Change: upstreams_changed (counts, five first ids of each kind at most), pause_ms in request_answered, late with caller_wait_ms and first_wait_ms in request_sent, request_held_back where the node decides to hold it back. Rows that don't differ from what is known leave no line.

--- /dev/null
+++ b/mulleinreach/gateway/known/told_changes.py
@@ -0,0 +1,54 @@
+"""Tells in the log how the list of upstreams changes, one line a change."""
+
+from __future__ import annotations
+
+from mulleinreach.common import EventLog
+from mulleinreach.gateway.known.upstreams import ListChange, UpstreamDirectory
+from mulleinreach.gateway.upstream import Upstream
+
+# A line stays readable when a whole hall comes or goes.
+FIRST_IDS = 5
+
+
+def tell_change(log: EventLog, directory: UpstreamDirectory, change: ListChange) -> None:
+    """Log a change that the list is about to take; nothing if it changes no upstream."""
+    known = {upstream.id: directory.get(upstream.id) for upstream in change.upstreams}
+    new = [upstream_id for upstream_id, before in known.items() if before is None]
+    changed = [u.id for u in change.upstreams if known[u.id] not in (None, u)]
+    removed = [gone for gone in change.removed if directory.get(gone) is not None]
+    if not (new or changed or removed):
+        return
+    log.event(
+        "upstreams_changed",
+        revision=change.revision,
+        new=len(new),
+        changed=len(changed),
+        removed=len(removed),
+        first_new=first_ids(new),
+        first_changed=first_ids(changed),
+        first_removed=first_ids(removed),
+    )
+
+
+def tell_whole_list(
+    log: EventLog, directory: UpstreamDirectory, revision: int, upstreams: list[Upstream]
+) -> None:
+    """Log what a whole list changes that is about to be taken."""
+    listed = {upstream.id for upstream in upstreams}
+    removed = [upstream_id for upstream_id in directory.ids() if upstream_id not in listed]
+    tell_change(log, directory, ListChange(revision, upstreams, removed))
+
+
+def first_ids(ids: list[str]) -> str:
+    """Return the first of some ids, as they stand in a line.
+
+    Examples
+    ========
+
+    >>> first_ids(["a", "b"])
+    'a,b'
+    >>> first_ids(["a", "b", "c", "d", "e", "f"])
+    'a,b,c,d,e...'
+    """
+    rest = "..." if len(ids) > FIRST_IDS else ""
+    return ",".join(ids[:FIRST_IDS]) + rest
--- a/mulleinreach/gateway/known/upstream_following.py
+++ b/mulleinreach/gateway/known/upstream_following.py
@@ -20,6 +20,7 @@
     SourceState,
     wait_for_coordinator,
 )
+from mulleinreach.gateway.known.told_changes import tell_change, tell_whole_list
 from mulleinreach.gateway.known.upstreams import ListChange, UpstreamDirectory
 from mulleinreach.gateway.ports import HistoryLost, Unavailable, UpstreamSource, UpstreamsRead
 
@@ -90,6 +91,7 @@
         """Take the coordinator's whole list, unless this node has one of its own."""
         if self._directory.revision is not None:
             return
+        tell_whole_list(self._log, self._directory, whole.revision, whole.upstreams)
         self._directory.replace_all(whole.revision, whole.upstreams, self._clock.now())
         self._must_read_all = False
         self.was_read.set()
@@ -104,6 +106,7 @@
         news = [change for change in changes if change.revision > own]
         self._look_for_outage()
         for change in news:
+            tell_change(self._log, self._directory, change)
             self._directory.apply(change, self._clock.now(), self.keeps_removed())
         if revision > self._directory.revision:
             self._directory.revision = revision
@@ -222,9 +225,11 @@
         self.heard_at = max(self.heard_at, asked_at)
         now, keeps_removed = self._clock.now(), self.keeps_removed()
         if is_full:
+            tell_whole_list(self._log, self._directory, result.revision, result.upstreams)
             self._directory.replace_all(result.revision, result.upstreams, now, keeps_removed)
         else:
             change = ListChange(result.revision, result.upstreams, result.removed)
+            tell_change(self._log, self._directory, change)
             self._directory.apply(change, now, keeps_removed)
         if is_full or result.upstreams or result.removed:
             self._on_change()
--- a/mulleinreach/gateway/known/upstreams.py
+++ b/mulleinreach/gateway/known/upstreams.py
@@ -202,6 +202,10 @@
         """Return an upstream that is on the list."""
         return self._by_id.get(upstream_id)
 
+    def ids(self) -> list[str]:
+        """Return the ids of all upstreams."""
+        return list(self._by_id)
+
     def of_service(self, service: str) -> list[Upstream]:
         """Return all upstreams of a service."""
         return [u for u in self._by_id.values() if u.service == service]
--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -143,6 +143,7 @@
             sends=job.sends,
             events=job.events_sent,
             first_ms=_milliseconds_between(started_at, job.first_event_at),
+            pause_ms=round(job.longest_pause_s * 1000) if job.first_event_at else None,
             ms=round(elapsed_s * 1000),
         )
 
@@ -199,6 +200,7 @@
     async def _relay_stream(self, job: RelayJob) -> web.StreamResponse:
         response: web.StreamResponse | None = None
         if job.service.engine is not None and self._sender.is_late(job):
+            self._sender.tell_held_back(job)
             remaining_s = job.deadline - self._clock.now()
             await self._late_gate.wait(job.service, job.headers, remaining_s)
         while (upstream := self._sender.next_upstream(job)) is not None:
--- a/mulleinreach/gateway/request/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -27,7 +27,7 @@
     Refused,
     UpstreamClient,
 )
-from mulleinreach.gateway.request.urgency import FirstWaits, engine_priority
+from mulleinreach.gateway.request.urgency import FirstWaits, Lateness, engine_priority
 from mulleinreach.gateway.upstream import Upstream
 
 MIN_REMAINING_S = 0.005
@@ -170,7 +170,8 @@
         job.tried.add(upstream.id)
         job.sends += 1
         job.upstream_id = upstream.id
-        job.priority = self._priority(job)
+        lateness = self.lateness(job)
+        job.priority = self._priority(job, lateness.is_late)
         self._log.event(
             "request_sent",
             id=job.headers.request_id,
@@ -178,6 +179,9 @@
             version=job.admitted.configuration.version,
             upstream=upstream.id,
             attempt=job.sends,
+            late=lateness.is_late,
+            caller_wait_ms=round(lateness.caller_wait_s * 1000),
+            first_wait_ms=round(lateness.first_wait_s * 1000),
             running=self._loads.running(upstream.id),
             pending_tokens=self._loads.pending_tokens(upstream.id),
             priority=job.priority,
@@ -256,15 +260,29 @@
                 why=getattr(result, "reason", getattr(result, "status", "")),
             )
 
-    def _priority(self, job: RelayJob) -> int:
-        return engine_priority(
-            job.admitted.priority, self.is_late(job), is_moved=job.events_sent > 0
-        )
+    def _priority(self, job: RelayJob, is_late: bool) -> int:
+        return engine_priority(job.admitted.priority, is_late, is_moved=job.events_sent > 0)
+
+    def lateness(self, job: RelayJob) -> Lateness:
+        """Return whether the answer can't come in time any more, and why."""
+        wait_s = job.caller_gives_up_at - self._clock.now()
+        return self._first_waits.lateness(job.admitted.route, wait_s)
 
     def is_late(self, job: RelayJob) -> bool:
         """Whether the answer can't come in time any more."""
-        wait_s = job.caller_gives_up_at - self._clock.now()
-        return self._first_waits.is_late(job.admitted.route, wait_s)
+        return self.lateness(job).is_late
+
+    def tell_held_back(self, job: RelayJob) -> None:
+        """Log that a request stands back for others, and why."""
+        lateness = self.lateness(job)
+        self._log.event(
+            "request_held_back",
+            id=job.headers.request_id,
+            route=job.admitted.route.name,
+            caller_wait_ms=round(lateness.caller_wait_s * 1000),
+            first_wait_ms=round(lateness.first_wait_s * 1000),
+            objective_ms=round(lateness.objective_s * 1000),
+        )
 
     def _outgoing(self, job: RelayJob, upstream: Upstream, remaining_s: float) -> OutgoingRequest:
         headers = self._dialect.forward_headers(
--- /dev/null
+++ b/mulleinreach/gateway/request/tests/test_request_lines.py
@@ -0,0 +1,49 @@
+"""The lines about a request tell its longest pause, and why it counted as late."""
+
+from __future__ import annotations
+
+import asyncio
+
+from mulleinreach.gateway.request.urgency import ENOUGH_SEEN
+from mulleinreach.gateway.tests.logged import fields_of, keep_events
+from mulleinreach.gateway.tests.support import run_world
+
+STANDSTILL_S = 0.6
+
+
+def test_answered_request_tells_its_longest_pause():
+    async def test(world):
+        await world.until_formed()
+        kept = keep_events(world.nodes["node-0"])
+        asking = asyncio.create_task(world.stream(20))
+        await asyncio.sleep(0.3)
+        hosts = list(world.fabric.hosts.values())
+        for host in hosts:
+            host.is_dark = True
+        await asyncio.sleep(STANDSTILL_S)
+        for host in hosts:
+            host.is_dark = False
+        await asking
+        (line,) = fields_of(kept, "request_answered")
+        assert line["pause_ms"] >= 1000 * STANDSTILL_S * 0.9
+        assert line["ms"] > line["pause_ms"]
+
+    run_world(test, nodes=1)
+
+
+def test_late_request_tells_what_made_it_late():
+    async def test(world):
+        await world.until_formed()
+        for _ in range(ENOUGH_SEEN):
+            await world.stream(1, deadline_s=8.0)
+        kept = keep_events(world.nodes["node-0"])
+        await world.stream(1, deadline_s=8.0)
+        await world.stream(1, deadline_s=6.0)
+        in_time, late = fields_of(kept, "request_sent")
+        assert (in_time["late"], late["late"]) == (False, True)
+        (held_back,) = fields_of(kept, "request_held_back")
+        for line in (late, held_back):
+            assert 5900 < line["caller_wait_ms"] <= 6000
+            assert 7900 < line["first_wait_ms"] <= 8000
+
+    run_world(test, nodes=1)
--- a/mulleinreach/gateway/request/urgency.py
+++ b/mulleinreach/gateway/request/urgency.py
@@ -17,6 +17,7 @@
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import dataclass
 
 from mulleinreach.gateway.model import Route, RouteWait
 
@@ -67,6 +68,34 @@
     return min(HIGHEST_PRIORITY + max(0, priority), LOWEST_PRIORITY)
 
 
+@dataclass(frozen=True)
+class Lateness:
+    """Whether a request counts as late, and why.
+
+    Parameters
+    ==========
+
+    caller_wait_s : how much longer the caller will wait.
+    first_wait_s : what nearly all callers of the route wait for when they first ask; 0 if unknown.
+    objective_s : the route's objective.
+
+    Examples
+    ========
+
+    >>> Lateness(5.0, 6.8, 0.5).is_late, Lateness(6.5, 6.8, 0.5).is_late
+    (True, False)
+    """
+
+    caller_wait_s: float
+    first_wait_s: float
+    objective_s: float
+
+    @property
+    def is_late(self) -> bool:
+        """Whether the answer can't come in time any more."""
+        return self.first_wait_s - self.caller_wait_s > self.objective_s
+
+
 class _RouteWaits:
     """The latest waits of a route's callers."""
 
@@ -138,6 +167,10 @@
         if answered_s <= route.objective_s:
             self._waits.setdefault(route.name, _RouteWaits()).add(wait_s)
 
+    def lateness(self, route: Route, wait_s: float) -> Lateness:
+        """Return how a caller that waits ``wait_s`` more compares with others of its route."""
+        return Lateness(wait_s, self._shortest_first_s(route.name), route.objective_s)
+
     def is_late(self, route: Route, wait_s: float) -> bool:
         """Whether the answer to a caller that waits ``wait_s`` more can't come in time."""
-        return self._shortest_first_s(route.name) - wait_s > route.objective_s
+        return self.lateness(route, wait_s).is_late
--- /dev/null
+++ b/mulleinreach/gateway/tests/logged.py
@@ -0,0 +1,33 @@
+"""Keeps the events that a node logs, for tests of its log lines."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from mulleinreach.gateway.node import GatewayNode
+
+
+@dataclass(frozen=True)
+class LoggedEvent:
+    """An event with its fields."""
+
+    name: str
+    fields: dict[str, object]
+
+
+def keep_events(node: GatewayNode) -> list[LoggedEvent]:
+    """Return a list to which each later event of a node is added."""
+    kept: list[LoggedEvent] = []
+    log = node.log.event
+
+    def event(name: str, **fields: object) -> None:
+        kept.append(LoggedEvent(name, fields))
+        log(name, **fields)
+
+    node.log.event = event
+    return kept
+
+
+def fields_of(kept: list[LoggedEvent], name: str) -> list[dict[str, object]]:
+    """Return the fields of all events of a name."""
+    return [event.fields for event in kept if event.name == name]
