HTTP calls within their time are a shared module; the platform's adapter holds its protocol alone

What bounds a call and gives connections up knows nothing of the platform: common/calls.py. No change of behaviour.

Seen red again after the move: without a new session, without the reschedule, without the look.

--- /dev/null
+++ b/mulleinreach/common/calls.py
@@ -0,0 +1,122 @@
+"""HTTP calls to one service, each within its time, on connections that are given up together.
+
+Explanation
+===========
+
+A connection may fall silent for good without a reset, and then others are likely to be
+silent too: idle ones, on which each next call would run out of time, and those on which a
+wait for changes is under way. So a call that runs out of time makes the next ones use new
+connections. An answer on a new one shows that the service is there, and that waits which
+began on the old ones are waits in vain.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections import Counter
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
+
+import aiohttp
+
+NEVER = float("-inf")
+
+
+@dataclass(frozen=True)
+class HttpAnswer:
+    """A whole answer."""
+
+    status: int
+    body: bytes
+
+
+@dataclass(frozen=True)
+class CallFailed:
+    """The call came to no answer."""
+
+    reason: str
+
+
+@dataclass(frozen=True)
+class CallSilent(CallFailed):
+    """No answer came in time, or the connection was known to be silent before that."""
+
+
+class HttpCalls:
+    """Calls in sessions of which the latest one is used for new calls.
+
+    Parameters
+    ==========
+
+    make_session : makes a session without connections.
+    """
+
+    def __init__(self, make_session: Callable[[], aiohttp.ClientSession]):
+        self._make_session = make_session
+        self._current = make_session()
+        self._calls: Counter[aiohttp.ClientSession] = Counter()
+        self._waits: dict[asyncio.Timeout, aiohttp.ClientSession] = {}
+        # When the latest answer came, on the loop's clock.
+        self.answered_at = NEVER
+
+    async def ask(
+        self, method: str, url: str, timeout_s: float, is_wait: bool = False, **options
+    ) -> HttpAnswer | CallFailed:
+        """Make one call, within its time.
+
+        Parameters
+        ==========
+
+        is_wait : whether its time is over as soon as its connection is known to be silent.
+        options : go to the session as they are.
+        """
+        limit = asyncio.timeout(timeout_s)
+        async with self._session() as session:
+            try:
+                async with limit:
+                    if is_wait:
+                        self._waits[limit] = session
+                    async with session.request(method, url, **options) as response:
+                        answer = HttpAnswer(response.status, await response.read())
+            except TimeoutError:
+                self._note_silence(session)
+                return CallSilent(f"no answer in {timeout_s:g} s")
+            except (aiohttp.ClientError, OSError) as error:
+                return CallFailed(f"{type(error).__name__}: {error}")
+            finally:
+                self._waits.pop(limit, None)
+        self._note_answer()
+        return answer
+
+    @contextlib.asynccontextmanager
+    async def _session(self) -> AsyncIterator[aiohttp.ClientSession]:
+        """Give a session for one call; one that was given up is closed after its last call."""
+        session = self._current
+        self._calls[session] += 1
+        try:
+            yield session
+        finally:
+            self._calls[session] -= 1
+            if not self._calls[session]:
+                del self._calls[session]
+                if session is not self._current:
+                    await session.close()
+
+    def _note_silence(self, session: aiohttp.ClientSession) -> None:
+        """Use new connections after a call in a session ran out of time."""
+        if session is self._current:
+            self._current = self._make_session()
+
+    def _note_answer(self) -> None:
+        """Note that the service answers, and end the waits on connections given up."""
+        now = self.answered_at = asyncio.get_running_loop().time()
+        for limit, session in list(self._waits.items()):
+            if session is not self._current:
+                del self._waits[limit]
+                if not limit.expired():
+                    limit.reschedule(now)
+
+    async def close(self) -> None:
+        """End the connections of the latest session."""
+        await self._current.close()
--- a/mulleinreach/platform/store.py
+++ b/mulleinreach/platform/store.py
@@ -14,11 +14,11 @@
 from absl import logging
 
 from mulleinreach.common import Address
+from mulleinreach.common.calls import CallFailed, CallSilent, HttpAnswer, HttpCalls
 from mulleinreach.gateway.ports import HistoryLost, Unavailable
-from mulleinreach.platform.connections import StoreConnections
 
-# A node that starts, or that has to know who coordinates, asks again after it; a node that
-# takes no evidence older than 1.5 s must have asked by then.
+# Shorter than the 1.5 s after which a node takes its evidence for too old; a node that starts
+# asks again after it.
 READ_TIMEOUT_S = 1.0
 # A write without an answer is followed by a look at the row. It has to come while a lease of
 # two seconds still holds; a store that is 60 times slower than usual answers within 0.35 s.
@@ -28,7 +28,6 @@
 WAIT_ANSWER_S = 0.6
 # A wait that was in vain is followed by a look at what has changed meanwhile.
 LOOK_S = 0.01
-NEVER = float("-inf")
 PAGE_ROWS = 500
 # What decoding an answer of another shape raises.
 _OTHER_SHAPE = (ValueError, KeyError, TypeError)
@@ -116,26 +115,22 @@
     return Conflict(tuple(RowState(r["table"], r["tls_key"], int(r["ver"])) for r in rows))
 
 
-@dataclass(frozen=True)
-class _Answer:
-    """An answer of the store, undecoded."""
-
-    status: int
-    body: bytes
-
-
-@dataclass(frozen=True)
-class _Silence:
-    """No answer came in time."""
-
-    waited_s: float
-
-    def as_unavailable(self) -> Unavailable:
-        """Return this as the gateway takes it."""
-        return Unavailable(f"no answer in {self.waited_s} s")
+def _read_body(answer: HttpAnswer | CallFailed) -> dict | HistoryLost | Unavailable:
+    """Return the document that an answer holds."""
+    if isinstance(answer, CallFailed):
+        return Unavailable(answer.reason)
+    if answer.status == HTTPStatus.GONE:
+        return HistoryLost()
+    if answer.status != HTTPStatus.OK:
+        return Unavailable(f"status {answer.status}")
+    try:
+        body = json.loads(answer.body)
+    except ValueError as error:
+        return Unavailable(f"{type(error).__name__}: {error}")
+    return body if isinstance(body, dict) else Unavailable("not an object")
 
 
-def _decode_written(answer: _Answer) -> Written | Conflict | Unavailable:
+def _decode_written(answer: HttpAnswer) -> Written | Conflict | Unavailable:
     """Return what came of a write that was answered."""
     try:
         if answer.status == HTTPStatus.PRECONDITION_FAILED:
@@ -157,13 +152,12 @@
     """
 
     def __init__(self, make_session: Callable[[], aiohttp.ClientSession], address: Address):
-        self._connections = StoreConnections(make_session)
+        self._calls = HttpCalls(make_session)
         self._url = address.url + "/mulleinreach/"
-        self._answered_at = NEVER
 
     async def close(self) -> None:
         """End the connections."""
-        await self._connections.close()
+        await self._calls.close()
 
     async def read_table(self, table: str) -> StoreRows | Unavailable:
         """Return all rows of a table's empty part."""
@@ -193,7 +187,8 @@
         return next((row for row in page.rows if row.key == key), None)
 
     async def _read_page(self, params: dict[str, str]) -> StoreRows | Unavailable:
-        answer = self._read_body(await self._ask("GET", "rows-get", READ_TIMEOUT_S, params=params))
+        url = self._url + "rows-get"
+        answer = _read_body(await self._calls.ask("GET", url, READ_TIMEOUT_S, params=params))
         if isinstance(answer, HistoryLost):
             return Unavailable("no rows")
         return self._decode(answer) if isinstance(answer, dict) else answer
@@ -204,22 +199,22 @@
         """Return the rows of a table that changed after ``revision``."""
         asked_at = asyncio.get_running_loop().time()
         answer = await self._ask_for_changes(table, revision, wait_s)
-        if isinstance(answer, _Silence) and self._answered_at > asked_at:
+        if isinstance(answer, CallSilent) and self._calls.answered_at > asked_at:
             # The store answers other calls, so only this one's connection was silent.
             answer = await self._ask_for_changes(table, revision, LOOK_S)
-        body = self._read_body(answer)
+        body = _read_body(answer)
         return self._decode(body) if isinstance(body, dict) else body
 
     async def _ask_for_changes(
         self, table: str, revision: int, wait_s: float
-    ) -> _Answer | _Silence | Unavailable:
+    ) -> HttpAnswer | CallFailed:
         params = {
             "table": table,
             "after_rev": str(revision),
             "wait_ms": str(int(wait_s * 1000)),
         }
-        timeout_s = wait_s + WAIT_ANSWER_S
-        return await self._ask("GET", "rows-feed", timeout_s, is_wait=True, params=params)
+        url, timeout_s = self._url + "rows-feed", wait_s + WAIT_ANSWER_S
+        return await self._calls.ask("GET", url, timeout_s, is_wait=True, params=params)
 
     async def write_row(
         self, row: RowState, value: dict, unchanged: list[RowState]
@@ -231,60 +226,11 @@
             "puts": [{**_place(row), "value": encoded}],
             "remove": [],
         }
-        answer = await self._ask("POST", "rows-tx", WRITE_TIMEOUT_S, json=body)
-        if isinstance(answer, _Silence):
-            return answer.as_unavailable()
-        if isinstance(answer, Unavailable):
-            return answer
+        answer = await self._calls.ask("POST", self._url + "rows-tx", WRITE_TIMEOUT_S, json=body)
+        if isinstance(answer, CallFailed):
+            return Unavailable(answer.reason)
         return _decode_written(answer)
 
-    async def _ask(
-        self, method: str, name: str, timeout_s: float, is_wait: bool = False, **options
-    ) -> _Answer | _Silence | Unavailable:
-        """Make one call, within its time.
-
-        Parameters
-        ==========
-
-        is_wait : whether its time is over as soon as its connection is known to be silent.
-        """
-        limit = asyncio.timeout(timeout_s)
-        async with self._connections.session() as session:
-            try:
-                async with limit:
-                    if is_wait:
-                        self._connections.add_wait(limit, session)
-                    async with session.request(method, self._url + name, **options) as response:
-                        answer = _Answer(response.status, await response.read())
-            except TimeoutError:
-                self._connections.note_silence(session)
-                return _Silence(timeout_s)
-            except (aiohttp.ClientError, OSError) as error:
-                return Unavailable(f"{type(error).__name__}: {error}")
-            finally:
-                self._connections.remove_wait(limit)
-        self._answered_at = asyncio.get_running_loop().time()
-        self._connections.note_answer()
-        return answer
-
-    def _read_body(
-        self, answer: _Answer | _Silence | Unavailable
-    ) -> dict | HistoryLost | Unavailable:
-        """Return the document that an answer holds."""
-        if isinstance(answer, _Silence):
-            return answer.as_unavailable()
-        if isinstance(answer, Unavailable):
-            return answer
-        if answer.status == HTTPStatus.GONE:
-            return HistoryLost()
-        if answer.status != HTTPStatus.OK:
-            return Unavailable(f"status {answer.status}")
-        try:
-            body = json.loads(answer.body)
-        except ValueError as error:
-            return Unavailable(f"{type(error).__name__}: {error}")
-        return body if isinstance(body, dict) else Unavailable("not an object")
-
     def _decode(self, answer: dict) -> StoreRows | Unavailable:
         try:
             rows = [decode_row(raw) for raw in answer["rows"]]
