Nodes with narrow links ask later for the lease; the hub tells when it heard which node

Cause: only processor time counted in who coordinates, though a coordinator answers every node five times a second; and nobody could tell for how long the nodes of a hall had been silent. Change: the scarcer of processor time and link decides the delay; node reports name their hall; the hub keeps each node's latest report for some seconds after its connection ended. Ruled out: adding both delays up (a node short of both is as quick as the scarcer one). Tests: doctests of election.py; coordination's tests pass.

--- a/mulleinreach/gateway/coordination/hub.py
+++ b/mulleinreach/gateway/coordination/hub.py
@@ -44,6 +44,9 @@
 # A node that can read the store has by then noticed that its evidence is old (1.5 s),
 # has read and asked for the lease (0.3 s), and has left a coordinator that resigned.
 REPLACED_BY_S = 2.0
+# A hall that fails is found within some seconds of its nodes' last reports. Nodes that were
+# taken away should not count for longer.
+HEARD_MEMORY_S = 5.0
 
 
 def report_interval_s(node_count: int) -> float:
@@ -51,6 +54,26 @@
     return REPORT_INTERVAL_S if node_count <= LARGE_NODES else LARGE_INTERVAL_S
 
 
+@dataclass(frozen=True)
+class HeardNode:
+    """A node as it was heard last; its connection may have ended since then.
+
+    Parameters
+    ==========
+
+    silent_s : time since its latest report; 0 at the coordinator itself.
+    """
+
+    report: NodeReport
+    silent_s: float
+
+
+@dataclass(frozen=True)
+class _Heard:
+    report: NodeReport
+    at: float
+
+
 @dataclass
 class _Member:
     """A node that is connected to this coordinator."""
@@ -136,6 +159,7 @@
         self._knowledge = knowledge
         self._own_report = own_report
         self._members: dict[object, _Member] = {}
+        self._heard: dict[str, _Heard] = {}
         self._server: asyncio.AbstractServer | None = None
         self._told_heads: list[OpenHead] = []
         self._round = 0
@@ -270,6 +294,20 @@
             m.report for m in self._members.values() if m.report is not None
         ]
 
+    def heard_nodes(self) -> list[HeardNode]:
+        """Return the nodes that were heard lately, connected or not, our own first."""
+        now = self._clock.now()
+        self._heard = {n: h for n, h in self._heard.items() if now - h.at <= HEARD_MEMORY_S}
+        others = [HeardNode(heard.report, now - heard.at) for heard in self._heard.values()]
+        return [HeardNode(self._own_report(), 0.0), *others]
+
+    def _note_heard(self, report: NodeReport) -> None:
+        """Note when a node was heard; one that stops as planned is silent from then on."""
+        if report.is_stopping:
+            self._heard.pop(report.node, None)
+        else:
+            self._heard[report.node] = _Heard(report, self._clock.now())
+
     def _take_successor(self, successor: Successor) -> None:
         """Take the word of a new coordinator, which has read this one's secret in the row."""
         if successor.token > self._lease.token:
@@ -292,6 +330,7 @@
                     return
                 is_first = member.report is None
                 member.report = report
+                self._note_heard(report)
                 if is_first and self._latest_totals is not None:
                     # What a node knows at its start it should know at once.
                     self._report_to(member, self._latest_totals)
--- a/mulleinreach/gateway/coordination/membership.py
+++ b/mulleinreach/gateway/coordination/membership.py
@@ -28,6 +28,7 @@
 from mulleinreach.gateway.coordination.hub import (
     MAX_BUFFERED_BYTES,
     SILENCE_S,
+    HeardNode,
     Knowledge,
     MemberHub,
     report_interval_s,
@@ -48,7 +49,7 @@
 )
 from mulleinreach.gateway.coordination.succession import CONNECT_S, tell_replaced
 from mulleinreach.gateway.known.load import LoadBook, LoadReport
-from mulleinreach.gateway.ports import LeaseRecord
+from mulleinreach.gateway.ports import GatewayIdentity, LeaseRecord
 
 OWN_REPORTS_KEPT = 40
 RETRY_S = 0.3
@@ -85,37 +86,33 @@
     Parameters
     ==========
 
-    processor_cores : how much processor time this node may use.
+    identity : who this node is, and where the others reach it.
     coordinate : runs for as long as the lease is held; cancelled when it is lost.
     knowledge : what is passed on.
     """
 
     def __init__(
         self,
-        name: str,
-        processor_cores: float,
+        identity: GatewayIdentity,
         lease: CoordinatorLease,
         loads: LoadBook,
         network: Network,
-        address: Address,
         clock: Clock,
         log: EventLog,
         rng: random.Random,
         coordinate: Callable[[], Awaitable[None]],
         knowledge: Knowledge,
     ):
-        self._name = name
-        self._processor_cores = processor_cores
+        self._identity = identity
         self._lease = lease
         self._loads = loads
         self._network = network
-        self._address = address
         self._clock = clock
         self._log = log
         self._rng = rng
         self._coordinate = coordinate
         self._knowledge = knowledge
-        self._hub = MemberHub(lease, network, address, clock, knowledge, self._own_report)
+        self._hub = MemberHub(lease, network, identity.peers, clock, knowledge, self._own_report)
         self._seq = 0
         self._sent: deque[tuple[int, float, list[LoadReport]]] = deque(maxlen=OWN_REPORTS_KEPT)
         self._resignation: Resignation | None = None
@@ -149,6 +146,10 @@
         """Return the latest report of each node, our own first."""
         return self._hub.node_reports()
 
+    def heard_nodes(self) -> list[HeardNode]:
+        """Return the nodes that were heard lately, our own first."""
+        return self._hub.heard_nodes()
+
     async def run(self) -> None:
         """Take part for ever."""
         while True:
@@ -214,12 +215,12 @@
 
     async def _hold_after(self, replaced: LeaseRecord | None) -> None:
         """Coordinate, and tell the holder of an earlier record, if that was another node."""
-        if replaced is None or replaced.address == str(self._address):
+        if replaced is None or replaced.address == str(self._identity.peers):
             await self._hold()
             return
         own = self._lease.as_successor()
         telling = asyncio.create_task(
-            tell_replaced(replaced, own, self._name, self._network, self._log)
+            tell_replaced(replaced, own, self._identity.name, self._network, self._log)
         )
         try:
             await self._hold()
@@ -227,7 +228,7 @@
             telling.cancel()
 
     def _election_delay_s(self) -> float:
-        return election_delay_s(self._processor_cores, self._rng)
+        return election_delay_s(self._identity, self._rng)
 
     # At the coordinator.
 
@@ -329,13 +330,14 @@
     def _own_report(self) -> NodeReport:
         loads = self._loads.own_reports()
         return NodeReport(
-            self._name,
+            self._identity.name,
             loads,
             self.is_stopping,
             self._lease.secret,
             self._seq,
             self._knowledge.list_revision(),
             self._knowledge.configuration_version(),
+            hall=self._identity.hall,
         )
 
     # At the other nodes.
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -197,12 +197,10 @@
             self.log,
         )
         self.coordination = Coordination(
-            self.identity.name,
-            self.identity.processor_cores,
+            self.identity,
             self.lease,
             self.loads,
             self.network,
-            self.identity.peers,
             self.clock,
             self.log,
             self.rng,
