The coordinator finds that a whole hall is down, and tells all its upstreams as lost at once

Cause: each group of a hall without power was found silent by itself, its members were asked one by one, and plain upstreams there were never told. Stand-ins can lose a hall without a reset of its connections. Ruled out: counting the last reports of silent nodes (they show progress that there is no more); a finding with two halls only (a coordinator that is cut off could not tell).

--- a/mulleinreach/gateway/fleet/controller.py
+++ b/mulleinreach/gateway/fleet/controller.py
@@ -16,15 +16,17 @@
 from dataclasses import dataclass
 
 from mulleinreach.common import Clock, EventLog
+from mulleinreach.gateway.coordination.hub import HeardNode
 from mulleinreach.gateway.coordination.messages import OpenHead
 from mulleinreach.gateway.fleet.duties import HostDuties
 from mulleinreach.gateway.fleet.formation import GroupOperator
+from mulleinreach.gateway.fleet.halls import HallWatch
 from mulleinreach.gateway.fleet.hosts import HostBook
 from mulleinreach.gateway.fleet.placement import Placement
 from mulleinreach.gateway.fleet.watch import GroupWatch
 from mulleinreach.gateway.known.following import ConfigurationInForce
 from mulleinreach.gateway.known.load import LoadReport
-from mulleinreach.gateway.known.upstreams import collect_groups, open_heads
+from mulleinreach.gateway.known.upstreams import Head, collect_groups, open_heads
 from mulleinreach.gateway.model import Service
 
 TICK_S = 0.1
@@ -39,7 +41,7 @@
     ==========
 
     heads : the groups that take requests.
-    lost : hosts that give no answer.
+    lost : upstreams that give no answer, or whose hall gives none.
     retiring : heads that finish their work and take nothing new.
     """
 
@@ -54,7 +56,9 @@
     Parameters
     ==========
 
+    hall : the hall of this node.
     loads : returns the load of all nodes together.
+    nodes : returns the nodes that were heard lately.
     is_first_holder : whether no other life of a node has coordinated before.
     read_anew : reads the whole list of hosts; what an earlier coordinator did last
         must be seen before anything is decided.
@@ -62,10 +66,12 @@
 
     def __init__(
         self,
+        hall: str,
         hosts: HostBook,
         operator: GroupOperator,
         in_force: ConfigurationInForce,
         loads: Callable[[], list[LoadReport]],
+        nodes: Callable[[], list[HeardNode]],
         is_first_holder: Callable[[], bool],
         read_anew: Callable[[], Awaitable[bool]],
         clock: Clock,
@@ -80,6 +86,7 @@
         self._read_anew = read_anew
         self._duties = HostDuties(hosts, log)
         self._placement = Placement(hosts, operator, self._duties, clock, log)
+        self._halls = HallWatch(hall, hosts, operator, self._duties, nodes, clock, log)
         self._watch = GroupWatch(hosts, operator, self._placement, self._duties, loads, clock, log)
 
     def notify(self) -> None:
@@ -95,6 +102,7 @@
                 self._log.event("list_unread", why="the store gave no answer")
             self._hosts.begin_term(self._is_first_holder())
             while True:
+                self._halls.look(self._open_heads())
                 for service in self._model_services():
                     self._look_at(service)
                 await asyncio.sleep(MIN_TICK_S)
@@ -106,6 +114,7 @@
                     continue
         finally:
             self._hosts.end_moves()
+            self._halls.end_term()
             await self._duties.close()
 
     def _model_services(self) -> list[Service]:
@@ -114,6 +123,14 @@
             return []
         return [s for s in configuration.services.values() if s.engine and s.engine.models]
 
+    def _open_heads(self) -> list[Head]:
+        """Return the open groups of all services, those of lost hosts too."""
+        return [
+            head
+            for service in self._model_services()
+            for head in open_heads(self._hosts.listed(service.name))
+        ]
+
     def describe(self) -> FleetView:
         """Return what all nodes should know of groups and hosts."""
         retiring = self._hosts.retiring_heads()
--- a/mulleinreach/gateway/fleet/formation.py
+++ b/mulleinreach/gateway/fleet/formation.py
@@ -177,6 +177,8 @@
     ) -> bool:
         for _ in range(ORDER_TRIES):
             self._check_lease()
+            if self._hosts.is_lost(member.id):
+                return False
             result = await self._orders.join(member, name, epoch, model, ids, self._lease.token)
             self._take_result("join", member, name, result)
             if isinstance(result, Accepted):
@@ -194,6 +196,8 @@
         """Have a host load a model's weights beside its work; returns whether it has them."""
         for _ in range(ORDER_TRIES):
             self._check_lease()
+            if self._hosts.is_lost(host.id):
+                return False
             result = await self._orders.stage(host, model, self._lease.token)
             self._take_result("stage", host, "", result)
             if not isinstance(result, NoAnswer):
@@ -249,6 +253,8 @@
     async def _leave(self, member: Upstream, group: Group) -> bool:
         for _ in range(ORDER_TRIES):
             self._check_lease()
+            if self._hosts.is_lost(member.id):
+                return False
             result = await self._orders.leave(member, group.name, group.epoch, self._lease.token)
             self._take_result("leave", member, group.name, result)
             if isinstance(result, Accepted):
--- a/mulleinreach/gateway/fleet/hosts.py
+++ b/mulleinreach/gateway/fleet/hosts.py
@@ -72,7 +72,8 @@
     Explanation
     ===========
 
-    A host is *lost* when it gave no answer while its group stood still. A host
+    A host is *lost* when it gave no answer while its group stood still, or when its whole
+    hall is down; plain upstreams are lost with their hall alone. A host
     that is on no list any more is remembered for a while, since it may still run.
     """
 
@@ -93,6 +94,8 @@
         self._settled_at = NEVER
         self.forming: dict[int, Forming] = {}
         self.busy: set[str] = set()
+        # Halls of which nothing answers.
+        self.down_halls: set[str] = set()
 
     def refresh(self, service: str) -> None:
         """Take in the latest list."""
@@ -147,15 +150,48 @@
         self._lost_at[host] = self._clock.now()
 
     def is_lost(self, host: str) -> bool:
-        """Whether a host was found to give no answer."""
-        return host in self._lost_at
+        """Whether a host was found to give no answer, alone or with its hall."""
+        return host in self._lost_at or self.is_in_down_hall(host)
 
     def lost(self) -> list[str]:
-        """Return the hosts that give no answer."""
+        """Return the upstreams that give no answer, plain ones too."""
+        in_halls = [u for hall in sorted(self.down_halls) for u in self.rows_of_hall(hall)]
+        return list(dict.fromkeys(self.lost_alone() + in_halls))
+
+    def lost_alone(self) -> list[str]:
+        """Return the hosts that were found to give no answer, each by itself."""
         oldest = self._clock.now() - LOST_MEMORY_S
         self._lost_at = {h: at for h, at in self._lost_at.items() if at > oldest}
         return list(self._lost_at)
 
+    # Halls.
+
+    def rows_of_hall(self, hall: str) -> dict[str, Upstream]:
+        """Return the upstreams of a hall that are on the list, by id."""
+        whole = self._directory.whole()
+        return {u.id: u for u in whole.upstreams if u.hall == hall} if whole else {}
+
+    def is_in_down_hall(self, host: str) -> bool:
+        """Whether a host stands in a hall that is down."""
+        known = self.get(host) if self.down_halls else None
+        return known is not None and known.hall in self.down_halls
+
+    def mark_hall_down(self, hall: str) -> None:
+        """Note that nothing in a hall answers."""
+        self.down_halls.add(hall)
+
+    def mark_hall_up(self, hall: str, back: set[str]) -> None:
+        """Note that something in a hall answers again.
+
+        Hosts that have not shown themselves yet, as those ``back`` have, stay lost until they do.
+        """
+        self.down_halls.discard(hall)
+        for host, upstream in self.rows_of_hall(hall).items():
+            if host in back:
+                self._lost_at.pop(host, None)
+            elif upstream.domain is not None:
+                self.mark_lost(host)
+
     def last_model(self, host: str) -> str | None:
         """Return the model of a host's last group, as far as this coordinator can tell.
 
@@ -187,7 +223,7 @@
         return [
             u
             for u in self._directory.of_service(service)
-            if u.state is UpstreamState.READY and u.id not in self._lost_at
+            if u.state is UpstreamState.READY and not self.is_lost(u.id)
         ]
 
     def listed(self, service: str) -> list[Upstream]:
@@ -204,7 +240,7 @@
 
     def has_lost_member(self, group: Group) -> bool:
         """Whether a member of a group was found to give no answer."""
-        return any(member.id in self._lost_at for member in group.members.values())
+        return any(self.is_lost(member.id) for member in group.members.values())
 
     # Groups.
 
--- /dev/null
+++ b/mulleinreach/gateway/fleet/tests/test_halls.py
@@ -0,0 +1,254 @@
+"""A hall that fails as a whole is found at once, and used again once it is back."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+
+from mulleinreach.gateway.coordination.hub import HeardNode
+from mulleinreach.gateway.coordination.messages import NodeReport
+from mulleinreach.gateway.fleet.halls import failed_halls, hall_signs
+from mulleinreach.gateway.known.load import LoadReport
+from mulleinreach.gateway.known.upstreams import Head
+from mulleinreach.gateway.node import GatewayNode
+from mulleinreach.gateway.tests.support import run_world
+from mulleinreach.gateway.upstream import MemberState
+from mulleinreach.standins.gateway.hosts import HostStandIn, make_upstream
+from mulleinreach.standins.gateway.store import UPSTREAMS
+from mulleinreach.standins.gateway.world import (
+    LARGE,
+    MODEL_SERVICE,
+    PROFILE,
+    SMALL,
+    CallerAnswer,
+    GatewayWorld,
+)
+
+HALLS = {"halls": 3, "nodes": 6, "domains": 6}
+FOUND_S = 1.0
+# The lease of a coordinator that has failed is free after three and a half seconds.
+FOUND_ANEW_S = 5.0
+COLD_S = 6.0
+
+
+class _Callers:
+    """Callers of all nodes, who ask for streams for ever and go away with their node."""
+
+    def __init__(self, world: GatewayWorld):
+        self._world = world
+        self.answers: list[CallerAnswer] = []
+        self._asking = [asyncio.create_task(self._ask(name)) for name in world.nodes]
+        self._running: set[asyncio.Task] = set()
+
+    async def _ask(self, node: str) -> None:
+        while node in self._world.nodes:
+            for model in (LARGE, SMALL):
+                self._running.add(asyncio.create_task(self._stream(model, node)))
+            await asyncio.sleep(0.05)
+
+    async def _stream(self, model: str, node: str) -> None:
+        if node in self._world.nodes:
+            self.answers.append(await self._world.stream(20, model=model, node=node))
+
+    def stop(self) -> None:
+        for task in {*self._asking, *self._running}:
+            task.cancel()
+
+
+async def _serve(world: GatewayWorld) -> _Callers:
+    """Have all groups formed, and requests run at them for a while."""
+    await world.until_formed()
+    await asyncio.sleep(4)
+    callers = _Callers(world)
+    await asyncio.sleep(2)
+    return callers
+
+
+def _hall_of_coordinator(world: GatewayWorld) -> str:
+    return world.nodes[world.coordinator()].identity.hall
+
+
+def _another_hall(world: GatewayWorld) -> str:
+    return next(hall for hall in world.halls if hall != _hall_of_coordinator(world))
+
+
+def _is_told_lost(world: GatewayWorld, hall: str) -> bool:
+    """Whether all living nodes pass over all upstreams of a hall."""
+    lost = {upstream.id for upstream in world.upstreams_in(hall)}
+    return all(lost <= node.eligibility.lost for node in world.nodes.values())
+
+
+def _orders_into(world: GatewayWorld, hall: str) -> int:
+    hosts = {host.id for host in world.hosts_in(hall)}
+    return sum(host in hosts for orders in world.fabric.orders_by_token.values() for host in orders)
+
+
+@pytest.mark.parametrize("loses_coordinator", [False, True])
+def test_hall_that_fails_is_lost_as_a_whole_and_gets_no_orders(loses_coordinator):
+    async def test(world):
+        plain = await world.add_plain("desk-1", _never, hall=_another_hall(world))
+        if loses_coordinator:
+            plain = await world.add_plain("desk-2", _never, hall=_hall_of_coordinator(world))
+        callers = await _serve(world)
+        hall = plain.upstream.hall
+        await world.lose_hall(hall)
+        found_s = await world.until(lambda: _is_told_lost(world, hall))
+        orders = _orders_into(world, hall)
+        await asyncio.sleep(5)
+        assert _orders_into(world, hall) == orders
+        assert _is_told_lost(world, hall)
+        callers.stop()
+        assert found_s < (FOUND_ANEW_S if loses_coordinator else FOUND_S)
+
+    run_world(test, **HALLS)
+
+
+async def _never(request) -> None:
+    await asyncio.sleep(3600)
+
+
+def test_slow_hall_with_a_silent_node_and_a_group_that_stands_still_is_not_down():
+    async def test(world):
+        callers = await _serve(world)
+        hall = _another_hall(world)
+        for host in world.hosts_in(hall):
+            host.pace = 4.0
+        await world.kill_node(next(n for n, node in world.nodes.items() if _is_in(node, hall)))
+        _an_open_head(world, hall).is_dark = True
+        assert await _down_halls_within(world, 3) == set()
+        callers.stop()
+
+    run_world(test, **HALLS)
+
+
+def test_coordinator_whose_hall_is_cut_off_finds_nothing():
+    async def test(world):
+        callers = await _serve(world)
+        own = _hall_of_coordinator(world)
+        inside = [name for name, node in world.nodes.items() if _is_in(node, own)]
+        outside = [name for name in world.nodes if name not in inside]
+        hosts = [host.id for host in world.fabric.hosts.values() if host.upstream.hall != own]
+        for name in inside:
+            for other in outside:
+                world.links.cut_both(name, other)
+            for host in hosts:
+                world.links.cut(name, host)
+        assert await _down_halls_within(world, 2) == set()
+        callers.stop()
+
+    run_world(test, **HALLS)
+
+
+def _is_in(node: GatewayNode, hall: str) -> bool:
+    return node.identity.hall == hall
+
+
+def _an_open_head(world: GatewayWorld, hall: str) -> HostStandIn:
+    return next(
+        host
+        for host in world.hosts_in(hall)
+        if host.standing is not None and host.standing.state is MemberState.OPEN
+    )
+
+
+async def _down_halls_within(world: GatewayWorld, seconds: float) -> set[str]:
+    """Return the halls that any node finds to be down within some seconds."""
+    found: set[str] = set()
+    until = world.clock.now() + seconds
+    while world.clock.now() < until:
+        for node in world.nodes.values():
+            found |= node.hosts.down_halls
+        await asyncio.sleep(0.02)
+    return found
+
+
+@pytest.mark.parametrize("is_replaced", [False, True])
+def test_hosts_of_a_hall_that_is_back_serve_again_without_haste(is_replaced):
+    async def test(world):
+        callers = await _serve(world)
+        hall = _another_hall(world)
+        before = sum(world.open_groups(model) for model in (LARGE, SMALL))
+        lost = world.hosts_in(hall)
+        await world.lose_hall(hall)
+        await world.until(lambda: _is_told_lost(world, hall))
+        await asyncio.sleep(3)
+        for host in lost:
+            await _come_back(world, host, is_replaced)
+        most_loads = 0
+        until = world.clock.now() + 10
+        while world.clock.now() < until:
+            most_loads = max(most_loads, sum(map(_is_loading, world.hosts_in(hall))))
+            retiring = [node.hosts.retiring_heads() for node in world.nodes.values()]
+            assert not any(retiring)
+            await asyncio.sleep(0.05)
+        assert sum(world.open_groups(model) for model in (LARGE, SMALL)) >= before
+        assert most_loads <= PROFILE.loads_at_once
+        callers.stop()
+
+    run_world(test, **HALLS)
+
+
+async def _come_back(world: GatewayWorld, host: HostStandIn, is_replaced: bool) -> None:
+    """Start a host again after a loss of power, under the same id or under a new one."""
+    if is_replaced:
+        world.store.put(UPSTREAMS, host.id, None)
+        upstream = host.upstream
+        host = await world.add_host(f"{host.id}-anew", upstream.domain, upstream.hall)
+    host.is_dark, host.standing, host.last_model = False, None, None
+    host.turn_cold(COLD_S)
+
+
+def _is_loading(host: HostStandIn) -> bool:
+    """Whether a host loads weights that it doesn't have."""
+    standing = host.standing
+    if host.is_dark or standing is None or standing.state is not MemberState.JOINING:
+        return False
+    return standing.model not in host.upstream.staged
+
+
+# The signs, one by one.
+
+STILL = LoadReport("", 2, 0, 2.0, 2.0)
+MOVING = LoadReport("", 2, 0, 0.05, 2.0)
+JUST_SENT = LoadReport("", 1, 0, 1000.0, 0.1)
+
+
+def _is_found(loads: list[LoadReport], nodes_silent_s: list[float], third=MOVING) -> bool:
+    """Whether hall ``a`` is found to be down by the loads of its heads and by its nodes."""
+    heads = [
+        Head(make_upstream(f"a{n}", MODEL_SERVICE, n, "d", "a"), f"g{n}", 1, LARGE)
+        for n in range(4)
+    ]
+    told = {f"a{n}": load for n, load in enumerate(loads)}
+    nodes = [HeardNode(NodeReport(f"n{n}", [], hall="a"), s) for n, s in enumerate(nodes_silent_s)]
+    signs = [hall_signs("a", heads, told, set(), nodes)]
+    for hall, load in (("b", MOVING), ("c", third)):
+        head = Head(make_upstream(hall, MODEL_SERVICE, 9, "d", hall), hall, 1, LARGE)
+        signs.append(hall_signs(hall, [head], {hall: load}, set(), nodes))
+    return [found.hall for found in failed_halls(signs, own_hall="b")] == ["a"]
+
+
+@pytest.mark.parametrize(
+    ("loads", "nodes_silent_s", "is_down"),
+    [
+        ([STILL, STILL], [0.7, 0.8], True),
+        ([STILL, STILL, JUST_SENT], [0.7, 0.8], True),
+        ([STILL, STILL, STILL, MOVING], [0.7, 0.8], False),
+        ([STILL, STILL, STILL, STILL], [0.7, 0.2], False),
+        ([STILL], [0.7, 0.8], False),
+        ([JUST_SENT, JUST_SENT], [0.7, 0.8], False),
+        ([], [0.7, 0.8], False),
+        ([STILL, STILL], [], True),
+        ([STILL], [], False),
+        ([replace(STILL, oldest_s=0.5)] * 4, [], False),
+    ],
+)
+def test_signs_of_a_hall_that_has_failed(loads, nodes_silent_s, is_down):
+    assert _is_found(loads, nodes_silent_s) is is_down
+
+
+def test_nothing_is_found_unless_a_third_hall_is_alive():
+    assert _is_found([STILL, STILL], [0.7])
+    assert not _is_found([STILL, STILL], [0.7], third=STILL)
--- a/mulleinreach/gateway/fleet/watch.py
+++ b/mulleinreach/gateway/fleet/watch.py
@@ -80,7 +80,7 @@
         loads: dict[str, LoadReport],
     ) -> None:
         """Decide whether a group goes on, is opened, asked or ended."""
-        if self._is_busy(group) or self._has_ended(key, group):
+        if self._is_in_down_hall(group) or self._is_busy(group) or self._has_ended(key, group):
             return
         model = engine.model(group.model) if group.model else None
         if model is None or is_standby(group):
@@ -163,6 +163,9 @@
         ]
         return not (self._hosts.may_end_again(key) and (is_open or bound))
 
+    def _is_in_down_hall(self, group: Group) -> bool:
+        return any(self._hosts.is_in_down_hall(member.id) for member in group.members.values())
+
     def _is_busy(self, group: Group) -> bool:
         return any(member.id in self._hosts.busy for member in group.members.values())
 
@@ -268,10 +271,12 @@
     def recheck_lost(self) -> None:
         """Ask lost hosts that are still listed whether they are back."""
         now = self._clock.now()
-        for host in self._hosts.lost():
+        for host in self._hosts.lost_alone():
             known = self._hosts.get(host)
             if known is None or not self._hosts.is_listed(host):
                 continue
+            if self._hosts.is_in_down_hall(host):
+                continue
             if now - self._rechecked_at.get(host, float("-inf")) > RECHECK_LOST_S:
                 self._rechecked_at[host] = now
                 self._duties.spawn_question(self._operator.probe(known))
--- a/mulleinreach/gateway/metrics.py
+++ b/mulleinreach/gateway/metrics.py
@@ -42,6 +42,9 @@
             "evidence_age_seconds", "Age of the evidence that the configuration is the newest"
         )
         self.evacuated_halls = self._gauge("evacuated_halls", "Halls that are to be empty")
+        self.halls_down = self._gauge(
+            "halls_down", "Halls of which nothing answers, as found by this coordinator"
+        )
         self.open_groups = self._gauge("open_groups", "Heads that this node may send to")
 
     def _counter(self, name: str, text: str, labels: list[str]) -> Counter:
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -187,10 +187,12 @@
             self.log,
         )
         self.controller = FleetController(
+            self.identity.hall,
             self.hosts,
             self.operator,
             self.in_force,
             self._all_loads,
+            lambda: self.coordination.heard_nodes(),
             lambda: self.lease.token == 1,
             self.follower.read_anew,
             self.clock,
@@ -315,6 +317,7 @@
         self.metrics.holds_lease.set(self.lease.is_held())
         self.metrics.evidence_age.set(self.in_force.evidence_age_s())
         self.metrics.open_groups.set(len(self.chooser.opened()))
+        self.metrics.halls_down.set(len(self.hosts.down_halls))
         self.metrics.evacuated_halls.set(len(self.in_force.evacuations.halls))
         body = generate_latest(self.metrics.registry)
         return web.Response(body=body, headers={"Content-Type": CONTENT_TYPE_LATEST})
--- a/mulleinreach/standins/gateway/world.py
+++ b/mulleinreach/standins/gateway/world.py
@@ -263,6 +263,23 @@
         self.links.refuse(name)
         await self.nodes.pop(name).kill()
 
+    async def lose_hall(self, hall: str) -> None:
+        """Cut the power of a hall: its nodes and hosts fall silent in one moment."""
+        for host in self.hosts_in(hall):
+            host.is_dark = True
+        names = [name for name, node in self.nodes.items() if node.identity.hall == hall]
+        self.links.darken(names)
+        await asyncio.gather(*(self.nodes.pop(name).kill() for name in names))
+
+    def hosts_in(self, hall: str) -> list[HostStandIn]:
+        """Return the hosts that stand in a hall."""
+        return [host for host in self.fabric.hosts.values() if host.upstream.hall == hall]
+
+    def upstreams_in(self, hall: str) -> list[Upstream]:
+        """Return the upstreams of all services that stand in a hall."""
+        standins = [*self.fabric.hosts.values(), *self.plain.values()]
+        return [s.upstream for s in standins if s.upstream.hall == hall]
+
     def coordinator(self) -> str | None:
         """Return the name of the node that holds the lease."""
         return next((n for n, node in self.nodes.items() if node.lease.is_held()), None)
--- a/mulleinreach/standins/links.py
+++ b/mulleinreach/standins/links.py
@@ -15,6 +15,7 @@
         self.names: dict[str, str] = {}
         self._cuts: set[tuple[str, str]] = set()
         self._refusing: set[str] = set()
+        self._dark: set[str] = set()
         self._transports: dict[tuple[str, str], list[asyncio.Transport]] = {}
 
     def cut(self, origin: str, target: str) -> None:
@@ -41,9 +42,24 @@
                     transport.write = _drop
                     transport.pause_reading()
 
+    def darken(self, names: Collection[str]) -> None:
+        """Let some processes lose power: nothing comes from them any more, not even a reset."""
+        self._dark.update(names)
+        for origin, target in list(self._transports):
+            if origin not in names and target not in names:
+                continue
+            for transport in self._transports.pop((origin, target)):
+                if transport.is_closing():
+                    continue
+                transport.write = _drop
+                transport.pause_reading()
+                if origin in names:
+                    transport.close = transport.abort = _stay_open
+
     def mend(self) -> None:
         """Join everything again."""
         self._cuts.clear()
+        self._dark.clear()
         self._refusing.clear()
 
     def refuse(self, target: str) -> None:
@@ -63,7 +79,7 @@
         """Open a connection, unless a cut or a dead target is in the way."""
         # A node's listeners are called "node/callers" and so on.
         target = self.names.get(f"{host}:{port}", f"{host}:{port}").partition("/")[0]
-        if (origin, target) in self._cuts:
+        if (origin, target) in self._cuts or self._dark & {origin, target}:
             await asyncio.sleep(CONNECT_TIMEOUT_S)
             raise TimeoutError(f"no way from {origin} to {target}")
         if target in self._refusing:
@@ -78,3 +94,7 @@
 
 def _drop(data: bytes) -> None:
     """Take bytes that never arrive."""
+
+
+def _stay_open() -> None:
+    """Leave a connection open whose process is gone."""
