Halls that are evacuated or lost count in plans; cold hosts are heads last

Cause: groups of an evacuated hall counted as places; the reserve knew no halls; a cold host was as good a head as another; hosts of a hall that was back were thought to hold what they ran before the loss of power, so that twelve loads ran at once where six may. Change: Placement plans for halls in use and forms groups anew in evacuated ones when nothing else is being formed, without loads; Work.reserve is the fullest hall where halls_at_once says so; FreeHost.cold_s; GroupMover stops where no model is crowded, forgets its moves with the term, and next_move works out what is the same for all moves once. Ruled out: cold places counted by rate (not simple: the rate is a request's, places are held).

--- a/mulleinreach/gateway/fleet/allocation.py
+++ b/mulleinreach/gateway/fleet/allocation.py
@@ -11,8 +11,8 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Collection, Iterator
-from dataclasses import dataclass
+from collections.abc import Collection, Iterator, Mapping
+from dataclasses import dataclass, field
 
 from mulleinreach.gateway.fleet.planner import (
     FULL_USAGE,
@@ -23,7 +23,8 @@
 )
 from mulleinreach.gateway.model import EngineModel, EngineProfile
 
-# Groups of a model that may be lost at any moment: the others have to bear its work.
+# Groups of a model that may be lost at any moment: the others have to bear its work. Two,
+# since a second one may fail while the first is under repair.
 RESERVE = 2
 # The share of places in use above which a model is crowded, and below which it is so no more.
 # With one limit of 0.45, moves in bursts took groups that were missed when hosts were lost in
@@ -31,11 +32,12 @@
 # requests was late on a site of 162 hosts.
 CROWDED = 0.6
 RELIEVED = 0.45
-# A move has to lower the cost by so much: its hosts serve nobody for two to four seconds.
+# A move has to lower the cost by this share: meanwhile its hosts serve no caller for two to
+# four seconds, so a smaller gain is lost on those who wait.
 MOVE_GAIN = 0.2
 # Moves under way at a time; each is followed by what it changes within some seconds.
 MOVES_AT_ONCE = 3
-# Waiting grows about with the cube of the share of places in use.
+# Callers hardly wait at half of the places and long at nearly all; a cube weighs them so.
 COST_POWER = 3
 
 
@@ -49,11 +51,26 @@
     slots : places of a group.
     places : places that requests of each model hold or wait for; empty before the first ones.
     crowded : the models whose requests often wait, since so many of their places are in use.
+    hall_groups : the groups of each model in the hall that has most of them; empty where no
+        hall may be lost.
     """
 
     slots: int
     places: dict[str, float]
     crowded: frozenset[str] = frozenset()
+    hall_groups: Mapping[str, int] = field(default_factory=dict)
+
+    def reserve(self, model: str) -> int:
+        """Return how many groups of a model may be lost at any moment.
+
+        Examples
+        ========
+
+        >>> work = Work(24, {}, hall_groups={"wide": 4, "narrow": 1})
+        >>> work.reserve("wide"), work.reserve("narrow"), Work(24, {}).reserve("wide")
+        (4, 2, 2)
+        """
+        return max(RESERVE, self.hall_groups.get(model, 0))
 
     def crowding(self, model: str, groups: int) -> float:
         """Return the share of a model's places in use once the reserve is lost.
@@ -65,7 +82,7 @@
         >>> work.crowding("wide", 4), work.crowding("narrow", 10)
         (0.5, 1.0)
         """
-        spared = max(groups - RESERVE, groups / (1 + RESERVE), 1 / (1 + self.slots))
+        spared = max(groups - self.reserve(model), groups / (1 + RESERVE), 1 / (1 + self.slots))
         return self.places.get(model, 0.0) / (self.slots * spared)
 
     def cost(self, model: str, groups: int) -> float:
@@ -105,6 +122,30 @@
     return totals
 
 
+def groups_in_fullest_hall(views: list[DomainView]) -> dict[str, int]:
+    """Return how many groups of each model the hall has that has most of them.
+
+    Examples
+    ========
+
+    >>> views = [DomainView(n, 8, {"a": 1}, {}, (), hall=h) for n, h in ("dx", "ex", "fy")]
+    >>> groups_in_fullest_hall(views)
+    {'a': 2}
+    """
+    fullest: dict[str, int] = {}
+    for groups in _groups_by_hall(views).values():
+        for model, count in groups.items():
+            fullest[model] = max(count, fullest.get(model, 0))
+    return fullest
+
+
+def _groups_by_hall(views: list[DomainView]) -> dict[str, Counter[str]]:
+    halls: dict[str, Counter[str]] = {}
+    for view in views:
+        halls.setdefault(view.hall, Counter()).update(view.groups)
+    return halls
+
+
 def crowded_models(views: list[DomainView], work: Work, before: frozenset[str]) -> frozenset[str]:
     """Return the models that are crowded now.
 
@@ -174,7 +215,7 @@
     """
     for model in engine.models:
         count = totals[model.name]
-        lacking = max(0, RESERVE + 1 - count)
+        lacking = max(0, work.reserve(model.name) + 1 - count)
         gain = work.cost(model.name, count) - work.cost(model.name, count + 1)
         for view in views:
             own = targets[view.name]
@@ -222,17 +263,19 @@
     True
     """
     totals = total_groups(views)
+    by_hall = _groups_by_hall(views)
+    now = _cost(work, engine, totals)
     best: tuple[tuple, Move] | None = None
     for view in resting:
         for move in _moves_in(view, engine, work, totals):
-            if move.from_model in staying and totals[move.to_model] > RESERVE:
+            if move.from_model in staying and totals[move.to_model] > work.reserve(move.to_model):
                 continue
             after = totals.copy()
             after[move.from_model] -= len(move.ended)
             after[move.to_model] += move.count - view.groups.get(move.to_model, 0)
-            now, then = _cost(work, engine, totals), _cost(work, engine, after)
+            then = _cost(work, engine, after)
             # Groups of the model that gives way should remain in many halls.
-            in_hall = sum(v.groups.get(move.from_model, 0) for v in views if v.hall == view.hall)
+            in_hall = by_hall[view.hall][move.from_model]
             rank = (move.is_ready, -then, in_hall, view.name)
             if then <= (1 - MOVE_GAIN) * now and (best is None or rank > best[0]):
                 best = (rank, move)
@@ -252,7 +295,7 @@
             continue
         for giving in engine.models:
             # The last groups of a model stay, even if nobody asks for it at the moment.
-            most = totals[giving.name] - RESERVE - 1
+            most = totals[giving.name] - work.reserve(giving.name) - 1
             if giving is to or most < 1:
                 continue
             move = _smallest_move(view, giving, to, most)
--- a/mulleinreach/gateway/fleet/controller.py
+++ b/mulleinreach/gateway/fleet/controller.py
@@ -57,6 +57,7 @@
     ==========
 
     hall : the hall of this node.
+    spares_hall : whether the loss of a whole hall is to be borne.
     loads : returns the load of all nodes together.
     nodes : returns the nodes that were heard lately.
     is_first_holder : whether no other life of a node has coordinated before.
@@ -67,6 +68,7 @@
     def __init__(
         self,
         hall: str,
+        spares_hall: bool,
         hosts: HostBook,
         operator: GroupOperator,
         in_force: ConfigurationInForce,
@@ -85,7 +87,15 @@
         self._is_first_holder = is_first_holder
         self._read_anew = read_anew
         self._duties = HostDuties(hosts, log)
-        self._placement = Placement(hosts, operator, self._duties, clock, log)
+        self._placement = Placement(
+            spares_hall,
+            hosts,
+            operator,
+            self._duties,
+            lambda: in_force.evacuations.halls,
+            clock,
+            log,
+        )
         self._halls = HallWatch(hall, hosts, operator, self._duties, nodes, clock, log)
         self._watch = GroupWatch(hosts, operator, self._placement, self._duties, loads, clock, log)
 
@@ -113,7 +123,7 @@
                 except TimeoutError:
                     continue
         finally:
-            self._hosts.end_moves()
+            self._placement.end_term()
             self._halls.end_term()
             await self._duties.close()
 
--- a/mulleinreach/gateway/fleet/hosts.py
+++ b/mulleinreach/gateway/fleet/hosts.py
@@ -84,6 +84,7 @@
         self._remembered: dict[str, Upstream] = {}
         self._lost_at: dict[str, float] = {}
         self._paces: dict[str, tuple[float, float]] = {}
+        self._cold_until: dict[str, float] = {}
         self._delisted_at: dict[str, float] = {}
         self._left: dict[str, LeftGroup] = {}
         self._heads: dict[tuple[str, int], str] = {}
@@ -104,13 +105,24 @@
                 self._delisted_at.setdefault(host, self._clock.now())
         for upstream in self._directory.of_service(service):
             self._delisted_at.pop(upstream.id, None)
+            self._note_cold(upstream)
             self._remembered[upstream.id] = upstream
-            if upstream.models:
+            if upstream.models and not self.is_lost(upstream.id):
                 self._last_model[upstream.id] = upstream.models[0]
             membership = upstream.membership
             if membership is not None and membership.rank == 0:
                 self._heads[upstream.place] = upstream.id
 
+    def _note_cold(self, upstream: Upstream) -> None:
+        """Note until when a host is cold, as its row told when it was new here."""
+        before = self._remembered.get(upstream.id)
+        if before is None or before.cold_s != upstream.cold_s:
+            self._cold_until[upstream.id] = self._clock.now() + upstream.cold_s
+
+    def cold_s(self, host: str) -> float:
+        """Return for how much longer a host is cold; 0 if it is warm."""
+        return max(0.0, self._cold_until.get(host, NEVER) - self._clock.now())
+
     def take_report(self, report: Upstream, as_of: float) -> bool:
         """Take in what a host said itself; returns whether that is news.
 
@@ -184,9 +196,11 @@
         """Note that something in a hall answers again.
 
         Hosts that have not shown themselves yet, as those ``back`` have, stay lost until they do.
+        What they ran before the loss of power they don't hold any more.
         """
         self.down_halls.discard(hall)
         for host, upstream in self.rows_of_hall(hall).items():
+            self._last_model.pop(host, None)
             if host in back:
                 self._lost_at.pop(host, None)
             elif upstream.domain is not None:
--- a/mulleinreach/gateway/fleet/loads.py
+++ b/mulleinreach/gateway/fleet/loads.py
@@ -9,7 +9,8 @@
 
 WINDOW_S = 5.0
 SHARE_USED = 0.85
-# The share of the loads that may run at a time up to which those begin that nobody waits for.
+# The share of the loads that may run at a time up to which those begin that nobody waits for;
+# the rest is kept for groups that callers miss.
 STAGING_SHARE = 0.5
 
 
--- a/mulleinreach/gateway/fleet/moving.py
+++ b/mulleinreach/gateway/fleet/moving.py
@@ -21,6 +21,7 @@
     Work,
     allocate,
     crowded_models,
+    groups_in_fullest_hall,
     next_move,
 )
 from mulleinreach.gateway.fleet.hosts import HostBook
@@ -57,11 +58,20 @@
     Parameters
     ==========
 
+    spares_hall : whether the loss of a whole hall is to be borne.
     may_begin : whether orders can be given for a while. A move that is cut short by an outage
         of the store leaves hosts that serve nobody until it is back.
     """
 
-    def __init__(self, hosts: HostBook, may_begin: Callable[[], bool], clock: Clock, log: EventLog):
+    def __init__(
+        self,
+        spares_hall: bool,
+        hosts: HostBook,
+        may_begin: Callable[[], bool],
+        clock: Clock,
+        log: EventLog,
+    ):
+        self._spares_hall = spares_hall
         self._hosts = hosts
         self._may_begin = may_begin
         self._clock = clock
@@ -82,20 +92,35 @@
         places : what requests of each model hold or wait for; empty while that is unknown.
         """
         engine = service.engine
-        work = Work(engine.slots, places)
         counted = self._count_moves(views)
+        work = self._work(engine, counted, places)
         self._crowded = crowded_models(counted, work, self._crowded)
         work = replace(work, crowded=self._crowded)
         targets = allocate(counted, engine, work)
+        if not self._crowded:
+            self._wanted_since.clear()
+            return targets
         while places and self._may_begin() and len(self._underway) < MOVES_AT_ONCE:
             move = self._next_move(counted, targets, engine, work)
             if move is None:
                 break
             self._begin(move)
             counted = self._count_moves(views)
+            work = replace(self._work(engine, counted, places), crowded=self._crowded)
             targets = allocate(counted, engine, work)
         return targets
 
+    def _work(
+        self, engine: EngineProfile, counted: list[DomainView], places: dict[str, float]
+    ) -> Work:
+        hall_groups = groups_in_fullest_hall(counted) if self._spares_hall else {}
+        return Work(engine.slots, places, hall_groups=hall_groups)
+
+    def end_term(self) -> None:
+        """Forget moves under way, whose groups serve on."""
+        self._underway.clear()
+        self._wanted_since.clear()
+
     def _next_move(
         self,
         counted: list[DomainView],
--- a/mulleinreach/gateway/fleet/placement.py
+++ b/mulleinreach/gateway/fleet/placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 
 from mulleinreach.common import Clock, EventLog
 from mulleinreach.gateway.fleet.duties import HostDuties
@@ -18,6 +19,7 @@
     ServingGroup,
     plan_groups,
     plan_standbys,
+    target_groups,
 )
 from mulleinreach.gateway.fleet.staging import StageModel, plan_stagings
 from mulleinreach.gateway.fleet.usage import ModelUsage
@@ -35,16 +37,27 @@
 
 
 class Placement:
-    """Turns the plans for each domain into duties on its hosts."""
+    """Turns the plans for each domain into duties on its hosts.
+
+    Parameters
+    ==========
+
+    spares_hall : whether the loss of a whole hall is to be borne.
+    evacuated : returns the halls that operators have asked to empty.
+    """
 
     def __init__(
         self,
+        spares_hall: bool,
         hosts: HostBook,
         operator: GroupOperator,
         duties: HostDuties,
+        evacuated: Callable[[], frozenset[str]],
         clock: Clock,
         log: EventLog,
     ):
+        self._spares_hall = spares_hall
+        self._evacuated = evacuated
         self._hosts = hosts
         self._operator = operator
         self._duties = duties
@@ -64,14 +77,16 @@
     ) -> None:
         """Have groups formed where hosts are ready, and standbys loaded where not."""
         usage = self._usage.setdefault(service.name, ModelUsage(self._clock))
-        usage.note(service.engine, open_heads(self._hosts.usable(service.name)), loads)
+        usage.note(service.engine, open_heads(self._in_use(service.name)), loads)
         views = [
             self._view(service, domain, usable, groups, usage.by_model())
             for domain, usable in sorted(self._usable_by_domain(service.name).items())
         ]
-        targets = self._mover(service.name).targets(service, views, usage.places())
+        evacuated = [view for view in views if view.hall in self._evacuated()]
+        used = [view for view in views if view not in evacuated]
+        targets = self._mover(service.name).targets(service, used, usage.places())
         standbys: list[LoadStandby] = []
-        for view in views:
+        for view in used:
             if self._is_incomplete(service.engine, view.name, groups):
                 continue
             formed = plan_groups(view, service.engine.models, targets[view.name])
@@ -82,12 +97,45 @@
         for plan in sorted(standbys, key=lambda plan: plan.order):
             self._start_standby(service.engine, plan)
         self._stage_second_models(service, groups, usage.by_model())
+        self._form_in_evacuated(service, evacuated, groups)
+
+    def end_term(self) -> None:
+        """Forget what was under way, since no more orders can be given."""
+        for mover in self._movers.values():
+            mover.end_term()
+        self._hosts.end_moves()
+
+    def _in_use(self, service: str) -> list[Upstream]:
+        """Return the usable hosts but for those of halls that are to be empty."""
+        evacuated = self._evacuated()
+        return [host for host in self._hosts.usable(service) if host.hall not in evacuated]
+
+    def _form_in_evacuated(
+        self,
+        service: Service,
+        views: list[DomainView],
+        groups: dict[tuple[str, int], Group],
+    ) -> None:
+        """Form lost groups of evacuated halls anew, without loads, once nobody else waits.
+
+        They are needed when the hall is taken back, and by no request before.
+        """
+        models = service.engine.models
+        for view in views:
+            if self._hosts.forming or self._is_incomplete(service.engine, view.name, groups):
+                return
+            for plan in plan_groups(view, models, target_groups(view, models)):
+                self._spawn_form(service.engine, plan)
 
     def _mover(self, service: str) -> GroupMover:
         """Return what moves hosts between the models of a service."""
         if service not in self._movers:
             self._movers[service] = GroupMover(
-                self._hosts, self._operator.is_lease_fresh, self._clock, self._log
+                self._spares_hall,
+                self._hosts,
+                self._operator.is_lease_fresh,
+                self._clock,
+                self._log,
             )
         return self._movers[service]
 
@@ -95,7 +143,7 @@
         self, service: Service, groups: dict[tuple[str, int], Group], need: dict[str, float]
     ) -> None:
         """Have hosts load a second model: all before the first request, then standbys."""
-        usable = self._hosts.usable(service.name)
+        usable = self._in_use(service.name)
         if self.gate.is_limited:
             hosts = self._free_hosts(usable, groups)
         else:
@@ -179,7 +227,7 @@
 
     def _as_free(self, host: Upstream) -> FreeHost:
         model, is_slow = self._hosts.last_model(host.id), self._hosts.is_slow(host.id)
-        return FreeHost(host.id, model, host.staged, is_slow)
+        return FreeHost(host.id, model, host.staged, is_slow, self._hosts.cold_s(host.id))
 
     def _is_free(self, host: Upstream, groups: dict[tuple[str, int], Group]) -> bool:
         membership = host.membership
--- a/mulleinreach/gateway/fleet/planner.py
+++ b/mulleinreach/gateway/fleet/planner.py
@@ -19,7 +19,8 @@
 # Hosts a model. Standbys are worth 0.14 and 0.20 of a day's worth on two sites of 48 hosts
 # that lose one in three seconds (ten days each, with and without).
 STANDBYS_PER_MODEL = 1
-# How many hosts may still be missing to a group that is worth waiting for.
+# How many hosts may still be missing to a group that is worth waiting for: so few are back
+# soon after a loss, and standbys for more would be missed by the groups that callers have.
 HOSTS_SOON = 2
 # Below this share of places in use, models don't differ in what they need. Above the second
 # one, the loss of a group makes requests wait. Planning by usage is worth 0.014 of a day's
@@ -38,12 +39,19 @@
     model : the model of its last group in this life; a join with it is quickest.
     staged : the models whose weights lie on the host.
     is_slow : whether the host reported that its work takes much longer than usual.
+    cold_s : for how much longer it bears few requests a second; 0 if it is warm.
     """
 
     id: str
     model: str | None = None
     staged: tuple[str, ...] = ()
     is_slow: bool = False
+    cold_s: float = 0.0
+
+    @property
+    def is_cold(self) -> bool:
+        """Whether the host bears only few requests a second for now."""
+        return self.cold_s > 0
 
     def holds(self, model: str) -> bool:
         """Whether the host can run a model without a load."""
@@ -194,13 +202,25 @@
             holders = [host for host in free if host.holds(model.name)]
             if len(holders) < model.size:
                 break
-            holders.sort(key=lambda host: (host.is_slow, host.model != model.name))
-            chosen = holders[: model.size]
+            chosen = _choose_members(holders, model)
             plans.append(FormGroup(model.name, tuple(host.id for host in chosen)))
             free = [host for host in free if host not in chosen]
     return plans
 
 
+def _choose_members(holders: list[FreeHost], model: EngineModel) -> list[FreeHost]:
+    """Return the hosts that a group is formed of, the first one as its head.
+
+    Requests reach the head alone, so a cold host does less harm as another member.
+    """
+
+    def member_order(host: FreeHost) -> tuple:
+        return (host.is_slow, host.is_cold, host.model != model.name)
+
+    chosen = sorted(holders, key=member_order)[: model.size]
+    return sorted(chosen, key=lambda host: host.cold_s)
+
+
 def plan_standbys(
     view: DomainView, models: tuple[EngineModel, ...], targets: dict[str, int]
 ) -> list[LoadStandby]:
--- a/mulleinreach/gateway/fleet/tests/test_planner.py
+++ b/mulleinreach/gateway/fleet/tests/test_planner.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from mulleinreach.common import Address, Clock
+from mulleinreach.common import Address, Clock, VirtualClock
+from mulleinreach.gateway.fleet.hosts import HostBook
 from mulleinreach.gateway.fleet.planner import (
     DomainView,
     FreeHost,
@@ -17,7 +18,7 @@
 )
 from mulleinreach.gateway.fleet.usage import NO_GROUP_USAGE, ModelUsage
 from mulleinreach.gateway.known.load import LoadReport
-from mulleinreach.gateway.known.upstreams import Head
+from mulleinreach.gateway.known.upstreams import Head, UpstreamDirectory
 from mulleinreach.gateway.model import EngineModel
 from mulleinreach.gateway.upstream import Upstream
 from mulleinreach.standins.gateway.world import LARGE, PROFILE, SMALL
@@ -102,3 +103,30 @@
         assert usage.places()[LARGE] == pytest.approx(half, rel=0.1)
 
     run_virtual(test())
+
+
+def test_cold_host_is_a_member_late_and_a_head_last():
+    warm = [FreeHost(f"warm-{n}", SMALL) for n in range(2)]
+    coldest, colder = FreeHost("coldest", SMALL, cold_s=9.0), FreeHost("colder", SMALL, cold_s=2.0)
+    (plan,) = plan_groups(_view(4, {}, {}, coldest, colder, *warm), MODELS, {LARGE: 0, SMALL: 1})
+    assert plan.members == ("warm-0", "warm-1")
+    (plan,) = plan_groups(_view(3, {}, {}, coldest, warm[0]), MODELS, {LARGE: 0, SMALL: 1})
+    assert plan.members == ("warm-0", "coldest")
+    (plan,) = plan_groups(_view(2, {}, {}, coldest, colder), MODELS, {LARGE: 0, SMALL: 1})
+    assert plan.members == ("colder", "coldest")
+
+
+def test_host_is_cold_for_as_long_as_its_row_told():
+    async def test():
+        directory, clock = UpstreamDirectory(), VirtualClock()
+        hosts = HostBook(directory, clock)
+        row = Upstream("u", "s", Address("10.0.0.1", 1), "hall", cold_s=5.0)
+        directory.replace_all(1, [row], clock.now())
+        hosts.refresh("s")
+        await asyncio.sleep(3)
+        hosts.refresh("s")
+        assert hosts.cold_s("u") == pytest.approx(2.0)
+        await asyncio.sleep(3)
+        assert hosts.cold_s("u") == 0.0
+
+    run_virtual(test())
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -188,6 +188,7 @@
         )
         self.controller = FleetController(
             self.identity.hall,
+            self.bounds.halls_at_once >= 1,
             self.hosts,
             self.operator,
             self.in_force,
