--- a/mulleinreach/gateway/fleet/placement.py
+++ b/mulleinreach/gateway/fleet/placement.py
@@ -82,8 +82,8 @@
             self._view(service, domain, usable, groups, usage.by_model())
             for domain, usable in sorted(self._usable_by_domain(service.name).items())
         ]
-        evacuated = [view for view in views if view.hall in self._evacuated()]
-        used = [view for view in views if view not in evacuated]
+        closed = self._evacuated()
+        used = [view for view in views if view.hall not in closed]
         targets = self._mover(service.name).targets(service, used, usage.places())
         standbys: list[LoadStandby] = []
         for view in used:
@@ -97,6 +97,7 @@
         for plan in sorted(standbys, key=lambda plan: plan.order):
             self._start_standby(service.engine, plan)
         self._stage_second_models(service, groups, usage.by_model())
+        evacuated = [view for view in views if view.hall in closed]
         self._form_in_evacuated(service, evacuated, groups)
 
     def end_term(self) -> None:
--- a/mulleinreach/gateway/fleet/tests/test_halls.py
+++ b/mulleinreach/gateway/fleet/tests/test_halls.py
@@ -9,11 +9,13 @@
 import aiohttp
 import pytest
 
+from mulleinreach.common import VirtualClock
 from mulleinreach.gateway.coordination.hub import HeardNode
 from mulleinreach.gateway.coordination.messages import NodeReport
 from mulleinreach.gateway.fleet.halls import failed_halls, hall_signs
+from mulleinreach.gateway.fleet.hosts import HostBook
 from mulleinreach.gateway.known.load import LoadReport
-from mulleinreach.gateway.known.upstreams import Head
+from mulleinreach.gateway.known.upstreams import Head, UpstreamDirectory
 from mulleinreach.gateway.node import GatewayNode
 from mulleinreach.gateway.tests.support import run_world
 from mulleinreach.gateway.upstream import MemberState
@@ -27,6 +29,7 @@
     CallerAnswer,
     GatewayWorld,
 )
+from mulleinreach.standins.virtual import run_virtual
 
 HALLS = {"halls": 3, "nodes": 6, "domains": 6}
 FOUND_S = 1.0
@@ -263,6 +266,24 @@
     return standing.model not in host.upstream.staged
 
 
+def test_hosts_of_a_hall_that_is_down_are_lost_until_they_show_themselves():
+    async def test():
+        directory, clock = UpstreamDirectory(), VirtualClock()
+        hosts = HostBook(directory, clock)
+        rows = [make_upstream(name, "s", 1, "d", name[0]) for name in ("a1", "a2", "b1")]
+        directory.replace_all(1, rows, clock.now())
+        hosts.refresh("s")
+        hosts.mark_hall_down("a")
+        assert [host.id for host in hosts.usable("s")] == ["b1"]
+        assert hosts.lost() == ["a1", "a2"]
+        hosts.mark_hall_up("a", back={"a2"})
+        assert [host.id for host in hosts.usable("s")] == ["a2", "b1"]
+        hosts.take_report(rows[0], clock.now())
+        assert hosts.lost() == []
+
+    run_virtual(test())
+
+
 # The signs, one by one.
 
 STILL = LoadReport("", 2, 0, 2.0, 2.0)
@@ -270,8 +291,8 @@
 JUST_SENT = LoadReport("", 1, 0, 1000.0, 0.1)
 
 
-def _is_found(loads: list[LoadReport], nodes_silent_s: list[float], third=MOVING) -> bool:
-    """Whether hall ``a`` is found to be down by the loads of its heads and by its nodes."""
+def _found(loads: list[LoadReport], nodes_silent_s: list[float], third=MOVING) -> list[str]:
+    """Return the halls that are found to be down by the loads of heads and the nodes of ``a``."""
     heads = [
         Head(make_upstream(f"a{n}", MODEL_SERVICE, n, "d", "a"), f"g{n}", 1, LARGE)
         for n in range(4)
@@ -282,7 +303,7 @@
     for hall, load in (("b", MOVING), ("c", third)):
         head = Head(make_upstream(hall, MODEL_SERVICE, 9, "d", hall), hall, 1, LARGE)
         signs.append(hall_signs(hall, [head], {hall: load}, set(), nodes))
-    return [found.hall for found in failed_halls(signs, own_hall="b")] == ["a"]
+    return [found.hall for found in failed_halls(signs, own_hall="b")]
 
 
 @pytest.mark.parametrize(
@@ -301,9 +322,9 @@
     ],
 )
 def test_signs_of_a_hall_that_has_failed(loads, nodes_silent_s, is_down):
-    assert _is_found(loads, nodes_silent_s) is is_down
+    assert _found(loads, nodes_silent_s) == (["a"] if is_down else [])
 
 
 def test_nothing_is_found_unless_a_third_hall_is_alive():
-    assert _is_found([STILL, STILL], [0.7])
-    assert not _is_found([STILL, STILL], [0.7], third=STILL)
+    assert _found([STILL, STILL], [0.7]) == ["a"]
+    assert _found([STILL, STILL], [0.7], third=STILL) == []
