--- a/mulleinreach/gateway/coordination/membership.py
+++ b/mulleinreach/gateway/coordination/membership.py
@@ -20,14 +20,14 @@
 from mulleinreach.gateway.coordination.election import election_delay_s
 from mulleinreach.gateway.coordination.follower import EndReason, Follower
 from mulleinreach.gateway.coordination.frames import PeerError
-from mulleinreach.gateway.coordination.hub import Knowledge, MemberHub
+from mulleinreach.gateway.coordination.hub import HeardNode, Knowledge, MemberHub
 from mulleinreach.gateway.coordination.lease import CoordinatorLease, LeaseState, Resignation
 from mulleinreach.gateway.coordination.messages import NodeReport
 from mulleinreach.gateway.coordination.own_report import OwnReports
 from mulleinreach.gateway.coordination.succession import tell_replaced
 from mulleinreach.gateway.coordination.term import CoordinatorTerm
 from mulleinreach.gateway.known.load import LoadBook
-from mulleinreach.gateway.ports import LeaseRecord
+from mulleinreach.gateway.ports import GatewayIdentity, LeaseRecord
 
 RETRY_S = 0.3
 RECONNECT_S = 0.05
@@ -39,36 +39,34 @@
     Parameters
     ==========
 
-    processor_cores : how much processor time this node may use.
+    identity : who this node is, and where the others reach it.
     coordinate : runs for as long as the lease is held; cancelled when it is lost.
     knowledge : what is passed on.
     """
 
     def __init__(
         self,
-        name: str,
-        processor_cores: float,
+        identity: GatewayIdentity,
         lease: CoordinatorLease,
         loads: LoadBook,
         network: Network,
-        address: Address,
         clock: Clock,
         log: EventLog,
         rng: random.Random,
         coordinate: Callable[[], Awaitable[None]],
         knowledge: Knowledge,
     ):
-        self._name = name
-        self._processor_cores = processor_cores
+        self._identity = identity
         self._lease = lease
         self._network = network
-        self._address = address
         self._log = log
         self._rng = rng
         self._knowledge = knowledge
-        self._own_reports = OwnReports(name, lease, loads, knowledge, clock)
+        self._own_reports = OwnReports(identity, lease, loads, knowledge, clock)
         self._follower = Follower(lease, network, self._own_reports, knowledge)
-        self._hub = MemberHub(lease, network, address, clock, knowledge, self._own_reports.current)
+        self._hub = MemberHub(
+            lease, network, identity.peers, clock, knowledge, self._own_reports.current
+        )
         self._term = CoordinatorTerm(
             lease, self._hub, self._own_reports, knowledge, coordinate, clock, log
         )
@@ -107,6 +105,10 @@
         """Return the latest report of each node, our own first."""
         return self._hub.node_reports()
 
+    def heard_nodes(self) -> list[HeardNode]:
+        """Return the nodes that were heard lately, our own first."""
+        return self._hub.heard_nodes()
+
     async def run(self) -> None:
         """Take part for ever."""
         while True:
@@ -177,12 +179,12 @@
 
     async def _coordinate_after(self, replaced: LeaseRecord | None) -> None:
         """Coordinate, and tell the holder of an earlier record, if that was another node."""
-        if replaced is None or replaced.address == str(self._address):
+        if replaced is None or replaced.address == str(self._identity.peers):
             await self._coordinate()
             return
         own = self._lease.as_successor()
         telling = asyncio.create_task(
-            tell_replaced(replaced, own, self._name, self._network, self._log)
+            tell_replaced(replaced, own, self._identity.name, self._network, self._log)
         )
         try:
             await self._coordinate()
@@ -194,4 +196,4 @@
             self._seen_state = LeaseState.OTHERS
 
     def _election_delay_s(self) -> float:
-        return election_delay_s(self._processor_cores, self._rng)
+        return election_delay_s(self._identity, self._rng)
--- a/mulleinreach/gateway/coordination/own_report.py
+++ b/mulleinreach/gateway/coordination/own_report.py
@@ -10,6 +10,7 @@
 from mulleinreach.gateway.coordination.lease import CoordinatorLease
 from mulleinreach.gateway.coordination.messages import NodeReport
 from mulleinreach.gateway.known.load import LoadBook, LoadReport
+from mulleinreach.gateway.ports import GatewayIdentity
 
 # A coordinator's answer may be late, but it names a report of the latest seconds.
 REPORTS_KEPT = 40
@@ -37,18 +38,18 @@
     Parameters
     ==========
 
-    node : the name of this node.
+    identity : who this node is, and where it stands.
     """
 
     def __init__(
         self,
-        node: str,
+        identity: GatewayIdentity,
         lease: CoordinatorLease,
         loads: LoadBook,
         knowledge: Knowledge,
         clock: Clock,
     ):
-        self._node = node
+        self._identity = identity
         self._lease = lease
         self._loads = loads
         self._knowledge = knowledge
@@ -60,13 +61,14 @@
     def current(self) -> NodeReport:
         """Return how things stand now, under the number of the latest report."""
         return NodeReport(
-            self._node,
+            self._identity.name,
             self._loads.own_reports(),
             self.is_stopping,
             self._lease.secret,
             self._seq,
             self._knowledge.list_revision(),
             self._knowledge.configuration_version(),
+            hall=self._identity.hall,
         )
 
     def next(self) -> NodeReport:
--- a/mulleinreach/gateway/fleet/hosts.py
+++ b/mulleinreach/gateway/fleet/hosts.py
@@ -72,7 +72,8 @@
     Explanation
     ===========
 
-    A host is *lost* when it gave no answer while its group stood still. A host
+    A host is *lost* when it gave no answer while its group stood still, or when its whole
+    hall is down; plain upstreams are lost with their hall alone. A host
     that is on no list any more is remembered for a while, since it may still run.
     """
 
@@ -83,6 +84,7 @@
         self._remembered: dict[str, Upstream] = {}
         self._lost_at: dict[str, float] = {}
         self._paces: dict[str, tuple[float, float]] = {}
+        self._cold_until: dict[str, float] = {}
         self._delisted_at: dict[str, float] = {}
         self._left: dict[str, LeftGroup] = {}
         self._heads: dict[tuple[str, int], str] = {}
@@ -93,6 +95,8 @@
         self._settled_at = NEVER
         self.forming: dict[int, Forming] = {}
         self.busy: set[str] = set()
+        # Halls of which nothing answers.
+        self.down_halls: set[str] = set()
 
     def refresh(self, service: str) -> None:
         """Take in the latest list."""
@@ -101,13 +105,24 @@
                 self._delisted_at.setdefault(host, self._clock.now())
         for upstream in self._directory.of_service(service):
             self._delisted_at.pop(upstream.id, None)
+            self._note_cold(upstream)
             self._remembered[upstream.id] = upstream
-            if upstream.models:
+            if upstream.models and not self.is_lost(upstream.id):
                 self._last_model[upstream.id] = upstream.models[0]
             membership = upstream.membership
             if membership is not None and membership.rank == 0:
                 self._heads[upstream.place] = upstream.id
 
+    def _note_cold(self, upstream: Upstream) -> None:
+        """Note until when a host is cold, as its row told when it was new here."""
+        before = self._remembered.get(upstream.id)
+        if before is None or before.cold_s != upstream.cold_s:
+            self._cold_until[upstream.id] = self._clock.now() + upstream.cold_s
+
+    def cold_s(self, host: str) -> float:
+        """Return for how much longer a host is cold; 0 if it is warm."""
+        return max(0.0, self._cold_until.get(host, NEVER) - self._clock.now())
+
     def take_report(self, report: Upstream, as_of: float) -> bool:
         """Take in what a host said itself; returns whether that is news.
 
@@ -147,15 +162,50 @@
         self._lost_at[host] = self._clock.now()
 
     def is_lost(self, host: str) -> bool:
-        """Whether a host was found to give no answer."""
-        return host in self._lost_at
+        """Whether a host was found to give no answer, alone or with its hall."""
+        return host in self._lost_at or self.is_in_down_hall(host)
 
     def lost(self) -> list[str]:
-        """Return the hosts that give no answer."""
+        """Return the upstreams that give no answer, plain ones too."""
+        in_halls = [u for hall in sorted(self.down_halls) for u in self.rows_of_hall(hall)]
+        return list(dict.fromkeys(self.lost_alone() + in_halls))
+
+    def lost_alone(self) -> list[str]:
+        """Return the hosts that were found to give no answer, each by itself."""
         oldest = self._clock.now() - LOST_MEMORY_S
         self._lost_at = {h: at for h, at in self._lost_at.items() if at > oldest}
         return list(self._lost_at)
 
+    # Halls.
+
+    def rows_of_hall(self, hall: str) -> dict[str, Upstream]:
+        """Return the upstreams of a hall that are on the list, by id."""
+        whole = self._directory.whole()
+        return {u.id: u for u in whole.upstreams if u.hall == hall} if whole else {}
+
+    def is_in_down_hall(self, host: str) -> bool:
+        """Whether a host stands in a hall that is down."""
+        known = self.get(host) if self.down_halls else None
+        return known is not None and known.hall in self.down_halls
+
+    def mark_hall_down(self, hall: str) -> None:
+        """Note that nothing in a hall answers."""
+        self.down_halls.add(hall)
+
+    def mark_hall_up(self, hall: str, back: set[str]) -> None:
+        """Note that something in a hall answers again.
+
+        Hosts that have not shown themselves yet, as those ``back`` have, stay lost until they do.
+        What they ran before the loss of power they don't hold any more.
+        """
+        self.down_halls.discard(hall)
+        for host, upstream in self.rows_of_hall(hall).items():
+            self._last_model.pop(host, None)
+            if host in back:
+                self._lost_at.pop(host, None)
+            elif upstream.domain is not None:
+                self.mark_lost(host)
+
     def last_model(self, host: str) -> str | None:
         """Return the model of a host's last group, as far as this coordinator can tell.
 
@@ -187,7 +237,7 @@
         return [
             u
             for u in self._directory.of_service(service)
-            if u.state is UpstreamState.READY and u.id not in self._lost_at
+            if u.state is UpstreamState.READY and not self.is_lost(u.id)
         ]
 
     def listed(self, service: str) -> list[Upstream]:
@@ -204,7 +254,7 @@
 
     def has_lost_member(self, group: Group) -> bool:
         """Whether a member of a group was found to give no answer."""
-        return any(member.id in self._lost_at for member in group.members.values())
+        return any(self.is_lost(member.id) for member in group.members.values())
 
     # Groups.
 
