Cold upstreams get a bounded rate from all nodes together; homes bind requests to regions

Cause: a host that has just come up bears only some requests a second, summed over all nodes; and routes and organisations may be bound to regions. No node looked at either.

Late requests that no head may be sent are refused at once.

--- a/mulleinreach/gateway/coordination/hub.py
+++ b/mulleinreach/gateway/coordination/hub.py
@@ -29,6 +29,7 @@
     encode_list,
     encode_totals,
 )
+from mulleinreach.gateway.coordination.numbering import NodeNumbers
 from mulleinreach.gateway.known.load import LoadReport
 from mulleinreach.gateway.known.upstreams import ListChange
 from mulleinreach.gateway.model import RouteWait
@@ -51,7 +52,7 @@
     return REPORT_INTERVAL_S if node_count <= LARGE_NODES else LARGE_INTERVAL_S
 
 
-@dataclass
+@dataclass(eq=False)
 class _Member:
     """A node that is connected to this coordinator."""
 
@@ -140,6 +141,7 @@
         self._told_heads: list[OpenHead] = []
         self._round = 0
         self._latest_totals: bytes | None = None
+        self._numbering = NodeNumbers(clock.now())
         self._encoded_list: tuple[int, bytes] = (0, b"")
         self._resignation: Resignation | None = None
         self._resigned_at = 0.0
@@ -187,6 +189,7 @@
 
     async def report_to_members(self) -> None:
         """Tell all members the totals, for ever."""
+        self._numbering = NodeNumbers(self._clock.now())
         while True:
             reports = self.node_reports()
             self.node_count = len(reports)
@@ -197,6 +200,7 @@
                 resignation=self.resignation,
                 is_store_away=self.is_store_away(),
                 successor=self.successor,
+                numbers=self._numbers(),
             )
             encoded = self._latest_totals = encode_totals(self._shortened(totals))
             for member in list(self._members.values()):
@@ -207,6 +211,14 @@
             self._knowledge.take(own, self._clock.now(), reports[0].loads)
             await asyncio.sleep(report_interval_s(self.node_count))
 
+    def _numbers(self) -> int:
+        """Return how many numbers the nodes have; 0 where another one may coordinate by now."""
+        if self._lease.is_held():
+            known = [m for m in self._members.values() if m.report is not None]
+            self._numbering.update(known, self._clock.now())
+            return self._numbering.count
+        return self._numbering.count if self.is_store_away() else 0
+
     def _shortened(self, totals: Totals) -> Totals:
         """Return totals without what the nodes know already or have no use for."""
         self._round += 1
@@ -236,6 +248,7 @@
             is_unknown,
             self._lacking(member),
             whole_list,
+            self._numbering.number_of(member),
         )
         if member.writer.buffered_bytes() > MAX_BUFFERED_BYTES:
             # Changes can't be left out, so a node that is too slow begins anew.
--- a/mulleinreach/gateway/coordination/messages.py
+++ b/mulleinreach/gateway/coordination/messages.py
@@ -60,7 +60,7 @@
     to the coordinator can read the store; ``successor`` if another one has replaced it;
     ``keeps_removed`` if the store was away, so that upstreams that it misses may be back soon;
     ``evacuated`` names the halls that are to be empty, as of ``operator_revision``;
-    ``numbers`` is one above the highest number that a node has.
+    ``numbers`` is one above the highest number that a node has, 0 if the numbers don't hold.
     """
 
     token: int
@@ -88,7 +88,8 @@
 
     ``configuration`` is the document of the newest one, if the node lacks that;
     ``whole_list`` holds all upstreams, if the node has no list yet; ``number`` is the
-    node's own among all nodes that report to this coordinator, whose own one is 0.
+    node's own among all nodes that report to this coordinator, whose own one is 0; a node that
+    has none yet is told ``totals.numbers``.
     """
 
     echoed_seq: int
--- /dev/null
+++ b/mulleinreach/gateway/coordination/numbering.py
@@ -0,0 +1,57 @@
+"""Numbers of the nodes that report to a coordinator, by which they divide what is scarce."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Collection, Hashable
+
+from mulleinreach.gateway.known.cold import NUMBER_HOLDS_S, WINDOW_S
+
+# Seconds between two changes of the numbers, and before the first ones of a term: those from
+# before the last change have lapsed, and requests sent by them count no more. A tenth is for
+# clocks that don't run alike.
+STEADY_S = NUMBER_HOLDS_S + WINDOW_S + 0.1
+
+
+class NodeNumbers:
+    """The numbers of one term; the coordinator's own is 0.
+
+    Parameters
+    ==========
+
+    begun_at : when the term began.
+
+    Examples
+    ========
+
+    >>> numbers = NodeNumbers(0.0)
+    >>> numbers.update(["a", "b"], 4.0)
+    >>> numbers.number_of("a"), numbers.number_of("b"), numbers.count
+    (1, 2, 3)
+    >>> numbers.update(["b", "c"], 8.0)
+    >>> numbers.number_of("b"), numbers.number_of("c"), numbers.number_of("a")
+    (2, 1, 3)
+    """
+
+    def __init__(self, begun_at: float):
+        self._changed_at = begun_at
+        self._numbers: dict[Hashable, int] = {}
+        # One above the highest number; 0 before the first ones.
+        self.count = 0
+
+    def update(self, members: Collection[Hashable], now: float) -> None:
+        """Number the members anew if they have changed and the last change is long ago."""
+        is_same = self.count > 0 and self._numbers.keys() == set(members)
+        if is_same or now - self._changed_at < STEADY_S:
+            return
+        kept = {member: n for member, n in self._numbers.items() if member in members}
+        taken = set(kept.values())
+        free = (number for number in itertools.count(1) if number not in taken)
+        newcomers = (member for member in members if member not in kept)
+        self._numbers = kept | dict(zip(newcomers, free, strict=False))
+        self.count = 1 + max(self._numbers.values(), default=0)
+        self._changed_at = now
+
+    def number_of(self, member: Hashable) -> int:
+        """Return a member's number; :attr:`count`, which is nobody's, if it has none."""
+        return self._numbers.get(member, self.count)
--- a/mulleinreach/gateway/known/choosing.py
+++ b/mulleinreach/gateway/known/choosing.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from mulleinreach.common import Clock
-from mulleinreach.gateway.known.eligibility import Eligibility
+from mulleinreach.gateway.known.cold import ColdUpstreams
+from mulleinreach.gateway.known.eligibility import Eligibility, RequestTerms
 from mulleinreach.gateway.known.routing import Router
 from mulleinreach.gateway.known.upstreams import Head, UpstreamDirectory, open_heads
-from mulleinreach.gateway.model import Service
 from mulleinreach.gateway.ports import CallerHeaders
 from mulleinreach.gateway.upstream import Upstream
 
@@ -71,12 +71,14 @@
         router: Router,
         suspects: SuspectList,
         eligibility: Eligibility,
+        cold: ColdUpstreams,
         clock: Clock,
     ):
         self._directory = directory
         self._router = router
         self._suspects = suspects
         self._eligibility = eligibility
+        self._cold = cold
         self._clock = clock
         self._opened: list[Head] = []
         self._retiring: frozenset[str] = frozenset()
@@ -103,15 +105,22 @@
     def _is_told_lately(self) -> bool:
         return self._clock.now() - self._told_at < TOLD_FRESH_S
 
-    def choose(self, service: Service, headers: CallerHeaders, tried: set[str]) -> Upstream | None:
+    def choose(
+        self, terms: RequestTerms, headers: CallerHeaders, tried: set[str]
+    ) -> Upstream | None:
         """Return the best upstream that wasn't tried yet."""
+        service = terms.service
         suspects = self._suspects.current()
         if service.engine is None:
-            upstreams = [u for u in self._usable(service.name) if u.id not in tried]
-            return self._router.choose_plain(upstreams, suspects)
-        heads = [h for h in self.heads(service.name, headers.model) if h.upstream.id not in tried]
+            usable = [u for u in self._usable(service.name) if u.id not in tried]
+            upstreams = self._eligibility.permitted(usable, terms)
+            cold = self._cold.ids(upstreams, service)
+            return self._router.choose_plain(upstreams, suspects, cold)
+        known = [h for h in self.heads(service.name, headers.model) if h.upstream.id not in tried]
+        heads = self._permitted(known, terms)
+        cold = self._cold.ids([head.upstream for head in heads], service)
         tokens = headers.prompt_tokens or 0
-        head = self._router.choose_head(heads, service.engine, tokens, suspects)
+        head = self._router.choose_head(heads, service.engine, tokens, suspects, cold)
         if head is None:
             return None
         self._epochs[head.upstream.id] = head.epoch
@@ -122,6 +131,20 @@
         if upstream_id in self._epochs:
             self._misdirected.note(upstream_id, self._epochs[upstream_id])
 
+    def note_sent(self, terms: RequestTerms, upstream: Upstream) -> None:
+        """Note that a request is about to be sent."""
+        self._cold.note_sent(upstream, terms.service)
+
+    def permits_none(self, terms: RequestTerms, model: str | None) -> bool:
+        """Whether heads serve a model, but none of them may be sent the request now."""
+        heads = self.heads(terms.service.name, model)
+        return bool(heads) and not self._permitted(heads, terms)
+
+    def _permitted(self, heads: list[Head], terms: RequestTerms) -> list[Head]:
+        permitted = self._eligibility.permitted([head.upstream for head in heads], terms)
+        ids = {upstream.id for upstream in permitted}
+        return [head for head in heads if head.upstream.id in ids]
+
     def heads(self, service: str, model: str | None) -> list[Head]:
         """Return the heads that serve a model."""
         usable = self._usable(service)
--- a/mulleinreach/gateway/known/eligibility.py
+++ b/mulleinreach/gateway/known/eligibility.py
@@ -4,8 +4,13 @@
 
 import enum
 import random
+from collections.abc import Mapping
+from dataclasses import dataclass
 
+from mulleinreach.gateway.known.cold import ColdUpstreams
 from mulleinreach.gateway.known.evacuations import Evacuations
+from mulleinreach.gateway.metrics import GatewayMetrics
+from mulleinreach.gateway.model import Service
 from mulleinreach.gateway.upstream import Upstream, UpstreamState
 
 
@@ -15,6 +20,22 @@
     LEAVING = "leaving"
     LOST = "lost"
     EVACUATED = "evacuated"
+    ABROAD = "abroad"
+    COLD = "cold"
+
+
+@dataclass(frozen=True)
+class RequestTerms:
+    """What decides on upstreams for one request besides the upstreams themselves.
+
+    Parameters
+    ==========
+
+    homes : the regions whose upstreams may serve it; ``None`` if any may.
+    """
+
+    service: Service
+    homes: frozenset[str] | None = None
 
 
 class Eligibility:
@@ -23,25 +44,47 @@
     Parameters
     ==========
 
+    regions : the region of each hall; upstreams in other halls serve no request with homes.
     lost : ids that the coordinator found to be lost.
     """
 
-    def __init__(self, evacuations: Evacuations, rng: random.Random):
+    def __init__(
+        self,
+        evacuations: Evacuations,
+        cold: ColdUpstreams,
+        regions: Mapping[str, str],
+        metrics: GatewayMetrics,
+        rng: random.Random,
+    ):
         self._evacuations = evacuations
+        self._cold = cold
+        self._regions = regions
+        self._metrics = metrics
         self._rng = rng
         self.lost: frozenset[str] = frozenset()
 
     def usable(self, upstreams: list[Upstream]) -> list[Upstream]:
-        """Return the upstreams that a request may be sent to.
+        """Return the upstreams that requests may be sent to, whatever their terms.
 
         A hall that gives way is drawn for each request anew, by the share that is left to it.
         """
         closed = self._closed_halls()
         return [u for u in upstreams if self._exclusion(u, closed) is None]
 
-    def exclusion(self, upstream: Upstream) -> Exclusion | None:
+    def permitted(self, usable: list[Upstream], terms: RequestTerms) -> list[Upstream]:
+        """Return those usable upstreams that a request may be sent to under its terms."""
+        withheld = self._cold.withheld(usable, terms.service)
+        if withheld:
+            self._metrics.count_withheld(len(withheld))
+        return [u for u in usable if self._exclusion_by_terms(u, terms, withheld) is None]
+
+    def exclusion(self, upstream: Upstream, terms: RequestTerms | None = None) -> Exclusion | None:
         """Return why an upstream may not be sent a request, ``None`` if it may."""
-        return self._exclusion(upstream, self._closed_halls())
+        excluded = self._exclusion(upstream, self._closed_halls())
+        if excluded is not None or terms is None:
+            return excluded
+        withheld = self._cold.withheld([upstream], terms.service)
+        return self._exclusion_by_terms(upstream, terms, withheld)
 
     def _exclusion(self, upstream: Upstream, closed: frozenset[str]) -> Exclusion | None:
         if upstream.state is not UpstreamState.READY:
@@ -52,6 +95,15 @@
             return Exclusion.EVACUATED
         return None
 
+    def _exclusion_by_terms(
+        self, upstream: Upstream, terms: RequestTerms, withheld: frozenset[str]
+    ) -> Exclusion | None:
+        if terms.homes is not None and self._regions.get(upstream.hall) not in terms.homes:
+            return Exclusion.ABROAD
+        if upstream.id in withheld:
+            return Exclusion.COLD
+        return None
+
     def _closed_halls(self) -> frozenset[str]:
         """Return the evacuated halls that this request may not go to."""
         return frozenset(
--- a/mulleinreach/gateway/known/knowledge.py
+++ b/mulleinreach/gateway/known/knowledge.py
@@ -15,6 +15,7 @@
 from mulleinreach.gateway.coordination.messages import CoordinatorReport, OpenHead, Totals
 from mulleinreach.gateway.fleet.controller import FleetController
 from mulleinreach.gateway.known.choosing import UpstreamChooser
+from mulleinreach.gateway.known.cold import ColdRateLimit
 from mulleinreach.gateway.known.eligibility import Eligibility
 from mulleinreach.gateway.known.following import ConfigurationInForce
 from mulleinreach.gateway.known.load import LoadBook, LoadReport
@@ -39,6 +40,7 @@
         loads: LoadBook,
         chooser: UpstreamChooser,
         eligibility: Eligibility,
+        cold_limit: ColdRateLimit,
         controller: FleetController,
         first_waits: FirstWaits,
         on_lost: Callable[[str], None],
@@ -49,6 +51,7 @@
         self._loads = loads
         self._chooser = chooser
         self._eligibility = eligibility
+        self._cold_limit = cold_limit
         self._controller = controller
         self._first_waits = first_waits
         self._on_lost = on_lost
@@ -155,6 +158,7 @@
             self._follower.take_passed(
                 report.changes, totals.list_revision, asked_at - totals.list_age_s
             )
+        self._cold_limit.take_number(report.number, totals.numbers, asked_at)
         self._take_heads(totals)
         self._take_lost(totals.lost)
 
--- a/mulleinreach/gateway/known/routing.py
+++ b/mulleinreach/gateway/known/routing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Set
 
 from mulleinreach.gateway.known.load import LoadBook
 from mulleinreach.gateway.known.upstreams import Head
@@ -23,6 +24,10 @@
 # and 0.01 to 0.02 on one whose dearest price is bytes between halls.
 OTHER_HALL_MS = 10.0
 OTHER_HALL_REQUESTS = 1
+# What a cold upstream costs beside its requests, for as long as it is slow: it is left alone
+# while others have room, and still takes work from a full service.
+COLD_MS = 30.0
+COLD_REQUESTS = 2
 
 
 def predict_first_event_ms(
@@ -72,7 +77,12 @@
         self._hall = hall
 
     def choose_head(
-        self, heads: list[Head], profile: EngineProfile, prompt_tokens: int, suspects: set[str]
+        self,
+        heads: list[Head],
+        profile: EngineProfile,
+        prompt_tokens: int,
+        suspects: set[str],
+        cold: Set[str] = frozenset(),
     ) -> Head | None:
         """Return the better one of two heads that are neither suspect nor stand still.
 
@@ -85,7 +95,8 @@
 
         def cost_ms(head: Head) -> float:
             distance_ms = 0.0 if self._is_near(head.upstream) else OTHER_HALL_MS
-            return distance_ms + self.predict(head, profile, prompt_tokens)
+            cold_ms = COLD_MS if head.upstream.id in cold else 0.0
+            return distance_ms + cold_ms + self.predict(head, profile, prompt_tokens)
 
         return min(drawn, key=cost_ms, default=None)
 
@@ -112,12 +123,16 @@
             prompt_tokens,
         )
 
-    def choose_plain(self, upstreams: list[Upstream], suspects: set[str]) -> Upstream | None:
+    def choose_plain(
+        self, upstreams: list[Upstream], suspects: set[str], cold: Set[str] = frozenset()
+    ) -> Upstream | None:
         """Return a plain service's upstream with the most room, unless it is suspect."""
 
         def cost(upstream: Upstream) -> tuple:
             distance = 0 if self._is_near(upstream) else OTHER_HALL_REQUESTS
-            used = (self._loads.running(upstream.id) + distance) / max(1, upstream.slots)
+            coldness = COLD_REQUESTS if upstream.id in cold else 0
+            running = self._loads.running(upstream.id)
+            used = (running + distance + coldness) / max(1, upstream.slots)
             return (upstream.id in suspects, used, self._rng.random())
 
         return min(upstreams, key=cost, default=None)
--- a/mulleinreach/gateway/known/upstreams.py
+++ b/mulleinreach/gateway/known/upstreams.py
@@ -94,6 +94,7 @@
     def __init__(self) -> None:
         self._by_id: dict[str, Upstream] = {}
         self._changed_at: dict[str, float] = {}
+        self._cold_until: dict[str, float] = {}
         self._kept: set[str] = set()
         self._changes: deque[ListChange] = deque()
         self._changes_from: int | None = None
@@ -134,6 +135,7 @@
         for upstream in change.upstreams:
             self._by_id[upstream.id] = upstream
             self._changed_at[upstream.id] = heard_at
+            self._note_cold(upstream, heard_at)
             self._kept.discard(upstream.id)
         if keeps_removed:
             self._kept.update(self._by_id.keys() & set(change.removed))
@@ -142,6 +144,12 @@
                 self._drop(upstream_id)
         self.revision = change.revision
 
+    def _note_cold(self, upstream: Upstream, heard_at: float) -> None:
+        if upstream.cold_s > 0:
+            self._cold_until[upstream.id] = heard_at + upstream.cold_s
+        else:
+            self._cold_until.pop(upstream.id, None)
+
     def drop_kept(self) -> int:
         """Remove the upstreams that were kept and not listed again; returns how many."""
         kept = list(self._kept)
@@ -152,6 +160,7 @@
     def _drop(self, upstream_id: str) -> None:
         self._by_id.pop(upstream_id, None)
         self._changed_at.pop(upstream_id, None)
+        self._cold_until.pop(upstream_id, None)
         self._kept.discard(upstream_id)
 
     def _remember(self, change: ListChange) -> None:
@@ -202,6 +211,10 @@
         """Return an upstream that is on the list."""
         return self._by_id.get(upstream_id)
 
+    def cold_ids(self, now: float) -> frozenset[str]:
+        """Return the ids of upstreams that are cold, by the latest change of their rows."""
+        return frozenset(u for u, until in self._cold_until.items() if until > now)
+
     def of_service(self, service: str) -> list[Upstream]:
         """Return all upstreams of a service."""
         return [u for u in self._by_id.values() if u.service == service]
--- a/mulleinreach/gateway/metrics.py
+++ b/mulleinreach/gateway/metrics.py
@@ -18,6 +18,7 @@
         self._denied = self._counter("denied", "Requests that aren't allowed", ["status"])
         self._sends = self._counter("sends", "Requests sent to upstreams", ["kind"])
         self._failed = self._counter("failed_sends", "Sends without an answer", ["outcome"])
+        self._withheld = self._counter("cold_withheld", "Cold upstreams passed over", [])
         self._orders = self._counter("orders", "Orders to hosts", ["order", "outcome"])
         self._seconds = self._histogram("answer_seconds", "Time to the end of an answer")
         self._first_event = self._histogram("first_event_seconds", "Time to a stream's first event")
@@ -42,6 +43,9 @@
             "evidence_age_seconds", "Age of the evidence that the configuration is the newest"
         )
         self.evacuated_halls = self._gauge("evacuated_halls", "Halls that are to be empty")
+        self.cold_heads = self._gauge(
+            "cold_heads", "Heads that this node may send to and that are cold"
+        )
         self.open_groups = self._gauge("open_groups", "Heads that this node may send to")
 
     def _counter(self, name: str, text: str, labels: list[str]) -> Counter:
@@ -96,6 +100,10 @@
         """Count a send that brought no answer."""
         self._failed.labels(outcome).inc()
 
+    def count_withheld(self, count: int) -> None:
+        """Count the cold upstreams that were passed over when one was chosen for a request."""
+        self._withheld.inc(count)
+
     def count_order(self, order: str, outcome: str) -> None:
         """Count an order to a host."""
         self._orders.labels(order, outcome).inc()
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -19,6 +19,7 @@
 from mulleinreach.gateway.fleet.formation import GroupOperator
 from mulleinreach.gateway.fleet.hosts import HostBook
 from mulleinreach.gateway.known.choosing import SuspectList, UpstreamChooser
+from mulleinreach.gateway.known.cold import ColdRateLimit, ColdUpstreams
 from mulleinreach.gateway.known.counted import CountedEventLog, CountedLease, CountedSource
 from mulleinreach.gateway.known.eligibility import Eligibility
 from mulleinreach.gateway.known.evacuations import Evacuations
@@ -107,7 +108,11 @@
         evacuations = Evacuations(
             self.bounds.evacuation_s, self.identity.regions, self.clock, self.log
         )
-        self.eligibility = Eligibility(evacuations, self.rng)
+        self.cold_limit = ColdRateLimit(self.bounds, self.clock, self.log)
+        self.cold = ColdUpstreams(self.directory, evacuations, self.cold_limit, self.clock)
+        self.eligibility = Eligibility(
+            evacuations, self.cold, self.identity.regions, self.metrics, self.rng
+        )
         self.in_force = ConfigurationInForce(
             CountedSource(self.ports.configurations, "configuration", self.store_calls),
             evacuations,
@@ -133,6 +138,7 @@
             Router(self.loads, self.rng, self.identity.hall),
             self.suspects,
             self.eligibility,
+            self.cold,
             self.clock,
         )
         self.session = self.network.http_client(
@@ -214,6 +220,7 @@
                 self.loads,
                 self.chooser,
                 self.eligibility,
+                self.cold_limit,
                 self.controller,
                 self.first_waits,
                 self._on_lost,
@@ -317,10 +324,20 @@
         self.metrics.holds_lease.set(self.lease.is_held())
         self.metrics.evidence_age.set(self.in_force.evidence_age_s())
         self.metrics.open_groups.set(len(self.chooser.opened()))
+        self.metrics.cold_heads.set(self._count_cold_heads())
         self.metrics.evacuated_halls.set(len(self.in_force.evacuations.halls))
         body = generate_latest(self.metrics.registry)
         return web.Response(body=body, headers={"Content-Type": CONTENT_TYPE_LATEST})
 
+    def _count_cold_heads(self) -> int:
+        heads = [head.upstream for head in self.chooser.opened()]
+        configuration = self.in_force.configuration
+        services = configuration.services.values() if configuration else ()
+        return sum(
+            len(self.cold.ids([head for head in heads if head.service == service.name], service))
+            for service in services
+        )
+
     # Ending.
 
     async def stop(self) -> None:
--- a/mulleinreach/gateway/request/admission.py
+++ b/mulleinreach/gateway/request/admission.py
@@ -17,12 +17,19 @@
 
 @dataclass(frozen=True)
 class Admitted:
-    """The request may be sent on."""
+    """The request may be sent on.
+
+    Parameters
+    ==========
+
+    homes : the regions whose upstreams may serve it; ``None`` if any may.
+    """
 
     configuration: Configuration
     route: Route
     organisation: str | None
     priority: int
+    homes: frozenset[str] | None = None
 
 
 @dataclass(frozen=True)
@@ -34,6 +41,24 @@
     retry_after_s: float | None = None
 
 
+def common_homes(
+    first: frozenset[str] | None, second: frozenset[str] | None
+) -> frozenset[str] | None:
+    """Return the regions that both allow, ``None`` if neither names any.
+
+    Examples
+    ========
+
+    >>> sorted(common_homes(frozenset({"a", "b"}), frozenset({"b", "c"})))
+    ['b']
+    >>> sorted(common_homes(None, frozenset({"c"})))
+    ['c']
+    """
+    if first is None or second is None:
+        return first if second is None else second
+    return first & second
+
+
 class Admission:
     """Checks the route and the API key of a request."""
 
@@ -54,7 +79,7 @@
         if route is None:
             return self._deny(404, "no route")
         if route.is_public or not configuration.needs_keys:
-            return Admitted(configuration, route, None, route.priority)
+            return Admitted(configuration, route, None, route.priority, route.homes)
         return self._check_key(configuration, route, headers)
 
     def _check_key(
@@ -68,7 +93,8 @@
             return self._deny(401, "unknown key")
         own_priority = organisation.priority
         priority = route.priority if own_priority is None else own_priority
-        return Admitted(configuration, route, organisation.name, priority)
+        homes = common_homes(route.homes, organisation.homes)
+        return Admitted(configuration, route, organisation.name, priority, homes)
 
     def _key_evidence_age_s(self) -> float:
         """Return how long ago no key can have been taken away without our knowing it."""
--- a/mulleinreach/gateway/request/late.py
+++ b/mulleinreach/gateway/request/late.py
@@ -16,8 +16,8 @@
 
 from mulleinreach.common import Clock
 from mulleinreach.gateway.known.choosing import UpstreamChooser
+from mulleinreach.gateway.known.eligibility import RequestTerms
 from mulleinreach.gateway.known.load import LoadBook
-from mulleinreach.gateway.model import Service
 from mulleinreach.gateway.ports import CallerHeaders
 
 # Seconds, and the share of what is left of a caller's time, that a late request waits at most.
@@ -39,14 +39,19 @@
         self._clock = clock
         self._rng = rng
 
-    async def wait(self, service: Service, headers: CallerHeaders, remaining_s: float) -> None:
-        """Wait for a head with free places, or until the patience is over."""
+    async def wait(self, terms: RequestTerms, headers: CallerHeaders, remaining_s: float) -> None:
+        """Wait for a head with free places, or until the patience is over.
+
+        A request that no head may be sent is refused at once, so that it may be tried anew.
+        """
         until = self._clock.now() + min(PATIENCE_S, SHARE_OF_WAIT * remaining_s)
-        while self._clock.now() < until and not self._has_room(service, headers):
+        while self._clock.now() < until and not self._has_room(terms, headers):
+            if self._chooser.permits_none(terms, headers.model):
+                return
             await asyncio.sleep(self._rng.uniform(SHORTEST_PAUSE_S, LONGEST_PAUSE_S))
 
-    def _has_room(self, service: Service, headers: CallerHeaders) -> bool:
-        head = self._chooser.choose(service, headers, set())
+    def _has_room(self, terms: RequestTerms, headers: CallerHeaders) -> bool:
+        head = self._chooser.choose(terms, headers, set())
         if head is None:
             return False
-        return self._loads.running(head.id) < ROOM_SHARE * service.engine.slots
+        return self._loads.running(head.id) < ROOM_SHARE * terms.service.engine.slots
--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -200,7 +200,7 @@
         response: web.StreamResponse | None = None
         if job.service.engine is not None and self._sender.is_late(job):
             remaining_s = job.deadline - self._clock.now()
-            await self._late_gate.wait(job.service, job.headers, remaining_s)
+            await self._late_gate.wait(job.terms, job.headers, remaining_s)
         while (upstream := self._sender.next_upstream(job)) is not None:
             exchange, ticket = self._sender.begin(job, upstream)
             try:
--- a/mulleinreach/gateway/request/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -11,6 +11,7 @@
 
 from mulleinreach.common import Clock, EventLog
 from mulleinreach.gateway.known.choosing import SuspectList, UpstreamChooser
+from mulleinreach.gateway.known.eligibility import RequestTerms
 from mulleinreach.gateway.known.load import LoadBook, Ticket
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.model import RouteKind, Service
@@ -95,6 +96,11 @@
     fell_silent: bool = False
     upstream_id: str = ""
 
+    @property
+    def terms(self) -> RequestTerms:
+        """What decides on its upstreams."""
+        return RequestTerms(self.service, self.admitted.homes)
+
     def note_events(self, count: int, now: float) -> None:
         """Note that events were passed on to the caller."""
         if self.first_event_at is None:
@@ -143,7 +149,7 @@
             limit += EXTRA_RESUMES
         if job.sends >= limit:
             return None
-        upstream = self._chooser.choose(job.service, job.headers, job.tried)
+        upstream = self._chooser.choose(job.terms, job.headers, job.tried)
         if upstream is None:
             return None
         if job.sends > 0 and not self._budget.try_spend(job.service.name):
@@ -183,6 +189,7 @@
             priority=job.priority,
             after=job.last_event_id or "",
         )
+        self._chooser.note_sent(job.terms, upstream)
         ticket = self._loads.start(upstream.id, job.headers.prompt_tokens or 0)
         return self._active.begin(upstream.id), ticket
 
@@ -214,7 +221,7 @@
         """Whether a stream could be moved to another replica."""
         if not job.admitted.route.is_repeatable:
             return False
-        return self._chooser.choose(job.service, job.headers, job.tried) is not None
+        return self._chooser.choose(job.terms, job.headers, job.tried) is not None
 
     def _is_silent(self, upstream_id: str) -> bool:
         """Whether none of our requests at an upstream has had a byte for too long."""
