--- /dev/null
+++ b/mulleinreach/gateway/known/tests/test_cold.py
@@ -0,0 +1,337 @@
+"""Cold upstreams get no more requests a second, from all nodes together, than they bear."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Iterable
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mulleinreach.common import Address, Clock, EventLog
+from mulleinreach.gateway.coordination.numbering import NodeNumbers
+from mulleinreach.gateway.known.cold import NUMBER_HOLDS_S, WINDOW_S, ColdRateLimit, quota
+from mulleinreach.gateway.known.upstreams import ListChange, UpstreamDirectory
+from mulleinreach.gateway.model import Configuration
+from mulleinreach.gateway.ports import Bounds
+from mulleinreach.gateway.request.urgency import ENOUGH_SEEN
+from mulleinreach.gateway.tests.desk import answer_whole, fail
+from mulleinreach.gateway.tests.support import run_world, turn_away
+from mulleinreach.gateway.upstream import Upstream
+from mulleinreach.standins.gateway.store import CONFIGURATION, NEWEST, UPSTREAMS
+from mulleinreach.standins.gateway.world import (
+    LARGE,
+    MODEL_SERVICE,
+    make_configuration,
+)
+
+BOUNDS = Bounds(cold_ratio=1.5, cold_slack=5.0)
+COLD_S, COLD_PER_S = 12.0, 4.0
+BOUND = COLD_PER_S * BOUNDS.cold_ratio + BOUNDS.cold_slack
+WORLD = {"nodes": 6, "halls": 3, "domains": 3, "hosts_per_domain": 6, "bounds": BOUNDS}
+# A change of a row reaches all nodes within so many seconds.
+TOLD_S = 0.6
+STEP_S = 0.05
+
+
+class SetClock(Clock):
+    """A clock that stands where a test sets it."""
+
+    def __init__(self) -> None:
+        self.time = 100.0
+
+    def now(self) -> float:
+        return self.time
+
+
+def cold_configuration() -> Configuration:
+    """Return a configuration whose upstreams can be cold."""
+    configuration = make_configuration(2)
+    services = {
+        name: replace(service, cold_s=COLD_S, cold_per_s=COLD_PER_S)
+        for name, service in configuration.services.items()
+    }
+    return replace(configuration, services=services)
+
+
+def most_in_a_second(times: Iterable[float]) -> int:
+    """Return how many moments lie within one second at most."""
+    ordered = sorted(times)
+    return max((sum(t <= other < t + WINDOW_S for other in ordered) for t in ordered), default=0)
+
+
+class Arrivals:
+    """The requests that each host has begun to run."""
+
+    def __init__(self, world):
+        self._checks = world.fabric.checks
+
+    def at(self, host_id: str, since: float) -> list[float]:
+        """Return when they came to a host, from a moment on."""
+        return [
+            at
+            for request_id, hosts in self._checks.runs.items()
+            for host, at in zip(hosts, self._checks.started_at[request_id], strict=True)
+            if host == host_id and at >= since
+        ]
+
+    def check(self, hosts: Iterable[str], since: float) -> None:
+        """No host has had more than it bears in any second from a moment on."""
+        for host in hosts:
+            assert most_in_a_second(self.at(host, since)) <= BOUND, host
+
+
+async def ask_everywhere(world, seconds: float, statuses: list[int], model: str = LARGE) -> None:
+    """Ask each node for short streams, far more than cold heads bear."""
+    asked = []
+    until = world.clock.now() + seconds
+    while world.clock.now() < until:
+        for node in list(world.nodes):
+            asked.append(asyncio.create_task(world.stream(2, model=model, node=node)))
+        await asyncio.sleep(0.1)
+    for answer in await asyncio.gather(*asked, return_exceptions=True):
+        if not isinstance(answer, Exception):
+            statuses.append(answer.status)
+
+
+async def start_cold_world(world) -> None:
+    """Let all groups form and all nodes be numbered."""
+    world.store.put(CONFIGURATION, NEWEST, cold_configuration())
+    await world.until_formed()
+    await asyncio.sleep(6)
+
+
+def heads_in(world, hall: str | None = None) -> list[str]:
+    """Return the ids of the heads of a model, those in a hall or all."""
+    heads = next(iter(world.nodes.values())).chooser.heads(MODEL_SERVICE, LARGE)
+    return [h.upstream.id for h in heads if hall in (None, h.upstream.hall)]
+
+
+@settings(max_examples=300, deadline=None)
+@given(
+    rate=st.floats(0, 200),
+    sizes=st.tuples(st.integers(1, 120), st.integers(1, 120)),
+    upstream_id=st.text(max_size=8),
+)
+def test_quotas_of_any_two_sets_of_numbers_keep_within_the_rate(rate, sizes, upstream_id):
+    given_out = [sum(quota(upstream_id, rate / 2, n, size) for n in range(size)) for size in sizes]
+    assert sum(given_out) <= rate
+
+
+class NumberedNodes:
+    """Nodes that come, go and are cut off while their coordinator changes, and send all they may.
+
+    A node that is cut off keeps what it was told last; a new coordinator knows nothing of that.
+    """
+
+    def __init__(self, size: int, seed: int):
+        self._rng = random.Random(seed)
+        self._clock = SetClock()
+        self._hub = NodeNumbers(self._clock.now())
+        self._limits = [ColdRateLimit(BOUNDS, self._clock, EventLog("node")) for _ in range(size)]
+        self._connected: set[int] = set()
+        self.sends: list[float] = []
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        for _ in range(int(seconds / STEP_S)):
+            self._clock.time += STEP_S
+            self._change()
+            self._hub.update(sorted(self._connected), self._clock.now())
+            for node in self._connected:
+                number = self._hub.number_of(node)
+                self._limits[node].take_number(number, self._hub.count, self._clock.now())
+            for limit in self._limits:
+                self._send_all(limit)
+
+    def _change(self) -> None:
+        chance = self._rng.random()
+        if chance < 0.3:
+            self._connected ^= {self._rng.randrange(len(self._limits))}
+        elif chance < 0.32:
+            self._connected = set()
+        elif chance < 0.36:
+            self._hub = NodeNumbers(self._clock.now())
+
+    def _send_all(self, limit: ColdRateLimit) -> None:
+        while self._rng.random() < 0.7 and limit.allows("u", COLD_PER_S):
+            limit.note_sent("u")
+            self.sends.append(self._clock.now())
+
+
+@pytest.mark.parametrize("size", [8, 12, 40])
+def test_nodes_that_come_and_go_keep_within_the_bound_in_any_second(size):
+    most = 0
+    for seed in range(60):
+        nodes = NumberedNodes(size, seed)
+        nodes.run(30)
+        most = max(most, most_in_a_second(nodes.sends))
+    assert 0 < most <= BOUND
+
+
+def test_node_without_a_number_sends_nothing_and_numbers_lapse():
+    clock = SetClock()
+    limit = ColdRateLimit(BOUNDS, clock, EventLog("node"))
+    assert not limit.allows("u", COLD_PER_S)
+    limit.take_number(3, 3, clock.now())
+    assert not limit.allows("u", COLD_PER_S)
+    limit.take_number(0, 3, clock.now())
+    assert limit.allows("u", COLD_PER_S)
+    clock.time += NUMBER_HOLDS_S + 0.1
+    assert not limit.allows("u", COLD_PER_S)
+
+
+def test_numbers_are_kept_and_free_ones_are_used_again():
+    numbers = NodeNumbers(0.0)
+    numbers.update(["a", "b", "c"], 3.0)
+    assert numbers.count == 0
+    numbers.update(["a", "b", "c"], 4.0)
+    numbers.update(["b", "c", "d"], 5.0)
+    assert numbers.number_of("d") == numbers.count
+    numbers.update(["b", "c", "d"], 8.0)
+    assert [numbers.number_of(name) for name in "bcd"] == [2, 3, 1]
+
+
+def test_cold_time_counts_from_the_latest_change_of_a_row():
+    host = Upstream("u", "s", Address("10.0.0.1", 80), "hall", cold_s=5.0)
+    directory = UpstreamDirectory()
+    directory.replace_all(1, [host], heard_at=10.0)
+    assert directory.put_report(replace(host, pace=2.0), as_of=13.0)
+    directory.replace_all(2, [replace(host, pace=2.0)], heard_at=14.0)
+    assert directory.cold_ids(14.9) == {"u"}
+    assert not directory.cold_ids(15.1)
+    directory.apply(ListChange(3, [replace(host, cold_s=8.0)], []), heard_at=16.0)
+    assert directory.cold_ids(23.9) == {"u"}
+    directory.apply(ListChange(4, [replace(host, cold_s=0.0)], []), heard_at=17.0)
+    assert not directory.cold_ids(17.0)
+
+
+def test_cold_hall_keeps_within_the_bound_and_the_others_take_the_rest():
+    async def test(world):
+        await start_cold_world(world)
+        cold, sound = heads_in(world, "hall-b"), heads_in(world, "hall-a")
+        for host in world.fabric.hosts.values():
+            if host.upstream.hall == "hall-b":
+                host.turn_cold(COLD_S)
+        await asyncio.sleep(TOLD_S)
+        started_at, statuses = world.clock.now(), []
+        await ask_everywhere(world, 5, statuses)
+        arrivals = Arrivals(world)
+        arrivals.check(cold, started_at)
+        assert set(statuses) == {200}
+        # Cold ones are used, as far as they bear it.
+        assert all(len(arrivals.at(u, started_at)) > 0 for u in cold)
+        assert all(most_in_a_second(arrivals.at(u, started_at)) > BOUND for u in sound)
+
+    run_world(test, **WORLD)
+
+
+@pytest.mark.parametrize("trouble", ["killed", "cut"])
+def test_bound_holds_while_the_coordinator_is_replaced(trouble):
+    async def test(world):
+        await start_cold_world(world)
+        for host in world.fabric.hosts.values():
+            host.turn_cold(COLD_S)
+        await asyncio.sleep(TOLD_S)
+        started_at, cold, statuses = world.clock.now(), heads_in(world), []
+        asking = asyncio.create_task(ask_everywhere(world, 9, statuses))
+        await asyncio.sleep(2)
+        first = world.coordinator()
+        if trouble == "killed":
+            await world.kill_node(first)
+        else:
+            others = [name for name in world.nodes if name != first]
+            for away in (first, *others[:2]):
+                turn_away(world.nodes[away])
+                for other in others[2:]:
+                    world.links.cut_both(away, other)
+        await asking
+        assert world.coordinator() not in (None, first)
+        Arrivals(world).check(cold, started_at)
+        assert {200, 503} == set(statuses)
+
+    run_world(test, **WORLD)
+
+
+def test_hall_taken_back_counts_as_cold_though_no_row_tells_it():
+    async def test(world):
+        await start_cold_world(world)
+        hosts = [h for h in world.fabric.hosts.values() if h.upstream.hall == "hall-b"]
+        world.evacuate("hall-b")
+        await asyncio.sleep(BOUNDS.evacuation_s + 1)
+        for host in hosts:
+            host.turn_cold(COLD_S, is_told=False)
+        started_at, statuses = world.clock.now(), []
+        asking = asyncio.create_task(ask_everywhere(world, 6, statuses))
+        await asyncio.sleep(0.5)
+        world.take_back("hall-b")
+        await asking
+        arrivals = Arrivals(world)
+        assert any(arrivals.at(host.id, started_at) for host in hosts)
+        arrivals.check([host.id for host in hosts], started_at)
+        assert set(statuses) == {200}
+
+    run_world(test, **WORLD)
+
+
+def test_late_request_that_no_head_may_be_sent_is_refused_at_once():
+    async def test(world):
+        await start_cold_world(world)
+        for _ in range(4):
+            await asyncio.gather(*(world.stream(1, deadline_s=8.0) for _ in range(ENOUGH_SEEN)))
+        for host in world.fabric.hosts.values():
+            host.turn_cold(COLD_S)
+        await asyncio.sleep(TOLD_S + WINDOW_S)
+        refused = 0
+        for _ in range(12):
+            asked_at = world.clock.now()
+            answer = await world.stream(1, deadline_s=6.0)
+            if answer.status == 503:
+                refused += 1
+                assert world.clock.now() - asked_at < 0.05
+                assert float(answer.headers["Retry-After"]) > 0
+        assert refused > 0
+
+    run_world(test, **WORLD)
+
+
+def test_bound_holds_for_repeats_and_for_plain_services():
+    async def test(world):
+        world.store.put(CONFIGURATION, NEWEST, cold_configuration())
+        arrivals: dict[str, list[float]] = {"desk-1": [], "desk-2": []}
+
+        def failing(times: list[float]):
+            async def note_and_fail(request):
+                times.append(world.clock.now())
+                return await fail(request)
+
+            return note_and_fail
+
+        for name in arrivals:
+            plain = await world.add_plain(name, failing(arrivals[name]))
+            world.store.put(UPSTREAMS, name, replace(plain.upstream, cold_s=COLD_S))
+        await asyncio.sleep(5)
+        asked = []
+        for _ in range(30):
+            for node in world.nodes:
+                asked.append(asyncio.create_task(world.call("/stock/1", node=node, method="GET")))
+            await asyncio.sleep(0.1)
+        await asyncio.gather(*asked)
+        for times in arrivals.values():
+            assert 0 < most_in_a_second(times) <= BOUND
+
+    run_world(test, nodes=6, domains=0, bounds=BOUNDS)
+
+
+def test_service_without_a_bound_uses_cold_upstreams_as_before():
+    async def test(world):
+        plain = await world.add_plain("desk", answer_whole)
+        world.store.put(UPSTREAMS, "desk", replace(plain.upstream, cold_s=COLD_S))
+        await asyncio.sleep(2)
+        answers = await asyncio.gather(*(world.call("/order/1") for _ in range(30)))
+        assert {answer.status for answer in answers} == {200}
+
+    run_world(test, domains=0)
--- a/mulleinreach/standins/gateway/world.py
+++ b/mulleinreach/standins/gateway/world.py
@@ -153,6 +153,7 @@
     domains, hosts_per_domain : the model service's hosts.
     halls : how many halls there are; domains and nodes stand in them in turn.
     bounds : what the operators of the deployment have agreed on.
+    regions : the region of each hall; all stand in one if it is left out.
     """
 
     def __init__(
@@ -162,6 +163,7 @@
         hosts_per_domain: int = 8,
         bounds: Bounds | None = None,
         halls: int = 1,
+        regions: dict[str, str] | None = None,
     ):
         self.links = Links()
         self.clock = VirtualClock()
@@ -173,6 +175,7 @@
         self._domains = domains
         self.halls = [f"hall-{letter}" for letter in string.ascii_lowercase[:halls]]
         self._bounds = bounds or Bounds()
+        self._regions = regions or dict.fromkeys(self.halls, "region-1")
         self._hosts_per_domain = hosts_per_domain
         self._listeners: list[tuple[web.Server, asyncio.AbstractServer]] = []
         self._next_port = 9000
@@ -240,7 +243,7 @@
             readiness=Address("10.0.0.1", self._port()),
             peers=Address("10.0.0.1", self._port()),
             processor_cores=processor_cores,
-            regions=dict.fromkeys(self.halls, "region-1"),
+            regions=self._regions,
         )
         for address in (identity.callers, identity.readiness, identity.peers):
             self.links.names[str(address)] = name
