--- /dev/null
+++ b/mulleinreach/gateway/known/tests/test_homes.py
@@ -0,0 +1,106 @@
+"""Requests that are bound to regions are sent to upstreams of those regions only."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+
+from mulleinreach.gateway.tests.desk import answer_whole, serve_desk
+from mulleinreach.gateway.tests.support import run_world
+from mulleinreach.standins.gateway.store import CONFIGURATION, NEWEST
+from mulleinreach.standins.gateway.world import LARGE, make_configuration
+
+NORTH, SOUTH = "north", "south"
+# The third hall is in no region that is known.
+WORLD = {"halls": 3, "regions": {"hall-a": NORTH, "hall-b": SOUTH}}
+REFUSED_WITHIN_S = 0.05
+
+
+def bound_configuration(of_routes: set[str], of_organisation: set[str]):
+    """Return a configuration with homes; an empty set is none."""
+    configuration = make_configuration(2)
+    routes = tuple(
+        replace(route, homes=frozenset(of_routes) or None) for route in configuration.routes
+    )
+    organisations = tuple(
+        replace(organisation, homes=frozenset(of_organisation) or None)
+        for organisation in configuration.organisations
+    )
+    return replace(configuration, routes=routes, organisations=organisations)
+
+
+async def take_configuration(world, configuration) -> None:
+    """Write a configuration and wait until the node has it."""
+    world.store.put(CONFIGURATION, NEWEST, configuration)
+    node = world.nodes["node-0"]
+    await world.until(lambda: node.in_force.version == configuration.version)
+
+
+async def serve_desk_in_each_hall(world) -> None:
+    """Start a plain upstream in each hall."""
+    for hall in world.halls:
+        await world.add_plain(hall, answer_whole, hall)
+    await world.until(lambda: len(world.nodes["node-0"].directory) == len(world.halls))
+
+
+@pytest.mark.parametrize(
+    ("of_routes", "of_organisation", "serving"),
+    [
+        (set(), set(), {"hall-a", "hall-b", "hall-c"}),
+        ({SOUTH}, set(), {"hall-b"}),
+        (set(), {NORTH}, {"hall-a"}),
+        ({NORTH, SOUTH}, {SOUTH}, {"hall-b"}),
+        ({NORTH}, {SOUTH}, set()),
+        ({"unknown"}, set(), set()),
+    ],
+)
+def test_request_goes_only_to_regions_that_route_and_organisation_allow(
+    of_routes, of_organisation, serving
+):
+    async def test(world):
+        await serve_desk_in_each_hall(world)
+        await take_configuration(world, bound_configuration(of_routes, of_organisation))
+        asked_at = world.clock.now()
+        answers = await asyncio.gather(*(world.call("/order/1") for _ in range(30)))
+        statuses = {answer.status for answer in answers}
+        assert {name for name, plain in world.plain.items() if plain.seen} == serving
+        assert statuses == ({200} if serving else {503})
+        if not serving:
+            assert world.clock.now() - asked_at < REFUSED_WITHIN_S
+
+    run_world(test, nodes=1, domains=0, **WORLD)
+
+
+def test_homes_of_an_organisation_do_not_bind_requests_without_its_key():
+    async def test(world):
+        await serve_desk(world, answer_whole)
+        await take_configuration(world, bound_configuration(set(), {SOUTH}))
+        assert (await world.call("/public/1", key=None)).status == 200
+        assert (await world.call("/order/1")).status == 503
+
+    run_world(test, nodes=1, domains=0, **WORLD)
+
+
+def test_streams_begin_and_resume_at_home_or_are_refused_at_once():
+    async def test(world):
+        await world.until_formed()
+        await take_configuration(world, bound_configuration({NORTH}, set()))
+        away = [h for h in world.fabric.hosts.values() if h.upstream.hall != "hall-a"]
+        answers = await asyncio.gather(*(world.stream(2) for _ in range(20)))
+        assert {answer.status for answer in answers} == {200}
+        for host in world.fabric.hosts.values():
+            host.breaks_after = 1
+        assert (await world.stream(5)).is_cut
+        ran_at = {host for hosts in world.fabric.checks.runs.values() for host in hosts}
+        assert ran_at.isdisjoint(host.id for host in away)
+        await take_configuration(world, replace(bound_configuration({"none"}, set()), version=3))
+        asked_at = world.clock.now()
+        answer = await world.stream(2)
+        assert answer.status == 503
+        assert float(answer.headers["Retry-After"]) > 0
+        assert world.clock.now() - asked_at < REFUSED_WITHIN_S
+        assert world.open_groups(LARGE) == 3
+
+    run_world(test, nodes=1, domains=3, hosts_per_domain=6, **WORLD)
--- a/mulleinreach/gateway/known/tests/test_routing.py
+++ b/mulleinreach/gateway/known/tests/test_routing.py
@@ -103,3 +103,37 @@
         assert len(picked) == (2 if running_near == 1 else 1)
 
     run_virtual(test())
+
+
+def test_cold_head_is_left_alone_until_the_others_are_clearly_busier():
+    async def test():
+        loads = LoadBook(VirtualClock())
+        router = Router(loads, random.Random(1))
+        heads = [_head("cold"), _head("warm")]
+
+        def chosen() -> str:
+            head = router.choose_head(heads, PROFILE, 100, NO_SUSPECTS, {"cold"})
+            return head.upstream.id
+
+        for _ in range(6):
+            loads.start("warm").progress()
+        assert chosen() == "warm"
+        for _ in range(30):
+            loads.start("warm").progress()
+        assert chosen() == "cold"
+
+    run_virtual(test())
+
+
+@pytest.mark.parametrize(("running_warm", "chosen"), [(1, "warm"), (3, "cold")])
+def test_cold_plain_upstream_is_left_alone_until_the_others_are_busier(running_warm, chosen):
+    async def test():
+        loads = LoadBook(VirtualClock())
+        router = Router(loads, random.Random(3))
+        upstreams = [_head("warm").upstream, _head("cold").upstream]
+        for _ in range(running_warm):
+            loads.start("warm")
+        picked = {router.choose_plain(upstreams, NO_SUSPECTS, {"cold"}).id for _ in range(30)}
+        assert picked == {chosen}
+
+    run_virtual(test())
--- a/mulleinreach/gateway/model.py
+++ b/mulleinreach/gateway/model.py
@@ -159,8 +159,12 @@
     services: dict[str, Service] = field(default_factory=dict)
     limits: Limits = field(default_factory=Limits)
     organisations: tuple[Organisation, ...] | None = None
-    _by_host: dict[str, list[Route]] = field(default_factory=dict, repr=False, compare=False)
-    _by_key: dict[str, Organisation] = field(default_factory=dict, repr=False, compare=False)
+    _by_host: dict[str, list[Route]] = field(
+        default_factory=dict, init=False, repr=False, compare=False
+    )
+    _by_key: dict[str, Organisation] = field(
+        default_factory=dict, init=False, repr=False, compare=False
+    )
 
     def __post_init__(self) -> None:
         for route in sorted(self.routes, key=lambda r: -len(r.path_prefix)):
