Settings of halls and cold hosts: tests; a number that isn't finite is malformed

Cause: the new optional fields had no tests; 'nan' for the halls that may be lost ended the process with a traceback instead of one line that names the field.

Tests: test_settings.py, test_translation.py; each seen red with its field left out, its default taken away or the check of finite numbers taken out.

--- a/mulleinreach/platform/settings.py
+++ b/mulleinreach/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from mulleinreach.common import Address
@@ -141,9 +142,12 @@
     def number(self, name: str) -> float:
         value = self.text(name)
         try:
-            return float(value)
+            number = float(value)
         except ValueError as error:
             raise SettingsError(f"field {name!r}: {value!r} is not a number") from error
+        if not math.isfinite(number):
+            raise SettingsError(f"field {name!r}: {value!r} is not finite")
+        return number
 
     def optional(self, name: str, usual: float) -> float:
         """Return a number that not every deployment has."""
--- a/mulleinreach/platform/tests/test_settings.py
+++ b/mulleinreach/platform/tests/test_settings.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from mulleinreach.gateway.ports import Bounds
 from mulleinreach.platform.settings import SettingsError, make_settings, parse_lines
 
 COMPLETE = """\
@@ -31,6 +32,15 @@
 bounds.retry_slack=136
 platform.address=10.200.1.7:8223
 """
+# What only some deployments have; those without it run as they did before.
+OPTIONAL = """\
+bounds.evac_ms=4000
+bounds.cold_overage=1.5
+bounds.cold_slack=5
+fault_tolerance.zones=1
+zones.a=north
+zones.b=south
+"""
 LENIENT = COMPLETE.replace("strict_revoke=true", "strict_revoke=false")
 # This is needed where keys may outlive an outage of the store.
 ONLY_LENIENT = ("bounds.outer_ms",)
@@ -53,6 +63,23 @@
         make_settings(fields)
 
 
+def test_optional_fields_are_read():
+    settings = make_settings(parse_lines(COMPLETE + OPTIONAL))
+    bounds = settings.bounds
+    assert (bounds.evacuation_s, bounds.cold_ratio, bounds.cold_slack) == (4.0, 1.5, 5.0)
+    assert bounds.halls_at_once == 1
+    assert settings.identity.regions == {"a": "north", "b": "south"}
+
+
+def test_deployment_without_optional_fields_has_the_usual_bounds():
+    settings = make_settings(parse_lines(COMPLETE))
+    bounds, usual = settings.bounds, Bounds()
+    assert bounds.evacuation_s == usual.evacuation_s
+    assert (bounds.cold_ratio, bounds.cold_slack) == (usual.cold_ratio, usual.cold_slack)
+    assert bounds.halls_at_once == 0
+    assert settings.identity.regions == {}
+
+
 @pytest.mark.parametrize("name", ONLY_LENIENT)
 def test_missing_bound_of_a_lenient_deployment_is_named(name):
     fields = parse_lines(LENIENT)
@@ -80,6 +107,10 @@
         ("bounds.strict_revoke", "maybe"),
         ("bounds.require_fence", "maybe"),
         ("bounds.grace_s", "soon"),
+        ("bounds.evac_ms", "soon"),
+        ("bounds.cold_overage", "some"),
+        ("bounds.cold_slack", "nan"),
+        ("fault_tolerance.zones", "nan"),
         ("platform.address", "nowhere"),
         ("internal_ports", "first"),
         ("listen.front", "10.1.0.40:99999"),
--- /dev/null
+++ b/mulleinreach/platform/tests/test_translation.py
@@ -0,0 +1,36 @@
+"""Homes and cold hosts, as the platform spells them; both may be left out."""
+
+from __future__ import annotations
+
+import pytest
+
+from mulleinreach.platform.configuration import parse_configuration
+from mulleinreach.platform.tests.standin import row_of
+from mulleinreach.platform.tests.test_ports import DOCUMENT, HOST
+from mulleinreach.platform.upstreams import parse_upstream
+
+
+def test_homes_and_cold_hosts_of_a_configuration_are_translated():
+    raw = {
+        **DOCUMENT,
+        "routes": [{**DOCUMENT["routes"][0], "allowed_regions": ["north", "south"]}],
+        "services": [{"name": "s", "cold_s": 8, "cold_per_s": 2.5}, {"name": "t"}],
+        "tenants": [{"name": "o", "api_keys": ["k"], "allowed_regions": ["south"]}],
+    }
+    configuration = parse_configuration(raw)
+    assert configuration.match("h.example", "/a/").homes == {"north", "south"}
+    assert configuration.organisation_of("k").homes == {"south"}
+    services = configuration.services
+    assert (services["s"].cold_s, services["s"].cold_per_s) == (8.0, 2.5)
+    assert (services["t"].cold_s, services["t"].cold_per_s) == (0.0, 0.0)
+
+
+def test_configuration_without_homes_binds_nobody():
+    configuration = parse_configuration(DOCUMENT)
+    assert configuration.match("h.example", "/a/").homes is None
+    assert configuration.organisation_of("k").homes is None
+
+
+@pytest.mark.parametrize(("told", "cold_s"), [({}, 0.0), ({"cold_remaining_ms": 2500}, 2.5)])
+def test_cold_time_of_a_row_is_translated(told, cold_s):
+    assert parse_upstream("u-1", {**row_of(HOST), **told}).cold_s == cold_s
