--- a/mulleinreach/gateway/known/choosing.py
+++ b/mulleinreach/gateway/known/choosing.py
@@ -2,11 +2,19 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+from dataclasses import dataclass
+
 from mulleinreach.common import Clock
 from mulleinreach.gateway.known.cold import ColdUpstreams
-from mulleinreach.gateway.known.eligibility import Eligibility, RequestTerms
+from mulleinreach.gateway.known.eligibility import Eligibility, Exclusion, RequestTerms
 from mulleinreach.gateway.known.routing import Router
-from mulleinreach.gateway.known.upstreams import Head, UpstreamDirectory, open_heads
+from mulleinreach.gateway.known.upstreams import (
+    Head,
+    UpstreamDirectory,
+    open_heads,
+    serves_model,
+)
 from mulleinreach.gateway.ports import CallerHeaders
 from mulleinreach.gateway.upstream import Upstream
 
@@ -62,6 +70,25 @@
         return epoch == head.epoch and count >= MISDIRECTED_OFTEN
 
 
+@dataclass(frozen=True)
+class Shortage:
+    """Why a request finds no upstream.
+
+    Parameters
+    ==========
+
+    listed : how many upstreams are listed that serve the request's model or service.
+    tried : how many of them the request was sent to already.
+    excluded : how many of them may not be sent the request, by the reason.
+    evacuated_halls : the halls that are to be empty.
+    """
+
+    listed: int
+    tried: int
+    excluded: Mapping[Exclusion, int]
+    evacuated_halls: tuple[str, ...]
+
+
 class UpstreamChooser:
     """Chooses the upstream of a request among those that may take it."""
 
@@ -126,6 +153,22 @@
         self._epochs[head.upstream.id] = head.epoch
         return head.upstream
 
+    def shortage(self, terms: RequestTerms, headers: CallerHeaders, tried: set[str]) -> Shortage:
+        """Return why :meth:`choose` finds nothing for a request."""
+        listed = self._directory.of_service(terms.service.name)
+        if terms.service.engine is not None:
+            listed = [u for u in listed if serves_model(u, headers.model)]
+        return Shortage(
+            len(listed),
+            sum(u.id in tried for u in listed),
+            self._eligibility.count_excluded(listed, terms),
+            tuple(sorted(self._eligibility.evacuated_halls)),
+        )
+
+    def is_evacuated(self, upstream: Upstream) -> bool:
+        """Whether an upstream stands in a hall that is to be empty."""
+        return upstream.hall in self._eligibility.evacuated_halls
+
     def note_misdirected(self, upstream_id: str) -> None:
         """Note that a head refused a request as not meant for it."""
         if upstream_id in self._epochs:
@@ -135,11 +178,6 @@
         """Note that a request is about to be sent."""
         self._cold.note_sent(upstream, terms.service)
 
-    def permits_none(self, terms: RequestTerms, model: str | None) -> bool:
-        """Whether heads serve a model, but none of them may be sent the request now."""
-        heads = self.heads(terms.service.name, model)
-        return bool(heads) and not self._permitted(heads, terms)
-
     def _permitted(self, heads: list[Head], terms: RequestTerms) -> list[Head]:
         permitted = self._eligibility.permitted([head.upstream for head in heads], terms)
         ids = {upstream.id for upstream in permitted}
--- a/mulleinreach/gateway/known/eligibility.py
+++ b/mulleinreach/gateway/known/eligibility.py
@@ -4,7 +4,8 @@
 
 import enum
 import random
-from collections.abc import Mapping
+from collections import Counter
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
 from mulleinreach.gateway.known.cold import ColdUpstreams
@@ -78,13 +79,22 @@
             self._metrics.count_withheld(len(withheld))
         return [u for u in usable if self._exclusion_by_terms(u, terms, withheld) is None]
 
-    def exclusion(self, upstream: Upstream, terms: RequestTerms | None = None) -> Exclusion | None:
-        """Return why an upstream may not be sent a request, ``None`` if it may."""
-        excluded = self._exclusion(upstream, self._closed_halls())
-        if excluded is not None or terms is None:
-            return excluded
-        withheld = self._cold.withheld([upstream], terms.service)
-        return self._exclusion_by_terms(upstream, terms, withheld)
+    def count_excluded(
+        self, upstreams: Collection[Upstream], terms: RequestTerms
+    ) -> Counter[Exclusion]:
+        """Return how many upstreams may not be sent a request, by the reason."""
+        closed = self._closed_halls()
+        withheld = self._cold.withheld(upstreams, terms.service)
+        reasons = (
+            self._exclusion(upstream, closed) or self._exclusion_by_terms(upstream, terms, withheld)
+            for upstream in upstreams
+        )
+        return Counter(reason for reason in reasons if reason is not None)
+
+    @property
+    def evacuated_halls(self) -> frozenset[str]:
+        """The halls that are to be empty."""
+        return self._evacuations.halls
 
     def _exclusion(self, upstream: Upstream, closed: frozenset[str]) -> Exclusion | None:
         if upstream.state is not UpstreamState.READY:
--- a/mulleinreach/gateway/known/turns.py
+++ b/mulleinreach/gateway/known/turns.py
@@ -4,7 +4,6 @@
 
 import random
 
-from mulleinreach.gateway.coordination.election import AMPLE_CORES
 from mulleinreach.gateway.known.reading import ReadingTurn
 from mulleinreach.gateway.ports import Bounds
 
@@ -12,6 +11,8 @@
 # itself without a turn of its own has heard of what changed: 1.5 s until the evidence is too
 # old, the read, and half a second for one that has to be repeated.
 READ_WITHIN_S = 2.5
+# A node with this much processor time bears a coordinator's work.
+AMPLE_CORES = 1.0
 # Whoever reads first replaces a coordinator that the store turns away. On a machine with half
 # a core, a coordinator of 195 nodes lost its lease five times in half a minute; so nodes with
 # much processor time use the first part of the time that there is, and others the last ones.
@@ -28,7 +29,8 @@
     bounds: Bounds, processor_cores: float, is_first_start: bool, rng: random.Random
 ) -> ReadingTurn:
     """Return the turn of a node; nodes that miss the coordinator don't all ask at once."""
-    spread_s = max(0.0, min(bounds.leaving_s, bounds.config_s) - READ_WITHIN_S)
+    tightest_s = min(bounds.leaving_s, bounds.config_s, bounds.evacuation_s)
+    spread_s = max(0.0, tightest_s - READ_WITHIN_S)
     part = AMPLE_PART if processor_cores >= AMPLE_CORES else SCARCE_PART
     at_start_s = FIRST_START_PATIENCE_S if is_first_start else START_PATIENCE_S
     return ReadingTurn(at_start_s, spread_s * rng.uniform(*part))
--- a/mulleinreach/gateway/known/upstreams.py
+++ b/mulleinreach/gateway/known/upstreams.py
@@ -215,6 +215,10 @@
         """Return the ids of upstreams that are cold, by the latest change of their rows."""
         return frozenset(u for u, until in self._cold_until.items() if until > now)
 
+    def ids(self) -> list[str]:
+        """Return the ids of all upstreams."""
+        return list(self._by_id)
+
     def of_service(self, service: str) -> list[Upstream]:
         """Return all upstreams of a service."""
         return [u for u in self._by_id.values() if u.service == service]
@@ -249,3 +253,10 @@
         if membership.state is MemberState.OPEN and upstream.state is UpstreamState.READY:
             heads.append(Head(upstream, membership.group, membership.epoch, upstream.models[0]))
     return heads
+
+
+def serves_model(upstream: Upstream, model: str | None) -> bool:
+    """Whether an upstream is the head of a group that runs a model, or any if that is ``None``."""
+    membership = upstream.membership
+    is_head = membership is not None and membership.rank == 0
+    return is_head and bool(upstream.models) and model in (None, *upstream.models)
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -18,13 +18,13 @@
 from mulleinreach.gateway.fleet.controller import FleetController
 from mulleinreach.gateway.fleet.formation import GroupOperator
 from mulleinreach.gateway.fleet.hosts import HostBook
+from mulleinreach.gateway.knowledge import SharedKnowledge
 from mulleinreach.gateway.known.choosing import SuspectList, UpstreamChooser
 from mulleinreach.gateway.known.cold import ColdRateLimit, ColdUpstreams
 from mulleinreach.gateway.known.counted import CountedEventLog, CountedLease, CountedSource
 from mulleinreach.gateway.known.eligibility import Eligibility
 from mulleinreach.gateway.known.evacuations import Evacuations
 from mulleinreach.gateway.known.following import ConfigurationInForce
-from mulleinreach.gateway.known.knowledge import SharedKnowledge
 from mulleinreach.gateway.known.load import LoadBook
 from mulleinreach.gateway.known.routing import Router
 from mulleinreach.gateway.known.store_calls import StoreCalls, StoreRole, pause_s
@@ -343,7 +343,8 @@
     async def stop(self) -> None:
         """Stop as planned: not ready at once, hand duties over, finish what is in flight."""
         started_at = self.clock.now()
-        self.is_stopping = self.relay.is_stopping = self.coordination.is_stopping = True
+        self.is_stopping = self.relay.is_stopping = True
+        self.coordination.begin_stopping()
         self.log.event("node_stopping", in_flight=self.relay.in_flight)
         give_up_at = started_at + self.bounds.stop_grace_s - STOP_TAIL_S
         quiet_at = min(started_at + STOP_QUIET_S, give_up_at)
--- a/mulleinreach/gateway/request/late.py
+++ b/mulleinreach/gateway/request/late.py
@@ -40,18 +40,17 @@
         self._rng = rng
 
     async def wait(self, terms: RequestTerms, headers: CallerHeaders, remaining_s: float) -> None:
-        """Wait for a head with free places, or until the patience is over.
-
-        A request that no head may be sent is refused at once, so that it may be tried anew.
-        """
+        """Wait for a head with free places, or until the patience is over."""
         until = self._clock.now() + min(PATIENCE_S, SHARE_OF_WAIT * remaining_s)
-        while self._clock.now() < until and not self._has_room(terms, headers):
-            if self._chooser.permits_none(terms, headers.model):
-                return
+        while self._clock.now() < until and self._is_full(terms, headers):
             await asyncio.sleep(self._rng.uniform(SHORTEST_PAUSE_S, LONGEST_PAUSE_S))
 
-    def _has_room(self, terms: RequestTerms, headers: CallerHeaders) -> bool:
+    def _is_full(self, terms: RequestTerms, headers: CallerHeaders) -> bool:
+        """Whether the head that is drawn is nearly full; a model without heads has none to fill.
+
+        A request that no head may take is refused sooner than it would be after a wait.
+        """
         head = self._chooser.choose(terms, headers, set())
         if head is None:
             return False
-        return self._loads.running(head.id) < ROOM_SHARE * terms.service.engine.slots
+        return self._loads.running(head.id) >= ROOM_SHARE * terms.service.engine.slots
--- a/mulleinreach/gateway/request/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -11,7 +11,7 @@
 
 from mulleinreach.common import Clock, EventLog
 from mulleinreach.gateway.known.choosing import SuspectList, UpstreamChooser
-from mulleinreach.gateway.known.eligibility import RequestTerms
+from mulleinreach.gateway.known.eligibility import Exclusion, RequestTerms
 from mulleinreach.gateway.known.load import LoadBook, Ticket
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.model import RouteKind, Service
@@ -28,7 +28,7 @@
     Refused,
     UpstreamClient,
 )
-from mulleinreach.gateway.request.urgency import FirstWaits, engine_priority
+from mulleinreach.gateway.request.urgency import FirstWaits, Lateness, engine_priority
 from mulleinreach.gateway.upstream import Upstream
 
 MIN_REMAINING_S = 0.005
@@ -151,11 +151,29 @@
             return None
         upstream = self._chooser.choose(job.terms, job.headers, job.tried)
         if upstream is None:
+            self._log_shortage(job)
             return None
         if job.sends > 0 and not self._budget.try_spend(job.service.name):
             return None
         return upstream
 
+    def _log_shortage(self, job: RelayJob) -> None:
+        """Tell why a request finds no upstream."""
+        shortage = self._chooser.shortage(job.terms, job.headers, job.tried)
+        engine = job.service.engine
+        # Callers may name anything as a model.
+        model = engine.model(job.headers.model or "") if engine else None
+        self._log.event(
+            "no_upstream",
+            id=job.headers.request_id,
+            service=job.service.name,
+            model=model.name if model else "",
+            listed=shortage.listed,
+            tried=shortage.tried,
+            **{reason.value: shortage.excluded.get(reason, 0) for reason in Exclusion},
+            evacuated_halls=",".join(shortage.evacuated_halls),
+        )
+
     def may_continue(self, job: RelayJob, result: ExchangeResult) -> bool:
         """Whether the request may be sent again after an exchange without an answer."""
         if isinstance(result, NotSent | Refused):
@@ -176,7 +194,8 @@
         job.tried.add(upstream.id)
         job.sends += 1
         job.upstream_id = upstream.id
-        job.priority = self._priority(job)
+        lateness = self.lateness(job)
+        job.priority = self._priority(job, lateness.is_late)
         self._log.event(
             "request_sent",
             id=job.headers.request_id,
@@ -184,12 +203,17 @@
             version=job.admitted.configuration.version,
             upstream=upstream.id,
             attempt=job.sends,
+            late=lateness.is_late,
+            caller_wait_ms=round(lateness.caller_wait_s * 1000),
+            first_wait_ms=round(lateness.first_wait_s * 1000),
             running=self._loads.running(upstream.id),
             pending_tokens=self._loads.pending_tokens(upstream.id),
             priority=job.priority,
             after=job.last_event_id or "",
         )
         self._chooser.note_sent(job.terms, upstream)
+        if self._chooser.is_evacuated(upstream):
+            self._metrics.count_evacuated_send(upstream.hall)
         ticket = self._loads.start(upstream.id, job.headers.prompt_tokens or 0)
         return self._active.begin(upstream.id), ticket
 
@@ -263,15 +287,29 @@
                 why=getattr(result, "reason", getattr(result, "status", "")),
             )
 
-    def _priority(self, job: RelayJob) -> int:
-        return engine_priority(
-            job.admitted.priority, self.is_late(job), is_moved=job.events_sent > 0
-        )
+    def _priority(self, job: RelayJob, is_late: bool) -> int:
+        return engine_priority(job.admitted.priority, is_late, is_moved=job.events_sent > 0)
+
+    def lateness(self, job: RelayJob) -> Lateness:
+        """Return whether the answer can't come in time any more, and why."""
+        wait_s = job.caller_gives_up_at - self._clock.now()
+        return self._first_waits.lateness(job.admitted.route, wait_s)
 
     def is_late(self, job: RelayJob) -> bool:
         """Whether the answer can't come in time any more."""
-        wait_s = job.caller_gives_up_at - self._clock.now()
-        return self._first_waits.is_late(job.admitted.route, wait_s)
+        return self.lateness(job).is_late
+
+    def tell_held_back(self, job: RelayJob) -> None:
+        """Log that a request stands back for others, and why."""
+        lateness = self.lateness(job)
+        self._log.event(
+            "request_held_back",
+            id=job.headers.request_id,
+            route=job.admitted.route.name,
+            caller_wait_ms=round(lateness.caller_wait_s * 1000),
+            first_wait_ms=round(lateness.first_wait_s * 1000),
+            objective_ms=round(lateness.objective_s * 1000),
+        )
 
     def _outgoing(self, job: RelayJob, upstream: Upstream, remaining_s: float) -> OutgoingRequest:
         headers = self._dialect.forward_headers(
--- a/mulleinreach/platform/store.py
+++ b/mulleinreach/platform/store.py
@@ -6,18 +6,28 @@
 import base64
 import binascii
 import json
+from collections.abc import Callable
 from dataclasses import dataclass
+from http import HTTPStatus
 
 import aiohttp
 from absl import logging
 
 from mulleinreach.common import Address
+from mulleinreach.common.calls import CallFailed, CallSilent, HttpAnswer, HttpCalls
 from mulleinreach.gateway.ports import HistoryLost, Unavailable
 
-CALL_TIMEOUT_S = 1.0
+# Shorter than the 1.5 s after which a node takes its evidence for too old; a node that starts
+# asks again after it.
+READ_TIMEOUT_S = 1.0
 # A write without an answer is followed by a look at the row. It has to come while a lease of
 # two seconds still holds; a store that is 60 times slower than usual answers within 0.35 s.
 WRITE_TIMEOUT_S = 0.6
+# What a wait for changes may take beyond the time for which the store was asked to wait. The
+# longest wait of two seconds then ends while nodes still may send to an upstream that leaves.
+WAIT_ANSWER_S = 0.6
+# A wait that was in vain is followed by a look at what has changed meanwhile.
+LOOK_S = 0.01
 PAGE_ROWS = 500
 # What decoding an answer of another shape raises.
 _OTHER_SHAPE = (ValueError, KeyError, TypeError)
@@ -105,13 +115,50 @@
     return Conflict(tuple(RowState(r["table"], r["tls_key"], int(r["ver"])) for r in rows))
 
 
+def _read_body(answer: HttpAnswer | CallFailed) -> dict | HistoryLost | Unavailable:
+    """Return the document that an answer holds."""
+    if isinstance(answer, CallFailed):
+        return Unavailable(answer.reason)
+    if answer.status == HTTPStatus.GONE:
+        return HistoryLost()
+    if answer.status != HTTPStatus.OK:
+        return Unavailable(f"status {answer.status}")
+    try:
+        body = json.loads(answer.body)
+    except ValueError as error:
+        return Unavailable(f"{type(error).__name__}: {error}")
+    return body if isinstance(body, dict) else Unavailable("not an object")
+
+
+def _decode_written(answer: HttpAnswer) -> Written | Conflict | Unavailable:
+    """Return what came of a write that was answered."""
+    try:
+        if answer.status == HTTPStatus.PRECONDITION_FAILED:
+            return _decode_conflict(json.loads(answer.body))
+        if answer.status != HTTPStatus.OK:
+            return Unavailable(f"status {answer.status}")
+        return Written(int(json.loads(answer.body)["ver"]))
+    except _OTHER_SHAPE as error:
+        return Unavailable(f"{type(error).__name__}: {error}")
+
+
 class PlatformStore:
-    """One narrow client of the store."""
+    """One narrow client of the store.
+
+    Parameters
+    ==========
 
-    def __init__(self, session: aiohttp.ClientSession, address: Address):
-        self._session = session
+    make_session : makes a session without connections.
+    """
+
+    def __init__(self, make_session: Callable[[], aiohttp.ClientSession], address: Address):
+        self._calls = HttpCalls(make_session)
         self._url = address.url + "/mulleinreach/"
 
+    async def close(self) -> None:
+        """End the connections."""
+        await self._calls.close()
+
     async def read_table(self, table: str) -> StoreRows | Unavailable:
         """Return all rows of a table's empty part."""
         rows: list[StoreRow] = []
@@ -140,7 +187,8 @@
         return next((row for row in page.rows if row.key == key), None)
 
     async def _read_page(self, params: dict[str, str]) -> StoreRows | Unavailable:
-        answer = await self._call("rows-get", params, CALL_TIMEOUT_S)
+        url = self._url + "rows-get"
+        answer = _read_body(await self._calls.ask("GET", url, READ_TIMEOUT_S, params=params))
         if isinstance(answer, HistoryLost):
             return Unavailable("no rows")
         return self._decode(answer) if isinstance(answer, dict) else answer
@@ -149,13 +197,24 @@
         self, table: str, revision: int, wait_s: float
     ) -> StoreRows | HistoryLost | Unavailable:
         """Return the rows of a table that changed after ``revision``."""
+        asked_at = asyncio.get_running_loop().time()
+        answer = await self._ask_for_changes(table, revision, wait_s)
+        if isinstance(answer, CallSilent) and self._calls.answered_at > asked_at:
+            # The store answers other calls, so only this one's connection was silent.
+            answer = await self._ask_for_changes(table, revision, LOOK_S)
+        body = _read_body(answer)
+        return self._decode(body) if isinstance(body, dict) else body
+
+    async def _ask_for_changes(
+        self, table: str, revision: int, wait_s: float
+    ) -> HttpAnswer | CallFailed:
         params = {
             "table": table,
             "after_rev": str(revision),
             "wait_ms": str(int(wait_s * 1000)),
         }
-        answer = await self._call("rows-feed", params, wait_s + CALL_TIMEOUT_S)
-        return self._decode(answer) if isinstance(answer, dict) else answer
+        url, timeout_s = self._url + "rows-feed", wait_s + WAIT_ANSWER_S
+        return await self._calls.ask("GET", url, timeout_s, is_wait=True, params=params)
 
     async def write_row(
         self, row: RowState, value: dict, unchanged: list[RowState]
@@ -167,32 +226,10 @@
             "puts": [{**_place(row), "value": encoded}],
             "remove": [],
         }
-        try:
-            async with asyncio.timeout(WRITE_TIMEOUT_S):
-                url = self._url + "rows-tx"
-                async with self._session.post(url, json=body) as response:
-                    if response.status == 412:
-                        return _decode_conflict(json.loads(await response.read()))
-                    if response.status != 200:
-                        return Unavailable(f"status {response.status}")
-                    return Written(int(json.loads(await response.read())["ver"]))
-        except (aiohttp.ClientError, OSError, TimeoutError, *_OTHER_SHAPE) as error:
-            return Unavailable(f"{type(error).__name__}: {error}")
-
-    async def _call(
-        self, name: str, params: dict[str, str], timeout_s: float
-    ) -> dict | HistoryLost | Unavailable:
-        try:
-            async with asyncio.timeout(timeout_s):
-                async with self._session.get(self._url + name, params=params) as response:
-                    if response.status == 410:
-                        return HistoryLost()
-                    if response.status != 200:
-                        return Unavailable(f"status {response.status}")
-                    answer = json.loads(await response.read())
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
-            return Unavailable(f"{type(error).__name__}: {error}")
-        return answer if isinstance(answer, dict) else Unavailable("not an object")
+        answer = await self._calls.ask("POST", self._url + "rows-tx", WRITE_TIMEOUT_S, json=body)
+        if isinstance(answer, CallFailed):
+            return Unavailable(answer.reason)
+        return _decode_written(answer)
 
     def _decode(self, answer: dict) -> StoreRows | Unavailable:
         try:
