--- a/mulleinreach/gateway/known/tests/test_cold.py
+++ b/mulleinreach/gateway/known/tests/test_cold.py
@@ -225,6 +225,10 @@
         # Cold ones are used, as far as they bear it.
         assert all(len(arrivals.at(u, started_at)) > 0 for u in cold)
         assert all(most_in_a_second(arrivals.at(u, started_at)) > BOUND for u in sound)
+        metrics = [node.metrics.registry for node in world.nodes.values()]
+        withheld = [m.get_sample_value("mulleinreach_gateway_cold_withheld_total") for m in metrics]
+        # The node whose number is not chosen for the head withholds every request.
+        assert max(withheld) > 0
 
     run_world(test, **WORLD)
 
--- a/mulleinreach/gateway/known/tests/test_homes.py
+++ b/mulleinreach/gateway/known/tests/test_homes.py
@@ -8,6 +8,7 @@
 import pytest
 
 from mulleinreach.gateway.tests.desk import answer_whole, serve_desk
+from mulleinreach.gateway.tests.logged import fields_of, keep_events
 from mulleinreach.gateway.tests.support import run_world
 from mulleinreach.standins.gateway.store import CONFIGURATION, NEWEST
 from mulleinreach.standins.gateway.world import LARGE, make_configuration
@@ -62,6 +63,7 @@
     async def test(world):
         await serve_desk_in_each_hall(world)
         await take_configuration(world, bound_configuration(of_routes, of_organisation))
+        logged = keep_events(world.nodes["node-0"])
         asked_at = world.clock.now()
         answers = await asyncio.gather(*(world.call("/order/1") for _ in range(30)))
         statuses = {answer.status for answer in answers}
@@ -69,6 +71,8 @@
         assert statuses == ({200} if serving else {503})
         if not serving:
             assert world.clock.now() - asked_at < REFUSED_WITHIN_S
+            told = fields_of(logged, "no_upstream")
+            assert [fields["abroad"] for fields in told] == [3] * 30
 
     run_world(test, nodes=1, domains=0, **WORLD)
 
