--- a/mulleinreach/gateway/known/choosing.py
+++ b/mulleinreach/gateway/known/choosing.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass
 
 from mulleinreach.common import Clock
-from mulleinreach.gateway.known.eligibility import Eligibility, Exclusion
+from mulleinreach.gateway.known.cold import ColdUpstreams
+from mulleinreach.gateway.known.eligibility import Eligibility, Exclusion, RequestTerms
 from mulleinreach.gateway.known.routing import Router
 from mulleinreach.gateway.known.upstreams import (
     Head,
@@ -14,7 +15,6 @@
     open_heads,
     serves_model,
 )
-from mulleinreach.gateway.model import Service
 from mulleinreach.gateway.ports import CallerHeaders
 from mulleinreach.gateway.upstream import Upstream
 
@@ -79,7 +79,7 @@
 
     listed : how many upstreams are listed that serve the request's model or service.
     tried : how many of them the request was sent to already.
-    excluded : how many of them may not be sent any request, by the reason.
+    excluded : how many of them may not be sent the request, by the reason.
     evacuated_halls : the halls that are to be empty.
     """
 
@@ -98,12 +98,14 @@
         router: Router,
         suspects: SuspectList,
         eligibility: Eligibility,
+        cold: ColdUpstreams,
         clock: Clock,
     ):
         self._directory = directory
         self._router = router
         self._suspects = suspects
         self._eligibility = eligibility
+        self._cold = cold
         self._clock = clock
         self._opened: list[Head] = []
         self._retiring: frozenset[str] = frozenset()
@@ -130,29 +132,36 @@
     def _is_told_lately(self) -> bool:
         return self._clock.now() - self._told_at < TOLD_FRESH_S
 
-    def choose(self, service: Service, headers: CallerHeaders, tried: set[str]) -> Upstream | None:
+    def choose(
+        self, terms: RequestTerms, headers: CallerHeaders, tried: set[str]
+    ) -> Upstream | None:
         """Return the best upstream that wasn't tried yet."""
+        service = terms.service
         suspects = self._suspects.current()
         if service.engine is None:
-            upstreams = [u for u in self._usable(service.name) if u.id not in tried]
-            return self._router.choose_plain(upstreams, suspects)
-        heads = [h for h in self.heads(service.name, headers.model) if h.upstream.id not in tried]
+            usable = [u for u in self._usable(service.name) if u.id not in tried]
+            upstreams = self._eligibility.permitted(usable, terms)
+            cold = self._cold.ids(upstreams, service)
+            return self._router.choose_plain(upstreams, suspects, cold)
+        known = [h for h in self.heads(service.name, headers.model) if h.upstream.id not in tried]
+        heads = self._permitted(known, terms)
+        cold = self._cold.ids([head.upstream for head in heads], service)
         tokens = headers.prompt_tokens or 0
-        head = self._router.choose_head(heads, service.engine, tokens, suspects)
+        head = self._router.choose_head(heads, service.engine, tokens, suspects, cold)
         if head is None:
             return None
         self._epochs[head.upstream.id] = head.epoch
         return head.upstream
 
-    def shortage(self, service: Service, headers: CallerHeaders, tried: set[str]) -> Shortage:
+    def shortage(self, terms: RequestTerms, headers: CallerHeaders, tried: set[str]) -> Shortage:
         """Return why :meth:`choose` finds nothing for a request."""
-        listed = self._directory.of_service(service.name)
-        if service.engine is not None:
+        listed = self._directory.of_service(terms.service.name)
+        if terms.service.engine is not None:
             listed = [u for u in listed if serves_model(u, headers.model)]
         return Shortage(
             len(listed),
             sum(u.id in tried for u in listed),
-            self._eligibility.count_excluded(listed),
+            self._eligibility.count_excluded(listed, terms),
             tuple(sorted(self._eligibility.evacuated_halls)),
         )
 
@@ -165,6 +174,15 @@
         if upstream_id in self._epochs:
             self._misdirected.note(upstream_id, self._epochs[upstream_id])
 
+    def note_sent(self, terms: RequestTerms, upstream: Upstream) -> None:
+        """Note that a request is about to be sent."""
+        self._cold.note_sent(upstream, terms.service)
+
+    def _permitted(self, heads: list[Head], terms: RequestTerms) -> list[Head]:
+        permitted = self._eligibility.permitted([head.upstream for head in heads], terms)
+        ids = {upstream.id for upstream in permitted}
+        return [head for head in heads if head.upstream.id in ids]
+
     def heads(self, service: str, model: str | None) -> list[Head]:
         """Return the heads that serve a model."""
         usable = self._usable(service)
--- a/mulleinreach/gateway/metrics.py
+++ b/mulleinreach/gateway/metrics.py
@@ -18,6 +18,7 @@
         self._denied = self._counter("denied", "Requests that aren't allowed", ["status"])
         self._sends = self._counter("sends", "Requests sent to upstreams", ["kind"])
         self._failed = self._counter("failed_sends", "Sends without an answer", ["outcome"])
+        self._withheld = self._counter("cold_withheld", "Cold upstreams passed over", [])
         self._evacuated_sends = self._counter(
             "evacuated_sends", "Requests sent to halls that are to be empty", ["hall"]
         )
@@ -48,6 +49,9 @@
         self.halls_down = self._gauge(
             "halls_down", "Halls of which nothing answers, as found by this coordinator"
         )
+        self.cold_heads = self._gauge(
+            "cold_heads", "Heads that this node may send to and that are cold"
+        )
         self.open_groups = self._gauge("open_groups", "Heads that this node may send to")
 
     def _counter(self, name: str, text: str, labels: list[str]) -> Counter:
@@ -102,6 +106,10 @@
         """Count a send that brought no answer."""
         self._failed.labels(outcome).inc()
 
+    def count_withheld(self, count: int) -> None:
+        """Count the cold upstreams that were passed over when one was chosen for a request."""
+        self._withheld.inc(count)
+
     def count_evacuated_send(self, hall: str) -> None:
         """Count a request that was sent to a hall that gives way."""
         self._evacuated_sends.labels(hall).inc()
--- a/mulleinreach/gateway/request/late.py
+++ b/mulleinreach/gateway/request/late.py
@@ -16,8 +16,8 @@
 
 from mulleinreach.common import Clock
 from mulleinreach.gateway.known.choosing import UpstreamChooser
+from mulleinreach.gateway.known.eligibility import RequestTerms
 from mulleinreach.gateway.known.load import LoadBook
-from mulleinreach.gateway.model import Service
 from mulleinreach.gateway.ports import CallerHeaders
 
 # Seconds, and the share of what is left of a caller's time, that a late request waits at most.
@@ -39,18 +39,18 @@
         self._clock = clock
         self._rng = rng
 
-    async def wait(self, service: Service, headers: CallerHeaders, remaining_s: float) -> None:
+    async def wait(self, terms: RequestTerms, headers: CallerHeaders, remaining_s: float) -> None:
         """Wait for a head with free places, or until the patience is over."""
         until = self._clock.now() + min(PATIENCE_S, SHARE_OF_WAIT * remaining_s)
-        while self._clock.now() < until and self._is_full(service, headers):
+        while self._clock.now() < until and self._is_full(terms, headers):
             await asyncio.sleep(self._rng.uniform(SHORTEST_PAUSE_S, LONGEST_PAUSE_S))
 
-    def _is_full(self, service: Service, headers: CallerHeaders) -> bool:
+    def _is_full(self, terms: RequestTerms, headers: CallerHeaders) -> bool:
         """Whether the head that is drawn is nearly full; a model without heads has none to fill.
 
         A request that no head may take is refused sooner than it would be after a wait.
         """
-        head = self._chooser.choose(service, headers, set())
+        head = self._chooser.choose(terms, headers, set())
         if head is None:
             return False
-        return self._loads.running(head.id) >= ROOM_SHARE * service.engine.slots
+        return self._loads.running(head.id) >= ROOM_SHARE * terms.service.engine.slots
--- a/mulleinreach/gateway/request/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -11,7 +11,7 @@
 
 from mulleinreach.common import Clock, EventLog
 from mulleinreach.gateway.known.choosing import SuspectList, UpstreamChooser
-from mulleinreach.gateway.known.eligibility import Exclusion
+from mulleinreach.gateway.known.eligibility import Exclusion, RequestTerms
 from mulleinreach.gateway.known.load import LoadBook, Ticket
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.model import RouteKind, Service
@@ -96,6 +96,11 @@
     fell_silent: bool = False
     upstream_id: str = ""
 
+    @property
+    def terms(self) -> RequestTerms:
+        """What decides on its upstreams."""
+        return RequestTerms(self.service, self.admitted.homes)
+
     def note_events(self, count: int, now: float) -> None:
         """Note that events were passed on to the caller."""
         if self.first_event_at is None:
@@ -144,7 +149,7 @@
             limit += EXTRA_RESUMES
         if job.sends >= limit:
             return None
-        upstream = self._chooser.choose(job.service, job.headers, job.tried)
+        upstream = self._chooser.choose(job.terms, job.headers, job.tried)
         if upstream is None:
             self._log_shortage(job)
             return None
@@ -154,7 +159,7 @@
 
     def _log_shortage(self, job: RelayJob) -> None:
         """Tell why a request finds no upstream."""
-        shortage = self._chooser.shortage(job.service, job.headers, job.tried)
+        shortage = self._chooser.shortage(job.terms, job.headers, job.tried)
         engine = job.service.engine
         # Callers may name anything as a model.
         model = engine.model(job.headers.model or "") if engine else None
@@ -206,6 +211,7 @@
             priority=job.priority,
             after=job.last_event_id or "",
         )
+        self._chooser.note_sent(job.terms, upstream)
         if self._chooser.is_evacuated(upstream):
             self._metrics.count_evacuated_send(upstream.hall)
         ticket = self._loads.start(upstream.id, job.headers.prompt_tokens or 0)
@@ -239,7 +245,7 @@
         """Whether a stream could be moved to another replica."""
         if not job.admitted.route.is_repeatable:
             return False
-        return self._chooser.choose(job.service, job.headers, job.tried) is not None
+        return self._chooser.choose(job.terms, job.headers, job.tried) is not None
 
     def _is_silent(self, upstream_id: str) -> bool:
         """Whether none of our requests at an upstream has had a byte for too long."""
