Soak has three halls, which are emptied and lost, and hosts that turn cold

Cause: the soak had one hall, so that no request to empty one, no loss of one and no cold host was ever tried on real processes.

Change: three halls with a domain of hosts, a plain upstream behind a link and gateways each; the settings name halls and the new bounds. Faults: a hall is emptied and taken back, its hosts cold at times, a gateway frozen meanwhile at times; a hall is lost and is back with other, cold hosts; hosts turn cold and tell it with their next row. Checks: EVAC and FAILBACK in checks.py, with what they excuse. A fault that fails by itself breaks the run. The soak is split by duty: callers, faults, hall_faults, checks, processes, plain, host_app, document, report. The checks that were there are unchanged.

Tests: each new check's test was seen red with its guard taken out (no evacuation check, every gateway excused, no time of contact, gateway or hall not looked at, no check of cold hosts, telling or the store's outage not looked at).

--- /dev/null
+++ b/mulleinreach/platform/tests/soak/callers.py
@@ -0,0 +1,125 @@
+"""Callers of the soak: they note what they sent, and check what they are answered."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass
+
+import aiohttp
+
+from mulleinreach.platform.dialect import DEADLINE_MS, MODEL, REQUEST_ID, TOKEN_USAGE
+from mulleinreach.platform.tests.soak.document import CALLER_HOST
+from mulleinreach.platform.tests.soak.processes import GatewayProcess
+from mulleinreach.platform.tests.soak.report import SoakReport
+from mulleinreach.platform.tests.soak.world import SoakWorld
+
+CALL_EVERY_S = 0.03
+RECOVERY_S = 90.0
+PIECES = 15
+
+
+@dataclass(frozen=True)
+class SentRequest:
+    """A request as its caller sent it; ``at`` is the loop's time."""
+
+    at: float
+    key: str
+    gateway: str = ""
+
+
+class Callers:
+    """Sends requests to the gateways.
+
+    Explanation
+    ===========
+
+    ``sent`` holds all requests by their ids, ``orders`` the ids of those that may run
+    once at most, ``not_run`` of those that were answered as not run.
+    """
+
+    def __init__(self, world: SoakWorld, rng: random.Random, report: SoakReport):
+        self._world = world
+        self._rng = rng
+        self._report = report
+        self.sent: dict[str, SentRequest] = {}
+        self.orders: set[str] = set()
+        self.not_run: set[str] = set()
+        self._number = 0
+
+    def open(self) -> aiohttp.ClientSession:
+        """Return the session to enter for as long as requests are sent."""
+        timeout = aiohttp.ClientTimeout(total=12)
+        connector = aiohttp.TCPConnector(limit=0)
+        self._session = aiohttp.ClientSession(connector=connector, timeout=timeout)
+        return self._session
+
+    async def call_for_ever(self) -> None:
+        """Send requests of all kinds to all gateways."""
+        async with asyncio.TaskGroup() as group:
+            while True:
+                kind = self._rng.choice(["stream", "stream", "order"])
+                group.create_task(self._call(kind, self._rng.choice(self._world.gateways)))
+                await asyncio.sleep(CALL_EVERY_S)
+
+    async def _call(self, kind: str, gateway: GatewayProcess) -> int:
+        """Send a request; returns its status, 0 without a whole answer."""
+        self._number += 1
+        request_id = f"request-{self._number}"
+        key = self._rng.choice(["key-1", "key-2"])
+        now = asyncio.get_running_loop().time()
+        self.sent[request_id] = SentRequest(now, key, gateway.name)
+        if kind == "order":
+            self.orders.add(request_id)
+        headers = {
+            "Host": CALLER_HOST,
+            REQUEST_ID: request_id,
+            DEADLINE_MS: "6000",
+            MODEL: self._rng.choice(["large", "small"]),
+            TOKEN_USAGE: "300,75",
+            "Authorization": f"Bearer {key}",
+        }
+        body = str(PIECES) if kind == "stream" else f"tins {request_id}"
+        status = await self._exchange(gateway, kind, request_id, headers, body)
+        self._report.answers[f"{kind} {status}"] += 1
+        return status
+
+    async def _exchange(
+        self, gateway: GatewayProcess, kind: str, request_id: str, headers: dict, body: str
+    ) -> int:
+        url = f"{gateway.callers.url}/{kind}/1"
+        try:
+            async with self._session.post(url, data=body, headers=headers) as response:
+                answer = (await response.read()).decode()
+                status = response.status
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return 0
+        if status == 200:
+            self.check_answer(kind, request_id, body, answer)
+        if status in (429, 503):
+            self.not_run.add(request_id)
+        return status
+
+    def check_answer(self, kind: str, request_id: str, body: str, answer: str) -> None:
+        """Check that an answer is whole, and that it belongs to its request."""
+        if kind == "stream":
+            lines = [line for line in answer.splitlines() if line.startswith("id: ")]
+            if lines != [f"id: {number}" for number in range(1, PIECES + 1)]:
+                self._report.broken.append(f"{request_id}: a stream that is not whole: {lines}")
+        elif answer != f"{request_id} {body}":
+            self._report.broken.append(f"{request_id}: the answer {answer!r}")
+
+    async def until_served(self) -> None:
+        """Wait until every gateway serves both kinds of requests."""
+        waiting = {(g.name, kind) for g in self._world.gateways for kind in ("stream", "order")}
+        until = asyncio.get_running_loop().time() + RECOVERY_S
+        while waiting and asyncio.get_running_loop().time() < until:
+            self._world.restart_ended()
+            for gateway in self._world.gateways:
+                for kind in ("stream", "order"):
+                    is_waited_for = (gateway.name, kind) in waiting
+                    if is_waited_for and await self._call(kind, gateway) == 200:
+                        waiting.discard((gateway.name, kind))
+            await asyncio.sleep(0.1)
+        if waiting:
+            self._report.broken.append(f"not served within {RECOVERY_S} s: {sorted(waiting)}")
--- /dev/null
+++ b/mulleinreach/platform/tests/soak/document.py
@@ -0,0 +1,63 @@
+"""What operators of the soak's deployment write: its configuration."""
+
+from __future__ import annotations
+
+MODEL_SERVICE, PLAIN_SERVICE = "soak-model", "soak-desk"
+CALLER_HOST = "soak.example"
+# Seconds for which a host is cold, and the requests a second that it bears then: less than
+# a model's only head is sent (11 a second), about what each of three is sent.
+COLD_S = 5.0
+COLD_PER_S = 2.0
+# The bound on a cold host: COLD_PER_S times the overage, and the slack, in any second.
+COLD_OVERAGE = 1.5
+COLD_SLACK = 1.0
+
+
+def make_document(version: int, keys: list[str]) -> dict:
+    """Return the operator's configuration."""
+    model = {"kind": "streaming", "service": MODEL_SERVICE, "resumable": True, "max_attempts": 2}
+    plain = {"service": PLAIN_SERVICE}
+    common = {"host": CALLER_HOST, "priority": 1, "target_latency_ms": 500}
+    return {
+        "version": version,
+        "routes": [
+            {**common, **model, "name": "s", "path_prefix": "/stream/", "timeout_ms": 8000},
+            {
+                **common,
+                **plain,
+                "name": "u",
+                "path_prefix": "/order/",
+                "kind": "unsafe",
+                "timeout_ms": 3000,
+            },
+            {
+                **common,
+                **plain,
+                "name": "r",
+                "path_prefix": "/stock/",
+                "kind": "safe",
+                "max_attempts": 2,
+                "timeout_ms": 3000,
+            },
+        ],
+        "services": [
+            {
+                "name": MODEL_SERVICE,
+                "cold_s": COLD_S,
+                "cold_per_s": COLD_PER_S,
+                "engine": {
+                    "slots": 13,
+                    "step_ms": 6.0,
+                    "read_per_s": 46000.0,
+                    "loads_per_s": 8.0,
+                    "loads_at_once": 8,
+                    "models": [
+                        {"name": "large", "size": 4, "share": 0.67, "load_s": 0.4, "warm_s": 0.2},
+                        {"name": "small", "size": 2, "share": 0.33, "load_s": 0.4, "warm_s": 0.2},
+                    ],
+                },
+            },
+            {"name": PLAIN_SERVICE},
+        ],
+        "tenants": [{"name": "soak", "api_keys": keys}],
+    }
--- /dev/null
+++ b/mulleinreach/platform/tests/soak/host_app.py
@@ -0,0 +1,66 @@
+"""The HTTP interface of a stand-in host: orders, reports and requests."""
+
+from __future__ import annotations
+
+import asyncio
+
+from aiohttp import web
+
+from mulleinreach.gateway.ports import Accepted, OrderResult
+from mulleinreach.platform.dialect import EXPECT_INSTANCE
+from mulleinreach.platform.tests.standin import row_of
+from mulleinreach.standins.gateway.hosts import HostStandIn
+
+
+def host_app(cell: list[HostStandIn]) -> web.Application:
+    """Return the interface of a host that is put into ``cell`` later."""
+
+    async def order(request: web.Request) -> web.Response:
+        host = cell[0]
+        if request.headers.get(EXPECT_INSTANCE) != host.id:
+            return web.Response(status=421)
+        body = await request.json()
+        if host.late_orders > 0:
+            host.late_orders -= 1
+            await asyncio.shield(asyncio.create_task(_late(host, body)))
+        return web.Response(status=_carry_out(host, body))
+
+    async def report(request: web.Request) -> web.Response:
+        host = cell[0]
+        if request.headers.get(EXPECT_INSTANCE) != host.id:
+            return web.Response(status=421)
+        return web.json_response({**row_of(host.describe()), "pace": host.pace})
+
+    async def relay(request: web.Request) -> web.StreamResponse:
+        return await cell[0].handle(request)
+
+    app = web.Application()
+    app.router.add_post("/mulleinreach/order", order)
+    app.router.add_get("/mulleinreach/report", report)
+    app.router.add_route("*", "/{tail:.*}", relay)
+    return app
+
+
+async def _late(host: HostStandIn, body: dict) -> None:
+    await asyncio.sleep(2.5)
+    _carry_out(host, body)
+
+
+def _carry_out(host: HostStandIn, body: dict) -> int:
+    """Carry an order out, and return the status of its answer."""
+    if not host.admit(int(body["fence"])):
+        return 412
+    if body["op"] == "stage":
+        return _status_of(host.stage(body["model"]))
+    group, epoch = body["group"], int(body["epoch"])
+    if body["op"] == "join":
+        result = host.join(group, epoch, body["model"], tuple(body["members"]))
+    elif body["op"] == "open":
+        result = host.open(group, epoch)
+    else:
+        result = host.leave(group, epoch)
+    return _status_of(result)
+
+
+def _status_of(result: OrderResult) -> int:
+    return 202 if isinstance(result, Accepted) else result.status
--- /dev/null
+++ b/mulleinreach/platform/tests/soak/processes.py
@@ -0,0 +1,95 @@
+"""The gateways' processes: their settings, their starts and their ends."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import signal
+import socket
+import subprocess
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+from mulleinreach.common import Address
+from mulleinreach.platform.tests.soak.document import COLD_OVERAGE, COLD_SLACK
+from mulleinreach.platform.tests.soak.proxy import Link
+
+PORTS_PER_NODE = 2
+LOCAL = "127.0.0.1"
+# How soon after an operator's request nothing more may be sent to a hall, in seconds:
+# shorter than deployments agree on, so that a short soak sees requests after it.
+EVACUATION_S = 3.0
+
+
+@dataclass
+class GatewayProcess:
+    """One gateway, and the link through which it reaches the store."""
+
+    name: str
+    hall: str
+    store_link: Link
+    settings: Path
+    callers: Address
+    readiness: Address
+    process: subprocess.Popen | None = None
+
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self.process is not None and self.process.poll() is None
+
+    def start(self) -> None:
+        """Start the process; its log goes to a file beside the settings."""
+        log = open(self.settings.with_suffix(".log"), "ab")  # noqa: SIM115
+        with log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "mulleinreach.platform"],
+                env={**os.environ, "MULLEINREACH_NODE_FILE": str(self.settings)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send the process a signal, unless it has ended."""
+        if self.is_running():
+            self.process.send_signal(number)
+
+
+def make_gateway(
+    name: str, hall: str, halls: list[str], store_link: Link, directory: Path
+) -> GatewayProcess:
+    """Write a gateway's settings; the process isn't started."""
+    ports = free_ports(2 + PORTS_PER_NODE)
+    settings = directory / f"{name}.conf"
+    regions = "".join(f"zones.{each}=r\n" for each in halls)
+    settings.write_text(
+        f"node_name={name}\nip={LOCAL}\nzone={hall}\nregion=r\nrole=gateway\n"
+        f"listen.front={LOCAL}:{ports[0]}\nlisten.readiness={LOCAL}:{ports[1]}\n"
+        f"internal_ports={ports[2]},{ports[2] + 1}\n"
+        f"platform.address={LOCAL}:{store_link.port}\n"
+        "limits.cores=1\nlimits.cpu_fraction=1\nlimits.link_mbps=100\n"
+        "bounds.grace_s=8\nbounds.revoke_ms=5000\nbounds.strict_revoke=true\n"
+        "bootstrap=false\nbounds.drain_ms=2000\nbounds.config_ms=2000\n"
+        "bounds.stall_ms=5000\nbounds.require_fence=true\n"
+        "bounds.retry_budget_ratio=0.2\nbounds.budget_window_s=10\nbounds.retry_slack=136\n"
+        f"bounds.evac_ms={EVACUATION_S * 1000:.0f}\nbounds.cold_overage={COLD_OVERAGE}\n"
+        f"bounds.cold_slack={COLD_SLACK}\nfault_tolerance.zones=1\n{regions}"
+    )
+    callers, readiness = Address(LOCAL, ports[0]), Address(LOCAL, ports[1])
+    return GatewayProcess(name, hall, store_link, settings, callers, readiness)
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that follow on each other and that nobody listens on."""
+    while True:
+        with socket.socket() as first:
+            first.bind((LOCAL, 0))
+            start = first.getsockname()[1]
+        ports = range(start, start + count)
+        with contextlib.ExitStack() as stack:
+            try:
+                for port in ports:
+                    stack.enter_context(socket.socket()).bind((LOCAL, port))
+            except (OSError, OverflowError):
+                continue
+            return list(ports)
--- /dev/null
+++ b/mulleinreach/platform/tests/soak/report.py
@@ -0,0 +1,25 @@
+"""What a soak saw."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+
+@dataclass
+class SoakReport:
+    """What a soak saw; ``broken`` is empty if every promise was kept."""
+
+    seed: int
+    broken: list[str] = field(default_factory=list)
+    answers: Counter = field(default_factory=Counter)
+    faults: Counter = field(default_factory=Counter)
+
+    def to_json(self) -> dict:
+        """Return the report in the form in which ``--report`` writes it."""
+        return {
+            "seed": self.seed,
+            "broken": self.broken,
+            "answers": dict(self.answers),
+            "faults": dict(self.faults),
+        }
--- a/mulleinreach/platform/tests/soak/world.py
+++ b/mulleinreach/platform/tests/soak/world.py
@@ -4,88 +4,38 @@
 
 import asyncio
 import contextlib
-import os
 import signal
-import socket
-import subprocess
-import sys
+import string
 from dataclasses import dataclass, replace
 from pathlib import Path
 
 from aiohttp import web
 
 from mulleinreach.common import Address
-from mulleinreach.gateway.ports import Accepted, OrderResult
 from mulleinreach.gateway.upstream import Upstream, UpstreamState
-from mulleinreach.platform.dialect import (
-    EXPECT_INSTANCE,
-    NOT_EXECUTED,
-    REQUEST_ID,
-    SIGNATURE,
-    TENANT,
+from mulleinreach.platform.dialect import EXPECT_INSTANCE, NOT_EXECUTED, REQUEST_ID, SIGNATURE
+from mulleinreach.platform.sources import CONFIGURATION_KEY, CONFIGURATION_TABLE, EVACUATION_PREFIX
+from mulleinreach.platform.tests.soak.document import (
+    COLD_S,
+    MODEL_SERVICE,
+    PLAIN_SERVICE,
+    make_document,
 )
+from mulleinreach.platform.tests.soak.host_app import host_app
+from mulleinreach.platform.tests.soak.plain import PlainService
+from mulleinreach.platform.tests.soak.processes import LOCAL, GatewayProcess, make_gateway
 from mulleinreach.platform.tests.soak.proxy import Link, Proxy
-from mulleinreach.platform.tests.standin import StoreStandIn, row_of
+from mulleinreach.platform.tests.standin import StoreStandIn
 from mulleinreach.standins.gateway.dialect import HeaderNames
 from mulleinreach.standins.gateway.fabric import Fabric
 from mulleinreach.standins.gateway.hosts import HostStandIn, HostTimes, make_upstream
 from mulleinreach.standins.gateway.store import UPSTREAMS, MemoryStore
 
-MODEL_SERVICE, PLAIN_SERVICE = "soak-model", "soak-desk"
-CALLER_HOST = "soak.example"
 NAMES = HeaderNames(REQUEST_ID, SIGNATURE, NOT_EXECUTED, EXPECT_INSTANCE)
 TIMES = HostTimes(load_s=0.4, warm_s=0.2)
-PLAIN_WORK_S = 0.05
-PORTS_PER_NODE = 2
-LOCAL = "127.0.0.1"
-
-
-def make_document(version: int, keys: list[str]) -> dict:
-    """Return the operator's configuration."""
-    model = {"kind": "streaming", "service": MODEL_SERVICE, "resumable": True, "max_attempts": 2}
-    plain = {"service": PLAIN_SERVICE}
-    common = {"host": CALLER_HOST, "priority": 1, "target_latency_ms": 500}
-    return {
-        "version": version,
-        "routes": [
-            {**common, **model, "name": "s", "path_prefix": "/stream/", "timeout_ms": 8000},
-            {
-                **common,
-                **plain,
-                "name": "u",
-                "path_prefix": "/order/",
-                "kind": "unsafe",
-                "timeout_ms": 3000,
-            },
-            {
-                **common,
-                **plain,
-                "name": "r",
-                "path_prefix": "/stock/",
-                "kind": "safe",
-                "max_attempts": 2,
-                "timeout_ms": 3000,
-            },
-        ],
-        "services": [
-            {
-                "name": MODEL_SERVICE,
-                "engine": {
-                    "slots": 13,
-                    "step_ms": 6.0,
-                    "read_per_s": 46000.0,
-                    "loads_per_s": 8.0,
-                    "loads_at_once": 8,
-                    "models": [
-                        {"name": "large", "size": 4, "share": 0.67, "load_s": 0.4, "warm_s": 0.2},
-                        {"name": "small", "size": 2, "share": 0.33, "load_s": 0.4, "warm_s": 0.2},
-                    ],
-                },
-            },
-            {"name": PLAIN_SERVICE},
-        ],
-        "tenants": [{"name": "soak", "api_keys": keys}],
-    }
+HALLS = 3
+# The list names a host that has fallen silent for so many seconds more.
+LISTED_S = 2.0
 
 
 @dataclass
@@ -98,90 +48,70 @@
 
 
 @dataclass
-class PlainRun:
-    """One run of a request at the plain service; ``started_at`` is the loop's time."""
+class Evacuation:
+    """A time during which operators wanted a hall empty; the store had taken it at ``since``."""
 
-    request_id: str
-    organisation: str
-    upstream_id: str
-    started_at: float = 0.0
-
-
-class PlainService:
-    """Runs requests and notes them; an answer may be lost after the run."""
-
-    def __init__(self) -> None:
-        self.runs: list[PlainRun] = []
-        self.loses_answers = False
-
-    def handler(self, upstream_id: str):
-        """Return the handler of one upstream."""
-
-        async def handle(request: web.BaseRequest) -> web.StreamResponse:
-            request_id = request.headers.get(REQUEST_ID, "")
-            if request.headers.get(EXPECT_INSTANCE) != upstream_id:
-                return web.Response(status=421, headers={REQUEST_ID: request_id})
-            body = await request.read()
-            now = asyncio.get_running_loop().time()
-            organisation = request.headers.get(TENANT, "")
-            self.runs.append(PlainRun(request_id, organisation, upstream_id, now))
-            await asyncio.sleep(PLAIN_WORK_S)
-            if self.loses_answers:
-                request.transport.abort()
-            answer = request_id.encode() + b" " + body
-            return web.Response(body=answer, headers={REQUEST_ID: request_id, SIGNATURE: "s"})
-
-        return handle
+    hall: str
+    since: float
+    until: float = float("inf")
 
 
 @dataclass
-class GatewayProcess:
-    """One gateway, and the link through which it reaches the store."""
+class Disturbance:
+    """A time during which a gateway, or every one, was frozen or could not reach the store."""
 
-    name: str
-    store_link: Link
-    settings: Path
-    callers: Address
-    readiness: Address
-    process: subprocess.Popen | None = None
-
-    def is_running(self) -> bool:
-        """Whether the process has not ended."""
-        return self.process is not None and self.process.poll() is None
+    gateway: str | None
+    since: float
+    until: float = float("inf")
 
 
 class SoakWorld:
-    """Everything that a soak needs, on loopback."""
+    """Everything that a soak needs, on loopback.
+
+    Explanation
+    ===========
+
+    Each hall has a domain of hosts and a plain upstream; gateways stand in the halls
+    in turn. Hosts that start once the world runs come cold.
+    """
 
-    def __init__(self, directory: Path, nodes: int, domains: int, hosts: int, seed: int):
+    def __init__(self, directory: Path, nodes: int, hosts: int, seed: int):
         self._directory = directory
-        self._sizes = (nodes, domains, hosts)
+        self._nodes = nodes
+        self._hosts_per_hall = hosts
+        self.halls = [f"hall-{letter}" for letter in string.ascii_lowercase[:HALLS]]
+        self.lost_halls: set[str] = set()
         self.memory = MemoryStore()
         self.store = StoreStandIn(self.memory, page=500, tables={"servers": UPSTREAMS})
         self.fabric = Fabric(self.memory, seed, NAMES)
         self.plain = PlainService()
+        self.plain_upstreams: dict[str, Upstream] = {}
         self.proxy = Proxy()
-        self.host_links: dict[str, Link] = {}
+        self.links: dict[str, Link] = {}
         self.gateways: list[GatewayProcess] = []
         self.version = 0
         self.keys = ["key-1", "key-2"]
         self.revocations: list[Revocation] = []
+        self.evacuations: list[Evacuation] = []
+        self.disturbances: list[Disturbance] = []
         self._runners: list[web.AppRunner] = []
-        self._ended_hosts: list[asyncio.Task] = []
-        self._next_host = 0
+        self._ending: list[asyncio.Task] = []
+        self._next_upstream = 0
 
     async def start(self) -> None:
         """Start the stand-ins, write the configuration, start the gateways."""
-        nodes, domains, hosts = self._sizes
-        self._store_port = await self._serve(self.store.app())
+        store_port = await self._serve(self.store.app())
         self.configure(self.keys)
-        for domain in range(domains):
-            for _ in range(hosts):
-                await self.add_host(f"domain-{domain}")
-        for number in range(2):
-            await self._add_plain(f"desk-{number}")
-        for number in range(nodes):
-            await self._add_gateway(f"gateway-{number}")
+        for hall in self.halls:
+            await self.fill_hall(hall, cold_s=0.0)
+        for number in range(self._nodes):
+            link = await self.proxy.open(LOCAL, store_port)
+            hall = self.halls[number % HALLS]
+            gateway = make_gateway(f"gateway-{number}", hall, self.halls, link, self._directory)
+            self.gateways.append(gateway)
+            gateway.start()
+
+    # What operators write.
 
     def configure(self, keys: list[str]) -> None:
         """Write a configuration with these keys; the others are taken away."""
@@ -192,159 +122,144 @@
         self.revocations += [Revocation(key, now) for key in self.keys if key not in keys]
         self.keys = keys
         self.version += 1
-        self.memory.put("op", "config", make_document(self.version, keys))
+        document = make_document(self.version, keys)
+        self.memory.put(CONFIGURATION_TABLE, CONFIGURATION_KEY, document)
 
-    async def _serve(self, app: web.Application) -> int:
-        runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
-        await runner.setup()
-        site = web.TCPSite(runner, LOCAL, 0)
-        await site.start()
-        self._runners.append(runner)
-        return site._server.sockets[0].getsockname()[1]
+    def evacuate(self, hall: str) -> None:
+        """Ask that nothing more be sent to a hall."""
+        self.memory.put(CONFIGURATION_TABLE, EVACUATION_PREFIX + hall, {"evacuate": True})
+        self.evacuations.append(Evacuation(hall, asyncio.get_running_loop().time()))
 
-    async def add_host(self, domain: str) -> HostStandIn:
+    def take_back(self, hall: str) -> None:
+        """Take the request to empty a hall back; hosts that are cold are told as that by it."""
+        now = asyncio.get_running_loop().time()
+        for evacuation in self.evacuations:
+            if evacuation.hall == hall:
+                evacuation.until = min(evacuation.until, now)
+        for host in self.hosts_of(hall):
+            host.note_told_cold()
+        self.memory.put(CONFIGURATION_TABLE, EVACUATION_PREFIX + hall, None)
+
+    def evacuated_halls(self) -> set[str]:
+        """Return the halls that are to be empty now."""
+        return {e.hall for e in self.evacuations if e.until == float("inf")}
+
+    @contextlib.contextmanager
+    def disturbed(self, gateway: str | None):
+        """Note that a gateway, or every one with ``None``, is out of touch meanwhile."""
+        disturbance = Disturbance(gateway, asyncio.get_running_loop().time())
+        self.disturbances.append(disturbance)
+        try:
+            yield
+        finally:
+            disturbance.until = asyncio.get_running_loop().time()
+
+    # Upstreams.
+
+    def hosts_of(self, hall: str) -> list[HostStandIn]:
+        """Return a hall's hosts that live."""
+        hosts = self.fabric.hosts.values()
+        return [h for h in hosts if h.upstream.hall == hall and not h.is_dark]
+
+    def hall_of(self, upstream_id: str) -> str:
+        """Return the hall of a host or a plain upstream, whether it lives or not."""
+        host = self.fabric.hosts.get(upstream_id)
+        return self.plain_upstreams[upstream_id].hall if host is None else host.upstream.hall
+
+    async def fill_hall(self, hall: str, cold_s: float = COLD_S) -> None:
+        """Start the hosts and the plain upstream that a hall lacks, unless it is lost."""
+        if hall in self.lost_halls:
+            return
+        while len(self.hosts_of(hall)) < self._hosts_per_hall:
+            await self._add_host(hall, cold_s)
+        if all(u.hall != hall or self.links[u.id].is_silent for u in self.plain_upstreams.values()):
+            await self._add_plain(hall)
+
+    async def _add_host(self, hall: str, cold_s: float) -> None:
         """Start an empty host behind a link of its own."""
-        self._next_host += 1
-        name = f"host-{self._next_host}"
+        name = self._new_name("host")
         cell: list[HostStandIn] = []
-        port = await self._serve(_host_app(cell))
-        link = await self.proxy.open(LOCAL, port)
-        self.host_links[name] = link
-        upstream = replace(
-            make_upstream(name, MODEL_SERVICE, link.port, domain),
-            address=Address(LOCAL, link.port),
-        )
-        cell.append(self.fabric.add(upstream, TIMES))
-        return cell[0]
+        link = await self._open_link(name, host_app(cell))
+        domain = f"domain-of-{hall}"
+        upstream = make_upstream(name, MODEL_SERVICE, link.port, domain, hall)
+        upstream = replace(upstream, address=Address(LOCAL, link.port))
+        cell.append(self.fabric.add(upstream, TIMES, cold_s))
+
+    async def _add_plain(self, hall: str) -> None:
+        name = self._new_name("desk")
+        app = web.Application()
+        app.router.add_route("*", "/{tail:.*}", self.plain.handler(name))
+        link = await self._open_link(name, app)
+        upstream = Upstream(name, PLAIN_SERVICE, Address(LOCAL, link.port), hall, slots=6)
+        self.plain_upstreams[name] = replace(upstream, state=UpstreamState.READY)
+        self.memory.put(UPSTREAMS, name, self.plain_upstreams[name])
+
+    def _new_name(self, kind: str) -> str:
+        self._next_upstream += 1
+        return f"{kind}-{self._next_upstream}"
+
+    async def _open_link(self, name: str, app: web.Application) -> Link:
+        self.links[name] = await self.proxy.open(LOCAL, await self._serve(app))
+        return self.links[name]
 
     def end_host(self, host: HostStandIn) -> None:
         """Let a host fall silent for good."""
-        self.host_links[host.id].is_silent = True
-        self._ended_hosts.append(asyncio.create_task(host.die(listed_for_s=2.0)))
+        self.links[host.id].is_silent = True
+        self._ending.append(asyncio.create_task(host.die(LISTED_S)))
 
-    async def _add_plain(self, name: str) -> None:
-        app = web.Application()
-        app.router.add_route("*", "/{tail:.*}", self.plain.handler(name))
-        port = await self._serve(app)
-        upstream = Upstream(name, PLAIN_SERVICE, Address(LOCAL, port), "hall-a", slots=6)
-        self.memory.put(UPSTREAMS, name, replace(upstream, state=UpstreamState.READY))
-
-    async def _add_gateway(self, name: str) -> None:
-        link = await self.proxy.open(LOCAL, self._store_port)
-        ports = free_ports(2 + PORTS_PER_NODE)
-        settings = self._directory / f"{name}.conf"
-        settings.write_text(
-            f"node_name={name}\nip={LOCAL}\nzone=hall-a\nregion=r\nrole=gateway\n"
-            f"listen.front={LOCAL}:{ports[0]}\nlisten.readiness={LOCAL}:{ports[1]}\n"
-            f"internal_ports={ports[2]},{ports[2] + 1}\nplatform.address={LOCAL}:{link.port}\n"
-            "limits.cores=1\nlimits.cpu_fraction=1\n"
-            "bounds.grace_s=8\nbounds.revoke_ms=5000\nbounds.strict_revoke=true\n"
-            "bootstrap=false\nbounds.drain_ms=2000\nbounds.config_ms=2000\nbounds.stall_ms=5000\nbounds.require_fence=true\n"
-            "bounds.retry_budget_ratio=0.2\nbounds.budget_window_s=10\nbounds.retry_slack=136\n"
-        )
-        gateway = GatewayProcess(
-            name, link, settings, Address(LOCAL, ports[0]), Address(LOCAL, ports[1])
-        )
-        self.gateways.append(gateway)
-        self.start_gateway(gateway)
-
-    def start_gateway(self, gateway: GatewayProcess) -> None:
-        """Start a gateway's process; its log goes to a file beside the settings."""
-        log = open(self._directory / f"{gateway.name}.log", "ab")  # noqa: SIM115
-        with log:
-            gateway.process = subprocess.Popen(
-                [sys.executable, "-m", "mulleinreach.platform"],
-                env={**os.environ, "MULLEINREACH_NODE_FILE": str(gateway.settings)},
-                stdout=log,
-                stderr=log,
-            )
-
-    def signal_gateway(self, gateway: GatewayProcess, number: signal.Signals) -> None:
-        """Send a signal to a gateway that this world has started."""
-        if gateway.is_running():
-            gateway.process.send_signal(number)
+    def lose_hall(self, hall: str) -> None:
+        """Let all that stands in a hall end in one moment."""
+        self.lost_halls.add(hall)
+        for gateway in self.gateways:
+            if gateway.hall == hall:
+                gateway.signal(signal.SIGKILL)
+        for host in self.hosts_of(hall):
+            self.end_host(host)
+        for upstream in self.plain_upstreams.values():
+            if upstream.hall == hall and not self.links[upstream.id].is_silent:
+                self.links[upstream.id].is_silent = True
+                self._ending.append(asyncio.create_task(self._unlist(upstream)))
+
+    async def _unlist(self, upstream: Upstream) -> None:
+        await asyncio.sleep(LISTED_S)
+        self.memory.put(UPSTREAMS, upstream.id, None)
+
+    async def return_hall(self, hall: str) -> None:
+        """Let a lost hall be back: its gateways, and other hosts, which are cold."""
+        self.lost_halls.discard(hall)
+        self.restart_ended()
+        await self.fill_hall(hall)
+
+    # Gateways.
+
+    def restart_ended(self) -> None:
+        """Start the gateways that have ended, but for those of lost halls."""
+        for gateway in self.gateways:
+            if not gateway.is_running() and gateway.hall not in self.lost_halls:
+                gateway.start()
+
+    async def _serve(self, app: web.Application) -> int:
+        runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+        await runner.setup()
+        site = web.TCPSite(runner, LOCAL, 0)
+        await site.start()
+        self._runners.append(runner)
+        return site._server.sockets[0].getsockname()[1]
 
     async def close(self) -> None:
         """End everything that was started, by its process."""
         for gateway in self.gateways:
-            self.signal_gateway(gateway, signal.SIGCONT)
-            self.signal_gateway(gateway, signal.SIGKILL)
+            gateway.signal(signal.SIGCONT)
+            gateway.signal(signal.SIGKILL)
             gateway.process.wait()
-        for task in self._ended_hosts:
+        for task in self._ending:
             task.cancel()
         self.proxy.close()
         await self.fabric.close()
-        for runner in self._runners:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(2):
-                    await runner.cleanup()
-
-
-def _host_app(cell: list[HostStandIn]) -> web.Application:
-    """Return the interface of a host that is put into ``cell`` later."""
-
-    async def order(request: web.Request) -> web.Response:
-        host = cell[0]
-        if request.headers.get(EXPECT_INSTANCE) != host.id:
-            return web.Response(status=421)
-        body = await request.json()
-        if host.late_orders > 0:
-            host.late_orders -= 1
-            await asyncio.shield(asyncio.create_task(_late(host, body)))
-        return web.Response(status=_carry_out(host, body))
-
-    async def report(request: web.Request) -> web.Response:
-        host = cell[0]
-        if request.headers.get(EXPECT_INSTANCE) != host.id:
-            return web.Response(status=421)
-        return web.json_response({**row_of(host.describe()), "pace": host.pace})
-
-    async def relay(request: web.Request) -> web.StreamResponse:
-        return await cell[0].handle(request)
-
-    app = web.Application()
-    app.router.add_post("/mulleinreach/order", order)
-    app.router.add_get("/mulleinreach/report", report)
-    app.router.add_route("*", "/{tail:.*}", relay)
-    return app
-
-
-async def _late(host: HostStandIn, body: dict) -> None:
-    await asyncio.sleep(2.5)
-    _carry_out(host, body)
-
-
-def _carry_out(host: HostStandIn, body: dict) -> int:
-    """Carry an order out, and return the status of its answer."""
-    if not host.admit(int(body["fence"])):
-        return 412
-    if body["op"] == "stage":
-        return _status_of(host.stage(body["model"]))
-    group, epoch = body["group"], int(body["epoch"])
-    if body["op"] == "join":
-        result = host.join(group, epoch, body["model"], tuple(body["members"]))
-    elif body["op"] == "open":
-        result = host.open(group, epoch)
-    else:
-        result = host.leave(group, epoch)
-    return _status_of(result)
-
-
-def _status_of(result: OrderResult) -> int:
-    return 202 if isinstance(result, Accepted) else result.status
-
-
-def free_ports(count: int) -> list[int]:
-    """Return ports that follow on each other and that nobody listens on."""
-    while True:
-        with socket.socket() as first:
-            first.bind((LOCAL, 0))
-            start = first.getsockname()[1]
-        ports = range(start, start + count)
-        with contextlib.ExitStack() as stack:
-            try:
-                for port in ports:
-                    stack.enter_context(socket.socket()).bind((LOCAL, port))
-            except (OSError, OverflowError):
-                continue
-            return list(ports)
+        await asyncio.gather(*(_clean_up(runner) for runner in self._runners))
+
+
+async def _clean_up(runner: web.AppRunner) -> None:
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(2):
+            await runner.cleanup()
--- a/mulleinreach/platform/tests/standin.py
+++ b/mulleinreach/platform/tests/standin.py
@@ -144,5 +144,6 @@
             "rank": membership.rank,
             "state": str(membership.state),
         },
+        "cold_remaining_ms": round(upstream.cold_s * 1000),
         "seq": 1,
     }
--- a/mulleinreach/platform/tests/test_early.py
+++ b/mulleinreach/platform/tests/test_early.py
@@ -9,7 +9,7 @@
 import pytest
 
 from mulleinreach.platform.early import listen_for_callers
-from mulleinreach.platform.tests.soak.world import free_ports
+from mulleinreach.platform.tests.soak.processes import free_ports
 
 HEAVY = ("aiohttp", "capnp", "prometheus_client", "absl")
 
--- a/mulleinreach/platform/tests/test_soak.py
+++ b/mulleinreach/platform/tests/test_soak.py
@@ -6,8 +6,12 @@
 
 import pytest
 
-from mulleinreach.platform.tests.soak.run import Soak, SoakReport, soak_once
-from mulleinreach.platform.tests.soak.world import PlainRun, Revocation
+from mulleinreach.platform.tests.soak.callers import SentRequest
+from mulleinreach.platform.tests.soak.plain import PlainRun
+from mulleinreach.platform.tests.soak.report import SoakReport
+from mulleinreach.platform.tests.soak.run import Soak, soak_once
+from mulleinreach.platform.tests.soak.world import Disturbance, Evacuation, Revocation
+from mulleinreach.standins.gateway.hosts import ColdStart
 
 # Seeds that ever failed stay here, each with its cause.
 SEEDS = [
@@ -38,62 +42,134 @@
 
 def make_soak():
     """Return a soak whose world has run nothing yet."""
+    checks = SimpleNamespace(runs={}, started_at={}, cold_starts=[])
     world = SimpleNamespace(
         plain=SimpleNamespace(runs=[]),
-        fabric=SimpleNamespace(checks=SimpleNamespace(runs={}, started_at={})),
+        fabric=SimpleNamespace(checks=checks),
         revocations=[],
+        evacuations=[],
+        disturbances=[],
         gateways=[],
+        hall_of={"desk-0": "hall-a", "desk-1": "hall-b", "host-1": "hall-a"}.get,
     )
     return Soak(world, seed=1), world
 
 
+def find_broken(soak):
+    """Run the checks; returns what they found."""
+    soak.checks.check()
+    return soak.report.broken
+
+
 def test_second_run_of_an_order_is_found():
     soak, world = make_soak()
-    soak._sent["r"] = (0.0, "key-1")
-    soak._orders.add("r")
+    soak.callers.sent["r"] = SentRequest(0.0, "key-1")
+    soak.callers.orders.add("r")
     world.plain.runs += [PlainRun("r", "soak", "desk-0"), PlainRun("r", "soak", "desk-1")]
-    soak._check_runs()
-    assert soak._report.broken == ["r ran 2 times"]
+    assert find_broken(soak) == ["r ran 2 times"]
 
 
 def test_run_of_a_request_told_as_not_run_is_found():
     soak, world = make_soak()
-    soak._sent["r"] = (0.0, "key-1")
-    soak._orders.add("r")
-    soak._not_run.add("r")
+    soak.callers.sent["r"] = SentRequest(0.0, "key-1")
+    soak.callers.orders.add("r")
+    soak.callers.not_run.add("r")
     world.plain.runs.append(PlainRun("r", "soak", "desk-0"))
-    soak._check_runs()
-    assert soak._report.broken == ["r was told as not run, and ran"]
+    assert find_broken(soak) == ["r was told as not run, and ran"]
 
 
 def test_run_with_a_key_long_taken_away_is_found():
     soak, world = make_soak()
-    soak._sent["r"] = (106.0, "key-2")
+    soak.callers.sent["r"] = SentRequest(106.0, "key-2")
     world.revocations.append(Revocation("key-2", since=100.0))
     world.plain.runs.append(PlainRun("r", "soak", "desk-0"))
-    soak._check_runs()
-    assert soak._report.broken == ["r ran 6.0 s after its key went"]
+    assert find_broken(soak) == ["r ran 6.0 s after its key went"]
 
 
 @pytest.mark.parametrize(("started_at", "is_found"), [(106.9, True), (107.1, False)])
 def test_run_counts_by_whether_its_key_was_back_when_it_started(started_at, is_found):
     soak, world = make_soak()
-    soak._sent["r"] = (106.0, "key-2")
+    soak.callers.sent["r"] = SentRequest(106.0, "key-2")
     world.revocations.append(Revocation("key-2", since=100.0, until=107.0))
     world.plain.runs.append(PlainRun("r", "soak", "desk-0", started_at))
-    soak._check_runs()
-    assert bool(soak._report.broken) is is_found
+    assert bool(find_broken(soak)) is is_found
 
 
 def test_run_that_nobody_asked_for_is_found():
     soak, world = make_soak()
     world.plain.runs.append(PlainRun("x", "soak", "desk-0"))
-    soak._check_runs()
-    assert len(soak._report.broken) == 1
+    assert len(find_broken(soak)) == 1
 
 
 def test_stream_with_a_gap_and_a_wrong_answer_are_found():
     soak, _ = make_soak()
-    soak._check_answer("stream", "r", "15", "id: 1\n\nid: 3\n\n")
-    soak._check_answer("order", "r", "tins r", "q tins q")
-    assert len(soak._report.broken) == 2
+    soak.callers.check_answer("stream", "r", "15", "id: 1\n\nid: 3\n\n")
+    soak.callers.check_answer("order", "r", "tins r", "q tins q")
+    assert len(soak.report.broken) == 2
+
+
+@pytest.mark.parametrize(
+    ("desk", "started_at", "is_found"),
+    [
+        ("desk-0", 102.9, False),
+        ("desk-0", 103.1, True),
+        ("desk-0", 110.1, False),
+        ("desk-1", 103.1, False),
+    ],
+)
+def test_start_in_a_hall_long_evacuated_is_found(desk, started_at, is_found):
+    soak, world = make_soak()
+    soak.callers.sent["r"] = SentRequest(102.0, "key-1", "gateway-0")
+    world.evacuations.append(Evacuation("hall-a", since=100.0, until=110.0))
+    world.plain.runs.append(PlainRun("r", "soak", desk, started_at))
+    assert bool(find_broken(soak)) is is_found
+
+
+def test_start_at_a_host_of_a_hall_long_evacuated_is_found():
+    soak, world = make_soak()
+    soak.callers.sent["r"] = SentRequest(102.0, "key-1", "gateway-0")
+    world.evacuations.append(Evacuation("hall-a", since=100.0))
+    checks = world.fabric.checks
+    checks.runs["r"], checks.started_at["r"] = ["host-1"], [103.5]
+    found = "r of gateway-0 started at host-1 3.50 s after hall-a was evacuated"
+    assert find_broken(soak) == [found]
+
+
+@pytest.mark.parametrize(
+    ("gateway", "until", "is_found"),
+    [
+        ("gateway-0", 100.1, False),
+        (None, 100.1, False),
+        ("gateway-0", 98.9, True),
+        ("gateway-1", 100.1, True),
+    ],
+)
+def test_only_a_gateway_out_of_touch_is_excused(gateway, until, is_found):
+    soak, world = make_soak()
+    soak.callers.sent["r"] = SentRequest(102.0, "key-1", "gateway-0")
+    world.evacuations.append(Evacuation("hall-a", since=100.0))
+    world.disturbances.append(Disturbance(gateway, since=98.0, until=until))
+    world.plain.runs.append(PlainRun("r", "soak", "desk-0", started_at=103.5))
+    assert bool(find_broken(soak)) is is_found
+
+
+@pytest.mark.parametrize(
+    ("gap_s", "told_for_s", "is_found"),
+    [(0.24, 2.1, True), (0.24, float("inf"), True), (0.26, 2.1, False), (0.24, 1.9, False)],
+)
+def test_cold_host_with_more_than_it_bears_is_found(gap_s, told_for_s, is_found):
+    soak, world = make_soak()
+    starts = [ColdStart("host-1", 100.0 + gap_s * n, told_for_s) for n in range(5)]
+    world.fabric.checks.cold_starts += starts
+    assert bool(find_broken(soak)) is is_found
+
+
+@pytest.mark.parametrize(
+    ("told_for_s", "is_found"), [(2.5, False), (5.0, True), (float("inf"), True)]
+)
+def test_cold_host_is_not_counted_that_told_it_while_the_store_was_down(told_for_s, is_found):
+    soak, world = make_soak()
+    starts = [ColdStart("host-1", 100.0 + 0.1 * n, told_for_s) for n in range(5)]
+    world.fabric.checks.cold_starts += starts
+    world.disturbances.append(Disturbance(None, since=98.0, until=99.0))
+    assert bool(find_broken(soak)) is is_found
--- a/mulleinreach/standins/gateway/fabric.py
+++ b/mulleinreach/standins/gateway/fabric.py
@@ -40,10 +40,12 @@
         self._rng = random.Random(seed)
         self._tasks = TaskGroup()
 
-    def add(self, upstream: Upstream, times: HostTimes) -> HostStandIn:
-        """Add a host and list it."""
+    def add(self, upstream: Upstream, times: HostTimes, cold_s: float = 0.0) -> HostStandIn:
+        """Add a host, which may come cold, and list it."""
         host = HostStandIn(self, upstream, times, self._names)
         self.hosts[host.id] = host
+        host.turn_cold(cold_s, is_told=False)
+        host.note_told_cold()
         host.list_again()
         return host
 
--- a/mulleinreach/standins/gateway/hosts.py
+++ b/mulleinreach/standins/gateway/hosts.py
@@ -51,6 +51,22 @@
     state: MemberState
 
 
+@dataclass(frozen=True)
+class ColdStart:
+    """A run that began at a cold host.
+
+    Parameters
+    ==========
+
+    at : the loop's time.
+    told_for_s : for how long the host's row had told that it is cold; negative if it hadn't.
+    """
+
+    host_id: str
+    at: float
+    told_for_s: float
+
+
 @dataclass
 class FabricChecks:
     """What broke a promise, which members were ever ready, and what ran where."""
@@ -60,6 +76,7 @@
     runs: dict[str, list[str]] = field(default_factory=dict)
     started_at: dict[str, list[float]] = field(default_factory=dict)
     priorities: dict[str, list[str]] = field(default_factory=dict)
+    cold_starts: list[ColdStart] = field(default_factory=list)
 
 
 class HostStandIn:
@@ -91,6 +108,7 @@
         self.echoes_wrong_id = False
         self.pace = 1.0
         self._cold_until = float("-inf")
+        self._told_cold_at = float("inf")
         self._history: list[tuple[float, Upstream]] = []
         self._tasks = TaskGroup()
 
@@ -211,7 +229,10 @@
         return replace(told, pace=self.pace)
 
     def _publish(self) -> None:
-        self._history.append((asyncio.get_running_loop().time(), self.describe()))
+        now = asyncio.get_running_loop().time()
+        self._history.append((now, self.describe()))
+        if self.cold_s():
+            self._told_cold_at = min(self._told_cold_at, now)
         if not self.is_cut and not self.is_dark:
             self._fabric.store.put(UPSTREAMS, self.id, self.describe())
 
@@ -224,9 +245,15 @@
     def turn_cold(self, seconds: float, is_told: bool = True) -> None:
         """Be cold for some seconds; the row may tell it only with its next change."""
         self._cold_until = asyncio.get_running_loop().time() + seconds
+        self._told_cold_at = float("inf")
         if is_told:
             self._publish()
 
+    def note_told_cold(self) -> None:
+        """Note that whoever may send here knows already that the host is cold, if it is."""
+        if self.cold_s():
+            self._told_cold_at = float("-inf")
+
     def list_again(self) -> None:
         """Write the row as it is now."""
         self._publish()
@@ -270,6 +297,9 @@
         self._fabric.checks.runs.setdefault(request_id, []).append(self.id)
         now = asyncio.get_running_loop().time()
         self._fabric.checks.started_at.setdefault(request_id, []).append(now)
+        if self.cold_s():
+            start = ColdStart(self.id, now, now - self._told_cold_at)
+            self._fabric.checks.cold_starts.append(start)
         priority = request.headers.get(PRIORITY, "")
         self._fabric.checks.priorities.setdefault(request_id, []).append(priority)
         return await self._stream(request, standing, request_id, body)
