Gateways of the soak get ports that the system doesn't hand out

Its log: bind on 45026 fails, address already in use, at each of its starts. Its ports lay among those that the system hands out, and links are opened while gateways are down since hosts come back in halls: one of them, or a connection, had taken the port.

Change: ports for gateways are drawn from 20,000 to 32,000.

Ruled out: a fault of the product; it ended with the reason, and was started again.

--- a/mulleinreach/platform/tests/soak/processes.py
+++ b/mulleinreach/platform/tests/soak/processes.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -17,6 +18,8 @@
 
 PORTS_PER_NODE = 2
 LOCAL = "127.0.0.1"
+# Below the ports that systems hand out by themselves (32768 and up, as Linux is set).
+FIRST_PORT, LAST_PORT = 20_000, 32_000
 # How soon after an operator's request nothing more may be sent to a hall, in seconds:
 # shorter than deployments agree on, so that a short soak sees requests after it.
 EVACUATION_S = 3.0
@@ -80,16 +83,18 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that follow on each other and that nobody listens on."""
+    """Return ports that follow on each other and that nobody listens on.
+
+    None of them is handed out by the system, or else a link or a connection that is opened
+    while a gateway is down might take the gateway's.
+    """
     while True:
-        with socket.socket() as first:
-            first.bind((LOCAL, 0))
-            start = first.getsockname()[1]
+        start = random.randrange(FIRST_PORT, LAST_PORT - count)
         ports = range(start, start + count)
         with contextlib.ExitStack() as stack:
             try:
                 for port in ports:
                     stack.enter_context(socket.socket()).bind((LOCAL, port))
-            except (OSError, OverflowError):
+            except OSError:
                 continue
             return list(ports)
