--- a/mulleinreach/standins/gateway/standings.py
+++ b/mulleinreach/standins/gateway/standings.py
@@ -20,6 +20,22 @@
     state: MemberState
 
 
+@dataclass(frozen=True)
+class ColdStart:
+    """A run that began at a cold host.
+
+    Parameters
+    ==========
+
+    at : the loop's time.
+    told_for_s : for how long the host's row had told that it is cold; negative if it hadn't.
+    """
+
+    host_id: str
+    at: float
+    told_for_s: float
+
+
 @dataclass
 class FabricChecks:
     """What broke a promise, which members were ever ready, and what ran where."""
@@ -29,6 +45,7 @@
     runs: dict[str, list[str]] = field(default_factory=dict)
     started_at: dict[str, list[float]] = field(default_factory=dict)
     priorities: dict[str, list[str]] = field(default_factory=dict)
+    cold_starts: list[ColdStart] = field(default_factory=list)
 
 
 class HostFabric(Protocol):
