Requests that can't be in time at their head stand back for those that can

Change: the first event of each request is predicted at the head that was chosen for it; one that can't be in time is sent with the lowest priority. Requests in flight that stand back and have had no event are told apart in the reports between nodes, so that nobody waits for them in the prediction.

Tests: test_crowded_heads.py; the flood is red where only late callers stand back.

--- a/mulleinreach/gateway/coordination/hub.py
+++ b/mulleinreach/gateway/coordination/hub.py
@@ -365,8 +365,9 @@
 
     >>> one = NodeReport("a", [LoadReport("u", 1, 10, 0.5, 0.5)])
     >>> two = NodeReport("b", [LoadReport("u", 2, 0, 0.1, 2.0)])
-    >>> sum_loads([one, two])
-    [LoadReport(upstream_id='u', running=3, pending_tokens=10, silent_s=0.1, oldest_s=2.0)]
+    >>> sum_loads([one, two])  # doctest: +NORMALIZE_WHITESPACE
+    [LoadReport(upstream_id='u', running=3, pending_tokens=10, silent_s=0.1, oldest_s=2.0,
+    standing_back=0)]
     """
     totals: dict[str, LoadReport] = {}
     for report in reports:
@@ -379,6 +380,7 @@
                     known.pending_tokens + load.pending_tokens,
                     min(known.silent_s, load.silent_s),
                     max(known.oldest_s, load.oldest_s),
+                    known.standing_back + load.standing_back,
                 )
             totals[load.upstream_id] = load
     return list(totals.values())
--- a/mulleinreach/gateway/coordination/messages.py
+++ b/mulleinreach/gateway/coordination/messages.py
@@ -113,6 +113,7 @@
         row.pendingTokens = min(load.pending_tokens, MAX_UINT32)
         row.silentMs = _milliseconds(load.silent_s)
         row.oldestMs = _milliseconds(load.oldest_s)
+        row.standingBack = min(load.standing_back, MAX_COUNT)
 
 
 def _unpack_loads(rows) -> list[LoadReport]:
@@ -123,6 +124,7 @@
             row.pendingTokens,
             row.silentMs / 1000,
             row.oldestMs / 1000,
+            row.standingBack,
         )
         for row in rows
     ]
@@ -161,7 +163,7 @@
     ========
 
     >>> successor = Successor(3, "10.0.0.1:80", "secret")
-    >>> loads = [LoadReport("u", 2, 70, 0.5)]
+    >>> loads = [LoadReport("u", 2, 70, 0.5, 0.5, 1)]
     >>> report = NodeReport("a", loads, seq=4, successor=successor, hall="h")
     >>> decode_node_report(encode_node_report(report)) == report
     True
--- a/mulleinreach/gateway/coordination/peer.capnp
+++ b/mulleinreach/gateway/coordination/peer.capnp
@@ -9,6 +9,7 @@
   pendingTokens @2 :UInt32;  # prompt tokens of requests that had no event yet
   silentMs @3 :UInt32;       # since the last byte of any answer
   oldestMs @4 :UInt32;       # age of the oldest request in flight
+  standingBack @5 :UInt16;   # without an event yet, and to be let in after all others
 }
 
 struct NodeReport {
--- a/mulleinreach/gateway/known/choosing.py
+++ b/mulleinreach/gateway/known/choosing.py
@@ -111,7 +111,7 @@
         self._retiring: frozenset[str] = frozenset()
         self._told_at = float("-inf")
         self._misdirected = MisdirectedHeads()
-        self._epochs: dict[str, int] = {}
+        self._chosen: dict[str, Head] = {}
 
     def take_told(self, opened: list[Head], retiring: frozenset[str]) -> None:
         """Take the heads that the coordinator sees open, ahead of this node's own list.
@@ -150,9 +150,16 @@
         head = self._router.choose_head(heads, service.engine, tokens, suspects, cold)
         if head is None:
             return None
-        self._epochs[head.upstream.id] = head.epoch
+        self._chosen[head.upstream.id] = head
         return head.upstream
 
+    def first_event_s(self, terms: RequestTerms, headers: CallerHeaders, upstream_id: str) -> float:
+        """Return how soon the first event is predicted to come from a head that was chosen."""
+        head, engine = self._chosen.get(upstream_id), terms.service.engine
+        if head is None or engine is None:
+            return 0.0
+        return self._router.predict(head, engine, headers.prompt_tokens or 0) / 1000
+
     def shortage(self, terms: RequestTerms, headers: CallerHeaders, tried: set[str]) -> Shortage:
         """Return why :meth:`choose` finds nothing for a request."""
         listed = self._directory.of_service(terms.service.name)
@@ -171,8 +178,8 @@
 
     def note_misdirected(self, upstream_id: str) -> None:
         """Note that a head refused a request as not meant for it."""
-        if upstream_id in self._epochs:
-            self._misdirected.note(upstream_id, self._epochs[upstream_id])
+        if upstream_id in self._chosen:
+            self._misdirected.note(upstream_id, self._chosen[upstream_id].epoch)
 
     def note_sent(self, terms: RequestTerms, upstream: Upstream) -> None:
         """Note that a request is about to be sent."""
--- a/mulleinreach/gateway/known/load.py
+++ b/mulleinreach/gateway/known/load.py
@@ -22,6 +22,7 @@
     pending_tokens : prompt tokens of requests that have had no event yet.
     silent_s : time since the upstream last gave a byte of any answer.
     oldest_s : age of the oldest request in flight; 0 without one.
+    standing_back : requests that have had no event yet and let others go first.
     """
 
     upstream_id: str
@@ -29,6 +30,7 @@
     pending_tokens: int
     silent_s: float
     oldest_s: float = 0.0
+    standing_back: int = 0
 
     @property
     def stalled_s(self) -> float:
@@ -42,17 +44,27 @@
 class Ticket:
     """One request in flight at an upstream."""
 
-    def __init__(self, book: LoadBook, upstream_id: str, prompt_tokens: int, started_at: float):
+    def __init__(
+        self,
+        book: LoadBook,
+        upstream_id: str,
+        prompt_tokens: int,
+        started_at: float,
+        stands_back: bool = False,
+    ):
         self._book = book
         self.upstream_id = upstream_id
-        self.pending_tokens = prompt_tokens
+        # What stands back is read when nothing else waits, so nothing waits for it.
+        self.pending_tokens = 0 if stands_back else prompt_tokens
         self.started_at = started_at
+        self.stands_back = stands_back
         self.is_finished = False
 
     def progress(self) -> None:
         """Note that the upstream gave bytes of the answer."""
         self._book.note_progress(self.upstream_id)
         self.pending_tokens = 0
+        self.stands_back = False
 
     def finish(self) -> None:
         """The request is no longer in flight; a second call does nothing."""
@@ -75,9 +87,9 @@
         """Return the time on the book's clock."""
         return self._clock.now()
 
-    def start(self, upstream_id: str, prompt_tokens: int = 0) -> Ticket:
+    def start(self, upstream_id: str, prompt_tokens: int = 0, stands_back: bool = False) -> Ticket:
         """Note a request that is about to be sent."""
-        ticket = Ticket(self, upstream_id, prompt_tokens, self.now())
+        ticket = Ticket(self, upstream_id, prompt_tokens, self.now(), stands_back)
         self._tickets.setdefault(upstream_id, []).append(ticket)
         return ticket
 
@@ -107,7 +119,8 @@
         pending = sum(ticket.pending_tokens for ticket in tickets)
         silent_s = now - self._progress_at.get(upstream_id, now - NO_PROGRESS_S)
         oldest_s = max((now - ticket.started_at for ticket in tickets), default=0.0)
-        return LoadReport(upstream_id, len(tickets), pending, silent_s, oldest_s)
+        standing_back = sum(ticket.stands_back for ticket in tickets)
+        return LoadReport(upstream_id, len(tickets), pending, silent_s, oldest_s, standing_back)
 
     def stalled_s(self, upstream_id: str) -> float:
         """Return for how long our requests at an upstream have stood still."""
@@ -148,6 +161,16 @@
         own = len(self._tickets.get(upstream_id, ()))
         return own + (others.running if others else 0)
 
+    def running_ahead(self, upstream_id: str) -> int:
+        """Return the requests in flight that one which is sent now has to wait for."""
+        return max(0, self.running(upstream_id) - self.standing_back(upstream_id))
+
+    def standing_back(self, upstream_id: str) -> int:
+        """Return the requests at an upstream that let others go first, as known."""
+        others = self._others.get(upstream_id)
+        own = sum(ticket.stands_back for ticket in self._tickets.get(upstream_id, ()))
+        return own + (others.standing_back if others else 0)
+
     def pending_tokens(self, upstream_id: str) -> int:
         """Return the prompt tokens that wait at an upstream, as known."""
         others = self._others.get(upstream_id)
@@ -163,4 +186,5 @@
         total,
         running=max(0, total.running - own.running),
         pending_tokens=max(0, total.pending_tokens - own.pending_tokens),
+        standing_back=max(0, total.standing_back - own.standing_back),
     )
--- a/mulleinreach/gateway/known/routing.py
+++ b/mulleinreach/gateway/known/routing.py
@@ -27,6 +27,9 @@
 # What a cold upstream costs beside its requests, for as long as it is slow: it is left alone
 # while others have room, and still takes work from a full service.
 COLD_MS = 30.0
+# What a request costs that stands back: others don't wait for it, but it waits for them, so
+# such requests should not gather at one head.
+STANDING_BACK_MS = 20.0
 COLD_REQUESTS = 2
 
 
@@ -96,7 +99,8 @@
         def cost_ms(head: Head) -> float:
             distance_ms = 0.0 if self._is_near(head.upstream) else OTHER_HALL_MS
             cold_ms = COLD_MS if head.upstream.id in cold else 0.0
-            return distance_ms + cold_ms + self.predict(head, profile, prompt_tokens)
+            back_ms = STANDING_BACK_MS * self._loads.standing_back(head.upstream.id)
+            return distance_ms + cold_ms + back_ms + self.predict(head, profile, prompt_tokens)
 
         return min(drawn, key=cost_ms, default=None)
 
@@ -118,7 +122,7 @@
         return predict_first_event_ms(
             profile,
             head.pace * (model.pace if model else 1.0),
-            self._loads.running(head.upstream.id),
+            self._loads.running_ahead(head.upstream.id),
             self._loads.pending_tokens(head.upstream.id),
             prompt_tokens,
         )
--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -177,6 +177,7 @@
             admitted=admitted,
             service=admitted.configuration.services.get(name, Service(name)),
             body=body,
+            started_at=started_at,
             deadline=started_at + min(caller_s, route.timeout_s),
             caller_gives_up_at=started_at + caller_s,
             last_event_id=headers.last_event_id,
--- a/mulleinreach/gateway/request/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -80,6 +80,7 @@
     admitted: Admitted
     service: Service
     body: bytes
+    started_at: float
     deadline: float
     caller_gives_up_at: float
     tried: set[str] = field(default_factory=set)
@@ -195,7 +196,9 @@
         job.sends += 1
         job.upstream_id = upstream.id
         lateness = self.lateness(job)
-        job.priority = self._priority(job, lateness.is_late)
+        predicted_s = self._chooser.first_event_s(job.terms, job.headers, upstream.id)
+        stands_back = self._stands_back(job, lateness, predicted_s)
+        job.priority = self._priority(job, stands_back)
         self._log.event(
             "request_sent",
             id=job.headers.request_id,
@@ -204,6 +207,7 @@
             upstream=upstream.id,
             attempt=job.sends,
             late=lateness.is_late,
+            predicted_ms=round(predicted_s * 1000),
             caller_wait_ms=round(lateness.caller_wait_s * 1000),
             first_wait_ms=round(lateness.first_wait_s * 1000),
             running=self._loads.running(upstream.id),
@@ -214,7 +218,7 @@
         self._chooser.note_sent(job.terms, upstream)
         if self._chooser.is_evacuated(upstream):
             self._metrics.count_evacuated_send(upstream.hall)
-        ticket = self._loads.start(upstream.id, job.headers.prompt_tokens or 0)
+        ticket = self._loads.start(upstream.id, job.headers.prompt_tokens or 0, stands_back)
         return self._active.begin(upstream.id), ticket
 
     def end(self, exchange: ActiveExchange, ticket: Ticket) -> None:
@@ -287,8 +291,19 @@
                 why=getattr(result, "reason", getattr(result, "status", "")),
             )
 
-    def _priority(self, job: RelayJob, is_late: bool) -> int:
-        return engine_priority(job.admitted.priority, is_late, is_moved=job.events_sent > 0)
+    def _stands_back(self, job: RelayJob, lateness: Lateness, predicted_s: float) -> bool:
+        """Whether a request lets others go first, since its first event can't come in time.
+
+        Where more requests come than there are places, those that go first are in time and
+        the others late; in the order of their coming, nearly all would be a little late.
+        """
+        if job.events_sent:
+            return False
+        waited_s = self._clock.now() - job.started_at
+        return lateness.is_late or waited_s + predicted_s > job.admitted.route.objective_s
+
+    def _priority(self, job: RelayJob, stands_back: bool) -> int:
+        return engine_priority(job.admitted.priority, stands_back, is_moved=job.events_sent > 0)
 
     def lateness(self, job: RelayJob) -> Lateness:
         """Return whether the answer can't come in time any more, and why."""
--- /dev/null
+++ b/mulleinreach/gateway/request/tests/test_crowded_heads.py
@@ -0,0 +1,67 @@
+"""More requests than places: some are in time and some wait, instead of all being a little late.
+
+The load is that of a hall that is lost or emptied: a third of the places go in one moment,
+and what the others can't take in time comes at the same pace as what they can.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from mulleinreach.common import VirtualClock
+from mulleinreach.gateway.known.load import LoadBook, LoadReport
+from mulleinreach.gateway.known.routing import FULL_PENALTY_MS
+from mulleinreach.gateway.request.urgency import HIGHEST_PRIORITY, LATE_PRIORITY
+from mulleinreach.gateway.tests.support import run_world
+from mulleinreach.standins.gateway.world import PROFILE, make_configuration
+from mulleinreach.standins.virtual import run_virtual
+
+USUAL_PRIORITY = HIGHEST_PRIORITY + 1
+OBJECTIVE_S = make_configuration().routes[0].objective_s
+# So many wait for a place and are in time all the same.
+MOST_WAITING = round(OBJECTIVE_S * 1000 / FULL_PENALTY_MS)
+PIECES = 40
+
+
+def test_requests_that_can_not_be_in_time_stand_back_for_those_that_can():
+    async def test(world):
+        await world.until_formed()
+        flood = [asyncio.create_task(world.stream(PIECES)) for _ in range(3 * PROFILE.slots)]
+        await asyncio.gather(*flood)
+        told = [p for ps in world.fabric.checks.priorities.values() for p in ps]
+        usual, back = told.count(str(USUAL_PRIORITY)), told.count(str(LATE_PRIORITY))
+        assert usual + back == len(flood)
+        assert PROFILE.slots <= usual <= PROFILE.slots + MOST_WAITING
+        # Once there is room, the next request is as usual again.
+        await world.stream(1)
+        assert list(world.fabric.checks.priorities.values())[-1] == [str(USUAL_PRIORITY)]
+
+    run_world(test, nodes=1, domains=1)
+
+
+def test_those_that_stand_back_do_not_make_others_stand_back():
+    async def test():
+        book = LoadBook(VirtualClock())
+        ahead = [book.start("u", 100) for _ in range(3)]
+        back = [book.start("u", 100, stands_back=True) for _ in range(9)]
+        assert (book.running("u"), book.running_ahead("u")) == (12, 3)
+        assert book.pending_tokens("u") == 300
+        # An engine that has let one in reads no other first.
+        back[0].progress()
+        assert book.running_ahead("u") == 4
+        ahead[0].finish()
+        assert book.running_ahead("u") == 3
+
+    run_virtual(test())
+
+
+def test_those_of_other_nodes_count_as_they_are_told():
+    async def test():
+        book = LoadBook(VirtualClock())
+        book.start("u", 100, stands_back=True)
+        own = book.own_reports()
+        total = LoadReport("u", 10, 500, 0.1, standing_back=4)
+        book.take_totals([total], own)
+        assert (book.running("u"), book.running_ahead("u")) == (10, 6)
+
+    run_virtual(test())
