Requests stand back by how long others make them wait, not by their own length

Change: what counts is the wait that others cause; a request stands back once that takes 0.7 of its route's objective.

--- a/mulleinreach/gateway/known/choosing.py
+++ b/mulleinreach/gateway/known/choosing.py
@@ -153,12 +153,12 @@
         self._chosen[head.upstream.id] = head
         return head.upstream
 
-    def first_event_s(self, terms: RequestTerms, headers: CallerHeaders, upstream_id: str) -> float:
-        """Return how soon the first event is predicted to come from a head that was chosen."""
+    def wait_s(self, terms: RequestTerms, upstream_id: str) -> float:
+        """Return how long a request is predicted to wait for others at a head that was chosen."""
         head, engine = self._chosen.get(upstream_id), terms.service.engine
         if head is None or engine is None:
             return 0.0
-        return self._router.predict(head, engine, headers.prompt_tokens or 0) / 1000
+        return self._router.wait_ms(head, engine) / 1000
 
     def shortage(self, terms: RequestTerms, headers: CallerHeaders, tried: set[str]) -> Shortage:
         """Return why :meth:`choose` finds nothing for a request."""
--- a/mulleinreach/gateway/known/routing.py
+++ b/mulleinreach/gateway/known/routing.py
@@ -127,6 +127,15 @@
             prompt_tokens,
         )
 
+    def wait_ms(self, head: Head, profile: EngineProfile) -> float:
+        """Return how much of the time to a first event others cause who are there before.
+
+        A long prompt takes time of its own, which is not counted.
+        """
+        model = profile.model(head.model)
+        pace = head.pace * (model.pace if model else 1.0)
+        return self.predict(head, profile, 0) - predict_first_event_ms(profile, pace, 0, 0, 0)
+
     def choose_plain(
         self, upstreams: list[Upstream], suspects: set[str], cold: Set[str] = frozenset()
     ) -> Upstream | None:
--- a/mulleinreach/gateway/request/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -34,6 +34,9 @@
 MIN_REMAINING_S = 0.005
 SILENCE_STEP_S = 0.4
 SILENCE_LIMIT_S = 1.3
+# The part of a route's objective that a request may wait for others and still be in time: an
+# engine needs the rest to read a usual prompt and to write the first event.
+WAIT_SHARE = 0.7
 # Streams that lost their replica may be sent once more than the route allows:
 # a replica that was cut off no longer runs the request.
 EXTRA_RESUMES = 2
@@ -196,8 +199,8 @@
         job.sends += 1
         job.upstream_id = upstream.id
         lateness = self.lateness(job)
-        predicted_s = self._chooser.first_event_s(job.terms, job.headers, upstream.id)
-        stands_back = self._stands_back(job, lateness, predicted_s)
+        wait_s = self._chooser.wait_s(job.terms, upstream.id)
+        stands_back = self._stands_back(job, lateness, wait_s)
         job.priority = self._priority(job, stands_back)
         self._log.event(
             "request_sent",
@@ -207,7 +210,7 @@
             upstream=upstream.id,
             attempt=job.sends,
             late=lateness.is_late,
-            predicted_ms=round(predicted_s * 1000),
+            wait_ms=round(wait_s * 1000),
             caller_wait_ms=round(lateness.caller_wait_s * 1000),
             first_wait_ms=round(lateness.first_wait_s * 1000),
             running=self._loads.running(upstream.id),
@@ -291,7 +294,7 @@
                 why=getattr(result, "reason", getattr(result, "status", "")),
             )
 
-    def _stands_back(self, job: RelayJob, lateness: Lateness, predicted_s: float) -> bool:
+    def _stands_back(self, job: RelayJob, lateness: Lateness, wait_s: float) -> bool:
         """Whether a request lets others go first, since its first event can't come in time.
 
         Where more requests come than there are places, those that go first are in time and
@@ -300,7 +303,8 @@
         if job.events_sent:
             return False
         waited_s = self._clock.now() - job.started_at
-        return lateness.is_late or waited_s + predicted_s > job.admitted.route.objective_s
+        longest_s = WAIT_SHARE * job.admitted.route.objective_s
+        return lateness.is_late or waited_s + wait_s > longest_s
 
     def _priority(self, job: RelayJob, stands_back: bool) -> int:
         return engine_priority(job.admitted.priority, stands_back, is_moved=job.events_sent > 0)
