--- a/benchmarks/gateway_breakages.py
+++ b/benchmarks/gateway_breakages.py
@@ -483,4 +483,20 @@
         "return first",
         f"{GATEWAY}/known/tests/test_homes.py",
     ),
+    Breakage(
+        "CREDIT",
+        "a request that others make late stands back",
+        f"{GATEWAY}/request/sending.py",
+        "return lateness.is_late or waited_s + wait_s > longest_s",
+        "return lateness.is_late",
+        f"{GATEWAY}/request/tests/test_crowded_heads.py -k stand_back_for",
+    ),
+    Breakage(
+        "CREDIT",
+        "nobody waits for requests that stand back",
+        f"{GATEWAY}/known/load.py",
+        "return max(0, self.running(upstream_id) - self.standing_back(upstream_id))",
+        "return self.running(upstream_id)",
+        f"{GATEWAY}/request/tests/test_crowded_heads.py -k do_not_make",
+    ),
 ]
