Gateway: what a request that stands back means, at each place that decides by it

Parameters and units of load, routing and sending; a head's pace was worked out twice; engine_priority took stands_back under the name is_late.

--- a/mulleinreach/gateway/known/following.py
+++ b/mulleinreach/gateway/known/following.py
@@ -41,10 +41,9 @@
     ==========
 
     evacuations : the halls that operators have asked to empty.
-
     reads_always : whether this node reads for the others. Another node reads only
         when it has no evidence that is passed on to it and young enough.
-    turn : when that is.
+    turn : when another node reads.
     """
 
     def __init__(
@@ -111,7 +110,9 @@
         ==========
 
         document : the configuration itself, if it was sent along.
-        evacuated : the halls that are to be empty, as of a revision of the store.
+        evidence_at : the moment that the evidence is dated from, on this node's clock.
+        evacuated : the halls that are to be empty.
+        revision : the store's revision for which that holds.
         """
         is_agreed = self.evacuations.take_passed(evacuated, revision, self.evidence_at)
         if version > self.version and document:
--- a/mulleinreach/gateway/known/load.py
+++ b/mulleinreach/gateway/known/load.py
@@ -6,8 +6,13 @@
 
 from mulleinreach.common import Clock
 
+# For so long a report names an upstream that gave bytes and has no request in flight any more.
 PROGRESS_MEMORY_S = 0.6
+# The silence of an upstream that has given no byte yet: so long that the age of its oldest
+# request alone tells for how long it has stood still.
 NO_PROGRESS_S = 1000.0
+# What other nodes had in flight is passed on each tenth of a second; older word than this
+# says little.
 TOLD_FRESH_S = 1.0
 
 
@@ -19,7 +24,7 @@
     ==========
 
     running : requests in flight.
-    pending_tokens : prompt tokens of requests that have had no event yet.
+    pending_tokens : prompt tokens of requests that have had no event yet and don't stand back.
     silent_s : time since the upstream last gave a byte of any answer.
     oldest_s : age of the oldest request in flight; 0 without one.
     standing_back : requests that have had no event yet and let others go first.
@@ -42,7 +47,13 @@
 
 
 class Ticket:
-    """One request in flight at an upstream."""
+    """One request in flight at an upstream.
+
+    Parameters
+    ==========
+
+    stands_back : whether it lets others go first; no longer so once it has had bytes.
+    """
 
     def __init__(
         self,
@@ -88,7 +99,13 @@
         return self._clock.now()
 
     def start(self, upstream_id: str, prompt_tokens: int = 0, stands_back: bool = False) -> Ticket:
-        """Note a request that is about to be sent."""
+        """Note a request that is about to be sent.
+
+        Parameters
+        ==========
+
+        stands_back : whether it goes with the lowest priority, so that others don't wait for it.
+        """
         ticket = Ticket(self, upstream_id, prompt_tokens, self.now(), stands_back)
         self._tickets.setdefault(upstream_id, []).append(ticket)
         return ticket
--- a/mulleinreach/gateway/known/routing.py
+++ b/mulleinreach/gateway/known/routing.py
@@ -10,6 +10,7 @@
 from mulleinreach.gateway.model import EngineProfile
 from mulleinreach.gateway.upstream import Upstream
 
+# What each request that finds no free place adds to the predicted time, whatever the engine.
 FULL_PENALTY_MS = 100.0
 # The better of two heads against one that is drawn: 0.045 and 0.085 of a day's worth on two
 # sites (ten days each).
@@ -27,10 +28,10 @@
 # What a cold upstream costs beside its requests, for as long as it is slow: it is left alone
 # while others have room, and still takes work from a full service.
 COLD_MS = 30.0
-# What a request costs that stands back: others don't wait for it, but it waits for them, so
-# such requests should not gather at one head.
-STANDING_BACK_MS = 20.0
 COLD_REQUESTS = 2
+# What each request at a head costs that stands back there: one that is sent next doesn't wait
+# for it, but it waits for that one, so such requests should not gather at one head.
+STANDING_BACK_MS = 20.0
 
 
 def predict_first_event_ms(
@@ -38,6 +39,14 @@
 ) -> float:
     """Return the time to the first event of a request, by the engine's cost model.
 
+    Parameters
+    ==========
+
+    pace : how many times longer than usual the work takes there.
+    running : requests in flight there that go before this one.
+    pending_tokens : their prompt tokens that the engine has yet to read.
+    prompt_tokens : those of the request itself.
+
     Examples
     ========
 
@@ -51,6 +60,12 @@
     return pace * (reading_ms + profile.stride * step_ms + waiting * FULL_PENALTY_MS)
 
 
+def _pace(head: Head, profile: EngineProfile) -> float:
+    """Return how many times longer than usual work takes at a head, by its hosts and its model."""
+    model = profile.model(head.model)
+    return head.pace * (model.pace if model else 1.0)
+
+
 class Router:
     """Chooses among the heads of a model, or among the upstreams of a plain service.
 
@@ -91,6 +106,12 @@
 
         A head whose requests all stand still has probably lost a member. It takes some
         tenths of a second until the coordinator has found that out.
+
+        Parameters
+        ==========
+
+        suspects : the ids of upstreams that failed a request lately.
+        cold : the ids of cold upstreams.
         """
         trusted = [head for head in heads if head.upstream.id not in suspects] or heads
         near = self._draw([head for head in trusted if self._is_near(head.upstream)], 1)
@@ -118,23 +139,22 @@
 
     def predict(self, head: Head, profile: EngineProfile, prompt_tokens: int) -> float:
         """Return the predicted milliseconds to a request's first event at a head."""
-        model = profile.model(head.model)
         return predict_first_event_ms(
             profile,
-            head.pace * (model.pace if model else 1.0),
+            _pace(head, profile),
             self._loads.running_ahead(head.upstream.id),
             self._loads.pending_tokens(head.upstream.id),
             prompt_tokens,
         )
 
     def wait_ms(self, head: Head, profile: EngineProfile) -> float:
-        """Return how much of the time to a first event others cause who are there before.
+        """Return how much of the time to a first event at a head is due to requests before.
 
-        A long prompt takes time of its own, which is not counted.
+        What the request's own prompt takes is not counted, so a long one doesn't stand back
+        at an idle head.
         """
-        model = profile.model(head.model)
-        pace = head.pace * (model.pace if model else 1.0)
-        return self.predict(head, profile, 0) - predict_first_event_ms(profile, pace, 0, 0, 0)
+        idle_ms = predict_first_event_ms(profile, _pace(head, profile), 0, 0, 0)
+        return self.predict(head, profile, 0) - idle_ms
 
     def choose_plain(
         self, upstreams: list[Upstream], suspects: set[str], cold: Set[str] = frozenset()
--- a/mulleinreach/gateway/request/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -32,7 +32,10 @@
 from mulleinreach.gateway.upstream import Upstream
 
 MIN_REMAINING_S = 0.005
+# How often a request that waits for the head of its answer looks whether its upstream is silent.
 SILENCE_STEP_S = 0.4
+# A stream without a head is moved to another upstream, if one may take it, once no request of
+# this node at its upstream has had a byte for so long.
 SILENCE_LIMIT_S = 1.3
 # The part of a route's objective that a request may wait for others and still be in time: an
 # engine needs the rest to read a usual prompt and to write the first event.
@@ -299,6 +302,12 @@
 
         Where more requests come than there are places, those that go first are in time and
         the others late; in the order of their coming, nearly all would be a little late.
+        A request whose caller has had events never stands back.
+
+        Parameters
+        ==========
+
+        wait_s : how long others are predicted to make it wait at the upstream.
         """
         if job.events_sent:
             return False
@@ -319,7 +328,7 @@
         return self.lateness(job).is_late
 
     def tell_held_back(self, job: RelayJob) -> None:
-        """Log that a request stands back for others, and why."""
+        """Log that a late request waits at this node for a head with free places, and why."""
         lateness = self.lateness(job)
         self._log.event(
             "request_held_back",
--- a/mulleinreach/gateway/request/urgency.py
+++ b/mulleinreach/gateway/request/urgency.py
@@ -39,31 +39,31 @@
 MAX_TOLD = 50
 
 
-def engine_priority(priority: int, is_late: bool, is_moved: bool) -> int:
+def engine_priority(priority: int, stands_back: bool, is_moved: bool) -> int:
     """Return the priority of a request that is about to be sent to an engine.
 
     Parameters
     ==========
 
     priority : of the configuration; 0 is the most urgent.
-    is_late : whether the answer can't come in time any more.
+    stands_back : whether it lets others go first, since its answer can't come in time.
     is_moved : whether the caller has had a part of the answer already.
 
     Examples
     ========
 
-    >>> engine_priority(1, is_late=False, is_moved=False)
+    >>> engine_priority(1, stands_back=False, is_moved=False)
     2
-    >>> engine_priority(1, is_late=True, is_moved=False)
+    >>> engine_priority(1, stands_back=True, is_moved=False)
     9
-    >>> engine_priority(1, is_late=True, is_moved=True)
+    >>> engine_priority(1, stands_back=True, is_moved=True)
     0
-    >>> engine_priority(99, is_late=False, is_moved=False)
+    >>> engine_priority(99, stands_back=False, is_moved=False)
     8
     """
     if is_moved:
         return MOVED_PRIORITY
-    if is_late:
+    if stands_back:
         return LATE_PRIORITY
     return min(HIGHEST_PRIORITY + max(0, priority), LOWEST_PRIORITY)
 
