Gateway: say what halls, cold upstreams, numbers and terms of the coordinator mean

Parameters, units and reasons that a newcomer missed. GIVING_WAY is EMPTYING_PART, since halls are emptied and only groups of models give way; is_told of an evacuation is is_logged.

--- a/mulleinreach/gateway/coordination/follower.py
+++ b/mulleinreach/gateway/coordination/follower.py
@@ -30,10 +30,15 @@
 class EndReason(enum.Enum):
     """Why following a coordinator came to its end."""
 
+    # Its machine refused the connection.
     PROCESS_GONE = enum.auto()
+    # No report ever came.
     UNREACHED = enum.auto()
+    # Its reports came, and come no more.
     LOST = enum.auto()
+    # It can't renew its lease, and this node can read the store.
     RESIGNED = enum.auto()
+    # It told of its successor.
     REPLACED = enum.auto()
 
 
--- a/mulleinreach/gateway/coordination/own_report.py
+++ b/mulleinreach/gateway/coordination/own_report.py
@@ -56,6 +56,7 @@
         self._clock = clock
         self._seq = 0
         self._sent: deque[SentReport] = deque(maxlen=REPORTS_KEPT)
+        # Whether this node is about to end; its reports tell it from then on.
         self.is_stopping = False
 
     def current(self) -> NodeReport:
--- a/mulleinreach/gateway/coordination/term.py
+++ b/mulleinreach/gateway/coordination/term.py
@@ -24,7 +24,9 @@
 )
 from mulleinreach.gateway.coordination.own_report import OwnReports
 
+# Seconds until the next renewal after one whose outcome isn't known.
 RENEW_AGAIN_S = 0.15
+# Seconds until the next renewal after one that was done.
 RENEW_PAUSES_S = {
     Renewal.DONE: RENEW_S,
     Renewal.DONE_CHANGED: RENEW_S,
@@ -98,7 +100,11 @@
         self._hub.close_connections()
 
     async def _coordinate_while_held(self, reporting: asyncio.Task) -> bool:
-        """Do the duty under the lease; returns whether it merely can't be renewed."""
+        """Do the duty under the lease, and renew it, until the lease or this node ends.
+
+        Returns whether the lease may be taken up again: the store gave no answer, and nobody
+        else is known to hold it.
+        """
         duty = asyncio.create_task(self._coordinate())
         fenced = asyncio.create_task(self._lease.fenced.wait())
         pause_s, renewal = RENEW_S, Renewal.DONE
--- a/mulleinreach/gateway/fleet/halls.py
+++ b/mulleinreach/gateway/fleet/halls.py
@@ -42,7 +42,7 @@
 # Where no node tells of the hall, heads alone must stand still for longer than a report or a
 # garbage collection is late. Nodes leave a head that stands still a little later (1.3 s).
 HEADS_ALONE_S = 1.0
-# Heads don't stop more often than that, and adding up the loads of all nodes takes time.
+# Nodes report no more often than that, and adding up the loads of all nodes takes time.
 LOOK_S = 0.1
 # Callers wait for the places of a hall that is back, and a question costs a host little.
 ASK_EVERY_S = 1.0
@@ -108,6 +108,7 @@
 
     found_at: float
     rows: dict[str, Upstream]
+    # When hosts there were asked last, and how often: it decides which ones are next.
     asked_at: float = NEVER
     asked: int = 0
 
--- a/mulleinreach/gateway/fleet/moving.py
+++ b/mulleinreach/gateway/fleet/moving.py
@@ -113,6 +113,7 @@
     def _work(
         self, engine: EngineProfile, counted: list[DomainView], places: dict[str, float]
     ) -> Work:
+        """Return what the models have to bear, with a hall in reserve where one may be lost."""
         hall_groups = groups_in_fullest_hall(counted) if self._spares_hall else {}
         return Work(engine.slots, places, hall_groups=hall_groups)
 
--- a/mulleinreach/gateway/knowledge.py
+++ b/mulleinreach/gateway/knowledge.py
@@ -30,7 +30,15 @@
 
 
 class SharedKnowledge:
-    """One node's side of the exchange."""
+    """One node's side of the exchange.
+
+    Parameters
+    ==========
+
+    follower : the list of upstreams, as this node reads it or is told it.
+    controller : tells a coordinator's view of groups and hosts.
+    on_lost : called with the id of each upstream that the coordinator newly found lost.
+    """
 
     def __init__(
         self,
@@ -139,7 +147,15 @@
         self._first_waits.take_told(waits)
 
     def take(self, report: CoordinatorReport, asked_at: float, own_loads: list[LoadReport]) -> None:
-        """Take a report that answers what this node had sent at ``asked_at``."""
+        """Take a coordinator's report.
+
+        Parameters
+        ==========
+
+        asked_at : when this node sent the report that is answered; what is told is dated from
+            then, less its age at the coordinator.
+        own_loads : what that report told of this node's own requests.
+        """
         totals = report.totals
         self._loads.take_totals(totals.loads, own_loads)
         self._in_force.take_passed(
--- a/mulleinreach/gateway/known/cold.py
+++ b/mulleinreach/gateway/known/cold.py
@@ -35,7 +35,15 @@
 
 @dataclass(frozen=True)
 class NodeNumber:
-    """A node's number among ``numbers`` of them, counted from 0, and when that held."""
+    """A node's number in a set of numbers.
+
+    Parameters
+    ==========
+
+    number : counted from 0.
+    numbers : how many numbers the set has.
+    told_at : when the coordinator's word on it was asked for.
+    """
 
     number: int
     numbers: int
@@ -53,6 +61,15 @@
 def quota(upstream_id: str, rate: float, number: int, numbers: int) -> int:
     """Return how many requests a second one node may send, so that all together keep a rate.
 
+    Above one request a second for each node all get the same. Below that, a few nodes get one
+    each; which ones they are differs from upstream to upstream.
+
+    Parameters
+    ==========
+
+    rate : the requests a second of all nodes together.
+    number : the node's number, below ``numbers``.
+
     Examples
     ========
 
@@ -138,7 +155,13 @@
 
 
 class ColdUpstreams:
-    """The upstreams that are cold, by their rows and by the halls that were taken back."""
+    """The upstreams that are cold, by their rows and by the halls that were taken back.
+
+    Parameters
+    ==========
+
+    limit : how many requests this node may send to each of them.
+    """
 
     def __init__(
         self,
--- a/mulleinreach/gateway/known/eligibility.py
+++ b/mulleinreach/gateway/known/eligibility.py
@@ -67,7 +67,7 @@
     def usable(self, upstreams: list[Upstream]) -> list[Upstream]:
         """Return the upstreams that requests may be sent to, whatever their terms.
 
-        A hall that gives way is drawn for each request anew, by the share that is left to it.
+        Whether a hall that is being emptied takes part is drawn anew at each call, by its share.
         """
         closed = self._closed_halls()
         return [u for u in upstreams if self._exclusion(u, closed) is None]
@@ -115,7 +115,7 @@
         return None
 
     def _closed_halls(self) -> frozenset[str]:
-        """Return the evacuated halls that this request may not go to."""
+        """Draw which evacuated halls are left out this time, each by the share that it lost."""
         return frozenset(
             hall
             for hall in self._evacuations.halls
--- a/mulleinreach/gateway/known/evacuations.py
+++ b/mulleinreach/gateway/known/evacuations.py
@@ -24,17 +24,25 @@
 
 # The part of the bound in which a hall's share of the requests falls to nothing. The rest
 # is for requests on their way and for nodes that hear of it late.
-GIVING_WAY = 0.5
+EMPTYING_PART = 0.5
 NEVER = float("-inf")
 
 
 @dataclass
 class _Evacuation:
-    """A hall that gets less and less, and nothing from ``ends_at`` on."""
+    """A hall that is being emptied.
+
+    Parameters
+    ==========
+
+    known_at : when this node heard of the request; the hall's share falls from then on.
+    ends_at : from when on the hall gets nothing.
+    is_logged : whether the log tells that it gets nothing more.
+    """
 
     known_at: float
     ends_at: float
-    is_told: bool = False
+    is_logged: bool = False
 
 
 class Evacuations:
@@ -87,6 +95,7 @@
         ==========
 
         is_whole : whether halls that aren't named have no request.
+        revision : the store's revision that was read; the rows of an earlier one change nothing.
         unproven_since : the latest moment that what was known so far is proved for.
         """
         if is_whole:
@@ -98,7 +107,14 @@
             self._take(asked, revision, unproven_since)
 
     def take_passed(self, halls: frozenset[str], revision: int, unproven_since: float) -> bool:
-        """Take what the coordinator knows; returns whether this node knows the same now."""
+        """Take what the coordinator knows; returns whether this node knows the same now.
+
+        Parameters
+        ==========
+
+        halls : all halls that are to be empty, as of ``revision`` of the store.
+        unproven_since : the latest moment that what was known so far is proved for.
+        """
         if revision >= self.revision:
             self._take(halls, revision, unproven_since)
         return halls == self.halls
@@ -115,7 +131,7 @@
         if hall not in self._named:
             # Renewals of the lease prove nothing about a hall that they don't name.
             unproven_since = NEVER
-        ends_at = max(now, unproven_since + GIVING_WAY * self._bound_s)
+        ends_at = max(now, unproven_since + EMPTYING_PART * self._bound_s)
         self._evacuated[hall] = _Evacuation(now, ends_at)
         self._log.event(
             "hall_evacuated",
@@ -140,8 +156,8 @@
         now = self._clock.now()
         if now < evacuation.ends_at:
             return (evacuation.ends_at - now) / (evacuation.ends_at - evacuation.known_at)
-        if not evacuation.is_told:
-            evacuation.is_told = True
+        if not evacuation.is_logged:
+            evacuation.is_logged = True
             after_s = round(now - evacuation.known_at, 2)
             self._log.event("hall_gets_nothing_more", hall=hall, known_for_s=after_s)
         return 0.0
--- a/mulleinreach/gateway/known/tests/test_evacuations.py
+++ b/mulleinreach/gateway/known/tests/test_evacuations.py
@@ -7,7 +7,7 @@
 import pytest
 
 from mulleinreach.common import EventLog, VirtualClock
-from mulleinreach.gateway.known.evacuations import GIVING_WAY, NEVER, Evacuations
+from mulleinreach.gateway.known.evacuations import EMPTYING_PART, NEVER, Evacuations
 from mulleinreach.gateway.ports import Bounds, EvacuationRow
 from mulleinreach.gateway.request.urgency import ENOUGH_SEEN
 from mulleinreach.gateway.tests.desk import answer_whole, fail, refuse
@@ -115,7 +115,7 @@
         await asyncio.sleep(BOUND_S / 4)
         await trouble(world)
         await asyncio.sleep(BOUND_S)
-        assert traffic.starts_after(HALL, asked_at + GIVING_WAY * BOUND_S + HEARD_S) == []
+        assert traffic.starts_after(HALL, asked_at + EMPTYING_PART * BOUND_S + HEARD_S) == []
 
     run_traffic(test)
 
@@ -170,7 +170,7 @@
             assert list(known) == sorted(known, reverse=True)
             assert 0 < min(share for share in known[:10]) < 0.9
         assert traffic.starts_after(HALL, asked_at + 0.5)
-        assert traffic.starts_after(HALL, asked_at + GIVING_WAY * BOUND_S) == []
+        assert traffic.starts_after(HALL, asked_at + EMPTYING_PART * BOUND_S) == []
 
     run_traffic(test)
 
@@ -224,7 +224,7 @@
         world.evacuate("hall-b")
         await asyncio.sleep(BOUND_S)
         for hall in ("hall-a", "hall-b"):
-            assert traffic.starts_after(hall, asked_at + GIVING_WAY * BOUND_S + HEARD_S) == []
+            assert traffic.starts_after(hall, asked_at + EMPTYING_PART * BOUND_S + HEARD_S) == []
         await assert_served(world)
 
     run_traffic(test)
@@ -336,7 +336,7 @@
         evacuations = Evacuations(BOUND_S, ("hall-a",), clock, EventLog("node"))
         await asyncio.sleep(10)
         assert evacuations.take_passed(frozenset({"hall-a"}), 7, clock.now() - 2)
-        await asyncio.sleep(GIVING_WAY * BOUND_S - 2 - 0.1)
+        await asyncio.sleep(EMPTYING_PART * BOUND_S - 2 - 0.1)
         assert 0 < evacuations.share("hall-a") < 1
         await asyncio.sleep(0.1)
         assert evacuations.share("hall-a") == 0
--- a/mulleinreach/gateway/metrics.py
+++ b/mulleinreach/gateway/metrics.py
@@ -111,7 +111,7 @@
         self._withheld.inc(count)
 
     def count_evacuated_send(self, hall: str) -> None:
-        """Count a request that was sent to a hall that gives way."""
+        """Count a request that was sent to a hall that is being emptied."""
         self._evacuated_sends.labels(hall).inc()
 
     def count_order(self, order: str, outcome: str) -> None:
