--- a/benchmarks/control_traffic.py
+++ b/benchmarks/control_traffic.py
@@ -32,10 +32,13 @@
 PAGE = Path("docs/CAPACITY.md")
 BEGIN, END = "<!-- worked out: begin -->", "<!-- worked out: end -->"
 
+# The size to design for: see docs/CAPACITY.md.
 NODES, REPLICAS, HOSTS_EACH = 350, 710, 4
-REQUESTS_S, TOKENS_S, TOKEN_S = 5_500, 1_600_000, 0.029
-# How many streams are under way together, by tokens a second and the time that each takes.
+# Tokens a second of all streams together, and the seconds that a stream takes for each token.
+TOKENS_S, TOKEN_S = 1_600_000, 0.029
+# How many streams are under way together.
 IN_FLIGHT = round(TOKENS_S * TOKEN_S)
+# Bytes a second that a node may exchange with its coordinator.
 LIMIT_BYTES_S = 3 * 1024
 # Compression reaches its lasting rate after the first messages of a connection.
 ROUNDS, SETTLING_ROUNDS = 60, 20
--- a/mulleinreach/gateway/coordination/messages.py
+++ b/mulleinreach/gateway/coordination/messages.py
@@ -25,8 +25,13 @@
 class NodeReport:
     """What a node has in flight, and how far its list and its configuration go.
 
-    ``successor`` is told by a new coordinator to the one that it replaces;
-    ``hall`` is that of the node.
+    Parameters
+    ==========
+
+    secret : what the row of the lease tells; a coordinator closes connections without its own.
+    seq : the report's number, by which the answer names it.
+    successor : told by a new coordinator to the one that it replaces.
+    hall : the hall of the node.
     """
 
     node: str
@@ -55,12 +60,23 @@
 class Totals:
     """What the coordinator knows, the same for all nodes.
 
-    ``heads`` is ``None`` where they are as they were told last; ages are those of
-    the coordinator's evidence, in seconds; ``is_store_away`` if no node that reports
-    to the coordinator can read the store; ``successor`` if another one has replaced it;
-    ``keeps_removed`` if the store was away, so that upstreams that it misses may be back soon;
-    ``evacuated`` names the halls that are to be empty, as of ``operator_revision``;
-    ``numbers`` is one above the highest number that a node has, 0 if the numbers don't hold.
+    Parameters
+    ==========
+
+    token : of the coordinator's lease.
+    nodes : how many there are.
+    loads : of all nodes together.
+    heads : the open groups; ``None`` where they are as they were told last.
+    lost : ids of upstreams that were found to give no answer.
+    configuration_age_s, list_age_s : the age of the coordinator's evidence.
+    resignation : its word that it gives no more orders, if it can't renew its lease.
+    retiring : ids of heads that finish their work and take nothing new.
+    is_store_away : whether no node that reports to the coordinator can read the store.
+    successor : the node that has replaced it, if one has.
+    keeps_removed : whether the store was away, so that upstreams that it misses may be back soon.
+    evacuated : the halls that are to be empty.
+    operator_revision : the store's revision up to which ``evacuated`` is known.
+    numbers : one above the highest number that a node has; 0 if the numbers don't hold.
     """
 
     token: int
@@ -84,12 +100,19 @@
 
 @dataclass(frozen=True)
 class CoordinatorReport:
-    """What one node is told; ``changes`` continue from what it was sent before.
-
-    ``configuration`` is the document of the newest one, if the node lacks that;
-    ``whole_list`` holds all upstreams, if the node has no list yet; ``number`` is the
-    node's own among all nodes that report to this coordinator, whose own one is 0; a node that
-    has none yet is told ``totals.numbers``.
+    """What one node is told.
+
+    Parameters
+    ==========
+
+    echoed_seq : the number of the node's report that is answered.
+    changes : those of the list of upstreams, from what the node was sent before.
+    is_list_unknown : whether they are left out, since the coordinator doesn't remember so far
+        back; the node reads the list itself.
+    configuration : the document of the newest one, if the node lacks that.
+    whole_list : all upstreams, if the node has no list yet.
+    number : the node's own among all that report to this coordinator, whose own one is 0; a
+        node that has none yet is told ``totals.numbers``.
     """
 
     echoed_seq: int
--- a/mulleinreach/gateway/ports.py
+++ b/mulleinreach/gateway/ports.py
@@ -38,7 +38,10 @@
 class EvacuationRow:
     """An operator's request to send nothing more to the upstreams of a hall.
 
-    ``version`` is that of its row, 0 where there is no such request.
+    Parameters
+    ==========
+
+    version : that of its row; 0 where there is no such request.
     """
 
     hall: str
@@ -49,7 +52,11 @@
 class OperatorRows:
     """The versions of the rows that operators write, as they were read last.
 
-    ``evacuations`` names each hall of the deployment, and others with a request.
+    Parameters
+    ==========
+
+    configuration : the version of the configuration's row.
+    evacuations : each hall of the deployment, and others with a request.
     """
 
     configuration: int
