--- a/mulleinreach/gateway/coordination/hub.py
+++ b/mulleinreach/gateway/coordination/hub.py
@@ -39,7 +39,9 @@
 # With many nodes the reports would take too much of a slow coordinator's time.
 LARGE_INTERVAL_S = 0.2
 LARGE_NODES = 32
+# One report in so many names the open heads even if they are as they were told last.
 HEADS_EVERY = 10
+# A connection on which no report came for so long is given up.
 SILENCE_S = 1.0
 MAX_BUFFERED_BYTES = 262_144
 # A node that can read the store has by then noticed that its evidence is old (1.5 s),
--- a/mulleinreach/gateway/fleet/moving.py
+++ b/mulleinreach/gateway/fleet/moving.py
@@ -106,7 +106,7 @@
                 break
             self._begin(move)
             counted = self._count_moves(views)
-            work = replace(self._work(engine, counted, places), crowded=self._crowded)
+            work = self._work(engine, counted, places)
             targets = allocate(counted, engine, work)
         return targets
 
@@ -115,7 +115,7 @@
     ) -> Work:
         """Return what the models have to bear, with a hall in reserve where one may be lost."""
         hall_groups = groups_in_fullest_hall(counted) if self._spares_hall else {}
-        return Work(engine.slots, places, hall_groups=hall_groups)
+        return Work(engine.slots, places, self._crowded, hall_groups)
 
     def end_term(self) -> None:
         """Forget moves under way, whose groups serve on."""
--- a/mulleinreach/gateway/known/choosing.py
+++ b/mulleinreach/gateway/known/choosing.py
@@ -111,6 +111,7 @@
         self._retiring: frozenset[str] = frozenset()
         self._told_at = float("-inf")
         self._misdirected = MisdirectedHeads()
+        # Each head as it was chosen last, by its upstream's id.
         self._chosen: dict[str, Head] = {}
 
     def take_told(self, opened: list[Head], retiring: frozenset[str]) -> None:
@@ -154,7 +155,10 @@
         return head.upstream
 
     def wait_s(self, terms: RequestTerms, upstream_id: str) -> float:
-        """Return how long a request is predicted to wait for others at a head that was chosen."""
+        """Return how long a request is predicted to wait for others at a head that was chosen.
+
+        That is 0 at an upstream of a plain service, whose work nothing predicts.
+        """
         head, engine = self._chosen.get(upstream_id), terms.service.engine
         if head is None or engine is None:
             return 0.0
--- a/mulleinreach/platform/tests/soak/callers.py
+++ b/mulleinreach/platform/tests/soak/callers.py
@@ -14,8 +14,11 @@
 from mulleinreach.platform.tests.soak.report import SoakReport
 from mulleinreach.platform.tests.soak.world import SoakWorld
 
+# Seconds between two requests of all callers together.
 CALL_EVERY_S = 0.03
+# Seconds after the last fault within which every gateway has to serve again; only a hang takes it.
 RECOVERY_S = 90.0
+# Events of a stream.
 PIECES = 15
 
 
--- a/mulleinreach/platform/tests/soak/faults.py
+++ b/mulleinreach/platform/tests/soak/faults.py
@@ -12,7 +12,9 @@
 from mulleinreach.platform.tests.soak.world import SoakWorld
 from mulleinreach.standins.gateway.hosts import HostStandIn
 
+# Seconds after which a key that was taken away lets nothing run any more.
 REVOKE_S = 5.0
+# The shortest and the longest seconds of a fault, and between the beginnings of two.
 FAULT_S = (0.5, 3.0)
 BETWEEN_FAULTS_S = (0.1, 0.8)
 # How many kinds of faults a seed has: few that meet often, up to all of them.
