--- a/mulleinreach/gateway/coordination/membership.py
+++ b/mulleinreach/gateway/coordination/membership.py
@@ -192,6 +192,7 @@
             telling.cancel()
 
     async def _coordinate(self) -> None:
+        """Coordinate for one term; after giving way, follow the successor without a look."""
         if await self._term.serve():
             self._seen_state = LeaseState.OTHERS
 
--- a/mulleinreach/gateway/fleet/placement.py
+++ b/mulleinreach/gateway/fleet/placement.py
@@ -117,7 +117,7 @@
         views: list[DomainView],
         groups: dict[tuple[str, int], Group],
     ) -> None:
-        """Form lost groups of evacuated halls anew, without loads, once nobody else waits.
+        """Form lost groups of evacuated halls anew, without loads, once no other is being formed.
 
         They are needed when the hall is taken back, and by no request before.
         """
