Lines of sends and of broken streams tell the request's content, and whether it had begun

Attempts of callers have ids of their own, so nothing in the logs showed that the request under which a replica ended is the one that ended the replica before. A digest of what is asked for shows it without telling the content.

--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -16,6 +16,7 @@
 from mulleinreach.gateway.request.admission import RETRY_AFTER_S, Admission, Admitted, Denied
 from mulleinreach.gateway.request.budget import WindowedRetryBudget
 from mulleinreach.gateway.request.connections import CallerConnections
+from mulleinreach.gateway.request.content import content_digest, format_digest
 from mulleinreach.gateway.request.events import EventSplitter
 from mulleinreach.gateway.request.exchange import (
     AnswerCut,
@@ -171,12 +172,16 @@
         route = admitted.route
         caller_s = route.timeout_s if headers.deadline_s is None else headers.deadline_s
         name = route.pick_service(self._rng)
+        content = content_digest(
+            request.method, route.host, request.raw_path, admitted.organisation or "", body
+        )
         return RelayJob(
             request=request,
             headers=headers,
             admitted=admitted,
             service=admitted.configuration.services.get(name, Service(name)),
             body=body,
+            content=content,
             started_at=started_at,
             deadline=started_at + min(caller_s, route.timeout_s),
             caller_gives_up_at=started_at + caller_s,
@@ -250,6 +255,7 @@
     ) -> bool:
         """Pass on whole events; returns whether the stream came to its sound end."""
         splitter = EventSplitter()
+        events_before = job.events_sent
         try:
             async with asyncio.timeout(max(0, job.deadline - self._clock.now())):
                 async for data in result.chunks(PAUSE_LIMIT_S):
@@ -261,7 +267,9 @@
                 "stream_broken",
                 id=job.headers.request_id,
                 upstream=exchange.upstream_id,
+                content=format_digest(job.content),
                 after=job.last_event_id,
+                events_here=job.events_sent - events_before,
                 why=str(error) or "deadline",
             )
             return False
--- a/mulleinreach/gateway/request/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -19,6 +19,7 @@
 from mulleinreach.gateway.request.active import ActiveExchange, ActiveExchanges
 from mulleinreach.gateway.request.admission import Admitted
 from mulleinreach.gateway.request.budget import WindowedRetryBudget
+from mulleinreach.gateway.request.content import format_digest
 from mulleinreach.gateway.request.exchange import (
     Answered,
     Broken,
@@ -81,13 +82,20 @@
 
 @dataclass
 class RelayJob:
-    """One request of a caller, with what has become of it so far."""
+    """One request of a caller, with what has become of it so far.
+
+    Parameters
+    ==========
+
+    content : digest of what is asked for; the same where a caller asks for it again.
+    """
 
     request: web.BaseRequest
     headers: CallerHeaders
     admitted: Admitted
     service: Service
     body: bytes
+    content: int
     started_at: float
     deadline: float
     caller_gives_up_at: float
@@ -210,6 +218,7 @@
         self._log.event(
             "request_sent",
             id=job.headers.request_id,
+            content=format_digest(job.content),
             route=job.admitted.route.name,
             version=job.admitted.configuration.version,
             upstream=upstream.id,
@@ -297,6 +306,7 @@
             self._log.event(
                 "send_failed",
                 id=job.headers.request_id,
+                content=format_digest(job.content),
                 upstream=upstream.id,
                 outcome=type(result).__name__,
                 why=getattr(result, "reason", getattr(result, "status", "")),
