Requests that end the replicas which run them are held back at all nodes

Cause: a request was known by the id of its attempt alone. Within a try max_attempts bounded its sends; across tries, callers and nodes nothing remembered that replicas had ended under it. Class: a request that brings about a fault is repeated by everybody, and each looks at its own attempt.

Ruled out: survivors overrun by moved streams (first heads end with 3 to 6 of 13 places taken); faulty hosts (ends in three halls, one head at a time, 0.2 to 0.3 s after a send).

Change: nodes know a request by a digest of its content. An upstream that closes a request's connection and refuses a new one has ended; the node reports that, and whether the request had begun. The coordinator joins the sightings, holds a content after two ends after a beginning or three in all, tells all nodes, and leaves it in the lease's row. A second send goes to another hall. Sound neighbours and a hall that is lost are told apart.

--- a/mulleinreach/gateway/coordination/hub.py
+++ b/mulleinreach/gateway/coordination/hub.py
@@ -30,16 +30,16 @@
     encode_totals,
 )
 from mulleinreach.gateway.coordination.numbering import NodeNumbers
+from mulleinreach.gateway.known.crashes import Sighting
 from mulleinreach.gateway.known.load import LoadReport
 from mulleinreach.gateway.known.upstreams import ListChange
-from mulleinreach.gateway.model import RouteWait
-from mulleinreach.gateway.ports import OperatorRows
+from mulleinreach.gateway.ports import Inheritance, OperatorRows
 
 REPORT_INTERVAL_S = 0.1
 # With many nodes the reports would take too much of a slow coordinator's time.
 LARGE_INTERVAL_S = 0.2
 LARGE_NODES = 32
-# One report in so many names the open heads even if they are as they were told last.
+# One report in so many names open heads and held requests even if they are as they were told last.
 HEADS_EVERY = 10
 # A connection on which no report came for so long is given up.
 SILENCE_S = 1.0
@@ -124,11 +124,17 @@
     async def read_unproven_rows(self) -> None:
         """Read the operators' rows if renewals have not proved them for too long."""
 
-    def first_waits(self) -> tuple[RouteWait, ...]:
-        """Return what nodes that start should know of callers."""
+    def inheritance(self) -> Inheritance:
+        """Return what nodes that start should know."""
 
-    def take_first_waits(self, waits: tuple[RouteWait, ...]) -> None:
-        """Take what an earlier coordinator knew of callers."""
+    def take_inheritance(self, inheritance: Inheritance) -> None:
+        """Take what an earlier coordinator knew."""
+
+    def sightings(self, includes_old: bool) -> list[Sighting]:
+        """Return what this node saw of upstreams that ended under requests, lately or ever."""
+
+    def take_sightings(self, sightings: list[Sighting]) -> None:
+        """Take what another node saw of upstreams that ended under requests."""
 
     def note_store_failed(self) -> None:
         """Note that the store has just failed to answer."""
@@ -165,6 +171,7 @@
         self._heard: dict[str, _Heard] = {}
         self._server: asyncio.AbstractServer | None = None
         self._told_heads: list[OpenHead] = []
+        self._told_held: tuple[int, ...] | None = ()
         self._round = 0
         self._latest_totals: bytes | None = None
         self._numbering = NodeNumbers(clock.now())
@@ -254,7 +261,12 @@
             heads = None
         else:
             self._told_heads = heads
-        return replace(totals, loads=loads, heads=heads)
+        held = totals.held
+        if held == self._told_held and self._round % HEADS_EVERY:
+            held = None
+        else:
+            self._told_held = held
+        return replace(totals, loads=loads, heads=heads, held=held)
 
     def _report_to(self, member: _Member, totals: bytes) -> None:
         whole_list = self._list_for(member)
@@ -345,6 +357,7 @@
                     return
                 is_first = member.report is None
                 member.report = report
+                self._knowledge.take_sightings(report.sightings)
                 self._note_heard(report)
                 if is_first and self._latest_totals is not None:
                     # What a node knows at its start it should know at once.
--- a/mulleinreach/gateway/coordination/lease.py
+++ b/mulleinreach/gateway/coordination/lease.py
@@ -18,8 +18,8 @@
 from dataclasses import dataclass, replace
 
 from mulleinreach.common import Clock, EventLog
-from mulleinreach.gateway.model import RouteWait
 from mulleinreach.gateway.ports import (
+    Inheritance,
     LeaseConflict,
     LeaseRead,
     LeaseRecord,
@@ -167,8 +167,8 @@
         """Take the lease that was last seen; fails if anybody wrote the row since."""
         sent_at = self._clock.now()
         secret = secrets.token_hex(SECRET_BYTES)
-        known = self.record.first_waits if self.record else ()
-        record = LeaseRecord(self._holder, self._address, self.token + 1, 0, secret, known)
+        inheritance = self.record.inheritance if self.record else Inheritance()
+        record = LeaseRecord(self._holder, self._address, self.token + 1, 0, secret, inheritance)
         result = await self._store.write(self._version, record)
         if not isinstance(result, LeaseWritten):
             return False
@@ -189,7 +189,7 @@
         return await self.acquire()
 
     async def renew(
-        self, unchanged: OperatorRows | None = None, first_waits: tuple[RouteWait, ...] = ()
+        self, unchanged: OperatorRows | None = None, inheritance: Inheritance | None = None
     ) -> Renewal:
         """Extend the lease, or take it up again while nobody has written the row since.
 
@@ -198,13 +198,14 @@
 
         unchanged : the operators' rows, if they are known. ``DONE`` proves that they had
             written nothing newer when the renewal began.
-        first_waits : what nodes that start should know of callers.
+        inheritance : what nodes that start should know; as it was if it is left out.
         """
         if self.fenced.is_set():
             return Renewal.LOST
         sent_at = self._clock.now()
         current = self.record
-        record = replace(current, renewal=current.renewal + 1, first_waits=first_waits)
+        inheritance = inheritance or current.inheritance
+        record = replace(current, renewal=current.renewal + 1, inheritance=inheritance)
         result = await self._store.write(self._version, record, unchanged)
         is_changed = isinstance(result, OperatorRowsChanged)
         if is_changed:
--- a/mulleinreach/gateway/coordination/membership.py
+++ b/mulleinreach/gateway/coordination/membership.py
@@ -132,7 +132,7 @@
         """Read the lease's row, and what its holder left there for nodes that start."""
         state = await self._lease.look()
         if self._lease.record is not None:
-            self._knowledge.take_first_waits(self._lease.record.first_waits)
+            self._knowledge.take_inheritance(self._lease.record.inheritance)
         return state
 
     async def _follow(self, address: Address) -> None:
--- a/mulleinreach/gateway/coordination/messages.py
+++ b/mulleinreach/gateway/coordination/messages.py
@@ -10,6 +10,7 @@
 from mulleinreach.common import Address
 from mulleinreach.gateway.coordination.frames import PeerError
 from mulleinreach.gateway.coordination.lease import Resignation, Successor
+from mulleinreach.gateway.known.crashes import RunOutcome, Sighting
 from mulleinreach.gateway.known.load import LoadReport
 from mulleinreach.gateway.known.upstreams import ListChange
 from mulleinreach.gateway.upstream import Membership, MemberState, Upstream, UpstreamState
@@ -32,6 +33,7 @@
     seq : the report's number, by which the answer names it.
     successor : told by a new coordinator to the one that it replaces.
     hall : the hall of the node.
+    sightings : what the node saw of upstreams that end under requests.
     """
 
     node: str
@@ -43,6 +45,7 @@
     configuration_version: int = 0
     successor: Successor | None = None
     hall: str = ""
+    sightings: list[Sighting] = field(default_factory=list)
 
 
 @dataclass(frozen=True)
@@ -77,6 +80,8 @@
     evacuated : the halls that are to be empty.
     operator_revision : the store's revision up to which ``evacuated`` is known.
     numbers : one above the highest number that a node has; 0 if the numbers don't hold.
+    held : digests of the requests that end the upstreams which run them; ``None`` where they
+        are as they were told last.
     """
 
     token: int
@@ -96,6 +101,7 @@
     evacuated: list[str] = field(default_factory=list)
     operator_revision: int = 0
     numbers: int = 0
+    held: tuple[int, ...] | None = None
 
 
 @dataclass(frozen=True)
@@ -153,6 +159,28 @@
     ]
 
 
+def _pack_sightings(message, sightings: list[Sighting]) -> None:
+    rows = message.init("sightings", len(sightings))
+    for row, sighting in zip(rows, sightings, strict=True):
+        row.id, row.content = sighting.id, sighting.content
+        row.upstream, row.hall = sighting.upstream_id, sighting.hall
+        row.outcome, row.agoMs = int(sighting.outcome), _milliseconds(sighting.ago_s)
+
+
+def _unpack_sightings(rows) -> list[Sighting]:
+    return [
+        Sighting(
+            row.id,
+            row.content,
+            row.upstream,
+            row.hall,
+            RunOutcome(row.outcome),
+            row.agoMs / 1000,
+        )
+        for row in rows
+    ]
+
+
 def _pack_successor(row, successor: Successor | None) -> None:
     if successor is not None:
         row.token, row.address = successor.token, successor.address
@@ -175,6 +203,7 @@
         hall=report.hall,
     )
     _pack_loads(message, report.loads)
+    _pack_sightings(message, report.sightings)
     _pack_successor(message.successor, report.successor)
     return message.to_bytes_packed()
 
@@ -187,7 +216,8 @@
 
     >>> successor = Successor(3, "10.0.0.1:80", "secret")
     >>> loads = [LoadReport("u", 2, 70, 0.5, 0.5, 1)]
-    >>> report = NodeReport("a", loads, seq=4, successor=successor, hall="h")
+    >>> seen = [Sighting(2**64 - 1, 2**63, "u", "h", RunOutcome.ENDED_BEGUN, 0.25)]
+    >>> report = NodeReport("a", loads, seq=4, successor=successor, hall="h", sightings=seen)
     >>> decode_node_report(encode_node_report(report)) == report
     True
     """
@@ -203,8 +233,9 @@
             message.configVersion,
             _unpack_successor(message.successor),
             message.hall,
+            _unpack_sightings(message.sightings),
         )
-    except capnp.KjException as error:
+    except (capnp.KjException, ValueError) as error:
         raise PeerError(str(error)) from error
 
 
@@ -236,6 +267,8 @@
     message.lost = totals.lost
     message.retiring = totals.retiring
     message.evacuated = totals.evacuated
+    message.hasHeld = totals.held is not None
+    message.held = list(totals.held or ())
     return message.to_bytes_packed()
 
 
@@ -262,6 +295,7 @@
         list(message.evacuated),
         message.operatorRevision,
         message.numbers,
+        tuple(message.held) if message.hasHeld else None,
     )
 
 
@@ -282,7 +316,7 @@
     >>> heads = [OpenHead("u", "g", 5, "m", 2.0)]
     >>> totals = Totals(
     ...     3, 9, [], heads, ["v"], 7, 0.5, 40, 0.25, Resignation(3, 6), ["w"], True,
-    ...     Successor(4, "10.0.0.2:80", "secret"), False, ["hall"], 38, 9,
+    ...     Successor(4, "10.0.0.2:80", "secret"), False, ["hall"], 38, 9, (2**64 - 1,),
     ... )
     >>> member = Membership("g", 5, 0, MemberState.OPEN)
     >>> upstream = Upstream("u", "s", Address("10.0.0.1", 80), "hall", membership=member, cold_s=2)
--- a/mulleinreach/gateway/coordination/own_report.py
+++ b/mulleinreach/gateway/coordination/own_report.py
@@ -12,6 +12,8 @@
 from mulleinreach.gateway.known.load import LoadBook, LoadReport
 from mulleinreach.gateway.ports import GatewayIdentity
 
+# For so long a new coordinator is told all that this node saw of upstreams that ended.
+INTRODUCTION_S = 1.0
 # A coordinator's answer may be late, but it names a report of the latest seconds.
 REPORTS_KEPT = 40
 
@@ -55,6 +57,8 @@
         self._knowledge = knowledge
         self._clock = clock
         self._seq = 0
+        self._holder = lease.token
+        self._holder_since = float("-inf")
         self._sent: deque[SentReport] = deque(maxlen=REPORTS_KEPT)
         # Whether this node is about to end; its reports tell it from then on.
         self.is_stopping = False
@@ -70,8 +74,16 @@
             self._knowledge.list_revision(),
             self._knowledge.configuration_version(),
             hall=self._identity.hall,
+            sightings=self._knowledge.sightings(includes_old=self._is_introducing()),
         )
 
+    def _is_introducing(self) -> bool:
+        """Whether the coordinator is a new one, which has not heard what this node told before."""
+        now = self._clock.now()
+        if self._holder != self._lease.token:
+            self._holder, self._holder_since = self._lease.token, now
+        return now - self._holder_since < INTRODUCTION_S
+
     def next(self) -> NodeReport:
         """Return the next report, which is about to be sent."""
         self._seq += 1
--- a/mulleinreach/gateway/coordination/peer.capnp
+++ b/mulleinreach/gateway/coordination/peer.capnp
@@ -12,6 +12,16 @@
   standingBack @5 :UInt16;   # without an event yet, and to be let in after all others
 }
 
+# What a node saw of one run of a request.
+struct Sighting {
+  id @0 :UInt64;             # drawn by the node that saw it
+  content @1 :UInt64;        # digest of the request
+  upstream @2 :Text;
+  hall @3 :Text;             # of the upstream
+  outcome @4 :UInt8;         # 1 ended, 2 ended after it had begun, 3 served
+  agoMs @5 :UInt32;
+}
+
 struct NodeReport {
   node @0 :Text;
   loads @1 :List(Load);
@@ -22,6 +32,7 @@
   configVersion @6 :UInt64;  # of the configuration in force at the node
   successor @7 :Holder;      # told by a new coordinator to the one that it replaces
   hall @8 :Text;
+  sightings @9 :List(Sighting);
 }
 
 # Who holds the lease of the coordinator.
@@ -60,6 +71,8 @@
   evacuated @16 :List(Text); # halls that are to be empty
   operatorRevision @17 :UInt64;  # of the store, up to which that is known
   numbers @18 :UInt16;       # one above the highest number that a node has
+  hasHeld @19 :Bool;         # else nothing is told of them
+  held @20 :List(UInt64);    # digests of requests that are not sent any more
 }
 
 struct Upstream {
--- a/mulleinreach/gateway/coordination/term.py
+++ b/mulleinreach/gateway/coordination/term.py
@@ -136,7 +136,7 @@
         """Renew the lease, and have the same write prove what is known of the store."""
         rows = self._knowledge.operator_rows()
         asked_at = self._clock.now()
-        renewal = await self._lease.renew(rows, self._knowledge.first_waits())
+        renewal = await self._lease.renew(rows, self._knowledge.inheritance())
         if renewal is Renewal.DONE:
             self._knowledge.confirm(rows, asked_at)
         elif renewal is Renewal.DONE_CHANGED:
--- a/mulleinreach/gateway/knowledge.py
+++ b/mulleinreach/gateway/knowledge.py
@@ -16,13 +16,13 @@
 from mulleinreach.gateway.fleet.controller import FleetController
 from mulleinreach.gateway.known.choosing import UpstreamChooser
 from mulleinreach.gateway.known.cold import ColdRateLimit
+from mulleinreach.gateway.known.crashes import CrashBook, Sighting
 from mulleinreach.gateway.known.eligibility import Eligibility
 from mulleinreach.gateway.known.following import ConfigurationInForce
 from mulleinreach.gateway.known.load import LoadBook, LoadReport
 from mulleinreach.gateway.known.upstream_following import UpstreamFollower
 from mulleinreach.gateway.known.upstreams import Head, ListChange, UpstreamDirectory
-from mulleinreach.gateway.model import RouteWait
-from mulleinreach.gateway.ports import OperatorRows
+from mulleinreach.gateway.ports import Inheritance, OperatorRows
 from mulleinreach.gateway.request.urgency import FirstWaits
 
 # Older evidence would be too old at the nodes (1.5 s) before the next renewal.
@@ -51,6 +51,7 @@
         cold_limit: ColdRateLimit,
         controller: FleetController,
         first_waits: FirstWaits,
+        crashes: CrashBook,
         on_lost: Callable[[str], None],
     ):
         self._in_force = in_force
@@ -62,6 +63,7 @@
         self._cold_limit = cold_limit
         self._controller = controller
         self._first_waits = first_waits
+        self._crashes = crashes
         self._on_lost = on_lost
         self._heads: list[OpenHead] = []
 
@@ -84,6 +86,7 @@
             keeps_removed=self._follower.keeps_removed(),
             evacuated=sorted(self._in_force.evacuations.halls),
             operator_revision=self._in_force.evacuations.revision,
+            held=self._crashes.held(),
         )
 
     def changes_since(self, revision: int) -> list[ListChange] | None:
@@ -110,9 +113,17 @@
         """Return the age of the latest proof that the configuration is the newest."""
         return self._in_force.evidence_age_s()
 
-    def first_waits(self) -> tuple[RouteWait, ...]:
-        """Return what nodes that start should know of callers."""
-        return self._first_waits.known()
+    def inheritance(self) -> Inheritance:
+        """Return what nodes that start should know."""
+        return Inheritance(self._first_waits.known(), self._crashes.held())
+
+    def sightings(self, includes_old: bool) -> list[Sighting]:
+        """Return what this node saw of upstreams that ended under requests, lately or ever."""
+        return self._crashes.own_sightings(includes_old)
+
+    def take_sightings(self, sightings: list[Sighting]) -> None:
+        """Take what another node saw of upstreams that ended under requests."""
+        self._crashes.take(sightings)
 
     # What a renewal of the lease shows.
 
@@ -142,9 +153,10 @@
 
     # What is taken.
 
-    def take_first_waits(self, waits: tuple[RouteWait, ...]) -> None:
+    def take_inheritance(self, inheritance: Inheritance) -> None:
         """Take what an earlier coordinator knew of callers."""
-        self._first_waits.take_told(waits)
+        self._first_waits.take_told(inheritance.first_waits)
+        self._crashes.take_held(inheritance.held)
 
     def take(self, report: CoordinatorReport, asked_at: float, own_loads: list[LoadReport]) -> None:
         """Take a coordinator's report.
@@ -175,6 +187,7 @@
                 report.changes, totals.list_revision, asked_at - totals.list_age_s
             )
         self._cold_limit.take_number(report.number, totals.numbers, asked_at)
+        self._crashes.take_held(totals.held or ())
         self._take_heads(totals)
         self._take_lost(totals.lost)
 
--- a/mulleinreach/gateway/known/choosing.py
+++ b/mulleinreach/gateway/known/choosing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
 from mulleinreach.common import Clock
@@ -134,18 +134,30 @@
         return self._clock.now() - self._told_at < TOLD_FRESH_S
 
     def choose(
-        self, terms: RequestTerms, headers: CallerHeaders, tried: set[str]
+        self,
+        terms: RequestTerms,
+        headers: CallerHeaders,
+        tried: set[str],
+        shunned_halls: Collection[str] = (),
     ) -> Upstream | None:
-        """Return the best upstream that wasn't tried yet."""
+        """Return the best upstream that wasn't tried yet.
+
+        Parameters
+        ==========
+
+        shunned_halls : halls whose upstreams are taken only if there are no others.
+        """
         service = terms.service
         suspects = self._suspects.current()
         if service.engine is None:
             usable = [u for u in self._usable(service.name) if u.id not in tried]
-            upstreams = self._eligibility.permitted(usable, terms)
+            permitted = self._eligibility.permitted(usable, terms)
+            upstreams = [u for u in permitted if u.hall not in shunned_halls] or permitted
             cold = self._cold.ids(upstreams, service)
             return self._router.choose_plain(upstreams, suspects, cold)
         known = [h for h in self.heads(service.name, headers.model) if h.upstream.id not in tried]
-        heads = self._permitted(known, terms)
+        permitted = self._permitted(known, terms)
+        heads = [h for h in permitted if h.upstream.hall not in shunned_halls] or permitted
         cold = self._cold.ids([head.upstream for head in heads], service)
         tokens = headers.prompt_tokens or 0
         head = self._router.choose_head(heads, service.engine, tokens, suspects, cold)
--- a/mulleinreach/gateway/request/content.py
+++ b/mulleinreach/gateway/known/content.py
@@ -51,3 +51,18 @@
     '00000000000000ff'
     """
     return f"{digest:0{2 * DIGEST_BYTES}x}"
+
+
+def parse_digest(text: str) -> int:
+    """Return the digest that a text tells.
+
+    Examples
+    ========
+
+    >>> parse_digest(format_digest(255))
+    255
+    """
+    digest = int(text, 16)
+    if not 0 <= digest < 1 << 8 * DIGEST_BYTES:
+        raise ValueError(f"not a digest: {text!r}")
+    return digest
--- /dev/null
+++ b/mulleinreach/gateway/known/tests/test_crashes.py
@@ -0,0 +1,211 @@
+"""Which ends of upstreams hold a request back, and which don't."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+import pytest
+
+from mulleinreach.common import Address
+from mulleinreach.gateway.known.crashes import (
+    APART_S,
+    HOLD_S,
+    MEMORY_S,
+    MOST_CONTENTS,
+    MOST_HELD,
+    TELL_S,
+    CrashBook,
+)
+from mulleinreach.gateway.upstream import Upstream
+
+CULPRIT, OTHER = 1, 2
+
+
+class SteppedClock:
+    """A clock that a test moves."""
+
+    def __init__(self):
+        self.at = 1000.0
+
+    def now(self) -> float:
+        """Return the time that the test has set."""
+        return self.at
+
+
+class SilentLog:
+    """Takes events and drops them."""
+
+    def event(self, name: str, **fields: object) -> None:
+        """Drop an event."""
+
+
+class BookDesk:
+    """A book, its clock, and what it has held."""
+
+    def __init__(self, clock: SteppedClock | None = None, seed: int = 1):
+        self.clock = clock or SteppedClock()
+        self.held: list[int] = []
+        self.book = CrashBook(self.clock, SilentLog(), random.Random(seed), self.held.append)
+
+    def end(self, content: int, name: str, hall: str = "a", has_begun: bool = True) -> None:
+        """Note an end at an upstream of a name."""
+        self.book.note_end(content, upstream(name, hall), has_begun)
+
+    def wait(self, seconds: float) -> None:
+        """Move the clock."""
+        self.clock.at += seconds
+
+
+def upstream(name: str, hall: str = "a") -> Upstream:
+    """Return an upstream of a name."""
+    return Upstream(name, "models", Address("10.0.0.1", 80), hall)
+
+
+@pytest.fixture
+def desk() -> BookDesk:
+    return BookDesk()
+
+
+def test_second_end_after_a_beginning_holds_a_request(desk):
+    desk.end(CULPRIT, "u1")
+    assert not desk.book.is_held(CULPRIT)
+    desk.end(CULPRIT, "u2")
+    assert desk.book.is_held(CULPRIT)
+    assert desk.held == [CULPRIT]
+
+
+def test_three_ends_hold_a_request_that_may_not_have_begun(desk):
+    for name in ("u1", "u2"):
+        desk.end(CULPRIT, name, has_begun=False)
+    assert not desk.book.is_held(CULPRIT)
+    desk.end(CULPRIT, "u3", has_begun=False)
+    assert desk.book.is_held(CULPRIT)
+
+
+def test_copies_at_one_upstream_see_one_end(desk):
+    for _ in range(5):
+        desk.end(CULPRIT, "u1")
+    assert not desk.book.is_held(CULPRIT)
+
+
+def test_upstream_that_is_back_under_its_id_ends_a_second_time(desk):
+    desk.end(CULPRIT, "u1")
+    desk.wait(3)
+    desk.end(CULPRIT, "u1")
+    assert desk.book.is_held(CULPRIT)
+
+
+def test_ends_in_a_failing_hall_count_once(desk):
+    desk.end(OTHER, "u9")
+    desk.end(CULPRIT, "u1")
+    desk.wait(APART_S / 2)
+    desk.end(CULPRIT, "u2")
+    assert not desk.book.is_held(CULPRIT)
+
+
+def test_neighbours_of_a_culprit_do_not_make_its_hall_look_failing(desk):
+    desk.end(OTHER, "u1", has_begun=False)
+    desk.end(CULPRIT, "u1")
+    desk.wait(APART_S / 2)
+    desk.end(CULPRIT, "u2")
+    assert desk.book.is_held(CULPRIT)
+    assert not desk.book.is_held(OTHER)
+
+
+def test_ends_in_two_halls_count_while_one_is_failing(desk):
+    desk.end(OTHER, "u9")
+    desk.end(CULPRIT, "u1")
+    desk.end(CULPRIT, "u2", hall="b")
+    assert desk.book.is_held(CULPRIT)
+
+
+def test_request_that_was_served_begins_anew(desk):
+    desk.end(CULPRIT, "u1")
+    desk.wait(0.1)
+    desk.book.note_served(CULPRIT, upstream("u5"))
+    desk.wait(0.1)
+    desk.end(CULPRIT, "u2")
+    assert not desk.book.is_held(CULPRIT)
+    desk.wait(2)
+    desk.end(CULPRIT, "u3")
+    assert desk.book.is_held(CULPRIT)
+
+
+def test_served_requests_that_nothing_ended_under_are_not_kept(desk):
+    desk.book.note_served(CULPRIT, upstream("u1"))
+    assert desk.book.own_sightings(includes_old=True) == []
+
+
+def test_sightings_of_two_nodes_come_together():
+    first = BookDesk()
+    second = BookDesk(first.clock, seed=2)
+    first.end(CULPRIT, "u1")
+    second.end(CULPRIT, "u2", hall="b")
+    first.book.take(second.book.own_sightings(includes_old=False))
+    assert first.book.is_held(CULPRIT)
+    assert not second.book.is_held(CULPRIT)
+    second.book.take_held(first.book.held())
+    assert second.held == [CULPRIT]
+
+
+def test_doubled_and_late_reports_count_once():
+    first = BookDesk()
+    second = BookDesk(first.clock, seed=2)
+    first.end(CULPRIT, "u1")
+    report = first.book.own_sightings(includes_old=False)
+    for _ in range(3):
+        second.book.take(report)
+        second.wait(5)
+    assert not second.book.is_held(CULPRIT)
+
+
+def test_what_others_saw_is_not_told_as_own():
+    first = BookDesk()
+    second = BookDesk(first.clock, seed=2)
+    first.end(CULPRIT, "u1")
+    second.book.take(first.book.own_sightings(includes_old=False))
+    assert second.book.own_sightings(includes_old=True) == []
+
+
+def test_old_sightings_are_told_to_a_new_coordinator_only(desk):
+    desk.end(CULPRIT, "u1")
+    desk.wait(TELL_S + 0.1)
+    assert desk.book.own_sightings(includes_old=False) == []
+    [told] = desk.book.own_sightings(includes_old=True)
+    assert (told.content, told.upstream_id, told.hall) == (CULPRIT, "u1", "a")
+    assert told.ago_s == pytest.approx(TELL_S + 0.1)
+
+
+def test_sightings_and_holds_end(desk):
+    desk.end(CULPRIT, "u1")
+    desk.wait(MEMORY_S + 1)
+    desk.end(CULPRIT, "u2")
+    assert not desk.book.is_held(CULPRIT)
+    desk.wait(2)
+    desk.end(CULPRIT, "u3")
+    assert desk.book.is_held(CULPRIT)
+    desk.wait(HOLD_S + 1)
+    assert not desk.book.is_held(CULPRIT)
+    assert desk.book.held() == ()
+
+
+def test_the_newest_are_kept_where_there_are_too_many(desk):
+    for content in range(MOST_CONTENTS + 10):
+        desk.end(content, "u1")
+        desk.wait(0.01)
+    assert len(desk.book.own_sightings(includes_old=True)) == MOST_CONTENTS
+    desk.book.take_held(range(1000, 1000 + MOST_HELD + 5))
+    assert len(desk.book.held()) == MOST_HELD
+    assert desk.book.is_held(1000 + MOST_HELD + 4)
+    assert not desk.book.is_held(1000)
+
+
+def test_report_that_was_delayed_counts_from_when_it_was_written():
+    first = BookDesk()
+    second = BookDesk(first.clock, seed=2)
+    first.end(CULPRIT, "u1")
+    [told] = first.book.own_sightings(includes_old=False)
+    second.book.take([replace(told, ago_s=700.0)])
+    second.end(CULPRIT, "u2")
+    assert not second.book.is_held(CULPRIT)
--- a/mulleinreach/gateway/metrics.py
+++ b/mulleinreach/gateway/metrics.py
@@ -46,6 +46,9 @@
             "evidence_age_seconds", "Age of the evidence that the configuration is the newest"
         )
         self.evacuated_halls = self._gauge("evacuated_halls", "Halls that are to be empty")
+        self.held_requests = self._gauge(
+            "held_requests", "Requests that aren't sent any more, since upstreams end under them"
+        )
         self.halls_down = self._gauge(
             "halls_down", "Halls of which nothing answers, as found by this coordinator"
         )
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -21,7 +21,9 @@
 from mulleinreach.gateway.knowledge import SharedKnowledge
 from mulleinreach.gateway.known.choosing import SuspectList, UpstreamChooser
 from mulleinreach.gateway.known.cold import ColdRateLimit, ColdUpstreams
+from mulleinreach.gateway.known.content import format_digest
 from mulleinreach.gateway.known.counted import CountedEventLog, CountedLease, CountedSource
+from mulleinreach.gateway.known.crashes import CrashBook
 from mulleinreach.gateway.known.eligibility import Eligibility
 from mulleinreach.gateway.known.evacuations import Evacuations
 from mulleinreach.gateway.known.following import ConfigurationInForce
@@ -37,6 +39,7 @@
 from mulleinreach.gateway.request.active import ActiveExchanges
 from mulleinreach.gateway.request.admission import Admission
 from mulleinreach.gateway.request.budget import WindowedRetryBudget
+from mulleinreach.gateway.request.ends import EndedProbe
 from mulleinreach.gateway.request.exchange import UpstreamClient
 from mulleinreach.gateway.request.late import LateGate
 from mulleinreach.gateway.request.relay import Relay
@@ -100,6 +103,7 @@
         self.loads = LoadBook(self.clock)
         self.suspects = SuspectList(self.clock)
         self.active = ActiveExchanges()
+        self.crashes = CrashBook(self.clock, self.log, self.rng, self._on_held)
         turn = reading_turn(
             self.bounds, self.identity.processor_cores, self.identity.is_first_start, self.rng
         )
@@ -155,6 +159,8 @@
             self.suspects,
             budget,
             self.first_waits,
+            self.crashes,
+            EndedProbe(self.network),
             self.metrics,
             self.clock,
             self.log,
@@ -224,6 +230,7 @@
                 self.cold_limit,
                 self.controller,
                 self.first_waits,
+                self.crashes,
                 self._on_lost,
             ),
         )
@@ -308,6 +315,10 @@
         count = self.active.withdraw(upstream_id)
         self.log.event("upstream_lost", upstream=upstream_id, in_flight=count)
 
+    def _on_held(self, content: int) -> None:
+        count = self.active.withdraw_content(content)
+        self.log.event("held_withdrawn", content=format_digest(content), in_flight=count)
+
     # Readiness and metrics.
 
     def is_ready(self) -> bool:
@@ -327,6 +338,7 @@
         self.metrics.open_groups.set(len(self.chooser.opened()))
         self.metrics.halls_down.set(len(self.hosts.down_halls))
         self.metrics.cold_heads.set(self._count_cold_heads())
+        self.metrics.held_requests.set(len(self.crashes.held()))
         self.metrics.evacuated_halls.set(len(self.in_force.evacuations.halls))
         body = generate_latest(self.metrics.registry)
         return web.Response(body=body, headers={"Content-Type": CONTENT_TYPE_LATEST})
--- a/mulleinreach/gateway/ports.py
+++ b/mulleinreach/gateway/ports.py
@@ -121,12 +121,26 @@
 # The lease of the coordinator.
 
 
+@dataclass(frozen=True)
+class Inheritance:
+    """What a coordinator has learnt and nodes that start should know.
+
+    Parameters
+    ==========
+
+    first_waits : how long callers of each route wait.
+    held : digests of the requests that end the upstreams which run them.
+    """
+
+    first_waits: tuple[RouteWait, ...] = ()
+    held: tuple[int, ...] = ()
+
+
 @dataclass(frozen=True)
 class LeaseRecord:
     """Who coordinates; ``token`` rises with each change of holder.
 
-    ``secret`` is new with each holder: a node that names it has read the store;
-    ``first_waits`` is what the holder has learnt of callers, for nodes that start.
+    ``secret`` is new with each holder: a node that names it has read the store.
     """
 
     holder: str
@@ -134,7 +148,7 @@
     token: int
     renewal: int
     secret: str = ""
-    first_waits: tuple[RouteWait, ...] = ()
+    inheritance: Inheritance = Inheritance()
 
 
 @dataclass(frozen=True)
--- a/mulleinreach/gateway/request/active.py
+++ b/mulleinreach/gateway/request/active.py
@@ -15,11 +15,22 @@
 
 
 class ActiveExchange:
-    """An exchange that can be ended from outside."""
+    """An exchange that can be ended from outside.
 
-    def __init__(self, upstream_id: str):
+    Parameters
+    ==========
+
+    content : digest of the request.
+    """
+
+    def __init__(self, upstream_id: str, content: int):
         self.upstream_id = upstream_id
+        self.content = content
         self.is_withdrawn = False
+        # Whether anything of the answer's body has come.
+        self.has_given = False
+        # Whether the upstream's connection ended before the answer did.
+        self.is_cut = False
         self._task: asyncio.Task | None = None
         self._streaming: Streaming | None = None
 
@@ -42,8 +53,13 @@
             self._streaming = result
         return result
 
+    @property
+    def is_cut_at_begin(self) -> bool:
+        """Whether the upstream began to answer, and its connection ended before any byte came."""
+        return self.is_cut and not self.has_given and not self.is_withdrawn
+
     def withdraw(self) -> None:
-        """End the exchange because its upstream is lost."""
+        """End the exchange because its upstream is lost, or the request ends upstreams."""
         self.is_withdrawn = True
         if self._streaming is not None:
             self._streaming.close()
@@ -57,9 +73,9 @@
     def __init__(self) -> None:
         self._by_upstream: dict[str, set[ActiveExchange]] = {}
 
-    def begin(self, upstream_id: str) -> ActiveExchange:
+    def begin(self, upstream_id: str, content: int) -> ActiveExchange:
         """Note an exchange that is about to start."""
-        exchange = ActiveExchange(upstream_id)
+        exchange = ActiveExchange(upstream_id, content)
         self._by_upstream.setdefault(upstream_id, set()).add(exchange)
         return exchange
 
@@ -76,3 +92,15 @@
         for exchange in exchanges:
             exchange.withdraw()
         return len(exchanges)
+
+    def withdraw_content(self, content: int) -> int:
+        """End all exchanges for a request that have given nothing; returns how many there were."""
+        exchanges = [
+            exchange
+            for at_upstream in self._by_upstream.values()
+            for exchange in at_upstream
+            if exchange.content == content and not exchange.has_given
+        ]
+        for exchange in exchanges:
+            exchange.withdraw()
+        return len(exchanges)
--- a/mulleinreach/gateway/request/exchange.py
+++ b/mulleinreach/gateway/request/exchange.py
@@ -52,9 +52,16 @@
 
 @dataclass(frozen=True)
 class Broken:
-    """No whole answer came; the request may have run."""
+    """No whole answer came; the request may have run.
+
+    Parameters
+    ==========
+
+    is_closed : whether the connection ended while the request was at the upstream.
+    """
 
     reason: str
+    is_closed: bool = False
 
 
 @dataclass(frozen=True)
@@ -154,7 +161,8 @@
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return NotSent(f"{type(error).__name__}: {error}")
         except (aiohttp.ClientError, OSError, ValueError, TimeoutError) as error:
-            return Broken(f"{type(error).__name__}: {error}")
+            is_closed = isinstance(error, aiohttp.ClientConnectionError | OSError)
+            return Broken(f"{type(error).__name__}: {error}", is_closed)
         return await self._read(response, request, wants_stream)
 
     async def _read(
@@ -189,5 +197,5 @@
                     return Broken(f"an answer over {MAX_ANSWER_BYTES} bytes")
             _check_end(response, protocol)
         except (aiohttp.ClientError, OSError, ValueError, AnswerCut) as error:
-            return Broken(f"{type(error).__name__}: {error}")
+            return Broken(f"{type(error).__name__}: {error}", is_closed=True)
         return Answered(response.status, response.headers, b"".join(parts))
--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import random
+from http import HTTPStatus
 
 from aiohttp import web
 
 from mulleinreach.common import Clock, EventLog
+from mulleinreach.gateway.known.content import content_digest, format_digest
 from mulleinreach.gateway.known.load import Ticket
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.model import RouteKind, Service
@@ -16,7 +18,6 @@
 from mulleinreach.gateway.request.admission import RETRY_AFTER_S, Admission, Admitted, Denied
 from mulleinreach.gateway.request.budget import WindowedRetryBudget
 from mulleinreach.gateway.request.connections import CallerConnections
-from mulleinreach.gateway.request.content import content_digest, format_digest
 from mulleinreach.gateway.request.events import EventSplitter
 from mulleinreach.gateway.request.exchange import (
     AnswerCut,
@@ -39,6 +40,9 @@
 # within a second; callers leave after two seconds and more. Without it, a stream whose
 # connection had fallen silent stood until its deadline (7.5 s on memory), then was cut.
 PAUSE_LIMIT_S = 1.5
+# A request that ends upstreams is held for an hour. Callers that heed this don't come again; those
+# that come sooner cost no upstream anything.
+HELD_RETRY_AFTER_S = 60.0
 
 
 def _header_bytes(request: web.BaseRequest) -> int:
@@ -117,6 +121,8 @@
         if body is None:
             return self._own_answer(headers, 413, None)
         job = self._make_job(request, headers, decision, body, started_at)
+        if self._sender.is_held(job):
+            return self._refuse_held(job)
         self._budget.count_request(job.service.name)
         if decision.route.kind is RouteKind.STREAMING:
             response = await self._relay_stream(job)
@@ -125,6 +131,18 @@
         self._note(job, response, started_at)
         return response
 
+    def _refuse_held(self, job: RelayJob) -> web.Response:
+        """Refuse a request that ends the upstreams which run it, without sending it."""
+        self._metrics.count_denied(HTTPStatus.SERVICE_UNAVAILABLE)
+        self._log.event(
+            "request_denied",
+            id=job.headers.request_id,
+            content=format_digest(job.content),
+            status=HTTPStatus.SERVICE_UNAVAILABLE.value,
+            why="upstreams end under it",
+        )
+        return self._own_answer(job.headers, HTTPStatus.SERVICE_UNAVAILABLE, HELD_RETRY_AFTER_S)
+
     def _note(self, job: RelayJob, response: web.StreamResponse, started_at: float) -> None:
         elapsed_s = self._clock.now() - started_at
         kind = job.admitted.route.kind
@@ -192,6 +210,7 @@
         while (upstream := self._sender.next_upstream(job)) is not None:
             result = await self._sender.send_once(job, upstream)
             if isinstance(result, Answered):
+                self._sender.note_served(job, upstream)
                 if not self._is_worth_repeating(job, result):
                     return self._pass_on(result)
                 job.failure = result
@@ -217,10 +236,13 @@
                     if response is None:
                         response = await self._begin_response(job, result)
                     if await self._copy_events(job, result, exchange, ticket, response):
+                        self._sender.note_served(job, upstream)
                         await response.write_eof()
                         return response
                     result = Broken("the stream was cut")
                     self._sender.suspect(upstream.id)
+                    if exchange.is_cut_at_begin:
+                        await self._sender.look_for_end(job, upstream, has_begun=True)
             finally:
                 self._sender.end(exchange, ticket)
             if isinstance(result, Answered):
@@ -259,10 +281,12 @@
         try:
             async with asyncio.timeout(max(0, job.deadline - self._clock.now())):
                 async for data in result.chunks(PAUSE_LIMIT_S):
+                    exchange.has_given = True
                     ticket.progress()
                     await self._write_events(job, splitter, data, response)
         except (AnswerCut, TimeoutError) as error:
             job.fell_silent |= isinstance(error, AnswerSilent)
+            exchange.is_cut = isinstance(error, AnswerCut) and not isinstance(error, AnswerSilent)
             self._log.event(
                 "stream_broken",
                 id=job.headers.request_id,
--- a/mulleinreach/gateway/request/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -11,6 +11,8 @@
 
 from mulleinreach.common import Clock, EventLog
 from mulleinreach.gateway.known.choosing import SuspectList, UpstreamChooser
+from mulleinreach.gateway.known.content import format_digest
+from mulleinreach.gateway.known.crashes import CrashBook
 from mulleinreach.gateway.known.eligibility import Exclusion, RequestTerms
 from mulleinreach.gateway.known.load import LoadBook, Ticket
 from mulleinreach.gateway.metrics import GatewayMetrics
@@ -19,7 +21,7 @@
 from mulleinreach.gateway.request.active import ActiveExchange, ActiveExchanges
 from mulleinreach.gateway.request.admission import Admitted
 from mulleinreach.gateway.request.budget import WindowedRetryBudget
-from mulleinreach.gateway.request.content import format_digest
+from mulleinreach.gateway.request.ends import EndedProbe
 from mulleinreach.gateway.request.exchange import (
     Answered,
     Broken,
@@ -100,6 +102,9 @@
     deadline: float
     caller_gives_up_at: float
     tried: set[str] = field(default_factory=set)
+    # Where upstreams ended under it. The next one may end for the same reason: a hall that is
+    # failing, or the request, which an end in another hall then shows.
+    ended_halls: set[str] = field(default_factory=set)
     sends: int = 0
     priority: int = 0
     may_have_run: bool = False
@@ -141,6 +146,8 @@
         suspects: SuspectList,
         budget: WindowedRetryBudget,
         first_waits: FirstWaits,
+        crashes: CrashBook,
+        probe: EndedProbe,
         metrics: GatewayMetrics,
         clock: Clock,
         log: EventLog,
@@ -153,6 +160,8 @@
         self._suspects = suspects
         self._budget = budget
         self._first_waits = first_waits
+        self._crashes = crashes
+        self._probe = probe
         self._metrics = metrics
         self._clock = clock
         self._log = log
@@ -166,7 +175,9 @@
             limit += EXTRA_RESUMES
         if job.sends >= limit:
             return None
-        upstream = self._chooser.choose(job.terms, job.headers, job.tried)
+        if self._crashes.is_held(job.content):
+            return None
+        upstream = self._chooser.choose(job.terms, job.headers, job.tried, job.ended_halls)
         if upstream is None:
             self._log_shortage(job)
             return None
@@ -239,7 +250,7 @@
         # An answer that is taken whole doesn't tell when the engine lets its request in.
         is_behind = stands_back and job.admitted.route.kind is RouteKind.STREAMING
         ticket = self._loads.start(upstream.id, job.headers.prompt_tokens or 0, is_behind)
-        return self._active.begin(upstream.id), ticket
+        return self._active.begin(upstream.id, job.content), ticket
 
     def end(self, exchange: ActiveExchange, ticket: Ticket) -> None:
         """Note that an exchange is over."""
@@ -250,6 +261,35 @@
         """Avoid an upstream whose stream was cut."""
         self._suspects.add(upstream_id)
 
+    async def look_for_end(self, job: RelayJob, upstream: Upstream, has_begun: bool) -> None:
+        """Find out whether an upstream that closed a request's connection has ended.
+
+        Parameters
+        ==========
+
+        has_begun : whether it had begun the request and had given nothing.
+        """
+        if not await self._probe.has_ended(upstream):
+            return
+        job.ended_halls.add(upstream.hall)
+        self._log.event(
+            "upstream_ended",
+            id=job.headers.request_id,
+            content=format_digest(job.content),
+            upstream=upstream.id,
+            hall=upstream.hall,
+            has_begun=has_begun,
+        )
+        self._crashes.note_end(job.content, upstream, has_begun)
+
+    def note_served(self, job: RelayJob, upstream: Upstream) -> None:
+        """Note that an upstream has run a request to its end."""
+        self._crashes.note_served(job.content, upstream)
+
+    def is_held(self, job: RelayJob) -> bool:
+        """Whether a request isn't sent, since it ends the upstreams that run it."""
+        return self._crashes.is_held(job.content)
+
     async def open_stream(
         self, job: RelayJob, exchange: ActiveExchange, upstream: Upstream, ticket: Ticket
     ) -> ExchangeResult:
@@ -286,6 +326,8 @@
         except TimeoutError:
             result = Broken("no answer in time")
         self._take_result(job, upstream, result)
+        if isinstance(result, Broken) and result.is_closed:
+            await self.look_for_end(job, upstream, has_begun=False)
         return result
 
     def _patience_s(self, job: RelayJob, remaining_s: float) -> float:
--- a/mulleinreach/gateway/request/tests/test_crashing_requests.py
+++ b/mulleinreach/gateway/request/tests/test_crashing_requests.py
@@ -14,7 +14,7 @@
 
 import asyncio
 
-from mulleinreach.gateway.tests.desk import answer_whole
+from mulleinreach.gateway.tests.desk import answer_whole, reset
 from mulleinreach.gateway.tests.support import run_world
 from mulleinreach.standins.gateway.world import GatewayWorld
 
@@ -121,3 +121,86 @@
         assert statuses[-10:] == [503] * 10
 
     run_world(test, **THREE_HALLS)
+
+
+def test_copy_that_waits_at_a_replica_is_taken_back():
+    """A copy that has been sent, and has begun nowhere yet, must not begin any more."""
+
+    async def test(world):
+        await world.until_formed()
+        waiting = asyncio.create_task(world.stream(400, node="node-2"))
+        await asyncio.sleep(0.03)
+        node = world.nodes["node-2"]
+        [exchange] = [e for at in node.active._by_upstream.values() for e in at]
+        node.crashes.take_held([exchange.content])
+        answer = await waiting
+        assert answer.status == 502
+        assert node.relay.in_flight == 0
+
+    run_world(test, **THREE_HALLS)
+
+
+def test_stream_that_gives_events_is_not_taken_back():
+    async def test(world):
+        await world.until_formed()
+        asking = asyncio.create_task(world.stream(40, node="node-2"))
+        await asyncio.sleep(0.5)
+        node = world.nodes["node-2"]
+        [exchange] = [e for at in node.active._by_upstream.values() for e in at]
+        node.crashes.take_held([exchange.content])
+        answer = await asking
+        assert answer.event_ids == [str(n) for n in range(1, 41)]
+
+    run_world(test, **THREE_HALLS)
+
+
+def test_ends_that_nodes_saw_before_their_coordinator_was_lost_still_count():
+    """An order may be sent once in a try, so no node sees more than one end of it."""
+
+    async def test(world):
+        for number in range(6):
+            await world.add_plain(f"desk-{number}", answer_whole, world.halls[number % 3])
+        await world.until_formed()
+        world.crashes.fatal_bodies.add(FATAL)
+        coordinator = world.coordinator()
+        first, second = [name for name in world.nodes if name != coordinator]
+        for name in (first, second):
+            await world.call("/order/1", FATAL, node=name)
+        await asyncio.sleep(2)
+        await world.kill_node(coordinator)
+        await world.until(lambda: world.coordinator() is not None)
+        await asyncio.sleep(2)
+        await world.call("/order/1", FATAL, node=first)
+        assert len(world.crashes.ended) == 3
+        await asyncio.sleep(0.5)
+        for name in (first, second):
+            answer = await world.call("/order/1", FATAL, node=name)
+            assert answer.status == 503
+            assert answer.headers["Retry-After"] == "60"
+        assert len(world.crashes.ended) == 3
+
+    run_world(test, **THREE_HALLS)
+
+
+def test_replicas_of_another_hall_are_tried_after_an_end():
+    async def test(world):
+        await world.until_formed()
+        world.crashes.fatal_bodies.add(FATAL)
+        await world.call("/stream/draft", FATAL, node="node-0")
+        halls = [world.fabric.hosts[end.upstream_id].upstream.hall for end in world.crashes.ended]
+        assert len(set(halls)) == 2
+
+    run_world(test, **{**THREE_HALLS, "domains": 6})
+
+
+def test_upstream_that_only_loses_answers_holds_nothing():
+    async def test(world):
+        for number in range(3):
+            await world.add_plain(f"desk-{number}", reset)
+        await world.until_formed()
+        for _ in range(6):
+            answer = await world.call("/stock/1", node="node-0")
+            assert answer.status == 502
+        assert world.nodes["node-0"].crashes.held() == ()
+
+    run_world(test, **THREE_HALLS)
--- a/mulleinreach/platform/sources.py
+++ b/mulleinreach/platform/sources.py
@@ -7,11 +7,13 @@
 
 from absl import logging
 
+from mulleinreach.gateway.known.content import format_digest, parse_digest
 from mulleinreach.gateway.model import Configuration, RouteWait
 from mulleinreach.gateway.ports import (
     ConfigurationRead,
     EvacuationRow,
     HistoryLost,
+    Inheritance,
     LeaseConflict,
     LeaseRead,
     LeaseRecord,
@@ -152,8 +154,13 @@
             return None
 
 
-def _parse_waits(raw: dict) -> tuple[RouteWait, ...]:
-    return tuple(RouteWait(str(route), float(shortest_s)) for route, shortest_s in raw.items())
+def _parse_inheritance(raw: dict) -> Inheritance:
+    """Return what a coordinator left in its row; earlier releases left less."""
+    waits = raw.get("first_waits", {}).items()
+    return Inheritance(
+        tuple(RouteWait(str(route), float(shortest_s)) for route, shortest_s in waits),
+        tuple(parse_digest(text) for text in raw.get("held", [])),
+    )
 
 
 def _row_states(rows: OperatorRows | None) -> list[RowState]:
@@ -188,7 +195,7 @@
                 int(row.value["token"]),
                 int(row.value["renewal"]),
                 str(row.value["secret"]),
-                _parse_waits(row.value.get("first_waits", {})),
+                _parse_inheritance(row.value),
             )
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             return Unavailable(f"a lease of another shape: {error!r}")
@@ -204,7 +211,8 @@
             "token": record.token,
             "renewal": record.renewal,
             "secret": record.secret,
-            "first_waits": {wait.route: wait.shortest_s for wait in record.first_waits},
+            "first_waits": {w.route: w.shortest_s for w in record.inheritance.first_waits},
+            "held": [format_digest(content) for content in record.inheritance.held],
         }
         lease = RowState(LEASE_TABLE, LEASE_KEY, version)
         result = await self._store.write_row(lease, value, _row_states(unchanged))
--- a/mulleinreach/platform/tests/test_ports.py
+++ b/mulleinreach/platform/tests/test_ports.py
@@ -11,6 +11,7 @@
     ConfigurationRead,
     EvacuationRow,
     HistoryLost,
+    Inheritance,
     LeaseConflict,
     LeaseRecord,
     LeaseWritten,
@@ -244,7 +245,8 @@
 def test_lease_is_written_once_under_its_version(kind):
     async def test(ports):
         waits = (RouteWait("r", 5.5), RouteWait("s", 0.25))
-        record = LeaseRecord("a.1", "10.0.0.1:1", 1, 0, "secret", waits)
+        inheritance = Inheritance(waits, held=(2**64 - 1, 7))
+        record = LeaseRecord("a.1", "10.0.0.1:1", 1, 0, "secret", inheritance)
         empty = await ports.lease.read()
         assert (empty.version, empty.record) == (0, None)
         written = await ports.lease.write(0, record)
