--- a/mulleinreach/gateway/known/crashes.py
+++ b/mulleinreach/gateway/known/crashes.py
@@ -205,5 +205,5 @@
         self._held_until[content] = self._clock.now() + HOLD_S
         if len(self._held_until) > MOST_HELD:
             del self._held_until[next(iter(self._held_until))]
-        self._log.event("request_held", content=format_digest(content), **reasons)
+        self._log.event("content_held", content=format_digest(content), **reasons)
         self._on_held(content)
