--- /dev/null
+++ b/benchmarks/crash_breakages.py
@@ -0,0 +1,100 @@
+"""The guards against requests that end the upstreams which run them."""
+
+from __future__ import annotations
+
+from benchmarks.breakage import Breakage
+
+GATEWAY = "mulleinreach/gateway"
+CRASHING = f"{GATEWAY}/request/tests/test_crashing_requests.py"
+BOOK = f"{GATEWAY}/known/tests/test_crashes.py"
+
+CRASH_BREAKAGES = [
+    Breakage(
+        "BUDGET",
+        "a held request is sent to nobody else within its try",
+        f"{GATEWAY}/request/sending.py",
+        "if self._crashes.is_held(job.content):",
+        "if False:",
+        f"{CRASHING} -k taken_back",
+    ),
+    Breakage(
+        "BUDGET",
+        "a held request is refused as it comes",
+        f"{GATEWAY}/request/relay.py",
+        "if self._sender.is_held(job):",
+        "if False:",
+        CRASHING,
+    ),
+    Breakage(
+        "BUDGET",
+        "only an upstream that refuses connections has ended",
+        f"{GATEWAY}/request/sending.py",
+        "if not await self._probe.has_ended(upstream):",
+        "if False:",
+        f"{CRASHING} -k loses_answers",
+    ),
+    Breakage(
+        "BUDGET",
+        "the coordinator tells what is held",
+        f"{GATEWAY}/knowledge.py",
+        "self._crashes.take_held(totals.held or ())",
+        "pass",
+        CRASHING,
+    ),
+    Breakage(
+        "BUDGET",
+        "the coordinator joins the sightings of all nodes",
+        f"{GATEWAY}/coordination/hub.py",
+        "self._knowledge.take_sightings(report.sightings)",
+        "pass",
+        CRASHING,
+    ),
+    Breakage(
+        "BUDGET",
+        "a new coordinator hears of earlier sightings",
+        f"{GATEWAY}/coordination/own_report.py",
+        "includes_old=self._is_introducing()",
+        "includes_old=False",
+        f"{CRASHING} -k before_their_coordinator",
+    ),
+    Breakage(
+        "BUDGET",
+        "nodes that start read what is held",
+        f"{GATEWAY}/knowledge.py",
+        "self._crashes.take_held(inheritance.held)",
+        "pass",
+        f"{CRASHING} -k start_again",
+    ),
+    Breakage(
+        "BUDGET",
+        "copies that wait at replicas are taken back",
+        f"{GATEWAY}/node.py",
+        "count = self.active.withdraw_content(content)",
+        "count = 0",
+        f"{CRASHING} -k taken_back",
+    ),
+    Breakage(
+        "BUDGET",
+        "a failing hall holds no sound request",
+        f"{GATEWAY}/known/crashes.py",
+        "if not is_counted and not (is_in_hall and self._is_failing(end, ends)):",
+        "if not is_counted:",
+        BOOK,
+    ),
+    Breakage(
+        "BUDGET",
+        "a request that was served begins anew",
+        f"{GATEWAY}/known/crashes.py",
+        "ends = [seen for seen in known if seen.at > served_at]",
+        "ends = [seen for seen in known if seen.outcome is not RunOutcome.SERVED]",
+        BOOK,
+    ),
+    Breakage(
+        "BUDGET",
+        "a doubled report counts once",
+        f"{GATEWAY}/known/crashes.py",
+        "if not any(seen.id == told.id for seen in known):",
+        "if True:",
+        BOOK,
+    ),
+]
--- a/benchmarks/gateway_breakages.py
+++ b/benchmarks/gateway_breakages.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from benchmarks.breakage import Breakage
+from benchmarks.crash_breakages import CRASH_BREAKAGES
 from benchmarks.hall_breakages import HALL_BREAKAGES
 
 GATEWAY = "mulleinreach/gateway"
@@ -229,4 +230,5 @@
         f"{GATEWAY}/known/tests/test_store_outage.py -k still_missing",
     ),
     *HALL_BREAKAGES,
+    *CRASH_BREAKAGES,
 ]
