Rows of other writers name no upstream; an upstream's id tells its start

A row that lacks a field, has one of another type or range, or can't be read takes its upstream off the list and leaves the others; it is logged when it comes or changes, and counted (row_unusable, unusable_rows).

A replica may start again under its name on the list. Its id joins name and start, so all that is keyed by an id ends with that start: counts, groups, orders, suspicion, coldness. The list's order decides which start runs, since the time of day may be set back between two starts. Requests in flight at an earlier start end at once, and its groups count it as lost.

--- a/mulleinreach/gateway/fleet/hosts.py
+++ b/mulleinreach/gateway/fleet/hosts.py
@@ -162,8 +162,13 @@
         self._lost_at[host] = self._clock.now()
 
     def is_lost(self, host: str) -> bool:
-        """Whether a host was found to give no answer, alone or with its hall."""
-        return host in self._lost_at or self.is_in_down_hall(host)
+        """Whether a host was found to give no answer, alone or with its hall, or is gone.
+
+        A host that has started again is another one, which holds nothing of before.
+        """
+        return (
+            host in self._lost_at or self._directory.is_replaced(host) or self.is_in_down_hall(host)
+        )
 
     def lost(self) -> list[str]:
         """Return the upstreams that give no answer, plain ones too."""
@@ -224,7 +229,12 @@
         return self._directory.get(host) or self._remembered.get(host)
 
     def delisted_for_s(self, host: str) -> float:
-        """Return for how long a host has been off the list; 0 if it is on it."""
+        """Return for how long a host has been off the list; 0 if it is on it.
+
+        One that has started again can't be back any more, as one can that merely lapsed.
+        """
+        if self._directory.is_replaced(host):
+            return float("inf")
         since = self._delisted_at.get(host)
         return 0.0 if since is None else self._clock.now() - since
 
--- a/mulleinreach/gateway/known/told_changes.py
+++ b/mulleinreach/gateway/known/told_changes.py
@@ -4,7 +4,7 @@
 
 from mulleinreach.common import EventLog
 from mulleinreach.gateway.known.upstreams import ListChange, UpstreamDirectory
-from mulleinreach.gateway.upstream import Upstream
+from mulleinreach.gateway.upstream import Upstream, name_of
 
 # A line stays readable when a whole hall comes or goes.
 FIRST_IDS = 5
@@ -15,7 +15,8 @@
     known = {upstream.id: directory.get(upstream.id) for upstream in change.upstreams}
     new = [upstream_id for upstream_id, before in known.items() if before is None]
     changed = [u.id for u in change.upstreams if known[u.id] not in (None, u)]
-    removed = [gone for gone in change.removed if directory.get(gone) is not None]
+    removed = [gone for gone in change.removed if directory.running(gone) is not None]
+    started_again = [u.id for u in change.upstreams if directory.is_replaced(u.id)]
     if not (new or changed or removed):
         return
     log.event(
@@ -24,6 +25,7 @@
         new=len(new),
         changed=len(changed),
         removed=len(removed),
+        started_again=first_ids(started_again),
         first_new=first_ids(new),
         first_changed=first_ids(changed),
         first_removed=first_ids(removed),
@@ -34,8 +36,8 @@
     log: EventLog, directory: UpstreamDirectory, revision: int, upstreams: list[Upstream]
 ) -> None:
     """Log what a whole list changes that is about to be taken."""
-    listed = {upstream.id for upstream in upstreams}
-    removed = [upstream_id for upstream_id in directory.ids() if upstream_id not in listed]
+    listed = {name_of(upstream.id) for upstream in upstreams}
+    removed = [name for name in map(name_of, directory.ids()) if name not in listed]
     tell_change(log, directory, ListChange(revision, upstreams, removed))
 
 
--- a/mulleinreach/gateway/known/upstream_following.py
+++ b/mulleinreach/gateway/known/upstream_following.py
@@ -23,6 +23,7 @@
 from mulleinreach.gateway.known.told_changes import tell_change, tell_whole_list
 from mulleinreach.gateway.known.upstreams import ListChange, UpstreamDirectory
 from mulleinreach.gateway.ports import HistoryLost, Unavailable, UpstreamSource, UpstreamsRead
+from mulleinreach.gateway.upstream import name_of
 
 # A change of the list ends the wait for it, so that one that is so much older than a call
 # which was answered would have been told. The store's answers take 4 ms.
@@ -76,6 +77,7 @@
         self._on_change = on_change
         self._is_urgent = is_urgent
         self._turn = turn
+        self._unusable: dict[str, str] = {}
         self._waiting_since: float | None = None
         self._must_read_all = True
         self._keeps_removed_until = NEVER
@@ -209,6 +211,21 @@
         self._take(result, is_full=True, asked_at=asked_at)
         return True
 
+    @property
+    def unusable_count(self) -> int:
+        """How many rows name no upstream, as this node read them itself."""
+        return len(self._unusable)
+
+    def _tell_unusable(self, result: UpstreamsRead, is_full: bool) -> None:
+        """Log rows that name no upstream, each when it comes or when its reason changes."""
+        read = {row.name: row.why for row in result.unusable}
+        for name, why in read.items():
+            if self._unusable.get(name) != why:
+                self._log.event("row_unusable", row=name, why=why)
+        known = {} if is_full else self._unusable
+        usable = {name_of(upstream.id) for upstream in result.upstreams} | set(result.removed)
+        self._unusable = {n: why for n, why in known.items() if n not in usable} | read
+
     def _note_failure(self, failure: Unavailable) -> None:
         self._failed_at = self._clock.now()
         self._state.lost(failure.reason)
@@ -222,6 +239,7 @@
         self._must_read_all = False
         self.was_read.set()
         self._look_for_outage()
+        self._tell_unusable(result, is_full)
         self.heard_at = max(self.heard_at, asked_at)
         now, keeps_removed = self._clock.now(), self.keeps_removed()
         if is_full:
--- a/mulleinreach/gateway/known/upstreams.py
+++ b/mulleinreach/gateway/known/upstreams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter, deque
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 from mulleinreach.gateway.upstream import (
@@ -10,6 +11,7 @@
     Upstream,
     UpstreamState,
     model_in_name,
+    name_of,
 )
 
 
@@ -53,7 +55,13 @@
 
 @dataclass(frozen=True)
 class ListChange:
-    """What changed in the list of upstreams, up to a revision of the store."""
+    """What changed in the list of upstreams, up to a revision of the store.
+
+    Parameters
+    ==========
+
+    removed : the names of upstreams that are off the list, whichever their start.
+    """
 
     revision: int
     upstreams: list[Upstream]
@@ -73,6 +81,15 @@
     newer than the latest change that was heard of the host: no further change may
     come to correct what an older report had put in its place.
 
+    An upstream that starts again may keep its name. The list is told in the order of its
+    changes, so the start that it names last is the one that runs; an earlier one is gone
+    at once, with all that is known of it.
+
+    Parameters
+    ==========
+
+    on_replaced : called with the id of each start that a later one has replaced.
+
     Examples
     ========
 
@@ -91,8 +108,11 @@
 
     MAX_CHANGES = 500
 
-    def __init__(self) -> None:
+    def __init__(self, on_replaced: Callable[[str], None] = lambda upstream_id: None) -> None:
+        self._on_replaced = on_replaced
         self._by_id: dict[str, Upstream] = {}
+        # The id of the start that runs under each name.
+        self._running: dict[str, str] = {}
         self._changed_at: dict[str, float] = {}
         self._cold_until: dict[str, float] = {}
         self._kept: set[str] = set()
@@ -108,9 +128,9 @@
         keeps_removed: bool = False,
     ) -> None:
         """Take a complete list."""
-        listed = {u.id for u in upstreams}
+        listed = {name_of(u.id) for u in upstreams}
         changed = [u for u in upstreams if self._by_id.get(u.id) != u]
-        removed = [upstream_id for upstream_id in self._by_id if upstream_id not in listed]
+        removed = [name for name in self._running if name not in listed]
         change = ListChange(revision, changed, removed)
         if self.revision is None:
             self._changes_from = revision
@@ -133,17 +153,28 @@
 
     def _carry_out(self, change: ListChange, heard_at: float, keeps_removed: bool) -> None:
         for upstream in change.upstreams:
+            self._replace_start(upstream.id)
             self._by_id[upstream.id] = upstream
             self._changed_at[upstream.id] = heard_at
             self._note_cold(upstream, heard_at)
             self._kept.discard(upstream.id)
+        removed = [self._running[name] for name in change.removed if name in self._running]
         if keeps_removed:
-            self._kept.update(self._by_id.keys() & set(change.removed))
+            self._kept.update(removed)
         else:
-            for upstream_id in change.removed:
+            for upstream_id in removed:
                 self._drop(upstream_id)
         self.revision = change.revision
 
+    def _replace_start(self, upstream_id: str) -> None:
+        """Drop an earlier start of an upstream that is listed again."""
+        name = name_of(upstream_id)
+        before = self._running.get(name)
+        if before is not None and before != upstream_id:
+            self._drop(before)
+            self._on_replaced(before)
+        self._running[name] = upstream_id
+
     def _note_cold(self, upstream: Upstream, heard_at: float) -> None:
         if upstream.cold_s > 0:
             self._cold_until[upstream.id] = heard_at + upstream.cold_s
@@ -159,6 +190,7 @@
 
     def _drop(self, upstream_id: str) -> None:
         self._by_id.pop(upstream_id, None)
+        self._running.pop(name_of(upstream_id), None)
         self._changed_at.pop(upstream_id, None)
         self._cold_until.pop(upstream_id, None)
         self._kept.discard(upstream_id)
@@ -211,6 +243,14 @@
         """Return an upstream that is on the list."""
         return self._by_id.get(upstream_id)
 
+    def is_replaced(self, upstream_id: str) -> bool:
+        """Whether the list names another start of an upstream than this one."""
+        return self._running.get(name_of(upstream_id), upstream_id) != upstream_id
+
+    def running(self, name: str) -> str | None:
+        """Return the id of the start that the list names for an upstream."""
+        return self._running.get(name)
+
     def cold_ids(self, now: float) -> frozenset[str]:
         """Return the ids of upstreams that are cold, by the latest change of their rows."""
         return frozenset(u for u, until in self._cold_until.items() if until > now)
--- a/mulleinreach/gateway/metrics.py
+++ b/mulleinreach/gateway/metrics.py
@@ -46,6 +46,9 @@
             "evidence_age_seconds", "Age of the evidence that the configuration is the newest"
         )
         self.evacuated_halls = self._gauge("evacuated_halls", "Halls that are to be empty")
+        self.unusable_rows = self._gauge(
+            "unusable_rows", "Rows that name no upstream, as this node read them itself"
+        )
         self.held_requests = self._gauge(
             "held_requests", "Requests that aren't sent any more, since upstreams end under them"
         )
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -99,7 +99,7 @@
         self._make_control()
 
     def _make_state(self) -> None:
-        self.directory = UpstreamDirectory()
+        self.directory = UpstreamDirectory(self._on_lost)
         self.loads = LoadBook(self.clock)
         self.suspects = SuspectList(self.clock)
         self.active = ActiveExchanges()
@@ -338,6 +338,7 @@
         self.metrics.open_groups.set(len(self.chooser.opened()))
         self.metrics.halls_down.set(len(self.hosts.down_halls))
         self.metrics.cold_heads.set(self._count_cold_heads())
+        self.metrics.unusable_rows.set(self.follower.unusable_count)
         self.metrics.held_requests.set(len(self.crashes.held()))
         self.metrics.evacuated_halls.set(len(self.in_force.evacuations.halls))
         body = generate_latest(self.metrics.registry)
--- a/mulleinreach/gateway/ports.py
+++ b/mulleinreach/gateway/ports.py
@@ -84,13 +84,35 @@
     is_whole: bool = False
 
 
+@dataclass(frozen=True)
+class UnusableRow:
+    """A row of the list that names no upstream to use; another writer may have left it.
+
+    Parameters
+    ==========
+
+    name : under which it stands on the list.
+    """
+
+    name: str
+    why: str
+
+
 @dataclass(frozen=True)
 class UpstreamsRead:
-    """Upstreams that stand or changed at ``revision``, and the ids of those removed."""
+    """Upstreams that stand or changed at ``revision``.
+
+    Parameters
+    ==========
+
+    removed : the names of those that are off the list, or whose rows name none any more.
+    unusable : the rows among those that were read that name no upstream.
+    """
 
     revision: int
     upstreams: list[Upstream]
     removed: list[str]
+    unusable: list[UnusableRow] = field(default_factory=list)
 
 
 class ConfigurationSource(Protocol):
--- a/mulleinreach/gateway/upstream.py
+++ b/mulleinreach/gateway/upstream.py
@@ -7,6 +7,9 @@
 
 from mulleinreach.common import Address
 
+# Stands between name and start in an upstream's id, and in no name.
+START_MARK = "@"
+
 
 class UpstreamState(enum.StrEnum):
     """Whether an upstream takes new work."""
@@ -42,7 +45,7 @@
     Parameters
     ==========
 
-    id : a new one at each start.
+    id : a new one at each start, see :func:`incarnation_id`.
     models : the names of the models that it runs.
     staged : the names of the models whose weights lie on the host.
     domain : the fabric domain; ``None`` for plain services.
@@ -70,6 +73,52 @@
         return None if membership is None else (membership.group, membership.epoch)
 
 
+def incarnation_id(name: str, started_ms: int | None) -> str:
+    """Return the id of one start of an upstream, which may keep its name across starts.
+
+    Parameters
+    ==========
+
+    name : as it stands on the list.
+    started_ms : when it started, in milliseconds since the Unix epoch, if it tells. Its clock may
+        have been set back meanwhile, so that a later start may tell an earlier time.
+
+    Examples
+    ========
+
+    >>> incarnation_id("u-1", 1_790_000_000_000)
+    'u-1@1790000000000'
+    >>> incarnation_id("u-1", None)
+    'u-1'
+    """
+    return name if started_ms is None else f"{name}{START_MARK}{started_ms}"
+
+
+def name_of(upstream_id: str) -> str:
+    """Return the name of an upstream on the list, whichever start an id is of.
+
+    Examples
+    ========
+
+    >>> name_of("u-1@1790000000000"), name_of("u-1")
+    ('u-1', 'u-1')
+    """
+    return upstream_id.partition(START_MARK)[0]
+
+
+def start_of(upstream_id: str) -> int | None:
+    """Return when the start of an id was, if it is known.
+
+    Examples
+    ========
+
+    >>> start_of("u-1@1790000000000"), start_of("u-1")
+    (1790000000000, None)
+    """
+    started_ms = upstream_id.partition(START_MARK)[2]
+    return int(started_ms) if started_ms else None
+
+
 def group_name(epoch: int, model: str) -> str:
     """Return the name of a group, by which any coordinator knows its model."""
     return f"g{epoch}.{model}"
--- a/mulleinreach/platform/dialect.py
+++ b/mulleinreach/platform/dialect.py
@@ -5,6 +5,7 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from mulleinreach.gateway.ports import CallerHeaders
+from mulleinreach.gateway.upstream import name_of
 from mulleinreach.platform.orders import EXPECT_INSTANCE
 
 REQUEST_ID = "X-Mulleinreach-Request-Id"
@@ -64,7 +65,7 @@
         for name in _SET_BY_THE_SYSTEM:
             forwarded.popall(name, None)
         forwarded[DEADLINE_MS] = str(max(1, int(remaining_s * 1000)))
-        forwarded[EXPECT_INSTANCE] = upstream_id
+        forwarded[EXPECT_INSTANCE] = name_of(upstream_id)
         if organisation is not None:
             forwarded[TENANT] = organisation
         if last_event_id is not None:
--- a/mulleinreach/platform/orders.py
+++ b/mulleinreach/platform/orders.py
@@ -16,8 +16,8 @@
     Rejected,
     Unavailable,
 )
-from mulleinreach.gateway.upstream import Upstream
-from mulleinreach.platform.upstreams import parse_report
+from mulleinreach.gateway.upstream import Upstream, name_of
+from mulleinreach.platform.rows import parse_report
 
 ORDER_TIMEOUT_S = 0.4
 EXPECT_INSTANCE = "X-Mulleinreach-Expect-Instance"
@@ -51,7 +51,7 @@
             "group": group,
             "epoch": epoch,
             "model": model,
-            "members": members,
+            "members": [name_of(member) for member in members],
         }
         return await self._order(host, order, token)
 
@@ -70,7 +70,7 @@
     async def report(self, host: Upstream, timeout_s: float) -> Upstream | Unavailable:
         """Ask the host for its state."""
         url = host.address.url + "/mulleinreach/report"
-        headers = {EXPECT_INSTANCE: host.id}
+        headers = {EXPECT_INSTANCE: name_of(host.id)}
         try:
             async with asyncio.timeout(timeout_s):
                 async with self._session.get(url, headers=headers) as response:
@@ -79,14 +79,14 @@
                     return parse_report(host, json.loads(await response.read()))
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             return Unavailable(f"{type(error).__name__}: {error}")
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
-            return Unavailable(f"a report of another shape: {error!r}")
+        except (ValueError, RecursionError) as error:
+            return Unavailable(f"a report that is none: {error}")
 
     async def _order(self, host: Upstream, order: dict, token: int) -> OrderResult:
         if self._sends_token:
             order = {**order, "fence": token}
         url = host.address.url + "/mulleinreach/order"
-        headers = {EXPECT_INSTANCE: host.id}
+        headers = {EXPECT_INSTANCE: name_of(host.id)}
         try:
             async with asyncio.timeout(ORDER_TIMEOUT_S):
                 async with self._session.post(url, json=order, headers=headers) as response:
--- a/mulleinreach/platform/sources.py
+++ b/mulleinreach/platform/sources.py
@@ -21,10 +21,12 @@
     OperatorRows,
     OperatorRowsChanged,
     Unavailable,
+    UnusableRow,
     UpstreamsRead,
 )
 from mulleinreach.gateway.upstream import Upstream
 from mulleinreach.platform.configuration import parse_configuration
+from mulleinreach.platform.rows import RowError, parse_upstream
 from mulleinreach.platform.store import (
     Conflict,
     PlatformStore,
@@ -33,7 +35,6 @@
     StoreRows,
     Written,
 )
-from mulleinreach.platform.upstreams import parse_upstream
 
 CONFIGURATION_TABLE = "op"
 CONFIGURATION_KEY = "config"
@@ -73,6 +74,8 @@
             if row.key.startswith(EVACUATION_PREFIX):
                 hall = row.key.removeprefix(EVACUATION_PREFIX)
                 evacuations[hall] = EvacuationRow(hall, 0 if row.is_removed else row.version)
+            elif row.key == CONFIGURATION_KEY and row.unreadable:
+                logging.error("event=configuration_unreadable why=%r", row.unreadable)
             elif row.key == CONFIGURATION_KEY and row.value is not None:
                 configuration = _parse(row.value)
                 document = encode_document(row.value)
@@ -118,7 +121,7 @@
 
 
 class PlatformUpstreams:
-    """The rows that replicas write of themselves."""
+    """The rows that replicas write of themselves, and others beside them."""
 
     def __init__(self, store: PlatformStore):
         self._store = store
@@ -134,24 +137,30 @@
         return self._translate(result) if isinstance(result, StoreRows) else result
 
     def _translate(self, result: StoreRows) -> UpstreamsRead:
-        by_id: dict[str, Upstream] = {}
+        by_name: dict[str, Upstream] = {}
         removed: dict[str, None] = {}
+        unusable: dict[str, UnusableRow] = {}
         for row in result.rows:
-            by_id.pop(row.key, None)
-            removed.pop(row.key, None)
-            upstream = None if row.is_removed else self._parse(row)
+            for rows in (by_name, removed, unusable):
+                rows.pop(row.key, None)
             if row.is_removed:
                 removed[row.key] = None
-            elif upstream is not None:
-                by_id[row.key] = upstream
-        return UpstreamsRead(result.revision, list(by_id.values()), list(removed))
+                continue
+            upstream = self._parse(row)
+            if isinstance(upstream, Upstream):
+                by_name[row.key] = upstream
+            else:
+                unusable[row.key] = upstream
+                removed[row.key] = None
+        return UpstreamsRead(
+            result.revision, list(by_name.values()), list(removed), list(unusable.values())
+        )
 
-    def _parse(self, row: StoreRow) -> Upstream | None:
+    def _parse(self, row: StoreRow) -> Upstream | UnusableRow:
         try:
             return parse_upstream(row.key, row.value)
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
-            logging.warning("event=row_skipped key=%s why=%r", row.key, error)
-            return None
+        except RowError as error:
+            return UnusableRow(row.key, row.unreadable or str(error))
 
 
 def _parse_inheritance(raw: dict) -> Inheritance:
--- a/mulleinreach/platform/store.py
+++ b/mulleinreach/platform/store.py
@@ -11,7 +11,6 @@
 from http import HTTPStatus
 
 import aiohttp
-from absl import logging
 
 from mulleinreach.common import Address
 from mulleinreach.common.calls import CallFailed, CallSilent, HttpAnswer, HttpCalls
@@ -35,12 +34,19 @@
 
 @dataclass(frozen=True)
 class StoreRow:
-    """A row; ``value`` is ``None`` for one that was removed or can't be read."""
+    """A row; ``value`` is ``None`` for one that was removed or can't be read.
+
+    Parameters
+    ==========
+
+    unreadable : why it can't be read; empty if it can.
+    """
 
     key: str
     version: int
     value: dict | None
     is_removed: bool = False
+    unreadable: str = ""
 
 
 @dataclass(frozen=True)
@@ -79,23 +85,24 @@
 
 
 def decode_row(raw: dict) -> StoreRow:
-    """Return a row as the store tells it; an unreadable value is logged and left out.
+    """Return a row as the store tells it; one that can't be read says why.
 
     Examples
     ========
 
     >>> decode_row({"tls_key": "k", "ver": 3, "value": "e30="})
-    StoreRow(key='k', version=3, value={}, is_removed=False)
+    StoreRow(key='k', version=3, value={}, is_removed=False, unreadable='')
     """
     key, version = str(raw["tls_key"]), int(raw["ver"])
     if raw.get("deleted"):
         return StoreRow(key, version, None, is_removed=True)
     try:
         value = json.loads(base64.b64decode(raw["value"]))
-    except (KeyError, ValueError, TypeError, binascii.Error) as error:
-        logging.warning("event=row_skipped key=%s why=%r", key, error)
-        return StoreRow(key, version, None)
-    return StoreRow(key, version, value if isinstance(value, dict) else None)
+    except (KeyError, ValueError, TypeError, binascii.Error, RecursionError) as error:
+        return StoreRow(key, version, None, unreadable=f"{type(error).__name__}: {error}")
+    if not isinstance(value, dict):
+        return StoreRow(key, version, None, unreadable="not an object")
+    return StoreRow(key, version, value)
 
 
 def _place(row: RowState) -> dict[str, str]:
--- a/mulleinreach/platform/tests/standin.py
+++ b/mulleinreach/platform/tests/standin.py
@@ -145,5 +145,6 @@
             "state": str(membership.state),
         },
         "cold_remaining_ms": round(upstream.cold_s * 1000),
+        "version": "v1",
         "seq": 1,
     }
--- /dev/null
+++ b/mulleinreach/platform/tests/test_rows.py
@@ -0,0 +1,169 @@
+"""Rows of other writers name no upstream to use, and the others hold."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import replace
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mulleinreach.gateway.upstream import Membership, MemberState
+from mulleinreach.platform.rows import RowError, parse_report, parse_upstream
+from mulleinreach.platform.tests.standin import row_of
+from mulleinreach.platform.tests.test_ports import HOST, OnPlatform, run_ports
+
+MEMBER = replace(HOST, membership=Membership("g1", 7, 0, MemberState.OPEN), models=("wide",))
+SOUND = row_of(MEMBER)
+REQUIRED = ["service", "address", "zone", "version", "slots", "state", "cold_remaining_ms", "seq"]
+SPOILT = [
+    ("service", 7),
+    ("service", ""),
+    ("service", "a\nb"),
+    ("address", "nowhere"),
+    ("address", "10.0.0.1:99999"),
+    ("address", "10.0.0.1\r\nX: y:80"),
+    ("address", ["10.0.0.1", 80]),
+    ("zone", None),
+    ("version", 3),
+    ("slots", "13"),
+    ("slots", 13.5),
+    ("slots", True),
+    ("slots", 0),
+    ("state", "resting"),
+    ("state", None),
+    ("cold_remaining_ms", "0"),
+    ("cold_remaining_ms", float("nan")),
+    ("cold_remaining_ms", -1),
+    ("seq", "4"),
+    ("seq", -1),
+    ("born", "1790000000000"),
+    ("born", 1790000000000.5),
+    ("born", True),
+    ("models", "wide"),
+    ("models", [{"version": 1}]),
+    ("models", [7]),
+    ("staged", [7]),
+    ("domain", 4),
+    ("group", "g1"),
+    ("group", {"name": "g1", "epoch": "7", "rank": 0, "state": "open"}),
+    ("group", {"name": "g1", "epoch": 7, "rank": -1, "state": "open"}),
+    ("group", {"name": "g1", "epoch": 2**64, "rank": 0, "state": "open"}),
+    ("group", {"name": "g1", "epoch": 7, "rank": 0, "state": "resting"}),
+    ("group", {"name": "g1", "epoch": 7, "rank": 0}),
+]
+
+
+def test_sound_row_is_translated():
+    assert parse_upstream("u-1", SOUND) == replace(MEMBER, id="u-1")
+
+
+@pytest.mark.parametrize("field", REQUIRED)
+def test_row_without_a_field_names_no_upstream(field):
+    with pytest.raises(RowError, match=field):
+        parse_upstream("u-1", {k: v for k, v in SOUND.items() if k != field})
+
+
+@pytest.mark.parametrize(("field", "value"), SPOILT)
+def test_row_with_a_field_of_another_type_names_no_upstream(field, value):
+    with pytest.raises(RowError, match=field):
+        parse_upstream("u-1", {**SOUND, field: value})
+
+
+@pytest.mark.parametrize("key", ["", "a b", "u\n1", "u@17"])
+def test_row_under_a_key_that_is_no_name_names_no_upstream(key):
+    with pytest.raises(RowError):
+        parse_upstream(key, SOUND)
+
+
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(), inner, max_size=3),
+    max_leaves=8,
+)
+
+
+@given(field=st.sampled_from(sorted(SOUND)), value=json_values)
+def test_no_value_of_a_field_raises_anything_else(field, value):
+    try:
+        upstream = parse_upstream("u-1", {**SOUND, field: value})
+    except RowError:
+        return
+    assert upstream.slots >= 1
+    str(upstream).encode()
+
+
+@given(raw=json_values)
+def test_no_row_and_no_report_raises_anything_else(raw):
+    for parse in (lambda: parse_upstream("u-1", raw), lambda: parse_report(HOST, raw)):
+        try:
+            parse()
+        except RowError:
+            continue
+
+
+OTHER_ROWS = [
+    {"service": "s", "address": "nowhere"},
+    ["a", "list"],
+    b"no base64 \xc3\xa4",
+    b"W1tb",
+    "text",
+    {**SOUND, "state": "resting"},
+]
+
+
+@pytest.mark.parametrize("value", OTHER_ROWS, ids=str)
+def test_row_of_another_writer_takes_its_upstream_off_the_list_and_no_other(value):
+    async def test(ports):
+        for number in range(3):
+            ports.put_upstream(replace(HOST, id=f"u-{number}"))
+        before = await ports.upstreams.read()
+        ports.memory.put("servers", "u-1", value)
+        changed = await ports.upstreams.wait(before.revision, 1.0)
+        assert (changed.upstreams, changed.removed) == ([], ["u-1"])
+        assert [row.name for row in changed.unusable] == ["u-1"]
+        whole = await ports.upstreams.read()
+        assert [u.id for u in whole.upstreams] == ["u-0", "u-2"]
+        assert [row.name for row in whole.unusable] == ["u-1"]
+        # A sound row right after it counts at once.
+        ports.put_upstream(replace(HOST, id="u-1"))
+        back = await ports.upstreams.wait(whole.revision, 1.0)
+        assert [u.id for u in back.upstreams] == ["u-1"]
+        assert back.unusable == []
+
+    run_ports(OnPlatform, test)
+
+
+def test_row_that_nests_too_deep_is_unusable():
+    import base64
+
+    deep = base64.b64encode(b"[" * 40_000)
+
+    async def test(ports):
+        ports.put_upstream(replace(HOST, id="u-0"))
+        ports.memory.put("servers", "u-1", deep)
+        whole = await ports.upstreams.read()
+        assert [u.id for u in whole.upstreams] == ["u-0"]
+        assert [row.name for row in whole.unusable] == ["u-1"]
+
+    run_ports(OnPlatform, test)
+
+
+def test_reports_that_lack_or_spoil_fields_are_refused():
+    report = {**SOUND, "pace": 1.5, "in_flight": False}
+    assert parse_report(HOST, report).pace == 1.5
+    for spoilt in ({"pace": "1"}, {"pace": 0}, {"models": 3}, {"group": {"name": "g"}}):
+        with pytest.raises(RowError):
+            parse_report(HOST, {**report, **spoilt})
+
+
+def test_start_is_part_of_an_upstreams_id():
+    first = parse_upstream("u-1", {**SOUND, "born": 1_790_000_000_000})
+    again = parse_upstream("u-1", {**SOUND, "born": 1_790_000_000_001})
+    assert first.id != again.id
+    assert json.dumps(first.id)
+    with pytest.raises(RowError, match="started again"):
+        parse_report(first, {**SOUND, "pace": 1.0, "born": 1_790_000_000_001})
+    assert parse_report(first, {**SOUND, "pace": 1.0, "born": 1_790_000_000_000}).id == first.id
+    assert parse_report(first, {**SOUND, "pace": 1.0}).id == first.id
--- a/mulleinreach/platform/tests/test_translation.py
+++ b/mulleinreach/platform/tests/test_translation.py
@@ -5,9 +5,9 @@
 import pytest
 
 from mulleinreach.platform.configuration import parse_configuration
+from mulleinreach.platform.rows import parse_upstream
 from mulleinreach.platform.tests.standin import row_of
 from mulleinreach.platform.tests.test_ports import DOCUMENT, HOST
-from mulleinreach.platform.upstreams import parse_upstream
 
 
 def test_homes_and_cold_hosts_of_a_configuration_are_translated():
--- a/mulleinreach/standins/gateway/dialect.py
+++ b/mulleinreach/standins/gateway/dialect.py
@@ -7,6 +7,7 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from mulleinreach.gateway.ports import CallerHeaders
+from mulleinreach.gateway.upstream import name_of
 
 REQUEST_ID = "X-Request-Id"
 PRIORITY = "Request-Priority"
@@ -59,7 +60,7 @@
         forwarded = CIMultiDict(headers)
         forwarded.popall("Authorization", None)
         forwarded[DEADLINE_MS] = str(int(remaining_s * 1000))
-        forwarded[EXPECT] = upstream_id
+        forwarded[EXPECT] = name_of(upstream_id)
         if organisation is not None:
             forwarded[ORGANISATION] = organisation
         if priority is not None:
--- a/mulleinreach/standins/gateway/fabric.py
+++ b/mulleinreach/standins/gateway/fabric.py
@@ -7,7 +7,7 @@
 
 from mulleinreach.common import TaskGroup
 from mulleinreach.gateway.ports import Fenced, NoAnswer, OrderResult, Unavailable
-from mulleinreach.gateway.upstream import MemberState, Upstream
+from mulleinreach.gateway.upstream import MemberState, Upstream, name_of
 from mulleinreach.standins.gateway.dialect import HeaderNames
 from mulleinreach.standins.gateway.hosts import LATE_ORDER_S, ORDER_S, HostStandIn, HostTimes
 from mulleinreach.standins.gateway.standings import FabricChecks, Standing
@@ -106,16 +106,16 @@
     async def report(self, host: Upstream, timeout_s: float) -> Upstream | Unavailable:
         """Ask a host for its state."""
         await asyncio.sleep(ORDER_S)
-        target = self.hosts[host.id]
+        target = self._running(host)
         if target.is_dark:
             await asyncio.sleep(timeout_s)
             return Unavailable("no answer")
-        return target.report()
+        return target.report() if target.id == host.id else Unavailable("started again")
 
     async def _order(self, host: Upstream, token: int, action) -> OrderResult:
         self.orders_by_token.setdefault(token, []).append(host.id)
         await asyncio.sleep(ORDER_S)
-        target = self.hosts[host.id]
+        target = self._running(host)
         if target.is_dark:
             await asyncio.sleep(0.4)
             return NoAnswer("no answer")
@@ -126,6 +126,11 @@
             return NoAnswer("no answer yet")
         return self._carry_out(target, token, action)
 
+    def _running(self, host: Upstream) -> HostStandIn:
+        """Return the process that answers for a host: its latest start."""
+        name = name_of(host.id)
+        return [h for h in self.hosts.values() if name_of(h.id) == name][-1]
+
     def _carry_out(self, target: HostStandIn, token: int, action) -> OrderResult:
         if self.requires_fence and not target.admit(token):
             return Fenced()
--- a/mulleinreach/standins/gateway/hosts.py
+++ b/mulleinreach/standins/gateway/hosts.py
@@ -13,7 +13,13 @@
     OrderResult,
     Rejected,
 )
-from mulleinreach.gateway.upstream import Membership, MemberState, Upstream, UpstreamState
+from mulleinreach.gateway.upstream import (
+    Membership,
+    MemberState,
+    Upstream,
+    UpstreamState,
+    name_of,
+)
 from mulleinreach.standins.gateway.dialect import PRIORITY, HeaderNames
 from mulleinreach.standins.gateway.standings import ColdStart, HostFabric, Standing
 from mulleinreach.standins.gateway.store import UPSTREAMS
@@ -194,7 +200,7 @@
         if self.cold_s():
             self._told_cold_at = min(self._told_cold_at, now)
         if not self.is_cut and not self.is_dark:
-            self._fabric.store.put(UPSTREAMS, self.id, self.describe())
+            self._fabric.store.put(UPSTREAMS, name_of(self.id), self.describe())
 
     # Life.
 
@@ -256,7 +262,7 @@
             self.refuses -= 1
             return web.Response(status=503, headers=refusal)
         standing = self.standing
-        is_other = request.headers.get(self._names.expect) != self.id
+        is_other = request.headers.get(self._names.expect) != name_of(self.id)
         if is_other or standing is None or standing.state is not MemberState.OPEN:
             return web.Response(status=MISDIRECTED, headers=refusal)
         self._fabric.checks.runs.setdefault(request_id, []).append(self.id)
