--- a/benchmarks/all.py
+++ b/benchmarks/all.py
@@ -4,13 +4,13 @@
 
 import sys
 
-from benchmarks import limits, logs, overload, relay, repair, routing
+from benchmarks import limits, logs, overload, relay, repair, routing, rows
 
 
 def main() -> None:
     """Print all figures."""
     sys.argv = sys.argv[:1]
-    for benchmark in (relay, routing, repair, overload, limits, logs):
+    for benchmark in (relay, routing, rows, repair, overload, limits, logs):
         print(f"\n== {benchmark.__name__}", flush=True)
         benchmark.main()
 
--- /dev/null
+++ b/benchmarks/start_breakages.py
@@ -0,0 +1,61 @@
+"""The guards around upstreams that start again, and rows of other writers."""
+
+from __future__ import annotations
+
+from benchmarks.breakage import Breakage
+
+GATEWAY = "mulleinreach/gateway"
+STARTS = f"{GATEWAY}/known/tests/test_starts.py"
+HOSTS = f"{GATEWAY}/fleet/tests/test_starts_again.py"
+ROWS = "mulleinreach/platform/tests/test_rows.py"
+
+START_BREAKAGES = [
+    Breakage(
+        "START",
+        "requests at an earlier start end at once",
+        f"{GATEWAY}/known/upstreams.py",
+        "self._on_replaced(before)",
+        "pass",
+        f"{HOSTS} -k in_silence",
+    ),
+    Breakage(
+        "START",
+        "a later start drops an earlier one",
+        f"{GATEWAY}/known/upstreams.py",
+        "if before is not None and before != upstream_id:",
+        "if False:",
+        STARTS,
+    ),
+    Breakage(
+        "START",
+        "a head that started again can't be back",
+        f"{GATEWAY}/fleet/hosts.py",
+        "if self._directory.is_replaced(host):",
+        "if False:",
+        f"{HOSTS} -k formed_anew",
+    ),
+    Breakage(
+        "START",
+        "a report of another start is none",
+        "mulleinreach/platform/rows.py",
+        "if start is not None and report.born not in (None, start):",
+        "if False:",
+        ROWS,
+    ),
+    Breakage(
+        "ROWS",
+        "a row that can't be used takes its upstream off the list",
+        "mulleinreach/platform/sources.py",
+        "                unusable[row.key] = upstream\n                removed[row.key] = None",
+        "                unusable[row.key] = upstream",
+        ROWS,
+    ),
+    Breakage(
+        "ROWS",
+        "no field is taken for another type",
+        "mulleinreach/platform/rows.py",
+        "strict=True, ",
+        "",
+        ROWS,
+    ),
+]
--- /dev/null
+++ b/mulleinreach/gateway/fleet/tests/test_starts_again.py
@@ -0,0 +1,110 @@
+"""Hosts that start again under the name that they had, and hold nothing of before."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from mulleinreach.gateway.tests.support import run_world
+from mulleinreach.gateway.upstream import name_of
+from mulleinreach.standins.gateway.world import LARGE, SMALL
+
+# A group of four whose host starts again is whole once more after the order to join, the load of
+# its weights from the host's disk and the opening: 0.5 s, 0.3 s and some rounds.
+REPAIRED_S = 2.5
+
+
+def member_of_open_group(world, rank: int):
+    """Return a host of an open wide group by its rank."""
+    for host in world.fabric.hosts.values():
+        standing = host.standing
+        if standing is not None and standing.model == LARGE and standing.members[rank] == host.id:
+            return host
+    raise AssertionError("no open group")
+
+
+def stands_in(host, group: str) -> bool:
+    """Whether a host stands in a group."""
+    return host.standing is not None and host.standing.group == group
+
+
+@pytest.mark.parametrize("rank", [0, 1])
+@pytest.mark.parametrize("back_after_s", [0.05, 0.6])
+def test_group_is_formed_anew_when_a_member_starts_again(rank, back_after_s):
+    async def test(world):
+        await world.until_formed()
+        await asyncio.sleep(1)
+        host = member_of_open_group(world, rank)
+        group = host.standing.group
+        world.crashes.begin(host.id, back_after_s, keeps_name=True)
+        took_s = await world.until(
+            lambda: (
+                not any(stands_in(h, group) for h in world.fabric.hosts.values())
+                and all(
+                    (world.open_groups(LARGE, name), world.open_groups(SMALL, name)) == (2, 2)
+                    for name in world.nodes
+                )
+            )
+        )
+        assert took_s < REPAIRED_S
+        for node in world.nodes.values():
+            assert node.directory.running(name_of(host.id)) not in (None, host.id)
+        for name in world.nodes:
+            answer = await world.stream(20, node=name)
+            assert len(answer.event_ids) == 20
+
+    run_world(test, nodes=2)
+
+
+def test_streams_go_on_at_once_where_a_head_starts_again_in_silence():
+    """Its connections give no reset, so only the list tells that they lead nowhere."""
+
+    async def test(world):
+        await world.until_formed()
+        await asyncio.sleep(1)
+        began_at = world.clock.now()
+        asking = [asyncio.create_task(world.stream(60, node=name)) for name in world.nodes]
+        await asyncio.sleep(0.4)
+        runs = [hosts[-1] for hosts in world.fabric.checks.runs.values()]
+        for head in set(runs):
+            world.crashes.begin(head, 0.05, keeps_name=True, is_silent=True)
+        answers = await asyncio.gather(*asking)
+        assert [len(answer.event_ids) for answer in answers] == [60] * len(answers)
+        # Sixty events take 2.4 s; the silence alone would show after 1.5 s.
+        assert world.clock.now() - began_at < 2.4 + 1.0
+        for node in world.nodes.values():
+            assert all(node.loads.running(head) == 0 for head in runs)
+
+    run_world(test, nodes=2, domains=4)
+
+
+def test_start_while_the_store_is_away_is_found_by_asking():
+    async def test(world):
+        await world.until_formed()
+        await asyncio.sleep(1)
+        world.store.is_down = True
+        host = member_of_open_group(world, 1)
+        world.crashes.begin(host.id, 0.05, keeps_name=True)
+        answer = await world.stream(100)
+        assert len(answer.event_ids) == 100
+        world.store.is_down = False
+        await world.until(lambda: all(world.open_groups(LARGE, name) == 2 for name in world.nodes))
+
+    run_world(test, nodes=2)
+
+
+def test_many_starts_in_a_row_leave_one_upstream_under_the_name():
+    async def test(world):
+        await world.until_formed()
+        name = name_of(member_of_open_group(world, 2).id)
+        for _ in range(4):
+            current = next(iter(world.nodes.values())).directory.running(name)
+            world.crashes.begin(current, 0.02, keeps_name=True)
+            await asyncio.sleep(0.15)
+        await world.until(lambda: all(world.open_groups(LARGE, node) == 2 for node in world.nodes))
+        for node in world.nodes.values():
+            ids = [u for u in node.directory.ids() if name_of(u) == name]
+            assert len(ids) == 1
+
+    run_world(test, nodes=2)
--- /dev/null
+++ b/mulleinreach/gateway/known/tests/test_starts.py
@@ -0,0 +1,84 @@
+"""A later start of an upstream takes the place of an earlier one on a node's list."""
+
+from __future__ import annotations
+
+from mulleinreach.common import Address
+from mulleinreach.gateway.known.upstreams import ListChange, UpstreamDirectory
+from mulleinreach.gateway.upstream import Upstream, incarnation_id
+
+
+def host(name: str, started_ms: int | None = None) -> Upstream:
+    """Return a host at one of its starts."""
+    return Upstream(incarnation_id(name, started_ms), "models", Address("10.0.0.1", 80), "a")
+
+
+FIRST, SECOND = host("u", 2000), host("u", 3000)
+
+
+def directory_with(*upstreams: Upstream, replaced: list[str] | None = None) -> UpstreamDirectory:
+    """Return a directory that holds some upstreams."""
+    kept = [] if replaced is None else replaced
+    directory = UpstreamDirectory(kept.append)
+    directory.replace_all(5, list(upstreams), heard_at=1.0)
+    return directory
+
+
+def test_later_start_replaces_an_earlier_one():
+    replaced = []
+    directory = directory_with(FIRST, host("v"), replaced=replaced)
+    directory.apply(ListChange(7, [SECOND], []), heard_at=2.0)
+    assert directory.get(FIRST.id) is None
+    assert directory.get(SECOND.id) == SECOND
+    assert replaced == [FIRST.id]
+    assert directory.is_replaced(FIRST.id)
+    assert not directory.is_replaced(SECOND.id)
+    assert len(directory) == 2
+
+
+def test_start_whose_clock_was_set_back_replaces_too():
+    directory = directory_with(SECOND)
+    directory.apply(ListChange(7, [FIRST], []), heard_at=2.0)
+    assert directory.ids() == [FIRST.id]
+
+
+def test_whole_list_replaces_starts():
+    replaced = []
+    directory = directory_with(FIRST, replaced=replaced)
+    directory.replace_all(9, [SECOND], heard_at=2.0)
+    assert directory.ids() == [SECOND.id]
+    assert replaced == [FIRST.id]
+    [change] = directory.changes_since(5)
+    assert (change.upstreams, change.removed) == ([SECOND], [])
+
+
+def test_changes_that_are_passed_on_replace_starts_at_other_nodes():
+    coordinator, follower = directory_with(FIRST), directory_with(FIRST)
+    coordinator.apply(ListChange(7, [SECOND], []), heard_at=2.0)
+    coordinator.apply(ListChange(8, [], ["u"]), heard_at=3.0)
+    for change in coordinator.changes_since(5):
+        follower.apply(change, heard_at=4.0)
+    assert coordinator.ids() == follower.ids() == []
+
+
+def test_removal_names_whichever_start_runs():
+    directory = directory_with(SECOND)
+    directory.apply(ListChange(7, [], ["u"]), heard_at=2.0)
+    assert directory.ids() == []
+    assert not directory.is_replaced(SECOND.id)
+
+
+def test_earlier_start_is_not_kept_over_an_outage_once_a_later_one_is_listed():
+    directory = directory_with(FIRST)
+    directory.apply(ListChange(7, [], ["u"]), heard_at=2.0, keeps_removed=True)
+    assert directory.ids() == [FIRST.id]
+    directory.apply(ListChange(8, [SECOND], []), heard_at=2.5, keeps_removed=True)
+    assert directory.ids() == [SECOND.id]
+    assert directory.drop_kept() == 0
+    assert directory.ids() == [SECOND.id]
+
+
+def test_report_of_an_earlier_start_is_put_aside():
+    directory = directory_with(FIRST)
+    directory.apply(ListChange(7, [SECOND], []), heard_at=2.0)
+    assert not directory.put_report(FIRST, as_of=9.0)
+    assert directory.ids() == [SECOND.id]
--- a/mulleinreach/standins/gateway/crashes.py
+++ b/mulleinreach/standins/gateway/crashes.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from mulleinreach.common import TaskGroup, VirtualClock
-from mulleinreach.gateway.upstream import MemberState
+from mulleinreach.gateway.upstream import MemberState, incarnation_id, name_of
 from mulleinreach.standins.gateway.dialect import REQUEST_ID, SIGNATURE
 from mulleinreach.standins.gateway.fabric import Fabric
 from mulleinreach.standins.gateway.hosts import HostStandIn
@@ -63,24 +63,43 @@
         self.arrivals: list[Moment] = []
         self.ended: list[Moment] = []
 
-    def begin(self, upstream_id: str, back_after_s: float = CRASHED_FOR_S) -> None:
-        """End an upstream's process; after some seconds it is back, a host under a new id."""
+    def begin(
+        self,
+        upstream_id: str,
+        back_after_s: float = CRASHED_FOR_S,
+        keeps_name: bool = False,
+        is_silent: bool = False,
+    ) -> None:
+        """End an upstream's process, which is back after some seconds.
+
+        Parameters
+        ==========
+
+        keeps_name : whether a host is back under its name on the list, else under another one.
+        is_silent : whether its connections just fall silent, as behind a cut.
+        """
         self.ended.append(Moment(upstream_id, self._clock.now()))
-        self._links.refuse(upstream_id)
+        if not is_silent:
+            self._links.refuse(upstream_id)
         host = self._fabric.hosts.get(upstream_id)
         if host is not None:
             host.crash()
-        self._tasks.spawn(self._start_again(upstream_id, back_after_s))
+        self._tasks.spawn(self._start_again(upstream_id, back_after_s, keeps_name))
 
-    async def _start_again(self, upstream_id: str, back_after_s: float) -> None:
+    async def _start_again(self, upstream_id: str, back_after_s: float, keeps_name: bool) -> None:
         await asyncio.sleep(back_after_s)
         host = self._fabric.hosts.get(upstream_id)
         if host is None:
             self._links.accept(upstream_id)
             return
-        self._fabric.store.put(UPSTREAMS, upstream_id, None)
         before = host.upstream
-        await self._add_host(f"{upstream_id}-again", before.domain, before.hall)
+        name = name_of(upstream_id)
+        if keeps_name:
+            started_ms = round(self._clock.wall() * 1000)
+            await self._add_host(incarnation_id(name, started_ms), before.domain, before.hall)
+        else:
+            self._fabric.store.put(UPSTREAMS, name, None)
+            await self._add_host(f"{name}-again", before.domain, before.hall)
 
     def guard(self, handler: Handler, upstream_id: str) -> Handler:
         """Return a handler under which fatal requests end the upstream."""
