--- a/benchmarks/start_breakages.py
+++ b/benchmarks/start_breakages.py
@@ -16,7 +16,7 @@
         f"{GATEWAY}/known/upstreams.py",
         "self._on_replaced(before)",
         "pass",
-        f"{HOSTS} -k in_silence",
+        f"{HOSTS} -k list_alone",
     ),
     Breakage(
         "START",
--- a/mulleinreach/gateway/fleet/tests/test_starts_again.py
+++ b/mulleinreach/gateway/fleet/tests/test_starts_again.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
+from mulleinreach.gateway.known.upstreams import ListChange
 from mulleinreach.gateway.tests.support import run_world
-from mulleinreach.gateway.upstream import name_of
+from mulleinreach.gateway.upstream import incarnation_id, name_of
 from mulleinreach.standins.gateway.world import LARGE, SMALL
 
 # A group of four whose host starts again is whole once more after the order to join, the load of
@@ -108,3 +110,21 @@
             assert len(ids) == 1
 
     run_world(test, nodes=2)
+
+
+def test_list_alone_ends_what_runs_at_an_earlier_start():
+    async def test(world):
+        await world.until_formed()
+        asking = asyncio.create_task(world.stream(60, node="node-1"))
+        await asyncio.sleep(0.4)
+        node = world.nodes["node-1"]
+        [runs] = world.fabric.checks.runs.values()
+        before = node.directory.get(runs[0])
+        later = replace(before, id=incarnation_id(name_of(before.id), 5), membership=None)
+        node.directory.apply(ListChange(node.directory.revision, [later], []), world.clock.now())
+        await asyncio.sleep(0.05)
+        assert node.loads.running(before.id) == 0
+        answer = await asking
+        assert len(answer.event_ids) == 60
+
+    run_world(test, nodes=2)
