Nodes run on a clock that goes on while their machine is suspended

The loop's clock stood still meanwhile: a node woke with a lease that it believed to hold and evidence that it believed young. The loop itself now counts suspended time, so that a wake looks like the end of a freeze, which the code bears already; nothing has to look at a second clock. Weighed: a second clock in Clock.now(), which would disagree with every timer.

--- a/mulleinreach/platform/process.py
+++ b/mulleinreach/platform/process.py
@@ -11,6 +11,7 @@
 
 from mulleinreach.common import Clock, Network
 from mulleinreach.common.log import write_without_blocking
+from mulleinreach.common.loop import SuspendAwareEventLoop
 from mulleinreach.gateway.node import GatewayNode
 from mulleinreach.gateway.ports import Ports
 from mulleinreach.platform.dialect import PlatformDialect
@@ -76,4 +77,5 @@
     except SettingsError as error:
         print(f"{SETTINGS_VARIABLE}: {error}", file=sys.stderr)
         raise SystemExit(EXIT_BAD_SETTINGS) from error
-    asyncio.run(run_node(settings, callers))
+    with asyncio.Runner(loop_factory=SuspendAwareEventLoop) as runner:
+        runner.run(run_node(settings, callers))
