Suspension: a line at the wake, tests of what a woken node does with old knowledge

Suspended time counts for timers, limits and dates alike, as tests of the loop show on a stand-in of the machine's clocks. On memory a woken coordinator holds no lease and gives no order, a woken follower takes no key that went meanwhile, a request whose deadline has passed goes nowhere.

--- a/mulleinreach/cli/main.py
+++ b/mulleinreach/cli/main.py
@@ -20,6 +20,7 @@
     table,
 )
 from mulleinreach.common import MulleinreachError
+from mulleinreach.common.loop import SuspendAwareEventLoop
 from mulleinreach.gateway.explain import explain_request
 from mulleinreach.intents import Intent
 from mulleinreach.node import Node
@@ -50,7 +51,8 @@
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO if verbosity >= 0 else logging.WARNING)
     checked = _load_or_exit(settings, NodeSettings)
-    asyncio.run(_run_node(checked))
+    with asyncio.Runner(loop_factory=SuspendAwareEventLoop) as runner:
+        runner.run(_run_node(checked))
 
 
 async def _run_node(settings: NodeSettings) -> None:
--- /dev/null
+++ b/mulleinreach/common/tests/test_loop.py
@@ -0,0 +1,74 @@
+"""Timers count the time for which the machine was suspended."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+
+from mulleinreach.common import loop as loop_module
+from mulleinreach.common.loop import SuspendAwareEventLoop, suspended_s
+
+
+class SuspendedMachine:
+    """The machine's clocks, of which one goes on in suspension."""
+
+    def __init__(self) -> None:
+        self.slept_s = 0.0
+
+    def clock_gettime(self, clock: int) -> float:
+        """Return the time of a clock that counts suspension."""
+        assert clock == loop_module._CLOCK
+        return time.monotonic() + self.slept_s
+
+    @staticmethod
+    def monotonic() -> float:
+        """Return the time of the clock that stands still meanwhile."""
+        return time.monotonic()
+
+
+@pytest.fixture
+def machine(monkeypatch):
+    standin = SuspendedMachine()
+    monkeypatch.setattr(loop_module, "time", standin)
+    return standin
+
+
+def run(main):
+    """Run a coroutine on a loop of its own."""
+    with asyncio.Runner(loop_factory=SuspendAwareEventLoop) as runner:
+        return runner.run(main)
+
+
+def test_sleep_that_is_over_in_suspension_ends_at_the_wake(machine):
+    async def main():
+        sleeping = asyncio.create_task(asyncio.sleep(600))
+        await asyncio.sleep(0.01)
+        machine.slept_s = 700
+        async with asyncio.timeout(1000):
+            await sleeping
+
+    started_at = time.monotonic()
+    run(main())
+    # Ten minutes on a loop that does not count suspension.
+    assert time.monotonic() - started_at < 60
+
+
+def test_time_limit_that_passes_in_suspension_is_over_at_the_wake(machine):
+    async def main():
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(600):
+                machine.slept_s = 700
+                await asyncio.sleep(0)
+                await asyncio.sleep(1000)
+
+    started_at = time.monotonic()
+    run(main())
+    assert time.monotonic() - started_at < 60
+
+
+def test_suspended_time_is_told(machine):
+    before = suspended_s()
+    machine.slept_s = 7
+    assert suspended_s() - before == pytest.approx(7, abs=1)
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -12,6 +12,7 @@
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from mulleinreach.common import Address, Clock, Network, TaskGroup
+from mulleinreach.common.loop import suspended_s
 from mulleinreach.gateway.coordination.hub import sum_loads
 from mulleinreach.gateway.coordination.lease import CoordinatorLease
 from mulleinreach.gateway.coordination.membership import Coordination
@@ -33,6 +34,7 @@
 from mulleinreach.gateway.known.turns import reading_turn
 from mulleinreach.gateway.known.upstream_following import UpstreamFollower
 from mulleinreach.gateway.known.upstreams import UpstreamDirectory
+from mulleinreach.gateway.known.waking import WakeWatch
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.model import Limits
 from mulleinreach.gateway.ports import Bounds, GatewayIdentity, Ports
@@ -252,6 +254,7 @@
         self._tasks.spawn(self.follower.follow())
         self._tasks.spawn(self.coordination.run())
         self._tasks.spawn(self.store_calls.tell())
+        self._tasks.spawn(WakeWatch(suspended_s, self._describe_wake, self.log).run())
         self.log.event("node_started", callers=self.identity.callers, hall=self.identity.hall)
 
     async def _serve(
@@ -319,6 +322,14 @@
         count = self.active.withdraw_content(content)
         self.log.event("held_withdrawn", content=format_digest(content), in_flight=count)
 
+    def _describe_wake(self) -> dict[str, object]:
+        return {
+            "holds_lease": self.lease.is_held(),
+            "evidence_age_s": self.in_force.evidence_age_s(),
+            "list_age_s": self.follower.list_age_s(),
+            "in_flight": self.relay.in_flight,
+        }
+
     # Readiness and metrics.
 
     def is_ready(self) -> bool:
--- /dev/null
+++ b/mulleinreach/gateway/tests/test_suspension.py
@@ -0,0 +1,128 @@
+"""A node whose machine was suspended acts on nothing that has grown old meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from mulleinreach.gateway.known.waking import TOLD_FROM_S, WakeWatch
+from mulleinreach.gateway.tests.desk import answer_whole, serve_desk
+from mulleinreach.gateway.tests.logged import fields_of, keep_events
+from mulleinreach.gateway.tests.support import run_world
+from mulleinreach.standins.gateway.store import CONFIGURATION
+from mulleinreach.standins.gateway.world import make_configuration
+
+SUSPENDED_S = 6.0
+PLAIN = {"domains": 0, "hosts_per_domain": 0, "nodes": 3}
+
+
+def follower_of(world) -> str:
+    """Return a node that doesn't coordinate."""
+    return next(name for name in world.nodes if name != world.coordinator())
+
+
+def test_coordinator_wakes_without_its_lease_and_gives_no_order():
+    async def test(world):
+        await world.until_formed()
+        await asyncio.sleep(2)
+        name = world.coordinator()
+        holder = world.nodes[name]
+        token = holder.lease.token
+        world.suspend(name, SUSPENDED_S)
+        assert not holder.lease.is_held()
+        told = len(world.fabric.orders_by_token[token])
+        # Its hosts lose a member now; the order to repair waits for the lease.
+        host = next(h for h in world.fabric.hosts.values() if h.standing is not None)
+        world.crashes.begin(host.id, back_after_s=0.05, keeps_name=True)
+        while not holder.lease.is_held() and holder.lease.token == token:
+            assert len(world.fabric.orders_by_token[token]) == told
+            await asyncio.sleep(0.01)
+        await world.until(lambda: world.coordinator() is not None)
+        await world.until_formed()
+
+    run_world(test, nodes=3, domains=1)
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.002, 0.004, 0.3])
+def test_coordinator_suspended_around_a_renewal_counts_from_before_it(delay_s):
+    async def test(world):
+        await world.until_formed()
+        holder = world.nodes[world.coordinator()]
+        renewed = holder.lease.record.renewal
+        await world.until(lambda: holder.lease.record.renewal > renewed)
+        await asyncio.sleep(0.7 - 0.002 + delay_s)
+        world.suspend(world.coordinator(), SUSPENDED_S)
+        assert not holder.lease.is_held()
+        await asyncio.sleep(0.01)
+        held = [n for n, node in world.nodes.items() if node.lease.is_held()]
+        assert len(held) <= 1
+
+    run_world(test, nodes=3, domains=1)
+
+
+def test_key_taken_away_in_suspension_does_not_work_at_the_wake():
+    async def test(world):
+        await serve_desk(world, answer_whole)
+        await asyncio.sleep(2)
+        name = follower_of(world)
+        assert (await world.call("/order/1", node=name)).status == 200
+        world.store.put(CONFIGURATION, "newest", make_configuration(2, frozenset({"other"})))
+        world.suspend(name, SUSPENDED_S)
+        for _ in range(50):
+            answer = await world.call("/order/1", node=name)
+            assert answer.status in (401, 503)
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(2)
+        assert (await world.call("/order/1", node=name)).status == 401
+
+    run_world(test, **PLAIN)
+
+
+def test_woken_node_serves_again_once_it_has_heard():
+    async def test(world):
+        await serve_desk(world, answer_whole)
+        await asyncio.sleep(2)
+        name = follower_of(world)
+        world.suspend(name, SUSPENDED_S)
+        assert (await world.call("/order/1", node=name)).status == 503
+        await asyncio.sleep(1)
+        assert (await world.call("/order/1", node=name)).status == 200
+
+    run_world(test, **PLAIN)
+
+
+def test_request_whose_deadline_passed_in_suspension_is_sent_nowhere():
+    async def test(world):
+        await serve_desk(world, answer_whole)
+        await asyncio.sleep(2)
+        name = follower_of(world)
+        node = world.nodes[name]
+        gate = asyncio.Event()
+        node.relay._start_gate = gate
+        asking = asyncio.create_task(world.call("/order/1", node=name, deadline_s=2.0))
+        await asyncio.sleep(0.1)
+        world.suspend(name, SUSPENDED_S)
+        gate.set()
+        answer = await asking
+        assert answer.status == 503
+        assert all(not plain.seen for plain in world.plain.values())
+
+    run_world(test, **PLAIN)
+
+
+def test_wake_is_told_once_with_what_it_made_old():
+    async def test(world):
+        kept = keep_events(world.nodes["node-0"])
+        slept = [3.0]
+        watch = WakeWatch(lambda: slept[0], lambda: {"in_flight": 2}, world.nodes["node-0"].log)
+        watch.look()
+        slept[0] += TOLD_FROM_S / 2
+        watch.look()
+        slept[0] += 5
+        watch.look()
+        watch.look()
+        [told] = fields_of(kept, "node_woke")
+        assert told == {"suspended_s": pytest.approx(5), "in_flight": 2}
+
+    run_world(test, **PLAIN)
--- a/mulleinreach/standins/gateway/world.py
+++ b/mulleinreach/standins/gateway/world.py
@@ -38,7 +38,7 @@
     MemoryUpstreams,
 )
 from mulleinreach.standins.links import Links
-from mulleinreach.standins.virtual import VirtualNetwork
+from mulleinreach.standins.virtual import SuspendableClock, VirtualNetwork
 
 MODEL_SERVICE = "models"
 PLAIN_SERVICE = "desk"
@@ -252,7 +252,8 @@
         self.links.accept(name)
         network = VirtualNetwork(self.links, name)
         ports = self.make_ports(network)
-        node = GatewayNode(identity, self._bounds, ports, network, self.clock, seed=self._next_port)
+        clock = SuspendableClock()
+        node = GatewayNode(identity, self._bounds, ports, network, clock, seed=self._next_port)
         self.nodes[name] = node
         await node.start()
         return node
@@ -267,6 +268,10 @@
             PlainDialect(),
         )
 
+    def suspend(self, name: str, seconds: float) -> None:
+        """Let a node's machine be suspended for some seconds, which go by in no time here."""
+        self.nodes[name].clock.suspended_s += seconds
+
     async def kill_node(self, name: str) -> None:
         """End a node as a crash would."""
         self.links.refuse(name)
--- a/mulleinreach/standins/virtual.py
+++ b/mulleinreach/standins/virtual.py
@@ -17,6 +17,7 @@
 import aiohttp
 import async_solipsism
 
+from mulleinreach.common.clock import VirtualClock
 from mulleinreach.common.net import Address, Network
 from mulleinreach.standins.links import Links
 
@@ -76,6 +77,17 @@
         return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
 
 
+class SuspendableClock(VirtualClock):
+    """The clock of a machine that may have been suspended for some seconds."""
+
+    def __init__(self) -> None:
+        self.suspended_s = 0.0
+
+    def now(self) -> float:
+        """Return the loop's time and what went by in suspension."""
+        return super().now() + self.suspended_s
+
+
 def run_virtual(main: Coroutine) -> object:
     """Run ``main`` to its end on a loop with virtual time.
 
