--- a/mulleinreach/gateway/coordination/lease.py
+++ b/mulleinreach/gateway/coordination/lease.py
@@ -113,6 +113,8 @@
         self._version_seen_at = NEVER
         self._held_until = NEVER
         self.record: LeaseRecord | None = None
+        # Tokens rise even if the row is lost or spoilt: hosts remember the highest one.
+        self._highest_token = 0
         # When the renewal that has had no answer was first sent, and its number.
         self._unanswered: tuple[int, float] | None = None
         # Set while a host is known to have orders of a later holder.
@@ -153,6 +155,7 @@
             self._version = result.version
             self._version_seen_at = self._clock.now()
         self.record = result.record
+        self._highest_token = max(self._highest_token, self.token)
 
     def _is_earlier_life(self, record: LeaseRecord) -> bool:
         """Whether the holder was this node before it was restarted."""
@@ -168,7 +171,9 @@
         sent_at = self._clock.now()
         secret = secrets.token_hex(SECRET_BYTES)
         inheritance = self.record.inheritance if self.record else Inheritance()
-        record = LeaseRecord(self._holder, self._address, self.token + 1, 0, secret, inheritance)
+        record = LeaseRecord(
+            self._holder, self._address, self._highest_token + 1, 0, secret, inheritance
+        )
         result = await self._store.write(self._version, record)
         if not isinstance(result, LeaseWritten):
             return False
@@ -240,6 +245,7 @@
 
     def _hold(self, record: LeaseRecord, result: LeaseWritten, sent_at: float) -> None:
         self.record = record
+        self._highest_token = max(self._highest_token, record.token)
         self._version = result.version
         self._version_seen_at = self._clock.now()
         self._unanswered = None
@@ -256,6 +262,7 @@
         that nothing can be written by that alone.
         """
         self.give_up()
+        self._highest_token = max(self._highest_token, successor.token)
         self.record = LeaseRecord(
             "", successor.address, successor.token, renewal=0, secret=successor.secret
         )
--- a/mulleinreach/gateway/coordination/tests/test_fences.py
+++ b/mulleinreach/gateway/coordination/tests/test_fences.py
@@ -11,6 +11,7 @@
 from mulleinreach.gateway.known.upstreams import collect_groups
 from mulleinreach.gateway.ports import Accepted, Fenced
 from mulleinreach.gateway.tests.support import run_world, turn_away
+from mulleinreach.standins.gateway.store import LEASE
 from mulleinreach.standins.gateway.world import LARGE, MODEL_SERVICE
 
 
@@ -86,3 +87,16 @@
         assert result == Fenced()
 
     run_world(test, domains=1)
+
+
+def test_token_rises_though_the_row_of_the_lease_is_spoilt():
+    async def test(world):
+        await world.until_formed()
+        token = world.nodes[world.coordinator()].lease.token
+        world.store.put(LEASE, "coordinator", None)
+        await asyncio.sleep(0.05)
+        await world.until(lambda: world.coordinator() is not None)
+        await asyncio.sleep(3)
+        assert world.nodes[world.coordinator()].lease.token > token
+
+    run_world(test, nodes=3, domains=1)
--- a/mulleinreach/platform/sources.py
+++ b/mulleinreach/platform/sources.py
@@ -164,12 +164,19 @@
 
 
 def _parse_inheritance(raw: dict) -> Inheritance:
-    """Return what a coordinator left in its row; earlier releases left less."""
-    waits = raw.get("first_waits", {}).items()
-    return Inheritance(
-        tuple(RouteWait(str(route), float(shortest_s)) for route, shortest_s in waits),
-        tuple(parse_digest(text) for text in raw.get("held", [])),
-    )
+    """Return what a coordinator left in its row; nothing if that can't be read.
+
+    Earlier releases left less. Nobody needs any of it to coordinate.
+    """
+    try:
+        waits = raw.get("first_waits", {}).items()
+        return Inheritance(
+            tuple(RouteWait(str(route), float(shortest_s)) for route, shortest_s in waits),
+            tuple(parse_digest(text) for text in raw.get("held", [])),
+        )
+    except (TypeError, ValueError, AttributeError) as error:
+        logging.warning("event=inheritance_unreadable why=%r", error)
+        return Inheritance()
 
 
 def _row_states(rows: OperatorRows | None) -> list[RowState]:
@@ -195,8 +202,11 @@
         row = await self._store.read_row(LEASE_TABLE, LEASE_KEY)
         if isinstance(row, Unavailable):
             return row
-        if row is None or row.value is None:
-            return LeaseRead(row.version if row else 0, None)
+        if row is None:
+            return LeaseRead(0, None)
+        if row.value is None:
+            logging.warning("event=lease_unreadable why=%r", row.unreadable)
+            return LeaseRead(row.version, None)
         try:
             record = LeaseRecord(
                 str(row.value["holder"]),
@@ -206,8 +216,9 @@
                 str(row.value["secret"]),
                 _parse_inheritance(row.value),
             )
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
-            return Unavailable(f"a lease of another shape: {error!r}")
+        except (KeyError, TypeError, ValueError) as error:
+            logging.warning("event=lease_unreadable why=%r", error)
+            return LeaseRead(row.version, None)
         return LeaseRead(row.version, record)
 
     async def write(
--- a/mulleinreach/platform/tests/test_ports.py
+++ b/mulleinreach/platform/tests/test_ports.py
@@ -362,3 +362,28 @@
         assert configuration.limits.body_bytes == 1000
 
     run_ports(OnPlatform, test)
+
+
+@pytest.mark.parametrize("spoilt", [{"held": ["x"]}, {"held": 3}, {"first_waits": ["r"]}])
+def test_lease_holds_even_if_what_it_hands_on_can_not_be_read(spoilt):
+    async def test(ports):
+        record = LeaseRecord("a.1", "10.0.0.1:1", 4, 0, "secret", Inheritance(held=(7,)))
+        await ports.lease.write(0, record)
+        value = ports.memory.get("mulleinreach", "coordinator").value
+        ports.memory.put("mulleinreach", "coordinator", {**value, **spoilt})
+        read = await ports.lease.read()
+        assert read.record == replace(record, inheritance=Inheritance())
+
+    run_ports(OnPlatform, test)
+
+
+@pytest.mark.parametrize("value", [{}, ["a"], b"W1tb", {"holder": "a", "token": "x"}])
+def test_lease_that_can_not_be_read_may_be_taken(value):
+    async def test(ports):
+        version = ports.memory.put("mulleinreach", "coordinator", value)
+        read = await ports.lease.read()
+        assert (read.version, read.record) == (version, None)
+        record = LeaseRecord("a.1", "10.0.0.1:1", 5, 0, "secret")
+        assert isinstance(await ports.lease.write(version, record), LeaseWritten)
+
+    run_ports(OnPlatform, test)
