A request that gives events before it ends its replicas is held too

It was never held: an end after an event counted for nothing, since neighbours of a culprit lose several replicas so. Four ends, as many as a try may reach, hold it now, while its neighbours stay below. With that limit taken out its test fails. A test of its own for held requests that wait nowhere, since the guard had gone unnoticed once refusals after a wait told the same.

--- a/benchmarks/crash_breakages.py
+++ b/benchmarks/crash_breakages.py
@@ -21,9 +21,9 @@
         "BUDGET",
         "a held request is refused as it comes",
         f"{GATEWAY}/request/relay.py",
-        "if self._sender.is_held(job):",
-        "if False:",
-        CRASHING,
+        "is_held(job):\n            return self._refuse_held(job)\n        self._budget",
+        "is_held(job) and False:\n            return None\n        self._budget",
+        f"{CRASHING} -k waits_nowhere",
     ),
     Breakage(
         "BUDGET",
@@ -89,6 +89,14 @@
         "ends = [seen for seen in known if seen.outcome is not RunOutcome.SERVED]",
         BOOK,
     ),
+    Breakage(
+        "BUDGET",
+        "ends after a part of the answer count too",
+        f"{GATEWAY}/known/crashes.py",
+        "limits = (BEGUN_ENDS, ENDS, ENDS_OF_ANY_KIND)",
+        'limits = (BEGUN_ENDS, ENDS, float("inf"))',
+        f"{CRASHING} -k gives_events_before",
+    ),
     Breakage(
         "BUDGET",
         "a beginning that all show tells nothing",
--- a/mulleinreach/gateway/coordination/peer.capnp
+++ b/mulleinreach/gateway/coordination/peer.capnp
@@ -18,7 +18,7 @@
   content @1 :UInt64;        # digest of the request
   upstream @2 :Text;
   hall @3 :Text;             # of the upstream
-  outcome @4 :UInt8;         # 1 ended, 2 ended after it had begun, 3 served
+  outcome @4 :UInt8;         # 1 ended, 2 after it had begun, 4 after it had given a part; 3 served
   agoMs @5 :UInt32;
 }
 
--- a/mulleinreach/gateway/known/crashes.py
+++ b/mulleinreach/gateway/known/crashes.py
@@ -20,6 +20,10 @@
 # Where it doesn't show whether a request had begun, each neighbour looks like the culprit. Sound
 # ones are sent twice in a try; their callers ask once more.
 ENDS = 3
+# A stream that had events has shown that its upstream outlives its beginning, and most that lose
+# several upstreams are neighbours of a culprit. One that has lost as many as a try may reach has
+# nothing to lose.
+ENDS_OF_ANY_KIND = 4
 # Where upstreams end together that a request doesn't explain, their hall may be failing: its ends
 # there within so many seconds count as one. The nodes' sightings of a moment are together by then.
 APART_S = 1.0
@@ -41,11 +45,13 @@
     ``ENDED``: the upstream's process ended; it may not have begun the request.
     ``ENDED_BEGUN``: it ended after it had begun the request and before it gave anything.
     ``SERVED``: the answer came whole.
+    ``ENDED_GIVING``: it ended after it had given a part of the answer.
     """
 
     ENDED = 1
     ENDED_BEGUN = 2
     SERVED = 3
+    ENDED_GIVING = 4
 
 
 @dataclass(frozen=True)
@@ -117,9 +123,8 @@
             if not self.is_held(content):
                 self._hold(content, is_told=True)
 
-    def note_end(self, content: int, upstream: Upstream, has_begun: bool) -> None:
+    def note_end(self, content: int, upstream: Upstream, outcome: RunOutcome) -> None:
         """Note that an upstream's process ended while it had a request."""
-        outcome = RunOutcome.ENDED_BEGUN if has_begun else RunOutcome.ENDED
         self._note_own(content, upstream, outcome)
 
     def note_served(self, content: int, upstream: Upstream) -> None:
@@ -178,10 +183,13 @@
             default=float("-inf"),
         )
         ends = [seen for seen in known if seen.at > served_at]
-        begun = [seen for seen in ends if self._had_begun(seen)]
-        begun_count, count = self._count_apart(begun), self._count_apart(ends)
-        if (begun_count >= BEGUN_ENDS or count >= ENDS) and not self.is_held(content):
-            self._hold(content, is_told=False, begun=begun_count, ends=count)
+        begun = self._count_apart([seen for seen in ends if self._had_begun(seen)])
+        early = [seen for seen in ends if seen.outcome is not RunOutcome.ENDED_GIVING]
+        counts = (begun, self._count_apart(early), self._count_apart(ends))
+        limits = (BEGUN_ENDS, ENDS, ENDS_OF_ANY_KIND)
+        is_culprit = any(count >= limit for count, limit in zip(counts, limits, strict=True))
+        if is_culprit and not self.is_held(content):
+            self._hold(content, is_told=False, begun=begun, ends=counts[-1])
 
     def _had_begun(self, end: _Seen) -> bool:
         """Whether an upstream ended after it had begun a request, as few others there."""
--- a/mulleinreach/gateway/known/tests/test_crashes.py
+++ b/mulleinreach/gateway/known/tests/test_crashes.py
@@ -17,6 +17,7 @@
     MOST_HELD,
     TELL_S,
     CrashBook,
+    RunOutcome,
 )
 from mulleinreach.gateway.upstream import Upstream
 
@@ -51,7 +52,8 @@
 
     def end(self, content: int, name: str, hall: str = "a", has_begun: bool = True) -> None:
         """Note an end at an upstream of a name."""
-        self.book.note_end(content, upstream(name, hall), has_begun)
+        outcome = RunOutcome.ENDED_BEGUN if has_begun else RunOutcome.ENDED
+        self.book.note_end(content, upstream(name, hall), outcome)
 
     def wait(self, seconds: float) -> None:
         """Move the clock."""
@@ -84,6 +86,20 @@
     assert desk.book.is_held(CULPRIT)
 
 
+def test_four_ends_hold_a_request_that_gave_events_before_each(desk):
+    for number in range(4):
+        assert desk.held == []
+        desk.book.note_end(CULPRIT, upstream(f"u{number}"), RunOutcome.ENDED_GIVING)
+    assert desk.held == [CULPRIT]
+
+
+def test_neighbour_that_gave_events_is_not_held_with_its_culprit(desk):
+    for name in ("u1", "u2", "u3"):
+        desk.end(CULPRIT, name)
+        desk.book.note_end(OTHER, upstream(name), RunOutcome.ENDED_GIVING)
+    assert desk.held == [CULPRIT]
+
+
 def test_copies_at_one_upstream_see_one_end(desk):
     for _ in range(5):
         desk.end(CULPRIT, "u1")
--- a/mulleinreach/gateway/request/active.py
+++ b/mulleinreach/gateway/request/active.py
@@ -54,9 +54,9 @@
         return result
 
     @property
-    def is_cut_at_begin(self) -> bool:
-        """Whether the upstream began to answer, and its connection ended before any byte came."""
-        return self.is_cut and not self.has_given and not self.is_withdrawn
+    def is_cut_by_upstream(self) -> bool:
+        """Whether the answer was cut, and not by this node."""
+        return self.is_cut and not self.is_withdrawn
 
     def withdraw(self) -> None:
         """End the exchange because its upstream is lost, or the request ends upstreams."""
--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -10,6 +10,7 @@
 
 from mulleinreach.common import Clock, EventLog
 from mulleinreach.gateway.known.content import content_digest, format_digest
+from mulleinreach.gateway.known.crashes import RunOutcome
 from mulleinreach.gateway.known.load import Ticket
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.model import RouteKind, Service
@@ -241,8 +242,13 @@
                         return response
                     result = Broken("the stream was cut")
                     self._sender.suspect(upstream.id)
-                    if exchange.is_cut_at_begin:
-                        await self._sender.look_for_end(job, upstream, has_begun=True)
+                    if exchange.is_cut_by_upstream:
+                        outcome = (
+                            RunOutcome.ENDED_GIVING
+                            if exchange.has_given
+                            else RunOutcome.ENDED_BEGUN
+                        )
+                        await self._sender.look_for_end(job, upstream, outcome)
             finally:
                 self._sender.end(exchange, ticket)
             if isinstance(result, Answered):
--- a/mulleinreach/gateway/request/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -12,7 +12,7 @@
 from mulleinreach.common import Clock, EventLog
 from mulleinreach.gateway.known.choosing import SuspectList, UpstreamChooser
 from mulleinreach.gateway.known.content import format_digest
-from mulleinreach.gateway.known.crashes import CrashBook
+from mulleinreach.gateway.known.crashes import CrashBook, RunOutcome
 from mulleinreach.gateway.known.eligibility import Exclusion, RequestTerms
 from mulleinreach.gateway.known.load import LoadBook, Ticket
 from mulleinreach.gateway.metrics import GatewayMetrics
@@ -102,8 +102,8 @@
     deadline: float
     caller_gives_up_at: float
     tried: set[str] = field(default_factory=set)
-    # Where upstreams ended under it. The next one may end for the same reason: a hall that is
-    # failing, or the request, which an end in another hall then shows.
+    # Where upstreams ended before they gave anything. The next one may end for the same reason:
+    # a hall that is failing, or the request, which an end in another hall then shows.
     ended_halls: set[str] = field(default_factory=set)
     sends: int = 0
     priority: int = 0
@@ -261,26 +261,27 @@
         """Avoid an upstream whose stream was cut."""
         self._suspects.add(upstream_id)
 
-    async def look_for_end(self, job: RelayJob, upstream: Upstream, has_begun: bool) -> None:
+    async def look_for_end(self, job: RelayJob, upstream: Upstream, outcome: RunOutcome) -> None:
         """Find out whether an upstream that closed a request's connection has ended.
 
         Parameters
         ==========
 
-        has_begun : whether it had begun the request and had given nothing.
+        outcome : what became of the run if that is so.
         """
         if not await self._probe.has_ended(upstream):
             return
-        job.ended_halls.add(upstream.hall)
+        if outcome is not RunOutcome.ENDED_GIVING:
+            job.ended_halls.add(upstream.hall)
         self._log.event(
             "upstream_ended",
             id=job.headers.request_id,
             content=format_digest(job.content),
             upstream=upstream.id,
             hall=upstream.hall,
-            has_begun=has_begun,
+            outcome=outcome.name.lower(),
         )
-        self._crashes.note_end(job.content, upstream, has_begun)
+        self._crashes.note_end(job.content, upstream, outcome)
 
     def note_served(self, job: RelayJob, upstream: Upstream) -> None:
         """Note that an upstream has run a request to its end."""
@@ -327,7 +328,7 @@
             result = Broken("no answer in time")
         self._take_result(job, upstream, result)
         if isinstance(result, Broken) and result.is_closed:
-            await self.look_for_end(job, upstream, has_begun=False)
+            await self.look_for_end(job, upstream, RunOutcome.ENDED)
         return result
 
     def _patience_s(self, job: RelayJob, remaining_s: float) -> float:
--- a/mulleinreach/gateway/request/tests/test_crashing_requests.py
+++ b/mulleinreach/gateway/request/tests/test_crashing_requests.py
@@ -58,6 +58,19 @@
     run_world(test, **THREE_HALLS)
 
 
+def test_request_that_gives_events_before_each_end_is_held():
+    async def test(world):
+        await world.until_formed()
+        world.crashes.fatal_bodies.add(FATAL)
+        world.crashes.fatal_events = 2
+        statuses = await ask_again_and_again(world, "/stream/draft", 30)
+        assert len(world.crashes.ended) <= ENDED_AT_MOST + 1
+        assert arrivals_after_contact(world) <= SENDS_ALLOWED
+        assert statuses[-10:] == [503] * 10
+
+    run_world(test, **THREE_HALLS)
+
+
 def test_copies_that_come_at_once_end_few_replicas():
     async def test(world):
         await world.until_formed()
@@ -159,6 +172,21 @@
     run_world(test, **THREE_HALLS)
 
 
+def test_held_request_waits_nowhere():
+    async def test(world):
+        await world.until_formed()
+        node = world.nodes["node-2"]
+        node.relay._late_gate.wait = lambda *terms: asyncio.sleep(5)
+        node.first_waits.lateness = lambda *terms: Lateness(1.0, 2.0, 0.5)
+        node.crashes.is_held = lambda content: True
+        began_at = world.clock.now()
+        answer = await world.stream(20, node="node-2")
+        assert answer.status == 503
+        assert world.clock.now() - began_at < 0.1
+
+    run_world(test, **THREE_HALLS)
+
+
 def test_stream_that_gives_events_is_not_taken_back():
     async def test(world):
         await world.until_formed()
--- a/mulleinreach/standins/gateway/crashes.py
+++ b/mulleinreach/standins/gateway/crashes.py
@@ -43,8 +43,9 @@
     Explanation
     ===========
 
-    Knob: a request whose body is one of ``fatal_bodies`` ends each upstream that begins to
-    run it. ``arrivals`` tells where such requests began, ``ended`` which processes ended.
+    Knobs: a request whose body is one of ``fatal_bodies`` ends each upstream that begins to
+    run it, a host after it has given ``fatal_events`` events. ``arrivals`` tells where such
+    requests began, ``ended`` which processes ended.
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         self._clock = clock
         self._tasks = TaskGroup()
         self.fatal_bodies: set[bytes] = set()
+        self.fatal_events = 0
         self.arrivals: list[Moment] = []
         self.ended: list[Moment] = []
 
@@ -125,11 +127,14 @@
         return host.standing is not None and host.standing.state is MemberState.OPEN
 
     async def _begin_stream(self, request: web.BaseRequest, upstream_id: str) -> None:
-        """Send the head of a stream, and no event."""
+        """Send the head of a stream, and some events."""
         headers = {REQUEST_ID: request.headers[REQUEST_ID], SIGNATURE: upstream_id}
         response = web.StreamResponse(headers=headers)
         response.enable_chunked_encoding()
         await response.prepare(request)
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        for number in range(first, first + self.fatal_events):
+            await response.write(f"id: {number}\ndata: piece {number}\n\n".encode())
         await asyncio.sleep(FATAL_RUN_S)
 
     async def close(self) -> None:
