Reading a message between nodes is bounded

Generated messages found that one spoilt byte in a coordinator's report kept the reader from its loop for 40 s: a spoilt length in a list whose elements take no room. A message may now touch 0.5 million words; twice the hosts of the size to design for are read below that.

--- a/mulleinreach/gateway/coordination/messages.py
+++ b/mulleinreach/gateway/coordination/messages.py
@@ -17,6 +17,9 @@
 
 MAX_COUNT = 65_535
 MAX_UINT32 = 4_294_967_295
+# What reading one message may touch, in words of 8 bytes: six times the whole list of 2,840
+# hosts. A spoilt length in a list of nothing kept a node from its loop for 40 seconds without it.
+MAX_WORDS = 524_288
 
 capnp.remove_import_hook()
 _schema = capnp.load(str(Path(__file__).with_name("peer.capnp")))
@@ -130,6 +133,11 @@
     number: int = 0
 
 
+def _read(schema, data: bytes):
+    """Return a message that is read as its fields are asked for, within bounds."""
+    return schema.from_bytes_packed(data, traversal_limit_in_words=MAX_WORDS)
+
+
 def _milliseconds(seconds: float) -> int:
     return max(0, int(min(seconds * 1000, MAX_UINT32)))
 
@@ -222,7 +230,7 @@
     True
     """
     try:
-        message = _schema.NodeReport.from_bytes_packed(data)
+        message = _read(_schema.NodeReport, data)
         return NodeReport(
             message.node,
             _unpack_loads(message.loads),
@@ -273,7 +281,7 @@
 
 
 def _decode_totals(data: bytes) -> Totals:
-    message = _schema.Totals.from_bytes_packed(data)
+    message = _read(_schema.Totals, data)
     heads = None
     if message.hasHeads:
         heads = [OpenHead(h.upstream, h.group, h.epoch, h.model, h.pace) for h in message.heads]
@@ -365,11 +373,11 @@
 def decode_coordinator_report(data: bytes) -> CoordinatorReport:
     """Return the report that ``data`` holds."""
     try:
-        message = _schema.CoordinatorReport.from_bytes_packed(data)
+        message = _read(_schema.CoordinatorReport, data)
         changes = [_unpack_change(row) for row in message.changes]
         whole_list = None
         if message.wholeList:
-            packed = _schema.ListChange.from_bytes_packed(message.wholeList)
+            packed = _read(_schema.ListChange, message.wholeList)
             whole_list = _unpack_change(packed)
         totals = _decode_totals(message.totals)
         return CoordinatorReport(
--- /dev/null
+++ b/mulleinreach/gateway/coordination/tests/test_spoilt_messages.py
@@ -0,0 +1,93 @@
+"""Messages that can't be read end a connection, and nothing else."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mulleinreach.common import Address
+from mulleinreach.gateway.coordination.frames import PeerError
+from mulleinreach.gateway.coordination.messages import (
+    NodeReport,
+    Totals,
+    decode_coordinator_report,
+    decode_node_report,
+    encode_coordinator_report,
+    encode_list,
+    encode_node_report,
+    encode_totals,
+)
+from mulleinreach.gateway.known.crashes import RunOutcome, Sighting
+from mulleinreach.gateway.known.load import LoadReport
+from mulleinreach.gateway.known.upstreams import ListChange
+from mulleinreach.gateway.upstream import Membership, MemberState, Upstream
+
+SEEN = Sighting(3, 4, "u", "hall", RunOutcome.ENDED, 0.5)
+NODE_REPORT = encode_node_report(
+    NodeReport("a", [LoadReport("u", 1, 10, 0.5, 0.5)], seq=4, hall="h", sightings=[SEEN])
+)
+COORDINATOR_REPORT = encode_coordinator_report(
+    8, encode_totals(Totals(3, 9, [], held=(7,))), [], False, b"c"
+)
+
+
+def read(decode, data: bytes) -> None:
+    """Decode a message, which may be refused."""
+    try:
+        decode(data)
+    except PeerError:
+        return
+
+
+@given(data=st.binary(max_size=200))
+def test_no_bytes_raise_anything_else(data):
+    read(decode_node_report, data)
+    read(decode_coordinator_report, data)
+
+
+@pytest.mark.parametrize(
+    ("decode", "sound"),
+    [(decode_node_report, NODE_REPORT), (decode_coordinator_report, COORDINATOR_REPORT)],
+    ids=["node", "coordinator"],
+)
+@given(place=st.integers(0, 10_000), byte=st.integers(0, 255))
+def test_no_spoilt_byte_raises_anything_else(decode, sound, place, byte):
+    place %= len(sound)
+    read(decode, sound[:place] + bytes([byte]) + sound[place + 1 :])
+
+
+def test_sighting_of_an_outcome_that_is_not_known_is_refused():
+    spoilt = NodeReport("a", [], sightings=[Sighting(3, 4, "u", "hall", 99, 0.5)])
+    with pytest.raises(PeerError):
+        decode_node_report(encode_node_report(spoilt))
+
+
+def test_list_of_twice_the_hosts_at_the_size_to_design_for_is_read():
+    member = Membership("g1000047.wide", 1_000_047, 3, MemberState.OPEN)
+    hosts = [
+        Upstream(
+            f"i-{number:010x}@1790000000000",
+            "models",
+            Address("10.1.64.27", 8508),
+            "hall-a",
+            slots=13,
+            models=("wide-model",),
+            staged=("wide-model", "narrow-model"),
+            domain="hall-a-d0",
+            membership=member,
+        )
+        for number in range(5680)
+    ]
+    loads = [LoadReport(host.id, 13, 7000, 0.1, 0.9) for host in hosts]
+    report = decode_coordinator_report(
+        encode_coordinator_report(
+            8,
+            encode_totals(Totals(3, 350, loads)),
+            [],
+            False,
+            whole_list=encode_list(ListChange(5, hosts, [])),
+        )
+    )
+    assert report.whole_list.upstreams == hosts
+    assert len(report.totals.loads) == len(hosts)
