--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -142,7 +142,7 @@
 
     body = json.dumps({"model": "tint-model", "prompt": "ochre", "stream": True, "max_tokens": 5})
     status, text = processes.curl(first, "POST", "/v1/completions", body)
-    assert status == 200
+    assert status == 200, text
     assert text.rstrip().endswith("data: [DONE]")
 
     order = {"idempotency-key": "order-1"}
