--- a/benchmarks/control_traffic.py
+++ b/benchmarks/control_traffic.py
@@ -16,14 +16,16 @@
 from mulleinreach.gateway.coordination.hub import HEADS_EVERY, report_interval_s
 from mulleinreach.gateway.coordination.lease import RENEW_S, SECRET_BYTES
 from mulleinreach.gateway.coordination.messages import (
-    NodeReport,
-    OpenHead,
-    Totals,
     encode_coordinator_report,
     encode_list,
     encode_node_report,
     encode_totals,
 )
+from mulleinreach.gateway.coordination.reports import (
+    NodeReport,
+    OpenHead,
+    Totals,
+)
 from mulleinreach.gateway.known.load import LoadReport
 from mulleinreach.gateway.known.reading import LONG_WAIT_S
 from mulleinreach.gateway.known.upstreams import ListChange
--- a/mulleinreach/gateway/coordination/follower.py
+++ b/mulleinreach/gateway/coordination/follower.py
@@ -16,11 +16,13 @@
 )
 from mulleinreach.gateway.coordination.lease import CoordinatorLease, Resignation
 from mulleinreach.gateway.coordination.messages import (
-    CoordinatorReport,
     decode_coordinator_report,
     encode_node_report,
 )
 from mulleinreach.gateway.coordination.own_report import OwnReports
+from mulleinreach.gateway.coordination.reports import (
+    CoordinatorReport,
+)
 from mulleinreach.gateway.coordination.succession import CONNECT_S
 
 # Evidence that is younger shows that this node reads the store itself.
--- a/mulleinreach/gateway/coordination/hub.py
+++ b/mulleinreach/gateway/coordination/hub.py
@@ -20,20 +20,23 @@
 from mulleinreach.gateway.coordination.frames import FrameReader, FrameWriter, PeerError
 from mulleinreach.gateway.coordination.lease import CoordinatorLease, Resignation, Successor
 from mulleinreach.gateway.coordination.messages import (
-    CoordinatorReport,
-    NodeReport,
-    OpenHead,
-    Totals,
     decode_node_report,
     encode_coordinator_report,
     encode_list,
     encode_totals,
 )
 from mulleinreach.gateway.coordination.numbering import NodeNumbers
+from mulleinreach.gateway.coordination.reports import (
+    CoordinatorReport,
+    NodeReport,
+    OpenHead,
+    Totals,
+)
 from mulleinreach.gateway.known.crashes import Sighting
 from mulleinreach.gateway.known.load import LoadReport
 from mulleinreach.gateway.known.upstreams import ListChange
-from mulleinreach.gateway.ports import Inheritance, OperatorRows
+from mulleinreach.gateway.model import Inheritance
+from mulleinreach.gateway.ports import OperatorRows
 
 REPORT_INTERVAL_S = 0.1
 # With many nodes the reports would take too much of a slow coordinator's time.
--- a/mulleinreach/gateway/coordination/lease.py
+++ b/mulleinreach/gateway/coordination/lease.py
@@ -18,8 +18,8 @@
 from dataclasses import dataclass, replace
 
 from mulleinreach.common import Clock, EventLog
+from mulleinreach.gateway.model import Inheritance
 from mulleinreach.gateway.ports import (
-    Inheritance,
     LeaseConflict,
     LeaseRead,
     LeaseRecord,
--- a/mulleinreach/gateway/coordination/lease_document.py
+++ b/mulleinreach/gateway/coordination/lease_document.py
@@ -5,8 +5,8 @@
 from absl import logging
 
 from mulleinreach.gateway.known.content import format_digest, parse_digest
-from mulleinreach.gateway.model import RouteWait
-from mulleinreach.gateway.ports import Inheritance, LeaseRecord
+from mulleinreach.gateway.model import Inheritance, RouteWait
+from mulleinreach.gateway.ports import LeaseRecord
 
 
 def encode_record(record: LeaseRecord) -> dict[str, object]:
--- a/mulleinreach/gateway/coordination/membership.py
+++ b/mulleinreach/gateway/coordination/membership.py
@@ -22,8 +22,10 @@
 from mulleinreach.gateway.coordination.frames import PeerError
 from mulleinreach.gateway.coordination.hub import HeardNode, Knowledge, MemberHub
 from mulleinreach.gateway.coordination.lease import CoordinatorLease, LeaseState, Resignation
-from mulleinreach.gateway.coordination.messages import NodeReport
 from mulleinreach.gateway.coordination.own_report import OwnReports
+from mulleinreach.gateway.coordination.reports import (
+    NodeReport,
+)
 from mulleinreach.gateway.coordination.succession import tell_replaced
 from mulleinreach.gateway.coordination.term import CoordinatorTerm
 from mulleinreach.gateway.known.load import LoadBook
--- a/mulleinreach/gateway/coordination/own_report.py
+++ b/mulleinreach/gateway/coordination/own_report.py
@@ -8,7 +8,9 @@
 from mulleinreach.common import Clock
 from mulleinreach.gateway.coordination.hub import Knowledge
 from mulleinreach.gateway.coordination.lease import CoordinatorLease
-from mulleinreach.gateway.coordination.messages import NodeReport
+from mulleinreach.gateway.coordination.reports import (
+    NodeReport,
+)
 from mulleinreach.gateway.known.load import LoadBook, LoadReport
 from mulleinreach.gateway.ports import GatewayIdentity
 
--- a/mulleinreach/gateway/coordination/succession.py
+++ b/mulleinreach/gateway/coordination/succession.py
@@ -7,7 +7,12 @@
 from mulleinreach.common import Address, EventLog, Network
 from mulleinreach.gateway.coordination.frames import FrameWriter
 from mulleinreach.gateway.coordination.lease import Successor
-from mulleinreach.gateway.coordination.messages import NodeReport, encode_node_report
+from mulleinreach.gateway.coordination.messages import (
+    encode_node_report,
+)
+from mulleinreach.gateway.coordination.reports import (
+    NodeReport,
+)
 from mulleinreach.gateway.ports import LeaseRecord
 
 # Nodes are some milliseconds apart; one that doesn't answer by then is cut off or frozen.
--- a/mulleinreach/gateway/coordination/tests/test_spoilt_messages.py
+++ b/mulleinreach/gateway/coordination/tests/test_spoilt_messages.py
@@ -9,8 +9,6 @@
 from mulleinreach.common import Address
 from mulleinreach.gateway.coordination.frames import PeerError
 from mulleinreach.gateway.coordination.messages import (
-    NodeReport,
-    Totals,
     decode_coordinator_report,
     decode_node_report,
     encode_coordinator_report,
@@ -18,6 +16,10 @@
     encode_node_report,
     encode_totals,
 )
+from mulleinreach.gateway.coordination.reports import (
+    NodeReport,
+    Totals,
+)
 from mulleinreach.gateway.known.crashes import RunOutcome, Sighting
 from mulleinreach.gateway.known.load import LoadReport
 from mulleinreach.gateway.known.upstreams import ListChange
--- a/mulleinreach/gateway/fleet/controller.py
+++ b/mulleinreach/gateway/fleet/controller.py
@@ -17,7 +17,9 @@
 
 from mulleinreach.common import Clock, EventLog
 from mulleinreach.gateway.coordination.hub import HeardNode
-from mulleinreach.gateway.coordination.messages import OpenHead
+from mulleinreach.gateway.coordination.reports import (
+    OpenHead,
+)
 from mulleinreach.gateway.fleet.duties import HostDuties
 from mulleinreach.gateway.fleet.formation import GroupOperator
 from mulleinreach.gateway.fleet.halls import HallWatch
--- a/mulleinreach/gateway/fleet/tests/test_fleet.py
+++ b/mulleinreach/gateway/fleet/tests/test_fleet.py
@@ -5,7 +5,12 @@
 import pytest
 
 from mulleinreach.gateway.coordination.frames import FrameWriter
-from mulleinreach.gateway.coordination.messages import NodeReport, encode_node_report
+from mulleinreach.gateway.coordination.messages import (
+    encode_node_report,
+)
+from mulleinreach.gateway.coordination.reports import (
+    NodeReport,
+)
 from mulleinreach.gateway.known.load import LoadReport
 from mulleinreach.gateway.known.upstreams import Group
 from mulleinreach.gateway.tests.support import keep_asking, run_world
--- a/mulleinreach/gateway/fleet/tests/test_halls.py
+++ b/mulleinreach/gateway/fleet/tests/test_halls.py
@@ -11,7 +11,9 @@
 
 from mulleinreach.common import VirtualClock
 from mulleinreach.gateway.coordination.hub import HeardNode
-from mulleinreach.gateway.coordination.messages import NodeReport
+from mulleinreach.gateway.coordination.reports import (
+    NodeReport,
+)
 from mulleinreach.gateway.fleet.halls import failed_halls, hall_signs
 from mulleinreach.gateway.fleet.hosts import HostBook
 from mulleinreach.gateway.known.load import LoadReport
--- a/mulleinreach/gateway/knowledge.py
+++ b/mulleinreach/gateway/knowledge.py
@@ -12,7 +12,11 @@
 
 from collections.abc import Callable
 
-from mulleinreach.gateway.coordination.messages import CoordinatorReport, OpenHead, Totals
+from mulleinreach.gateway.coordination.reports import (
+    CoordinatorReport,
+    OpenHead,
+    Totals,
+)
 from mulleinreach.gateway.fleet.controller import FleetController
 from mulleinreach.gateway.known.choosing import UpstreamChooser
 from mulleinreach.gateway.known.cold import ColdRateLimit
@@ -22,7 +26,8 @@
 from mulleinreach.gateway.known.load import LoadBook, LoadReport
 from mulleinreach.gateway.known.upstream_following import UpstreamFollower
 from mulleinreach.gateway.known.upstreams import Head, ListChange, UpstreamDirectory
-from mulleinreach.gateway.ports import Inheritance, OperatorRows
+from mulleinreach.gateway.model import Inheritance
+from mulleinreach.gateway.ports import OperatorRows
 from mulleinreach.gateway.request.urgency import FirstWaits
 
 # Older evidence would be too old at the nodes (1.5 s) before the next renewal.
--- a/mulleinreach/gateway/model.py
+++ b/mulleinreach/gateway/model.py
@@ -206,3 +206,18 @@
 
     route: str
     shortest_s: float
+
+
+@dataclass(frozen=True)
+class Inheritance:
+    """What a coordinator has learnt and nodes that start should know.
+
+    Parameters
+    ==========
+
+    first_waits : how long callers of each route wait.
+    held : digests of the requests that end the upstreams which run them.
+    """
+
+    first_waits: tuple[RouteWait, ...] = ()
+    held: tuple[int, ...] = ()
--- a/mulleinreach/gateway/ports.py
+++ b/mulleinreach/gateway/ports.py
@@ -16,7 +16,7 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from mulleinreach.common import Address
-from mulleinreach.gateway.model import Configuration, RouteWait
+from mulleinreach.gateway.model import Configuration, Inheritance
 from mulleinreach.gateway.upstream import Upstream
 
 # Results of reading a source.
@@ -143,21 +143,6 @@
 # The lease of the coordinator.
 
 
-@dataclass(frozen=True)
-class Inheritance:
-    """What a coordinator has learnt and nodes that start should know.
-
-    Parameters
-    ==========
-
-    first_waits : how long callers of each route wait.
-    held : digests of the requests that end the upstreams which run them.
-    """
-
-    first_waits: tuple[RouteWait, ...] = ()
-    held: tuple[int, ...] = ()
-
-
 @dataclass(frozen=True)
 class LeaseRecord:
     """Who coordinates; ``token`` rises with each change of holder.
--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -27,13 +27,9 @@
     Broken,
     Streaming,
 )
+from mulleinreach.gateway.request.job import RelayJob, end_to_end_headers
 from mulleinreach.gateway.request.late import LateGate
-from mulleinreach.gateway.request.sending import (
-    MIN_REMAINING_S,
-    RelayJob,
-    Sender,
-    end_to_end_headers,
-)
+from mulleinreach.gateway.request.sending import MIN_REMAINING_S, Sender
 from mulleinreach.gateway.request.starting import StartGate
 from mulleinreach.gateway.request.urgency import FirstWaits
 
--- a/mulleinreach/gateway/request/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -3,27 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 from http import HTTPStatus
 
-from aiohttp import web
-from multidict import CIMultiDict, CIMultiDictProxy
-
 from mulleinreach.common import Clock, EventLog
 from mulleinreach.gateway.known.choosing import SuspectList, UpstreamChooser
 from mulleinreach.gateway.known.content import format_digest
 from mulleinreach.gateway.known.crashes import CrashBook, RunOutcome
-from mulleinreach.gateway.known.eligibility import Exclusion, RequestTerms
+from mulleinreach.gateway.known.eligibility import Exclusion
 from mulleinreach.gateway.known.load import LoadBook, Ticket
 from mulleinreach.gateway.metrics import GatewayMetrics
-from mulleinreach.gateway.model import RouteKind, Service
-from mulleinreach.gateway.ports import CallerHeaders, Dialect
+from mulleinreach.gateway.model import RouteKind
+from mulleinreach.gateway.ports import Dialect
 from mulleinreach.gateway.request.active import ActiveExchange, ActiveExchanges
-from mulleinreach.gateway.request.admission import Admitted
 from mulleinreach.gateway.request.budget import WindowedRetryBudget
 from mulleinreach.gateway.request.ends import EndedProbe
 from mulleinreach.gateway.request.exchange import (
-    Answered,
     Broken,
     ExchangeResult,
     NotSent,
@@ -31,6 +25,7 @@
     Refused,
     UpstreamClient,
 )
+from mulleinreach.gateway.request.job import RelayJob, end_to_end_headers
 from mulleinreach.gateway.request.urgency import (
     FirstWaits,
     Lateness,
@@ -48,89 +43,6 @@
 # Streams that lost their replica may be sent once more than the route allows:
 # a replica that was cut off no longer runs the request.
 EXTRA_RESUMES = 2
-_HOP_HEADERS = frozenset(
-    name.casefold()
-    for name in (
-        "Connection",
-        "Keep-Alive",
-        "Proxy-Connection",
-        "Transfer-Encoding",
-        "TE",
-        "Trailer",
-        "Upgrade",
-        "Content-Length",
-    )
-)
-
-
-def end_to_end_headers(headers: CIMultiDictProxy[str]) -> CIMultiDict[str]:
-    """Return a message's headers without those that concern one connection only.
-
-    Examples
-    ========
-
-    >>> headers = CIMultiDictProxy(CIMultiDict({"Connection": "x-own", "X-Own": "1", "A": "2"}))
-    >>> dict(end_to_end_headers(headers))
-    {'A': '2'}
-    """
-    named = {
-        token.strip().casefold()
-        for value in headers.getall("Connection", ())
-        for token in value.split(",")
-    }
-    dropped = _HOP_HEADERS | named
-    return CIMultiDict((k, v) for k, v in headers.items() if k.casefold() not in dropped)
-
-
-@dataclass
-class RelayJob:
-    """One request of a caller, with what has become of it so far.
-
-    Parameters
-    ==========
-
-    content : digest of what is asked for; the same where a caller asks for it again.
-    """
-
-    request: web.BaseRequest
-    headers: CallerHeaders
-    admitted: Admitted
-    service: Service
-    body: bytes
-    content: int
-    started_at: float
-    deadline: float
-    caller_gives_up_at: float
-    tried: set[str] = field(default_factory=set)
-    # Where upstreams ended before they gave anything. The next one may end for the same reason:
-    # a hall that is failing, or the request, which an end in another hall then shows.
-    ended_halls: set[str] = field(default_factory=set)
-    sends: int = 0
-    priority: int = 0
-    may_have_run: bool = False
-    failure: Answered | None = None
-    last_event_id: str | None = None
-    events_sent: int = 0
-    first_event_at: float | None = None
-    last_event_at: float | None = None
-    longest_pause_s: float = 0.0
-    # Whether a stream was left since nothing came; its replica may still run the request.
-    fell_silent: bool = False
-    upstream_id: str = ""
-
-    @property
-    def terms(self) -> RequestTerms:
-        """What decides on its upstreams."""
-        return RequestTerms(self.service, self.admitted.homes)
-
-    def note_events(self, count: int, now: float) -> None:
-        """Note that events were passed on to the caller."""
-        if self.first_event_at is None:
-            self.first_event_at = now
-        else:
-            self.longest_pause_s = max(self.longest_pause_s, now - self.last_event_at)
-        self.last_event_at = now
-        self.events_sent += count
 
 
 class Sender:
--- a/mulleinreach/platform/tests/test_ports.py
+++ b/mulleinreach/platform/tests/test_ports.py
@@ -6,12 +6,11 @@
 import pytest
 
 from mulleinreach.common import Address
-from mulleinreach.gateway.model import RouteWait
+from mulleinreach.gateway.model import Inheritance, RouteWait
 from mulleinreach.gateway.ports import (
     ConfigurationRead,
     EvacuationRow,
     HistoryLost,
-    Inheritance,
     LeaseConflict,
     LeaseRecord,
     LeaseWritten,
