Sight: a line tells what an answer says of the upstream that gave it

The logs couldn't tell which refusals asked for rest, and whether an upstream had said that it leaves: nothing read either. Answers to requests, orders and questions for reports are read for both, and logged (upstream_notice). Nothing acts on it yet.

--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -29,6 +29,7 @@
 from mulleinreach.gateway.known.evacuations import Evacuations
 from mulleinreach.gateway.known.following import ConfigurationInForce
 from mulleinreach.gateway.known.load import LoadBook
+from mulleinreach.gateway.known.notices import NoticeBook
 from mulleinreach.gateway.known.routing import Router
 from mulleinreach.gateway.known.store_calls import StoreCalls, StoreRole, pause_s
 from mulleinreach.gateway.known.turns import reading_turn
@@ -105,6 +106,8 @@
         self.loads = LoadBook(self.clock)
         self.suspects = SuspectList(self.clock)
         self.active = ActiveExchanges()
+        self.notices = NoticeBook(self.log)
+        self.ports.orders.listen(self.notices.take)
         self.crashes = CrashBook(self.clock, self.log, self.rng, self._on_held)
         turn = reading_turn(
             self.bounds, self.identity.processor_cores, self.identity.is_first_start, self.rng
@@ -154,7 +157,7 @@
         self.first_waits = FirstWaits()
         sender = Sender(
             self.chooser,
-            UpstreamClient(self.session, self.ports.dialect),
+            UpstreamClient(self.session, self.ports.dialect, self.notices.take),
             self.ports.dialect,
             self.loads,
             self.active,
--- a/mulleinreach/gateway/ports.py
+++ b/mulleinreach/gateway/ports.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -17,7 +17,7 @@
 
 from mulleinreach.common import Address
 from mulleinreach.gateway.model import Configuration, Inheritance
-from mulleinreach.gateway.upstream import Upstream
+from mulleinreach.gateway.upstream import Notice, Upstream
 
 # Results of reading a source.
 
@@ -239,6 +239,9 @@
     that look at it refuse an order whose token is lower than one that they have seen.
     """
 
+    def listen(self, on_notice: Callable[[Upstream, Notice], None]) -> None:
+        """Have what hosts say of themselves in their answers told, too."""
+
     async def join(
         self,
         host: Upstream,
@@ -305,6 +308,9 @@
     def was_refused(self, status: int, headers: CIMultiDictProxy[str]) -> bool:
         """Whether the upstream says that it did not and won't run the request."""
 
+    def read_notice(self, status: int, headers: CIMultiDictProxy[str]) -> Notice:
+        """Return what an answer says of the upstream that gave it."""
+
     def belongs_to(self, headers: CIMultiDictProxy[str], request_id: str | None) -> bool:
         """Whether an answer is the one to the request of this id."""
 
--- a/mulleinreach/gateway/request/exchange.py
+++ b/mulleinreach/gateway/request/exchange.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 
 import aiohttp
@@ -18,7 +18,7 @@
 from yarl import URL
 
 from mulleinreach.gateway.ports import Dialect
-from mulleinreach.gateway.upstream import Upstream
+from mulleinreach.gateway.upstream import Notice, Upstream
 
 MAX_ANSWER_BYTES = 64_000_000
 CHUNK_BYTES = 65_536
@@ -139,11 +139,23 @@
 
 
 class UpstreamClient:
-    """Sends requests to upstreams."""
+    """Sends requests to upstreams.
 
-    def __init__(self, session: aiohttp.ClientSession, dialect: Dialect):
+    Parameters
+    ==========
+
+    on_notice : called with what each answer says of the upstream, as soon as its head has come.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        dialect: Dialect,
+        on_notice: Callable[[Upstream, Notice], None],
+    ):
         self._session = session
         self._dialect = dialect
+        self._on_notice = on_notice
 
     async def send(
         self, upstream: Upstream, request: OutgoingRequest, wants_stream: bool
@@ -163,6 +175,7 @@
         except (aiohttp.ClientError, OSError, ValueError, TimeoutError) as error:
             is_closed = isinstance(error, aiohttp.ClientConnectionError | OSError)
             return Broken(f"{type(error).__name__}: {error}", is_closed)
+        self._on_notice(upstream, self._dialect.read_notice(response.status, response.headers))
         return await self._read(response, request, wants_stream)
 
     async def _read(
--- a/mulleinreach/gateway/request/tests/test_exchange.py
+++ b/mulleinreach/gateway/request/tests/test_exchange.py
@@ -25,6 +25,10 @@
 LINGER_NONE = struct.pack("ii", 1, 0)
 
 
+def ignore(upstream, notice):
+    """Take no notice of what an upstream says of itself."""
+
+
 async def exchange(ends_with_reset: bool, wants_stream: bool):
     """Send a request to a server that answers without a length."""
 
@@ -46,7 +50,8 @@
     session = Network("test").http_client(keeps_connections=False)
     request = OutgoingRequest("GET", "/a", CIMultiDict(), b"", "r")
     try:
-        result = await UpstreamClient(session, PlainDialect()).send(upstream, request, wants_stream)
+        client = UpstreamClient(session, PlainDialect(), ignore)
+        result = await client.send(upstream, request, wants_stream)
         if isinstance(result, Streaming):
             return b"".join([data async for data in result.chunks(PAUSE_LIMIT_S)])
         return result
@@ -84,7 +89,8 @@
         session = Network("test").http_client(keeps_connections=False)
         request = OutgoingRequest("GET", "/a", CIMultiDict(), b"", "r")
         try:
-            return await UpstreamClient(session, PlainDialect()).send(upstream, request, False)
+            client = UpstreamClient(session, PlainDialect(), ignore)
+            return await client.send(upstream, request, False)
         finally:
             await session.close()
 
--- a/mulleinreach/gateway/request/tests/test_request_lines.py
+++ b/mulleinreach/gateway/request/tests/test_request_lines.py
@@ -4,9 +4,13 @@
 
 import asyncio
 
+from aiohttp import web
+
 from mulleinreach.gateway.request.urgency import ENOUGH_SEEN
+from mulleinreach.gateway.tests.desk import NO_HOSTS, serve_desk
 from mulleinreach.gateway.tests.logged import fields_of, keep_events
 from mulleinreach.gateway.tests.support import run_world
+from mulleinreach.standins.gateway.dialect import LEAVING, REFUSED, RETRY_AFTER
 
 STANDSTILL_S = 0.6
 
@@ -47,3 +51,18 @@
             assert 7900 < line["first_wait_ms"] <= 8000
 
     run_world(test, nodes=1)
+
+
+def test_what_an_upstream_says_of_itself_is_told():
+    async def refuse_and_leave(request):
+        headers = {REFUSED: "1", RETRY_AFTER: "2.5", LEAVING: "1"}
+        return web.Response(status=503, headers=headers)
+
+    async def test(world):
+        await serve_desk(world, refuse_and_leave)
+        kept = keep_events(world.nodes["node-0"])
+        await world.call("/order/1")
+        (line,) = fields_of(kept, "upstream_notice")
+        assert line == {"upstream": "desk-0", "leaving": True, "rest_s": 2.5}
+
+    run_world(test, **NO_HOSTS)
--- a/mulleinreach/gateway/upstream.py
+++ b/mulleinreach/gateway/upstream.py
@@ -73,6 +73,24 @@
         return None if membership is None else (membership.group, membership.epoch)
 
 
+@dataclass(frozen=True)
+class Notice:
+    """What an answer says of the upstream that gave it, whatever became of the request.
+
+    Parameters
+    ==========
+
+    is_leaving : whether the upstream is about to end and should get nothing new.
+    rest_s : for how long it wants nothing more from this node; 0 if it didn't ask for rest.
+    """
+
+    is_leaving: bool = False
+    rest_s: float = 0.0
+
+
+NOTHING_SAID = Notice()
+
+
 def incarnation_id(name: str, started_ms: int | None) -> str:
     """Return the id of one start of an upstream, which may keep its name across starts.
 
--- a/mulleinreach/platform/dialect.py
+++ b/mulleinreach/platform/dialect.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
+
 from multidict import CIMultiDict, CIMultiDictProxy
 
+from mulleinreach.common.http_fields import bearer_key, read_number
 from mulleinreach.gateway.ports import CallerHeaders
-from mulleinreach.gateway.upstream import name_of
+from mulleinreach.gateway.upstream import Notice, name_of
+from mulleinreach.platform.notices import read_notice
 from mulleinreach.platform.orders import EXPECT_INSTANCE
 
 REQUEST_ID = "X-Mulleinreach-Request-Id"
@@ -17,8 +21,6 @@
 SIGNATURE = "X-Mulleinreach-Server-Signature"
 NOT_EXECUTED = "X-Mulleinreach-Not-Executed"
 LAST_EVENT_ID = "Last-Event-Id"
-BEARER = "bearer "
-MISDIRECTED = 421
 _SET_BY_THE_SYSTEM = (DEADLINE_MS, TENANT, PRIORITY, EXPECT_INSTANCE, "Authorization")
 
 
@@ -38,13 +40,13 @@
         >>> read.deadline_s, read.api_key
         (8.0, 'k')
         """
-        deadline_ms = _number(headers.get(DEADLINE_MS))
+        deadline_ms = read_number(headers.get(DEADLINE_MS))
         prompt, _, answer = headers.get(TOKEN_USAGE, "").partition(",")
-        prompt_tokens, answer_tokens = _number(prompt), _number(answer)
+        prompt_tokens, answer_tokens = read_number(prompt), read_number(answer)
         return CallerHeaders(
             request_id=headers.get(REQUEST_ID),
             deadline_s=None if deadline_ms is None else deadline_ms / 1000,
-            api_key=_bearer(headers.get("Authorization", "")),
+            api_key=bearer_key(headers.get("Authorization", "")),
             model=headers.get(MODEL),
             prompt_tokens=None if prompt_tokens is None else int(prompt_tokens),
             answer_tokens=None if answer_tokens is None else int(answer_tokens),
@@ -76,7 +78,11 @@
 
     def was_refused(self, status: int, headers: CIMultiDictProxy[str]) -> bool:
         """Whether the replica says that it didn't run the request."""
-        return NOT_EXECUTED in headers or status == MISDIRECTED
+        return NOT_EXECUTED in headers or status == HTTPStatus.MISDIRECTED_REQUEST
+
+    def read_notice(self, status: int, headers: CIMultiDictProxy[str]) -> Notice:
+        """Return what an answer says of the replica that gave it."""
+        return read_notice(status, headers)
 
     def belongs_to(self, headers: CIMultiDictProxy[str], request_id: str | None) -> bool:
         """Whether an answer echoes the request's id."""
@@ -89,16 +95,3 @@
     def refuse_headers(self, request_id: str | None) -> CIMultiDict[str]:
         """Return the headers of an answer that the gateway makes itself."""
         return CIMultiDict({} if request_id is None else {REQUEST_ID: request_id})
-
-
-def _bearer(value: str) -> str | None:
-    if value[: len(BEARER)].lower() != BEARER:
-        return None
-    return value[len(BEARER) :].strip()
-
-
-def _number(text: str | None) -> float | None:
-    try:
-        return float(text) if text else None
-    except ValueError:
-        return None
--- a/mulleinreach/platform/orders.py
+++ b/mulleinreach/platform/orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from http import HTTPStatus
 
 import aiohttp
@@ -16,7 +17,8 @@
     Rejected,
     Unavailable,
 )
-from mulleinreach.gateway.upstream import Upstream, name_of
+from mulleinreach.gateway.upstream import Notice, Upstream, name_of
+from mulleinreach.platform.notices import read_notice
 from mulleinreach.platform.rows import parse_report
 
 ORDER_TIMEOUT_S = 0.4
@@ -35,6 +37,11 @@
     def __init__(self, session: aiohttp.ClientSession, sends_token: bool):
         self._session = session
         self._sends_token = sends_token
+        self._on_notice: Callable[[Upstream, Notice], None] = lambda host, notice: None
+
+    def listen(self, on_notice: Callable[[Upstream, Notice], None]) -> None:
+        """Have what hosts say of themselves in their answers told, too."""
+        self._on_notice = on_notice
 
     async def join(
         self,
@@ -74,6 +81,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 async with self._session.get(url, headers=headers) as response:
+                    self._on_notice(host, read_notice(response.status, response.headers))
                     if response.status != 200:
                         return Unavailable(f"status {response.status}")
                     return parse_report(host, read_object(await response.read()))
@@ -90,6 +98,7 @@
         try:
             async with asyncio.timeout(ORDER_TIMEOUT_S):
                 async with self._session.post(url, json=order, headers=headers) as response:
+                    self._on_notice(host, read_notice(response.status, response.headers))
                     if response.status in (200, 202):
                         return Accepted()
                     if response.status == HTTPStatus.PRECONDITION_FAILED and self._sends_token:
--- a/mulleinreach/platform/process.py
+++ b/mulleinreach/platform/process.py
@@ -8,13 +8,14 @@
 from absl import logging
 
 from mulleinreach.common import Network
+from mulleinreach.common.fields import SettingsError
 from mulleinreach.common.log import write_without_blocking
 from mulleinreach.gateway.ports import Ports
 from mulleinreach.gateway.process import run_process
 from mulleinreach.platform.dialect import PlatformDialect
 from mulleinreach.platform.early import SETTINGS_VARIABLE
 from mulleinreach.platform.orders import PlatformOrders
-from mulleinreach.platform.settings import PlatformSettings, SettingsError, read_settings
+from mulleinreach.platform.settings import PlatformSettings, read_settings
 from mulleinreach.platform.sources import (
     PlatformConfigurations,
     PlatformLease,
--- a/mulleinreach/platform/settings.py
+++ b/mulleinreach/platform/settings.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass
 
 from mulleinreach.common import Address
+from mulleinreach.common.fields import FieldReader, SettingsError, parse_lines
 from mulleinreach.gateway.ports import Bounds, GatewayIdentity
 
 METRICS_PORT_OFFSET = 1
@@ -13,10 +13,6 @@
 KEY_EVIDENCE_SHARE = 0.9
 
 
-class SettingsError(Exception):
-    """A field is missing or malformed; the text names it."""
-
-
 @dataclass(frozen=True)
 class PlatformSettings:
     """What a process is told at its start.
@@ -33,23 +29,6 @@
     engines_check_token: bool
 
 
-def parse_lines(text: str) -> dict[str, str]:
-    """Return the fields of a settings file.
-
-    Examples
-    ========
-
-    >>> parse_lines("ip=10.0.0.1\\nbounds.config_ms=2000\\n")
-    {'ip': '10.0.0.1', 'bounds.config_ms': '2000'}
-    """
-    fields = {}
-    for line in text.splitlines():
-        name, separator, value = line.partition("=")
-        if separator:
-            fields[name.strip()] = value.strip()
-    return fields
-
-
 def read_settings(path: str) -> PlatformSettings:
     """Return the settings in a file; raises :class:`SettingsError`."""
     try:
@@ -69,9 +48,9 @@
     >>> make_settings({"node_name": "a"})
     Traceback (most recent call last):
     ...
-    mulleinreach.platform.settings.SettingsError: field 'internal_ports' is missing
+    mulleinreach.common.fields.SettingsError: field 'internal_ports' is missing
     """
-    reader = _FieldReader(fields)
+    reader = FieldReader(fields)
     peer_port = reader.first_port("internal_ports")
     ip = reader.text("ip")
     identity = GatewayIdentity(
@@ -109,7 +88,7 @@
     )
 
 
-def _key_bound_s(reader: _FieldReader) -> float:
+def _key_bound_s(reader: FieldReader) -> float:
     """Return how long after it was taken away a key may still be accepted.
 
     ``strict_revoke`` binds every node within ``revoke_ms``. Where it is false, keys are
@@ -119,59 +98,3 @@
     if reader.flag("bounds.strict_revoke"):
         return reader.seconds("bounds.revoke_ms")
     return reader.seconds("bounds.config_ms") + reader.seconds("bounds.outer_ms")
-
-
-class _FieldReader:
-    """Reads typed fields."""
-
-    def __init__(self, fields: dict[str, str]):
-        self._fields = fields
-
-    def text(self, name: str) -> str:
-        value = self._fields.get(name, "")
-        if not value:
-            raise SettingsError(f"field {name!r} is missing")
-        return value
-
-    def address(self, name: str) -> Address:
-        try:
-            return Address.parse(self.text(name))
-        except ValueError as error:
-            raise SettingsError(f"field {name!r}: {error}") from error
-
-    def number(self, name: str) -> float:
-        value = self.text(name)
-        try:
-            number = float(value)
-        except ValueError as error:
-            raise SettingsError(f"field {name!r}: {value!r} is not a number") from error
-        if not math.isfinite(number):
-            raise SettingsError(f"field {name!r}: {value!r} is not finite")
-        return number
-
-    def optional(self, name: str, usual: float) -> float:
-        """Return a number that not every deployment has."""
-        return self.number(name) if self._fields.get(name) else usual
-
-    def entries(self, prefix: str) -> dict[str, str]:
-        """Return the fields of a table, by what follows on its name."""
-        return {
-            name.removeprefix(prefix): value
-            for name, value in self._fields.items()
-            if name.startswith(prefix)
-        }
-
-    def flag(self, name: str) -> bool:
-        value = self.text(name)
-        if value not in ("true", "false"):
-            raise SettingsError(f"field {name!r}: {value!r} is neither 'true' nor 'false'")
-        return value == "true"
-
-    def seconds(self, name: str) -> float:
-        return self.number(name) / 1000
-
-    def first_port(self, name: str) -> int:
-        value = self.text(name).partition(",")[0]
-        if not value.isdigit():
-            raise SettingsError(f"field {name!r}: {value!r} is not a port")
-        return int(value)
--- a/mulleinreach/platform/tests/standin.py
+++ b/mulleinreach/platform/tests/standin.py
@@ -91,13 +91,17 @@
 
 
 class ReplicaStandIn:
-    """Takes orders and reports; ``answers`` are the statuses to give, in turn."""
+    """Takes orders and reports; ``answers`` are the statuses to give to orders, in turn.
+
+    Knob: ``headers`` go with each answer of its own.
+    """
 
     def __init__(self, upstream_id: str, answers: list[int]):
         self.id = upstream_id
         self.answers = answers
         self.orders: list[dict] = []
         self.report: object = {}
+        self.headers: dict[str, str] = {}
 
     def app(self) -> web.Application:
         """Return the HTTP application."""
@@ -116,12 +120,12 @@
         status = self.answers.pop(0)
         if status == 0:
             await asyncio.sleep(3600)
-        return web.Response(status=status)
+        return web.Response(status=status, headers=self.headers)
 
     async def _report(self, request: web.Request) -> web.Response:
         if self._is_other(request):
             return web.Response(status=421)
-        return web.json_response(self.report)
+        return web.json_response(self.report, headers=self.headers)
 
 
 def row_of(upstream: Upstream) -> dict:
--- a/mulleinreach/platform/tests/test_settings.py
+++ b/mulleinreach/platform/tests/test_settings.py
@@ -5,8 +5,9 @@
 
 import pytest
 
+from mulleinreach.common.fields import SettingsError, parse_lines
 from mulleinreach.gateway.ports import Bounds
-from mulleinreach.platform.settings import SettingsError, make_settings, parse_lines
+from mulleinreach.platform.settings import make_settings
 
 COMPLETE = """\
 node_name=front-a-1
--- a/mulleinreach/standins/gateway/dialect.py
+++ b/mulleinreach/standins/gateway/dialect.py
@@ -7,7 +7,7 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from mulleinreach.gateway.ports import CallerHeaders
-from mulleinreach.gateway.upstream import name_of
+from mulleinreach.gateway.upstream import Notice, name_of
 
 REQUEST_ID = "X-Request-Id"
 PRIORITY = "Request-Priority"
@@ -15,6 +15,8 @@
 MODEL = "X-Model"
 SIGNATURE = "X-Signature"
 REFUSED = "X-Refused"
+LEAVING = "X-Leaving"
+RETRY_AFTER = "Retry-After"
 EXPECT = "X-Expect-Upstream"
 ORGANISATION = "X-Organisation"
 
@@ -73,6 +75,11 @@
         """Whether the upstream didn't run the request."""
         return REFUSED in headers
 
+    def read_notice(self, status: int, headers: CIMultiDictProxy[str]) -> Notice:
+        """Return what an answer says of the upstream that gave it."""
+        rest_s = float(headers.get(RETRY_AFTER, "0")) if status == 503 else 0.0
+        return Notice(is_leaving=LEAVING in headers, rest_s=rest_s)
+
     def belongs_to(self, headers: CIMultiDictProxy[str], request_id: str | None) -> bool:
         """Whether an answer echoes the request's id."""
         return REFUSED in headers or headers.get(REQUEST_ID) == request_id
--- a/mulleinreach/standins/gateway/fabric.py
+++ b/mulleinreach/standins/gateway/fabric.py
@@ -79,6 +79,9 @@
 
     # The port for orders.
 
+    def listen(self, on_notice) -> None:
+        """All nodes share this port; what hosts say of themselves in it is told to nobody."""
+
     async def join(
         self,
         host: Upstream,
