Upstreams that ask for rest, or say that they leave: failing tests

14 tests, all red, on each path on which an upstream answers: first and second sends, resumed streams, plain services, answers that failed, were refused or broke off, answers to questions of the coordinator.

--- /dev/null
+++ b/mulleinreach/gateway/request/tests/test_upstream_notices.py
@@ -0,0 +1,253 @@
+"""What an upstream says of itself in its answers is heeded wherever requests are sent.
+
+Seen: a head of the model service turned requests away and asked for three seconds of rest;
+the same node sent it three to five requests within that time, and so at a second head and node.
+How it came about: a node avoided an upstream that had failed a request for one second, as a
+preference, whatever the upstream had said; then it came back. Cause: of a refusal only its
+status was kept. Nothing read that an upstream asked for rest, nor that it leaves. Proof: the
+times between the node's sends there, each a little over a second, and the line that tells
+what an answer says of its upstream, which nothing followed.
+
+``test_notices_told_apart.py`` has what must be told apart from it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from aiohttp import web
+
+from mulleinreach.gateway.tests.desk import NO_HOSTS, answer_whole, fail, serve_desk
+from mulleinreach.gateway.tests.logged import fields_of, keep_events
+from mulleinreach.gateway.tests.noticed import (
+    LEAVES,
+    REST_S,
+    WANTS_REST,
+    DeskStandIn,
+    ask_for,
+    at_rest,
+    large_heads,
+)
+from mulleinreach.gateway.tests.support import run_world
+from mulleinreach.standins.gateway.dialect import REQUEST_ID, SIGNATURE
+from mulleinreach.standins.gateway.store import UPSTREAMS
+
+# The operators' bound on how soon an upstream that leaves gets nothing more.
+LEAVING_BOUND_S = 2.0
+AT_ONCE_S = 0.05
+
+
+def resting_desk() -> DeskStandIn:
+    """Return a plain upstream that turns each request away and asks for rest."""
+    desk = DeskStandIn(WANTS_REST)
+    desk.refuses = True
+    return desk
+
+
+def test_head_that_asks_for_rest_gets_none_until_it_is_over():
+    async def test(world):
+        await world.until_formed()
+        head, *_ = large_heads(world)
+        head.refuses, head.headers = 1, WANTS_REST
+        answers = await ask_for(8.0, lambda: world.stream(2))
+        assert {answer.status for answer in answers} == {200}
+        asked_at = head.arrivals[0]
+        assert at_rest(head.arrivals, asked_at) == 0
+        assert any(at > asked_at + REST_S for at in head.arrivals)
+
+    run_world(test, nodes=1)
+
+
+def test_plain_upstream_that_asks_for_rest_gets_none_until_it_is_over():
+    async def test(world):
+        resting = resting_desk()
+        await serve_desk(world, resting, answer_whole)
+        await ask_for(8.0, lambda: world.call("/stock/1", method="GET"))
+        for asked_at in resting.arrivals:
+            assert at_rest(resting.arrivals, asked_at) == 0
+        assert len(resting.arrivals) > 1
+
+    run_world(test, **NO_HOSTS)
+
+
+def test_upstream_that_has_run_what_it_answers_503_is_left_to_rest_too():
+    async def test(world):
+        arrivals = []
+
+        async def fail_and_rest(request):
+            arrivals.append(world.clock.now())
+            answer = await fail(request)
+            answer.set_status(503)
+            answer.headers.update(WANTS_REST)
+            return answer
+
+        await serve_desk(world, fail_and_rest, answer_whole)
+        await ask_for(REST_S, lambda: world.call("/stock/1", method="GET"))
+        assert at_rest(arrivals, arrivals[0]) == 0
+
+    run_world(test, **NO_HOSTS)
+
+
+def test_callers_are_told_at_once_when_the_first_of_all_rests_ends():
+    async def test(world):
+        desks = [resting_desk(), resting_desk()]
+        await serve_desk(world, *desks)
+        for _ in range(2):
+            await world.call("/stock/1", method="GET")
+        asked_at = min(desk.arrivals[0] for desk in desks)
+        await asyncio.sleep(1.0)
+        sent_at = world.clock.now()
+        answer = await world.call("/order/1")
+        assert answer.status == 503
+        assert world.clock.now() - sent_at < AT_ONCE_S
+        back_at = world.clock.now() + float(answer.headers["Retry-After"])
+        assert back_at >= asked_at + REST_S
+        assert all(at_rest(desk.arrivals, desk.arrivals[0]) == 0 for desk in desks)
+
+    run_world(test, **NO_HOSTS)
+
+
+def test_second_send_goes_to_no_upstream_that_rests():
+    async def test(world):
+        failing, resting = DeskStandIn(), resting_desk()
+        await serve_desk(world, failing, resting)
+        while not resting.arrivals:
+            await world.call("/stock/1", method="GET")
+        await asyncio.sleep(1.0)
+        world.plain["desk-0"].script = fail
+        answers = await ask_for(1.5, lambda: world.call("/stock/1", method="GET"))
+        assert {answer.status for answer in answers} == {500}
+        assert at_rest(resting.arrivals, resting.arrivals[0]) == 0
+
+    run_world(test, **NO_HOSTS)
+
+
+def test_broken_stream_goes_on_at_no_head_that_rests():
+    async def test(world):
+        await world.until_formed()
+        breaking, resting = large_heads(world)
+        resting.refuses, resting.headers = 1000, WANTS_REST
+        while not resting.arrivals:
+            await world.stream(1)
+        asked_at = resting.arrivals[0]
+        await asyncio.sleep(1.0)
+        breaking.breaks_after = 2
+        answers = await ask_for(1.0, lambda: world.stream(5))
+        assert all(answer.is_cut for answer in answers)
+        assert at_rest(resting.arrivals, asked_at) == 0
+
+    run_world(test, nodes=1)
+
+
+@pytest.mark.parametrize("status", [200, 500, 503])
+def test_plain_upstream_that_says_it_leaves_gets_nothing_more(status):
+    async def test(world):
+        leaving = DeskStandIn(LEAVES)
+        leaving.refuses = status == 503
+
+        async def answer(request):
+            response = await leaving(request)
+            if status == 500:
+                response.set_status(500)
+            return response
+
+        await serve_desk(world, answer, answer_whole)
+        await ask_for(8.0, lambda: world.call("/stock/1", method="GET"))
+        first = leaving.arrivals[0]
+        assert leaving.arrivals_between(first + LEAVING_BOUND_S, float("inf")) == 0
+
+    run_world(test, **NO_HOSTS)
+
+
+def test_upstream_that_leaves_is_not_the_last_resort():
+    async def test(world):
+        leaving = DeskStandIn(LEAVES)
+        await serve_desk(world, leaving)
+        assert (await world.call("/order/1")).status == 200
+        await asyncio.sleep(LEAVING_BOUND_S)
+        answer = await world.call("/order/1")
+        assert answer.status == 503
+        assert len(leaving.arrivals) == 1
+
+    run_world(test, **NO_HOSTS)
+
+
+def test_head_that_says_so_as_its_stream_begins_gets_nothing_more():
+    async def test(world):
+        await world.until_formed()
+        head, *_ = large_heads(world)
+        head.headers = LEAVES
+        await ask_for(8.0, lambda: world.stream(2))
+        assert [at for at in head.arrivals if at > head.arrivals[0] + LEAVING_BOUND_S] == []
+
+    run_world(test, nodes=1)
+
+
+def test_answer_that_breaks_off_has_said_that_its_upstream_leaves():
+    async def test(world):
+        arrivals = []
+
+        async def break_off_and_leave(request):
+            arrivals.append(world.clock.now())
+            headers = {REQUEST_ID: request.headers[REQUEST_ID], SIGNATURE: "s", **LEAVES}
+            response = web.StreamResponse(headers=headers)
+            await response.prepare(request)
+            await response.write(b"part")
+            request.transport.close()
+            return response
+
+        await serve_desk(world, break_off_and_leave, answer_whole)
+        await ask_for(6.0, lambda: world.call("/stock/1", method="GET"))
+        assert [at for at in arrivals if at > arrivals[0] + LEAVING_BOUND_S] == []
+
+    run_world(test, **NO_HOSTS)
+
+
+def test_upstream_that_leaves_is_still_left_alone_when_its_row_lapses_and_is_back():
+    """A heartbeat that comes late may write the row of an upstream once more."""
+
+    async def test(world):
+        leaving = DeskStandIn(LEAVES)
+        await serve_desk(world, leaving, answer_whole)
+        while not leaving.arrivals:
+            await world.call("/stock/1", method="GET")
+        row = world.plain["desk-0"].upstream
+        world.store.put(UPSTREAMS, "desk-0", None)
+        await asyncio.sleep(LEAVING_BOUND_S)
+        world.store.put(UPSTREAMS, "desk-0", row)
+        await ask_for(2.0, lambda: world.call("/stock/1", method="GET"))
+        assert len(leaving.arrivals) == 1
+
+    run_world(test, **NO_HOSTS)
+
+
+def test_host_that_says_in_answers_to_questions_that_it_leaves_joins_nothing_more():
+    """The coordinator asks hosts before they join; the row that tells it may never come."""
+
+    async def test(world):
+        await world.until_formed()
+        await asyncio.sleep(3)
+        (coordinator,) = world.nodes.values()
+        leaving, *_ = standbys(world, "domain-0")
+        leaving.headers = LEAVES
+        await coordinator.operator.probe(leaving.upstream)
+        kept = keep_events(coordinator)
+        head = next(h for h in large_heads(world) if h.upstream.domain == "domain-0")
+        await head.die(listed_for_s=0.5)
+        await asyncio.sleep(10)
+        joined = [line["members"].split(",") for line in fields_of(kept, "group_joining")]
+        assert joined
+        assert all(leaving.id not in members for members in joined)
+
+    run_world(test, nodes=1, domains=2, hosts_per_domain=8)
+
+
+def standbys(world, domain):
+    """Return the hosts of a domain that stand in no group, or ready on their own."""
+    return [
+        host
+        for host in world.fabric.hosts.values()
+        if host.upstream.domain == domain
+        and (host.standing is None or len(host.standing.members) == 1)
+    ]
--- a/mulleinreach/standins/gateway/fabric.py
+++ b/mulleinreach/standins/gateway/fabric.py
@@ -77,10 +77,7 @@
             if (standing.group, standing.epoch, member) not in self.checks.ready:
                 self.checks.broken.append(f"{standing.group} serves, {member} was never ready")
 
-    # The port for orders.
-
-    def listen(self, on_notice) -> None:
-        """All nodes share this port; what hosts say of themselves in it is told to nobody."""
+    # Orders and questions.
 
     async def join(
         self,
--- a/mulleinreach/standins/gateway/hosts.py
+++ b/mulleinreach/standins/gateway/hosts.py
@@ -52,7 +52,8 @@
     Knobs: ``is_dark`` gives no answer to anything; ``is_cut`` takes the host off
     the list while requests still reach it; ``late_orders`` gives orders no answer
     and carries them out seconds later; ``breaks_after`` cuts streams partway;
-    ``pace`` makes the host, and its group, so many times slower.
+    ``pace`` makes the host, and its group, so many times slower; ``headers`` go with
+    each of its answers. ``arrivals`` tells when requests came.
     """
 
     def __init__(
@@ -73,6 +74,8 @@
         self.refuses = 0
         self.echoes_wrong_id = False
         self.pace = 1.0
+        self.headers: dict[str, str] = {}
+        self.arrivals: list[float] = []
         self._cold_until = float("-inf")
         self._told_cold_at = float("inf")
         self._history: list[tuple[float, Upstream]] = []
@@ -254,10 +257,11 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a request as a member of its group would."""
         body = await request.read()
+        self.arrivals.append(asyncio.get_running_loop().time())
         if self.is_dark:
             await asyncio.sleep(3600)
         request_id = request.headers.get(self._names.request_id, "")
-        refusal = {self._names.refused: "1", self._names.request_id: request_id}
+        refusal = {self._names.refused: "1", self._names.request_id: request_id, **self.headers}
         if self.refuses > 0:
             self.refuses -= 1
             return web.Response(status=503, headers=refusal)
@@ -279,7 +283,7 @@
         self, request: web.BaseRequest, standing: Standing, request_id: str, body: bytes
     ) -> web.StreamResponse:
         echoed = "another" if self.echoes_wrong_id else request_id
-        headers = {self._names.request_id: echoed, self._names.signature: self.id}
+        headers = {self._names.request_id: echoed, self._names.signature: self.id, **self.headers}
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
         response.enable_chunked_encoding()
--- a/mulleinreach/standins/gateway/world.py
+++ b/mulleinreach/standins/gateway/world.py
@@ -28,6 +28,7 @@
 from mulleinreach.standins.gateway.dialect import DEADLINE_MS, MODEL, REQUEST_ID, PlainDialect
 from mulleinreach.standins.gateway.fabric import Fabric
 from mulleinreach.standins.gateway.hosts import HostStandIn, HostTimes, make_upstream
+from mulleinreach.standins.gateway.orders import FabricOrders
 from mulleinreach.standins.gateway.store import (
     CONFIGURATION,
     EVACUATE,
@@ -264,7 +265,7 @@
             MemoryConfigurations(self.store),
             MemoryUpstreams(self.store),
             MemoryLease(self.store),
-            self.fabric,
+            FabricOrders(self.fabric),
             PlainDialect(),
         )
 
