Upstreams that ask for rest or say that they leave are heeded on every path

Cause (incident): of a refusal only its status was kept. An upstream that had failed a request was avoided for one second, as a preference, whatever it had said; nothing read Retry-After or that an upstream leaves. Ruled out: a path past the choice (first sends broke the rule), answers put aside as another request's (all were logged as Refused).

Change: what an answer says of its upstream is a typed notice, read at the head of every answer, also of one that is put aside, breaks off, or answers an order or a question for a report. A rest binds this node alone and is one more reason in known/eligibility.py, the one place that all sends ask; a leave is kept by the list and outlives rows that say otherwise. When all rest, callers are refused at once and told when the first rest ends, spread over a second. An order that was turned away with a rest isn't repeated.

--- a/benchmarks/gateway_breakages.py
+++ b/benchmarks/gateway_breakages.py
@@ -8,6 +8,7 @@
 from benchmarks.breakage import Breakage
 from benchmarks.crash_breakages import CRASH_BREAKAGES
 from benchmarks.hall_breakages import HALL_BREAKAGES
+from benchmarks.notice_breakages import NOTICE_BREAKAGES
 from benchmarks.start_breakages import START_BREAKAGES
 
 GATEWAY = "mulleinreach/gateway"
@@ -233,4 +234,5 @@
     *HALL_BREAKAGES,
     *CRASH_BREAKAGES,
     *START_BREAKAGES,
+    *NOTICE_BREAKAGES,
 ]
--- a/mulleinreach/gateway/fleet/formation.py
+++ b/mulleinreach/gateway/fleet/formation.py
@@ -15,7 +15,7 @@
 
 import asyncio
 import enum
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from mulleinreach.common import Clock, EventLog
 from mulleinreach.gateway.coordination.lease import CoordinatorLease
@@ -70,6 +70,7 @@
     ==========
 
     report_lag_s : returns how old the state is that reports of a service's hosts show.
+    rest_s : returns for how much longer a host wants nothing from this node.
     """
 
     def __init__(
@@ -78,12 +79,14 @@
         lease: CoordinatorLease,
         hosts: HostBook,
         report_lag_s: Callable[[str], float],
+        rest_s: Callable[[str], float],
         metrics: GatewayMetrics,
         clock: Clock,
         log: EventLog,
     ):
         self._orders = orders
         self._report_lag_s = report_lag_s
+        self._rest_s = rest_s
         self._lease = lease
         self._hosts = hosts
         self._metrics = metrics
@@ -175,10 +178,7 @@
     async def _join(
         self, member: Upstream, name: str, epoch: int, model: str, ids: list[str]
     ) -> bool:
-        for _ in range(ORDER_TRIES):
-            self._check_lease()
-            if self._hosts.is_lost(member.id):
-                return False
+        for _ in self._tries(member):
             result = await self._orders.join(member, name, epoch, model, ids, self._lease.token)
             self._take_result("join", member, name, result)
             if isinstance(result, Accepted):
@@ -192,12 +192,22 @@
                 return False
         return False
 
+    def _tries(self, host: Upstream) -> Iterator[int]:
+        """Count the tries of an order, for as long as it may be given once more.
+
+        A host that wants rest still gets a first order, since groups wait for it; it gets none
+        again and again.
+        """
+        for number in range(ORDER_TRIES):
+            self._check_lease()
+            if self._hosts.is_lost(host.id) or (number and self._rest_s(host.id) > 0):
+                return
+            yield number
+
     async def stage(self, host: Upstream, model: str, patience_s: float) -> bool:
         """Have a host load a model's weights beside its work; returns whether it has them."""
-        for _ in range(ORDER_TRIES):
-            self._check_lease()
-            if self._hosts.is_lost(host.id):
-                return False
+        result: OrderResult | None = None
+        for _ in self._tries(host):
             result = await self._orders.stage(host, model, self._lease.token)
             self._take_result("stage", host, "", result)
             if not isinstance(result, NoAnswer):
@@ -225,6 +235,8 @@
             if await self._wait_until(lambda: self._is_open(head.id, group), [head], POLL_S * 2):
                 self._log.event("group_open", group=group.name, head=head.id)
                 return Outcome.DONE
+            if self._rest_s(head.id) > 0:
+                return Outcome.FAILED
         return Outcome.FAILED
 
     def note_repair(self, missing_s: float | None) -> None:
@@ -251,10 +263,7 @@
         return {m.id for m, has_left in zip(alive, results, strict=True) if has_left}
 
     async def _leave(self, member: Upstream, group: Group) -> bool:
-        for _ in range(ORDER_TRIES):
-            self._check_lease()
-            if self._hosts.is_lost(member.id):
-                return False
+        for _ in self._tries(member):
             result = await self._orders.leave(member, group.name, group.epoch, self._lease.token)
             self._take_result("leave", member, group.name, result)
             if isinstance(result, Accepted):
--- a/mulleinreach/gateway/known/choosing.py
+++ b/mulleinreach/gateway/known/choosing.py
@@ -178,9 +178,7 @@
 
     def shortage(self, terms: RequestTerms, headers: CallerHeaders, tried: set[str]) -> Shortage:
         """Return why :meth:`choose` finds nothing for a request."""
-        listed = self._directory.of_service(terms.service.name)
-        if terms.service.engine is not None:
-            listed = [u for u in listed if serves_model(u, headers.model)]
+        listed = self._listed(terms, headers)
         return Shortage(
             len(listed),
             sum(u.id in tried for u in listed),
@@ -188,6 +186,23 @@
             tuple(sorted(self._eligibility.evacuated_halls)),
         )
 
+    def rest_s(self, terms: RequestTerms, headers: CallerHeaders) -> float:
+        """Return after how long the first of the upstreams that rest may serve a request.
+
+        That is 0 if none rests that could, or if another one may serve it now.
+        """
+        if self.choose(terms, headers, set()) is not None:
+            return 0.0
+        rests = [self._eligibility.rest_s(u) for u in self._listed(terms, headers)]
+        return min((rest_s for rest_s in rests if rest_s > 0), default=0.0)
+
+    def _listed(self, terms: RequestTerms, headers: CallerHeaders) -> list[Upstream]:
+        """Return the upstreams that serve a request's model or service, whether it may go there."""
+        listed = self._directory.of_service(terms.service.name)
+        if terms.service.engine is None:
+            return listed
+        return [u for u in listed if serves_model(u, headers.model)]
+
     def is_evacuated(self, upstream: Upstream) -> bool:
         """Whether an upstream stands in a hall that is to be empty."""
         return upstream.hall in self._eligibility.evacuated_halls
--- a/mulleinreach/gateway/known/eligibility.py
+++ b/mulleinreach/gateway/known/eligibility.py
@@ -10,6 +10,7 @@
 
 from mulleinreach.gateway.known.cold import ColdUpstreams
 from mulleinreach.gateway.known.evacuations import Evacuations
+from mulleinreach.gateway.known.notices import NoticeBook
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.model import Service
 from mulleinreach.gateway.upstream import Upstream, UpstreamState
@@ -23,6 +24,7 @@
     EVACUATED = "evacuated"
     ABROAD = "abroad"
     COLD = "cold"
+    RESTING = "resting"
 
 
 @dataclass(frozen=True)
@@ -53,12 +55,14 @@
         self,
         evacuations: Evacuations,
         cold: ColdUpstreams,
+        notices: NoticeBook,
         regions: Mapping[str, str],
         metrics: GatewayMetrics,
         rng: random.Random,
     ):
         self._evacuations = evacuations
         self._cold = cold
+        self._notices = notices
         self._regions = regions
         self._metrics = metrics
         self._rng = rng
@@ -91,6 +95,10 @@
         )
         return Counter(reason for reason in reasons if reason is not None)
 
+    def rest_s(self, upstream: Upstream) -> float:
+        """Return for how much longer an upstream wants nothing from this node."""
+        return self._notices.rest_s(upstream.id)
+
     @property
     def evacuated_halls(self) -> frozenset[str]:
         """The halls that are to be empty."""
@@ -103,6 +111,8 @@
             return Exclusion.LOST
         if upstream.hall in closed:
             return Exclusion.EVACUATED
+        if self._notices.rest_s(upstream.id) > 0:
+            return Exclusion.RESTING
         return None
 
     def _exclusion_by_terms(
--- a/mulleinreach/gateway/known/upstreams.py
+++ b/mulleinreach/gateway/known/upstreams.py
@@ -69,6 +69,9 @@
 
 
 NEVER = float("-inf")
+# More upstreams than are replaced in an hour where there are 2,840 hosts; a leaving one ends within
+# seconds, and its row may be written once more by a late heartbeat.
+MOST_LEAVING = 4096
 
 
 class UpstreamDirectory:
@@ -85,6 +88,9 @@
     changes, so the start that it names last is the one that runs; an earlier one is gone
     at once, with all that is known of it.
 
+    An upstream's own word that it leaves outlives its rows: they lag, some never tell it, and
+    a late heartbeat may write a row once more that says the contrary.
+
     Parameters
     ==========
 
@@ -116,6 +122,8 @@
         self._changed_at: dict[str, float] = {}
         self._cold_until: dict[str, float] = {}
         self._kept: set[str] = set()
+        # Ids in the order in which their upstreams said that they leave.
+        self._leaving: dict[str, None] = {}
         self._changes: deque[ListChange] = deque()
         self._changes_from: int | None = None
         self.revision: int | None = None
@@ -128,6 +136,7 @@
         keeps_removed: bool = False,
     ) -> None:
         """Take a complete list."""
+        upstreams = [self._as_it_says(u) for u in upstreams]
         listed = {name_of(u.id) for u in upstreams}
         changed = [u for u in upstreams if self._by_id.get(u.id) != u]
         removed = [name for name in self._running if name not in listed]
@@ -152,7 +161,7 @@
         self._carry_out(change, heard_at, keeps_removed)
 
     def _carry_out(self, change: ListChange, heard_at: float, keeps_removed: bool) -> None:
-        for upstream in change.upstreams:
+        for upstream in map(self._as_it_says, change.upstreams):
             self._replace_start(upstream.id)
             self._by_id[upstream.id] = upstream
             self._changed_at[upstream.id] = heard_at
@@ -166,6 +175,23 @@
                 self._drop(upstream_id)
         self.revision = change.revision
 
+    def note_leaving(self, upstream_id: str) -> bool:
+        """Note that an upstream says itself that it leaves; returns whether that is news."""
+        if upstream_id in self._leaving:
+            return False
+        self._leaving[upstream_id] = None
+        if len(self._leaving) > MOST_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        if upstream_id in self._by_id:
+            self._by_id[upstream_id] = self._as_it_says(self._by_id[upstream_id])
+        return True
+
+    def _as_it_says(self, upstream: Upstream) -> Upstream:
+        """Return an upstream as its row tells it, but for its own word that it leaves."""
+        if upstream.id not in self._leaving:
+            return upstream
+        return replace(upstream, state=UpstreamState.DRAINING)
+
     def _replace_start(self, upstream_id: str) -> None:
         """Drop an earlier start of an upstream that is listed again."""
         name = name_of(upstream_id)
--- a/mulleinreach/gateway/metrics.py
+++ b/mulleinreach/gateway/metrics.py
@@ -52,6 +52,9 @@
         self.held_requests = self._gauge(
             "held_requests", "Requests that aren't sent any more, since upstreams end under them"
         )
+        self.resting_upstreams = self._gauge(
+            "resting_upstreams", "Upstreams that want nothing from this node for some seconds"
+        )
         self.halls_down = self._gauge(
             "halls_down", "Halls of which nothing answers, as found by this coordinator"
         )
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -106,7 +106,7 @@
         self.loads = LoadBook(self.clock)
         self.suspects = SuspectList(self.clock)
         self.active = ActiveExchanges()
-        self.notices = NoticeBook(self.log)
+        self.notices = NoticeBook(self.directory, self.clock, self.log, self._on_upstreams)
         self.ports.orders.listen(self.notices.take)
         self.crashes = CrashBook(self.clock, self.log, self.rng, self._on_held)
         turn = reading_turn(
@@ -120,7 +120,7 @@
         self.cold_limit = ColdRateLimit(self.bounds, self.clock, self.log)
         self.cold = ColdUpstreams(self.directory, evacuations, self.cold_limit, self.clock)
         self.eligibility = Eligibility(
-            evacuations, self.cold, self.identity.regions, self.metrics, self.rng
+            evacuations, self.cold, self.notices, self.identity.regions, self.metrics, self.rng
         )
         self.in_force = ConfigurationInForce(
             CountedSource(self.ports.configurations, "configuration", self.store_calls),
@@ -199,6 +199,7 @@
             self.lease,
             self.hosts,
             self._report_lag_s,
+            self.notices.rest_s,
             self.metrics,
             self.clock,
             self.log,
@@ -353,6 +354,7 @@
         self.metrics.halls_down.set(len(self.hosts.down_halls))
         self.metrics.cold_heads.set(self._count_cold_heads())
         self.metrics.unusable_rows.set(self.follower.unusable_count)
+        self.metrics.resting_upstreams.set(len(self.notices.resting()))
         self.metrics.held_requests.set(len(self.crashes.held()))
         self.metrics.evacuated_halls.set(len(self.in_force.evacuations.halls))
         body = generate_latest(self.metrics.registry)
--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -40,6 +40,11 @@
 # A request that ends upstreams is held for an hour. Callers that heed this don't come again; those
 # that come sooner cost no upstream anything.
 HELD_RETRY_AFTER_S = 60.0
+# Callers who were refused since all upstreams rest would all come back in the moment at which the
+# first one may be sent to again; they come back over so many seconds.
+RETURN_SPREAD_S = 1.0
+# No caller waits longer, and an upstream may be replaced before a longer rest is over.
+LONGEST_RETRY_AFTER_S = 60.0
 
 
 def _header_bytes(request: web.BaseRequest) -> int:
@@ -327,10 +332,17 @@
         if not job.may_have_run:
             if self._sender.is_held(job):
                 return self._refuse_held(job)
-            return self._own_answer(job.headers, 503, RETRY_AFTER_S)
+            return self._own_answer(job.headers, 503, self._retry_after_s(job))
         is_late = job.deadline - self._clock.now() < MIN_REMAINING_S
         return self._own_answer(job.headers, 504 if is_late else 502, None)
 
+    def _retry_after_s(self, job: RelayJob) -> float:
+        """Return when a caller whose request has not run should ask again."""
+        rest_s = self._sender.rest_s(job)
+        if not rest_s:
+            return RETRY_AFTER_S
+        return min(rest_s, LONGEST_RETRY_AFTER_S) + self._rng.uniform(0, RETURN_SPREAD_S)
+
     def _own_answer(
         self, headers: CallerHeaders, status: int, retry_after_s: float | None
     ) -> web.Response:
--- a/mulleinreach/gateway/request/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -203,6 +203,10 @@
         """Whether a request isn't sent, since it ends the upstreams that run it."""
         return self._crashes.is_held(job.content)
 
+    def rest_s(self, job: RelayJob) -> float:
+        """Return for how long all upstreams that could serve a request rest; 0 if one doesn't."""
+        return self._chooser.rest_s(job.terms, job.headers)
+
     async def open_stream(
         self, job: RelayJob, exchange: ActiveExchange, upstream: Upstream, ticket: Ticket
     ) -> ExchangeResult:
--- /dev/null
+++ b/mulleinreach/gateway/request/tests/test_notices_told_apart.py
@@ -0,0 +1,205 @@
+"""What must not be taken for an upstream that wants rest, or that leaves."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from aiohttp import web
+
+from mulleinreach.gateway.known.notices import NoticeBook
+from mulleinreach.gateway.known.upstreams import ListChange, UpstreamDirectory
+from mulleinreach.gateway.tests.desk import NO_HOSTS, answer_whole, serve_desk
+from mulleinreach.gateway.tests.logged import fields_of, keep_events
+from mulleinreach.gateway.tests.noticed import (
+    LEAVES,
+    REST_S,
+    WANTS_REST,
+    DeskStandIn,
+    ask_for,
+    large_heads,
+)
+from mulleinreach.gateway.tests.support import run_world
+from mulleinreach.gateway.upstream import Notice, UpstreamState, incarnation_id
+from mulleinreach.standins.gateway.dialect import REFUSED, REQUEST_ID, RETRY_AFTER
+from mulleinreach.standins.gateway.hosts import make_upstream
+
+FIRST = make_upstream(incarnation_id("desk-0", 1), "desk", 1, None)
+LATER = make_upstream(incarnation_id("desk-0", 2), "desk", 1, None)
+# An upstream that failed a request is avoided for a second, and is drawn soon after it.
+BACK_WITHIN_S = 2.0
+
+
+class HandClock:
+    """A clock that a test sets."""
+
+    def __init__(self):
+        self.at = 100.0
+
+    def now(self) -> float:
+        """Return the time that was set."""
+        return self.at
+
+
+class QuietLog:
+    """A log that keeps nothing."""
+
+    def event(self, name: str, **fields: object) -> None:
+        """Take an event."""
+
+
+def make_book() -> tuple[NoticeBook, UpstreamDirectory, HandClock]:
+    """Return a book, its list and its clock."""
+    clock, directory = HandClock(), UpstreamDirectory()
+    directory.replace_all(1, [FIRST], clock.now())
+    return NoticeBook(directory, clock, QuietLog(), lambda: None), directory, clock
+
+
+def test_shorter_rest_that_is_asked_for_later_ends_no_longer_one():
+    book, _, clock = make_book()
+    book.take(FIRST, Notice(rest_s=3.0))
+    clock.at += 1
+    book.take(FIRST, Notice(rest_s=0.5))
+    assert book.rest_s(FIRST.id) == 2.0
+
+
+def test_longer_rest_that_is_asked_for_later_counts():
+    book, _, clock = make_book()
+    book.take(FIRST, Notice(rest_s=1.0))
+    clock.at += 0.5
+    book.take(FIRST, Notice(rest_s=3.0))
+    assert book.rest_s(FIRST.id) == 3.0
+    clock.at += 3.0
+    assert book.rest_s(FIRST.id) == 0
+    assert book.resting() == []
+
+
+def test_later_start_under_the_name_neither_rests_nor_leaves():
+    book, directory, clock = make_book()
+    book.take(FIRST, Notice(is_leaving=True, rest_s=3.0))
+    directory.apply(ListChange(2, [LATER], []), clock.now())
+    assert book.rest_s(LATER.id) == 0
+    assert directory.get(LATER.id).state is UpstreamState.READY
+
+
+def test_row_that_calls_an_upstream_ready_does_not_refute_its_own_word():
+    book, directory, clock = make_book()
+    book.take(FIRST, Notice(is_leaving=True))
+    for change in (ListChange(2, [FIRST], []), ListChange(3, [], ["desk-0"])):
+        directory.apply(change, clock.now())
+    directory.replace_all(4, [FIRST], clock.now())
+    assert directory.get(FIRST.id).state is UpstreamState.DRAINING
+
+
+def test_refusal_without_a_rest_keeps_nobody_away_for_long():
+    async def test(world):
+        refusing = DeskStandIn()
+        refusing.refuses = True
+        await serve_desk(world, refusing, answer_whole)
+        await ask_for(3.0, lambda: world.call("/stock/1", method="GET"))
+        assert len(refusing.arrivals) >= 2
+
+    run_world(test, **NO_HOSTS)
+
+
+@pytest.mark.parametrize("status", [200, 429, 500])
+def test_time_to_come_back_on_another_answer_is_no_rest(status):
+    """Too many requests of one organisation, say, are no word on the others'."""
+
+    async def test(world):
+        arrivals = []
+
+        async def answer(request):
+            arrivals.append(world.clock.now())
+            response = await answer_whole(request)
+            response.set_status(status)
+            response.headers[RETRY_AFTER] = "30"
+            if status == 429:
+                response.headers[REFUSED] = "1"
+            return response
+
+        await serve_desk(world, answer, answer_whole)
+        await ask_for(1.0, lambda: world.call("/stock/1", method="GET"))
+        await ask_for(BACK_WITHIN_S, lambda: world.call("/stock/1", method="GET"))
+        assert arrivals[-1] > arrivals[0] + 1.0
+
+    run_world(test, **NO_HOSTS)
+
+
+def test_connection_that_is_closed_after_an_answer_is_no_word_of_leaving():
+    async def test(world):
+        closing = DeskStandIn({"Connection": "close"})
+        await serve_desk(world, closing)
+        answers = await ask_for(4.0, lambda: world.call("/order/1"))
+        assert {answer.status for answer in answers} == {200}
+
+    run_world(test, **NO_HOSTS)
+
+
+def test_rest_that_was_asked_of_one_node_keeps_no_other_away():
+    async def test(world):
+        desk = DeskStandIn(WANTS_REST)
+        desk.refuses = True
+        await world.add_plain("desk-0", desk)
+        await world.until(lambda: all(len(n.directory) for n in world.nodes.values()))
+        await world.until(lambda: all(n.is_ready() for n in world.nodes.values()))
+        assert (await world.call("/order/1", node="node-0")).status == 503
+        desk.refuses = False
+        await asyncio.sleep(1.0)
+        assert (await world.call("/order/1", node="node-0")).status == 503
+        assert (await world.call("/order/1", node="node-1")).status == 200
+
+    run_world(test, domains=0, hosts_per_domain=0, nodes=2)
+
+
+def test_head_that_rests_is_not_lost_and_keeps_its_group():
+    async def test(world):
+        await world.until_formed()
+        kept = keep_events(world.nodes["node-0"])
+        head, *_ = large_heads(world)
+        head.refuses, head.headers = 1, WANTS_REST
+        await ask_for(2 * REST_S, lambda: world.stream(2))
+        assert fields_of(kept, "group_dissolving") == []
+        assert fields_of(kept, "upstream_lost") == []
+
+    run_world(test, nodes=1)
+
+
+def test_answer_of_an_upstream_that_leaves_is_passed_on_as_it_is():
+    async def test(world):
+        await serve_desk(world, DeskStandIn(LEAVES))
+        answer = await world.call("/order/1")
+        assert answer.status == 200
+        assert answer.headers.items() >= LEAVES.items()
+
+    run_world(test, **NO_HOSTS)
+
+
+def test_stream_of_a_head_that_leaves_is_not_broken_off():
+    async def test(world):
+        await world.until_formed()
+        head, *_ = large_heads(world)
+        head.headers = LEAVES
+        answers = await ask_for(2.0, lambda: world.stream(30))
+        assert all(len(answer.event_ids) == 30 for answer in answers)
+        assert not any(answer.is_cut for answer in answers)
+
+    run_world(test, nodes=1)
+
+
+def test_answer_to_nobody_s_request_still_speaks_of_its_upstream():
+    """Each request has a connection of its own, so whatever comes there is the upstream's."""
+
+    async def test(world):
+        arrivals = []
+
+        async def answer(request):
+            arrivals.append(world.clock.now())
+            headers = {REQUEST_ID: "another", **WANTS_REST}
+            return web.Response(status=503, headers=headers)
+
+        await serve_desk(world, answer, answer_whole)
+        await ask_for(REST_S - 0.1, lambda: world.call("/stock/1", method="GET"))
+        assert len(arrivals) == 1
+
+    run_world(test, **NO_HOSTS)
--- a/mulleinreach/gateway/request/tests/test_upstream_notices.py
+++ b/mulleinreach/gateway/request/tests/test_upstream_notices.py
@@ -18,6 +18,7 @@
 import pytest
 from aiohttp import web
 
+from mulleinreach.gateway.known.upstreams import Group
 from mulleinreach.gateway.tests.desk import NO_HOSTS, answer_whole, fail, serve_desk
 from mulleinreach.gateway.tests.logged import fields_of, keep_events
 from mulleinreach.gateway.tests.noticed import (
@@ -243,6 +244,20 @@
     run_world(test, nodes=1, domains=2, hosts_per_domain=8)
 
 
+def test_order_that_is_turned_away_with_a_rest_is_not_given_again_and_again():
+    async def test(world):
+        await world.until_formed()
+        (coordinator,) = world.nodes.values()
+        head = large_heads(world)[0]
+        group = Group(head.standing.group, head.standing.epoch, {0: head.upstream})
+        head.rests_from_orders_s = REST_S
+        first = len(head.ordered_at)
+        await coordinator.operator.dissolve(group)
+        assert len(head.ordered_at) == first + 1
+
+    run_world(test, nodes=1)
+
+
 def standbys(world, domain):
     """Return the hosts of a domain that stand in no group, or ready on their own."""
     return [
--- a/mulleinreach/platform/tests/test_silent_nodes.py
+++ b/mulleinreach/platform/tests/test_silent_nodes.py
@@ -21,6 +21,7 @@
 from mulleinreach.platform.tests.soak.world import make_document
 from mulleinreach.platform.tests.standin import StoreStandIn
 from mulleinreach.standins.gateway.dialect import PlainDialect
+from mulleinreach.standins.gateway.orders import FabricOrders
 from mulleinreach.standins.gateway.store import UPSTREAMS
 from mulleinreach.standins.gateway.world import GatewayWorld
 from mulleinreach.standins.virtual import VirtualNetwork, run_virtual
@@ -53,7 +54,7 @@
             PlatformConfigurations(store),
             PlatformUpstreams(store),
             PlatformLease(store),
-            self.fabric,
+            FabricOrders(self.fabric),
             PlainDialect(),
         )
 
--- a/mulleinreach/standins/gateway/fabric.py
+++ b/mulleinreach/standins/gateway/fabric.py
@@ -119,6 +119,9 @@
         if target.is_dark:
             await asyncio.sleep(0.4)
             return NoAnswer("no answer")
+        target.ordered_at.append(asyncio.get_running_loop().time())
+        if target.rests_from_orders_s:
+            return NoAnswer("status 503")
         if target.late_orders > 0:
             target.late_orders -= 1
             self._tasks.spawn(self._carry_out_late(target, token, action))
--- a/mulleinreach/standins/gateway/hosts.py
+++ b/mulleinreach/standins/gateway/hosts.py
@@ -53,7 +53,8 @@
     the list while requests still reach it; ``late_orders`` gives orders no answer
     and carries them out seconds later; ``breaks_after`` cuts streams partway;
     ``pace`` makes the host, and its group, so many times slower; ``headers`` go with
-    each of its answers. ``arrivals`` tells when requests came.
+    each of its answers; ``rests_from_orders_s`` turns each order away and asks for so much
+    rest. ``arrivals`` tells when requests came, ``ordered_at`` when orders did.
     """
 
     def __init__(
@@ -75,7 +76,9 @@
         self.echoes_wrong_id = False
         self.pace = 1.0
         self.headers: dict[str, str] = {}
+        self.rests_from_orders_s = 0.0
         self.arrivals: list[float] = []
+        self.ordered_at: list[float] = []
         self._cold_until = float("-inf")
         self._told_cold_at = float("inf")
         self._history: list[tuple[float, Upstream]] = []
--- a/mulleinreach/standins/gateway/orders.py
+++ b/mulleinreach/standins/gateway/orders.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import TypeVar
 
-from mulleinreach.gateway.ports import OrderResult, Unavailable
-from mulleinreach.gateway.upstream import NOTHING_SAID, Notice, Upstream
+from mulleinreach.gateway.ports import NoAnswer, OrderResult, Unavailable
+from mulleinreach.gateway.upstream import Notice, Upstream
 from mulleinreach.standins.gateway.dialect import LEAVING
 from mulleinreach.standins.gateway.fabric import Fabric
 
+Answer = TypeVar("Answer")
+
 
 class FabricOrders:
     """Passes orders on, and tells the node what hosts say of themselves in their answers."""
@@ -49,8 +52,9 @@
         """Ask a host for its state."""
         return self._tell(host, await self._fabric.report(host, timeout_s))
 
-    def _tell(self, host: Upstream, answer):
+    def _tell(self, host: Upstream, answer: Answer) -> Answer:
         standin = self._fabric.hosts[host.id]
-        is_leaving = LEAVING in standin.headers and not standin.is_dark
-        self._on_notice(host, Notice(is_leaving=True) if is_leaving else NOTHING_SAID)
+        if not standin.is_dark:
+            rest_s = standin.rests_from_orders_s if isinstance(answer, NoAnswer) else 0.0
+            self._on_notice(host, Notice(LEAVING in standin.headers, rest_s))
         return answer
