--- a/mulleinreach/platform/tests/soak/callers.py
+++ b/mulleinreach/platform/tests/soak/callers.py
@@ -4,11 +4,19 @@
 
 import asyncio
 import random
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 import aiohttp
 
-from mulleinreach.platform.dialect import DEADLINE_MS, MODEL, REQUEST_ID, TOKEN_USAGE
+from mulleinreach.platform.dialect import (
+    DEADLINE_MS,
+    MODEL,
+    REQUEST_ID,
+    SIGNATURE,
+    TOKEN_USAGE,
+)
+from mulleinreach.platform.notices import LEAVING
 from mulleinreach.platform.tests.soak.document import CALLER_HOST
 from mulleinreach.platform.tests.soak.processes import GatewayProcess
 from mulleinreach.platform.tests.soak.report import SoakReport
@@ -31,6 +39,15 @@
     gateway: str = ""
 
 
+@dataclass(frozen=True)
+class ToldLeaving:
+    """An answer, passed on by a gateway, that says that its upstream leaves."""
+
+    gateway: str
+    upstream_id: str
+    at: float
+
+
 class Callers:
     """Sends requests to the gateways.
 
@@ -38,7 +55,8 @@
     ===========
 
     ``sent`` holds all requests by their ids, ``orders`` the ids of those that may run
-    once at most, ``not_run`` of those that were answered as not run.
+    once at most, ``not_run`` of those that were answered as not run; ``told_leaving`` the
+    answers of upstreams that leave.
     """
 
     def __init__(self, world: SoakWorld, rng: random.Random, report: SoakReport):
@@ -48,6 +66,7 @@
         self.sent: dict[str, SentRequest] = {}
         self.orders: set[str] = set()
         self.not_run: set[str] = set()
+        self.told_leaving: list[ToldLeaving] = []
         self._number = 0
 
     def open(self) -> aiohttp.ClientSession:
@@ -93,6 +112,7 @@
         url = f"{gateway.callers.url}/{kind}/1"
         try:
             async with self._session.post(url, data=body, headers=headers) as response:
+                self._note_leaving(gateway, response.headers)
                 answer = (await response.read()).decode()
                 status = response.status
         except (aiohttp.ClientError, OSError, TimeoutError):
@@ -103,6 +123,11 @@
             self.not_run.add(request_id)
         return status
 
+    def _note_leaving(self, gateway: GatewayProcess, headers: Mapping[str, str]) -> None:
+        if LEAVING in headers and SIGNATURE in headers:
+            now = asyncio.get_running_loop().time()
+            self.told_leaving.append(ToldLeaving(gateway.name, headers[SIGNATURE], now))
+
     def check_answer(self, kind: str, request_id: str, body: str, answer: str) -> None:
         """Check that an answer is whole, and that it belongs to its request."""
         if kind == "stream":
--- a/mulleinreach/platform/tests/soak/faults.py
+++ b/mulleinreach/platform/tests/soak/faults.py
@@ -172,7 +172,7 @@
         """Break all connections to a host."""
         host = self._some_host()
         if host is not None:
-            self._world.links[host.id].reset()
+            self._world.reset_host(host)
 
     async def settings_changed(self) -> None:
         """Tell a gateway to read its settings again."""
--- /dev/null
+++ b/mulleinreach/platform/tests/soak/notice_faults.py
@@ -0,0 +1,64 @@
+"""Lets upstreams ask for rest, and say in their answers that they leave."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from mulleinreach.platform.tests.soak.report import SoakReport
+from mulleinreach.platform.tests.soak.world import SoakWorld
+
+# How long rests are, and for how long an upstream turns all requests away.
+REST_S = (1.0, 4.0)
+REFUSES_S = (0.3, 2.0)
+BETWEEN_S = (0.3, 1.2)
+# An upstream that leaves serves on for so long.
+SERVES_ON_S = (2.5, 6.0)
+
+
+class NoticeFaults:
+    """Lets upstreams ask for rest and leave."""
+
+    def __init__(self, world: SoakWorld, rng: random.Random, report: SoakReport):
+        self._world = world
+        self._rng = rng
+        self._report = report
+
+    async def harm_for_ever(self) -> None:
+        """Let an upstream ask for rest, or leave, every now and then."""
+        async with asyncio.TaskGroup() as group:
+            while True:
+                kind = self._rng.choice([self.ask_for_rest, self.ask_for_rest, self.leave])
+                self._report.faults[kind.__name__] += 1
+                group.create_task(kind())
+                await asyncio.sleep(self._rng.uniform(*BETWEEN_S))
+
+    def _some_upstream(self) -> str | None:
+        hosts = [h.id for h in self._world.fabric.hosts.values() if not h.is_dark]
+        plain = [u for u in self._world.plain_upstreams if not self._world.links[u].is_silent]
+        kind = self._rng.choice([hosts, plain])
+        return self._rng.choice(kind) if kind else None
+
+    async def ask_for_rest(self) -> None:
+        """Let an upstream turn requests away for a while."""
+        upstream_id = self._some_upstream()
+        if upstream_id is None:
+            return
+        self._world.notices.rests_s[upstream_id] = self._rng.uniform(*REST_S)
+        await asyncio.sleep(self._rng.uniform(*REFUSES_S))
+        self._world.notices.rests_s.pop(upstream_id, None)
+
+    async def leave(self) -> None:
+        """Let a host say that it leaves, whatever its row says, and end; another one starts."""
+        host = self._world.fabric.hosts.get(self._some_upstream() or "")
+        if host is None:
+            return
+        self._world.notices.leaving.add(host.id)
+        await asyncio.sleep(self._rng.uniform(*SERVES_ON_S))
+        if not host.is_dark:
+            self._world.end_host(host)
+        await self._world.fill_hall(host.upstream.hall)
+
+    def mend(self) -> None:
+        """Let nobody turn requests away any more."""
+        self._world.notices.rests_s.clear()
--- /dev/null
+++ b/mulleinreach/platform/tests/soak/notices.py
@@ -0,0 +1,72 @@
+"""Upstreams that ask for rest, or say in their answers that they leave, and what reaches them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from aiohttp import web
+
+from mulleinreach.platform.dialect import NOT_EXECUTED, REQUEST_ID
+from mulleinreach.platform.notices import LEAVING, RETRY_AFTER
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """A request that reached an upstream."""
+
+    upstream_id: str
+    request_id: str
+    at: float
+
+
+@dataclass(frozen=True)
+class Rest:
+    """A refusal that asked for rest."""
+
+    upstream_id: str
+    request_id: str
+    at: float
+    rest_s: float
+
+
+class Notices:
+    """What upstreams say of themselves, and which requests reached them.
+
+    Explanation
+    ===========
+
+    Knobs: upstreams in ``rests_s`` turn each request away and ask for so much rest; those in
+    ``leaving`` say so in all their answers.
+    """
+
+    def __init__(self) -> None:
+        self.rests_s: dict[str, float] = {}
+        self.leaving: set[str] = set()
+        self.arrivals: list[Arrival] = []
+        self.rests: list[Rest] = []
+
+    def attach(self, app: web.Application, upstream_id: str) -> None:
+        """Have an upstream's application say what the knobs tell."""
+
+        @web.middleware
+        async def refuse(request: web.Request, handler: Callable) -> web.StreamResponse:
+            request_id = request.headers.get(REQUEST_ID)
+            if request_id is None:
+                return await handler(request)
+            now = asyncio.get_running_loop().time()
+            self.arrivals.append(Arrival(upstream_id, request_id, now))
+            rest_s = self.rests_s.get(upstream_id)
+            if rest_s is None:
+                return await handler(request)
+            self.rests.append(Rest(upstream_id, request_id, now, rest_s))
+            headers = {NOT_EXECUTED: "1", REQUEST_ID: request_id, RETRY_AFTER: f"{rest_s:.3f}"}
+            return web.Response(status=503, headers=headers)
+
+        async def say(request: web.Request, response: web.StreamResponse) -> None:
+            if upstream_id in self.leaving:
+                response.headers[LEAVING] = "1"
+
+        app.middlewares.append(refuse)
+        app.on_response_prepare.append(say)
--- a/mulleinreach/platform/tests/soak/plain.py
+++ b/mulleinreach/platform/tests/soak/plain.py
@@ -44,6 +44,7 @@
             if self.loses_answers:
                 request.transport.abort()
             answer = request_id.encode() + b" " + body
-            return web.Response(body=answer, headers={REQUEST_ID: request_id, SIGNATURE: "s"})
+            headers = {REQUEST_ID: request_id, SIGNATURE: upstream_id}
+            return web.Response(body=answer, headers=headers)
 
         return handle
--- a/mulleinreach/platform/tests/soak/processes.py
+++ b/mulleinreach/platform/tests/soak/processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import os
 import random
@@ -9,7 +10,7 @@
 import socket
 import subprocess
 import sys
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 
 from mulleinreach.common import Address
@@ -36,6 +37,7 @@
     callers: Address
     readiness: Address
     process: subprocess.Popen | None = None
+    started_at: list[float] = field(default_factory=list)
 
     def is_running(self) -> bool:
         """Whether the process has not ended."""
@@ -43,6 +45,7 @@
 
     def start(self) -> None:
         """Start the process; its log goes to a file beside the settings."""
+        self.started_at.append(asyncio.get_running_loop().time())
         log = open(self.settings.with_suffix(".log"), "ab")  # noqa: SIM115
         with log:
             self.process = subprocess.Popen(
--- a/mulleinreach/platform/tests/soak/run.py
+++ b/mulleinreach/platform/tests/soak/run.py
@@ -22,20 +22,31 @@
 from mulleinreach.platform.tests.soak.callers import Callers
 from mulleinreach.platform.tests.soak.checks import RunChecks
 from mulleinreach.platform.tests.soak.faults import Faults
+from mulleinreach.platform.tests.soak.notice_checks import NoticeChecks
+from mulleinreach.platform.tests.soak.notice_faults import NoticeFaults
 from mulleinreach.platform.tests.soak.report import SoakReport
 from mulleinreach.platform.tests.soak.world import SoakWorld
 
 
 class Soak:
-    """One run: callers, faults, and checks of what both ends see."""
+    """One run: callers, faults, and checks of what both ends see.
 
-    def __init__(self, world: SoakWorld, seed: int):
+    Parameters
+    ==========
+
+    has_notices : whether upstreams ask for rest and say that they leave, beside the faults.
+    """
+
+    def __init__(self, world: SoakWorld, seed: int, has_notices: bool = False):
         self.report = SoakReport(seed)
+        self._has_notices = has_notices
         self.callers = Callers(world, random.Random(seed), self.report)
         self.checks = RunChecks(world, self.callers, self.report)
         # Numbers of its own, or else the kinds of faults would hang on how many calls the
         # gateways' start takes.
         self._faults = Faults(world, random.Random(seed), self.report)
+        self._notices = NoticeFaults(world, random.Random(f"notices {seed}"), self.report)
+        self._notice_checks = NoticeChecks(world, self.callers, self.report)
         self._world = world
 
     async def run(self, seconds: float) -> SoakReport:
@@ -43,15 +54,19 @@
         async with self.callers.open():
             await self.callers.until_served()
             calling = asyncio.create_task(self.callers.call_for_ever())
-            harming = asyncio.create_task(self._faults.harm_for_ever())
+            tasks = [calling, asyncio.create_task(self._faults.harm_for_ever())]
+            if self._has_notices:
+                tasks.append(asyncio.create_task(self._notices.harm_for_ever()))
             await asyncio.sleep(seconds)
-            for task in (harming, calling):
+            for task in tasks:
                 task.cancel()
-            ended = await asyncio.gather(harming, calling, return_exceptions=True)
+            ended = await asyncio.gather(*tasks, return_exceptions=True)
             self._note_failures(ended)
             await self._faults.mend()
+            self._notices.mend()
             await self.callers.until_served()
         self.checks.check()
+        self._notice_checks.check()
         self.report.broken += self._world.fabric.checks.broken
         return self.report
 
@@ -61,13 +76,15 @@
         self.report.broken += [f"the soak itself failed: {each!r}" for each in failed]
 
 
-async def soak_once(seed: int, seconds: float, nodes: int = 3) -> SoakReport:
+async def soak_once(
+    seed: int, seconds: float, nodes: int = 3, has_notices: bool = False
+) -> SoakReport:
     """Run one soak in a directory of its own, which is kept if a promise was broken."""
     directory = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     world = SoakWorld(directory, nodes, hosts=8, seed=seed)
     await world.start()
     try:
-        report = await Soak(world, seed).run(seconds)
+        report = await Soak(world, seed, has_notices).run(seconds)
     finally:
         await world.close()
     if report.broken:
@@ -95,6 +112,9 @@
     ] = None,
     seconds: Annotated[float, typer.Option(help="How long faults go on.")] = 15.0,
     nodes: Annotated[int, typer.Option(help="How many gateways run.")] = 3,
+    notices: Annotated[
+        bool, typer.Option(help="Whether upstreams ask for rest and say that they leave.")
+    ] = True,
     report_file: Annotated[
         Path | None, typer.Option("--report", help="Where to write what was injected and seen.")
     ] = None,
@@ -104,7 +124,7 @@
     failed = 0
     reports = []
     for number in _seeds(seed, seeds, minutes):
-        report = asyncio.run(soak_once(number, seconds, nodes))
+        report = asyncio.run(soak_once(number, seconds, nodes, notices))
         failed += bool(report.broken)
         reports.append(report.to_json())
         verdict = "broken" if report.broken else "kept"
--- a/mulleinreach/platform/tests/soak/world.py
+++ b/mulleinreach/platform/tests/soak/world.py
@@ -22,6 +22,7 @@
     make_document,
 )
 from mulleinreach.platform.tests.soak.host_app import host_app
+from mulleinreach.platform.tests.soak.notices import Notices
 from mulleinreach.platform.tests.soak.plain import PlainService
 from mulleinreach.platform.tests.soak.processes import LOCAL, GatewayProcess, make_gateway
 from mulleinreach.platform.tests.soak.proxy import Link, Proxy
@@ -94,6 +95,9 @@
         self.revocations: list[Revocation] = []
         self.evacuations: list[Evacuation] = []
         self.disturbances: list[Disturbance] = []
+        self.notices = Notices()
+        # Which hosts' connections were reset, and when.
+        self.resets: list[tuple[str, float]] = []
         self._runners: list[web.AppRunner] = []
         self._ending: list[asyncio.Task] = []
         self._next_upstream = 0
@@ -199,9 +203,15 @@
         return f"{kind}-{self._next_upstream}"
 
     async def _open_link(self, name: str, app: web.Application) -> Link:
+        self.notices.attach(app, name)
         self.links[name] = await self.proxy.open(LOCAL, await self._serve(app))
         return self.links[name]
 
+    def reset_host(self, host: HostStandIn) -> None:
+        """Break all connections to a host."""
+        self.resets.append((host.id, asyncio.get_running_loop().time()))
+        self.links[host.id].reset()
+
     def end_host(self, host: HostStandIn) -> None:
         """Let a host fall silent for good."""
         self.links[host.id].is_silent = True
--- a/mulleinreach/platform/tests/test_soak.py
+++ b/mulleinreach/platform/tests/test_soak.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from mulleinreach.platform.tests.soak.callers import SentRequest
+from mulleinreach.platform.tests.soak.callers import SentRequest, ToldLeaving
+from mulleinreach.platform.tests.soak.notices import Arrival, Notices, Rest
 from mulleinreach.platform.tests.soak.plain import PlainRun
 from mulleinreach.platform.tests.soak.report import SoakReport
 from mulleinreach.platform.tests.soak.run import Soak, soak_once
@@ -28,6 +29,11 @@
     assert report.broken == []
 
 
+def test_short_soak_in_which_upstreams_rest_and_leave_keeps_every_promise():
+    report = asyncio.run(soak_once(2, SECONDS, has_notices=True))
+    assert report.broken == []
+
+
 def test_report_can_be_written():
     report = SoakReport(7, ["a promise"])
     report.answers["order 200"] += 2
@@ -49,7 +55,9 @@
         revocations=[],
         evacuations=[],
         disturbances=[],
-        gateways=[],
+        gateways=[SimpleNamespace(name="gateway-0", started_at=[90.0])],
+        notices=Notices(),
+        resets=[],
         hall_of={"desk-0": "hall-a", "desk-1": "hall-b", "host-1": "hall-a"}.get,
     )
     return Soak(world, seed=1), world
@@ -58,6 +66,7 @@
 def find_broken(soak):
     """Run the checks; returns what they found."""
     soak.checks.check()
+    soak._notice_checks.check()
     return soak.report.broken
 
 
@@ -173,3 +182,45 @@
     world.fabric.checks.cold_starts += starts
     world.disturbances.append(Disturbance(None, since=98.0, until=99.0))
     assert bool(find_broken(soak)) is is_found
+
+
+@pytest.mark.parametrize(
+    ("first_s", "count", "is_found"), [(0.6, 3, True), (0.6, 2, False), (0.1, 3, False)]
+)
+def test_requests_within_a_rest_are_found(first_s, count, is_found):
+    soak, world = make_soak()
+    world.notices.rests.append(Rest("desk-0", "r", 100.0, 3.0))
+    for number in range(count):
+        soak.callers.sent[f"r{number}"] = SentRequest(100.0, "key-1", "gateway-0")
+        arrival = Arrival("desk-0", f"r{number}", 100.0 + first_s + 0.01 * number)
+        world.notices.arrivals.append(arrival)
+    soak.callers.sent["r"] = SentRequest(100.0, "key-1", "gateway-0")
+    assert bool(find_broken(soak)) is is_found
+
+
+@pytest.mark.parametrize(
+    ("reset_at", "started_at", "is_found"),
+    [(50.0, 90.0, True), (100.1, 90.0, False), (50.0, 100.5, False)],
+)
+def test_rest_counts_unless_its_gateway_started_or_its_connection_was_reset(
+    reset_at, started_at, is_found
+):
+    soak, world = make_soak()
+    world.resets.append(("desk-0", reset_at))
+    world.gateways[0].started_at.append(started_at)
+    world.notices.rests.append(Rest("desk-0", "r", 100.0, 3.0))
+    soak.callers.sent["r"] = SentRequest(100.0, "key-1", "gateway-0")
+    world.notices.arrivals += [Arrival("desk-0", "r", 101.0)] * 3
+    assert bool(find_broken(soak)) is is_found
+
+
+@pytest.mark.parametrize(
+    ("gateway", "sent_at", "is_found"),
+    [("gateway-0", 102.1, True), ("gateway-0", 101.9, False), ("gateway-1", 102.1, False)],
+)
+def test_request_to_an_upstream_that_had_said_that_it_leaves_is_found(gateway, sent_at, is_found):
+    soak, world = make_soak()
+    soak.callers.told_leaving.append(ToldLeaving(gateway, "desk-0", 100.0))
+    soak.callers.sent["r"] = SentRequest(sent_at, "key-1", "gateway-0")
+    world.notices.arrivals.append(Arrival("desk-0", "r", 103.0))
+    assert bool(find_broken(soak)) is is_found
