--- a/mulleinreach/platform/tests/soak/notices.py
+++ b/mulleinreach/platform/tests/soak/notices.py
@@ -46,6 +46,15 @@
         self.leaving: set[str] = set()
         self.arrivals: list[Arrival] = []
         self.rests: list[Rest] = []
+        # Names under which a later start has begun; what was said before is checked no more.
+        self.restarted: set[str] = set()
+
+    def forget(self, name: str) -> None:
+        """A later start of an upstream has asked for nothing, and doesn't leave."""
+        self.rests_s.pop(name, None)
+        self.leaving.discard(name)
+        self.rests = [rest for rest in self.rests if rest.upstream_id != name]
+        self.restarted.add(name)
 
     def attach(self, app: web.Application, upstream_id: str) -> None:
         """Have an upstream's application say what the knobs tell."""
--- a/mulleinreach/platform/tests/standin.py
+++ b/mulleinreach/platform/tests/standin.py
@@ -8,7 +8,7 @@
 
 from aiohttp import web
 
-from mulleinreach.gateway.upstream import Upstream
+from mulleinreach.gateway.upstream import Upstream, start_of
 from mulleinreach.standins.gateway.store import MemoryStore
 
 PAGE = 3
@@ -131,7 +131,10 @@
 def row_of(upstream: Upstream) -> dict:
     """Return an upstream's row as a replica writes it."""
     membership = upstream.membership
+    started_ms = start_of(upstream.id)
+    born = {} if started_ms is None else {"born": started_ms}
     return {
+        **born,
         "service": upstream.service,
         "address": str(upstream.address),
         "zone": upstream.hall,
--- a/mulleinreach/platform/tests/test_soak.py
+++ b/mulleinreach/platform/tests/test_soak.py
@@ -34,6 +34,11 @@
     assert report.broken == []
 
 
+def test_short_soak_in_which_hosts_start_again_keeps_every_promise():
+    report = asyncio.run(soak_once(3, SECONDS, has_starts=True))
+    assert report.broken == []
+
+
 def test_report_can_be_written():
     report = SoakReport(7, ["a promise"])
     report.answers["order 200"] += 2
--- a/mulleinreach/standins/gateway/fabric.py
+++ b/mulleinreach/standins/gateway/fabric.py
@@ -106,7 +106,7 @@
     async def report(self, host: Upstream, timeout_s: float) -> Upstream | Unavailable:
         """Ask a host for its state."""
         await asyncio.sleep(ORDER_S)
-        target = self._running(host)
+        target = self.running(host.id)
         if target.is_dark:
             await asyncio.sleep(timeout_s)
             return Unavailable("no answer")
@@ -115,7 +115,7 @@
     async def _order(self, host: Upstream, token: int, action) -> OrderResult:
         self.orders_by_token.setdefault(token, []).append(host.id)
         await asyncio.sleep(ORDER_S)
-        target = self._running(host)
+        target = self.running(host.id)
         if target.is_dark:
             await asyncio.sleep(0.4)
             return NoAnswer("no answer")
@@ -129,9 +129,9 @@
             return NoAnswer("no answer yet")
         return self._carry_out(target, token, action)
 
-    def _running(self, host: Upstream) -> HostStandIn:
+    def running(self, host_id: str) -> HostStandIn:
         """Return the process that answers for a host: its latest start."""
-        name = name_of(host.id)
+        name = name_of(host_id)
         return [h for h in self.hosts.values() if name_of(h.id) == name][-1]
 
     def _carry_out(self, target: HostStandIn, token: int, action) -> OrderResult:
