--- /dev/null
+++ b/mulleinreach/gateway/known/tests/test_crash_book_work.py
@@ -0,0 +1,105 @@
+"""What a node's book of ended upstreams costs when many end at once, and how long its holds last.
+
+Work is counted in operations of the interpreter, which are the same on every machine.
+"""
+
+from __future__ import annotations
+
+import random
+import sys
+from collections.abc import Callable
+
+from mulleinreach.gateway.known.crashes import HOLD_S, CrashBook, RunOutcome, Sighting
+from mulleinreach.gateway.known.tests.test_crashes import CULPRIT, BookDesk
+
+REQUESTS_EACH = 17
+FEW_UPSTREAMS, MANY_UPSTREAMS = 6, 48
+# Some more is allowed for what grows with the logarithm, and for ends of one hall.
+MORE_OFTEN = 1.5
+# The loss of 100 upstreams may take 20 ms, and to be told of it ten times 10 ms more.
+TELLINGS = 10
+SHARE_OF_TELLINGS = 0.5
+# Coordinators are replaced each half hour for a day.
+BETWEEN_COORDINATORS_S = 1800.0
+COORDINATORS = 48
+
+
+def count_operations(act: Callable[[], None]) -> int:
+    """Return how many operations the interpreter carries out."""
+    count = 0
+
+    def trace(frame, event, argument):
+        nonlocal count
+        frame.f_trace_opcodes = True
+        count += event == "opcode"
+        return trace
+
+    sys.settrace(trace)
+    try:
+        act()
+    finally:
+        sys.settrace(None)
+    return count
+
+
+def sightings_of(upstreams: int) -> list[Sighting]:
+    """Return what a node tells when upstreams of two halls end under many requests each."""
+    rng = random.Random(upstreams)
+    return [
+        Sighting(
+            rng.getrandbits(64),
+            rng.getrandbits(64),
+            f"u{number}",
+            "ab"[number % 2],
+            RunOutcome.ENDED_BEGUN,
+            0.1,
+        )
+        for number in range(upstreams)
+        for _ in range(REQUESTS_EACH)
+    ]
+
+
+def work_of(upstreams: int) -> float:
+    """Return how many operations a sighting takes where so many upstreams end at once."""
+    book: CrashBook = BookDesk().book
+    told = sightings_of(upstreams)
+    return count_operations(lambda: book.take(told)) / len(told)
+
+
+def test_sighting_takes_no_more_work_where_more_is_known():
+    assert work_of(MANY_UPSTREAMS) < MORE_OFTEN * work_of(FEW_UPSTREAMS)
+
+
+def test_sightings_that_are_told_again_take_little():
+    book = BookDesk().book
+    told = sightings_of(MANY_UPSTREAMS)
+    first = count_operations(lambda: book.take(told))
+    again = count_operations(lambda: [book.take(told) for _ in range(TELLINGS)])
+    assert again < SHARE_OF_TELLINGS * first
+
+
+def test_hold_that_is_handed_on_ends_when_it_would_have():
+    desk = BookDesk()
+    for name in ("u1", "u2"):
+        desk.end(CULPRIT, name)
+    book = desk.book
+    for _ in range(COORDINATORS):
+        desk.wait(BETWEEN_COORDINATORS_S)
+        later = BookDesk(desk.clock).book
+        later.take_held(book.held())
+        book = later
+        if desk.clock.now() >= 1000.0 + HOLD_S:
+            assert not book.is_held(CULPRIT)
+
+
+def test_hold_that_is_handed_on_in_time_counts():
+    desk = BookDesk()
+    for name in ("u1", "u2"):
+        desk.end(CULPRIT, name)
+    desk.wait(HOLD_S / 2)
+    later = BookDesk(desk.clock)
+    later.book.take_held(desk.book.held())
+    desk.wait(HOLD_S / 2 - 1)
+    assert later.book.is_held(CULPRIT)
+    desk.wait(2)
+    assert not later.book.is_held(CULPRIT)
