Book of ended upstreams: work that doesn't grow, holds that end when they would have

Cause: each sighting rebuilt the book to forget old ones, each judgement walked it for every end, and contents that had given way to others were taken for new when they were told again. Holds were handed on without their times. Change: ends are found by upstream and by hall and second; sightings are known by their ids; a content with one end isn't judged; a hold crosses the wire and the lease's row with the time that remains, and is dated from before it was asked. Earlier releases' messages and rows are read as they were: a whole hour.

--- /dev/null
+++ b/benchmarks/ends.py
@@ -0,0 +1,55 @@
+"""What it costs a node to hear of the loss of many upstreams, and to be told of it again.
+
+Run with ``python -m benchmarks.ends``; prints milliseconds of the loop.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+
+from mulleinreach.common import Clock, EventLog
+from mulleinreach.gateway.known.crashes import CrashBook, Sighting
+from mulleinreach.gateway.known.upstream_ends import RunOutcome
+
+UPSTREAMS = 100
+REQUESTS_EACH = 17
+TELLINGS = 10
+
+
+def make_sightings() -> list[Sighting]:
+    """Return what nodes tell when upstreams of three halls end with requests in flight."""
+    rng = random.Random(1)
+    return [
+        Sighting(
+            rng.getrandbits(64),
+            rng.getrandbits(64),
+            f"u{number}",
+            f"hall-{number % 3}",
+            RunOutcome.ENDED_BEGUN,
+            0.1,
+        )
+        for number in range(UPSTREAMS)
+        for _ in range(REQUESTS_EACH)
+    ]
+
+
+def milliseconds(act) -> float:
+    """Return how long a call takes."""
+    began = time.perf_counter()
+    act()
+    return 1000 * (time.perf_counter() - began)
+
+
+async def measure() -> None:
+    """Print the figures."""
+    book = CrashBook(Clock(), EventLog("benchmark"), random.Random(1), lambda content: None)
+    told = make_sightings()
+    first_ms = milliseconds(lambda: book.take(told))
+    again_ms = milliseconds(lambda: [book.take(told) for _ in range(TELLINGS)])
+    print(f"{len(told)} sightings: {first_ms:.1f} ms; {TELLINGS} tellings more: {again_ms:.1f} ms")
+
+
+if __name__ == "__main__":
+    asyncio.run(measure())
--- a/mulleinreach/gateway/coordination/hub.py
+++ b/mulleinreach/gateway/coordination/hub.py
@@ -174,7 +174,7 @@
         self._heard: dict[str, _Heard] = {}
         self._server: asyncio.AbstractServer | None = None
         self._told_heads: list[OpenHead] = []
-        self._told_held: tuple[int, ...] | None = ()
+        self._told_held: set[int] = set()
         self._round = 0
         self._latest_totals: bytes | None = None
         self._numbering = NodeNumbers(clock.now())
@@ -265,10 +265,11 @@
         else:
             self._told_heads = heads
         held = totals.held
-        if held == self._told_held and self._round % HEADS_EVERY:
+        contents = {h.content for h in held or ()}
+        if contents == self._told_held and self._round % HEADS_EVERY:
             held = None
         else:
-            self._told_held = held
+            self._told_held = contents
         return replace(totals, loads=loads, heads=heads, held=held)
 
     def _report_to(self, member: _Member, totals: bytes) -> None:
--- a/mulleinreach/gateway/coordination/lease_document.py
+++ b/mulleinreach/gateway/coordination/lease_document.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import itertools
+
 from absl import logging
 
 from mulleinreach.gateway.known.content import format_digest, parse_digest
-from mulleinreach.gateway.model import Inheritance, RouteWait
+from mulleinreach.gateway.known.crashes import HOLD_S
+from mulleinreach.gateway.model import HeldContent, Inheritance, RouteWait
 from mulleinreach.gateway.ports import LeaseRecord
 
 
@@ -15,7 +18,7 @@
     Examples
     ========
 
-    >>> inheritance = Inheritance((RouteWait("r", 5.5),), held=(7,))
+    >>> inheritance = Inheritance((RouteWait("r", 5.5),), held=(HeldContent(7, 60.0),))
     >>> record = LeaseRecord("a.1", "10.0.0.1:1", 1, 0, "secret", inheritance)
     >>> decode_record(encode_record(record)) == record
     True
@@ -27,7 +30,8 @@
         "renewal": record.renewal,
         "secret": record.secret,
         "first_waits": {w.route: w.shortest_s for w in record.inheritance.first_waits},
-        "held": [format_digest(content) for content in record.inheritance.held],
+        "held": [format_digest(held.content) for held in record.inheritance.held],
+        "held_for_s": [round(held.remaining_s, 1) for held in record.inheritance.held],
     }
 
 
@@ -56,8 +60,16 @@
         waits = document.get("first_waits", {}).items()
         return Inheritance(
             tuple(RouteWait(str(route), float(shortest_s)) for route, shortest_s in waits),
-            tuple(parse_digest(text) for text in document.get("held", [])),
+            _decode_held(document),
         )
     except (TypeError, ValueError, AttributeError) as error:
         logging.warning("event=inheritance_unreadable why=%r", error)
         return Inheritance()
+
+
+def _decode_held(document: dict) -> tuple[HeldContent, ...]:
+    """Return the requests that are held; earlier releases didn't tell for how much longer."""
+    contents = [parse_digest(text) for text in document.get("held", [])]
+    times_s = [float(seconds) for seconds in document.get("held_for_s", [])]
+    times = itertools.chain(times_s, itertools.repeat(HOLD_S))
+    return tuple(HeldContent(content, s) for content, s in zip(contents, times, strict=False))
--- a/mulleinreach/gateway/coordination/messages.py
+++ b/mulleinreach/gateway/coordination/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from pathlib import Path
 
 import capnp
@@ -15,9 +16,11 @@
     OpenHead,
     Totals,
 )
-from mulleinreach.gateway.known.crashes import RunOutcome, Sighting
+from mulleinreach.gateway.known.crashes import HOLD_S, Sighting
 from mulleinreach.gateway.known.load import LoadReport
+from mulleinreach.gateway.known.upstream_ends import RunOutcome
 from mulleinreach.gateway.known.upstreams import ListChange
+from mulleinreach.gateway.model import HeldContent
 from mulleinreach.gateway.upstream import Membership, MemberState, Upstream, UpstreamState
 
 MAX_COUNT = 65_535
@@ -173,7 +176,9 @@
     message.retiring = totals.retiring
     message.evacuated = totals.evacuated
     message.hasHeld = totals.held is not None
-    message.held = list(totals.held or ())
+    held = totals.held or ()
+    message.held = [h.content for h in held]
+    message.heldForMs = [_milliseconds(h.remaining_s) for h in held]
     return message.to_bytes_packed()
 
 
@@ -200,10 +205,17 @@
         list(message.evacuated),
         message.operatorRevision,
         message.numbers,
-        tuple(message.held) if message.hasHeld else None,
+        _unpack_held(message) if message.hasHeld else None,
     )
 
 
+def _unpack_held(message) -> tuple[HeldContent, ...]:
+    """Return the requests that are held; a node of an earlier release doesn't tell how long."""
+    times_s = [ms / 1000 for ms in message.heldForMs]
+    times = itertools.chain(times_s, itertools.repeat(HOLD_S))
+    return tuple(HeldContent(content, s) for content, s in zip(message.held, times, strict=False))
+
+
 def encode_coordinator_report(
     echoed_seq: int,
     totals: bytes,
@@ -221,7 +233,8 @@
     >>> heads = [OpenHead("u", "g", 5, "m", 2.0)]
     >>> totals = Totals(
     ...     3, 9, [], heads, ["v"], 7, 0.5, 40, 0.25, Resignation(3, 6), ["w"], True,
-    ...     Successor(4, "10.0.0.2:80", "secret"), False, ["hall"], 38, 9, (2**64 - 1,),
+    ...     Successor(4, "10.0.0.2:80", "secret"), False, ["hall"], 38, 9,
+    ...     (HeldContent(2**64 - 1, 60.0),),
     ... )
     >>> member = Membership("g", 5, 0, MemberState.OPEN)
     >>> upstream = Upstream("u", "s", Address("10.0.0.1", 80), "hall", membership=member, cold_s=2)
--- a/mulleinreach/gateway/coordination/peer.capnp
+++ b/mulleinreach/gateway/coordination/peer.capnp
@@ -73,6 +73,7 @@
   numbers @18 :UInt16;       # one above the highest number that a node has
   hasHeld @19 :Bool;         # else nothing is told of them
   held @20 :List(UInt64);    # digests of requests that are not sent any more
+  heldForMs @21 :List(UInt32);  # for how much longer each of them is not
 }
 
 struct Upstream {
--- a/mulleinreach/gateway/coordination/reports.py
+++ b/mulleinreach/gateway/coordination/reports.py
@@ -8,6 +8,7 @@
 from mulleinreach.gateway.known.crashes import Sighting
 from mulleinreach.gateway.known.load import LoadReport
 from mulleinreach.gateway.known.upstreams import ListChange
+from mulleinreach.gateway.model import HeldContent
 
 
 @dataclass(frozen=True)
@@ -68,8 +69,8 @@
     evacuated : the halls that are to be empty.
     operator_revision : the store's revision up to which ``evacuated`` is known.
     numbers : one above the highest number that a node has; 0 if the numbers don't hold.
-    held : digests of the requests that end the upstreams which run them; ``None`` where they
-        are as they were told last.
+    held : the requests that end the upstreams which run them; ``None`` where they are as they
+        were told last.
     """
 
     token: int
@@ -89,7 +90,7 @@
     evacuated: list[str] = field(default_factory=list)
     operator_revision: int = 0
     numbers: int = 0
-    held: tuple[int, ...] | None = None
+    held: tuple[HeldContent, ...] | None = None
 
 
 @dataclass(frozen=True)
--- a/mulleinreach/gateway/coordination/tests/test_spoilt_messages.py
+++ b/mulleinreach/gateway/coordination/tests/test_spoilt_messages.py
@@ -20,9 +20,11 @@
     NodeReport,
     Totals,
 )
-from mulleinreach.gateway.known.crashes import RunOutcome, Sighting
+from mulleinreach.gateway.known.crashes import Sighting
 from mulleinreach.gateway.known.load import LoadReport
+from mulleinreach.gateway.known.upstream_ends import RunOutcome
 from mulleinreach.gateway.known.upstreams import ListChange
+from mulleinreach.gateway.model import HeldContent
 from mulleinreach.gateway.upstream import Membership, MemberState, Upstream
 
 SEEN = Sighting(3, 4, "u", "hall", RunOutcome.ENDED, 0.5)
@@ -30,7 +32,7 @@
     NodeReport("a", [LoadReport("u", 1, 10, 0.5, 0.5)], seq=4, hall="h", sightings=[SEEN])
 )
 COORDINATOR_REPORT = encode_coordinator_report(
-    8, encode_totals(Totals(3, 9, [], held=(7,))), [], False, b"c"
+    8, encode_totals(Totals(3, 9, [], held=(HeldContent(7, 60.0),))), [], False, b"c"
 )
 
 
--- a/mulleinreach/gateway/knowledge.py
+++ b/mulleinreach/gateway/knowledge.py
@@ -192,7 +192,7 @@
                 report.changes, totals.list_revision, asked_at - totals.list_age_s
             )
         self._cold_limit.take_number(report.number, totals.numbers, asked_at)
-        self._crashes.take_held(totals.held or ())
+        self._crashes.take_held(totals.held or (), asked_at)
         self._take_heads(totals)
         self._take_lost(totals.lost)
 
--- a/mulleinreach/gateway/known/crashes.py
+++ b/mulleinreach/gateway/known/crashes.py
@@ -2,13 +2,22 @@
 
 from __future__ import annotations
 
-import enum
+import itertools
 import random
+from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from mulleinreach.common import Clock, EventLog
 from mulleinreach.gateway.known.content import format_digest
+from mulleinreach.gateway.known.upstream_ends import (
+    MEMORY_S,
+    MOST_ENDS,
+    RunOutcome,
+    SeenRun,
+    UpstreamEnds,
+)
+from mulleinreach.gateway.model import HeldContent
 from mulleinreach.gateway.upstream import Upstream
 
 # Two ends right after a request had begun aren't chance: of some 200 requests that were cut at 13
@@ -24,36 +33,20 @@
 # several upstreams are neighbours of a culprit. One that has lost as many as a try may reach has
 # nothing to lose.
 ENDS_OF_ANY_KIND = 4
-# Where upstreams end together that a request doesn't explain, their hall may be failing: its ends
-# there within so many seconds count as one. The nodes' sightings of a moment are together by then.
-APART_S = 1.0
-# A culprit that comes once in some minutes is found by its second visit.
-MEMORY_S = 600.0
 # What ends upstreams today still does in an hour, unless somebody has mended the engine.
 HOLD_S = 3600.0
 # A lost hall ends the replicas of some hundred requests; older sightings give way to newer ones.
 MOST_CONTENTS = 256
+# Four ends are enough to judge by; a sound request that many ask for is run at many upstreams.
+MOST_RUNS = 32
 # As many as the lease's row holds beside the rest (1 kB).
 MOST_HELD = 64
+# Sightings that are told again are known by their ids; a run that was served has one, too.
+MOST_IDS = 2 * MOST_ENDS
 # A node tells each sighting in the reports of so many seconds, ten and more: some may be lost.
 TELL_S = 1.0
 
 
-class RunOutcome(enum.IntEnum):
-    """What became of a run at an upstream.
-
-    ``ENDED``: the upstream's process ended; it may not have begun the request.
-    ``ENDED_BEGUN``: it ended after it had begun the request and before it gave anything.
-    ``SERVED``: the answer came whole.
-    ``ENDED_GIVING``: it ended after it had given a part of the answer.
-    """
-
-    ENDED = 1
-    ENDED_BEGUN = 2
-    SERVED = 3
-    ENDED_GIVING = 4
-
-
 @dataclass(frozen=True)
 class Sighting:
     """What a node saw of one run.
@@ -75,20 +68,6 @@
     ago_s: float
 
 
-@dataclass(frozen=True)
-class _Seen:
-    id: int
-    upstream_id: str
-    hall: str
-    outcome: RunOutcome
-    at: float
-    is_own: bool
-
-    def is_about(self, other: _Seen) -> bool:
-        """Whether both are of one moment."""
-        return abs(self.at - other.at) < APART_S
-
-
 class CrashBook:
     """The sightings that this node knows of, and the requests that are held back for them.
 
@@ -105,75 +84,90 @@
         self._log = log
         self._rng = rng
         self._on_held = on_held
-        self._seen: dict[int, list[_Seen]] = {}
+        # The content that was seen last stands last.
+        self._seen: dict[int, list[SeenRun]] = {}
+        self._ends = UpstreamEnds(clock)
+        self._own: deque[SeenRun] = deque(maxlen=MOST_CONTENTS)
+        self._taken_ids: dict[int, None] = {}
         self._held_until: dict[int, float] = {}
 
     def is_held(self, content: int) -> bool:
         """Whether a request must not be sent any more."""
         return self._held_until.get(content, 0.0) > self._clock.now()
 
-    def held(self) -> tuple[int, ...]:
-        """Return the contents that are held."""
+    def held(self) -> tuple[HeldContent, ...]:
+        """Return the contents that are held, and for how much longer."""
         now = self._clock.now()
-        return tuple(content for content, until in self._held_until.items() if until > now)
+        return tuple(
+            HeldContent(content, until - now)
+            for content, until in self._held_until.items()
+            if until > now
+        )
+
+    def take_held(self, contents: Iterable[HeldContent], as_of: float | None = None) -> None:
+        """Take the contents that another node, or the coordinator's row, tells as held.
 
-    def take_held(self, contents: Iterable[int]) -> None:
-        """Take the contents that another node, or the coordinator's row, tells as held."""
-        for content in contents:
-            if not self.is_held(content):
-                self._hold(content, is_told=True)
+        Parameters
+        ==========
+
+        as_of : the moment from which their times count, now if it is left out. A moment before
+            they were told makes them end earlier, never later than where they were decided.
+        """
+        told_at = self._clock.now() if as_of is None else as_of
+        for held in contents:
+            until = told_at + min(held.remaining_s, HOLD_S)
+            if self.is_held(held.content):
+                self._held_until[held.content] = max(until, self._held_until[held.content])
+            elif until > self._clock.now():
+                self._hold(held.content, until, is_told=True)
 
     def note_end(self, content: int, upstream: Upstream, outcome: RunOutcome) -> None:
         """Note that an upstream's process ended while it had a request."""
-        self._note_own(content, upstream, outcome)
+        seen_id, now = self._rng.getrandbits(64), self._clock.now()
+        seen = SeenRun(seen_id, content, upstream.id, upstream.hall, outcome, now)
+        self._own.append(seen)
+        self._add(seen)
 
     def note_served(self, content: int, upstream: Upstream) -> None:
         """Note that a request was served, which matters if upstreams ended under it before."""
         known = self._seen.get(content)
         if known and known[-1].outcome is not RunOutcome.SERVED:
-            self._note_own(content, upstream, RunOutcome.SERVED)
-
-    def _note_own(self, content: int, upstream: Upstream, outcome: RunOutcome) -> None:
-        now, sighting_id = self._clock.now(), self._rng.getrandbits(64)
-        seen = _Seen(sighting_id, upstream.id, upstream.hall, outcome, now, is_own=True)
-        self._add(content, seen)
+            self.note_end(content, upstream, RunOutcome.SERVED)
 
     def take(self, sightings: Iterable[Sighting]) -> None:
-        """Take what another node saw."""
+        """Take what another node saw, and may have told before."""
         now = self._clock.now()
         for told in sightings:
-            known = self._seen.get(told.content, ())
-            if not any(seen.id == told.id for seen in known):
-                at = now - told.ago_s
-                seen = _Seen(told.id, told.upstream_id, told.hall, told.outcome, at, is_own=False)
-                self._add(told.content, seen)
+            if told.id in self._taken_ids:
+                continue
+            at = now - told.ago_s
+            self._add(SeenRun(told.id, told.content, told.upstream_id, told.hall, told.outcome, at))
 
     def own_sightings(self, includes_old: bool) -> list[Sighting]:
         """Return what this node saw itself, lately or ever."""
         now = self._clock.now()
         oldest = now - (MEMORY_S if includes_old else TELL_S)
+        told = itertools.takewhile(lambda seen: seen.at >= oldest, reversed(self._own))
         return [
-            Sighting(seen.id, content, seen.upstream_id, seen.hall, seen.outcome, now - seen.at)
-            for content, known in self._seen.items()
-            for seen in known
-            if seen.is_own and seen.at >= oldest
+            Sighting(s.id, s.content, s.upstream_id, s.hall, s.outcome, now - s.at)
+            for s in reversed(list(told))
         ]
 
-    def _add(self, content: int, seen: _Seen) -> None:
-        self._forget_old()
-        # The content that was seen last stands last.
-        self._seen[content] = [*self._seen.pop(content, ()), seen]
+    def _add(self, seen: SeenRun) -> None:
+        self._taken_ids[seen.id] = None
+        if len(self._taken_ids) > MOST_IDS:
+            del self._taken_ids[next(iter(self._taken_ids))]
+        oldest = self._clock.now() - MEMORY_S
+        before = self._seen.pop(seen.content, [])[1 - MOST_RUNS :]
+        known = [other for other in before if other.at >= oldest]
+        self._seen[seen.content] = [*known, seen]
         if len(self._seen) > MOST_CONTENTS:
             del self._seen[next(iter(self._seen))]
-        self._judge(content)
-
-    def _forget_old(self) -> None:
-        oldest = self._clock.now() - MEMORY_S
-        self._seen = {
-            content: kept
-            for content, known in self._seen.items()
-            if (kept := [seen for seen in known if seen.at >= oldest])
-        }
+        if seen.outcome is not RunOutcome.SERVED:
+            self._ends.add(seen)
+        # Most requests at an upstream that ends have lost no other one.
+        if len(known) + 1 >= BEGUN_ENDS and seen.outcome is not RunOutcome.SERVED:
+            self._judge(seen.content)
 
     def _judge(self, content: int) -> None:
         """Hold a request if upstreams end under it again and again."""
@@ -189,47 +183,30 @@
         limits = (BEGUN_ENDS, ENDS, ENDS_OF_ANY_KIND)
         is_culprit = any(count >= limit for count, limit in zip(counts, limits, strict=True))
         if is_culprit and not self.is_held(content):
-            self._hold(content, is_told=False, begun=begun, ends=counts[-1])
+            until = self._clock.now() + HOLD_S
+            self._hold(content, until, is_told=False, begun=begun, ends=counts[-1])
 
-    def _had_begun(self, end: _Seen) -> bool:
+    def _had_begun(self, end: SeenRun) -> bool:
         """Whether an upstream ended after it had begun a request, as few others there."""
         if end.outcome is not RunOutcome.ENDED_BEGUN:
             return False
-        beginning = sum(
-            any(
-                seen.outcome is RunOutcome.ENDED_BEGUN
-                and seen.upstream_id == end.upstream_id
-                and seen.is_about(end)
-                for seen in known
-            )
-            for known in self._seen.values()
-        )
-        return beginning <= MOST_BEGINNING
+        return self._ends.count_beginning(end, MOST_BEGINNING + 1) <= MOST_BEGINNING
 
-    def _count_apart(self, ends: list[_Seen]) -> int:
+    def _count_apart(self, ends: list[SeenRun]) -> int:
         """Return how many ends under one request a single failure doesn't explain."""
-        counted: list[_Seen] = []
+        counted: list[SeenRun] = []
+        explained = {end.upstream_id for end in ends}
         for end in sorted(ends, key=lambda seen: seen.at):
             together = [other for other in counted if other.is_about(end)]
             is_counted = any(other.upstream_id == end.upstream_id for other in together)
             is_in_hall = any(other.hall == end.hall for other in together)
-            if not is_counted and not (is_in_hall and self._is_failing(end, ends)):
+            if not is_counted and not (is_in_hall and self._ends.is_hall_failing(end, explained)):
                 counted.append(end)
         return len(counted)
 
-    def _is_failing(self, end: _Seen, explained: list[_Seen]) -> bool:
-        """Whether upstreams of the same hall ended at about that time without the request."""
-        explained_ids = {seen.upstream_id for seen in explained}
-        return any(
-            seen.hall == end.hall and seen.is_about(end) and seen.upstream_id not in explained_ids
-            for known in self._seen.values()
-            for seen in known
-            if seen.outcome is not RunOutcome.SERVED
-        )
-
-    def _hold(self, content: int, **reasons: object) -> None:
+    def _hold(self, content: int, until: float, **reasons: object) -> None:
         self._held_until.pop(content, None)
-        self._held_until[content] = self._clock.now() + HOLD_S
+        self._held_until[content] = until
         if len(self._held_until) > MOST_HELD:
             del self._held_until[next(iter(self._held_until))]
         self._log.event("content_held", content=format_digest(content), **reasons)
--- a/mulleinreach/gateway/known/tests/test_crash_book_work.py
+++ b/mulleinreach/gateway/known/tests/test_crash_book_work.py
@@ -9,8 +9,9 @@
 import sys
 from collections.abc import Callable
 
-from mulleinreach.gateway.known.crashes import HOLD_S, CrashBook, RunOutcome, Sighting
+from mulleinreach.gateway.known.crashes import HOLD_S, CrashBook, Sighting
 from mulleinreach.gateway.known.tests.test_crashes import CULPRIT, BookDesk
+from mulleinreach.gateway.known.upstream_ends import RunOutcome
 
 REQUESTS_EACH = 17
 FEW_UPSTREAMS, MANY_UPSTREAMS = 6, 48
--- a/mulleinreach/gateway/known/tests/test_crashes.py
+++ b/mulleinreach/gateway/known/tests/test_crashes.py
@@ -9,16 +9,15 @@
 
 from mulleinreach.common import Address
 from mulleinreach.gateway.known.crashes import (
-    APART_S,
     HOLD_S,
-    MEMORY_S,
     MOST_BEGINNING,
     MOST_CONTENTS,
     MOST_HELD,
     TELL_S,
     CrashBook,
-    RunOutcome,
 )
+from mulleinreach.gateway.known.upstream_ends import APART_S, MEMORY_S, RunOutcome
+from mulleinreach.gateway.model import HeldContent
 from mulleinreach.gateway.upstream import Upstream
 
 CULPRIT, OTHER = 1, 2
@@ -230,7 +229,7 @@
         desk.end(content, "u1")
         desk.wait(0.01)
     assert len(desk.book.own_sightings(includes_old=True)) == MOST_CONTENTS
-    desk.book.take_held(range(1000, 1000 + MOST_HELD + 5))
+    desk.book.take_held(HeldContent(1000 + n, HOLD_S) for n in range(MOST_HELD + 5))
     assert len(desk.book.held()) == MOST_HELD
     assert desk.book.is_held(1000 + MOST_HELD + 4)
     assert not desk.book.is_held(1000)
--- /dev/null
+++ b/mulleinreach/gateway/known/upstream_ends.py
@@ -0,0 +1,120 @@
+"""The ends of upstreams that nodes saw lately, found by place and moment."""
+
+from __future__ import annotations
+
+import enum
+from collections import defaultdict, deque
+from dataclasses import dataclass
+
+from mulleinreach.common import Clock
+
+# Where upstreams end together that a request doesn't explain, their hall may be failing: its ends
+# there within so many seconds count as one. The nodes' sightings of a moment are together by then.
+APART_S = 1.0
+# A culprit that comes once in some minutes is found by its second visit.
+MEMORY_S = 600.0
+# The loss of a hall of 950 upstreams with 17 requests each; older ends give way to newer ones.
+MOST_ENDS = 16_384
+
+
+class RunOutcome(enum.IntEnum):
+    """What became of a run at an upstream.
+
+    ``ENDED``: the upstream's process ended; it may not have begun the request.
+    ``ENDED_BEGUN``: it ended after it had begun the request and before it gave anything.
+    ``SERVED``: the answer came whole.
+    ``ENDED_GIVING``: it ended after it had given a part of the answer.
+    """
+
+    ENDED = 1
+    ENDED_BEGUN = 2
+    SERVED = 3
+    ENDED_GIVING = 4
+
+
+@dataclass(frozen=True)
+class SeenRun:
+    """What was seen of one run.
+
+    Parameters
+    ==========
+
+    id : that of the sighting.
+    at : when it was, by this node's clock.
+    """
+
+    id: int
+    content: int
+    upstream_id: str
+    hall: str
+    outcome: RunOutcome
+    at: float
+
+    def is_about(self, other: SeenRun) -> bool:
+        """Whether both are of one moment."""
+        return abs(self.at - other.at) < APART_S
+
+
+class UpstreamEnds:
+    """Ends by upstream, and by hall and second: a look costs the same however many there are.
+
+    Explanation
+    ===========
+
+    Ends of one moment stand in the same second or in one next to it.
+    """
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._in_order: deque[SeenRun] = deque()
+        self._at_upstream: dict[str, dict[int, SeenRun]] = defaultdict(dict)
+        # By hall and second, an end of each upstream.
+        self._in_hall: dict[tuple[str, int], dict[str, SeenRun]] = defaultdict(dict)
+
+    def add(self, end: SeenRun) -> None:
+        """Take an end, and forget those that are too old or too many."""
+        self._in_order.append(end)
+        self._at_upstream[end.upstream_id][end.content] = end
+        self._in_hall[_second(end)][end.upstream_id] = end
+        oldest = self._clock.now() - MEMORY_S
+        while self._in_order and self._is_over(oldest):
+            self._forget(self._in_order.popleft())
+
+    def _is_over(self, oldest: float) -> bool:
+        """Whether the end that was taken first is too old, or one too many."""
+        return len(self._in_order) > MOST_ENDS or self._in_order[0].at < oldest
+
+    def _forget(self, end: SeenRun) -> None:
+        _drop(self._at_upstream, end.upstream_id, end.content, end)
+        _drop(self._in_hall, _second(end), end.upstream_id, end)
+
+    def count_beginning(self, end: SeenRun, most: int) -> int:
+        """Return how many requests had begun at an upstream when it ended, ``most`` at most."""
+        count = 0
+        for other in self._at_upstream.get(end.upstream_id, {}).values():
+            count += other.outcome is RunOutcome.ENDED_BEGUN and other.is_about(end)
+            if count >= most:
+                break
+        return count
+
+    def is_hall_failing(self, end: SeenRun, explained: set[str]) -> bool:
+        """Whether upstreams that aren't explained ended in the same hall at about that time."""
+        hall, second = _second(end)
+        return any(
+            upstream_id not in explained and other.is_about(end)
+            for near in (second - 1, second, second + 1)
+            for upstream_id, other in self._in_hall.get((hall, near), {}).items()
+        )
+
+
+def _second(end: SeenRun) -> tuple[str, int]:
+    return end.hall, int(end.at // APART_S)
+
+
+def _drop(ends: dict, place: object, key: object, end: SeenRun) -> None:
+    """Take an end out of one of the ways to find it, unless a later one stands there."""
+    there = ends.get(place, {})
+    if there.get(key) is end:
+        del there[key]
+    if not there:
+        ends.pop(place, None)
--- a/mulleinreach/gateway/model.py
+++ b/mulleinreach/gateway/model.py
@@ -208,6 +208,14 @@
     shortest_s: float
 
 
+@dataclass(frozen=True)
+class HeldContent:
+    """A request that isn't sent, by its digest, and for how much longer."""
+
+    content: int
+    remaining_s: float
+
+
 @dataclass(frozen=True)
 class Inheritance:
     """What a coordinator has learnt and nodes that start should know.
@@ -216,8 +224,8 @@
     ==========
 
     first_waits : how long callers of each route wait.
-    held : digests of the requests that end the upstreams which run them.
+    held : the requests that end the upstreams which run them.
     """
 
     first_waits: tuple[RouteWait, ...] = ()
-    held: tuple[int, ...] = ()
+    held: tuple[HeldContent, ...] = ()
--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -10,8 +10,8 @@
 
 from mulleinreach.common import Clock, EventLog
 from mulleinreach.gateway.known.content import content_digest, format_digest
-from mulleinreach.gateway.known.crashes import RunOutcome
 from mulleinreach.gateway.known.load import Ticket
+from mulleinreach.gateway.known.upstream_ends import RunOutcome
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.model import RouteKind, Service
 from mulleinreach.gateway.ports import CallerHeaders, Dialect
--- a/mulleinreach/gateway/request/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -8,9 +8,10 @@
 from mulleinreach.common import Clock, EventLog
 from mulleinreach.gateway.known.choosing import SuspectList, UpstreamChooser
 from mulleinreach.gateway.known.content import format_digest
-from mulleinreach.gateway.known.crashes import CrashBook, RunOutcome
+from mulleinreach.gateway.known.crashes import CrashBook
 from mulleinreach.gateway.known.eligibility import Exclusion
 from mulleinreach.gateway.known.load import LoadBook, Ticket
+from mulleinreach.gateway.known.upstream_ends import RunOutcome
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.model import RouteKind
 from mulleinreach.gateway.ports import Dialect
--- a/mulleinreach/gateway/request/tests/test_crashing_requests.py
+++ b/mulleinreach/gateway/request/tests/test_crashing_requests.py
@@ -14,6 +14,8 @@
 
 import asyncio
 
+from mulleinreach.gateway.known.crashes import HOLD_S
+from mulleinreach.gateway.model import HeldContent
 from mulleinreach.gateway.request.urgency import Lateness
 from mulleinreach.gateway.tests.desk import answer_whole, reset
 from mulleinreach.gateway.tests.support import run_world
@@ -146,7 +148,7 @@
         await asyncio.sleep(0.03)
         node = world.nodes["node-2"]
         [exchange] = [e for at in node.active._by_upstream.values() for e in at]
-        node.crashes.take_held([exchange.content])
+        node.crashes.take_held([HeldContent(exchange.content, HOLD_S)])
         answer = await waiting
         assert answer.status == 502
         assert node.relay.in_flight == 0
@@ -194,7 +196,7 @@
         await asyncio.sleep(0.5)
         node = world.nodes["node-2"]
         [exchange] = [e for at in node.active._by_upstream.values() for e in at]
-        node.crashes.take_held([exchange.content])
+        node.crashes.take_held([HeldContent(exchange.content, HOLD_S)])
         answer = await asking
         assert answer.event_ids == [str(n) for n in range(1, 41)]
 
--- a/mulleinreach/platform/tests/test_ports.py
+++ b/mulleinreach/platform/tests/test_ports.py
@@ -6,7 +6,7 @@
 import pytest
 
 from mulleinreach.common import Address
-from mulleinreach.gateway.model import Inheritance, RouteWait
+from mulleinreach.gateway.model import HeldContent, Inheritance, RouteWait
 from mulleinreach.gateway.ports import (
     ConfigurationRead,
     EvacuationRow,
@@ -244,7 +244,7 @@
 def test_lease_is_written_once_under_its_version(kind):
     async def test(ports):
         waits = (RouteWait("r", 5.5), RouteWait("s", 0.25))
-        inheritance = Inheritance(waits, held=(2**64 - 1, 7))
+        inheritance = Inheritance(waits, held=(HeldContent(2**64 - 1, 3600.0), HeldContent(7, 0.5)))
         record = LeaseRecord("a.1", "10.0.0.1:1", 1, 0, "secret", inheritance)
         empty = await ports.lease.read()
         assert (empty.version, empty.record) == (0, None)
@@ -366,7 +366,9 @@
 @pytest.mark.parametrize("spoilt", [{"held": ["x"]}, {"held": 3}, {"first_waits": ["r"]}])
 def test_lease_holds_even_if_what_it_hands_on_can_not_be_read(spoilt):
     async def test(ports):
-        record = LeaseRecord("a.1", "10.0.0.1:1", 4, 0, "secret", Inheritance(held=(7,)))
+        record = LeaseRecord(
+            "a.1", "10.0.0.1:1", 4, 0, "secret", Inheritance(held=(HeldContent(7, 60.0),))
+        )
         await ports.lease.write(0, record)
         value = ports.memory.get("mulleinreach", "coordinator").value
         ports.memory.put("mulleinreach", "coordinator", {**value, **spoilt})
