--- a/mulleinreach/gateway/request/tests/test_bounds.py
+++ b/mulleinreach/gateway/request/tests/test_bounds.py
@@ -12,6 +12,7 @@
 from mulleinreach.gateway.ports import Bounds
 from mulleinreach.gateway.request.budget import WindowedRetryBudget
 from mulleinreach.gateway.request.sending import EXTRA_RESUMES
+from mulleinreach.gateway.tests.noticed import ask_for, large_heads
 from mulleinreach.gateway.tests.support import run_world
 from mulleinreach.standins.gateway.dialect import DEADLINE_MS, REQUEST_ID, SIGNATURE
 from mulleinreach.standins.gateway.world import PROFILE, make_configuration
@@ -122,3 +123,26 @@
         assert running <= PROFILE.loads_at_once
 
     run_virtual(test())
+
+
+def test_stream_that_fails_beside_a_lost_replica_runs_no_more_often_than_its_route_allows():
+    """Only a replica that was lost excuses one more; one that failed has run the request.
+
+    Seen in a hunt: a failure, a replica that crashed amid the stream, a failure and a fourth run.
+    """
+
+    async def test(world):
+        await world.until_formed()
+        heads = large_heads(world)
+        for failing in heads[:2]:
+            failing.fails = 10_000
+        breaking = heads[2]
+        breaking.breaks_after = 2
+        await ask_for(12.0, lambda: world.stream(6))
+        route = next(r for r in make_configuration().routes if r.name == "stream")
+        runs = world.fabric.checks.runs.values()
+        assert any(breaking.id in ran_at and len(ran_at) > 1 for ran_at in runs)
+        kept = [[host for host in ran_at if host != breaking.id] for ran_at in runs]
+        assert max(map(len, kept)) <= route.max_attempts
+
+    run_world(test, nodes=1, domains=4)
--- a/mulleinreach/standins/gateway/hosts.py
+++ b/mulleinreach/standins/gateway/hosts.py
@@ -51,7 +51,8 @@
 
     Knobs: ``is_dark`` gives no answer to anything; ``is_cut`` takes the host off
     the list while requests still reach it; ``late_orders`` gives orders no answer
-    and carries them out seconds later; ``breaks_after`` cuts streams partway;
+    and carries them out seconds later; ``breaks_after`` cuts streams partway; ``fails`` runs
+    so many requests in vain;
     ``pace`` makes the host, and its group, so many times slower; ``headers`` go with
     each of its answers; ``rests_from_orders_s`` turns each order away and asks for so much
     rest. ``arrivals`` tells when requests came, ``ordered_at`` when orders did.
@@ -73,6 +74,7 @@
         self.late_orders = 0
         self.breaks_after: int | None = None
         self.refuses = 0
+        self.fails = 0
         self.echoes_wrong_id = False
         self.pace = 1.0
         self.headers: dict[str, str] = {}
@@ -278,6 +280,9 @@
         if self.cold_s():
             start = ColdStart(self.id, now, now - self._told_cold_at)
             self._fabric.checks.cold_starts.append(start)
+        if self.fails > 0:
+            self.fails -= 1
+            return web.Response(status=500, headers={self._names.request_id: request_id})
         priority = request.headers.get(PRIORITY, "")
         self._fabric.checks.priorities.setdefault(request_id, []).append(priority)
         return await self._stream(request, standing, request_id, body)
