A stream runs once more only for each replica that was lost under it

Cause: a stream that had had events was allowed two sends beyond its route's, as if each earlier one had been cut off. Failures (500) before and after a crash counted for nothing, so six requests ran at three replicas besides the lost one. Ruled out: second tries of the caller (one id), the budget of second sends. Change: each replica that breaks a stream off after it had begun allows one more, two at most as before.

--- a/mulleinreach/gateway/request/job.py
+++ b/mulleinreach/gateway/request/job.py
@@ -81,6 +81,8 @@
     longest_pause_s: float = 0.0
     # Whether a stream was left since nothing came; its replica may still run the request.
     fell_silent: bool = False
+    # How many replicas broke the stream off after it had begun; they no longer run it.
+    lost_runs: int = 0
     upstream_id: str = ""
 
     @property
--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -244,6 +244,7 @@
                         await response.write_eof()
                         return response
                     result = Broken("the stream was cut")
+                    job.lost_runs += 1
                     self._sender.suspect(upstream.id)
                     if exchange.is_cut_by_upstream:
                         outcome = (
--- a/mulleinreach/gateway/request/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -42,8 +42,8 @@
 # A stream without a head is moved to another upstream, if one may take it, once no request of
 # this node at its upstream has had a byte for so long.
 SILENCE_LIMIT_S = 1.3
-# Streams that lost their replica may be sent once more than the route allows:
-# a replica that was cut off no longer runs the request.
+# Streams may be sent once more for each replica that they lost, up to so often: one that was cut
+# off no longer runs the request. One that failed has run it, and counts.
 EXTRA_RESUMES = 2
 
 
@@ -86,7 +86,7 @@
             return None
         limit = job.admitted.route.max_attempts
         if job.events_sent and not job.fell_silent:
-            limit += EXTRA_RESUMES
+            limit += min(job.lost_runs, EXTRA_RESUMES)
         if job.sends >= limit:
             return None
         if self._crashes.is_held(job.content):
