--- a/mulleinreach/standins/virtual.py
+++ b/mulleinreach/standins/virtual.py
@@ -5,7 +5,7 @@
 
 ``async_solipsism`` gives an event loop with virtual time and in-memory
 connections, so that whole nodes run in one process, in the same order on every
-run. The connector overrides a private method of aiohttp; it stands only here.
+run. The connector overrides private methods of aiohttp; it stands only here.
 """
 
 from __future__ import annotations
@@ -43,10 +43,30 @@
     """Connects through the links."""
 
     def __init__(self, links: Links, origin: str, **options):
-        super().__init__(resolver=_FixedResolver(), **options)
+        super().__init__(resolver=_FixedResolver(), ttl_dns_cache=None, **options)
         self._links = links
         self._origin = origin
 
+    def _keep_young(self) -> None:
+        """Date resting connections anew.
+
+        aiohttp dates them by the machine's own clock, and no run may depend on how long it
+        really takes; so here none grows too old to be used.
+        """
+        now = aiohttp.connector.monotonic()
+        for resting in self._conns.values():
+            dated = [(protocol, now) for protocol, _ in resting]
+            resting.clear()
+            resting.extend(dated)
+
+    def _cleanup(self) -> None:
+        self._keep_young()
+        super()._cleanup()
+
+    async def _get(self, key, traces):
+        self._keep_young()
+        return await super()._get(key, traces)
+
     async def _wrap_create_connection(self, factory, *args, addr_infos, req, **kwargs):
         host, port = addr_infos[0][4][:2]
         try:
