--- a/mulleinreach/gateway/request/tests/test_notices_told_apart.py
+++ b/mulleinreach/gateway/request/tests/test_notices_told_apart.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from mulleinreach.gateway.known.notices import NoticeBook
+from mulleinreach.gateway.known.tests.test_crashes import SilentLog, SteppedClock
 from mulleinreach.gateway.known.upstreams import ListChange, UpstreamDirectory
 from mulleinreach.gateway.tests.desk import NO_HOSTS, answer_whole, serve_desk
 from mulleinreach.gateway.tests.logged import fields_of, keep_events
@@ -30,29 +31,11 @@
 BACK_WITHIN_S = 2.0
 
 
-class HandClock:
-    """A clock that a test sets."""
-
-    def __init__(self):
-        self.at = 100.0
-
-    def now(self) -> float:
-        """Return the time that was set."""
-        return self.at
-
-
-class QuietLog:
-    """A log that keeps nothing."""
-
-    def event(self, name: str, **fields: object) -> None:
-        """Take an event."""
-
-
-def make_book() -> tuple[NoticeBook, UpstreamDirectory, HandClock]:
+def make_book() -> tuple[NoticeBook, UpstreamDirectory, SteppedClock]:
     """Return a book, its list and its clock."""
-    clock, directory = HandClock(), UpstreamDirectory()
+    clock, directory = SteppedClock(), UpstreamDirectory()
     directory.replace_all(1, [FIRST], clock.now())
-    return NoticeBook(directory, clock, QuietLog(), lambda: None), directory, clock
+    return NoticeBook(directory, clock, SilentLog(), lambda: None), directory, clock
 
 
 def test_shorter_rest_that_is_asked_for_later_ends_no_longer_one():
