Held requests are paired with their times in one place; a run that was served is noted once

Read once more: the message between nodes and the lease's row paired digests and times by the same two lines, _add asked twice whether a run was served and cut a list by an unnamed slice, and a rest's end was decided twice. No change of behaviour.

--- a/mulleinreach/gateway/coordination/lease_document.py
+++ b/mulleinreach/gateway/coordination/lease_document.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import itertools
-
 from absl import logging
 
 from mulleinreach.gateway.known.content import format_digest, parse_digest
-from mulleinreach.gateway.known.crashes import HOLD_S
+from mulleinreach.gateway.known.crashes import held_contents
 from mulleinreach.gateway.model import HeldContent, Inheritance, RouteWait
 from mulleinreach.gateway.ports import LeaseRecord
 
@@ -71,5 +69,4 @@
     """Return the requests that are held; earlier releases didn't tell for how much longer."""
     contents = [parse_digest(text) for text in document.get("held", [])]
     times_s = [float(seconds) for seconds in document.get("held_for_s", [])]
-    times = itertools.chain(times_s, itertools.repeat(HOLD_S))
-    return tuple(HeldContent(content, s) for content, s in zip(contents, times, strict=False))
+    return held_contents(contents, times_s)
--- a/mulleinreach/gateway/coordination/messages.py
+++ b/mulleinreach/gateway/coordination/messages.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
 from pathlib import Path
 
 import capnp
@@ -16,7 +15,7 @@
     OpenHead,
     Totals,
 )
-from mulleinreach.gateway.known.crashes import HOLD_S, Sighting
+from mulleinreach.gateway.known.crashes import Sighting, held_contents
 from mulleinreach.gateway.known.load import LoadReport
 from mulleinreach.gateway.known.upstream_ends import RunOutcome
 from mulleinreach.gateway.known.upstreams import ListChange
@@ -212,8 +211,7 @@
 def _unpack_held(message) -> tuple[HeldContent, ...]:
     """Return the requests that are held; a node of an earlier release doesn't tell how long."""
     times_s = [ms / 1000 for ms in message.heldForMs]
-    times = itertools.chain(times_s, itertools.repeat(HOLD_S))
-    return tuple(HeldContent(content, s) for content, s in zip(message.held, times, strict=False))
+    return held_contents(message.held, times_s)
 
 
 def encode_coordinator_report(
--- a/mulleinreach/gateway/known/crashes.py
+++ b/mulleinreach/gateway/known/crashes.py
@@ -158,15 +158,15 @@
         if len(self._taken_ids) > MOST_IDS:
             del self._taken_ids[next(iter(self._taken_ids))]
         oldest = self._clock.now() - MEMORY_S
-        before = self._seen.pop(seen.content, [])[1 - MOST_RUNS :]
-        known = [other for other in before if other.at >= oldest]
-        self._seen[seen.content] = [*known, seen]
+        known = [other for other in self._seen.pop(seen.content, ()) if other.at >= oldest]
+        self._seen[seen.content] = runs = [*known, seen][-MOST_RUNS:]
         if len(self._seen) > MOST_CONTENTS:
             del self._seen[next(iter(self._seen))]
-        if seen.outcome is not RunOutcome.SERVED:
-            self._ends.add(seen)
+        if seen.outcome is RunOutcome.SERVED:
+            return
+        self._ends.add(seen)
         # Most requests at an upstream that ends have lost no other one.
-        if len(known) + 1 >= BEGUN_ENDS and seen.outcome is not RunOutcome.SERVED:
+        if len(runs) >= BEGUN_ENDS:
             self._judge(seen.content)
 
     def _judge(self, content: int) -> None:
@@ -211,3 +211,16 @@
             del self._held_until[next(iter(self._held_until))]
         self._log.event("content_held", content=format_digest(content), **reasons)
         self._on_held(content)
+
+
+def held_contents(contents: Iterable[int], times_s: Iterable[float]) -> tuple[HeldContent, ...]:
+    """Return held requests from their digests and times; earlier releases don't tell the times.
+
+    Examples
+    ========
+
+    >>> held_contents([7, 8], [60.0])
+    (HeldContent(content=7, remaining_s=60.0), HeldContent(content=8, remaining_s=3600.0))
+    """
+    times = itertools.chain(times_s, itertools.repeat(HOLD_S))
+    return tuple(HeldContent(content, s) for content, s in zip(contents, times, strict=False))
--- a/mulleinreach/gateway/known/notices.py
+++ b/mulleinreach/gateway/known/notices.py
@@ -85,11 +85,10 @@
 
     def rest(self, upstream_id: str) -> Rest | None:
         """Return the rest that an upstream has asked this node for, ``None`` if that is over."""
-        asked = self._rests.get(upstream_id)
-        now = self._clock.now()
-        if asked is None or asked.until <= now:
+        if not self.is_resting(upstream_id):
             return None
-        return Rest(asked.until - now, asked.rest_s)
+        asked = self._rests[upstream_id]
+        return Rest(asked.until - self._clock.now(), asked.rest_s)
 
     def is_resting(self, upstream_id: str) -> bool:
         """Whether an upstream wants nothing from this node now."""
