Sight: answers are read for the limit that an upstream names, and a line tells it

Nothing heeds it yet. A line stands in the log when the limit changes, and when an answer to a request that was run names none any more. Answers to orders and questions, refusals and answers without the request's id tell nothing by their silence; a 421 may be another replica's.

--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -28,6 +28,7 @@
 from mulleinreach.gateway.known.eligibility import Eligibility
 from mulleinreach.gateway.known.evacuations import Evacuations
 from mulleinreach.gateway.known.following import ConfigurationInForce
+from mulleinreach.gateway.known.limits import UpstreamLimits
 from mulleinreach.gateway.known.load import LoadBook
 from mulleinreach.gateway.known.notices import NoticeBook
 from mulleinreach.gateway.known.routing import Router
@@ -49,6 +50,7 @@
 from mulleinreach.gateway.request.sending import Sender
 from mulleinreach.gateway.request.starting import StartGate
 from mulleinreach.gateway.request.urgency import FirstWaits
+from mulleinreach.gateway.upstream import Notice, Upstream
 
 CONNECT_TIMEOUT_S = 0.35
 BACKLOG = 512
@@ -106,8 +108,9 @@
         self.loads = LoadBook(self.clock)
         self.suspects = SuspectList(self.clock)
         self.active = ActiveExchanges()
+        self.limits = UpstreamLimits(self.log)
         self.notices = NoticeBook(self.directory, self.clock, self.log, self._on_upstreams)
-        self.ports.orders.listen(self.notices.take)
+        self.ports.orders.listen(self._on_notice)
         self.crashes = CrashBook(self.clock, self.log, self.rng, self._on_held)
         turn = reading_turn(
             self.bounds, self.identity.processor_cores, self.identity.is_first_start, self.rng
@@ -157,7 +160,7 @@
         self.first_waits = FirstWaits()
         sender = Sender(
             self.chooser,
-            UpstreamClient(self.session, self.ports.dialect, self.notices.take),
+            UpstreamClient(self.session, self.ports.dialect, self._on_notice),
             self.ports.dialect,
             self.loads,
             self.active,
@@ -304,6 +307,11 @@
     def _reads_for_all(self) -> bool:
         return self.coordination.is_hub
 
+    def _on_notice(self, upstream: Upstream, notice: Notice) -> None:
+        self.notices.take(upstream, notice)
+        if notice.limit_per_s is not None:
+            self.limits.take(upstream.id, notice.limit_per_s)
+
     def _on_upstreams(self) -> None:
         self.controller.notify()
 
--- a/mulleinreach/gateway/request/tests/test_request_lines.py
+++ b/mulleinreach/gateway/request/tests/test_request_lines.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 from aiohttp import web
 
 from mulleinreach.gateway.request.urgency import ENOUGH_SEEN
 from mulleinreach.gateway.tests.desk import NO_HOSTS, serve_desk
 from mulleinreach.gateway.tests.logged import fields_of, keep_events
+from mulleinreach.gateway.tests.noticed import DeskStandIn
 from mulleinreach.gateway.tests.support import run_world
-from mulleinreach.standins.gateway.dialect import LEAVING, REFUSED, RETRY_AFTER
+from mulleinreach.standins.gateway.dialect import LEAVING, LIMIT, REFUSED, RETRY_AFTER
 
 STANDSTILL_S = 0.6
 
@@ -66,3 +68,17 @@
         assert line == {"upstream": "desk-0", "leaving": True, "rest_s": 2.5}
 
     run_world(test, **NO_HOSTS)
+
+
+def test_limit_that_an_upstream_names_is_told_when_it_changes():
+    async def test(world):
+        desk = DeskStandIn({LIMIT: "1.5"})
+        await serve_desk(world, desk)
+        kept = keep_events(world.nodes["node-0"])
+        await world.call("/order/1")
+        await world.call("/order/2")
+        desk.headers = {}
+        await world.call("/order/3")
+        assert [line["per_s"] for line in fields_of(kept, "upstream_limit")] == [1.5, math.inf]
+
+    run_world(test, **NO_HOSTS)
--- a/mulleinreach/gateway/upstream.py
+++ b/mulleinreach/gateway/upstream.py
@@ -82,10 +82,13 @@
 
     is_leaving : whether the upstream is about to end and should get nothing new.
     rest_s : for how long it wants nothing more from this node; 0 if it didn't ask for rest.
+    limit_per_s : how many requests a second it takes from all nodes together, until it says
+        something else; infinite if it sets no limit, ``None`` if the answer doesn't tell.
     """
 
     is_leaving: bool = False
     rest_s: float = 0.0
+    limit_per_s: float | None = None
 
 
 NOTHING_SAID = Notice()
--- a/mulleinreach/platform/dialect.py
+++ b/mulleinreach/platform/dialect.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from http import HTTPStatus
 
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -81,8 +82,12 @@
         return NOT_EXECUTED in headers or status == HTTPStatus.MISDIRECTED_REQUEST
 
     def read_notice(self, status: int, headers: CIMultiDictProxy[str]) -> Notice:
-        """Return what an answer says of the replica that gave it."""
-        return read_notice(status, headers)
+        """Return what an answer says of the replica that gave it.
+
+        Only an answer to a request that was run shows by its silence that a limit has ended.
+        """
+        tells_limit = REQUEST_ID in headers and not self.was_refused(status, headers)
+        return read_notice(status, headers, math.inf if tells_limit else None)
 
     def belongs_to(self, headers: CIMultiDictProxy[str], request_id: str | None) -> bool:
         """Whether an answer echoes the request's id."""
--- a/mulleinreach/platform/tests/test_notices.py
+++ b/mulleinreach/platform/tests/test_notices.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 
 from mulleinreach.gateway.upstream import Notice
-from mulleinreach.platform.notices import LEAVING, RETRY_AFTER, read_notice
+from mulleinreach.platform.dialect import NOT_EXECUTED, REQUEST_ID, PlatformDialect
+from mulleinreach.platform.notices import LEAVING, LIMIT, RETRY_AFTER, read_notice
 from mulleinreach.platform.tests.test_orders import HOST, run_orders
 
 
@@ -24,12 +27,37 @@
         (503, {RETRY_AFTER: "Wed, 21 Oct 2026 07:28:00 GMT"}, Notice()),
         (503, {RETRY_AFTER: "nan"}, Notice()),
         (503, {RETRY_AFTER: "-3"}, Notice()),
+        (200, {LIMIT: "2.1"}, Notice(limit_per_s=2.1)),
+        (503, {LIMIT: "0"}, Notice(limit_per_s=0.0)),
+        (200, {LIMIT: "many"}, Notice()),
+        (200, {LIMIT: "nan"}, Notice()),
+        (200, {LIMIT: "-1"}, Notice()),
+        (200, {LIMIT: ""}, Notice()),
+        (421, {LIMIT: "2.1"}, Notice()),
     ],
 )
 def test_notices_are_read(status, headers, expected):
     assert read_notice(status, headers) == expected
 
 
+@pytest.mark.parametrize(
+    ("status", "headers", "limit_per_s"),
+    [
+        (200, {REQUEST_ID: "r"}, math.inf),
+        (500, {REQUEST_ID: "r"}, math.inf),
+        (200, {}, None),
+        (503, {REQUEST_ID: "r", NOT_EXECUTED: "1"}, None),
+        (421, {REQUEST_ID: "r"}, None),
+        (503, {REQUEST_ID: "r", NOT_EXECUTED: "1", LIMIT: "1.5"}, 1.5),
+        (200, {REQUEST_ID: "r", LIMIT: "some"}, None),
+    ],
+)
+def test_only_a_request_that_was_run_tells_by_silence_that_there_is_no_limit(
+    status, headers, limit_per_s
+):
+    assert PlatformDialect().read_notice(status, headers).limit_per_s == limit_per_s
+
+
 def test_answers_to_orders_and_reports_are_told():
     async def test(orders, replica):
         told = []
--- a/mulleinreach/standins/gateway/dialect.py
+++ b/mulleinreach/standins/gateway/dialect.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -17,6 +19,7 @@
 REFUSED = "X-Refused"
 LEAVING = "X-Leaving"
 RETRY_AFTER = "Retry-After"
+LIMIT = "X-Limit"
 EXPECT = "X-Expect-Upstream"
 ORGANISATION = "X-Organisation"
 
@@ -78,7 +81,8 @@
     def read_notice(self, status: int, headers: CIMultiDictProxy[str]) -> Notice:
         """Return what an answer says of the upstream that gave it."""
         rest_s = float(headers.get(RETRY_AFTER, "0")) if status == 503 else 0.0
-        return Notice(is_leaving=LEAVING in headers, rest_s=rest_s)
+        default = None if self.was_refused(status, headers) else math.inf
+        return Notice(LEAVING in headers, rest_s, read_limit(headers, default))
 
     def belongs_to(self, headers: CIMultiDictProxy[str], request_id: str | None) -> bool:
         """Whether an answer echoes the request's id."""
@@ -91,3 +95,8 @@
     def refuse_headers(self, request_id: str | None) -> CIMultiDict[str]:
         """Return the headers of an answer that the gateway makes itself."""
         return CIMultiDict({} if request_id is None else {REQUEST_ID: request_id})
+
+
+def read_limit(headers: Mapping[str, str], default: float | None) -> float | None:
+    """Return how many requests a second an upstream takes, the default if it names no limit."""
+    return float(headers[LIMIT]) if LIMIT in headers else default
--- a/mulleinreach/standins/gateway/orders.py
+++ b/mulleinreach/standins/gateway/orders.py
@@ -7,7 +7,7 @@
 
 from mulleinreach.gateway.ports import NoAnswer, OrderResult, Unavailable
 from mulleinreach.gateway.upstream import Notice, Upstream
-from mulleinreach.standins.gateway.dialect import LEAVING
+from mulleinreach.standins.gateway.dialect import LEAVING, read_limit
 from mulleinreach.standins.gateway.fabric import Fabric
 
 Answer = TypeVar("Answer")
@@ -56,5 +56,7 @@
         standin = self._fabric.hosts[host.id]
         if not standin.is_dark:
             rest_s = standin.rests_from_orders_s if isinstance(answer, NoAnswer) else 0.0
-            self._on_notice(host, Notice(LEAVING in standin.headers, rest_s))
+            self._on_notice(
+                host, Notice(LEAVING in standin.headers, rest_s, read_limit(standin.headers, None))
+            )
         return answer
