--- /dev/null
+++ b/mulleinreach/gateway/coordination/dealing.py
@@ -0,0 +1,121 @@
+"""Gives out permits for requests to upstreams that bound those of all nodes together."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Hashable, Mapping
+from dataclasses import dataclass, field
+from typing import TypeVar
+
+from mulleinreach.gateway.known.permits import PermitCount, bearable_per_s, permit_s
+
+# Permits that may gather while nobody wants them.
+BURST = 1.0
+# Seconds of an upstream's rate that may gather, where that is more: a round of reports.
+BURST_S = 0.25
+# For clocks that don't run alike.
+MARGIN_S = 0.1
+
+Node = TypeVar("Node", bound=Hashable)
+
+
+@dataclass
+class _Account:
+    """What may be given out for one upstream.
+
+    Parameters
+    ==========
+
+    credits : by node, how much it was passed over, as in smooth weighted round robin.
+    """
+
+    balance: float
+    at: float
+    credits: dict[Hashable, float] = field(default_factory=dict)
+
+
+class PermitDealer:
+    """Divides each upstream's limit among the nodes by what they want, for one term.
+
+    Explanation
+    ===========
+
+    Permits are drawn from a token bucket. Within any time of T seconds no more are spent than
+    ``limit * (T + permit_s(limit)) + max(BURST, BURST_S * limit)``, whatever becomes of messages.
+
+    Parameters
+    ==========
+
+    begun_at : when the term began. Permits of an earlier coordinator have lapsed before the
+        first ones are given out.
+
+    Examples
+    ========
+
+    >>> dealer = PermitDealer(0.0)
+    >>> wanted = {"a": (PermitCount("u", 1),), "b": (PermitCount("u", 1),)}
+    >>> dealer.deal(wanted, {"u": 3.0}, 0.5), dealer.deal(wanted, {"u": 3.0}, 2.0)
+    ({}, {'a': [PermitCount(upstream_id='u', count=1)]})
+    >>> dealer.deal(wanted, {"u": 3.0}, 2.5)
+    {'b': [PermitCount(upstream_id='u', count=1)]}
+    """
+
+    def __init__(self, begun_at: float):
+        self._begun_at = begun_at
+        self._accounts: dict[str, _Account] = {}
+
+    def deal(
+        self,
+        wanted: Mapping[Node, tuple[PermitCount, ...]],
+        limits: Mapping[str, float],
+        now: float,
+    ) -> dict[Node, list[PermitCount]]:
+        """Return the permits that each node gets now.
+
+        Parameters
+        ==========
+
+        wanted : what each node asks for, beside the permits that it holds.
+        limits : of upstreams, in requests a second.
+        """
+        self._accounts = {u: a for u, a in self._accounts.items() if u in limits}
+        wants_by_upstream: dict[str, dict[Node, int]] = defaultdict(dict)
+        for node, wants in wanted.items():
+            for want in wants:
+                wants_by_upstream[want.upstream_id][node] = want.count
+        given: dict[Node, list[PermitCount]] = defaultdict(list)
+        for upstream_id, limit in limits.items():
+            if now - self._begun_at < permit_s(limit) + MARGIN_S:
+                continue
+            per_s = bearable_per_s(limit)
+            counts = self._deal_one(upstream_id, per_s, wants_by_upstream[upstream_id], now)
+            for node, count in counts.items():
+                given[node].append(PermitCount(upstream_id, count))
+        return dict(given)
+
+    def _deal_one(
+        self, upstream_id: str, per_s: float, wants: dict[Node, int], now: float
+    ) -> dict[Node, int]:
+        """Return how many permits for one upstream each node gets."""
+        account = self._accounts.setdefault(upstream_id, _Account(BURST, now))
+        gathered = account.balance + (now - account.at) * per_s
+        account.balance, account.at = min(gathered, max(BURST, BURST_S * per_s)), now
+        account.credits = {n: c for n, c in account.credits.items() if n in wants}
+        counts: dict[Node, int] = defaultdict(int)
+        while account.balance >= 1 and wants:
+            node = _draw(account.credits, wants)
+            counts[node] += 1
+            wants[node] -= 1
+            if not wants[node]:
+                del wants[node]
+            account.balance -= 1
+        return dict(counts)
+
+
+def _draw(credit: dict[Hashable, float], wants: Mapping[Node, int]) -> Node:
+    """Return whose turn it is: each gets its part, by what it wants."""
+    for node, count in wants.items():
+        credit[node] = credit.get(node, 0.0) + count
+    chosen = max(wants, key=lambda node: credit[node])
+    credit[chosen] -= sum(wants.values())
+    return chosen
--- a/mulleinreach/gateway/coordination/hub.py
+++ b/mulleinreach/gateway/coordination/hub.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass, replace
 
 from mulleinreach.common import Address, Clock, Network
+from mulleinreach.gateway.coordination.dealing import PermitDealer
 from mulleinreach.gateway.coordination.frames import FrameReader, FrameWriter, PeerError
 from mulleinreach.gateway.coordination.lease import CoordinatorLease, Resignation, Successor
 from mulleinreach.gateway.coordination.messages import (
@@ -28,6 +29,7 @@
 from mulleinreach.gateway.coordination.passed_on import Knowledge
 from mulleinreach.gateway.coordination.reports import CoordinatorReport, NodeReport
 from mulleinreach.gateway.coordination.totals import TotalsShortener, sum_loads
+from mulleinreach.gateway.known.permits import PermitCount
 
 REPORT_INTERVAL_S = 0.1
 # With many nodes the reports would take too much of a slow coordinator's time.
@@ -78,6 +80,8 @@
     sent_revision: int | None = None
     sent_configuration: int = 0
     has_list: bool = False
+    # The number of the report that permits were given out on.
+    dealt_seq: int = -1
 
 
 class MemberHub:
@@ -110,6 +114,7 @@
         self._shortener = TotalsShortener()
         self._latest_totals: bytes | None = None
         self._numbering = NodeNumbers(clock.now())
+        self._dealer = PermitDealer(clock.now())
         self._encoded_list: tuple[int, bytes] = (0, b"")
         self._resignation: Resignation | None = None
         self._resigned_at = 0.0
@@ -158,6 +163,7 @@
     async def report_to_members(self) -> None:
         """Tell all members the totals, for ever."""
         self._numbering = NodeNumbers(self._clock.now())
+        self._dealer = PermitDealer(self._clock.now())
         while True:
             reports = self.node_reports()
             self.node_count = len(reports)
@@ -171,11 +177,13 @@
                 numbers=self._numbers(),
             )
             encoded = self._latest_totals = encode_totals(self._shortener.shorten(totals))
+            permits = self._deal_permits(reports[0])
             for member in list(self._members.values()):
                 if member.report is not None:
-                    self._report_to(member, encoded)
+                    self._report_to(member, encoded, tuple(permits.get(member, ())))
             # Its own word on removed upstreams would keep them for ever.
-            own = CoordinatorReport(0, replace(totals, keeps_removed=False))
+            own_totals = replace(totals, keeps_removed=False)
+            own = CoordinatorReport(0, own_totals, permits=tuple(permits.get(None, ())))
             self._knowledge.take(own, self._clock.now(), reports[0].loads)
             await asyncio.sleep(report_interval_s(self.node_count))
 
@@ -187,7 +195,21 @@
             return self._numbering.count
         return self._numbering.count if self.is_store_away() else 0
 
-    def _report_to(self, member: _Member, totals: bytes) -> None:
+    def _deal_permits(self, own_report: NodeReport) -> dict[_Member | None, list[PermitCount]]:
+        """Return the permits that each member gets now; this node's own stand at ``None``."""
+        if not (self._lease.is_held() or self.is_store_away()):
+            return {}
+        wanted: dict[_Member | None, tuple[PermitCount, ...]] = {None: own_report.wanted}
+        for member in self._members.values():
+            # A report that was answered doesn't know of the permits that the answer gave.
+            if member.report is not None and member.report.seq != member.dealt_seq:
+                wanted[member] = member.report.wanted
+                member.dealt_seq = member.report.seq
+        return self._dealer.deal(wanted, self._knowledge.limits(), self._clock.now())
+
+    def _report_to(
+        self, member: _Member, totals: bytes, permits: tuple[PermitCount, ...] = ()
+    ) -> None:
         whole_list = self._list_for(member)
         if member.sent_revision is None:
             member.sent_revision = member.report.list_revision
@@ -206,6 +228,7 @@
             self._lacking(member),
             whole_list,
             self._numbering.number_of(member),
+            permits,
         )
         if member.writer.buffered_bytes() > MAX_BUFFERED_BYTES:
             # Changes can't be left out, so a node that is too slow begins anew.
@@ -277,6 +300,7 @@
                 is_first = member.report is None
                 member.report = report
                 self._knowledge.take_sightings(report.sightings)
+                self._knowledge.take_limits(report.limits)
                 self._note_heard(report)
                 if is_first and self._latest_totals is not None:
                     # What a node knows at its start it should know at once.
--- a/mulleinreach/gateway/coordination/messages.py
+++ b/mulleinreach/gateway/coordination/messages.py
@@ -16,7 +16,9 @@
     Totals,
 )
 from mulleinreach.gateway.known.crashes import Sighting, held_contents
+from mulleinreach.gateway.known.limits import NamedLimit
 from mulleinreach.gateway.known.load import LoadReport
+from mulleinreach.gateway.known.permits import PermitCount
 from mulleinreach.gateway.known.upstream_ends import RunOutcome
 from mulleinreach.gateway.known.upstreams import ListChange
 from mulleinreach.gateway.model import HeldContent
@@ -88,6 +90,30 @@
     ]
 
 
+def _pack_limits(message, limits: tuple[NamedLimit, ...]) -> None:
+    rows = message.init("limits", len(limits))
+    for row, limit in zip(rows, limits, strict=True):
+        row.upstream, row.perS = limit.upstream_id, limit.per_s
+        row.agoMs = _milliseconds(limit.ago_s)
+
+
+def _unpack_limits(rows) -> tuple[NamedLimit, ...]:
+    """Return limits; one that is less than nothing, or no number, is no message of a node."""
+    limits = tuple(NamedLimit(row.upstream, row.perS, row.agoMs / 1000) for row in rows)
+    if not all(limit.per_s >= 0 for limit in limits):
+        raise ValueError("a limit that is none")
+    return limits
+
+
+def _pack_permits(rows, permits: tuple[PermitCount, ...]) -> None:
+    for row, permit in zip(rows, permits, strict=True):
+        row.upstream, row.count = permit.upstream_id, min(permit.count, MAX_COUNT)
+
+
+def _unpack_permits(rows) -> tuple[PermitCount, ...]:
+    return tuple(PermitCount(row.upstream, row.count) for row in rows)
+
+
 def _pack_successor(row, successor: Successor | None) -> None:
     if successor is not None:
         row.token, row.address = successor.token, successor.address
@@ -111,6 +137,8 @@
     )
     _pack_loads(message, report.loads)
     _pack_sightings(message, report.sightings)
+    _pack_limits(message, report.limits)
+    _pack_permits(message.init("wanted", len(report.wanted)), report.wanted)
     _pack_successor(message.successor, report.successor)
     return message.to_bytes_packed()
 
@@ -124,7 +152,10 @@
     >>> successor = Successor(3, "10.0.0.1:80", "secret")
     >>> loads = [LoadReport("u", 2, 70, 0.5, 0.5, 1)]
     >>> seen = [Sighting(2**64 - 1, 2**63, "u", "h", RunOutcome.ENDED_BEGUN, 0.25)]
-    >>> report = NodeReport("a", loads, seq=4, successor=successor, hall="h", sightings=seen)
+    >>> report = NodeReport(
+    ...     "a", loads, seq=4, successor=successor, hall="h", sightings=seen,
+    ...     limits=(NamedLimit("u", 2.1, 0.5),), wanted=(PermitCount("u", 3),),
+    ... )
     >>> decode_node_report(encode_node_report(report)) == report
     True
     """
@@ -141,6 +172,8 @@
             _unpack_successor(message.successor),
             message.hall,
             _unpack_sightings(message.sightings),
+            _unpack_limits(message.limits),
+            _unpack_permits(message.wanted),
         )
     except (capnp.KjException, ValueError) as error:
         raise PeerError(str(error)) from error
@@ -178,6 +211,8 @@
     held = totals.held or ()
     message.held = [h.content for h in held]
     message.heldForMs = [_milliseconds(h.remaining_s) for h in held]
+    message.hasLimits = totals.limits is not None
+    _pack_limits(message, totals.limits or ())
     return message.to_bytes_packed()
 
 
@@ -205,6 +240,7 @@
         message.operatorRevision,
         message.numbers,
         _unpack_held(message) if message.hasHeld else None,
+        _unpack_limits(message.limits) if message.hasLimits else None,
     )
 
 
@@ -222,6 +258,7 @@
     configuration: bytes = b"",
     whole_list: bytes = b"",
     number: int = 0,
+    permits: tuple[PermitCount, ...] = (),
 ) -> bytes:
     """Return a report to one node around totals and a list that were encoded before.
 
@@ -232,15 +269,17 @@
     >>> totals = Totals(
     ...     3, 9, [], heads, ["v"], 7, 0.5, 40, 0.25, Resignation(3, 6), ["w"], True,
     ...     Successor(4, "10.0.0.2:80", "secret"), False, ["hall"], 38, 9,
-    ...     (HeldContent(2**64 - 1, 60.0),),
+    ...     (HeldContent(2**64 - 1, 60.0),), (NamedLimit("u", float("inf"), 1.5),),
     ... )
     >>> member = Membership("g", 5, 0, MemberState.OPEN)
     >>> upstream = Upstream("u", "s", Address("10.0.0.1", 80), "hall", membership=member, cold_s=2)
     >>> changes = [ListChange(41, [upstream], ["w"])]
     >>> data = encode_coordinator_report(
-    ...     8, encode_totals(totals), changes, False, b"c", encode_list(changes[0]), 5
+    ...     8, encode_totals(totals), changes, False, b"c", encode_list(changes[0]), 5,
+    ...     (PermitCount("u", 2),),
     ... )
-    >>> report = CoordinatorReport(8, totals, changes, False, b"c", changes[0], 5)
+    >>> permits = (PermitCount("u", 2),)
+    >>> report = CoordinatorReport(8, totals, changes, False, b"c", changes[0], 5, permits)
     >>> decode_coordinator_report(data) == report
     True
     """
@@ -252,6 +291,7 @@
         wholeList=whole_list,
         number=number,
     )
+    _pack_permits(message.init("permits", len(permits)), permits)
     rows = message.init("changes", len(changes))
     for row, change in zip(rows, changes, strict=True):
         _pack_change(row, change)
@@ -296,6 +336,7 @@
             message.configuration,
             whole_list,
             message.number,
+            _unpack_permits(message.permits),
         )
     except (capnp.KjException, ValueError) as error:
         raise PeerError(str(error)) from error
--- a/mulleinreach/gateway/coordination/own_report.py
+++ b/mulleinreach/gateway/coordination/own_report.py
@@ -67,6 +67,7 @@
 
     def current(self) -> NodeReport:
         """Return how things stand now, under the number of the latest report."""
+        is_introducing = self._is_introducing()
         return NodeReport(
             self._identity.name,
             self._loads.own_reports(),
@@ -76,7 +77,9 @@
             self._knowledge.list_revision(),
             self._knowledge.configuration_version(),
             hall=self._identity.hall,
-            sightings=self._knowledge.sightings(includes_old=self._is_introducing()),
+            sightings=self._knowledge.sightings(includes_old=is_introducing),
+            limits=self._knowledge.untold_limits(includes_told=is_introducing),
+            wanted=self._knowledge.wanted_permits(),
         )
 
     def _is_introducing(self) -> bool:
--- a/mulleinreach/gateway/coordination/passed_on.py
+++ b/mulleinreach/gateway/coordination/passed_on.py
@@ -6,7 +6,9 @@
 
 from mulleinreach.gateway.coordination.reports import CoordinatorReport, Totals
 from mulleinreach.gateway.known.crashes import Sighting
+from mulleinreach.gateway.known.limits import NamedLimit
 from mulleinreach.gateway.known.load import LoadReport
+from mulleinreach.gateway.known.permits import PermitCount
 from mulleinreach.gateway.known.upstreams import ListChange
 from mulleinreach.gateway.model import Inheritance
 from mulleinreach.gateway.ports import OperatorRows
@@ -60,6 +62,18 @@
     def take_sightings(self, sightings: list[Sighting]) -> None:
         """Take what another node saw of upstreams that ended under requests."""
 
+    def untold_limits(self, includes_told: bool) -> tuple[NamedLimit, ...]:
+        """Return the limits of upstreams that the coordinator should know and hasn't told."""
+
+    def take_limits(self, named: tuple[NamedLimit, ...]) -> None:
+        """Take what another node knows of the limits of upstreams."""
+
+    def limits(self) -> dict[str, float]:
+        """Return the limits of upstreams that are in force, in requests a second."""
+
+    def wanted_permits(self) -> tuple[PermitCount, ...]:
+        """Return the permits that this node has use for."""
+
     def note_store_failed(self) -> None:
         """Note that the store has just failed to answer."""
 
--- a/mulleinreach/gateway/coordination/peer.capnp
+++ b/mulleinreach/gateway/coordination/peer.capnp
@@ -22,6 +22,19 @@
   agoMs @5 :UInt32;
 }
 
+# What an upstream named last of the requests that it takes from all nodes together.
+struct NamedLimit {
+  upstream @0 :Text;
+  perS @1 :Float64;          # infinite if it names no limit any more
+  agoMs @2 :UInt32;
+}
+
+# Permits for requests to an upstream with a limit.
+struct PermitCount {
+  upstream @0 :Text;
+  count @1 :UInt16;
+}
+
 struct NodeReport {
   node @0 :Text;
   loads @1 :List(Load);
@@ -33,6 +46,8 @@
   successor @7 :Holder;      # told by a new coordinator to the one that it replaces
   hall @8 :Text;
   sightings @9 :List(Sighting);
+  limits @10 :List(NamedLimit);  # what the coordinator hasn't told
+  wanted @11 :List(PermitCount); # beside the permits that the node holds
 }
 
 # Who holds the lease of the coordinator.
@@ -74,6 +89,8 @@
   hasHeld @19 :Bool;         # else nothing is told of them
   held @20 :List(UInt64);    # digests of requests that are not sent any more
   heldForMs @21 :List(UInt32);  # for how much longer each of them is not
+  hasLimits @22 :Bool;       # else they are as they were told last
+  limits @23 :List(NamedLimit);
 }
 
 struct Upstream {
@@ -107,4 +124,5 @@
   configuration @4 :Data;    # the newest one, if the node lacks it
   wholeList @5 :Data;        # a ListChange with all upstreams, if the node has no list
   number @6 :UInt16;         # of the node that is told, among all that report
+  permits @7 :List(PermitCount); # each report gives out others
 }
--- a/mulleinreach/gateway/coordination/reports.py
+++ b/mulleinreach/gateway/coordination/reports.py
@@ -6,7 +6,9 @@
 
 from mulleinreach.gateway.coordination.lease import Resignation, Successor
 from mulleinreach.gateway.known.crashes import Sighting
+from mulleinreach.gateway.known.limits import NamedLimit
 from mulleinreach.gateway.known.load import LoadReport
+from mulleinreach.gateway.known.permits import PermitCount
 from mulleinreach.gateway.known.upstreams import ListChange
 from mulleinreach.gateway.model import HeldContent
 
@@ -23,6 +25,8 @@
     successor : told by a new coordinator to the one that it replaces.
     hall : the hall of the node.
     sightings : what the node saw of upstreams that end under requests.
+    limits : what it knows of upstreams' limits and wasn't told by the coordinator.
+    wanted : the permits that it has use for.
     """
 
     node: str
@@ -35,6 +39,8 @@
     successor: Successor | None = None
     hall: str = ""
     sightings: list[Sighting] = field(default_factory=list)
+    limits: tuple[NamedLimit, ...] = ()
+    wanted: tuple[PermitCount, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -71,6 +77,8 @@
     numbers : one above the highest number that a node has; 0 if the numbers don't hold.
     held : the requests that end the upstreams which run them; ``None`` where they are as they
         were told last.
+    limits : of upstreams, those that ended lately included; ``None`` where they are as they were
+        told last.
     """
 
     token: int
@@ -91,6 +99,7 @@
     operator_revision: int = 0
     numbers: int = 0
     held: tuple[HeldContent, ...] | None = None
+    limits: tuple[NamedLimit, ...] | None = None
 
 
 @dataclass(frozen=True)
@@ -108,6 +117,7 @@
     whole_list : all upstreams, if the node has no list yet.
     number : the node's own among all that report to this coordinator, whose own one is 0; a
         node that has none yet is told ``totals.numbers``.
+    permits : for requests to upstreams with a limit; each report gives out others.
     """
 
     echoed_seq: int
@@ -117,3 +127,4 @@
     configuration: bytes = b""
     whole_list: ListChange | None = None
     number: int = 0
+    permits: tuple[PermitCount, ...] = ()
--- /dev/null
+++ b/mulleinreach/gateway/coordination/tests/test_dealing.py
@@ -0,0 +1,200 @@
+"""Requests within a limit over all nodes, whatever becomes of nodes, coordinators and messages."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from mulleinreach.gateway.coordination.dealing import PermitDealer
+from mulleinreach.gateway.known.limits import LimitBook, NamedLimit
+from mulleinreach.gateway.known.permits import PermitCount, SendPermits, permit_s
+from mulleinreach.gateway.known.tests.test_crashes import SilentLog, SteppedClock
+from mulleinreach.gateway.known.upstreams import UpstreamDirectory
+from mulleinreach.gateway.tests.limited import allowed, most_in_a_window, rate
+from mulleinreach.standins.gateway.hosts import make_upstream
+
+UPSTREAM = make_upstream("u", "desk", 1, None)
+ROUND_S = 0.1
+# So much of a limit is used where there are requests enough, permits that lapse left out.
+USED = 0.7
+NODES = st.integers(0, 5)
+# How long the lease of a coordinator that fell silent still keeps others from it.
+LEASE_S = 1.6
+
+
+class Desk:
+    """Nodes that send to one upstream with a limit, and the coordinator that they hear."""
+
+    def __init__(self, nodes: int, limit: float):
+        self.clock = SteppedClock()
+        self.nodes = [self._make_node(number) for number in range(nodes)]
+        self.dealer = PermitDealer(self.clock.now())
+        self.limit = limit
+        self.sent_at: list[float] = []
+        for number in range(nodes):
+            self.tell(number, limit)
+
+    def _make_node(self, seed: int) -> SendPermits:
+        directory = UpstreamDirectory()
+        directory.replace_all(1, [UPSTREAM], self.clock.now())
+        book = LimitBook(directory, self.clock, SilentLog())
+        return SendPermits(book, self.clock, random.Random(seed))
+
+    def tell(self, number: int, limit: float) -> None:
+        """Let an answer of the upstream name its limit to a node."""
+        self.nodes[number].limits.take(UPSTREAM.id, limit)
+
+    def start_again(self, number: int) -> None:
+        """Let a node start again, which an answer has told the limit."""
+        self.nodes[number] = self._make_node(number)
+        self.tell(number, self.limit)
+
+    def ask(self, number: int) -> bool:
+        """Let a node send a request if it may; returns whether it did."""
+        node = self.nodes[number]
+        if not node.may_send(UPSTREAM.id):
+            node.note_wanted(UPSTREAM.id)
+            return False
+        node.note_sent(UPSTREAM.id)
+        self.sent_at.append(self.clock.now())
+        return True
+
+    def deal(
+        self, hearers: set[int], lost: frozenset[int] = frozenset(), late_s: float = 0
+    ) -> None:
+        """Have the coordinator give permits to the nodes that it hears.
+
+        Parameters
+        ==========
+
+        lost : nodes that the answer doesn't reach.
+        late_s : how long ago the reports were sent that it answers.
+        """
+        now = self.clock.now()
+        wanted = {number: self.nodes[number].wanted() for number in sorted(hearers)}
+        given = self.dealer.deal(wanted, {UPSTREAM.id: self.limit}, now)
+        for number in hearers - lost:
+            permits = given.get(number, [])
+            self.nodes[number].take(permits, now - late_s, len(self.nodes))
+
+
+@pytest.mark.parametrize("nodes", [8, 30])
+@pytest.mark.parametrize("limit", [0.5, 1.1, 2.0, 6.0, 20.0])
+@pytest.mark.parametrize("is_spread", [True, False])
+def test_limit_is_used_and_kept(nodes, limit, is_spread):
+    desk, rng = Desk(nodes, limit), random.Random(nodes)
+    everybody = set(range(nodes))
+    askers = everybody if is_spread else {0}
+    began_at = desk.clock.now()
+    while desk.clock.now() < began_at + 60:
+        for number in askers:
+            # Two requests a second at each node, and three times the limit at least.
+            asks = ROUND_S * max(2, 3 * limit / len(askers))
+            for _ in range(int(asks) + (rng.random() < asks % 1)):
+                desk.ask(number)
+        desk.deal(everybody)
+        desk.clock.at += ROUND_S
+    assert most_in_a_window(desk.sent_at) <= allowed(limit)
+    assert rate(desk.sent_at, began_at + 10, began_at + 60) >= USED * limit
+
+
+def test_permits_follow_demand_that_moves():
+    desk = Desk(8, 2.0)
+    for number in (0, 5):
+        moved_at = desk.clock.now()
+        while desk.clock.now() < moved_at + 20:
+            desk.ask(number)
+            desk.deal(set(range(8)))
+            desk.clock.at += ROUND_S
+    assert rate(desk.sent_at, moved_at + 3, moved_at + 20) >= 0.85 * 2.0
+
+
+def test_two_nodes_that_want_as_much_get_as_much():
+    dealer = PermitDealer(0.0)
+    got = {"a": 0, "b": 0}
+    for step in range(300):
+        wanted = {"a": (PermitCount("u", 4),), "b": (PermitCount("u", 4),)}
+        for node, given in dealer.deal(wanted, {"u": 3.0}, step * ROUND_S).items():
+            got[node] += sum(permits.count for permits in given)
+    assert abs(got["a"] - got["b"]) <= 1
+
+
+class SharedLimit(RuleBasedStateMachine):
+    """Nodes are cut off and start again, coordinators are replaced, messages are lost and late."""
+
+    @initialize(limit=st.sampled_from([0.5, 1.1, 2.1, 6.0, 30.0]))
+    def begin(self, limit):
+        self.desk = Desk(6, limit)
+        self.heard = set(range(6))
+        self.silent_until = 0.0
+
+    @rule(rounds=st.integers(1, 20), askers=st.sets(NODES, min_size=1), asks=st.integers(1, 5))
+    def requests_come(self, rounds, askers, asks):
+        for _ in range(rounds):
+            for number in askers:
+                for _ in range(asks):
+                    self.desk.ask(number)
+            if self.desk.clock.now() >= self.silent_until:
+                self.desk.deal(self.heard)
+            self.desk.clock.at += ROUND_S
+
+    @rule(lost=st.frozensets(NODES), late_s=st.sampled_from([0.0, 0.3, 0.9]))
+    def answers_are_lost_or_late(self, lost, late_s):
+        if self.desk.clock.now() >= self.silent_until:
+            self.desk.deal(self.heard, lost, late_s)
+
+    @rule(number=NODES)
+    def node_is_cut_off(self, number):
+        self.heard.discard(number)
+
+    @rule(number=NODES)
+    def node_is_heard_again(self, number):
+        self.heard.add(number)
+
+    @rule(number=NODES)
+    def node_starts_again(self, number):
+        self.desk.start_again(number)
+
+    @rule()
+    def coordinator_is_replaced(self):
+        """Its lease lapses first; the next one begins to give permits later still."""
+        self.silent_until = self.desk.clock.now() + LEASE_S
+        self.desk.dealer = PermitDealer(self.silent_until)
+
+    @rule(seconds=st.sampled_from([0.05, 0.5, 1.0, 5.0]))
+    def time_goes_by(self, seconds):
+        self.desk.clock.at += seconds
+
+    @invariant()
+    def limit_is_kept(self):
+        if hasattr(self, "desk"):
+            assert most_in_a_window(self.desk.sent_at) <= allowed(self.desk.limit)
+
+
+def test_word_of_a_coordinator_dates_permits_from_what_it_answers():
+    desk = Desk(2, 5.0)
+    desk.nodes[0].take([PermitCount(UPSTREAM.id, 2)], desk.clock.now() - permit_s(5.0), 2)
+    assert not desk.nodes[0].may_send(UPSTREAM.id)
+
+
+def test_limit_that_sinks_ends_the_permits_that_were_given_out_before():
+    desk = Desk(1, 30.0)
+    node = desk.nodes[0]
+    node.take([PermitCount(UPSTREAM.id, 20)], desk.clock.now(), 2)
+    assert node.may_send(UPSTREAM.id)
+    desk.clock.at += 0.1
+    desk.tell(0, 1.0)
+    assert not node.may_send(UPSTREAM.id)
+
+
+def test_limit_that_is_told_binds_a_node_that_had_no_answer():
+    desk = Desk(1, 5.0)
+    other = desk._make_node(1)
+    other.limits.take_told([NamedLimit(UPSTREAM.id, 5.0)], desk.clock.now())
+    assert not other.may_send(UPSTREAM.id)
+
+
+TestSharedLimit = SharedLimit.TestCase
--- a/mulleinreach/gateway/coordination/totals.py
+++ b/mulleinreach/gateway/coordination/totals.py
@@ -40,6 +40,7 @@
         # A coordinator that has just begun knows of no heads yet; nodes keep those that they know.
         self._heads = TellOnChange([])
         self._held = TellOnChange(set())
+        self._limits = TellOnChange(set())
 
     def shorten(self, totals: Totals) -> Totals:
         """Return the totals to send in the next round."""
@@ -47,11 +48,13 @@
         is_repetition = self._round % REPEAT_EVERY == 0
         # The times that remain to what is held change all the while.
         contents = {held.content for held in totals.held or ()}
+        limits = {(limit.upstream_id, limit.per_s) for limit in totals.limits or ()}
         return replace(
             totals,
             loads=[load for load in totals.loads if load.running > 0],
             heads=totals.heads if self._heads.is_due(totals.heads, is_repetition) else None,
             held=totals.held if self._held.is_due(contents, is_repetition) else None,
+            limits=totals.limits if self._limits.is_due(limits, is_repetition) else None,
         )
 
 
--- a/mulleinreach/gateway/knowledge.py
+++ b/mulleinreach/gateway/knowledge.py
@@ -23,7 +23,9 @@
 from mulleinreach.gateway.known.crashes import CrashBook, Sighting
 from mulleinreach.gateway.known.eligibility import Eligibility
 from mulleinreach.gateway.known.following import ConfigurationInForce
+from mulleinreach.gateway.known.limits import NamedLimit
 from mulleinreach.gateway.known.load import LoadBook, LoadReport
+from mulleinreach.gateway.known.permits import PermitCount, SendPermits
 from mulleinreach.gateway.known.upstream_following import UpstreamFollower
 from mulleinreach.gateway.known.upstreams import Head, ListChange, UpstreamDirectory
 from mulleinreach.gateway.model import Inheritance
@@ -54,6 +56,7 @@
         chooser: UpstreamChooser,
         eligibility: Eligibility,
         cold_limit: ColdRateLimit,
+        permits: SendPermits,
         controller: FleetController,
         first_waits: FirstWaits,
         crashes: CrashBook,
@@ -66,6 +69,7 @@
         self._chooser = chooser
         self._eligibility = eligibility
         self._cold_limit = cold_limit
+        self._permits = permits
         self._controller = controller
         self._first_waits = first_waits
         self._crashes = crashes
@@ -92,6 +96,7 @@
             evacuated=sorted(self._in_force.evacuations.halls),
             operator_revision=self._in_force.evacuations.revision,
             held=self._crashes.held(),
+            limits=self._permits.limits.named(),
         )
 
     def changes_since(self, revision: int) -> list[ListChange] | None:
@@ -130,6 +135,22 @@
         """Take what another node saw of upstreams that ended under requests."""
         self._crashes.take(sightings)
 
+    def untold_limits(self, includes_told: bool) -> tuple[NamedLimit, ...]:
+        """Return the limits of upstreams that the coordinator should know and hasn't told."""
+        return self._permits.limits.untold(includes_told)
+
+    def take_limits(self, named: tuple[NamedLimit, ...]) -> None:
+        """Take what another node knows of the limits of upstreams."""
+        self._permits.limits.take_reported(named)
+
+    def limits(self) -> dict[str, float]:
+        """Return the limits of upstreams that are in force, in requests a second."""
+        return self._permits.limits.limits()
+
+    def wanted_permits(self) -> tuple[PermitCount, ...]:
+        """Return the permits that this node has use for."""
+        return self._permits.wanted()
+
     # What a renewal of the lease shows.
 
     def operator_rows(self) -> OperatorRows | None:
@@ -192,6 +213,9 @@
                 report.changes, totals.list_revision, asked_at - totals.list_age_s
             )
         self._cold_limit.take_number(report.number, totals.numbers, asked_at)
+        if totals.limits is not None:
+            self._permits.limits.take_told(totals.limits, asked_at)
+        self._permits.take(report.permits, asked_at, totals.nodes)
         self._crashes.take_held(totals.held or (), asked_at)
         self._take_heads(totals)
         self._take_lost(totals.lost)
--- a/mulleinreach/gateway/known/choosing.py
+++ b/mulleinreach/gateway/known/choosing.py
@@ -9,6 +9,7 @@
 from mulleinreach.gateway.known.cold import ColdUpstreams
 from mulleinreach.gateway.known.eligibility import Eligibility, Exclusion, RequestTerms
 from mulleinreach.gateway.known.notices import Rest
+from mulleinreach.gateway.known.permits import SendPermits
 from mulleinreach.gateway.known.routing import Router
 from mulleinreach.gateway.known.upstreams import (
     Head,
@@ -101,6 +102,7 @@
         suspects: SuspectList,
         eligibility: Eligibility,
         cold: ColdUpstreams,
+        permits: SendPermits,
         clock: Clock,
     ):
         self._directory = directory
@@ -108,6 +110,7 @@
         self._suspects = suspects
         self._eligibility = eligibility
         self._cold = cold
+        self._permits = permits
         self._clock = clock
         self._opened: list[Head] = []
         self._retiring: frozenset[str] = frozenset()
@@ -149,6 +152,7 @@
         headers: CallerHeaders,
         tried: set[str],
         shunned_halls: Collection[str] = (),
+        heeds_limits: bool = True,
     ) -> Upstream | None:
         """Return the best upstream that wasn't tried yet.
 
@@ -156,17 +160,18 @@
         ==========
 
         shunned_halls : halls whose upstreams are taken only if there are no others.
+        heeds_limits : ``False`` to learn where the request would go if no upstream had a limit.
         """
         service = terms.service
         suspects = self._suspects.current()
         if service.engine is None:
             usable = [u for u in self._usable(service.name) if u.id not in tried]
-            permitted = self._eligibility.permitted(usable, terms)
+            permitted = self._eligibility.permitted(usable, terms, heeds_limits)
             upstreams = [u for u in permitted if u.hall not in shunned_halls] or permitted
             cold = self._cold.ids(upstreams, service)
             return self._router.choose_plain(upstreams, suspects, cold)
         known = [h for h in self.heads(service.name, headers.model) if h.upstream.id not in tried]
-        permitted = self._permitted(known, terms)
+        permitted = self._permitted(known, terms, heeds_limits)
         heads = [h for h in permitted if h.upstream.hall not in shunned_halls] or permitted
         cold = self._cold.ids([head.upstream for head in heads], service)
         tokens = headers.prompt_tokens or 0
@@ -176,6 +181,17 @@
         self._chosen[head.upstream.id] = head
         return head.upstream
 
+    def note_wanted(self, terms: RequestTerms, headers: CallerHeaders, tried: set[str]) -> None:
+        """Note if a request would go to an upstream that may be sent nothing now for its limit.
+
+        The coordinator gives permits to the nodes that have such requests.
+        """
+        if not self._permits.limits.has_any:
+            return
+        wanted = self.choose(terms, headers, tried, heeds_limits=False)
+        if wanted is not None and not self._permits.may_send(wanted.id):
+            self._permits.note_wanted(wanted.id)
+
     def wait_s(self, terms: RequestTerms, upstream_id: str) -> float:
         """Return how long a request is predicted to wait for others at a head that was chosen.
 
@@ -226,9 +242,11 @@
     def note_sent(self, terms: RequestTerms, upstream: Upstream) -> None:
         """Note that a request is about to be sent."""
         self._cold.note_sent(upstream, terms.service)
+        self._permits.note_sent(upstream.id)
 
-    def _permitted(self, heads: list[Head], terms: RequestTerms) -> list[Head]:
-        permitted = self._eligibility.permitted([head.upstream for head in heads], terms)
+    def _permitted(self, heads: list[Head], terms: RequestTerms, heeds_limits: bool) -> list[Head]:
+        upstreams = [head.upstream for head in heads]
+        permitted = self._eligibility.permitted(upstreams, terms, heeds_limits)
         ids = {upstream.id for upstream in permitted}
         return [head for head in heads if head.upstream.id in ids]
 
--- a/mulleinreach/gateway/known/eligibility.py
+++ b/mulleinreach/gateway/known/eligibility.py
@@ -11,6 +11,7 @@
 from mulleinreach.gateway.known.cold import ColdUpstreams
 from mulleinreach.gateway.known.evacuations import Evacuations
 from mulleinreach.gateway.known.notices import NoticeBook, Rest
+from mulleinreach.gateway.known.permits import SendPermits
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.model import Service
 from mulleinreach.gateway.upstream import Upstream, UpstreamState
@@ -25,6 +26,7 @@
     ABROAD = "abroad"
     COLD = "cold"
     RESTING = "resting"
+    LIMITED = "limited"
 
 
 @dataclass(frozen=True)
@@ -56,6 +58,7 @@
         evacuations: Evacuations,
         cold: ColdUpstreams,
         notices: NoticeBook,
+        permits: SendPermits,
         regions: Mapping[str, str],
         metrics: GatewayMetrics,
         rng: random.Random,
@@ -63,6 +66,7 @@
         self._evacuations = evacuations
         self._cold = cold
         self._notices = notices
+        self._permits = permits
         self._regions = regions
         self._metrics = metrics
         self._rng = rng
@@ -76,12 +80,23 @@
         closed = self._closed_halls()
         return [u for u in upstreams if self._exclusion(u, closed) is None]
 
-    def permitted(self, usable: list[Upstream], terms: RequestTerms) -> list[Upstream]:
-        """Return those usable upstreams that a request may be sent to under its terms."""
+    def permitted(
+        self, usable: list[Upstream], terms: RequestTerms, heeds_limits: bool = True
+    ) -> list[Upstream]:
+        """Return those usable upstreams that a request may be sent to under its terms.
+
+        Parameters
+        ==========
+
+        heeds_limits : ``False`` to learn where requests would go if no upstream had a limit.
+        """
         withheld = self._cold.withheld(usable, terms.service)
         if withheld:
             self._metrics.count_withheld(len(withheld))
-        return [u for u in usable if self._exclusion_by_terms(u, terms, withheld) is None]
+        permitted = [u for u in usable if self._exclusion_by_terms(u, terms, withheld) is None]
+        if not heeds_limits:
+            return permitted
+        return [u for u in permitted if self._permits.may_send(u.id)]
 
     def count_excluded(
         self, upstreams: Collection[Upstream], terms: RequestTerms
@@ -90,14 +105,19 @@
         closed = self._closed_halls()
         withheld = self._cold.withheld(upstreams, terms.service)
         reasons = (
-            self._exclusion(upstream, closed) or self._exclusion_by_terms(upstream, terms, withheld)
+            self._exclusion(upstream, closed)
+            or self._exclusion_by_terms(upstream, terms, withheld)
+            or (None if self._permits.may_send(upstream.id) else Exclusion.LIMITED)
             for upstream in upstreams
         )
         return Counter(reason for reason in reasons if reason is not None)
 
     def rest(self, upstream: Upstream) -> Rest | None:
-        """Return the rest that an upstream has asked this node for, ``None`` if that is over."""
-        return self._notices.rest(upstream.id)
+        """Return for how long an upstream's own word keeps requests away, ``None`` if it doesn't.
+
+        That is a rest that it has asked this node for, or the time of the next permits.
+        """
+        return self._notices.rest(upstream.id) or self._permits.rest(upstream.id)
 
     @property
     def evacuated_halls(self) -> frozenset[str]:
--- /dev/null
+++ b/mulleinreach/gateway/known/permits.py
@@ -0,0 +1,193 @@
+"""How many requests this node may send to upstreams that bound those of all nodes together.
+
+Explanation
+===========
+
+The coordinator gives out permits, each for one request to one upstream within some seconds, as
+many as the upstream's limit allows, and to the nodes that have requests for it. So the sum holds
+without any node knowing what the others send: a permit that is lost, or lapses, is a request
+that isn't sent. A node that hears from no coordinator sends on at a small part of the limit.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from mulleinreach.common import Clock
+from mulleinreach.gateway.known.limits import LimitBook
+from mulleinreach.gateway.known.notices import Rest
+
+# Seconds for which a permit counts. A shorter time loses permits of nodes with few requests; with
+# a longer one more of them may be spent in one moment.
+SHORTEST_PERMIT_S, LONGEST_PERMIT_S = 1.0, 4.0
+# Within these bounds a permit counts until the limit has allowed so many more.
+PERMITS_OUT = 3.0
+# A node that was told nothing for so long hears from no coordinator.
+ALONE_AFTER_S = 1.0
+# Seconds over which a node counts the requests that it has for an upstream.
+WANTED_S = 1.0
+MOST_WANTED = 64
+# The part of a limit that all nodes together use while none of them hears from a coordinator. It
+# comes on top of what a coordinator gives out that others still hear from.
+ALONE_SHARE = 0.2
+# How many nodes there are at most, for a node that was told of none.
+MOST_NODES = 350
+# An upstream that takes nothing is sent a request now and then: its answer tells when that ends.
+LEAST_PER_S = 0.2
+
+
+@dataclass(frozen=True)
+class PermitCount:
+    """So many permits for an upstream, as they are asked for or given out."""
+
+    upstream_id: str
+    count: int
+
+
+def bearable_per_s(limit_per_s: float) -> float:
+    """Return how many requests a second to send under a limit.
+
+    Examples
+    ========
+
+    >>> bearable_per_s(2.1), bearable_per_s(0.0)
+    (2.1, 0.2)
+    """
+    return max(limit_per_s, LEAST_PER_S)
+
+
+def permit_s(limit_per_s: float) -> float:
+    """Return for how long a permit counts.
+
+    Examples
+    ========
+
+    >>> permit_s(0.5), permit_s(1.5), permit_s(30.0)
+    (4.0, 2.0, 1.0)
+    """
+    out_s = PERMITS_OUT / bearable_per_s(limit_per_s)
+    return min(LONGEST_PERMIT_S, max(SHORTEST_PERMIT_S, out_s))
+
+
+@dataclass
+class _Held:
+    """The permits that a node holds for one upstream.
+
+    Parameters
+    ==========
+
+    limit_per_s : the upstream's limit when they were given out.
+    lapse_at : the first one first.
+    """
+
+    limit_per_s: float
+    lapse_at: deque[float]
+
+
+class SendPermits:
+    """The permits of this node, and what it wants."""
+
+    def __init__(self, limits: LimitBook, clock: Clock, rng: random.Random):
+        self.limits = limits
+        self._clock = clock
+        self._rng = rng
+        self._held: dict[str, _Held] = {}
+        self._wanted_at: dict[str, deque[float]] = {}
+        # When this node may send next on its own.
+        self._alone_at: dict[str, float] = {}
+        self._told_at = float("-inf")
+        self._nodes = MOST_NODES
+
+    def take(self, given: Iterable[PermitCount], asked_at: float, nodes: int) -> None:
+        """Take the coordinator's permits.
+
+        Parameters
+        ==========
+
+        asked_at : a moment before which they can't have been given out.
+        nodes : how many nodes the coordinator knows.
+        """
+        self._told_at, self._nodes = asked_at, nodes
+        self._alone_at = {}
+        for permits in given:
+            limit = self.limits.limit_per_s(permits.upstream_id)
+            held = self._held.setdefault(permits.upstream_id, _Held(limit, deque()))
+            held.limit_per_s = limit
+            held.lapse_at.extend([asked_at + permit_s(limit)] * permits.count)
+
+    def may_send(self, upstream_id: str) -> bool:
+        """Whether a request may be sent to an upstream now, as far as its limit goes."""
+        if not self.limits.is_limited(upstream_id):
+            return True
+        if self._unspent(upstream_id):
+            return True
+        return self._is_alone() and self._clock.now() >= self._next_alone(upstream_id)
+
+    def note_sent(self, upstream_id: str) -> None:
+        """Spend a permit for a request that is about to be sent."""
+        if not self.limits.is_limited(upstream_id):
+            return
+        self.note_wanted(upstream_id)
+        if self._unspent(upstream_id):
+            self._held[upstream_id].lapse_at.popleft()
+        else:
+            self._alone_at[upstream_id] = self._clock.now() + self._alone_period_s(upstream_id)
+
+    def note_wanted(self, upstream_id: str) -> None:
+        """Note that a request would go to an upstream if that had no limit."""
+        wanted = self._wanted_at.setdefault(upstream_id, deque(maxlen=MOST_WANTED))
+        wanted.append(self._clock.now())
+
+    def wanted(self) -> tuple[PermitCount, ...]:
+        """Return the permits that this node has use for beside those that it holds."""
+        if not self._wanted_at:
+            return ()
+        since = self._clock.now() - WANTED_S
+        for upstream_id, times in list(self._wanted_at.items()):
+            while times and times[0] < since:
+                times.popleft()
+            if not times:
+                del self._wanted_at[upstream_id]
+        missing = {u: len(times) - self._unspent(u) for u, times in self._wanted_at.items()}
+        return tuple(PermitCount(u, count) for u, count in missing.items() if count > 0)
+
+    def rest(self, upstream_id: str) -> Rest | None:
+        """Return when callers may ask again for an upstream that may be sent nothing now.
+
+        Others wait too, so they come back over the time of some permits.
+        """
+        if self.may_send(upstream_id):
+            return None
+        return Rest(0.0, 1 / bearable_per_s(self.limits.limit_per_s(upstream_id)))
+
+    def _unspent(self, upstream_id: str) -> int:
+        """Return how many permits this node holds; a limit that has sunk ends earlier ones."""
+        held = self._held.get(upstream_id)
+        if held is None:
+            return 0
+        if self.limits.limit_per_s(upstream_id) < held.limit_per_s:
+            held.lapse_at.clear()
+        now = self._clock.now()
+        while held.lapse_at and held.lapse_at[0] <= now:
+            held.lapse_at.popleft()
+        if not held.lapse_at:
+            del self._held[upstream_id]
+        return len(held.lapse_at)
+
+    def _is_alone(self) -> bool:
+        """Whether no coordinator gives permits to this node."""
+        return self._clock.now() - self._told_at > ALONE_AFTER_S
+
+    def _next_alone(self, upstream_id: str) -> float:
+        """Return when this node may send on its own; the first time is drawn within a period."""
+        if upstream_id not in self._alone_at:
+            first_in_s = self._rng.uniform(0, self._alone_period_s(upstream_id))
+            self._alone_at[upstream_id] = self._clock.now() + first_in_s
+        return self._alone_at[upstream_id]
+
+    def _alone_period_s(self, upstream_id: str) -> float:
+        per_s = bearable_per_s(self.limits.limit_per_s(upstream_id))
+        return max(1, self._nodes) / (ALONE_SHARE * per_s)
--- a/mulleinreach/gateway/metrics.py
+++ b/mulleinreach/gateway/metrics.py
@@ -55,6 +55,9 @@
         self.resting_upstreams = self._gauge(
             "resting_upstreams", "Upstreams that want nothing from this node for some seconds"
         )
+        self.limited_upstreams = self._gauge(
+            "limited_upstreams", "Upstreams that bound the requests of all nodes together"
+        )
         self.halls_down = self._gauge(
             "halls_down", "Halls of which nothing answers, as found by this coordinator"
         )
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -28,15 +28,17 @@
 from mulleinreach.gateway.known.eligibility import Eligibility
 from mulleinreach.gateway.known.evacuations import Evacuations
 from mulleinreach.gateway.known.following import ConfigurationInForce
-from mulleinreach.gateway.known.limits import UpstreamLimits
+from mulleinreach.gateway.known.limits import LimitBook
 from mulleinreach.gateway.known.load import LoadBook
 from mulleinreach.gateway.known.notices import NoticeBook
+from mulleinreach.gateway.known.permits import SendPermits
 from mulleinreach.gateway.known.routing import Router
 from mulleinreach.gateway.known.store_calls import StoreCalls, StoreRole, pause_s
 from mulleinreach.gateway.known.turns import reading_turn
 from mulleinreach.gateway.known.upstream_following import UpstreamFollower
 from mulleinreach.gateway.known.upstreams import UpstreamDirectory
 from mulleinreach.gateway.known.waking import WakeWatch
+from mulleinreach.gateway.listening import IDLE_TIMEOUT_S, serve
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.model import Limits
 from mulleinreach.gateway.ports import Bounds, GatewayIdentity, Ports
@@ -53,12 +55,8 @@
 from mulleinreach.gateway.upstream import Notice, Upstream
 
 CONNECT_TIMEOUT_S = 0.35
-BACKLOG = 512
-IDLE_TIMEOUT_S = 20.0
 # Callers' connections are closed earlier, after the idle time of the configuration.
 CALLERS_IDLE_TIMEOUT_S = 3600.0
-# Fields up to the limit of the configuration have to be read to be answered.
-MAX_LINE_BYTES = 65_536
 LIST_TURN_S = 0.03
 STOP_TAIL_S = 1.0
 STOP_QUIET_S = 2.9
@@ -108,7 +106,8 @@
         self.loads = LoadBook(self.clock)
         self.suspects = SuspectList(self.clock)
         self.active = ActiveExchanges()
-        self.limits = UpstreamLimits(self.log)
+        self.limits = LimitBook(self.directory, self.clock, self.log)
+        self.permits = SendPermits(self.limits, self.clock, self.rng)
         self.notices = NoticeBook(self.directory, self.clock, self.log, self._on_upstreams)
         self.ports.orders.listen(self._on_notice)
         self.crashes = CrashBook(self.clock, self.log, self.rng, self._on_held)
@@ -123,7 +122,13 @@
         self.cold_limit = ColdRateLimit(self.bounds, self.clock, self.log)
         self.cold = ColdUpstreams(self.directory, evacuations, self.cold_limit, self.clock)
         self.eligibility = Eligibility(
-            evacuations, self.cold, self.notices, self.identity.regions, self.metrics, self.rng
+            evacuations,
+            self.cold,
+            self.notices,
+            self.permits,
+            self.identity.regions,
+            self.metrics,
+            self.rng,
         )
         self.in_force = ConfigurationInForce(
             CountedSource(self.ports.configurations, "configuration", self.store_calls),
@@ -151,6 +156,7 @@
             self.suspects,
             self.eligibility,
             self.cold,
+            self.permits,
             self.clock,
         )
         self.session = self.network.http_client(
@@ -237,6 +243,7 @@
                 self.chooser,
                 self.eligibility,
                 self.cold_limit,
+                self.permits,
                 self.controller,
                 self.first_waits,
                 self.crashes,
@@ -271,20 +278,7 @@
         idle_timeout_s: float = IDLE_TIMEOUT_S,
         listening: socket.socket | None = None,
     ) -> web.Server:
-        server = web.Server(
-            handler,
-            handler_cancellation=True,
-            access_log=None,
-            auto_decompress=False,
-            keepalive_timeout=idle_timeout_s,
-            max_line_size=MAX_LINE_BYTES,
-            max_field_size=MAX_LINE_BYTES,
-        )
-        loop = asyncio.get_running_loop()
-        if listening is None:
-            listener = await loop.create_server(server, address.host, address.port, backlog=BACKLOG)
-        else:
-            listener = await loop.create_server(server, sock=listening, backlog=BACKLOG)
+        server, listener = await serve(handler, address, idle_timeout_s, listening)
         self._servers.append((server, listener))
         return server
 
@@ -365,6 +359,7 @@
         self.metrics.cold_heads.set(self.chooser.count_cold_heads(services))
         self.metrics.unusable_rows.set(self.follower.unusable_count)
         self.metrics.resting_upstreams.set(len(self.notices.resting()))
+        self.metrics.limited_upstreams.set(len(self.limits.limits()))
         self.metrics.held_requests.set(len(self.crashes.held()))
         self.metrics.evacuated_halls.set(len(self.in_force.evacuations.halls))
         body = generate_latest(self.metrics.registry)
--- a/mulleinreach/gateway/request/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -91,6 +91,7 @@
             return None
         if self._crashes.is_held(job.content):
             return None
+        self._chooser.note_wanted(job.terms, job.headers, job.tried)
         upstream = self._chooser.choose(job.terms, job.headers, job.tried, job.ended_halls)
         if upstream is None:
             self._log_shortage(job)
--- /dev/null
+++ b/mulleinreach/gateway/request/tests/test_limits_told_apart.py
@@ -0,0 +1,166 @@
+"""What must not be taken for an upstream's limit, nor for its end."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+
+from aiohttp import web
+
+from mulleinreach.gateway.known.limits import ENDED_TOLD_S, UNLISTED_KEPT_S, LimitBook, NamedLimit
+from mulleinreach.gateway.known.tests.test_crashes import SilentLog, SteppedClock
+from mulleinreach.gateway.known.upstreams import UpstreamDirectory
+from mulleinreach.gateway.tests.desk import NO_HOSTS, answer_whole, serve_desk
+from mulleinreach.gateway.tests.limited import (
+    CONTACT_S,
+    allowed,
+    ask_all_nodes,
+    most_in_a_window,
+    names_limit,
+)
+from mulleinreach.gateway.tests.noticed import DeskStandIn, ask_for, large_heads
+from mulleinreach.gateway.tests.support import run_world
+from mulleinreach.gateway.upstream import incarnation_id
+from mulleinreach.standins.gateway.dialect import REFUSED, REQUEST_ID
+from mulleinreach.standins.gateway.hosts import make_upstream
+
+FIRST = make_upstream(incarnation_id("desk-0", 1), "desk", 1, None)
+LATER = incarnation_id("desk-0", 2)
+
+
+def make_book(*upstreams) -> tuple[LimitBook, SteppedClock]:
+    """Return a book whose list has some upstreams, and its clock."""
+    clock, directory = SteppedClock(), UpstreamDirectory()
+    directory.replace_all(1, list(upstreams), clock.now())
+    return LimitBook(directory, clock, SilentLog()), clock
+
+
+def test_later_start_under_the_name_has_no_limit():
+    book, _ = make_book(FIRST)
+    book.take(FIRST.id, 1.5)
+    assert book.is_limited(FIRST.id)
+    assert not book.is_limited(LATER)
+
+
+def test_answer_without_a_limit_before_any_is_no_news():
+    book, _ = make_book(FIRST)
+    book.take(FIRST.id, math.inf)
+    assert not book.has_any
+    assert book.untold(includes_told=True) == ()
+
+
+def test_earlier_word_that_comes_late_changes_nothing():
+    book, clock = make_book(FIRST)
+    book.take(FIRST.id, 1.5)
+    clock.at += 1
+    book.take(FIRST.id, math.inf)
+    book.take_reported([NamedLimit(FIRST.id, 1.5, 0.5)])
+    book.take_told([NamedLimit(FIRST.id, 1.5, 0.2)], clock.now() - 0.5)
+    assert not book.is_limited(FIRST.id)
+
+
+def test_later_word_of_another_node_counts_either_way():
+    book, clock = make_book(FIRST)
+    book.take(FIRST.id, 1.5)
+    clock.at += 1
+    book.take_reported([NamedLimit(FIRST.id, 4.0, 0.5)])
+    assert book.limit_per_s(FIRST.id) == 4.0
+    book.take_reported([NamedLimit(FIRST.id, math.inf, 0.1)])
+    assert not book.is_limited(FIRST.id)
+
+
+def test_limit_that_ended_is_told_for_a_while_and_then_forgotten():
+    book, clock = make_book(FIRST)
+    book.take(FIRST.id, 1.5)
+    clock.at += 1
+    book.take(FIRST.id, math.inf)
+    assert [limit.per_s for limit in book.named()] == [math.inf]
+    clock.at += ENDED_TOLD_S
+    assert book.named() == ()
+
+
+def test_limit_of_an_upstream_that_is_gone_is_forgotten_one_on_the_list_is_not():
+    book, clock = make_book(FIRST)
+    book.take(FIRST.id, 1.5)
+    book.take("another", 2.0)
+    clock.at += UNLISTED_KEPT_S
+    assert book.limits() == {FIRST.id: 1.5}
+
+
+def test_coordinator_is_told_only_what_it_has_not_told():
+    book, clock = make_book(FIRST)
+    book.take(FIRST.id, 1.5)
+    assert [limit.per_s for limit in book.untold(includes_told=False)] == [1.5]
+    book.take_told([NamedLimit(FIRST.id, 1.5)], clock.now())
+    assert book.untold(includes_told=False) == ()
+    assert len(book.untold(includes_told=True)) == 1
+    clock.at += 1
+    book.take(FIRST.id, 2.5)
+    assert [limit.per_s for limit in book.untold(includes_told=False)] == [2.5]
+
+
+def test_refusal_without_a_limit_ends_none():
+    """An upstream that is full may turn a request away without saying more."""
+
+    async def test(world):
+        limited = DeskStandIn(names_limit(1.1))
+        refused = 0
+
+        async def answer(request):
+            nonlocal refused
+            if len(limited.arrivals) % 2:
+                refused += 1
+                limited.arrivals.append(world.clock.now())
+                headers = {REFUSED: "1", REQUEST_ID: request.headers[REQUEST_ID]}
+                return web.Response(status=503, headers=headers)
+            return await limited(request)
+
+        await serve_desk(world, answer, answer_whole)
+        await asyncio.sleep(5)
+        await ask_all_nodes(world, 15.0, 30, lambda n: world.call("/stock/1", method="GET", node=n))
+        assert refused > 2
+        since = limited.arrivals[0] + CONTACT_S
+        assert most_in_a_window(limited.arrivals, since) <= allowed(1.1)
+
+    run_world(test, **{**NO_HOSTS, "nodes": 4})
+
+
+def test_orders_and_questions_end_no_limit_and_are_not_bounded_by_one():
+    async def test(world):
+        await world.until_formed()
+        await asyncio.sleep(5)
+        (node,) = world.nodes.values()
+        limited, *_ = large_heads(world)
+        limited.headers = names_limit(1.1)
+        while not node.limits.is_limited(limited.id):
+            await world.stream(1)
+        limited.headers = {}
+        for _ in range(5):
+            await node.operator.probe(limited.upstream)
+        assert node.limits.is_limited(limited.id)
+
+    run_world(test, nodes=1)
+
+
+def test_limit_of_one_upstream_bounds_no_other():
+    async def test(world):
+        limited, free = DeskStandIn(names_limit(0.5)), DeskStandIn()
+        await serve_desk(world, limited, free)
+        await asyncio.sleep(5)
+        answers = await ask_for(5.0, lambda: world.call("/stock/1", method="GET"))
+        assert {answer.status for answer in answers} == {200}
+        assert len(free.arrivals) >= 40
+
+    run_world(test, **NO_HOSTS)
+
+
+def test_high_limit_keeps_nothing_away():
+    async def test(world):
+        limited = DeskStandIn(names_limit(200.0))
+        await serve_desk(world, limited)
+        await asyncio.sleep(5)
+        await ask_for(2.0, lambda: world.call("/order/1"))
+        answers = await ask_for(5.0, lambda: world.call("/order/1"))
+        assert {answer.status for answer in answers} == {200}
+
+    run_world(test, **NO_HOSTS)
--- a/mulleinreach/gateway/tests/test_imports.py
+++ b/mulleinreach/gateway/tests/test_imports.py
@@ -17,6 +17,7 @@
     "upstream",
     "ports",
     "metrics",
+    "listening",
     "explain",
     "known",
     "coordination",
