Soak: upstreams that name limits, and a check of what reaches them

Told notices of callers have one type; whether a gateway was out of touch is asked in one place. Permits that have lapsed are forgotten also for upstreams that nobody asks for any more.

--- a/mulleinreach/gateway/known/permits.py
+++ b/mulleinreach/gateway/known/permits.py
@@ -112,6 +112,7 @@
         """
         self._told_at, self._nodes = asked_at, nodes
         self._alone_at = {}
+        self._forget_lapsed()
         for permits in given:
             limit = self.limits.limit_per_s(permits.upstream_id)
             held = self._held.setdefault(permits.upstream_id, _Held(limit, deque()))
@@ -163,6 +164,10 @@
             return None
         return Rest(0.0, 1 / bearable_per_s(self.limits.limit_per_s(upstream_id)))
 
+    def _forget_lapsed(self) -> None:
+        """Forget upstreams for which no permit is left."""
+        self._held = {u: held for u, held in self._held.items() if self._unspent(u)}
+
     def _unspent(self, upstream_id: str) -> int:
         """Return how many permits this node holds; a limit that has sunk ends earlier ones."""
         held = self._held.get(upstream_id)
@@ -173,8 +178,6 @@
         now = self._clock.now()
         while held.lapse_at and held.lapse_at[0] <= now:
             held.lapse_at.popleft()
-        if not held.lapse_at:
-            del self._held[upstream_id]
         return len(held.lapse_at)
 
     def _is_alone(self) -> bool:
--- a/mulleinreach/platform/tests/soak/callers.py
+++ b/mulleinreach/platform/tests/soak/callers.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from mulleinreach.gateway.upstream import name_of
 from mulleinreach.platform.dialect import (
     DEADLINE_MS,
     MODEL,
@@ -16,7 +17,7 @@
     SIGNATURE,
     TOKEN_USAGE,
 )
-from mulleinreach.platform.notices import LEAVING
+from mulleinreach.platform.notices import LEAVING, LIMIT
 from mulleinreach.platform.tests.soak.document import CALLER_HOST
 from mulleinreach.platform.tests.soak.processes import GatewayProcess
 from mulleinreach.platform.tests.soak.report import SoakReport
@@ -40,8 +41,8 @@
 
 
 @dataclass(frozen=True)
-class ToldLeaving:
-    """An answer, passed on by a gateway, that says that its upstream leaves."""
+class ToldNotice:
+    """An answer, passed on by a gateway, that says something of its upstream."""
 
     gateway: str
     upstream_id: str
@@ -56,7 +57,7 @@
 
     ``sent`` holds all requests by their ids, ``orders`` the ids of those that may run
     once at most, ``not_run`` of those that were answered as not run; ``told_leaving`` the
-    answers of upstreams that leave.
+    answers of upstreams that leave, ``told_limits`` of those that name a limit.
     """
 
     def __init__(self, world: SoakWorld, rng: random.Random, report: SoakReport):
@@ -66,7 +67,8 @@
         self.sent: dict[str, SentRequest] = {}
         self.orders: set[str] = set()
         self.not_run: set[str] = set()
-        self.told_leaving: list[ToldLeaving] = []
+        self.told_leaving: list[ToldNotice] = []
+        self.told_limits: list[ToldNotice] = []
         self._number = 0
 
     def open(self) -> aiohttp.ClientSession:
@@ -112,7 +114,7 @@
         url = f"{gateway.callers.url}/{kind}/1"
         try:
             async with self._session.post(url, data=body, headers=headers) as response:
-                self._note_leaving(gateway, response.headers)
+                self._note_notices(gateway, response.headers)
                 answer = (await response.read()).decode()
                 status = response.status
         except (aiohttp.ClientError, OSError, TimeoutError):
@@ -123,10 +125,15 @@
             self.not_run.add(request_id)
         return status
 
-    def _note_leaving(self, gateway: GatewayProcess, headers: Mapping[str, str]) -> None:
-        if LEAVING in headers and SIGNATURE in headers:
-            now = asyncio.get_running_loop().time()
-            self.told_leaving.append(ToldLeaving(gateway.name, headers[SIGNATURE], now))
+    def _note_notices(self, gateway: GatewayProcess, headers: Mapping[str, str]) -> None:
+        if SIGNATURE not in headers:
+            return
+        now = asyncio.get_running_loop().time()
+        told = ToldNotice(gateway.name, name_of(headers[SIGNATURE]), now)
+        if LEAVING in headers:
+            self.told_leaving.append(told)
+        if LIMIT in headers:
+            self.told_limits.append(told)
 
     def check_answer(self, kind: str, request_id: str, body: str, answer: str) -> None:
         """Check that an answer is whole, and that it belongs to its request."""
--- /dev/null
+++ b/mulleinreach/platform/tests/soak/limit_faults.py
@@ -0,0 +1,53 @@
+"""Lets upstreams name a limit of requests a second for a while."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from mulleinreach.gateway.upstream import MemberState, name_of
+from mulleinreach.platform.tests.soak.report import SoakReport
+from mulleinreach.platform.tests.soak.world import SoakWorld
+
+LIMIT_PER_S = (0.2, 1.2)
+NAMED_FOR_S = (5.0, 9.0)
+BETWEEN_S = (0.3, 1.0)
+
+
+class LimitFaults:
+    """Lets upstreams name limits."""
+
+    def __init__(self, world: SoakWorld, rng: random.Random, report: SoakReport):
+        self._world = world
+        self._rng = rng
+        self._report = report
+
+    async def harm_for_ever(self) -> None:
+        """Let an upstream name a limit every now and then."""
+        async with asyncio.TaskGroup() as group:
+            while True:
+                group.create_task(self._name_limit())
+                await asyncio.sleep(self._rng.uniform(*BETWEEN_S))
+
+    async def _name_limit(self) -> None:
+        name = self._some_upstream()
+        if name is None or self._world.notices.limit_of(name) is not None:
+            return
+        self._report.faults["name_limit"] += 1
+        self._world.notices.name_limit(name, self._rng.uniform(*LIMIT_PER_S))
+        await asyncio.sleep(self._rng.uniform(*NAMED_FOR_S))
+        self._world.notices.end_limit(name)
+
+    def _some_upstream(self) -> str | None:
+        """Return a head of a group, or a plain upstream."""
+        hosts = self._world.fabric.hosts.values()
+        serving = [h for h in hosts if h.standing and h.standing.state is MemberState.OPEN]
+        heads = [name_of(host.id) for host in serving if not host.is_dark]
+        plain = [u for u in self._world.plain_upstreams if not self._world.links[u].is_silent]
+        kind = self._rng.choice([heads, plain])
+        return self._rng.choice(kind) if kind else None
+
+    def mend(self) -> None:
+        """Let nobody name a limit any more."""
+        for limit in self._world.notices.limited:
+            self._world.notices.end_limit(limit.upstream_id)
--- a/mulleinreach/platform/tests/soak/notice_checks.py
+++ b/mulleinreach/platform/tests/soak/notice_checks.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from mulleinreach.gateway.upstream import name_of
 from mulleinreach.platform.tests.soak.callers import Callers, SentRequest
 from mulleinreach.platform.tests.soak.notices import Arrival, Rest
 from mulleinreach.platform.tests.soak.report import SoakReport
@@ -51,7 +50,7 @@
             and rest.at + ON_ITS_WAY_S < a.at < ends_at
             and self._sent(a.request_id).gateway == gateway
         ]
-        if len(came) <= MOST_IN_A_REST or self._is_excused(gateway, rest.at, ends_at):
+        if len(came) <= MOST_IN_A_REST or self._world.is_out_of_touch(gateway, rest.at, ends_at):
             return
         if self._was_reset(rest):
             return
@@ -70,23 +69,16 @@
         """DRAIN: nothing comes that was sent ``drain_ms`` after a gateway passed its word on."""
         sent = self._sent(arrival.request_id)
         for told in self._callers.told_leaving:
-            name = name_of(told.upstream_id)
-            if (name, told.gateway) != (arrival.upstream_id, sent.gateway):
+            if (told.upstream_id, told.gateway) != (arrival.upstream_id, sent.gateway):
                 continue
-            if name in self._world.notices.restarted:
+            if told.upstream_id in self._world.notices.restarted:
                 continue
             late_s = sent.at - told.at
-            if late_s > DRAIN_S and not self._is_excused(sent.gateway, told.at, arrival.at):
+            if late_s > DRAIN_S and not self._world.is_out_of_touch(
+                sent.gateway, told.at, arrival.at
+            ):
                 self._report.broken.append(
                     f"{arrival.request_id} reached {arrival.upstream_id} from {sent.gateway}"
                     f" {late_s:.1f} s after it had said that it leaves"
                 )
                 return
-
-    def _is_excused(self, gateway: str, since: float, until: float) -> bool:
-        started = [g.started_at for g in self._world.gateways if g.name == gateway]
-        was_frozen = any(
-            d.gateway == gateway and d.since <= until and since <= d.until
-            for d in self._world.disturbances
-        )
-        return was_frozen or any(since <= at <= until for times in started for at in times)
--- a/mulleinreach/platform/tests/soak/notices.py
+++ b/mulleinreach/platform/tests/soak/notices.py
@@ -1,4 +1,4 @@
-"""Upstreams that ask for rest, or say in their answers that they leave, and what reaches them."""
+"""Upstreams that ask for rest, name a limit or say that they leave, and what reaches them."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from mulleinreach.platform.dialect import NOT_EXECUTED, REQUEST_ID
-from mulleinreach.platform.notices import LEAVING, RETRY_AFTER
+from mulleinreach.platform.notices import LEAVING, LIMIT, RETRY_AFTER
 
 
 @dataclass(frozen=True)
@@ -31,6 +31,16 @@
     rest_s: float
 
 
+@dataclass
+class Limited:
+    """A time during which an upstream named a limit in its answers."""
+
+    upstream_id: str
+    per_s: float
+    since: float
+    until: float = float("inf")
+
+
 class Notices:
     """What upstreams say of themselves, and which requests reached them.
 
@@ -38,12 +48,14 @@
     ===========
 
     Knobs: upstreams in ``rests_s`` turn each request away and ask for so much rest; those in
-    ``leaving`` say so in all their answers.
+    ``leaving`` say so in all their answers, and so do those in ``limited`` of which the time is
+    not over.
     """
 
     def __init__(self) -> None:
         self.rests_s: dict[str, float] = {}
         self.leaving: set[str] = set()
+        self.limited: list[Limited] = []
         self.arrivals: list[Arrival] = []
         self.rests: list[Rest] = []
         # Names under which a later start has begun; what was said before is checked no more.
@@ -53,9 +65,25 @@
         """A later start of an upstream has asked for nothing, and doesn't leave."""
         self.rests_s.pop(name, None)
         self.leaving.discard(name)
+        self.end_limit(name)
         self.rests = [rest for rest in self.rests if rest.upstream_id != name]
         self.restarted.add(name)
 
+    def name_limit(self, name: str, per_s: float) -> None:
+        """Have an upstream name a limit from now on."""
+        self.limited.append(Limited(name, per_s, asyncio.get_running_loop().time()))
+
+    def end_limit(self, name: str) -> None:
+        """Have an upstream name no limit any more."""
+        limit = self.limit_of(name)
+        if limit is not None:
+            limit.until = asyncio.get_running_loop().time()
+
+    def limit_of(self, name: str) -> Limited | None:
+        """Return the limit that an upstream names now."""
+        running = (e for e in self.limited if e.upstream_id == name and e.until == float("inf"))
+        return next(running, None)
+
     def attach(self, app: web.Application, upstream_id: str) -> None:
         """Have an upstream's application say what the knobs tell."""
 
@@ -76,6 +104,9 @@
         async def say(request: web.Request, response: web.StreamResponse) -> None:
             if upstream_id in self.leaving:
                 response.headers[LEAVING] = "1"
+            limit = self.limit_of(upstream_id)
+            if limit is not None:
+                response.headers[LIMIT] = f"{limit.per_s:.3f}"
 
         app.middlewares.append(refuse)
         app.on_response_prepare.append(say)
--- a/mulleinreach/platform/tests/soak/run.py
+++ b/mulleinreach/platform/tests/soak/run.py
@@ -22,6 +22,8 @@
 from mulleinreach.platform.tests.soak.callers import Callers
 from mulleinreach.platform.tests.soak.checks import RunChecks
 from mulleinreach.platform.tests.soak.faults import Faults
+from mulleinreach.platform.tests.soak.limit_checks import LimitChecks
+from mulleinreach.platform.tests.soak.limit_faults import LimitFaults
 from mulleinreach.platform.tests.soak.notice_checks import NoticeChecks
 from mulleinreach.platform.tests.soak.notice_faults import NoticeFaults
 from mulleinreach.platform.tests.soak.report import SoakReport
@@ -37,10 +39,16 @@
 
     has_notices : whether upstreams ask for rest and say that they leave, beside the faults.
     has_starts : whether hosts start again under their names, beside the faults.
+    has_limits : whether upstreams name limits, beside the faults.
     """
 
     def __init__(
-        self, world: SoakWorld, seed: int, has_notices: bool = False, has_starts: bool = False
+        self,
+        world: SoakWorld,
+        seed: int,
+        has_notices: bool = False,
+        has_starts: bool = False,
+        has_limits: bool = False,
     ):
         self.report = SoakReport(seed)
         self.callers = Callers(world, random.Random(seed), self.report)
@@ -50,10 +58,13 @@
         self._faults = Faults(world, random.Random(seed), self.report)
         self._notices = NoticeFaults(world, random.Random(f"notices {seed}"), self.report)
         starts = StartFaults(world, random.Random(f"starts {seed}"), self.report)
+        self._limits = LimitFaults(world, random.Random(f"limits {seed}"), self.report)
         self._harmers = [self._faults]
         self._harmers += [self._notices] if has_notices else []
         self._harmers += [starts] if has_starts else []
+        self._harmers += [self._limits] if has_limits else []
         self._notice_checks = NoticeChecks(world, self.callers, self.report)
+        self._limit_checks = LimitChecks(world, self.callers, self.report)
         self._world = world
 
     async def run(self, seconds: float) -> SoakReport:
@@ -70,9 +81,11 @@
             self._note_failures(ended)
             await self._faults.mend()
             self._notices.mend()
+            self._limits.mend()
             await self.callers.until_served()
         self.checks.check()
         self._notice_checks.check()
+        self._limit_checks.check()
         self.report.broken += self._world.fabric.checks.broken
         return self.report
 
@@ -88,13 +101,14 @@
     nodes: int = 3,
     has_notices: bool = False,
     has_starts: bool = False,
+    has_limits: bool = False,
 ) -> SoakReport:
     """Run one soak in a directory of its own, which is kept if a promise was broken."""
     directory = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     world = SoakWorld(directory, nodes, hosts=8, seed=seed)
     await world.start()
     try:
-        report = await Soak(world, seed, has_notices, has_starts).run(seconds)
+        report = await Soak(world, seed, has_notices, has_starts, has_limits).run(seconds)
     finally:
         await world.close()
     if report.broken:
@@ -128,6 +142,7 @@
     starts: Annotated[
         bool, typer.Option(help="Whether hosts start again under their names.")
     ] = True,
+    limits: Annotated[bool, typer.Option(help="Whether upstreams name limits.")] = True,
     report_file: Annotated[
         Path | None, typer.Option("--report", help="Where to write what was injected and seen.")
     ] = None,
@@ -137,7 +152,7 @@
     failed = 0
     reports = []
     for number in _seeds(seed, seeds, minutes):
-        report = asyncio.run(soak_once(number, seconds, nodes, notices, starts))
+        report = asyncio.run(soak_once(number, seconds, nodes, notices, starts, limits))
         failed += bool(report.broken)
         reports.append(report.to_json())
         verdict = "broken" if report.broken else "kept"
--- a/mulleinreach/platform/tests/soak/world.py
+++ b/mulleinreach/platform/tests/soak/world.py
@@ -160,6 +160,15 @@
         finally:
             disturbance.until = asyncio.get_running_loop().time()
 
+    def is_out_of_touch(self, gateway: str, since: float, until: float) -> bool:
+        """Whether a gateway was started, frozen or cut off from the store meanwhile."""
+        started = [g.started_at for g in self.gateways if g.name == gateway]
+        was_disturbed = any(
+            d.gateway == gateway and d.since <= until and since <= d.until
+            for d in self.disturbances
+        )
+        return was_disturbed or any(since <= at <= until for times in started for at in times)
+
     # Upstreams.
 
     def hosts_of(self, hall: str) -> list[HostStandIn]:
--- a/mulleinreach/platform/tests/test_soak.py
+++ b/mulleinreach/platform/tests/test_soak.py
@@ -6,12 +6,17 @@
 
 import pytest
 
-from mulleinreach.platform.tests.soak.callers import SentRequest, ToldLeaving
-from mulleinreach.platform.tests.soak.notices import Arrival, Notices, Rest
+from mulleinreach.platform.tests.soak.callers import SentRequest, ToldNotice
+from mulleinreach.platform.tests.soak.notices import Arrival, Limited, Notices, Rest
 from mulleinreach.platform.tests.soak.plain import PlainRun
 from mulleinreach.platform.tests.soak.report import SoakReport
 from mulleinreach.platform.tests.soak.run import Soak, soak_once
-from mulleinreach.platform.tests.soak.world import Disturbance, Evacuation, Revocation
+from mulleinreach.platform.tests.soak.world import (
+    Disturbance,
+    Evacuation,
+    Revocation,
+    SoakWorld,
+)
 from mulleinreach.standins.gateway.standings import ColdStart
 
 # Seeds that ever failed stay here, each with its cause.
@@ -39,6 +44,11 @@
     assert report.broken == []
 
 
+def test_short_soak_in_which_upstreams_name_limits_keeps_every_promise():
+    report = asyncio.run(soak_once(4, 2 * SECONDS, has_limits=True))
+    assert report.broken == []
+
+
 def test_report_can_be_written():
     report = SoakReport(7, ["a promise"])
     report.answers["order 200"] += 2
@@ -63,6 +73,7 @@
         gateways=[SimpleNamespace(name="gateway-0", started_at=[90.0])],
         notices=Notices(),
         resets=[],
+        is_out_of_touch=lambda *at: SoakWorld.is_out_of_touch(world, *at),
         hall_of={"desk-0": "hall-a", "desk-1": "hall-b", "host-1": "hall-a"}.get,
     )
     return Soak(world, seed=1), world
@@ -72,6 +83,7 @@
     """Run the checks; returns what they found."""
     soak.checks.check()
     soak._notice_checks.check()
+    soak._limit_checks.check()
     return soak.report.broken
 
 
@@ -225,7 +237,36 @@
 )
 def test_request_to_an_upstream_that_had_said_that_it_leaves_is_found(gateway, sent_at, is_found):
     soak, world = make_soak()
-    soak.callers.told_leaving.append(ToldLeaving(gateway, "desk-0", 100.0))
+    soak.callers.told_leaving.append(ToldNotice(gateway, "desk-0", 100.0))
     soak.callers.sent["r"] = SentRequest(sent_at, "key-1", "gateway-0")
     world.notices.arrivals.append(Arrival("desk-0", "r", 103.0))
     assert bool(find_broken(soak)) is is_found
+
+
+@pytest.mark.parametrize(
+    ("gateway", "told_at", "count", "is_found"),
+    [
+        ("gateway-0", 100.5, 12, True),
+        ("gateway-0", 100.5, 11, False),
+        ("gateway-0", 103.1, 12, False),
+        ("gateway-1", 100.5, 12, False),
+    ],
+)
+def test_requests_beyond_a_limit_are_found(gateway, told_at, count, is_found):
+    soak, world = make_soak()
+    world.notices.limited.append(Limited("desk-0", 1.0, since=100.0))
+    soak.callers.told_limits.append(ToldNotice(gateway, "desk-0", told_at))
+    for number in range(count):
+        soak.callers.sent[f"r{number}"] = SentRequest(100.0, "key-1", "gateway-0")
+        world.notices.arrivals.append(Arrival("desk-0", f"r{number}", 103.1 + 0.3 * number))
+    assert bool(find_broken(soak)) is is_found
+
+
+def test_gateway_that_was_frozen_since_it_knew_of_a_limit_is_excused():
+    soak, world = make_soak()
+    world.notices.limited.append(Limited("desk-0", 1.0, since=100.0))
+    soak.callers.told_limits.append(ToldNotice("gateway-0", "desk-0", 100.5))
+    world.disturbances.append(Disturbance("gateway-0", since=101.0, until=102.0))
+    soak.callers.sent["r"] = SentRequest(100.0, "key-1", "gateway-0")
+    world.notices.arrivals += [Arrival("desk-0", "r", 103.5)] * 20
+    assert find_broken(soak) == []
