Permits are asked for in advance only where they will be spent; requests that nobody else may take wait for one

Cause: a node asked after a request had been refused, and its permit lapsed before its next request. Ruled out: permits that come back when they lapse (the next node's would lapse too).

Now a node asks in advance for what half of a permit's time will use, and a request that only limits keep away waits for one answer of the coordinator; when that had none, others are refused at once for a second.

--- a/mulleinreach/gateway/coordination/dealing.py
+++ b/mulleinreach/gateway/coordination/dealing.py
@@ -9,8 +9,9 @@
 
 from mulleinreach.gateway.known.permits import PermitCount, bearable_per_s, permit_s
 
-# Permits that may gather while nobody wants them.
-BURST = 1.0
+# Permits that may gather while nobody wants them. With fewer, those are lost that become due
+# between two rounds of reports.
+BURST = 2.0
 # Seconds of an upstream's rate that may gather, where that is more: a round of reports.
 BURST_S = 0.25
 # For clocks that don't run alike.
@@ -97,7 +98,7 @@
         self, upstream_id: str, per_s: float, wants: dict[Node, int], now: float
     ) -> dict[Node, int]:
         """Return how many permits for one upstream each node gets."""
-        account = self._accounts.setdefault(upstream_id, _Account(BURST, now))
+        account = self._accounts.setdefault(upstream_id, _Account(1.0, now))
         gathered = account.balance + (now - account.at) * per_s
         account.balance, account.at = min(gathered, max(BURST, BURST_S * per_s)), now
         account.credits = {n: c for n, c in account.credits.items() if n in wants}
--- a/mulleinreach/gateway/known/choosing.py
+++ b/mulleinreach/gateway/known/choosing.py
@@ -181,16 +181,23 @@
         self._chosen[head.upstream.id] = head
         return head.upstream
 
-    def note_wanted(self, terms: RequestTerms, headers: CallerHeaders, tried: set[str]) -> None:
-        """Note if a request would go to an upstream that may be sent nothing now for its limit.
+    async def wait_for_permit(self, terms: RequestTerms, headers: CallerHeaders) -> None:
+        """Ask for a permit if a request would go to an upstream with a limit.
 
-        The coordinator gives permits to the nodes that have such requests.
+        It waits for one if nothing but limits keeps it away from all upstreams.
         """
         if not self._permits.limits.has_any:
             return
-        wanted = self.choose(terms, headers, tried, heeds_limits=False)
-        if wanted is not None and not self._permits.may_send(wanted.id):
-            self._permits.note_wanted(wanted.id)
+        asked = self.choose(terms, headers, set(), heeds_limits=False)
+        if asked is None:
+            return
+        self._permits.note_asked(asked.id)
+        if self._permits.may_send(asked.id):
+            return
+        if self.choose(terms, headers, set()) is None:
+            await self._permits.wait(asked.id)
+        else:
+            self._permits.note_withheld(asked.id)
 
     def wait_s(self, terms: RequestTerms, upstream_id: str) -> float:
         """Return how long a request is predicted to wait for others at a head that was chosen.
--- a/mulleinreach/gateway/known/permits.py
+++ b/mulleinreach/gateway/known/permits.py
@@ -7,13 +7,18 @@
 many as the upstream's limit allows, and to the nodes that have requests for it. So the sum holds
 without any node knowing what the others send: a permit that is lost, or lapses, is a request
 that isn't sent. A node that hears from no coordinator sends on at a small part of the limit.
+
+A node asks in advance for the permits that it will probably spend before they lapse, and for
+requests that no other upstream may take, which wait for the coordinator's next answer.
 """
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import random
-from collections import deque
-from collections.abc import Iterable
+from collections import Counter, deque
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 from mulleinreach.common import Clock
@@ -27,9 +32,18 @@
 PERMITS_OUT = 3.0
 # A node that was told nothing for so long hears from no coordinator.
 ALONE_AFTER_S = 1.0
-# Seconds over which a node counts the requests that it has for an upstream.
-WANTED_S = 1.0
-MOST_WANTED = 64
+# Seconds over which a node's requests for an upstream are counted.
+ASKED_S = 4.0
+MOST_ASKED = 256
+# The part of a permit's time within which a node should have use for it, so that few lapse.
+SOON = 0.5
+# A request that went elsewhere for want of a permit asks for one for the next request. Nodes that
+# have few would else never hear that the limit has ended.
+WITHHELD_S = 1.0
+# A request waits for one answer of the coordinator: two rounds of reports.
+LONGEST_WAIT_S = 0.6
+# While permits are short a request doesn't wait for one in vain.
+SHORT_S = 1.0
 # The part of a limit that all nodes together use while none of them hears from a coordinator. It
 # comes on top of what a coordinator gives out that others still hear from.
 ALONE_SHARE = 0.2
@@ -95,12 +109,20 @@
         self._clock = clock
         self._rng = rng
         self._held: dict[str, _Held] = {}
-        self._wanted_at: dict[str, deque[float]] = {}
+        # When requests came that would go to an upstream if it had no limit.
+        self._asked_at: dict[str, deque[float]] = {}
+        self._withheld_at: dict[str, float] = {}
+        self._waiting: Counter[str] = Counter()
+        # When the coordinator had no permit for a request that waited.
+        self._short_at: dict[str, float] = {}
+        self._news = asyncio.Event()
         # When this node may send next on its own.
         self._alone_at: dict[str, float] = {}
         self._told_at = float("-inf")
         self._nodes = MOST_NODES
 
+    # What the coordinator gives.
+
     def take(self, given: Iterable[PermitCount], asked_at: float, nodes: int) -> None:
         """Take the coordinator's permits.
 
@@ -118,6 +140,26 @@
             held = self._held.setdefault(permits.upstream_id, _Held(limit, deque()))
             held.limit_per_s = limit
             held.lapse_at.extend([asked_at + permit_s(limit)] * permits.count)
+        news, self._news = self._news, asyncio.Event()
+        news.set()
+
+    def _forget_lapsed(self) -> None:
+        """Forget upstreams for which no permit is left."""
+        self._held = {u: held for u, held in self._held.items() if self._unspent(u)}
+
+    def _unspent(self, upstream_id: str) -> int:
+        """Return how many permits this node holds; a limit that has sunk ends earlier ones."""
+        held = self._held.get(upstream_id)
+        if held is None:
+            return 0
+        if self.limits.limit_per_s(upstream_id) < held.limit_per_s:
+            held.lapse_at.clear()
+        now = self._clock.now()
+        while held.lapse_at and held.lapse_at[0] <= now:
+            held.lapse_at.popleft()
+        return len(held.lapse_at)
+
+    # What is sent.
 
     def may_send(self, upstream_id: str) -> bool:
         """Whether a request may be sent to an upstream now, as far as its limit goes."""
@@ -131,55 +173,20 @@
         """Spend a permit for a request that is about to be sent."""
         if not self.limits.is_limited(upstream_id):
             return
-        self.note_wanted(upstream_id)
         if self._unspent(upstream_id):
             self._held[upstream_id].lapse_at.popleft()
         else:
             self._alone_at[upstream_id] = self._clock.now() + self._alone_period_s(upstream_id)
 
-    def note_wanted(self, upstream_id: str) -> None:
-        """Note that a request would go to an upstream if that had no limit."""
-        wanted = self._wanted_at.setdefault(upstream_id, deque(maxlen=MOST_WANTED))
-        wanted.append(self._clock.now())
-
-    def wanted(self) -> tuple[PermitCount, ...]:
-        """Return the permits that this node has use for beside those that it holds."""
-        if not self._wanted_at:
-            return ()
-        since = self._clock.now() - WANTED_S
-        for upstream_id, times in list(self._wanted_at.items()):
-            while times and times[0] < since:
-                times.popleft()
-            if not times:
-                del self._wanted_at[upstream_id]
-        missing = {u: len(times) - self._unspent(u) for u, times in self._wanted_at.items()}
-        return tuple(PermitCount(u, count) for u, count in missing.items() if count > 0)
-
     def rest(self, upstream_id: str) -> Rest | None:
         """Return when callers may ask again for an upstream that may be sent nothing now.
 
-        Others wait too, so they come back over the time of some permits.
+        Others wait too, so they come back over the time of one permit.
         """
         if self.may_send(upstream_id):
             return None
         return Rest(0.0, 1 / bearable_per_s(self.limits.limit_per_s(upstream_id)))
 
-    def _forget_lapsed(self) -> None:
-        """Forget upstreams for which no permit is left."""
-        self._held = {u: held for u, held in self._held.items() if self._unspent(u)}
-
-    def _unspent(self, upstream_id: str) -> int:
-        """Return how many permits this node holds; a limit that has sunk ends earlier ones."""
-        held = self._held.get(upstream_id)
-        if held is None:
-            return 0
-        if self.limits.limit_per_s(upstream_id) < held.limit_per_s:
-            held.lapse_at.clear()
-        now = self._clock.now()
-        while held.lapse_at and held.lapse_at[0] <= now:
-            held.lapse_at.popleft()
-        return len(held.lapse_at)
-
     def _is_alone(self) -> bool:
         """Whether no coordinator gives permits to this node."""
         return self._clock.now() - self._told_at > ALONE_AFTER_S
@@ -194,3 +201,66 @@
     def _alone_period_s(self, upstream_id: str) -> float:
         per_s = bearable_per_s(self.limits.limit_per_s(upstream_id))
         return max(1, self._nodes) / (ALONE_SHARE * per_s)
+
+    # What is wanted.
+
+    def note_asked(self, upstream_id: str) -> None:
+        """Note a request that would go to an upstream if that had no limit."""
+        if not self.limits.is_limited(upstream_id):
+            return
+        asked_at = self._asked_at.setdefault(upstream_id, deque(maxlen=MOST_ASKED))
+        asked_at.append(self._clock.now())
+
+    def note_withheld(self, upstream_id: str) -> None:
+        """Note that such a request goes to another upstream for want of a permit."""
+        self._withheld_at[upstream_id] = self._clock.now()
+
+    @contextlib.contextmanager
+    def waiting(self, upstream_id: str) -> Iterator[None]:
+        """Ask for a permit for a request that waits for it meanwhile."""
+        self._waiting[upstream_id] += 1
+        try:
+            yield
+        finally:
+            self._waiting[upstream_id] -= 1
+
+    async def wait(self, upstream_id: str) -> None:
+        """Wait until a request may be sent, or the coordinator has had no permit for it."""
+        asked_at = self._clock.now()
+        if self._is_alone() or asked_at - self._short_at.get(upstream_id, 0.0) < SHORT_S:
+            return
+        with contextlib.suppress(TimeoutError), self.waiting(upstream_id):
+            async with asyncio.timeout(LONGEST_WAIT_S):
+                while not self.may_send(upstream_id) and self._told_at <= asked_at:
+                    await self._news.wait()
+        if not self.may_send(upstream_id):
+            self._short_at[upstream_id] = self._clock.now()
+
+    def wanted(self) -> tuple[PermitCount, ...]:
+        """Return the permits that this node has use for beside those that it holds."""
+        if not self._asked_at:
+            return ()
+        self._forget_asked()
+        wanted = {u: self._use_for(u) - self._unspent(u) for u in self._asked_at}
+        return tuple(PermitCount(u, count) for u, count in wanted.items() if count > 0)
+
+    def _forget_asked(self) -> None:
+        """Forget requests that are too old to count, and what goes with them."""
+        since = self._clock.now() - ASKED_S
+        for upstream_id, times in list(self._asked_at.items()):
+            while times and times[0] < since:
+                times.popleft()
+            if not times and not self._waiting[upstream_id]:
+                del self._asked_at[upstream_id], self._waiting[upstream_id]
+                self._withheld_at.pop(upstream_id, None)
+                self._short_at.pop(upstream_id, None)
+
+    def _use_for(self, upstream_id: str) -> int:
+        """Return how many permits would be spent: by who waits, and before they lapse."""
+        # One request alone shows no rate.
+        asked_per_s = max(0, len(self._asked_at[upstream_id]) - 1) / ASKED_S
+        soon_s = SOON * permit_s(self.limits.limit_per_s(upstream_id))
+        soon = int(asked_per_s * soon_s)
+        since = self._clock.now() - WITHHELD_S
+        was_withheld = self._withheld_at.get(upstream_id, since) > since
+        return self._waiting[upstream_id] + max(soon, int(was_withheld))
--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -128,6 +128,7 @@
         if self._sender.is_held(job):
             return self._refuse_held(job)
         self._budget.count_request(job.service.name)
+        await self._sender.wait_for_permit(job)
         if decision.route.kind is RouteKind.STREAMING:
             response = await self._relay_stream(job)
         else:
--- a/mulleinreach/gateway/request/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -80,6 +80,14 @@
         self._clock = clock
         self._log = log
 
+    async def wait_for_permit(self, job: RelayJob) -> None:
+        """Wait for a permit if nothing but limits keeps a request away from all upstreams.
+
+        That takes one answer of the coordinator at most, and no time while it has told that
+        permits are short.
+        """
+        await self._chooser.wait_for_permit(job.terms, job.headers)
+
     def next_upstream(self, job: RelayJob) -> Upstream | None:
         """Return where to send the request next, or ``None`` if it is given up."""
         if job.deadline - self._clock.now() < MIN_REMAINING_S:
@@ -91,7 +99,6 @@
             return None
         if self._crashes.is_held(job.content):
             return None
-        self._chooser.note_wanted(job.terms, job.headers, job.tried)
         upstream = self._chooser.choose(job.terms, job.headers, job.tried, job.ended_halls)
         if upstream is None:
             self._log_shortage(job)
