--- a/mulleinreach/gateway/known/permits.py
+++ b/mulleinreach/gateway/known/permits.py
@@ -181,11 +181,13 @@
     def rest(self, upstream_id: str) -> Rest | None:
         """Return when callers may ask again for an upstream that may be sent nothing now.
 
-        Others wait too, so they come back over the time of one permit.
+        Others were refused too, so they come back over the time of one permit, or over the time
+        for which permits are known to be short.
         """
         if self.may_send(upstream_id):
             return None
-        return Rest(0.0, 1 / bearable_per_s(self.limits.limit_per_s(upstream_id)))
+        one_permit_s = 1 / bearable_per_s(self.limits.limit_per_s(upstream_id))
+        return Rest(0.0, max(SHORT_S, one_permit_s))
 
     def _is_alone(self) -> bool:
         """Whether no coordinator gives permits to this node."""
