Tests of limits: two guards that nothing noticed are noticed; faults of the soak begin in one way

Taken out, the bound on what may gather and the telling of limits between nodes broke no test: the bucket was never idle in one, and the node that was answered coordinated itself in the other. Both fail now. The kinds of faults of the soak share what begins them (harmer.py).

--- a/mulleinreach/gateway/coordination/tests/test_dealing.py
+++ b/mulleinreach/gateway/coordination/tests/test_dealing.py
@@ -8,11 +8,11 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from mulleinreach.gateway.coordination.dealing import PermitDealer
+from mulleinreach.gateway.coordination.dealing import BURST, PermitDealer
 from mulleinreach.gateway.coordination.tests.limit_desk import UPSTREAM, Desk
 from mulleinreach.gateway.known.limits import NamedLimit
 from mulleinreach.gateway.known.permits import PermitCount, permit_s
-from mulleinreach.gateway.tests.limited import allowed, most_in_a_window, rate
+from mulleinreach.gateway.tests.limited import assert_kept, rate
 
 ROUND_S = 0.1
 # So much of a limit is used where there are requests enough, permits that lapse left out.
@@ -38,7 +38,7 @@
                 desk.ask(number)
         desk.deal(everybody)
         desk.clock.at += ROUND_S
-    assert most_in_a_window(desk.sent_at) <= allowed(limit)
+    assert_kept(desk.sent_at, limit)
     assert rate(desk.sent_at, began_at + 10, began_at + 60) >= USED * limit
 
 
@@ -53,7 +53,7 @@
                 desk.ask_and_wait(rng.randrange(nodes))
         desk.deal(set(range(nodes)))
         desk.clock.at += ROUND_S
-    assert most_in_a_window(desk.sent_at) <= allowed(limit)
+    assert_kept(desk.sent_at, limit)
     assert rate(desk.sent_at, began_at + 10, began_at + 60) >= USED * limit
 
 
@@ -68,6 +68,13 @@
     assert rate(desk.sent_at, moved_at + 3, moved_at + 20) >= 0.85 * 2.0
 
 
+def test_what_nobody_wanted_for_long_is_not_given_out_at_once():
+    dealer = PermitDealer(0.0)
+    dealer.deal({}, {"u": 1.0}, 10.0)
+    (given,) = dealer.deal({"a": (PermitCount("u", 50),)}, {"u": 1.0}, 100.0)["a"]
+    assert given.count <= BURST
+
+
 def test_two_nodes_that_want_as_much_get_as_much():
     dealer = PermitDealer(0.0)
     got = {"a": 0, "b": 0}
@@ -127,7 +134,7 @@
     @invariant()
     def limit_is_kept(self):
         if hasattr(self, "desk"):
-            assert most_in_a_window(self.desk.sent_at) <= allowed(self.desk.limit)
+            assert_kept(self.desk.sent_at, self.desk.limit)
 
 
 def test_word_of_a_coordinator_dates_permits_from_what_it_answers():
--- a/mulleinreach/gateway/request/tests/test_limits_told_apart.py
+++ b/mulleinreach/gateway/request/tests/test_limits_told_apart.py
@@ -13,9 +13,8 @@
 from mulleinreach.gateway.tests.desk import NO_HOSTS, answer_whole, serve_desk
 from mulleinreach.gateway.tests.limited import (
     CONTACT_S,
-    allowed,
     ask_all_nodes,
-    most_in_a_window,
+    assert_kept,
     names_limit,
 )
 from mulleinreach.gateway.tests.noticed import DeskStandIn, ask_for, large_heads
@@ -119,8 +118,7 @@
         await asyncio.sleep(5)
         await ask_all_nodes(world, 15.0, 30, lambda n: world.call("/stock/1", method="GET", node=n))
         assert refused > 2
-        since = limited.arrivals[0] + CONTACT_S
-        assert most_in_a_window(limited.arrivals, since) <= allowed(1.1)
+        assert_kept(limited.arrivals, 1.1, limited.arrivals[0] + CONTACT_S)
 
     run_world(test, **{**NO_HOSTS, "nodes": 4})
 
--- a/mulleinreach/gateway/request/tests/test_upstream_limits.py
+++ b/mulleinreach/gateway/request/tests/test_upstream_limits.py
@@ -20,9 +20,8 @@
 from mulleinreach.gateway.tests.desk import NO_HOSTS, answer_whole, fail, serve_desk
 from mulleinreach.gateway.tests.limited import (
     CONTACT_S,
-    allowed,
     ask_all_nodes,
-    most_in_a_window,
+    assert_kept,
     names_limit,
     rate,
 )
@@ -57,8 +56,7 @@
         await until_ready(world)
         answers = await ask_all_nodes(world, 20.0, 40, call_stock(world))
         assert {answer.status for answer in answers} == {200}
-        since = limited.arrivals[0] + CONTACT_S
-        assert most_in_a_window(limited.arrivals, since) <= allowed(per_s)
+        assert_kept(limited.arrivals, per_s, limited.arrivals[0] + CONTACT_S)
 
     run_world(test, **EIGHT_NODES)
 
@@ -73,8 +71,7 @@
         named_at = world.clock.now()
         answers = await ask_all_nodes(world, 15.0, 16, lambda n: world.stream(2, node=n))
         assert {answer.status for answer in answers} == {200}
-        since = named_at + CONTACT_S
-        assert most_in_a_window(limited.arrivals, since) <= allowed(per_s)
+        assert_kept(limited.arrivals, per_s, named_at + CONTACT_S)
 
     run_world(test, nodes=8)
 
@@ -96,7 +93,7 @@
             return answer
 
         await ask_all_nodes(world, 16.0, 10, ask)
-        assert most_in_a_window(limited.arrivals, limited.arrivals[0] + 0.5) <= allowed(1.0)
+        assert_kept(limited.arrivals, 1.0, limited.arrivals[0] + 0.5)
         # Who finds out that permits are short waits for one answer, once a second at most.
         assert max(spans) < ONE_ANSWER_S
         assert sum(span > AT_ONCE_S for span in spans) <= 16
@@ -113,7 +110,7 @@
         first = world.clock.now()
         await ask_all_nodes(world, 40.0, 20, call_stock(world))
         assert rate(limited.arrivals, first + 5, first + 40) >= USED * per_s
-        assert most_in_a_window(limited.arrivals, first + CONTACT_S) <= allowed(per_s)
+        assert_kept(limited.arrivals, per_s, first + CONTACT_S)
 
     run_world(test, **EIGHT_NODES)
 
@@ -130,7 +127,7 @@
         answers = await ask_all_nodes(world, 30.0, 1, call_stock(world))
         served = sum(answer.status == 200 for answer in answers)
         assert served >= 0.9 * len(answers)
-        assert most_in_a_window(limited.arrivals, began_at) <= allowed(2.0)
+        assert_kept(limited.arrivals, 2.0, began_at)
 
     run_world(test, **{**NO_HOSTS, "nodes": 20})
 
@@ -142,8 +139,7 @@
         await until_ready(world)
         world.plain["desk-0"].script = fail
         await ask_all_nodes(world, 15.0, 20, call_stock(world))
-        since = limited.arrivals[0] + CONTACT_S
-        assert most_in_a_window(limited.arrivals, since) <= allowed(1.1)
+        assert_kept(limited.arrivals, 1.1, limited.arrivals[0] + CONTACT_S)
 
     run_world(test, **EIGHT_NODES)
 
@@ -157,7 +153,7 @@
         breaking.breaks_after = 2
         named_at = world.clock.now()
         await ask_for(12.0, lambda: world.stream(5))
-        assert most_in_a_window(limited.arrivals, named_at + CONTACT_S) <= allowed(1.1)
+        assert_kept(limited.arrivals, 1.1, named_at + CONTACT_S)
 
     run_world(test, nodes=1)
 
@@ -167,9 +163,10 @@
         limited = DeskStandIn(names_limit(1.1))
         await serve_desk(world, limited)
         await until_ready(world)
-        await ask_for(3.0, lambda: world.call("/stock/1", method="GET", node="node-0"))
+        told = next(name for name in world.nodes if name != world.coordinator())
+        await ask_for(3.0, lambda: world.call("/stock/1", method="GET", node=told))
         began_at = world.clock.now()
-        others = [name for name in world.nodes if name != "node-0"]
+        others = [name for name in world.nodes if name != told]
         for _ in range(10):
             asks = [world.call("/stock/1", method="GET", node=name) for name in others]
             await asyncio.gather(*asks)
@@ -190,7 +187,7 @@
             await world.kill_node(world.coordinator())
         await asking
         since = limited.arrivals[0] + CONTACT_S
-        assert most_in_a_window(limited.arrivals, since) <= allowed(2.1)
+        assert_kept(limited.arrivals, 2.1, since)
         assert rate(limited.arrivals, since, since + 25) > 0.5
 
     run_world(test, **EIGHT_NODES)
@@ -207,7 +204,7 @@
             world.links.cut_both(one, other)
         await asking
         since = limited.arrivals[0] + CONTACT_S
-        assert most_in_a_window(limited.arrivals, since) <= allowed(2.1)
+        assert_kept(limited.arrivals, 2.1, since)
         assert rate(limited.arrivals, since + 6, since + 16) > 0
 
     run_world(test, **EIGHT_NODES)
@@ -233,8 +230,7 @@
         await serve_desk(world, limited)
         await until_ready(world)
         await ask_all_nodes(world, 20.0, 20, call_stock(world))
-        since = limited.arrivals[0] + CONTACT_S
-        assert most_in_a_window(limited.arrivals, since) <= allowed(0.0)
+        assert_kept(limited.arrivals, 0.0, limited.arrivals[0] + CONTACT_S)
         limited.headers = {}
         await ask_all_nodes(world, 15.0, 20, call_stock(world))
         answers = await ask_all_nodes(world, 3.0, 20, call_stock(world))
--- a/mulleinreach/gateway/tests/limited.py
+++ b/mulleinreach/gateway/tests/limited.py
@@ -35,6 +35,11 @@
     )
 
 
+def assert_kept(arrivals: list[float], per_s: float, since: float = -math.inf) -> None:
+    """Check that a limit was kept from a moment on."""
+    assert most_in_a_window(arrivals, since) <= allowed(per_s)
+
+
 def rate(arrivals: list[float], since: float, until: float) -> float:
     """Return how many requests came a second in a time."""
     return sum(since <= at < until for at in arrivals) / (until - since)
--- a/mulleinreach/platform/tests/soak/limit_faults.py
+++ b/mulleinreach/platform/tests/soak/limit_faults.py
@@ -3,31 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-import random
+from collections.abc import Coroutine, Iterator
 
 from mulleinreach.gateway.upstream import MemberState, name_of
-from mulleinreach.platform.tests.soak.report import SoakReport
-from mulleinreach.platform.tests.soak.world import SoakWorld
+from mulleinreach.platform.tests.soak.harmer import Harmer
 
 LIMIT_PER_S = (0.2, 1.2)
 NAMED_FOR_S = (5.0, 9.0)
-BETWEEN_S = (0.3, 1.0)
 
 
-class LimitFaults:
+class LimitFaults(Harmer):
     """Lets upstreams name limits."""
 
-    def __init__(self, world: SoakWorld, rng: random.Random, report: SoakReport):
-        self._world = world
-        self._rng = rng
-        self._report = report
-
-    async def harm_for_ever(self) -> None:
-        """Let an upstream name a limit every now and then."""
-        async with asyncio.TaskGroup() as group:
-            while True:
-                group.create_task(self._name_limit())
-                await asyncio.sleep(self._rng.uniform(*BETWEEN_S))
+    def _draw_faults(self) -> Iterator[Coroutine]:
+        yield self._name_limit()
 
     async def _name_limit(self) -> None:
         name = self._some_upstream()
--- a/mulleinreach/platform/tests/soak/notice_faults.py
+++ b/mulleinreach/platform/tests/soak/notice_faults.py
@@ -3,36 +3,28 @@
 from __future__ import annotations
 
 import asyncio
-import random
+from collections.abc import Coroutine, Iterator
 
 from mulleinreach.gateway.upstream import name_of
-from mulleinreach.platform.tests.soak.report import SoakReport
-from mulleinreach.platform.tests.soak.world import SoakWorld
+from mulleinreach.platform.tests.soak.harmer import Harmer
 
 # How long rests are, and for how long an upstream turns all requests away.
 REST_S = (1.0, 4.0)
 REFUSES_S = (0.3, 2.0)
-BETWEEN_S = (0.3, 1.2)
 # An upstream that leaves serves on for so long.
 SERVES_ON_S = (2.5, 6.0)
 
 
-class NoticeFaults:
+class NoticeFaults(Harmer):
     """Lets upstreams ask for rest and leave."""
 
-    def __init__(self, world: SoakWorld, rng: random.Random, report: SoakReport):
-        self._world = world
-        self._rng = rng
-        self._report = report
+    between_s = (0.3, 1.2)
 
-    async def harm_for_ever(self) -> None:
-        """Let an upstream ask for rest, or leave, every now and then."""
-        async with asyncio.TaskGroup() as group:
-            while True:
-                kind = self._rng.choice([self.ask_for_rest, self.ask_for_rest, self.leave])
-                self._report.faults[kind.__name__] += 1
-                group.create_task(kind())
-                await asyncio.sleep(self._rng.uniform(*BETWEEN_S))
+    def _draw_faults(self) -> Iterator[Coroutine]:
+        """Let an upstream ask for rest, or leave."""
+        kind = self._rng.choice([self.ask_for_rest, self.ask_for_rest, self.leave])
+        self._report.faults[kind.__name__] += 1
+        yield kind()
 
     def _some_upstream(self) -> str | None:
         hosts = [name_of(h.id) for h in self._world.fabric.hosts.values() if not h.is_dark]
--- a/mulleinreach/platform/tests/soak/start_faults.py
+++ b/mulleinreach/platform/tests/soak/start_faults.py
@@ -3,38 +3,30 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import time
+from collections.abc import Coroutine, Iterator
 
-from mulleinreach.platform.tests.soak.report import SoakReport
-from mulleinreach.platform.tests.soak.world import SoakWorld
+from mulleinreach.platform.tests.soak.harmer import Harmer
 from mulleinreach.standins.gateway.hosts import HostStandIn
 
-BETWEEN_S = (0.4, 2.0)
 # Before the list has noticed, and after a heartbeat.
 DOWN_S = (0.05, 2.0)
 # How far a host's time of day may be set back meanwhile.
 SET_BACK_MS = 60_000
 
 
-class StartFaults:
+class StartFaults(Harmer):
     """Lets hosts start again."""
 
-    def __init__(self, world: SoakWorld, rng: random.Random, report: SoakReport):
-        self._world = world
-        self._rng = rng
-        self._report = report
-
-    async def harm_for_ever(self) -> None:
-        """Let a host crash every now and then, or all of a hall in one moment."""
-        async with asyncio.TaskGroup() as group:
-            while True:
-                hosts = self._world.hosts_of(self._rng.choice(self._world.halls))
-                count = len(hosts) if self._rng.random() < 0.1 else min(1, len(hosts))
-                for host in self._rng.sample(hosts, count):
-                    self._report.faults["start_again"] += 1
-                    group.create_task(self._start_again(host))
-                await asyncio.sleep(self._rng.uniform(*BETWEEN_S))
+    between_s = (0.4, 2.0)
+
+    def _draw_faults(self) -> Iterator[Coroutine]:
+        """Let a host crash, or all of a hall in one moment."""
+        hosts = self._world.hosts_of(self._rng.choice(self._world.halls))
+        count = len(hosts) if self._rng.random() < 0.1 else min(1, len(hosts))
+        for host in self._rng.sample(hosts, count):
+            self._report.faults["start_again"] += 1
+            yield self._start_again(host)
 
     async def _start_again(self, host: HostStandIn) -> None:
         self._world.crash_host(host)
