--- a/benchmarks/notice_breakages.py
+++ b/benchmarks/notice_breakages.py
@@ -181,4 +181,20 @@
         "if False:",
         f"{DEALING} -k sinks",
     ),
+    Breakage(
+        "LIMIT",
+        "a request that only limits keep away waits for a permit",
+        f"{GATEWAY}/known/choosing.py",
+        "await self._permits.wait(asked.id)",
+        "pass",
+        f"{LIMITS} -k few_callers",
+    ),
+    Breakage(
+        "LIMIT",
+        "nobody waits while permits are known to be short",
+        f"{GATEWAY}/known/choosing.py",
+        "if self._permits.are_short(asked.id):",
+        "if False:",
+        f"{LIMITS} -k refuses_at_once",
+    ),
 ]
--- a/mulleinreach/gateway/known/choosing.py
+++ b/mulleinreach/gateway/known/choosing.py
@@ -92,6 +92,15 @@
     evacuated_halls: tuple[str, ...]
 
 
+@dataclass(frozen=True)
+class AwaitedPermit:
+    """What came of a request's wait for a permit."""
+
+    upstream_id: str
+    is_given: bool
+    waited_s: float
+
+
 class UpstreamChooser:
     """Chooses the upstream of a request among those that may take it."""
 
@@ -181,23 +190,31 @@
         self._chosen[head.upstream.id] = head
         return head.upstream
 
-    async def wait_for_permit(self, terms: RequestTerms, headers: CallerHeaders) -> None:
+    async def wait_for_permit(
+        self, terms: RequestTerms, headers: CallerHeaders
+    ) -> AwaitedPermit | None:
         """Ask for a permit if a request would go to an upstream with a limit.
 
-        It waits for one if nothing but limits keeps it away from all upstreams.
+        It waits for one if nothing but limits keeps it away from all upstreams; returns what
+        came of that, ``None`` if it didn't wait.
         """
         if not self._permits.limits.has_any:
-            return
+            return None
         asked = self.choose(terms, headers, set(), heeds_limits=False)
         if asked is None:
-            return
+            return None
         self._permits.note_asked(asked.id)
         if self._permits.may_send(asked.id):
-            return
-        if self.choose(terms, headers, set()) is None:
-            await self._permits.wait(asked.id)
-        else:
+            return None
+        if self.choose(terms, headers, set()) is not None:
             self._permits.note_withheld(asked.id)
+            return None
+        if self._permits.are_short(asked.id):
+            return None
+        began_at = self._clock.now()
+        await self._permits.wait(asked.id)
+        is_given = self._permits.may_send(asked.id)
+        return AwaitedPermit(asked.id, is_given, self._clock.now() - began_at)
 
     def wait_s(self, terms: RequestTerms, upstream_id: str) -> float:
         """Return how long a request is predicted to wait for others at a head that was chosen.
--- a/mulleinreach/gateway/known/permits.py
+++ b/mulleinreach/gateway/known/permits.py
@@ -226,11 +226,14 @@
         finally:
             self._waiting[upstream_id] -= 1
 
+    def are_short(self, upstream_id: str) -> bool:
+        """Whether it is in vain to wait for a permit, as far as is known."""
+        short_for_s = self._clock.now() - self._short_at.get(upstream_id, float("-inf"))
+        return self._is_alone() or short_for_s < SHORT_S
+
     async def wait(self, upstream_id: str) -> None:
         """Wait until a request may be sent, or the coordinator has had no permit for it."""
         asked_at = self._clock.now()
-        if self._is_alone() or asked_at - self._short_at.get(upstream_id, 0.0) < SHORT_S:
-            return
         with contextlib.suppress(TimeoutError), self.waiting(upstream_id):
             async with asyncio.timeout(LONGEST_WAIT_S):
                 while not self.may_send(upstream_id) and self._told_at <= asked_at:
--- a/mulleinreach/gateway/request/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -86,7 +86,15 @@
         That takes one answer of the coordinator at most, and no time while it has told that
         permits are short.
         """
-        await self._chooser.wait_for_permit(job.terms, job.headers)
+        awaited = await self._chooser.wait_for_permit(job.terms, job.headers)
+        if awaited is not None:
+            self._log.event(
+                "permit_awaited",
+                id=job.headers.request_id,
+                upstream=awaited.upstream_id,
+                given=awaited.is_given,
+                ms=round(awaited.waited_s * 1000),
+            )
 
     def next_upstream(self, job: RelayJob) -> Upstream | None:
         """Return where to send the request next, or ``None`` if it is given up."""
--- a/mulleinreach/gateway/request/tests/test_leaving_callers.py
+++ b/mulleinreach/gateway/request/tests/test_leaving_callers.py
@@ -8,6 +8,8 @@
 
 from mulleinreach.gateway.request.urgency import ENOUGH_SEEN
 from mulleinreach.gateway.tests.desk import NO_HOSTS, serve_desk
+from mulleinreach.gateway.tests.limited import names_limit
+from mulleinreach.gateway.tests.noticed import DeskStandIn
 from mulleinreach.gateway.tests.support import run_world
 from mulleinreach.standins.gateway.world import API_KEY, CALLER_HOST, LARGE, MODEL_SERVICE
 
@@ -86,6 +88,21 @@
     run_world(test, nodes=1)
 
 
+def test_while_it_waits_for_a_permit():
+    async def test(world):
+        limited = DeskStandIn(names_limit(0.5))
+        await serve_desk(world, limited)
+        await asyncio.sleep(5)
+        await world.call("/stock/1", method="GET")
+        count = len(limited.arrivals)
+        asking = asyncio.create_task(world.call("/stock/1", method="GET"))
+        await world.until(lambda: world.nodes["node-0"].permits.wanted())
+        await leave(world, asking, 0.01)
+        assert len(limited.arrivals) == count
+
+    run_world(test, **NO_HOSTS)
+
+
 def test_while_its_node_starts():
     async def test(world):
         world.store.is_down = True
--- a/mulleinreach/gateway/request/tests/test_request_lines.py
+++ b/mulleinreach/gateway/request/tests/test_request_lines.py
@@ -81,3 +81,17 @@
         assert [line["per_s"] for line in fields_of(kept, "upstream_limit")] == [1.5, math.inf]
 
     run_world(test, **NO_HOSTS)
+
+
+def test_wait_for_a_permit_is_told_with_what_came_of_it():
+    async def test(world):
+        await serve_desk(world, DeskStandIn({LIMIT: "0.5"}))
+        await asyncio.sleep(5)
+        await world.call("/order/1")
+        kept = keep_events(world.nodes["node-0"])
+        answers = [await world.call("/order/1") for _ in range(2)]
+        lines = fields_of(kept, "permit_awaited")
+        assert [line["given"] for line in lines] == [answer.status == 200 for answer in answers]
+        assert {line["upstream"] for line in lines} == {"desk-0"}
+
+    run_world(test, **NO_HOSTS)
