--- a/mulleinreach/gateway/coordination/dealing.py
+++ b/mulleinreach/gateway/coordination/dealing.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass, field
 from typing import TypeVar
 
-from mulleinreach.gateway.known.permits import PermitCount, bearable_per_s, permit_s
+from mulleinreach.gateway.known.limits import bearable_per_s, permit_s
+from mulleinreach.gateway.known.permits import PermitCount
 
 # Permits that may gather while nobody wants them. With fewer, those are lost that become due
 # between two rounds of reports.
--- a/mulleinreach/gateway/coordination/tests/limit_desk.py
+++ b/mulleinreach/gateway/coordination/tests/limit_desk.py
@@ -47,10 +47,10 @@
     def ask(self, number: int) -> bool:
         """Let a node send a request if it may, else elsewhere; returns whether it did."""
         node = self.nodes[number]
-        node.note_asked(UPSTREAM.id)
+        node.wants.note_asked(UPSTREAM.id)
         if self._send_if_allowed(node):
             return True
-        node.note_withheld(UPSTREAM.id)
+        node.wants.note_withheld(UPSTREAM.id)
         return False
 
     def _send_if_allowed(self, node: SendPermits) -> bool:
@@ -63,10 +63,10 @@
     def ask_and_wait(self, number: int) -> None:
         """Let a node send a request now, or after the coordinator's next answer, if it may."""
         node = self.nodes[number]
-        node.note_asked(UPSTREAM.id)
+        node.wants.note_asked(UPSTREAM.id)
         if self._send_if_allowed(node):
             return
-        waits = node.waiting(UPSTREAM.id)
+        waits = node.wants.waiting(UPSTREAM.id)
         waits.__enter__()
         self._waiting.append((node, waits))
 
--- a/mulleinreach/gateway/coordination/tests/test_dealing.py
+++ b/mulleinreach/gateway/coordination/tests/test_dealing.py
@@ -10,8 +10,8 @@
 
 from mulleinreach.gateway.coordination.dealing import BURST, PermitDealer
 from mulleinreach.gateway.coordination.tests.limit_desk import UPSTREAM, Desk
-from mulleinreach.gateway.known.limits import NamedLimit
-from mulleinreach.gateway.known.permits import PermitCount, permit_s
+from mulleinreach.gateway.known.limits import NamedLimit, permit_s
+from mulleinreach.gateway.known.permits import PermitCount
 from mulleinreach.gateway.tests.limited import assert_kept, rate
 
 ROUND_S = 0.1
--- a/mulleinreach/gateway/known/limits.py
+++ b/mulleinreach/gateway/known/limits.py
@@ -16,6 +16,39 @@
 # may take its row away for a while.
 UNLISTED_KEPT_S = 60.0
 
+# An upstream that takes nothing is sent a request now and then: its answer tells when that ends.
+LEAST_PER_S = 0.2
+# Seconds for which a permit counts. A shorter time loses permits of nodes with few requests; with
+# a longer one more of them may be spent in one moment.
+SHORTEST_PERMIT_S, LONGEST_PERMIT_S = 1.0, 4.0
+# Within these bounds a permit counts until the limit has allowed so many more.
+PERMITS_OUT = 3.0
+
+
+def bearable_per_s(limit_per_s: float) -> float:
+    """Return how many requests a second to send under a limit.
+
+    Examples
+    ========
+
+    >>> bearable_per_s(2.1), bearable_per_s(0.0)
+    (2.1, 0.2)
+    """
+    return max(limit_per_s, LEAST_PER_S)
+
+
+def permit_s(limit_per_s: float) -> float:
+    """Return for how long a permit counts.
+
+    Examples
+    ========
+
+    >>> permit_s(0.5), permit_s(1.5), permit_s(30.0)
+    (4.0, 2.0, 1.0)
+    """
+    out_s = PERMITS_OUT / bearable_per_s(limit_per_s)
+    return min(LONGEST_PERMIT_S, max(SHORTEST_PERMIT_S, out_s))
+
 
 @dataclass(frozen=True)
 class NamedLimit:
--- a/mulleinreach/gateway/known/permits.py
+++ b/mulleinreach/gateway/known/permits.py
@@ -17,29 +17,17 @@
 import asyncio
 import contextlib
 import random
-from collections import Counter, deque
-from collections.abc import Iterable, Iterator
+from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from mulleinreach.common import Clock
-from mulleinreach.gateway.known.limits import LimitBook
+from mulleinreach.gateway.known.limits import LimitBook, bearable_per_s, permit_s
 from mulleinreach.gateway.known.notices import Rest
+from mulleinreach.gateway.known.permit_wants import PermitWants
 
-# Seconds for which a permit counts. A shorter time loses permits of nodes with few requests; with
-# a longer one more of them may be spent in one moment.
-SHORTEST_PERMIT_S, LONGEST_PERMIT_S = 1.0, 4.0
-# Within these bounds a permit counts until the limit has allowed so many more.
-PERMITS_OUT = 3.0
 # A node that was told nothing for so long hears from no coordinator.
 ALONE_AFTER_S = 1.0
-# Seconds over which a node's requests for an upstream are counted.
-ASKED_S = 4.0
-MOST_ASKED = 256
-# The part of a permit's time within which a node should have use for it, so that few lapse.
-SOON = 0.5
-# A request that went elsewhere for want of a permit asks for one for the next request. Nodes that
-# have few would else never hear that the limit has ended.
-WITHHELD_S = 1.0
 # A request waits for one answer of the coordinator: two rounds of reports.
 LONGEST_WAIT_S = 0.6
 # While permits are short a request doesn't wait for one in vain.
@@ -49,8 +37,6 @@
 ALONE_SHARE = 0.2
 # How many nodes there are at most, for a node that was told of none.
 MOST_NODES = 350
-# An upstream that takes nothing is sent a request now and then: its answer tells when that ends.
-LEAST_PER_S = 0.2
 
 
 @dataclass(frozen=True)
@@ -61,31 +47,6 @@
     count: int
 
 
-def bearable_per_s(limit_per_s: float) -> float:
-    """Return how many requests a second to send under a limit.
-
-    Examples
-    ========
-
-    >>> bearable_per_s(2.1), bearable_per_s(0.0)
-    (2.1, 0.2)
-    """
-    return max(limit_per_s, LEAST_PER_S)
-
-
-def permit_s(limit_per_s: float) -> float:
-    """Return for how long a permit counts.
-
-    Examples
-    ========
-
-    >>> permit_s(0.5), permit_s(1.5), permit_s(30.0)
-    (4.0, 2.0, 1.0)
-    """
-    out_s = PERMITS_OUT / bearable_per_s(limit_per_s)
-    return min(LONGEST_PERMIT_S, max(SHORTEST_PERMIT_S, out_s))
-
-
 @dataclass
 class _Held:
     """The permits that a node holds for one upstream.
@@ -106,13 +67,10 @@
 
     def __init__(self, limits: LimitBook, clock: Clock, rng: random.Random):
         self.limits = limits
+        self.wants = PermitWants(limits, clock)
         self._clock = clock
         self._rng = rng
         self._held: dict[str, _Held] = {}
-        # When requests came that would go to an upstream if it had no limit.
-        self._asked_at: dict[str, deque[float]] = {}
-        self._withheld_at: dict[str, float] = {}
-        self._waiting: Counter[str] = Counter()
         # When the coordinator had no permit for a request that waited.
         self._short_at: dict[str, float] = {}
         self._news = asyncio.Event()
@@ -206,26 +164,6 @@
 
     # What is wanted.
 
-    def note_asked(self, upstream_id: str) -> None:
-        """Note a request that would go to an upstream if that had no limit."""
-        if not self.limits.is_limited(upstream_id):
-            return
-        asked_at = self._asked_at.setdefault(upstream_id, deque(maxlen=MOST_ASKED))
-        asked_at.append(self._clock.now())
-
-    def note_withheld(self, upstream_id: str) -> None:
-        """Note that such a request goes to another upstream for want of a permit."""
-        self._withheld_at[upstream_id] = self._clock.now()
-
-    @contextlib.contextmanager
-    def waiting(self, upstream_id: str) -> Iterator[None]:
-        """Ask for a permit for a request that waits for it meanwhile."""
-        self._waiting[upstream_id] += 1
-        try:
-            yield
-        finally:
-            self._waiting[upstream_id] -= 1
-
     def are_short(self, upstream_id: str) -> bool:
         """Whether it is in vain to wait for a permit, as far as is known."""
         short_for_s = self._clock.now() - self._short_at.get(upstream_id, float("-inf"))
@@ -234,38 +172,19 @@
     async def wait(self, upstream_id: str) -> None:
         """Wait until a request may be sent, or the coordinator has had no permit for it."""
         asked_at = self._clock.now()
-        with contextlib.suppress(TimeoutError), self.waiting(upstream_id):
+        with contextlib.suppress(TimeoutError), self.wants.waiting(upstream_id):
             async with asyncio.timeout(LONGEST_WAIT_S):
                 while not self.may_send(upstream_id) and self._told_at <= asked_at:
                     await self._news.wait()
         if not self.may_send(upstream_id):
-            self._short_at[upstream_id] = self._clock.now()
+            self._note_short(upstream_id)
+
+    def _note_short(self, upstream_id: str) -> None:
+        now = self._clock.now()
+        self._short_at = {u: at for u, at in self._short_at.items() if now - at < SHORT_S}
+        self._short_at[upstream_id] = now
 
     def wanted(self) -> tuple[PermitCount, ...]:
         """Return the permits that this node has use for beside those that it holds."""
-        if not self._asked_at:
-            return ()
-        self._forget_asked()
-        wanted = {u: self._use_for(u) - self._unspent(u) for u in self._asked_at}
-        return tuple(PermitCount(u, count) for u, count in wanted.items() if count > 0)
-
-    def _forget_asked(self) -> None:
-        """Forget requests that are too old to count, and what goes with them."""
-        since = self._clock.now() - ASKED_S
-        for upstream_id, times in list(self._asked_at.items()):
-            while times and times[0] < since:
-                times.popleft()
-            if not times and not self._waiting[upstream_id]:
-                del self._asked_at[upstream_id], self._waiting[upstream_id]
-                self._withheld_at.pop(upstream_id, None)
-                self._short_at.pop(upstream_id, None)
-
-    def _use_for(self, upstream_id: str) -> int:
-        """Return how many permits would be spent: by who waits, and before they lapse."""
-        # One request alone shows no rate.
-        asked_per_s = max(0, len(self._asked_at[upstream_id]) - 1) / ASKED_S
-        soon_s = SOON * permit_s(self.limits.limit_per_s(upstream_id))
-        soon = int(asked_per_s * soon_s)
-        since = self._clock.now() - WITHHELD_S
-        was_withheld = self._withheld_at.get(upstream_id, since) > since
-        return self._waiting[upstream_id] + max(soon, int(was_withheld))
+        missing = {u: count - self._unspent(u) for u, count in self.wants.uses().items()}
+        return tuple(PermitCount(u, count) for u, count in missing.items() if count > 0)
