--- a/mulleinreach/gateway/known/eligibility.py
+++ b/mulleinreach/gateway/known/eligibility.py
@@ -96,6 +96,7 @@
         permitted = [u for u in usable if self._exclusion_by_terms(u, terms, withheld) is None]
         if not heeds_limits:
             return permitted
+        # A limit bounds what all nodes send together, of which this node knows its own part only.
         return [u for u in permitted if self._permits.may_send(u.id)]
 
     def count_excluded(
