--- a/benchmarks/notice_breakages.py
+++ b/benchmarks/notice_breakages.py
@@ -9,7 +9,7 @@
 APART = f"{GATEWAY}/request/tests/test_notices_told_apart.py"
 LIMITS = f"{GATEWAY}/request/tests/test_upstream_limits.py"
 LIMITS_APART = f"{GATEWAY}/request/tests/test_limits_told_apart.py"
-DEALING = f"{GATEWAY}/coordination/tests/test_dealing.py"
+ALLOCATION = f"{GATEWAY}/coordination/tests/test_permit_allocation.py"
 
 NOTICE_BREAKAGES = [
     Breakage(
@@ -115,23 +115,23 @@
         f"{GATEWAY}/known/permits.py",
         "self._held[upstream_id].lapse_at.popleft()",
         "pass",
-        f"{DEALING} -k used_and_kept",
+        f"{ALLOCATION} -k used_and_kept",
     ),
     Breakage(
         "LIMIT",
         "a new coordinator waits until earlier permits have lapsed",
-        f"{GATEWAY}/coordination/dealing.py",
+        f"{GATEWAY}/coordination/permit_allocation.py",
         "if now - self._begun_at < permit_s(limit) + MARGIN_S:",
         "if False:",
-        f"{DEALING} {GATEWAY}/coordination/dealing.py",
+        f"{ALLOCATION} {GATEWAY}/coordination/permit_allocation.py",
     ),
     Breakage(
         "LIMIT",
         "what may gather is bounded",
-        f"{GATEWAY}/coordination/dealing.py",
+        f"{GATEWAY}/coordination/permit_allocation.py",
         "min(gathered, max(BURST, BURST_S * per_s))",
         "gathered",
-        DEALING,
+        ALLOCATION,
     ),
     Breakage(
         "LIMIT",
@@ -139,7 +139,7 @@
         f"{GATEWAY}/known/permits.py",
         "held.lapse_at.extend([asked_at + permit_s(limit)] * permits.count)",
         "held.lapse_at.extend([self._clock.now() + permit_s(limit)] * permits.count)",
-        f"{DEALING} -k dates",
+        f"{ALLOCATION} -k dates",
     ),
     Breakage(
         "LIMIT",
@@ -155,7 +155,7 @@
         f"{GATEWAY}/known/permits.py",
         "return max(1, self._nodes) / (ALONE_SHARE * per_s)",
         "return 1 / per_s",
-        DEALING,
+        ALLOCATION,
     ),
     Breakage(
         "LIMIT",
@@ -179,7 +179,7 @@
         f"{GATEWAY}/known/permits.py",
         "if self.limits.limit_per_s(upstream_id) < held.limit_per_s:",
         "if False:",
-        f"{DEALING} -k sinks",
+        f"{ALLOCATION} -k sinks",
     ),
     Breakage(
         "LIMIT",
--- a/benchmarks/permits.py
+++ b/benchmarks/permits.py
@@ -11,9 +11,9 @@
 import time
 from dataclasses import dataclass
 
-from mulleinreach.gateway.coordination.dealing import PermitDealer
 from mulleinreach.gateway.coordination.hub import report_interval_s
 from mulleinreach.gateway.coordination.messages import encode_node_report
+from mulleinreach.gateway.coordination.permit_allocation import PermitAllocator
 from mulleinreach.gateway.coordination.reports import NodeReport
 from mulleinreach.gateway.coordination.tests.limit_desk import Desk
 from mulleinreach.gateway.known.permits import PermitCount
@@ -45,21 +45,21 @@
         for number in askers:
             for _ in range(int(asks) + (rng.random() < asks % 1)):
                 desk.ask_and_wait(number)
-        desk.deal(set(range(nodes)))
+        desk.allocate(set(range(nodes)))
         desk.clock.at += step_s
     used = rate(desk.sent_at, began_at + WARM_UP_S, began_at + SECONDS) / limit
     return used, most_in_a_window(desk.sent_at)
 
 
-def cost_of_dealing(nodes: int) -> tuple[float, float]:
+def cost_of_allocation(nodes: int) -> tuple[float, float]:
     """Return the part of a core that dividing takes, and the bytes a second of one node's wants."""
     ids = [f"i-{number:010x}" for number in range(LIMITED_UPSTREAMS)]
     wants = tuple(PermitCount(upstream_id, 3) for upstream_id in ids)
     limits = dict.fromkeys(ids, 2.0)
-    dealer, rounds, step_s = PermitDealer(0.0), 200, report_interval_s(nodes)
+    allocator, rounds, step_s = PermitAllocator(0.0), 200, report_interval_s(nodes)
     began_at = time.process_time()
     for number in range(rounds):
-        dealer.deal(dict.fromkeys(range(nodes), wants), limits, 10 + number * step_s)
+        allocator.allocate(dict.fromkeys(range(nodes), wants), limits, 10 + number * step_s)
     part = (time.process_time() - began_at) / (rounds * step_s)
     with_wants = len(encode_node_report(NodeReport("node", [], wanted=wants)))
     extra = with_wants - len(encode_node_report(NodeReport("node", [])))
@@ -82,7 +82,7 @@
                 print(f"| {nodes} | {limit} | {demand.name} | {used:.2f} | {most}, {bound:g} |")
     print(f"\n{LIMITED_UPSTREAMS} limits, all nodes want permits for all of them:")
     for nodes in NODES:
-        part, bytes_s = cost_of_dealing(nodes)
+        part, bytes_s = cost_of_allocation(nodes)
         print(f"{nodes} nodes: {part:.2%} of a core at who divides, {bytes_s:.0f} B/s a node sends")
 
 
--- a/mulleinreach/gateway/coordination/hub.py
+++ b/mulleinreach/gateway/coordination/hub.py
@@ -16,7 +16,6 @@
 from dataclasses import dataclass, replace
 
 from mulleinreach.common import Address, Clock, Network
-from mulleinreach.gateway.coordination.dealing import PermitDealer
 from mulleinreach.gateway.coordination.frames import FrameReader, FrameWriter, PeerError
 from mulleinreach.gateway.coordination.lease import CoordinatorLease, Resignation, Successor
 from mulleinreach.gateway.coordination.messages import (
@@ -27,6 +26,7 @@
 )
 from mulleinreach.gateway.coordination.numbering import NodeNumbers
 from mulleinreach.gateway.coordination.passed_on import Knowledge
+from mulleinreach.gateway.coordination.permit_allocation import PermitAllocator
 from mulleinreach.gateway.coordination.reports import CoordinatorReport, NodeReport
 from mulleinreach.gateway.coordination.totals import TotalsShortener, sum_loads
 from mulleinreach.gateway.known.permits import PermitCount
@@ -81,7 +81,7 @@
     sent_configuration: int = 0
     has_list: bool = False
     # The number of the report that permits were given out on.
-    dealt_seq: int = -1
+    allocated_seq: int = -1
 
 
 class MemberHub:
@@ -114,7 +114,7 @@
         self._shortener = TotalsShortener()
         self._latest_totals: bytes | None = None
         self._numbering = NodeNumbers(clock.now())
-        self._dealer = PermitDealer(clock.now())
+        self._allocator = PermitAllocator(clock.now())
         self._encoded_list: tuple[int, bytes] = (0, b"")
         self._resignation: Resignation | None = None
         self._resigned_at = 0.0
@@ -163,7 +163,7 @@
     async def report_to_members(self) -> None:
         """Tell all members the totals, for ever."""
         self._numbering = NodeNumbers(self._clock.now())
-        self._dealer = PermitDealer(self._clock.now())
+        self._allocator = PermitAllocator(self._clock.now())
         while True:
             reports = self.node_reports()
             self.node_count = len(reports)
@@ -177,7 +177,7 @@
                 numbers=self._numbers(),
             )
             encoded = self._latest_totals = encode_totals(self._shortener.shorten(totals))
-            permits = self._deal_permits(reports[0])
+            permits = self._allocate_permits(reports[0])
             for member in list(self._members.values()):
                 if member.report is not None:
                     self._report_to(member, encoded, tuple(permits.get(member, ())))
@@ -195,17 +195,17 @@
             return self._numbering.count
         return self._numbering.count if self.is_store_away() else 0
 
-    def _deal_permits(self, own_report: NodeReport) -> dict[_Member | None, list[PermitCount]]:
+    def _allocate_permits(self, own_report: NodeReport) -> dict[_Member | None, list[PermitCount]]:
         """Return the permits that each member gets now; this node's own stand at ``None``."""
         if not (self._lease.is_held() or self.is_store_away()):
             return {}
         wanted: dict[_Member | None, tuple[PermitCount, ...]] = {None: own_report.wanted}
         for member in self._members.values():
             # A report that was answered doesn't know of the permits that the answer gave.
-            if member.report is not None and member.report.seq != member.dealt_seq:
+            if member.report is not None and member.report.seq != member.allocated_seq:
                 wanted[member] = member.report.wanted
-                member.dealt_seq = member.report.seq
-        return self._dealer.deal(wanted, self._knowledge.limits(), self._clock.now())
+                member.allocated_seq = member.report.seq
+        return self._allocator.allocate(wanted, self._knowledge.limits(), self._clock.now())
 
     def _report_to(
         self, member: _Member, totals: bytes, permits: tuple[PermitCount, ...] = ()
--- a/mulleinreach/gateway/coordination/dealing.py
+++ b/mulleinreach/gateway/coordination/permit_allocation.py
@@ -36,7 +36,7 @@
     credits: dict[Hashable, float] = field(default_factory=dict)
 
 
-class PermitDealer:
+class PermitAllocator:
     """Divides each upstream's limit among the nodes by what they want, for one term.
 
     Explanation
@@ -54,11 +54,11 @@
     Examples
     ========
 
-    >>> dealer = PermitDealer(0.0)
+    >>> allocator = PermitAllocator(0.0)
     >>> wanted = {"a": (PermitCount("u", 1),), "b": (PermitCount("u", 1),)}
-    >>> dealer.deal(wanted, {"u": 3.0}, 0.5), dealer.deal(wanted, {"u": 3.0}, 2.0)
+    >>> allocator.allocate(wanted, {"u": 3.0}, 0.5), allocator.allocate(wanted, {"u": 3.0}, 2.0)
     ({}, {'a': [PermitCount(upstream_id='u', count=1)]})
-    >>> dealer.deal(wanted, {"u": 3.0}, 2.5)
+    >>> allocator.allocate(wanted, {"u": 3.0}, 2.5)
     {'b': [PermitCount(upstream_id='u', count=1)]}
     """
 
@@ -66,7 +66,7 @@
         self._begun_at = begun_at
         self._accounts: dict[str, _Account] = {}
 
-    def deal(
+    def allocate(
         self,
         wanted: Mapping[Node, tuple[PermitCount, ...]],
         limits: Mapping[str, float],
@@ -90,12 +90,12 @@
             if now - self._begun_at < permit_s(limit) + MARGIN_S:
                 continue
             per_s = bearable_per_s(limit)
-            counts = self._deal_one(upstream_id, per_s, wants_by_upstream[upstream_id], now)
+            counts = self._allocate_one(upstream_id, per_s, wants_by_upstream[upstream_id], now)
             for node, count in counts.items():
                 given[node].append(PermitCount(upstream_id, count))
         return dict(given)
 
-    def _deal_one(
+    def _allocate_one(
         self, upstream_id: str, per_s: float, wants: dict[Node, int], now: float
     ) -> dict[Node, int]:
         """Return how many permits for one upstream each node gets."""
--- a/mulleinreach/gateway/coordination/tests/limit_desk.py
+++ b/mulleinreach/gateway/coordination/tests/limit_desk.py
@@ -5,7 +5,7 @@
 import random
 from contextlib import AbstractContextManager
 
-from mulleinreach.gateway.coordination.dealing import PermitDealer
+from mulleinreach.gateway.coordination.permit_allocation import PermitAllocator
 from mulleinreach.gateway.known.limits import LimitBook
 from mulleinreach.gateway.known.permits import SendPermits
 from mulleinreach.gateway.known.tests.test_crashes import SilentLog, SteppedClock
@@ -21,7 +21,7 @@
     def __init__(self, nodes: int, limit: float):
         self.clock = SteppedClock()
         self.nodes = [self.make_node(number) for number in range(nodes)]
-        self.dealer = PermitDealer(self.clock.now())
+        self.allocator = PermitAllocator(self.clock.now())
         self.limit = limit
         self.sent_at: list[float] = []
         self._waiting: list[tuple[SendPermits, AbstractContextManager[None]]] = []
@@ -47,10 +47,10 @@
     def ask(self, number: int) -> bool:
         """Let a node send a request if it may, else elsewhere; returns whether it did."""
         node = self.nodes[number]
-        node.wants.note_asked(UPSTREAM.id)
+        node.demand.note_asked(UPSTREAM.id)
         if self._send_if_allowed(node):
             return True
-        node.wants.note_withheld(UPSTREAM.id)
+        node.demand.note_withheld(UPSTREAM.id)
         return False
 
     def _send_if_allowed(self, node: SendPermits) -> bool:
@@ -63,14 +63,14 @@
     def ask_and_wait(self, number: int) -> None:
         """Let a node send a request now, or after the coordinator's next answer, if it may."""
         node = self.nodes[number]
-        node.wants.note_asked(UPSTREAM.id)
+        node.demand.note_asked(UPSTREAM.id)
         if self._send_if_allowed(node):
             return
-        waits = node.wants.waiting(UPSTREAM.id)
+        waits = node.demand.waiting(UPSTREAM.id)
         waits.__enter__()
         self._waiting.append((node, waits))
 
-    def deal(
+    def allocate(
         self, hearers: set[int], lost: frozenset[int] = frozenset(), late_s: float = 0
     ) -> None:
         """Have the coordinator give permits to the nodes that it hears.
@@ -83,7 +83,7 @@
         """
         now = self.clock.now()
         wanted = {number: self.nodes[number].wanted() for number in sorted(hearers)}
-        given = self.dealer.deal(wanted, {UPSTREAM.id: self.limit}, now)
+        given = self.allocator.allocate(wanted, {UPSTREAM.id: self.limit}, now)
         for number in hearers - lost:
             permits = given.get(number, [])
             self.nodes[number].take(permits, now - late_s, len(self.nodes))
--- a/mulleinreach/gateway/coordination/tests/test_dealing.py
+++ b/mulleinreach/gateway/coordination/tests/test_permit_allocation.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from mulleinreach.gateway.coordination.dealing import BURST, PermitDealer
+from mulleinreach.gateway.coordination.permit_allocation import BURST, PermitAllocator
 from mulleinreach.gateway.coordination.tests.limit_desk import UPSTREAM, Desk
 from mulleinreach.gateway.known.limits import NamedLimit, permit_s
 from mulleinreach.gateway.known.permits import PermitCount
@@ -36,7 +36,7 @@
             asks = ROUND_S * max(2, 3 * limit / len(askers))
             for _ in range(int(asks) + (rng.random() < asks % 1)):
                 desk.ask(number)
-        desk.deal(everybody)
+        desk.allocate(everybody)
         desk.clock.at += ROUND_S
     assert_kept(desk.sent_at, limit)
     assert rate(desk.sent_at, began_at + 10, began_at + 60) >= USED * limit
@@ -51,7 +51,7 @@
         for _ in range(3):
             if rng.random() < limit * ROUND_S:
                 desk.ask_and_wait(rng.randrange(nodes))
-        desk.deal(set(range(nodes)))
+        desk.allocate(set(range(nodes)))
         desk.clock.at += ROUND_S
     assert_kept(desk.sent_at, limit)
     assert rate(desk.sent_at, began_at + 10, began_at + 60) >= USED * limit
@@ -63,24 +63,24 @@
         moved_at = desk.clock.now()
         while desk.clock.now() < moved_at + 20:
             desk.ask(number)
-            desk.deal(set(range(8)))
+            desk.allocate(set(range(8)))
             desk.clock.at += ROUND_S
     assert rate(desk.sent_at, moved_at + 3, moved_at + 20) >= 0.85 * 2.0
 
 
 def test_what_nobody_wanted_for_long_is_not_given_out_at_once():
-    dealer = PermitDealer(0.0)
-    dealer.deal({}, {"u": 1.0}, 10.0)
-    (given,) = dealer.deal({"a": (PermitCount("u", 50),)}, {"u": 1.0}, 100.0)["a"]
+    allocator = PermitAllocator(0.0)
+    allocator.allocate({}, {"u": 1.0}, 10.0)
+    (given,) = allocator.allocate({"a": (PermitCount("u", 50),)}, {"u": 1.0}, 100.0)["a"]
     assert given.count <= BURST
 
 
 def test_two_nodes_that_want_as_much_get_as_much():
-    dealer = PermitDealer(0.0)
+    allocator = PermitAllocator(0.0)
     got = {"a": 0, "b": 0}
     for step in range(300):
         wanted = {"a": (PermitCount("u", 4),), "b": (PermitCount("u", 4),)}
-        for node, given in dealer.deal(wanted, {"u": 3.0}, step * ROUND_S).items():
+        for node, given in allocator.allocate(wanted, {"u": 3.0}, step * ROUND_S).items():
             got[node] += sum(permits.count for permits in given)
     assert abs(got["a"] - got["b"]) <= 1
 
@@ -101,13 +101,13 @@
                 for _ in range(asks):
                     self.desk.ask(number)
             if self.desk.clock.now() >= self.silent_until:
-                self.desk.deal(self.heard)
+                self.desk.allocate(self.heard)
             self.desk.clock.at += ROUND_S
 
     @rule(lost=st.frozensets(NODES), late_s=st.sampled_from([0.0, 0.3, 0.9]))
     def answers_are_lost_or_late(self, lost, late_s):
         if self.desk.clock.now() >= self.silent_until:
-            self.desk.deal(self.heard, lost, late_s)
+            self.desk.allocate(self.heard, lost, late_s)
 
     @rule(number=NODES)
     def node_is_cut_off(self, number):
@@ -125,7 +125,7 @@
     def coordinator_is_replaced(self):
         """Its lease lapses first; the next one begins to give permits later still."""
         self.silent_until = self.desk.clock.now() + LEASE_S
-        self.desk.dealer = PermitDealer(self.silent_until)
+        self.desk.allocator = PermitAllocator(self.silent_until)
 
     @rule(seconds=st.sampled_from([0.05, 0.5, 1.0, 5.0]))
     def time_goes_by(self, seconds):
--- a/mulleinreach/gateway/known/choosing.py
+++ b/mulleinreach/gateway/known/choosing.py
@@ -203,11 +203,11 @@
         asked = self.choose(terms, headers, set(), heeds_limits=False)
         if asked is None:
             return None
-        self._permits.wants.note_asked(asked.id)
+        self._permits.demand.note_asked(asked.id)
         if self._permits.may_send(asked.id):
             return None
         if self.choose(terms, headers, set()) is not None:
-            self._permits.wants.note_withheld(asked.id)
+            self._permits.demand.note_withheld(asked.id)
             return None
         if self._permits.are_short(asked.id):
             return None
--- a/mulleinreach/gateway/known/permit_wants.py
+++ b/mulleinreach/gateway/known/permit_demand.py
@@ -19,7 +19,7 @@
 WITHHELD_S = 1.0
 
 
-class PermitWants:
+class PermitDemand:
     """Counts the requests of this node that would go to upstreams if they had no limit."""
 
     def __init__(self, limits: LimitBook, clock: Clock):
--- a/mulleinreach/gateway/known/permits.py
+++ b/mulleinreach/gateway/known/permits.py
@@ -24,7 +24,7 @@
 from mulleinreach.common import Clock
 from mulleinreach.gateway.known.limits import LimitBook, bearable_per_s, permit_s
 from mulleinreach.gateway.known.notices import Rest
-from mulleinreach.gateway.known.permit_wants import PermitWants
+from mulleinreach.gateway.known.permit_demand import PermitDemand
 
 # A node that was told nothing for so long hears from no coordinator.
 ALONE_AFTER_S = 1.0
@@ -67,7 +67,7 @@
 
     def __init__(self, limits: LimitBook, clock: Clock, rng: random.Random):
         self.limits = limits
-        self.wants = PermitWants(limits, clock)
+        self.demand = PermitDemand(limits, clock)
         self._clock = clock
         self._rng = rng
         self._held: dict[str, _Held] = {}
@@ -172,7 +172,7 @@
     async def wait(self, upstream_id: str) -> None:
         """Wait until a request may be sent, or the coordinator has had no permit for it."""
         asked_at = self._clock.now()
-        with contextlib.suppress(TimeoutError), self.wants.waiting(upstream_id):
+        with contextlib.suppress(TimeoutError), self.demand.waiting(upstream_id):
             async with asyncio.timeout(LONGEST_WAIT_S):
                 while not self.may_send(upstream_id) and self._told_at <= asked_at:
                     await self._news.wait()
@@ -186,5 +186,5 @@
 
     def wanted(self) -> tuple[PermitCount, ...]:
         """Return the permits that this node has use for beside those that it holds."""
-        missing = {u: count - self._unspent(u) for u, count in self.wants.uses().items()}
+        missing = {u: count - self._unspent(u) for u, count in self.demand.uses().items()}
         return tuple(PermitCount(u, count) for u, count in missing.items() if count > 0)
