--- a/mulleinreach/gateway/known/eligibility.py
+++ b/mulleinreach/gateway/known/eligibility.py
@@ -94,7 +94,7 @@
         if withheld:
             self._metrics.count_withheld(len(withheld))
         permitted = [u for u in usable if self._exclusion_by_terms(u, terms, withheld) is None]
-        if not heeds_limits:
+        if not (heeds_limits and self._permits.limits.has_any):
             return permitted
         # A limit bounds what all nodes send together, of which this node knows its own part only.
         return [u for u in permitted if self._permits.may_send(u.id)]
