--- a/mulleinreach/common/calls.py
+++ b/mulleinreach/common/calls.py
@@ -15,8 +15,8 @@
 import asyncio
 import contextlib
 from collections import Counter
-from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass
+from collections.abc import AsyncIterator, Callable, Mapping
+from dataclasses import dataclass, field
 
 import aiohttp
 
@@ -29,6 +29,7 @@
 
     status: int
     body: bytes
+    headers: Mapping[str, str] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
@@ -78,7 +79,8 @@
                     if is_wait:
                         self._waits[limit] = session
                     async with session.request(method, url, **options) as response:
-                        answer = HttpAnswer(response.status, await response.read())
+                        body = await response.read()
+                        answer = HttpAnswer(response.status, body, response.headers)
             except TimeoutError:
                 self._note_silence(session)
                 return CallSilent(f"no answer in {timeout_s:g} s")
--- a/mulleinreach/gateway/known/following.py
+++ b/mulleinreach/gateway/known/following.py
@@ -176,7 +176,13 @@
     def _take(self, result: ConfigurationRead, asked_at: float) -> bool:
         """Take an answer in, unless a newer one is known; returns whether it was taken."""
         if self._revision is not None and result.revision < self._revision:
-            self._log.event("answer_put_aside", dependency="configuration", why="it is older")
+            self._log.event(
+                "answer_put_aside",
+                dependency="configuration",
+                why="it is older",
+                revision=result.revision,
+                known=self._revision,
+            )
             return False
         self._state.answered()
         self._revision = result.revision
--- a/mulleinreach/gateway/known/upstream_following.py
+++ b/mulleinreach/gateway/known/upstream_following.py
@@ -235,6 +235,13 @@
         own = self._directory.revision
         if own is not None and result.revision < own:
             # A wait that began before a newer read; the next one continues from that.
+            self._log.event(
+                "answer_put_aside",
+                dependency="upstream_list",
+                why="it is older",
+                revision=result.revision,
+                known=own,
+            )
             return
         self._must_read_all = False
         self.was_read.set()
--- a/mulleinreach/platform/store.py
+++ b/mulleinreach/platform/store.py
@@ -10,6 +10,7 @@
 from http import HTTPStatus
 
 import aiohttp
+from absl import logging
 
 from mulleinreach.common import Address
 from mulleinreach.common.calls import CallFailed, CallSilent, HttpAnswer, HttpCalls
@@ -28,6 +29,8 @@
 # A wait that was in vain is followed by a look at what has changed meanwhile.
 LOOK_S = 0.01
 PAGE_ROWS = 500
+# Rises each time that the store comes back from a copy that lacks its latest writes.
+ERA_HEADER = "Store-Era"
 # What decoding an answer of another shape raises.
 _OTHER_SHAPE = (ValueError, KeyError, TypeError)
 
@@ -133,6 +136,15 @@
         return Unavailable(str(error))
 
 
+def _era_of(answer: HttpAnswer) -> int:
+    """Return the store's era that an answer tells; 0 if it tells none that can be read."""
+    told = answer.headers.get(ERA_HEADER, "0")
+    if told.isascii() and told.isdigit():
+        return int(told)
+    logging.warning("event=store_era_unreadable told=%r", told)
+    return 0
+
+
 def _decode_written(answer: HttpAnswer) -> Written | Conflict | Unavailable:
     """Return what came of a write that was answered."""
     try:
@@ -157,11 +169,26 @@
     def __init__(self, make_session: Callable[[], aiohttp.ClientSession], address: Address):
         self._calls = HttpCalls(make_session)
         self._url = address.url + "/mulleinreach/"
+        self._era: int | None = None
 
     async def close(self) -> None:
         """End the connections."""
         await self._calls.close()
 
+    async def _ask(
+        self, method: str, call: str, timeout_s: float, **options
+    ) -> HttpAnswer | CallFailed:
+        """Make one call, and note the era that its answer tells."""
+        answer = await self._calls.ask(method, self._url + call, timeout_s, **options)
+        if isinstance(answer, HttpAnswer):
+            self._note_era(_era_of(answer))
+        return answer
+
+    def _note_era(self, era: int) -> None:
+        if self._era is not None and era > self._era:
+            logging.warning("event=store_restored era=%d before=%d", era, self._era)
+        self._era = era if self._era is None else max(era, self._era)
+
     async def read_table(self, table: str) -> StoreRows | Unavailable:
         """Return all rows of a table's empty part."""
         rows: list[StoreRow] = []
@@ -190,8 +217,7 @@
         return next((row for row in page.rows if row.key == key), None)
 
     async def _read_page(self, params: dict[str, str]) -> StoreRows | Unavailable:
-        url = self._url + "rows-get"
-        answer = _read_body(await self._calls.ask("GET", url, READ_TIMEOUT_S, params=params))
+        answer = _read_body(await self._ask("GET", "rows-get", READ_TIMEOUT_S, params=params))
         if isinstance(answer, HistoryLost):
             return Unavailable("no rows")
         return self._decode(answer) if isinstance(answer, dict) else answer
@@ -216,8 +242,8 @@
             "after_rev": str(revision),
             "wait_ms": str(int(wait_s * 1000)),
         }
-        url, timeout_s = self._url + "rows-feed", wait_s + WAIT_ANSWER_S
-        return await self._calls.ask("GET", url, timeout_s, is_wait=True, params=params)
+        timeout_s = wait_s + WAIT_ANSWER_S
+        return await self._ask("GET", "rows-feed", timeout_s, is_wait=True, params=params)
 
     async def write_row(
         self, row: RowState, value: dict, unchanged: list[RowState]
@@ -229,7 +255,7 @@
             "puts": [{**_place(row), "value": encoded}],
             "remove": [],
         }
-        answer = await self._calls.ask("POST", self._url + "rows-tx", WRITE_TIMEOUT_S, json=body)
+        answer = await self._ask("POST", "rows-tx", WRITE_TIMEOUT_S, json=body)
         if isinstance(answer, CallFailed):
             return Unavailable(answer.reason)
         return _decode_written(answer)
