--- a/mulleinreach/platform/tests/standin.py
+++ b/mulleinreach/platform/tests/standin.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from mulleinreach.gateway.upstream import Upstream, start_of
+from mulleinreach.platform.store import ERA_HEADER
 from mulleinreach.standins.gateway.store import MemoryStore
 
 PAGE = 3
@@ -30,11 +31,15 @@
     def app(self) -> web.Application:
         """Return the HTTP application."""
         app = web.Application()
+        app.on_response_prepare.append(self._tell_era)
         app.router.add_get("/mulleinreach/rows-get", self._get)
         app.router.add_get("/mulleinreach/rows-feed", self._feed)
         app.router.add_post("/mulleinreach/rows-tx", self._transact)
         return app
 
+    async def _tell_era(self, request: web.Request, response: web.StreamResponse) -> None:
+        response.headers[ERA_HEADER] = str(self.memory.era)
+
     async def _get(self, request: web.Request) -> web.Response:
         if self.status is not None:
             return web.Response(status=self.status)
--- /dev/null
+++ b/mulleinreach/standins/gateway/restoring.py
@@ -0,0 +1,43 @@
+"""Takes a store away and brings it back from a copy, without its latest writes."""
+
+from __future__ import annotations
+
+import asyncio
+
+from mulleinreach.gateway.upstream import name_of
+from mulleinreach.standins.gateway.fabric import Fabric
+from mulleinreach.standins.gateway.store import UPSTREAMS, MemoryStore, StoreCopy
+
+AWAY_S = 2.4
+# Rows of other users of the store, whose writes raise its versions too.
+OTHER_TABLE = "other"
+
+
+def write_others(store: MemoryStore, count: int) -> None:
+    """Raise the store's versions by writes that concern no gateway."""
+    for number in range(count):
+        store.put(OTHER_TABLE, "row", number)
+
+
+async def restore(
+    store: MemoryStore, copy: StoreCopy, away_s: float = AWAY_S, writes_at_once: int = 0
+) -> None:
+    """Take the store away, and bring it back from a copy.
+
+    Parameters
+    ==========
+
+    writes_at_once : what others write before anybody else is answered.
+    """
+    store.is_down = True
+    await asyncio.sleep(away_s)
+    store.restore(copy)
+    write_others(store, writes_at_once)
+    store.is_down = False
+
+
+def write_hosts_again(fabric: Fabric) -> None:
+    """Let all hosts write what the store's copy lacks, as their next heartbeats do."""
+    for host in fabric.hosts.values():
+        if fabric.store.get(UPSTREAMS, name_of(host.id)).value != host.describe():
+            host.list_again()
--- a/mulleinreach/standins/gateway/store.py
+++ b/mulleinreach/standins/gateway/store.py
@@ -32,6 +32,14 @@
 SILENT_S = 1.0
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """What a store held at one moment."""
+
+    version: int
+    tables: dict[str, dict[str, MemoryRow]]
+
+
 @dataclass(frozen=True)
 class MemoryRow:
     """A row; ``value`` is ``None`` for a removed one."""
@@ -49,10 +57,12 @@
 
     Knobs: ``is_down`` refuses every call, ``is_silent`` lets calls hang, ``loses``
     carries writes out and loses their answers, ``history_from`` is the oldest
-    version from which a wait may continue.
+    version from which a wait may continue. :meth:`restore` takes the store back to
+    a copy: what was written since is gone, and its versions are given out again.
     """
 
     def __init__(self) -> None:
+        self.era = 0
         self.version = 0
         self.tables: dict[str, dict[str, MemoryRow]] = {}
         self.is_down = False
@@ -70,6 +80,18 @@
         self._changed = asyncio.Event()
         return self.version
 
+    def copy(self) -> StoreCopy:
+        """Return what the store holds now."""
+        return StoreCopy(self.version, {name: dict(rows) for name, rows in self.tables.items()})
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy, and begin a new era."""
+        self.era += 1
+        self.version = copy.version
+        self.tables = {name: dict(rows) for name, rows in copy.tables.items()}
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def get(self, table: str, key: str) -> MemoryRow:
         """Return a row; an absent one has version 0."""
         row = self.tables.get(table, {}).get(key)
@@ -96,7 +118,7 @@
         failure = await self.arrive()
         if failure is not None:
             return failure
-        if after < self.history_from:
+        if not self.history_from <= after <= self.version:
             return HistoryLost()
         try:
             async with asyncio.timeout(wait_s):
@@ -104,6 +126,8 @@
                     await self._changed.wait()
         except TimeoutError:
             pass
+        if after > self.version:
+            return HistoryLost()
         return self.version, self.rows(table, after)
 
 
