What a restored store tells is later than all before

Cause: the store came back from a copy, so its versions went back and were given out again; a node compared them with those it knew, took each answer for one that a newer answer had overtaken, and put it aside until versions had risen beyond. Where they had risen before a node asked, it went on from its version and missed what had changed in between. Mend: a revision is the store's era (header Store-Era) and its version in one number; the greater is the later one everywhere, between nodes too. A wait or a write that names an earlier era's version is not sent, or its answer not taken: the number may be that of another write. test_restored_ports.py holds both implementations of the ports to it. Ruled out: that the word itself was lost (taken 3 s after the return), that the coordinator didn't pass it on (it knew nothing).

--- a/mulleinreach/gateway/coordination/lease_document.py
+++ b/mulleinreach/gateway/coordination/lease_document.py
@@ -30,6 +30,7 @@
         "first_waits": {w.route: w.shortest_s for w in record.inheritance.first_waits},
         "held": [format_digest(held.content) for held in record.inheritance.held],
         "held_for_s": [round(held.remaining_s, 1) for held in record.inheritance.held],
+        "era": record.era,
     }
 
 
@@ -43,6 +44,8 @@
             int(document["renewal"]),
             str(document["secret"]),
             _decode_inheritance(document),
+            # Earlier releases didn't tell it.
+            int(document.get("era", 0)),
         )
     except (KeyError, TypeError, ValueError) as error:
         logging.warning("event=lease_unreadable why=%r", error)
--- a/mulleinreach/gateway/known/following.py
+++ b/mulleinreach/gateway/known/following.py
@@ -29,6 +29,7 @@
     HistoryLost,
     OperatorRows,
 )
+from mulleinreach.gateway.revision import format_revision
 
 OLDER_ANSWER_PAUSE_S = 0.15
 NEVER = float("-inf")
@@ -180,8 +181,8 @@
                 "answer_put_aside",
                 dependency="configuration",
                 why="it is older",
-                revision=result.revision,
-                known=self._revision,
+                revision=format_revision(result.revision),
+                known=format_revision(self._revision),
             )
             return False
         self._state.answered()
--- a/mulleinreach/gateway/known/told_changes.py
+++ b/mulleinreach/gateway/known/told_changes.py
@@ -4,6 +4,7 @@
 
 from mulleinreach.common import EventLog
 from mulleinreach.gateway.known.upstreams import ListChange, UpstreamDirectory
+from mulleinreach.gateway.revision import format_revision
 from mulleinreach.gateway.upstream import Upstream, name_of
 
 # A line stays readable when a whole hall comes or goes.
@@ -21,7 +22,7 @@
         return
     log.event(
         "upstreams_changed",
-        revision=change.revision,
+        revision=format_revision(change.revision),
         new=len(new),
         changed=len(changed),
         removed=len(removed),
--- a/mulleinreach/gateway/known/upstream_following.py
+++ b/mulleinreach/gateway/known/upstream_following.py
@@ -23,6 +23,7 @@
 from mulleinreach.gateway.known.told_changes import tell_change, tell_whole_list
 from mulleinreach.gateway.known.upstreams import ListChange, UpstreamDirectory
 from mulleinreach.gateway.ports import HistoryLost, Unavailable, UpstreamSource, UpstreamsRead
+from mulleinreach.gateway.revision import format_revision
 from mulleinreach.gateway.upstream import name_of
 
 # A change of the list ends the wait for it, so that one that is so much older than a call
@@ -239,8 +240,8 @@
                 "answer_put_aside",
                 dependency="upstream_list",
                 why="it is older",
-                revision=result.revision,
-                known=own,
+                revision=format_revision(result.revision),
+                known=format_revision(own),
             )
             return
         self._must_read_all = False
--- a/mulleinreach/gateway/ports.py
+++ b/mulleinreach/gateway/ports.py
@@ -19,7 +19,9 @@
 from mulleinreach.gateway.model import Configuration, Inheritance
 from mulleinreach.gateway.upstream import Notice, Upstream
 
-# Results of reading a source.
+# Results of reading a source. Revisions, and the versions of rows, are those that
+# ``gateway.revision`` makes: of two, the greater is the later one, also after the store was
+# restored.
 
 
 @dataclass(frozen=True)
@@ -148,6 +150,11 @@
     """Who coordinates; ``token`` rises with each change of holder.
 
     ``secret`` is new with each holder: a node that names it has read the store.
+
+    Parameters
+    ==========
+
+    era : that of the store when the record was written, as far as the holder knew.
     """
 
     holder: str
@@ -156,14 +163,22 @@
     renewal: int
     secret: str = ""
     inheritance: Inheritance = Inheritance()
+    era: int = 0
 
 
 @dataclass(frozen=True)
 class LeaseRead:
-    """The lease's row; ``version`` is 0 and ``record`` is ``None`` when it is absent."""
+    """The lease's row; ``version`` is 0 and ``record`` is ``None`` when it is absent.
+
+    Parameters
+    ==========
+
+    era : that of the store, which may have been restored since the record was written.
+    """
 
     version: int
     record: LeaseRecord | None
+    era: int = 0
 
 
 @dataclass(frozen=True)
--- a/mulleinreach/gateway/tests/test_imports.py
+++ b/mulleinreach/gateway/tests/test_imports.py
@@ -13,6 +13,7 @@
 PREFIX = "mulleinreach.gateway."
 # Each may import what stands before it, and modules of its own folder.
 FROM_THE_BOTTOM_UP = [
+    "revision",
     "model",
     "upstream",
     "ports",
--- a/mulleinreach/platform/sources.py
+++ b/mulleinreach/platform/sources.py
@@ -170,12 +170,13 @@
         row = await self._store.read_row(LEASE_TABLE, LEASE_KEY)
         if isinstance(row, Unavailable):
             return row
+        era = self._store.era
         if row is None:
-            return LeaseRead(0, None)
+            return LeaseRead(0, None, era)
         if row.value is None:
             logging.warning("event=lease_unreadable why=%r", row.unreadable)
-            return LeaseRead(row.version, None)
-        return LeaseRead(row.version, decode_record(row.value))
+            return LeaseRead(row.version, None, era)
+        return LeaseRead(row.version, decode_record(row.value), era)
 
     async def write(
         self, version: int, record: LeaseRecord, unchanged: OperatorRows | None = None
--- a/mulleinreach/platform/store.py
+++ b/mulleinreach/platform/store.py
@@ -16,6 +16,7 @@
 from mulleinreach.common.calls import CallFailed, CallSilent, HttpAnswer, HttpCalls
 from mulleinreach.common.checked import CheckError, read_object
 from mulleinreach.gateway.ports import HistoryLost, Unavailable
+from mulleinreach.gateway.revision import era_of, make_revision, version_of
 
 # Shorter than the 1.5 s after which a node takes its evidence for too old; a node that starts
 # asks again after it.
@@ -42,6 +43,7 @@
     Parameters
     ==========
 
+    version : the revision of its latest change.
     unreadable : why it can't be read; empty if it can.
     """
 
@@ -54,7 +56,7 @@
 
 @dataclass(frozen=True)
 class StoreRows:
-    """Rows of one moment, and the store's newest version at that moment."""
+    """Rows of one moment, and the store's revision at that moment."""
 
     revision: int
     rows: list[StoreRow]
@@ -63,14 +65,14 @@
 
 @dataclass(frozen=True)
 class Written:
-    """The row was written."""
+    """The row was written, and has this revision now."""
 
     version: int
 
 
 @dataclass(frozen=True)
 class RowState:
-    """A row's place and its version; 0 means that it is absent."""
+    """A row's place and the revision of its latest change; 0 means that it is absent."""
 
     table: str
     key: str
@@ -87,8 +89,8 @@
     rows: tuple[RowState, ...] = ()
 
 
-def decode_row(raw: dict) -> StoreRow:
-    """Return a row as the store tells it; one that can't be read says why.
+def decode_row(raw: dict, era: int = 0) -> StoreRow:
+    """Return a row as the store tells it in an era; one that can't be read says why.
 
     Examples
     ========
@@ -96,7 +98,7 @@
     >>> decode_row({"tls_key": "k", "ver": 3, "value": "e30="})
     StoreRow(key='k', version=3, value={}, is_removed=False, unreadable='')
     """
-    key, version = str(raw["tls_key"]), int(raw["ver"])
+    key, version = str(raw["tls_key"]), make_revision(era, int(raw["ver"]))
     if raw.get("deleted"):
         return StoreRow(key, version, None, is_removed=True)
     try:
@@ -109,8 +111,8 @@
     return {"table": row.table, "part": "", "tls_key": row.key}
 
 
-def _decode_conflict(answer: dict) -> Conflict:
-    """Return which versions the rows have that a refused write had named.
+def _decode_conflict(answer: dict, era: int = 0) -> Conflict:
+    """Return which revisions the rows have that a refused write had named.
 
     Examples
     ========
@@ -118,8 +120,17 @@
     >>> _decode_conflict({"rows": [{"table": "t", "tls_key": "k", "ver": 7}]})
     Conflict(rows=(RowState(table='t', key='k', version=7),))
     """
-    rows = answer["rows"]
-    return Conflict(tuple(RowState(r["table"], r["tls_key"], int(r["ver"])) for r in rows))
+    return Conflict(tuple(_decode_state(row, era) for row in answer["rows"]))
+
+
+def _decode_state(raw: dict, era: int) -> RowState:
+    version = int(raw["ver"])
+    return RowState(raw["table"], raw["tls_key"], make_revision(era, version) if version else 0)
+
+
+def _is_of_earlier_era(row: RowState, era: int) -> bool:
+    """Whether a row's version can't be compared with those of an era; an absent row has none."""
+    return row.version != 0 and era_of(row.version) < era
 
 
 def _read_body(answer: HttpAnswer | CallFailed) -> dict | HistoryLost | Unavailable:
@@ -136,23 +147,25 @@
         return Unavailable(str(error))
 
 
-def _era_of(answer: HttpAnswer) -> int:
-    """Return the store's era that an answer tells; 0 if it tells none that can be read."""
-    told = answer.headers.get(ERA_HEADER, "0")
+def _read_era(answer: HttpAnswer, known: int) -> int:
+    """Return the era that an answer tells, the one known if it tells none that can be read."""
+    told = answer.headers.get(ERA_HEADER)
+    if told is None:
+        return known
     if told.isascii() and told.isdigit():
         return int(told)
     logging.warning("event=store_era_unreadable told=%r", told)
-    return 0
+    return known
 
 
-def _decode_written(answer: HttpAnswer) -> Written | Conflict | Unavailable:
+def _decode_written(answer: HttpAnswer, era: int) -> Written | Conflict | Unavailable:
     """Return what came of a write that was answered."""
     try:
         if answer.status == HTTPStatus.PRECONDITION_FAILED:
-            return _decode_conflict(read_object(answer.body))
+            return _decode_conflict(read_object(answer.body), era)
         if answer.status != HTTPStatus.OK:
             return Unavailable(f"status {answer.status}")
-        return Written(int(read_object(answer.body)["ver"]))
+        return Written(make_revision(era, int(read_object(answer.body)["ver"])))
     except _OTHER_SHAPE as error:
         return Unavailable(f"{type(error).__name__}: {error}")
 
@@ -160,6 +173,12 @@
 class PlatformStore:
     """One narrow client of the store.
 
+    Explanation
+    ===========
+
+    A version is compared only with versions of its own era: after the store was restored, the
+    same number may be that of another write.
+
     Parameters
     ==========
 
@@ -169,7 +188,8 @@
     def __init__(self, make_session: Callable[[], aiohttp.ClientSession], address: Address):
         self._calls = HttpCalls(make_session)
         self._url = address.url + "/mulleinreach/"
-        self._era: int | None = None
+        # The latest era that an answer told; -1 before the first answer.
+        self._era = -1
 
     async def close(self) -> None:
         """End the connections."""
@@ -181,13 +201,21 @@
         """Make one call, and note the era that its answer tells."""
         answer = await self._calls.ask(method, self._url + call, timeout_s, **options)
         if isinstance(answer, HttpAnswer):
-            self._note_era(_era_of(answer))
+            self._note_era(self._era_of(answer))
         return answer
 
+    def _era_of(self, answer: HttpAnswer) -> int:
+        return _read_era(answer, self.era)
+
     def _note_era(self, era: int) -> None:
-        if self._era is not None and era > self._era:
+        if era > self._era >= 0:
             logging.warning("event=store_restored era=%d before=%d", era, self._era)
-        self._era = era if self._era is None else max(era, self._era)
+        self._era = max(era, self._era)
+
+    @property
+    def era(self) -> int:
+        """The latest era that an answer told; 0 before the first answer."""
+        return max(0, self._era)
 
     async def read_table(self, table: str) -> StoreRows | Unavailable:
         """Return all rows of a table's empty part."""
@@ -204,6 +232,8 @@
             rows += page.rows
             # Later pages may miss what changed after the first one.
             revision = page.revision if revision is None else revision
+            if era_of(page.revision) != era_of(revision):
+                return Unavailable("the store was restored between two pages")
             if not page.has_more or not page.rows:
                 return StoreRows(revision, rows)
             source = page.rows[-1].key + "\0"
@@ -217,29 +247,37 @@
         return next((row for row in page.rows if row.key == key), None)
 
     async def _read_page(self, params: dict[str, str]) -> StoreRows | Unavailable:
-        answer = _read_body(await self._ask("GET", "rows-get", READ_TIMEOUT_S, params=params))
-        if isinstance(answer, HistoryLost):
+        answer = await self._ask("GET", "rows-get", READ_TIMEOUT_S, params=params)
+        body = _read_body(answer)
+        if isinstance(body, HistoryLost):
             return Unavailable("no rows")
-        return self._decode(answer) if isinstance(answer, dict) else answer
+        return self._decode(body, self._era_of(answer)) if isinstance(body, dict) else body
 
     async def wait(
         self, table: str, revision: int, wait_s: float
     ) -> StoreRows | HistoryLost | Unavailable:
         """Return the rows of a table that changed after ``revision``."""
+        if era_of(revision) < self._era:
+            return HistoryLost()
         asked_at = asyncio.get_running_loop().time()
         answer = await self._ask_for_changes(table, revision, wait_s)
         if isinstance(answer, CallSilent) and self._calls.answered_at > asked_at:
             # The store answers other calls, so only this one's connection was silent.
             answer = await self._ask_for_changes(table, revision, LOOK_S)
         body = _read_body(answer)
-        return self._decode(body) if isinstance(body, dict) else body
+        if not isinstance(body, dict):
+            return body
+        if self._era_of(answer) != era_of(revision):
+            # Versions are beyond the one that was named, and yet changes are missing.
+            return HistoryLost()
+        return self._decode(body, self._era_of(answer))
 
     async def _ask_for_changes(
         self, table: str, revision: int, wait_s: float
     ) -> HttpAnswer | CallFailed:
         params = {
             "table": table,
-            "after_rev": str(revision),
+            "after_rev": str(version_of(revision)),
             "wait_ms": str(int(wait_s * 1000)),
         }
         timeout_s = wait_s + WAIT_ANSWER_S
@@ -248,21 +286,33 @@
     async def write_row(
         self, row: RowState, value: dict, unchanged: list[RowState]
     ) -> Written | Conflict | Unavailable:
-        """Replace a row if it, and the rows ``unchanged``, have the versions told here."""
+        """Replace a row if it, and the rows ``unchanged``, have the revisions told here.
+
+        A conflict may have been carried out all the same, where the store was restored
+        meanwhile and the versions happened to fit.
+        """
+        named = [row, *unchanged]
+        comparable = tuple(r for r in named if not _is_of_earlier_era(r, self._era))
+        if len(comparable) < len(named):
+            return Conflict(comparable)
         encoded = base64.b64encode(json.dumps(value).encode()).decode()
         body = {
-            "expected_rev": [{**_place(r), "ver": r.version} for r in [row, *unchanged]],
+            "expected_rev": [{**_place(r), "ver": version_of(r.version)} for r in named],
             "puts": [{**_place(row), "value": encoded}],
             "remove": [],
         }
         answer = await self._ask("POST", "rows-tx", WRITE_TIMEOUT_S, json=body)
         if isinstance(answer, CallFailed):
             return Unavailable(answer.reason)
-        return _decode_written(answer)
+        era = self._era_of(answer)
+        result = _decode_written(answer, era)
+        is_restored = any(_is_of_earlier_era(r, era) for r in named)
+        return Conflict() if isinstance(result, Written) and is_restored else result
 
-    def _decode(self, answer: dict) -> StoreRows | Unavailable:
+    def _decode(self, answer: dict, era: int) -> StoreRows | Unavailable:
         try:
-            rows = [decode_row(raw) for raw in answer["rows"]]
-            return StoreRows(int(answer["ver"]), rows, bool(answer.get("has_more")))
+            rows = [decode_row(raw, era) for raw in answer["rows"]]
+            revision = make_revision(era, int(answer["ver"]))
+            return StoreRows(revision, rows, bool(answer.get("has_more")))
         except (KeyError, TypeError, ValueError) as error:
             return Unavailable(f"rows of another shape: {error!r}")
--- a/mulleinreach/platform/tests/standin.py
+++ b/mulleinreach/platform/tests/standin.py
@@ -19,7 +19,8 @@
     """Speaks the platform's protocol before a :class:`MemoryStore`.
 
     Rows hold JSON documents or upstreams; ``page`` is the most rows of one answer,
-    ``tables`` names those tables that have another name in memory.
+    ``tables`` names those tables that have another name in memory. Knobs: ``status`` is
+    given to each call, ``headers`` go with each answer, ``get_rows`` answers reads.
     """
 
     def __init__(self, memory: MemoryStore, page: int = PAGE, tables: dict[str, str] | None = None):
@@ -27,6 +28,8 @@
         self._page = page
         self._tables = tables or {}
         self.status: int | None = None
+        self.headers: dict[str, str] = {}
+        self.get_rows = self._get_rows
 
     def app(self) -> web.Application:
         """Return the HTTP application."""
@@ -39,8 +42,12 @@
 
     async def _tell_era(self, request: web.Request, response: web.StreamResponse) -> None:
         response.headers[ERA_HEADER] = str(self.memory.era)
+        response.headers.update(self.headers)
 
     async def _get(self, request: web.Request) -> web.Response:
+        return await self.get_rows(request)
+
+    async def _get_rows(self, request: web.Request) -> web.Response:
         if self.status is not None:
             return web.Response(status=self.status)
         query = request.query
--- /dev/null
+++ b/mulleinreach/platform/tests/test_restored_ports.py
@@ -0,0 +1,147 @@
+"""What the ports tell of a store that came back from a copy, whose versions are given out again."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from mulleinreach.gateway.ports import (
+    HistoryLost,
+    LeaseConflict,
+    LeaseRecord,
+    LeaseWritten,
+    OperatorRows,
+    OperatorRowsChanged,
+    Unavailable,
+)
+from mulleinreach.gateway.revision import era_of, version_of
+from mulleinreach.platform.store import ERA_HEADER
+from mulleinreach.platform.tests.port_kinds import HOST, OnPlatform, both, run_ports
+
+RECORD = LeaseRecord("a.1", "10.0.0.1:1", 1, 0, "secret")
+OTHER = LeaseRecord("b.1", "10.0.0.2:1", 2, 0, "other")
+WAIT_S = 0.2
+
+
+@both
+def test_what_a_restored_store_tells_is_later_than_all_before(kind):
+    async def test(ports):
+        copy = ports.memory.copy()
+        for _ in range(5):
+            ports.put_upstream(HOST)
+        before = await ports.upstreams.read()
+        ports.memory.restore(copy)
+        after = await ports.upstreams.read()
+        assert version_of(after.revision) < version_of(before.revision)
+        assert after.revision > before.revision
+        assert era_of(after.revision) == 1
+
+    run_ports(kind, test)
+
+
+@pytest.mark.parametrize("writes", [0, 1, 9])
+@both
+def test_wait_can_not_go_on_from_before_a_restore(kind, writes):
+    async def test(ports):
+        copy = ports.memory.copy()
+        ports.put_upstream(HOST)
+        ports.put_configuration(7)
+        read = await ports.upstreams.read()
+        ports.memory.restore(copy)
+        for _ in range(writes):
+            ports.put_upstream(HOST)
+        assert await ports.upstreams.wait(read.revision, WAIT_S) == HistoryLost()
+        assert await ports.configurations.wait(read.revision, WAIT_S) == HistoryLost()
+        again = await ports.upstreams.read()
+        ports.put_upstream(replace(HOST, id="u-2"))
+        (told,) = (await ports.upstreams.wait(again.revision, WAIT_S)).upstreams
+        assert told.id == "u-2"
+
+    run_ports(kind, test)
+
+
+@pytest.mark.parametrize("knows", [False, True])
+@both
+def test_lease_is_not_written_under_a_version_that_was_given_out_again(kind, knows):
+    async def test(ports):
+        ports.put_upstream(HOST)
+        copy = ports.memory.copy()
+        written = await ports.lease.write(0, RECORD)
+        ports.memory.restore(copy)
+        again = ports.memory.put("mulleinreach", "coordinator", {})
+        if kind is not OnPlatform:
+            again = ports.memory.put("lease", "coordinator", OTHER)
+            ports.memory.version = again = version_of(written.version)
+        assert again == version_of(written.version)
+        if knows:
+            await ports.upstreams.read()
+        assert await ports.lease.write(written.version, RECORD) == LeaseConflict()
+
+    run_ports(kind, test)
+
+
+@both
+def test_lease_is_written_under_what_was_read_after_the_restore(kind):
+    async def test(ports):
+        written = await ports.lease.write(0, RECORD)
+        copy = ports.memory.copy()
+        renewed = await ports.lease.write(written.version, replace(RECORD, renewal=1))
+        ports.memory.restore(copy)
+        assert await ports.lease.write(renewed.version, RECORD) == LeaseConflict()
+        read = await ports.lease.read()
+        assert (read.record, read.era, era_of(read.version)) == (RECORD, 1, 1)
+        renewal = await ports.lease.write(read.version, replace(RECORD, renewal=1, era=1))
+        assert isinstance(renewal, LeaseWritten)
+        assert (await ports.lease.read()).record.era == 1
+
+    run_ports(kind, test)
+
+
+@both
+def test_renewal_proves_nothing_of_rows_that_were_read_before_the_restore(kind):
+    async def test(ports):
+        ports.put_configuration(7)
+        await ports.lease.write(0, RECORD)
+        row = (await ports.configurations.read()).row_version
+        ports.memory.restore(ports.memory.copy())
+        lease = await ports.lease.read()
+        renewal = await ports.lease.write(lease.version, RECORD, OperatorRows(row))
+        assert renewal == OperatorRowsChanged()
+        row = (await ports.configurations.read()).row_version
+        renewal = await ports.lease.write(lease.version, RECORD, OperatorRows(row))
+        assert isinstance(renewal, LeaseWritten)
+
+    run_ports(kind, test)
+
+
+def test_list_that_is_restored_between_two_pages_is_not_taken():
+    async def test(ports):
+        for number in range(7):
+            ports.put_upstream(replace(HOST, id=f"u-{number}"))
+        copy, arrived = ports.memory.copy(), []
+
+        async def restore_then_get(request):
+            if arrived:
+                ports.memory.restore(copy)
+            arrived.append(request)
+            return await get(request)
+
+        get = ports.standin.get_rows
+        ports.standin.get_rows = restore_then_get
+        assert isinstance(await ports.upstreams.read(), Unavailable)
+
+    run_ports(OnPlatform, test)
+
+
+@pytest.mark.parametrize("told", ["", "x", "-1", "²", "1.5"])
+def test_era_that_can_not_be_read_is_taken_as_the_one_known(told):
+    async def test(ports):
+        ports.memory.restore(ports.memory.copy())
+        ports.put_upstream(HOST)
+        before = await ports.upstreams.read()
+        ports.standin.headers[ERA_HEADER] = told
+        after = await ports.upstreams.read()
+        assert after.revision == before.revision
+
+    run_ports(OnPlatform, test)
--- a/mulleinreach/platform/tests/test_rows.py
+++ b/mulleinreach/platform/tests/test_rows.py
@@ -12,8 +12,8 @@
 from mulleinreach.common.checked import CheckError
 from mulleinreach.gateway.upstream import Membership, MemberState
 from mulleinreach.platform.rows import parse_report, parse_upstream
+from mulleinreach.platform.tests.port_kinds import HOST, OnPlatform, run_ports
 from mulleinreach.platform.tests.standin import row_of
-from mulleinreach.platform.tests.test_ports import HOST, OnPlatform, run_ports
 
 MEMBER = replace(HOST, membership=Membership("g1", 7, 0, MemberState.OPEN), models=("wide",))
 SOUND = row_of(MEMBER)
--- a/mulleinreach/platform/tests/test_translation.py
+++ b/mulleinreach/platform/tests/test_translation.py
@@ -6,8 +6,8 @@
 
 from mulleinreach.platform.configuration import parse_configuration
 from mulleinreach.platform.rows import parse_upstream
+from mulleinreach.platform.tests.port_kinds import DOCUMENT, HOST
 from mulleinreach.platform.tests.standin import row_of
-from mulleinreach.platform.tests.test_ports import DOCUMENT, HOST
 
 
 def test_homes_and_cold_hosts_of_a_configuration_are_translated():
--- a/mulleinreach/standins/gateway/store.py
+++ b/mulleinreach/standins/gateway/store.py
@@ -21,6 +21,7 @@
     Unavailable,
     UpstreamsRead,
 )
+from mulleinreach.gateway.revision import era_of, make_revision, version_of
 from mulleinreach.gateway.upstream import Upstream
 
 CONFIGURATION = "configuration"
@@ -28,6 +29,7 @@
 EVACUATE = "evacuate/"
 UPSTREAMS = "upstreams"
 LEASE = "lease"
+COORDINATOR = "coordinator"
 ANSWER_S = 0.004
 SILENT_S = 1.0
 
@@ -42,7 +44,13 @@
 
 @dataclass(frozen=True)
 class MemoryRow:
-    """A row; ``value`` is ``None`` for a removed one."""
+    """A row; ``value`` is ``None`` for a removed one.
+
+    Parameters
+    ==========
+
+    version : within the store's era.
+    """
 
     key: str
     version: int
@@ -97,6 +105,15 @@
         row = self.tables.get(table, {}).get(key)
         return row if row is not None and row.value is not None else MemoryRow(key, 0, None)
 
+    def revision(self, version: int | None = None) -> int:
+        """Return the revision of a version of this era, the newest one if none is named."""
+        return make_revision(self.era, self.version if version is None else version)
+
+    def row_revision(self, table: str, key: str) -> int:
+        """Return the revision of a row's latest change, 0 for an absent row."""
+        version = self.get(table, key).version
+        return self.revision(version) if version else 0
+
     def rows(self, table: str, after: int = 0) -> list[MemoryRow]:
         """Return the rows that changed after a version, in the order of their changes."""
         rows = [r for r in self.tables.get(table, {}).values() if r.version > after]
@@ -130,6 +147,15 @@
             return HistoryLost()
         return self.version, self.rows(table, after)
 
+    async def wait_from(
+        self, table: str, revision: int, wait_s: float
+    ) -> list[MemoryRow] | HistoryLost | Unavailable:
+        """Return what changed after a revision, which must be of the era that still is."""
+        result = await self.wait(table, version_of(revision), wait_s)
+        if isinstance(result, tuple) and era_of(revision) != self.era:
+            return HistoryLost()
+        return result[1] if isinstance(result, tuple) else result
+
 
 class MemoryConfigurations:
     """The configuration as one row."""
@@ -143,34 +169,32 @@
         if failure is not None:
             return failure
         rows = [row for row in self._store.rows(CONFIGURATION) if row.value is not None]
-        return _describe(self._store.version, rows, is_whole=True)
+        return self._describe(rows, is_whole=True)
 
     async def wait(
         self, revision: int, wait_s: float
     ) -> ConfigurationRead | HistoryLost | Unavailable:
         """Return the configuration as soon as it has changed."""
-        result = await self._store.wait(CONFIGURATION, revision, wait_s)
-        if not isinstance(result, tuple):
-            return result
-        version, rows = result
-        return _describe(version, rows, is_whole=False)
+        rows = await self._store.wait_from(CONFIGURATION, revision, wait_s)
+        return self._describe(rows, is_whole=False) if isinstance(rows, list) else rows
 
     def decode(self, document: bytes) -> Configuration | None:
         """Return the configuration that another node has read."""
         return pickle.loads(document)
 
+    def _describe(self, rows: list[MemoryRow], is_whole: bool) -> ConfigurationRead:
+        revision = self._store.revision()
+        evacuations = tuple(map(self._evacuation, (r for r in rows if r.key.startswith(EVACUATE))))
+        newest = next((row for row in rows if row.key == NEWEST and row.value is not None), None)
+        if newest is None:
+            return ConfigurationRead(revision, None, evacuations=evacuations, is_whole=is_whole)
+        row = self._store.revision(newest.version)
+        document = pickle.dumps(newest.value)
+        return ConfigurationRead(revision, newest.value, document, row, evacuations, is_whole)
 
-def _describe(version: int, rows: list[MemoryRow], is_whole: bool) -> ConfigurationRead:
-    evacuations = tuple(
-        EvacuationRow(row.key.removeprefix(EVACUATE), 0 if row.value is None else row.version)
-        for row in rows
-        if row.key.startswith(EVACUATE)
-    )
-    newest = next((row for row in rows if row.key == NEWEST and row.value is not None), None)
-    if newest is None:
-        return ConfigurationRead(version, None, evacuations=evacuations, is_whole=is_whole)
-    document = pickle.dumps(newest.value)
-    return ConfigurationRead(version, newest.value, document, newest.version, evacuations, is_whole)
+    def _evacuation(self, row: MemoryRow) -> EvacuationRow:
+        version = 0 if row.value is None else self._store.revision(row.version)
+        return EvacuationRow(row.key.removeprefix(EVACUATE), version)
 
 
 class MemoryUpstreams:
@@ -184,16 +208,17 @@
         failure = await self._store.arrive()
         if failure is not None:
             return failure
-        return self._translate(self._store.version, self._store.rows(UPSTREAMS))
+        return self._translate(self._store.rows(UPSTREAMS))
 
     async def wait(self, revision: int, wait_s: float) -> UpstreamsRead | HistoryLost | Unavailable:
         """Return the upstreams that changed."""
-        result = await self._store.wait(UPSTREAMS, revision, wait_s)
-        return self._translate(*result) if isinstance(result, tuple) else result
+        rows = await self._store.wait_from(UPSTREAMS, revision, wait_s)
+        return self._translate(rows) if isinstance(rows, list) else rows
 
-    def _translate(self, version: int, rows: list[MemoryRow]) -> UpstreamsRead:
+    def _translate(self, rows: list[MemoryRow]) -> UpstreamsRead:
         upstreams: list[Upstream] = [row.value for row in rows if row.value is not None]
-        return UpstreamsRead(version, upstreams, [row.key for row in rows if row.value is None])
+        removed = [row.key for row in rows if row.value is None]
+        return UpstreamsRead(self._store.revision(), upstreams, removed)
 
 
 class MemoryLease:
@@ -207,8 +232,8 @@
         failure = await self._store.arrive()
         if failure is not None:
             return failure
-        row = self._store.get(LEASE, "coordinator")
-        return LeaseRead(row.version, row.value)
+        version = self._store.row_revision(LEASE, COORDINATOR)
+        return LeaseRead(version, self._store.get(LEASE, COORDINATOR).value, self._store.era)
 
     async def write(
         self, version: int, record: LeaseRecord, unchanged: OperatorRows | None = None
@@ -217,17 +242,17 @@
         failure = await self._store.arrive()
         if failure is not None:
             return failure
-        if self._store.get(LEASE, "coordinator").version != version:
+        if self._store.row_revision(LEASE, COORDINATOR) != version:
             return LeaseConflict()
         if unchanged is not None and not self._is_unchanged(unchanged):
             return OperatorRowsChanged()
-        written = self._store.put(LEASE, "coordinator", record)
+        written = self._store.revision(self._store.put(LEASE, COORDINATOR, record))
         return Unavailable("the answer was lost") if self._store.loses else LeaseWritten(written)
 
     def _is_unchanged(self, rows: OperatorRows) -> bool:
-        if self._store.get(CONFIGURATION, NEWEST).version != rows.configuration:
+        if self._store.row_revision(CONFIGURATION, NEWEST) != rows.configuration:
             return False
         return all(
-            self._store.get(CONFIGURATION, EVACUATE + row.hall).version == row.version
+            self._store.row_revision(CONFIGURATION, EVACUATE + row.hall) == row.version
             for row in rows.evacuations
         )
