A restored store's list adds to what nodes know, and contradicts none of it for a while

Callers would see: requests to upstreams that leave or have gone (their rows are back, as they were when the copy was taken), halls that operators emptied get requests again, groups that serve are taken apart or formed anew from hosts whose rows show an earlier group, and keys that a newer configuration took away count as proved. Cause: a copy is older than what nodes know, and was taken as the newest word. Mend: a word that an upstream leaves outlives its rows, as its own word did. For four heartbeats a whole list that a restored store gives is reconciled: what is known of an upstream stands, one that had gone stays off, rows that are written again come as changes; then it is read once more and taken as it is. Upstreams that the copy lacks stay for 2.2 s, evacuations for 3 s. A configuration older than the one in force proves nothing until the newest is written again. Beside it: a wait for changes ends when kept upstreams are to be dropped, up to 2 s sooner than before.

--- a/mulleinreach/gateway/known/evacuations.py
+++ b/mulleinreach/gateway/known/evacuations.py
@@ -12,6 +12,9 @@
 latest one at which there was no request yet, and counts from that. Until half of the
 bound is over, the hall's share of the requests falls to nothing instead of at once:
 its places are missed less suddenly by those that have to take its work.
+
+A store that was restored may lack a request that operators have made; they write it again. Until
+they have had the time for that, a hall that was to be empty stays so.
 """
 
 from __future__ import annotations
@@ -21,10 +24,13 @@
 
 from mulleinreach.common import Clock, EventLog
 from mulleinreach.gateway.ports import EvacuationRow
+from mulleinreach.gateway.revision import era_of
 
 # The part of the bound in which a hall's share of the requests falls to nothing. The rest
 # is for requests on their way and for nodes that hear of it late.
 EMPTYING_PART = 0.5
+# For so long a request holds that a restored store lacks.
+REWRITTEN_S = 3.0
 NEVER = float("-inf")
 
 
@@ -38,11 +44,14 @@
     known_at : when this node heard of the request; the hall's share falls from then on.
     ends_at : from when on the hall gets nothing.
     is_logged : whether the log tells that it gets nothing more.
+    unconfirmed_until : until when the request holds though the store lacks it; ``None`` if it
+        stands there.
     """
 
     known_at: float
     ends_at: float
     is_logged: bool = False
+    unconfirmed_until: float | None = None
 
 
 class Evacuations:
@@ -79,6 +88,7 @@
     @property
     def halls(self) -> frozenset[str]:
         """The halls that are to be empty."""
+        self._end_unconfirmed()
         return frozenset(self._evacuated)
 
     def rows(self) -> tuple[EvacuationRow, ...]:
@@ -120,11 +130,29 @@
         return halls == self.halls
 
     def _take(self, halls: frozenset[str], revision: int, unproven_since: float) -> None:
+        if era_of(revision) > era_of(self.revision):
+            self._doubt(self.halls - halls)
         self.revision = revision
         for hall in sorted(halls - self.halls):
             self._begin(hall, unproven_since)
+        for hall in halls:
+            self._evacuated[hall].unconfirmed_until = None
         for hall in sorted(self.halls - halls):
-            self._end(hall)
+            if self._evacuated[hall].unconfirmed_until is None:
+                self._end(hall)
+
+    def _doubt(self, halls: frozenset[str]) -> None:
+        """Keep requests for a while that a restored store lacks."""
+        for hall in sorted(halls):
+            self._evacuated[hall].unconfirmed_until = self._clock.now() + REWRITTEN_S
+            self._log.event("evacuation_unconfirmed", hall=hall, holds_for_s=REWRITTEN_S)
+
+    def _end_unconfirmed(self) -> None:
+        """End requests that nobody has written again."""
+        for hall, evacuation in list(self._evacuated.items()):
+            until = evacuation.unconfirmed_until
+            if until is not None and self._clock.now() >= until:
+                self._end(hall)
 
     def _begin(self, hall: str, unproven_since: float) -> None:
         now = self._clock.now()
@@ -150,6 +178,7 @@
 
     def share(self, hall: str) -> float:
         """Return which part of its usual requests a hall should get now."""
+        self._end_unconfirmed()
         evacuation = self._evacuated.get(hall)
         if evacuation is None:
             return 1.0
--- a/mulleinreach/gateway/known/following.py
+++ b/mulleinreach/gateway/known/following.py
@@ -5,7 +5,9 @@
 
 What a read proves is dated from before it was asked for, on the steady clock. A
 wait that gives no answer proves nothing. Versions only rise within a life: an
-answer that is older than what is known already is put aside.
+answer that is older than what is known already is put aside. A store that was restored may
+hold an older configuration than the one in force; until the newest is written there again, it
+proves nothing.
 """
 
 from __future__ import annotations
@@ -67,6 +69,8 @@
         self._known_version = 0
         # The version of the configuration's row in the store, as far as it was read here.
         self._row_version: int | None = None
+        # Whether the store holds an older configuration than the one in force.
+        self._is_behind = False
         self._passed_on = asyncio.Event()
         self.was_read = asyncio.Event()
         self.configuration: Configuration | None = None
@@ -190,10 +194,12 @@
         self.evacuations.take_rows(
             result.evacuations, result.is_whole, result.revision, self.evidence_at
         )
-        self.evidence_at = max(self.evidence_at, asked_at)
         if result.configuration is not None:
             self._apply(result.configuration, result.document)
-            self._row_version = result.row_version
+            self._is_behind = result.configuration.version < self.version
+            self._row_version = None if self._is_behind else result.row_version
+        if not self._is_behind:
+            self.evidence_at = max(self.evidence_at, asked_at)
         if self.configuration is not None:
             self.was_read.set()
         return True
--- a/mulleinreach/gateway/known/tests/test_restored_store.py
+++ b/mulleinreach/gateway/known/tests/test_restored_store.py
@@ -35,6 +35,9 @@
 # News of a change has to be everywhere within this time.
 HEARD_S = 0.5
 HEARTBEAT_S = 1.2
+# Upstreams that live are back two seconds after the store is; one that is not has left then, and
+# the bound on leaving upstreams is two seconds.
+GONE_S = 4.0
 REQUESTS = 12
 LEAVING = "desk-0"
 # Versions that the copy lacks, and such as are given out again before a node asks.
@@ -183,7 +186,7 @@
         await world.add_plain("desk-1", answer_whole)
         await asyncio.sleep(COPY_AGE_S)
         await restore(world.store, copy)
-        await asyncio.sleep(BACK_S)
+        await asyncio.sleep(GONE_S)
         assert await _sent_to(world, "desk-1") == []
 
     _run(test)
--- a/mulleinreach/gateway/known/upstream_following.py
+++ b/mulleinreach/gateway/known/upstream_following.py
@@ -5,6 +5,10 @@
 
 Changes come from the store, or from the coordinator that reads it for all. Upstreams that
 the list lost in an outage of the store are kept for a while, since those that live are back.
+
+A store that was restored lists upstreams as they were when its copy was taken. What they wrote
+since is written again, and upstreams that have gone meanwhile lapse once more; until then the
+list adds to what is known, and contradicts none of it.
 """
 
 from __future__ import annotations
@@ -16,6 +20,7 @@
 from mulleinreach.gateway.known.reading import (
     CHECK_S,
     LONG_WAIT_S,
+    TRIAL_WAIT_S,
     ReadingTurn,
     SourceState,
     wait_for_coordinator,
@@ -23,8 +28,8 @@
 from mulleinreach.gateway.known.told_changes import tell_change, tell_whole_list
 from mulleinreach.gateway.known.upstreams import ListChange, UpstreamDirectory
 from mulleinreach.gateway.ports import HistoryLost, Unavailable, UpstreamSource, UpstreamsRead
-from mulleinreach.gateway.revision import format_revision
-from mulleinreach.gateway.upstream import name_of
+from mulleinreach.gateway.revision import era_of, format_revision
+from mulleinreach.gateway.upstream import Upstream, name_of
 
 # A change of the list ends the wait for it, so that one that is so much older than a call
 # which was answered would have been told. The store's answers take 4 ms.
@@ -40,6 +45,9 @@
 # is gone.
 OUTAGE_S = 1.5
 REINSTATED_S = 2.2
+# By then an upstream that has gone, and that a restored store lists again, has missed three
+# heartbeats and is off the list; one heartbeat is for the way.
+DOUBTED_HEARTBEATS = 4
 # How long a coordinator's word holds that it keeps removed upstreams: until its next reports
 # (0.2 s each) have come, one of them late.
 TOLD_TO_KEEP_S = 0.5
@@ -56,6 +64,7 @@
     on_change : called after each answer that changed the list.
     is_urgent : whether somebody waits for a change.
     turn : when a node reads for itself.
+    heartbeat_s : how often upstreams write their rows.
     """
 
     def __init__(
@@ -68,6 +77,7 @@
         on_change: Callable[[], None],
         is_urgent: Callable[[], bool],
         turn: ReadingTurn,
+        heartbeat_s: float,
     ):
         self._source = source
         self._directory = directory
@@ -83,6 +93,10 @@
         self._must_read_all = True
         self._keeps_removed_until = NEVER
         self._failed_at = NEVER
+        self._doubt_s = DOUBTED_HEARTBEATS * heartbeat_s
+        self._doubted_until = NEVER
+        # Whether this node has read a list that it doubts, and has to read it again.
+        self._has_doubted = False
         self.was_read = asyncio.Event()
         self.heard_at = NEVER
 
@@ -108,6 +122,7 @@
             return
         news = [change for change in changes if change.revision > own]
         self._look_for_outage()
+        self._look_for_restore(revision)
         for change in news:
             tell_change(self._log, self._directory, change)
             self._directory.apply(change, self._clock.now(), self.keeps_removed())
@@ -136,7 +151,13 @@
             await asyncio.sleep(URGENT_BATCH_S)
 
     def _must_read(self) -> bool:
-        return self._reads_always() or self._turn.is_due(self.list_age_s())
+        if self._reads_always() or self._is_doubt_over():
+            return True
+        return self._turn.is_due(self.list_age_s())
+
+    def _is_doubt_over(self) -> bool:
+        """Whether a list that was doubted has to be read once more."""
+        return self._has_doubted and self._clock.now() >= self._doubted_until
 
     def confirm(self, asked_at: float) -> None:
         """Take in that the store answered another call that was sent at ``asked_at``.
@@ -160,6 +181,31 @@
         if has_failed and self.list_age_s() > OUTAGE_S:
             self._keeps_removed_until = self._clock.now() + REINSTATED_S
 
+    def _wait_s(self) -> float:
+        """Return how long to wait for a change: until the list has to be looked at anyway."""
+        now, wait_s = self._clock.now(), self._state.wait_s()
+        looks_at = [self._keeps_removed_until]
+        if self._has_doubted:
+            looks_at.append(self._doubted_until)
+        return min([wait_s, *(max(at - now, TRIAL_WAIT_S) for at in looks_at if at > now)])
+
+    def _look_for_restore(self, revision: int) -> None:
+        """Doubt the list for a while if the store was restored since this node's revision."""
+        own = self._directory.revision
+        if era_of(revision) <= era_of(own):
+            return
+        now = self._clock.now()
+        self._doubted_until = now + self._doubt_s
+        self._keeps_removed_until = max(self._keeps_removed_until, now + REINSTATED_S)
+        self._log.event(
+            "list_restored", revision=format_revision(revision), known=format_revision(own)
+        )
+
+    def _reconcile(self, upstreams: list[Upstream]) -> list[Upstream]:
+        """Return what to take of a whole list: all of it, unless it is in doubt."""
+        self._has_doubted = self._clock.now() < self._doubted_until
+        return self._directory.reconcile(upstreams) if self._has_doubted else upstreams
+
     def take_outage(self, keeps_removed: bool) -> None:
         """Take the coordinator's word that it keeps upstreams that are off the list."""
         if keeps_removed:
@@ -180,9 +226,9 @@
 
     async def read_once(self) -> bool:
         """Read, or wait for a change, and take in the answer; returns whether it told any."""
-        if self._must_read_all:
+        if self._must_read_all or self._is_doubt_over():
             return await self.read_anew()
-        asked_at, wait_s = self._clock.now(), self._state.wait_s()
+        asked_at, wait_s = self._clock.now(), self._wait_s()
         self._waiting_since = asked_at
         result = await self._source.wait(self._directory.revision, wait_s)
         self._waiting_since = None
@@ -247,12 +293,15 @@
         self._must_read_all = False
         self.was_read.set()
         self._look_for_outage()
+        if own is not None:
+            self._look_for_restore(result.revision)
         self._tell_unusable(result, is_full)
         self.heard_at = max(self.heard_at, asked_at)
         now, keeps_removed = self._clock.now(), self.keeps_removed()
         if is_full:
-            tell_whole_list(self._log, self._directory, result.revision, result.upstreams)
-            self._directory.replace_all(result.revision, result.upstreams, now, keeps_removed)
+            upstreams = self._reconcile(result.upstreams)
+            tell_whole_list(self._log, self._directory, result.revision, upstreams)
+            self._directory.replace_all(result.revision, upstreams, now, keeps_removed)
         else:
             change = ListChange(result.revision, result.upstreams, result.removed)
             tell_change(self._log, self._directory, change)
--- a/mulleinreach/gateway/known/upstreams.py
+++ b/mulleinreach/gateway/known/upstreams.py
@@ -12,6 +12,7 @@
     UpstreamState,
     model_in_name,
     name_of,
+    start_of,
 )
 
 
@@ -70,8 +71,8 @@
 
 NEVER = float("-inf")
 # More upstreams than are replaced in an hour where there are 2,840 hosts; a leaving one ends within
-# seconds, and its row may be written once more by a late heartbeat.
-MOST_LEAVING = 4096
+# seconds, and a copy of the store that names it once more is some seconds old.
+MOST_REMEMBERED_IDS = 4096
 
 
 class UpstreamDirectory:
@@ -88,8 +89,8 @@
     changes, so the start that it names last is the one that runs; an earlier one is gone
     at once, with all that is known of it.
 
-    An upstream's own word that it leaves outlives its rows: they lag, some never tell it, and
-    a late heartbeat may write a row once more that says the contrary.
+    An upstream's word that it leaves outlives its rows: they lag, some never tell it, and a late
+    heartbeat or a restored store may show a row once more that says the contrary.
 
     Parameters
     ==========
@@ -122,8 +123,9 @@
         self._changed_at: dict[str, float] = {}
         self._cold_until: dict[str, float] = {}
         self._kept: set[str] = set()
-        # Ids in the order in which their upstreams said that they leave.
+        # Ids in the order in which their upstreams said that they leave, and went off the list.
         self._leaving: dict[str, None] = {}
+        self._departed: dict[str, None] = {}
         self._changes: deque[ListChange] = deque()
         self._changes_from: int | None = None
         self.revision: int | None = None
@@ -167,27 +169,44 @@
             self._changed_at[upstream.id] = heard_at
             self._note_cold(upstream, heard_at)
             self._kept.discard(upstream.id)
+            self._departed.pop(upstream.id, None)
         removed = [self._running[name] for name in change.removed if name in self._running]
         if keeps_removed:
             self._kept.update(removed)
         else:
             for upstream_id in removed:
                 self._drop(upstream_id)
+                _remember_id(self._departed, upstream_id)
         self.revision = change.revision
 
+    def reconcile(self, upstreams: list[Upstream]) -> list[Upstream]:
+        """Return which upstreams to take of a whole list that may be older than what is known.
+
+        A restored store shows rows as they were before. Those that were written since are
+        written again, but a row alone doesn't tell whether that has happened yet: what is known
+        of an upstream stands, and one that had gone off the list stays off it.
+        """
+        known = {name: self._by_id[running] for name, running in self._running.items()}
+        pairs = [(upstream, known.get(name_of(upstream.id))) for upstream in upstreams]
+        return [
+            listed if before is None else _later_of(before, listed)
+            for listed, before in pairs
+            if before is not None or listed.id not in self._departed
+        ]
+
     def note_leaving(self, upstream_id: str) -> bool:
         """Note that an upstream says itself that it leaves; returns whether that is news."""
         if upstream_id in self._leaving:
             return False
-        self._leaving[upstream_id] = None
-        if len(self._leaving) > MOST_LEAVING:
-            del self._leaving[next(iter(self._leaving))]
+        _remember_id(self._leaving, upstream_id)
         if upstream_id in self._by_id:
             self._by_id[upstream_id] = self._as_it_says(self._by_id[upstream_id])
         return True
 
     def _as_it_says(self, upstream: Upstream) -> Upstream:
-        """Return an upstream as its row tells it, but for its own word that it leaves."""
+        """Return an upstream as its row tells it, but for its word that it leaves."""
+        if upstream.state is UpstreamState.DRAINING:
+            _remember_id(self._leaving, upstream.id)
         if upstream.id not in self._leaving:
             return upstream
         return replace(upstream, state=UpstreamState.DRAINING)
@@ -212,6 +231,7 @@
         kept = list(self._kept)
         for upstream_id in kept:
             self._drop(upstream_id)
+            _remember_id(self._departed, upstream_id)
         return len(kept)
 
     def _drop(self, upstream_id: str) -> None:
@@ -298,6 +318,22 @@
         return len(self._by_id)
 
 
+def _remember_id(ids: dict[str, None], upstream_id: str) -> None:
+    """Add an id to those that are remembered in their order, and drop the oldest beyond a bound."""
+    ids[upstream_id] = None
+    if len(ids) > MOST_REMEMBERED_IDS:
+        del ids[next(iter(ids))]
+
+
+def _later_of(known: Upstream, listed: Upstream) -> Upstream:
+    """Return what holds of an upstream that is known, and listed by a store that may lag."""
+    if (start_of(listed.id) or 0) > (start_of(known.id) or 0):
+        return listed
+    if listed.id == known.id and listed.state is UpstreamState.DRAINING:
+        return replace(known, state=UpstreamState.DRAINING)
+    return known
+
+
 def collect_groups(upstreams: list[Upstream]) -> dict[tuple[str, int], Group]:
     """Return the groups that hosts say they stand in, by name and epoch."""
     groups: dict[tuple[str, int], Group] = {}
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -147,6 +147,7 @@
             self._on_upstreams,
             lambda: self.operator.is_waiting,
             list_turn,
+            self.bounds.heartbeat_s,
         )
 
     def _make_relay(self) -> None:
--- a/mulleinreach/gateway/ports.py
+++ b/mulleinreach/gateway/ports.py
@@ -366,6 +366,7 @@
     cold_ratio, cold_slack : the requests a second that a cold upstream may get from all
         nodes together: the ratio times what its service tells, and the slack.
     halls_at_once : how many halls may be lost at once with all promises kept.
+    heartbeat_s : how often upstreams write their rows.
     """
 
     key_evidence_s: float = 4.5
@@ -381,6 +382,7 @@
     cold_ratio: float = 1.0
     cold_slack: float = 0.0
     halls_at_once: int = 0
+    heartbeat_s: float = 1.2
 
 
 @dataclass(frozen=True)
--- a/mulleinreach/platform/settings.py
+++ b/mulleinreach/platform/settings.py
@@ -79,6 +79,7 @@
         cold_ratio=reader.optional("bounds.cold_overage", Bounds.cold_ratio),
         cold_slack=reader.optional("bounds.cold_slack", Bounds.cold_slack),
         halls_at_once=int(reader.optional("fault_tolerance.zones", Bounds.halls_at_once)),
+        heartbeat_s=reader.optional("heartbeat_ms", 1000 * Bounds.heartbeat_s) / 1000,
     )
     return PlatformSettings(
         identity,
