A restored store never makes two nodes hold the lease at once

Callers would see: two coordinators form groups from the same hosts and give out the same bounds twice, for up to two seconds. Cause: a copy names an earlier holder, whose next renewal is taken, or an earlier life of a node, which takes the row at once; the holder that the copy lacks still counts its lease. Mend: the record tells the era in which it was written. A node that didn't hold the lease when it hears of the restore may write the row, but holds nothing for as long as such a lease can last (2.04 s), and its tokens rise beyond those that may be lost. One that held the lease throughout goes on. A first start of the whole system waits for nobody. Cost: after an outage beyond two seconds no orders for 2 s more; nodes meet at the same place meanwhile.

--- a/mulleinreach/gateway/coordination/lease.py
+++ b/mulleinreach/gateway/coordination/lease.py
@@ -8,6 +8,10 @@
 or once the holder's process is known to have ended. Each change of holder raises
 ``token``; epochs of groups begin with it, so that an order of an earlier holder
 is refused by hosts that have seen one of a later holder.
+
+A store that was restored may show the row of an earlier holder, while a later one, whose row is
+lost, still counts its lease. So a node that didn't hold the lease when it hears of the restore
+may write the row, but gives no orders until such a lease would have lapsed.
 """
 
 from __future__ import annotations
@@ -29,6 +33,7 @@
     OperatorRowsChanged,
     Unavailable,
 )
+from mulleinreach.gateway.revision import era_of
 
 LEASE_S = 2.0
 RENEW_S = 0.7
@@ -36,6 +41,9 @@
 FRESH_S = 1.1
 SECRET_BYTES = 16
 CLOCK_RATE_MARGIN = 0.02
+# How much tokens rise where a store was restored: more than holders can have changed within the
+# seconds that its copy lacks.
+LOST_TOKENS = 100
 NEVER = float("-inf")
 
 
@@ -101,17 +109,30 @@
 
     holder : names this life of the process, as ``NODE.INCARNATION``.
     address : where other nodes reach it.
+    is_first_start : whether nobody has held the lease before this process started.
     """
 
-    def __init__(self, store: LeaseStore, holder: str, address: str, clock: Clock, log: EventLog):
+    def __init__(
+        self,
+        store: LeaseStore,
+        holder: str,
+        address: str,
+        clock: Clock,
+        log: EventLog,
+        is_first_start: bool = False,
+    ):
         self._store = store
         self._holder = holder
         self._address = address
         self._clock = clock
         self._log = log
+        self._is_first_start = is_first_start
         self._version = 0
         self._version_seen_at = NEVER
         self._held_until = NEVER
+        # The store's era, as it was read last.
+        self._era: int | None = None
+        self._others_may_hold_until = NEVER
         self.record: LeaseRecord | None = None
         # Tokens rise even if the row is lost or spoilt: hosts remember the highest one.
         self._highest_token = 0
@@ -132,7 +153,9 @@
 
     def is_held(self) -> bool:
         """Whether this node may give orders at this moment."""
-        return not self.fenced.is_set() and self._clock.now() < self._held_until
+        now = self._clock.now()
+        is_alone = now >= self._others_may_hold_until
+        return not self.fenced.is_set() and is_alone and now < self._held_until
 
     def is_fresh(self) -> bool:
         """Whether the latest renewal was done in time, so that the store can be written."""
@@ -156,6 +179,23 @@
             self._version_seen_at = self._clock.now()
         self.record = result.record
         self._highest_token = max(self._highest_token, self.token)
+        self._look_for_restore(result)
+
+    def _look_for_restore(self, result: LeaseRead) -> None:
+        """Wait for leases to lapse whose rows may be lost, if the store was restored."""
+        known, self._era = self._era, result.era
+        is_restored = self._may_lack_holder(result) if known is None else known < result.era
+        if not is_restored or self.is_held():
+            return
+        self._others_may_hold_until = self._clock.now() + LEASE_S * (1 + CLOCK_RATE_MARGIN)
+        self._highest_token += LOST_TOKENS
+        self._log.event("lease_row_restored", era=result.era, token=self.token)
+
+    def _may_lack_holder(self, result: LeaseRead) -> bool:
+        """Whether nobody has written the row since a restore that this process didn't see."""
+        if result.record is None:
+            return result.era > 0 and not self._is_first_start
+        return result.record.era < result.era
 
     def _is_earlier_life(self, record: LeaseRecord) -> bool:
         """Whether the holder was this node before it was restarted."""
@@ -171,9 +211,8 @@
         sent_at = self._clock.now()
         secret = secrets.token_hex(SECRET_BYTES)
         inheritance = self.record.inheritance if self.record else Inheritance()
-        record = LeaseRecord(
-            self._holder, self._address, self._highest_token + 1, 0, secret, inheritance
-        )
+        token, era = self._highest_token + 1, self._era or 0
+        record = LeaseRecord(self._holder, self._address, token, 0, secret, inheritance, era)
         result = await self._store.write(self._version, record)
         if not isinstance(result, LeaseWritten):
             return False
@@ -210,7 +249,12 @@
         sent_at = self._clock.now()
         current = self.record
         inheritance = inheritance or current.inheritance
-        record = replace(current, renewal=current.renewal + 1, inheritance=inheritance)
+        record = replace(
+            current,
+            renewal=current.renewal + 1,
+            inheritance=inheritance,
+            era=era_of(self._version),
+        )
         result = await self._store.write(self._version, record, unchanged)
         is_changed = isinstance(result, OperatorRowsChanged)
         if is_changed:
--- a/mulleinreach/gateway/coordination/term.py
+++ b/mulleinreach/gateway/coordination/term.py
@@ -149,7 +149,7 @@
         return renewal
 
     async def _take_up_again(self, reporting: asyncio.Task) -> bool:
-        """Resign, and wait until the row can be renewed; returns whether it could.
+        """Resign, and wait until the lease is held again; returns whether it is.
 
         A node that stops stays the place where the others meet: while nobody can write
         the row, no other one can take its place.
@@ -164,7 +164,7 @@
             renewal = await self._renew()
             if renewal is Renewal.LOST:
                 return False
-            if renewal is not Renewal.UNKNOWN:
+            if renewal is not Renewal.UNKNOWN and self._lease.is_held():
                 self._hub.resignation = None
                 self._log.event("lease_taken_up_again", token=self._lease.token)
                 return True
--- /dev/null
+++ b/mulleinreach/gateway/coordination/tests/test_restored_lease.py
@@ -0,0 +1,180 @@
+"""Two nodes never hold the lease at once, whatever a restored store shows of its row."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from mulleinreach.common import Clock, EventLog
+from mulleinreach.gateway.coordination.lease import (
+    LEASE_S,
+    RENEW_S,
+    CoordinatorLease,
+    LeaseState,
+    Renewal,
+)
+from mulleinreach.gateway.tests.support import run_world
+from mulleinreach.standins.gateway.restoring import restore, write_hosts_again, write_others
+from mulleinreach.standins.gateway.store import MemoryLease, MemoryStore
+from mulleinreach.standins.virtual import run_virtual
+
+LAPSED_S = 1.1 * LEASE_S
+# The next renewal, and one more after a look at the row.
+HELD_AGAIN_S = 1.0
+
+
+def make_lease(store: MemoryStore, holder: str) -> CoordinatorLease:
+    """Return a node's view of the lease."""
+    name = holder.partition(".")[0]
+    return CoordinatorLease(
+        MemoryLease(store), holder, f"10.0.0.1:{len(name)}", Clock(), EventLog(name)
+    )
+
+
+async def _take_over(store: MemoryStore, holder: str) -> CoordinatorLease:
+    """Return a lease that a node has taken once it saw the row unchanged for long enough."""
+    lease = make_lease(store, holder)
+    await lease.look()
+    await asyncio.sleep(LAPSED_S)
+    assert await lease.look() is LeaseState.FREE
+    assert await lease.acquire()
+    return lease
+
+
+async def _never_both(first: CoordinatorLease, second: CoordinatorLease, act) -> None:
+    """Let a node act again and again, as long as the other one may believe that it holds."""
+    for _ in range(int(LAPSED_S / 0.05)):
+        await act()
+        assert not (first.is_held() and second.is_held())
+        await asyncio.sleep(0.05)
+
+
+def test_holder_that_the_copy_names_again_gives_no_order_beside_one_that_it_lacks():
+    async def test():
+        store = MemoryStore()
+        earlier = make_lease(store, "a.1")
+        assert await earlier.acquire()
+        copy = store.copy()
+        later = await _take_over(store, "b.1")
+        store.restore(copy)
+        assert later.is_held()
+        await _never_both(earlier, later, earlier.renew)
+        assert earlier.is_held()
+
+    run_virtual(test())
+
+
+def test_node_whose_earlier_life_the_copy_names_gives_no_order_beside_one_that_it_lacks():
+    async def test():
+        store = MemoryStore()
+        assert await make_lease(store, "a.1").acquire()
+        copy = store.copy()
+        later = await _take_over(store, "b.1")
+        store.restore(copy)
+        again = make_lease(store, "a.2")
+
+        async def take():
+            if await again.look() is LeaseState.FREE:
+                await again.acquire()
+
+        await _never_both(again, later, take)
+
+    run_virtual(test())
+
+
+def test_write_that_a_reissued_version_lets_through_gives_no_lease():
+    async def test():
+        store = MemoryStore()
+        earlier = make_lease(store, "a.1")
+        copy = store.copy()
+        assert await earlier.acquire()
+        store.restore(copy)
+        later = make_lease(store, "b.1")
+        assert await later.look() is LeaseState.FREE
+        assert await later.acquire()
+        assert store.version == 1
+        await _never_both(earlier, later, earlier.renew)
+
+    run_virtual(test())
+
+
+def test_holder_that_the_store_did_not_miss_holds_on():
+    async def test():
+        store = MemoryStore()
+        lease = make_lease(store, "a.1")
+        assert await lease.acquire()
+        copy = store.copy()
+        for _ in range(4):
+            await asyncio.sleep(RENEW_S)
+            assert await lease.renew() is Renewal.DONE
+        store.restore(copy)
+        write_others(store, 9)
+        for _ in range(20):
+            await asyncio.sleep(0.15)
+            await lease.renew()
+            assert lease.is_held()
+        assert lease.token == 1
+
+    run_virtual(test())
+
+
+def test_tokens_rise_beyond_those_that_a_copy_lacks():
+    async def test():
+        store = MemoryStore()
+        assert await make_lease(store, "a.1").acquire()
+        copy = store.copy()
+        later = await _take_over(store, "b.1")
+        store.restore(copy)
+        other = await _take_over(store, "c.1")
+        assert other.token > later.token
+
+    run_virtual(test())
+
+
+def test_renewal_that_was_lost_with_the_copy_is_not_taken_for_one_that_was_done_late():
+    async def test():
+        store = MemoryStore()
+        lease = make_lease(store, "a.1")
+        assert await lease.acquire()
+        copy = store.copy()
+        store.loses = True
+        assert await lease.renew() is Renewal.UNKNOWN
+        store.loses = False
+        store.restore(copy)
+        assert await lease.renew() is Renewal.UNKNOWN
+        assert await lease.renew() is Renewal.DONE
+
+    run_virtual(test())
+
+
+@pytest.mark.parametrize("away_s", [0.4, 1.0, 2.4, 5.0])
+@pytest.mark.parametrize("is_killed", [False, True])
+def test_one_node_at_most_coordinates_and_soon_one_does(away_s, is_killed):
+    async def test(world):
+        await world.until_formed()
+        await asyncio.sleep(2)
+        copy = world.store.copy()
+        if is_killed:
+            await world.kill_node(world.coordinator())
+            await world.until(lambda: world.coordinator() is not None, 5)
+        await asyncio.sleep(1)
+        holding = asyncio.create_task(_watch_holders(world))
+        await restore(world.store, copy, away_s)
+        write_hosts_again(world.fabric)
+        back_s = await world.until(lambda: world.coordinator() is not None, 8)
+        assert back_s <= 2 * LEASE_S + HELD_AGAIN_S
+        await asyncio.sleep(4)
+        assert not holding.done(), holding.exception()
+        holding.cancel()
+        assert world.coordinator() is not None
+
+    run_world(test, nodes=4)
+
+
+async def _watch_holders(world) -> None:
+    """Check for ever that one node at most may give orders."""
+    while True:
+        holders = [name for name, node in world.nodes.items() if node.lease.is_held()]
+        assert len(holders) <= 1, holders
+        await asyncio.sleep(0.02)
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -202,6 +202,7 @@
             str(self.identity.peers),
             self.clock,
             self.log,
+            self.identity.is_first_start,
         )
         self.hosts = HostBook(self.directory, self.clock)
         self.operator = GroupOperator(
