--- a/mulleinreach/platform/tests/soak/checks.py
+++ b/mulleinreach/platform/tests/soak/checks.py
@@ -44,6 +44,7 @@
         for start in self._starts():
             self._check_key(start)
             self._check_evacuation(start)
+            self._check_leaving(start)
         self._check_cold_hosts()
         for run in self._world.plain.runs:
             if run.request_id not in self._callers.sent or run.organisation != "soak":
@@ -103,6 +104,26 @@
                     f" {late_s:.2f} s after {hall} was evacuated"
                 )
 
+    def _check_leaving(self, start: Start) -> None:
+        """DRAIN: nothing starts at an upstream ``drain_ms`` after its row told that it leaves.
+
+        Excused are words that the store took beside a disturbance, and gateways that were
+        started, frozen or cut off since, or that feel a disturbance.
+        """
+        gateway = self._callers.sent.get(start.request_id, UNKNOWN).gateway
+        for leaving in self._world.leavings:
+            if leaving.upstream_id != start.upstream_id or start.at <= leaving.since + TOLD_S:
+                continue
+            if not self._was_in_touch(gateway, leaving.since):
+                continue
+            is_out = self._world.is_out_of_touch(gateway, leaving.since, start.at)
+            if self._was_in_touch(gateway, start.at) and not is_out:
+                late_s = start.at - leaving.since
+                self._report.broken.append(
+                    f"{start.request_id} of {gateway} started at {start.upstream_id}"
+                    f" {late_s:.2f} s after its row told that it leaves"
+                )
+
     def _was_in_touch(self, gateway: str, at: float) -> bool:
         return not any(
             disturbance.gateway in (None, gateway) and is_felt(disturbance, at)
--- a/mulleinreach/platform/tests/soak/run.py
+++ b/mulleinreach/platform/tests/soak/run.py
@@ -27,6 +27,7 @@
 from mulleinreach.platform.tests.soak.notice_checks import NoticeChecks
 from mulleinreach.platform.tests.soak.notice_faults import NoticeFaults
 from mulleinreach.platform.tests.soak.report import SoakReport
+from mulleinreach.platform.tests.soak.restore_faults import RestoreFaults
 from mulleinreach.platform.tests.soak.start_faults import StartFaults
 from mulleinreach.platform.tests.soak.world import SoakWorld
 
@@ -40,6 +41,7 @@
     has_notices : whether upstreams ask for rest and say that they leave, beside the faults.
     has_starts : whether hosts start again under their names, beside the faults.
     has_limits : whether upstreams name limits, beside the faults.
+    has_restores : whether the store goes back to copies, and upstreams leave by their rows.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         has_notices: bool = False,
         has_starts: bool = False,
         has_limits: bool = False,
+        has_restores: bool = False,
     ):
         self.report = SoakReport(seed)
         self.callers = Callers(world, random.Random(seed), self.report)
@@ -63,6 +66,8 @@
         self._harmers += [self._notices] if has_notices else []
         self._harmers += [starts] if has_starts else []
         self._harmers += [self._limits] if has_limits else []
+        self._restores = RestoreFaults(world, random.Random(f"restores {seed}"), self.report)
+        self._harmers += [self._restores] if has_restores else []
         self._notice_checks = NoticeChecks(world, self.callers, self.report)
         self._limit_checks = LimitChecks(world, self.callers, self.report)
         self._world = world
@@ -82,6 +87,7 @@
             await self._faults.mend()
             self._notices.mend()
             self._limits.mend()
+            self._restores.mend()
             await self.callers.until_served()
         self.checks.check()
         self._notice_checks.check()
@@ -102,13 +108,15 @@
     has_notices: bool = False,
     has_starts: bool = False,
     has_limits: bool = False,
+    has_restores: bool = False,
 ) -> SoakReport:
     """Run one soak in a directory of its own, which is kept if a promise was broken."""
     directory = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     world = SoakWorld(directory, nodes, hosts=8, seed=seed)
     await world.start()
     try:
-        report = await Soak(world, seed, has_notices, has_starts, has_limits).run(seconds)
+        kinds = has_notices, has_starts, has_limits, has_restores
+        report = await Soak(world, seed, *kinds).run(seconds)
     finally:
         await world.close()
     if report.broken:
@@ -143,6 +151,7 @@
         bool, typer.Option(help="Whether hosts start again under their names.")
     ] = True,
     limits: Annotated[bool, typer.Option(help="Whether upstreams name limits.")] = True,
+    restores: Annotated[bool, typer.Option(help="Whether the store goes back to copies.")] = True,
     report_file: Annotated[
         Path | None, typer.Option("--report", help="Where to write what was injected and seen.")
     ] = None,
@@ -152,7 +161,8 @@
     failed = 0
     reports = []
     for number in _seeds(seed, seeds, minutes):
-        report = asyncio.run(soak_once(number, seconds, nodes, notices, starts, limits))
+        kinds = notices, starts, limits, restores
+        report = asyncio.run(soak_once(number, seconds, nodes, *kinds))
         failed += bool(report.broken)
         reports.append(report.to_json())
         verdict = "broken" if report.broken else "kept"
--- a/mulleinreach/platform/tests/soak/world.py
+++ b/mulleinreach/platform/tests/soak/world.py
@@ -57,6 +57,14 @@
     until: float = float("inf")
 
 
+@dataclass(frozen=True)
+class Leaving:
+    """An upstream that says in its row that it leaves; the store had taken that at ``since``."""
+
+    upstream_id: str
+    since: float
+
+
 @dataclass
 class Disturbance:
     """A time during which a gateway, or every one, was frozen or could not reach the store."""
@@ -94,6 +102,7 @@
         self.keys = ["key-1", "key-2"]
         self.revocations: list[Revocation] = []
         self.evacuations: list[Evacuation] = []
+        self.leavings: list[Leaving] = []
         self.disturbances: list[Disturbance] = []
         self.notices = Notices()
         # Which hosts' connections were reset, and when.
@@ -128,7 +137,10 @@
         self.revocations += [Revocation(key, now) for key in self.keys if key not in keys]
         self.keys = keys
         self.version += 1
-        document = make_document(self.version, keys)
+        self._write_configuration()
+
+    def _write_configuration(self) -> None:
+        document = make_document(self.version, self.keys)
         self.memory.put(CONFIGURATION_TABLE, CONFIGURATION_KEY, document)
 
     def evacuate(self, hall: str) -> None:
@@ -150,6 +162,18 @@
         """Return the halls that are to be empty now."""
         return {e.hall for e in self.evacuations if e.until == float("inf")}
 
+    def write_operators_rows_again(self) -> None:
+        """Write what a copy of the store lacks."""
+        stored = self.memory.get(CONFIGURATION_TABLE, CONFIGURATION_KEY).value
+        if stored is None or stored["version"] != self.version:
+            self._write_configuration()
+        evacuated = self.evacuated_halls()
+        for hall in self.halls:
+            key = EVACUATION_PREFIX + hall
+            if bool(self.memory.get(CONFIGURATION_TABLE, key).version) != (hall in evacuated):
+                value = {"evacuate": True} if hall in evacuated else None
+                self.memory.put(CONFIGURATION_TABLE, key, value)
+
     @contextlib.contextmanager
     def disturbed(self, gateway: str | None):
         """Note that a gateway, or every one with ``None``, is out of touch meanwhile."""
--- a/mulleinreach/platform/tests/test_soak.py
+++ b/mulleinreach/platform/tests/test_soak.py
@@ -14,6 +14,7 @@
 from mulleinreach.platform.tests.soak.world import (
     Disturbance,
     Evacuation,
+    Leaving,
     Revocation,
     SoakWorld,
 )
@@ -49,6 +50,11 @@
     assert report.broken == []
 
 
+def test_short_soak_in_which_the_store_is_restored_keeps_every_promise():
+    report = asyncio.run(soak_once(5, 2 * SECONDS, has_restores=True))
+    assert report.broken == []
+
+
 def test_report_can_be_written():
     report = SoakReport(7, ["a promise"])
     report.answers["order 200"] += 2
@@ -69,6 +75,7 @@
         fabric=SimpleNamespace(checks=checks),
         revocations=[],
         evacuations=[],
+        leavings=[],
         disturbances=[],
         gateways=[SimpleNamespace(name="gateway-0", started_at=[90.0])],
         notices=Notices(),
@@ -270,3 +277,19 @@
     soak.callers.sent["r"] = SentRequest(100.0, "key-1", "gateway-0")
     world.notices.arrivals += [Arrival("desk-0", "r", 103.5)] * 20
     assert find_broken(soak) == []
+
+
+@pytest.mark.parametrize(
+    ("sent_at", "disturbed_at", "is_broken"),
+    [(101.9, None, False), (102.1, None, True), (102.1, 101.0, False), (110.0, 101.0, True)],
+)
+def test_start_at_an_upstream_whose_row_told_that_it_leaves_is_found(
+    sent_at, disturbed_at, is_broken
+):
+    soak, world = make_soak()
+    soak.callers.sent["r"] = SentRequest(sent_at, "key-1", "gateway-0")
+    world.plain.runs.append(PlainRun("r", "soak", "desk-0", sent_at))
+    world.leavings.append(Leaving("desk-0", 100.0))
+    if disturbed_at is not None:
+        world.disturbances.append(Disturbance(None, disturbed_at, disturbed_at + 0.5))
+    assert bool(find_broken(soak)) == is_broken
