--- a/mulleinreach/platform/tests/soak/restore_faults.py
+++ b/mulleinreach/platform/tests/soak/restore_faults.py
@@ -9,13 +9,17 @@
 from mulleinreach.gateway.upstream import UpstreamState, name_of
 from mulleinreach.platform.tests.soak.harmer import Harmer
 from mulleinreach.platform.tests.soak.world import Leaving
-from mulleinreach.standins.gateway.restoring import write_hosts_again
+from mulleinreach.standins.gateway.restoring import write_hosts_again, write_others
 from mulleinreach.standins.gateway.store import UPSTREAMS
 
 # How old a copy is, how long the store is away, and when operators write again what it lacks.
 COPY_AGE_S = (0.5, 6.0)
 AWAY_S = (0.1, 3.0)
 WRITTEN_AGAIN_S = (0.0, 0.3)
+# What other users of the store write while a copy gets old: versions that are given out again.
+OTHERS_WRITES = (0, 300)
+# How long the store is left alone then, so that what nodes hear late is seen.
+ALONE_S = (4.0, 10.0)
 # Upstreams write again with their next heartbeat; the rows of those that are silent lapse after
 # two more.
 HEARTBEAT_S = 1.2
@@ -45,6 +49,7 @@
         self._is_restoring = True
         memory, store = self._world.memory, self._world.store
         copy = memory.copy()
+        write_others(memory, self._rng.randint(*OTHERS_WRITES))
         await asyncio.sleep(self._rng.uniform(*COPY_AGE_S))
         with self._world.disturbed(None):
             store.status = 503
@@ -57,6 +62,7 @@
         self._write_upstreams_again()
         await asyncio.sleep(2 * HEARTBEAT_S)
         self._lapse_silent()
+        await asyncio.sleep(self._rng.uniform(*ALONE_S))
         self._is_restoring = False
 
     def _write_upstreams_again(self) -> None:
