--- a/benchmarks/gateway_breakages.py
+++ b/benchmarks/gateway_breakages.py
@@ -9,6 +9,7 @@
 from benchmarks.crash_breakages import CRASH_BREAKAGES
 from benchmarks.hall_breakages import HALL_BREAKAGES
 from benchmarks.notice_breakages import NOTICE_BREAKAGES
+from benchmarks.restore_breakages import RESTORE_BREAKAGES
 from benchmarks.start_breakages import START_BREAKAGES
 
 GATEWAY = "mulleinreach/gateway"
@@ -243,4 +244,5 @@
     *CRASH_BREAKAGES,
     *START_BREAKAGES,
     *NOTICE_BREAKAGES,
+    *RESTORE_BREAKAGES,
 ]
--- a/mulleinreach/common/calls.py
+++ b/mulleinreach/common/calls.py
@@ -112,12 +112,20 @@
 
     def _note_answer(self) -> None:
         """Note that the service answers, and end the waits on connections given up."""
-        now = self.answered_at = asyncio.get_running_loop().time()
-        for limit, session in list(self._waits.items()):
-            if session is not self._current:
-                del self._waits[limit]
-                if not limit.expired():
-                    limit.reschedule(now)
+        self.answered_at = asyncio.get_running_loop().time()
+        silent = [limit for limit, session in self._waits.items() if session is not self._current]
+        self._end_waits(silent)
+
+    def end_all_waits(self) -> None:
+        """End the waits that are under way, since what they wait for can't come any more."""
+        self._end_waits(list(self._waits))
+
+    def _end_waits(self, limits: list[asyncio.Timeout]) -> None:
+        now = asyncio.get_running_loop().time()
+        for limit in limits:
+            del self._waits[limit]
+            if not limit.expired():
+                limit.reschedule(now)
 
     async def close(self) -> None:
         """End the connections of the latest session."""
--- a/mulleinreach/platform/store.py
+++ b/mulleinreach/platform/store.py
@@ -210,6 +210,8 @@
     def _note_era(self, era: int) -> None:
         if era > self._era >= 0:
             logging.warning("event=store_restored era=%d before=%d", era, self._era)
+            # They began at a version that the store may reach only much later.
+            self._calls.end_all_waits()
         self._era = max(era, self._era)
 
     @property
@@ -262,6 +264,8 @@
         asked_at = asyncio.get_running_loop().time()
         answer = await self._ask_for_changes(table, revision, wait_s)
         if isinstance(answer, CallSilent) and self._calls.answered_at > asked_at:
+            if era_of(revision) < self._era:
+                return HistoryLost()
             # The store answers other calls, so only this one's connection was silent.
             answer = await self._ask_for_changes(table, revision, LOOK_S)
         body = _read_body(answer)
--- a/mulleinreach/platform/tests/test_restored_ports.py
+++ b/mulleinreach/platform/tests/test_restored_ports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import replace
 
 import pytest
@@ -61,6 +62,24 @@
     run_ports(kind, test)
 
 
+def test_wait_that_is_under_way_ends_as_soon_as_another_answer_tells_of_the_restore():
+    async def test(ports):
+        for _ in range(9):
+            ports.put_upstream(HOST)
+        copy = ports.memory.copy()
+        ports.put_configuration(7)
+        read = await ports.upstreams.read()
+        waiting = asyncio.create_task(ports.upstreams.wait(read.revision, 30.0))
+        await asyncio.sleep(1)
+        # Only the answers to new calls tell it.
+        ports.memory.restore(copy, ends_waits=False)
+        await ports.configurations.read()
+        async with asyncio.timeout(0.2):
+            assert await waiting == HistoryLost()
+
+    run_ports(OnPlatform, test)
+
+
 @pytest.mark.parametrize("knows", [False, True])
 @both
 def test_lease_is_not_written_under_a_version_that_was_given_out_again(kind, knows):
--- a/mulleinreach/standins/gateway/store.py
+++ b/mulleinreach/standins/gateway/store.py
@@ -92,13 +92,20 @@
         """Return what the store holds now."""
         return StoreCopy(self.version, {name: dict(rows) for name, rows in self.tables.items()})
 
-    def restore(self, copy: StoreCopy) -> None:
-        """Go back to a copy, and begin a new era."""
+    def restore(self, copy: StoreCopy, ends_waits: bool = True) -> None:
+        """Go back to a copy, and begin a new era.
+
+        Parameters
+        ==========
+
+        ends_waits : whether waits that are under way are answered.
+        """
         self.era += 1
         self.version = copy.version
         self.tables = {name: dict(rows) for name, rows in copy.tables.items()}
-        self._changed.set()
-        self._changed = asyncio.Event()
+        if ends_waits:
+            self._changed.set()
+            self._changed = asyncio.Event()
 
     def get(self, table: str, key: str) -> MemoryRow:
         """Return a row; an absent one has version 0."""
