--- a/benchmarks/restore_breakages.py
+++ b/benchmarks/restore_breakages.py
@@ -47,7 +47,7 @@
         "RESTORE",
         "nor is it taken for done where only its answer tells the era",
         STORE,
-        "is_restored = any(_is_of_earlier_era(r, era) for r in named)",
+        "is_restored = any(is_of_earlier_era(r, era) for r in named)",
         "is_restored = False",
         PORTS,
     ),
--- a/mulleinreach/common/http_fields.py
+++ b/mulleinreach/common/http_fields.py
@@ -36,6 +36,18 @@
         return None
 
 
+def read_count(text: str | None) -> int | None:
+    """Return a whole number, ``None`` where there is none.
+
+    Examples
+    ========
+
+    >>> read_count("12"), read_count("-1"), read_count("1.5"), read_count(None)
+    (12, None, None, None)
+    """
+    return int(text) if text and text.isascii() and text.isdigit() else None
+
+
 def retry_after_s(text: str | None) -> float:
     """Return the seconds of a ``Retry-After`` field, fractions included; 0 where it has none.
 
--- a/mulleinreach/gateway/coordination/election.py
+++ b/mulleinreach/gateway/coordination/election.py
@@ -14,8 +14,8 @@
 
 import random
 
+from mulleinreach.gateway.deployment import GatewayIdentity
 from mulleinreach.gateway.known.turns import AMPLE_CORES
-from mulleinreach.gateway.ports import GatewayIdentity
 
 # Nodes that notice together that the lease is free must not all write in the same moment.
 MAX_ELECTION_DELAY_S = 0.06
--- a/mulleinreach/gateway/coordination/membership.py
+++ b/mulleinreach/gateway/coordination/membership.py
@@ -29,8 +29,9 @@
 )
 from mulleinreach.gateway.coordination.succession import tell_replaced
 from mulleinreach.gateway.coordination.term import CoordinatorTerm
+from mulleinreach.gateway.deployment import GatewayIdentity
 from mulleinreach.gateway.known.load import LoadBook
-from mulleinreach.gateway.ports import GatewayIdentity, LeaseRecord
+from mulleinreach.gateway.ports import LeaseRecord
 
 RETRY_S = 0.3
 RECONNECT_S = 0.05
--- a/mulleinreach/gateway/coordination/own_report.py
+++ b/mulleinreach/gateway/coordination/own_report.py
@@ -11,8 +11,8 @@
 from mulleinreach.gateway.coordination.reports import (
     NodeReport,
 )
+from mulleinreach.gateway.deployment import GatewayIdentity
 from mulleinreach.gateway.known.load import LoadBook, LoadReport
-from mulleinreach.gateway.ports import GatewayIdentity
 
 # For so long a new coordinator is told all that this node saw of upstreams that ended.
 INTRODUCTION_S = 1.0
--- a/mulleinreach/gateway/coordination/tests/test_successor.py
+++ b/mulleinreach/gateway/coordination/tests/test_successor.py
@@ -9,7 +9,7 @@
 
 from mulleinreach.gateway.coordination.lease import Successor
 from mulleinreach.gateway.coordination.succession import tell_replaced
-from mulleinreach.gateway.ports import Bounds
+from mulleinreach.gateway.deployment import Bounds
 from mulleinreach.gateway.tests.desk import answer_whole, serve_desk
 from mulleinreach.gateway.tests.support import run_world, turn_away
 from mulleinreach.standins.gateway.store import CONFIGURATION
--- a/mulleinreach/gateway/known/cold.py
+++ b/mulleinreach/gateway/known/cold.py
@@ -18,10 +18,10 @@
 from dataclasses import dataclass
 
 from mulleinreach.common import Clock, EventLog
+from mulleinreach.gateway.deployment import Bounds
 from mulleinreach.gateway.known.evacuations import Evacuations
 from mulleinreach.gateway.known.upstreams import UpstreamDirectory
 from mulleinreach.gateway.model import Service
-from mulleinreach.gateway.ports import Bounds
 from mulleinreach.gateway.upstream import Upstream
 
 # Seconds over which requests to a cold upstream are counted: its rate is one a second.
--- a/mulleinreach/gateway/known/tests/test_cold.py
+++ b/mulleinreach/gateway/known/tests/test_cold.py
@@ -13,10 +13,10 @@
 
 from mulleinreach.common import Address, Clock, EventLog
 from mulleinreach.gateway.coordination.numbering import NodeNumbers
+from mulleinreach.gateway.deployment import Bounds
 from mulleinreach.gateway.known.cold import NUMBER_HOLDS_S, WINDOW_S, ColdRateLimit, quota
 from mulleinreach.gateway.known.upstreams import ListChange, UpstreamDirectory
 from mulleinreach.gateway.model import Configuration
-from mulleinreach.gateway.ports import Bounds
 from mulleinreach.gateway.request.urgency import ENOUGH_SEEN
 from mulleinreach.gateway.tests.desk import answer_whole, fail
 from mulleinreach.gateway.tests.support import run_world, turn_away
--- a/mulleinreach/gateway/known/tests/test_evacuations.py
+++ b/mulleinreach/gateway/known/tests/test_evacuations.py
@@ -7,8 +7,9 @@
 import pytest
 
 from mulleinreach.common import EventLog, VirtualClock
+from mulleinreach.gateway.deployment import Bounds
 from mulleinreach.gateway.known.evacuations import EMPTYING_PART, NEVER, Evacuations
-from mulleinreach.gateway.ports import Bounds, EvacuationRow
+from mulleinreach.gateway.ports import EvacuationRow
 from mulleinreach.gateway.request.urgency import ENOUGH_SEEN
 from mulleinreach.gateway.tests.desk import answer_whole, fail, refuse
 from mulleinreach.gateway.tests.support import let_in, run_world, turn_away
--- a/mulleinreach/gateway/known/tests/test_store_turns.py
+++ b/mulleinreach/gateway/known/tests/test_store_turns.py
@@ -9,10 +9,11 @@
 import pytest
 
 from mulleinreach.common import EventLog, VirtualClock
+from mulleinreach.gateway.deployment import Bounds
 from mulleinreach.gateway.known.store_calls import StoreCalls, StoreRole, pause_s
 from mulleinreach.gateway.known.turns import reading_turn
 from mulleinreach.gateway.metrics import GatewayMetrics
-from mulleinreach.gateway.ports import Bounds, Unavailable
+from mulleinreach.gateway.ports import Unavailable
 from mulleinreach.standins.virtual import run_virtual
 
 MANY = 195
--- a/mulleinreach/gateway/known/turns.py
+++ b/mulleinreach/gateway/known/turns.py
@@ -4,8 +4,8 @@
 
 import random
 
+from mulleinreach.gateway.deployment import Bounds
 from mulleinreach.gateway.known.reading import ReadingTurn
-from mulleinreach.gateway.ports import Bounds
 
 # By so long after its coordinator's last answer from the store, a node that reads for
 # itself without a turn of its own has heard of what changed: 1.5 s until the evidence is too
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -16,6 +16,7 @@
 from mulleinreach.gateway.coordination.lease import CoordinatorLease
 from mulleinreach.gateway.coordination.membership import Coordination
 from mulleinreach.gateway.coordination.totals import sum_loads
+from mulleinreach.gateway.deployment import Bounds, GatewayIdentity
 from mulleinreach.gateway.fleet.controller import FleetController
 from mulleinreach.gateway.fleet.formation import GroupOperator
 from mulleinreach.gateway.fleet.hosts import HostBook
@@ -41,7 +42,7 @@
 from mulleinreach.gateway.listening import IDLE_TIMEOUT_S, serve
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.model import Limits
-from mulleinreach.gateway.ports import Bounds, GatewayIdentity, Ports
+from mulleinreach.gateway.ports import Ports
 from mulleinreach.gateway.request.active import ActiveExchanges
 from mulleinreach.gateway.request.admission import Admission
 from mulleinreach.gateway.request.budget import WindowedRetryBudget
--- a/mulleinreach/gateway/process.py
+++ b/mulleinreach/gateway/process.py
@@ -7,10 +7,14 @@
 import socket
 from collections.abc import Callable
 
+from absl import logging
+
 from mulleinreach.common import Clock, Network
+from mulleinreach.common.log import write_without_blocking
 from mulleinreach.common.loop import SuspendAwareEventLoop
+from mulleinreach.gateway.deployment import Bounds, GatewayIdentity
 from mulleinreach.gateway.node import GatewayNode
-from mulleinreach.gateway.ports import Bounds, GatewayIdentity, Ports
+from mulleinreach.gateway.ports import Ports
 
 
 def run_process(
@@ -27,6 +31,8 @@
     make_ports : returns the ports of an adapter; called within the node's event loop.
     callers : listens on the callers' address already; ``None`` if nothing does.
     """
+    logging.set_verbosity(logging.INFO)
+    write_without_blocking()
     with asyncio.Runner(loop_factory=SuspendAwareEventLoop) as runner:
         runner.run(_run_node(identity, bounds, make_ports, callers))
 
--- a/mulleinreach/gateway/request/admission.py
+++ b/mulleinreach/gateway/request/admission.py
@@ -4,10 +4,11 @@
 
 from dataclasses import dataclass
 
+from mulleinreach.gateway.deployment import Bounds
 from mulleinreach.gateway.known.following import ConfigurationInForce
 from mulleinreach.gateway.known.reading import PASSED_EVIDENCE_S, WAIT_S
 from mulleinreach.gateway.model import Configuration, Route
-from mulleinreach.gateway.ports import Bounds, CallerHeaders
+from mulleinreach.gateway.ports import CallerHeaders
 
 # A node whose evidence is older than it gets while all is well may have missed a
 # new route or key.
--- a/mulleinreach/gateway/request/budget.py
+++ b/mulleinreach/gateway/request/budget.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from mulleinreach.common import Clock
-from mulleinreach.gateway.ports import Bounds
+from mulleinreach.gateway.deployment import Bounds
 
 SAFETY = 0.7
 
--- a/mulleinreach/gateway/request/tests/test_bounds.py
+++ b/mulleinreach/gateway/request/tests/test_bounds.py
@@ -8,8 +8,8 @@
 from aiohttp import web
 
 from mulleinreach.common import VirtualClock
+from mulleinreach.gateway.deployment import Bounds
 from mulleinreach.gateway.fleet.loads import WINDOW_S, LoadGate
-from mulleinreach.gateway.ports import Bounds
 from mulleinreach.gateway.request.budget import WindowedRetryBudget
 from mulleinreach.gateway.request.sending import EXTRA_RESUMES
 from mulleinreach.gateway.tests.noticed import ask_for, large_heads
--- a/mulleinreach/gateway/request/tests/test_keys_in_outages.py
+++ b/mulleinreach/gateway/request/tests/test_keys_in_outages.py
@@ -7,7 +7,7 @@
 import pytest
 
 from mulleinreach.gateway.coordination import membership
-from mulleinreach.gateway.ports import Bounds
+from mulleinreach.gateway.deployment import Bounds
 from mulleinreach.gateway.tests.desk import answer_whole, serve_desk
 from mulleinreach.gateway.tests.support import run_world, turn_away
 from mulleinreach.standins.gateway.store import CONFIGURATION
--- a/mulleinreach/gateway/request/tests/test_shortage.py
+++ b/mulleinreach/gateway/request/tests/test_shortage.py
@@ -7,8 +7,8 @@
 import pytest
 
 from mulleinreach.common.log import format_value
+from mulleinreach.gateway.deployment import Bounds
 from mulleinreach.gateway.explain import explain_request, parse_line
-from mulleinreach.gateway.ports import Bounds
 from mulleinreach.gateway.tests.desk import answer_whole, refuse
 from mulleinreach.gateway.tests.support import run_world
 from mulleinreach.gateway.tests.traffic import run_traffic
--- a/mulleinreach/gateway/revision.py
+++ b/mulleinreach/gateway/revision.py
@@ -33,6 +33,18 @@
     return (era << VERSION_BITS) | version
 
 
+def row_revision(era: int, version: int) -> int:
+    """Return the revision of a row's latest change, 0 for an absent row, whose version is 0.
+
+    Examples
+    ========
+
+    >>> row_revision(3, 0), row_revision(0, 7)
+    (0, 7)
+    """
+    return make_revision(era, version) if version else 0
+
+
 def era_of(revision: int) -> int:
     """Return the era of a revision.
 
--- a/mulleinreach/gateway/tests/test_imports.py
+++ b/mulleinreach/gateway/tests/test_imports.py
@@ -14,8 +14,10 @@
 # Each may import what stands before it, and modules of its own folder.
 FROM_THE_BOTTOM_UP = [
     "revision",
+    "stored_rows",
     "model",
     "upstream",
+    "deployment",
     "ports",
     "metrics",
     "listening",
--- a/mulleinreach/platform/process.py
+++ b/mulleinreach/platform/process.py
@@ -5,11 +5,8 @@
 import socket
 import sys
 
-from absl import logging
-
 from mulleinreach.common import Network
 from mulleinreach.common.fields import SettingsError
-from mulleinreach.common.log import write_without_blocking
 from mulleinreach.gateway.ports import Ports
 from mulleinreach.gateway.process import run_process
 from mulleinreach.platform.dialect import PlatformDialect
@@ -46,8 +43,6 @@
 
     callers : listens on the callers' address already; ``None`` if nothing does.
     """
-    logging.set_verbosity(logging.INFO)
-    write_without_blocking()
     try:
         settings = read_settings(settings_path)
     except SettingsError as error:
--- a/mulleinreach/platform/settings.py
+++ b/mulleinreach/platform/settings.py
@@ -6,7 +6,7 @@
 
 from mulleinreach.common import Address
 from mulleinreach.common.fields import FieldReader, SettingsError, parse_lines
-from mulleinreach.gateway.ports import Bounds, GatewayIdentity
+from mulleinreach.gateway.deployment import Bounds, GatewayIdentity
 
 METRICS_PORT_OFFSET = 1
 # The bounds on keys count from the acknowledgement; the rest covers the way.
--- a/mulleinreach/platform/sources.py
+++ b/mulleinreach/platform/sources.py
@@ -21,17 +21,11 @@
     UnusableRow,
     UpstreamsRead,
 )
+from mulleinreach.gateway.stored_rows import Conflict, RowState, StoreRow, StoreRows, Written
 from mulleinreach.gateway.upstream import Upstream
 from mulleinreach.platform.configuration import parse_configuration
 from mulleinreach.platform.rows import parse_upstream
-from mulleinreach.platform.store import (
-    Conflict,
-    PlatformStore,
-    RowState,
-    StoreRow,
-    StoreRows,
-    Written,
-)
+from mulleinreach.platform.store import PlatformStore
 
 CONFIGURATION_TABLE = "op"
 CONFIGURATION_KEY = "config"
@@ -170,7 +164,7 @@
         row = await self._store.read_row(LEASE_TABLE, LEASE_KEY)
         if isinstance(row, Unavailable):
             return row
-        era = self._store.era
+        era = self._store.era or 0
         if row is None:
             return LeaseRead(0, None, era)
         if row.value is None:
--- a/mulleinreach/platform/store.py
+++ b/mulleinreach/platform/store.py
@@ -6,7 +6,6 @@
 import base64
 import json
 from collections.abc import Callable
-from dataclasses import dataclass
 from http import HTTPStatus
 
 import aiohttp
@@ -15,8 +14,17 @@
 from mulleinreach.common import Address
 from mulleinreach.common.calls import CallFailed, CallSilent, HttpAnswer, HttpCalls
 from mulleinreach.common.checked import CheckError, read_object
+from mulleinreach.common.http_fields import read_count
 from mulleinreach.gateway.ports import HistoryLost, Unavailable
-from mulleinreach.gateway.revision import era_of, make_revision, version_of
+from mulleinreach.gateway.revision import era_of, make_revision, row_revision, version_of
+from mulleinreach.gateway.stored_rows import (
+    Conflict,
+    RowState,
+    StoreRow,
+    StoreRows,
+    Written,
+    is_of_earlier_era,
+)
 
 # Shorter than the 1.5 s after which a node takes its evidence for too old; a node that starts
 # asks again after it.
@@ -36,59 +44,6 @@
 _OTHER_SHAPE = (ValueError, KeyError, TypeError)
 
 
-@dataclass(frozen=True)
-class StoreRow:
-    """A row; ``value`` is ``None`` for one that was removed or can't be read.
-
-    Parameters
-    ==========
-
-    version : the revision of its latest change.
-    unreadable : why it can't be read; empty if it can.
-    """
-
-    key: str
-    version: int
-    value: dict | None
-    is_removed: bool = False
-    unreadable: str = ""
-
-
-@dataclass(frozen=True)
-class StoreRows:
-    """Rows of one moment, and the store's revision at that moment."""
-
-    revision: int
-    rows: list[StoreRow]
-    has_more: bool = False
-
-
-@dataclass(frozen=True)
-class Written:
-    """The row was written, and has this revision now."""
-
-    version: int
-
-
-@dataclass(frozen=True)
-class RowState:
-    """A row's place and the revision of its latest change; 0 means that it is absent."""
-
-    table: str
-    key: str
-    version: int
-
-
-@dataclass(frozen=True)
-class Conflict:
-    """A row had another version than was expected; nothing was written.
-
-    ``rows`` are the rows that were named, as they are now.
-    """
-
-    rows: tuple[RowState, ...] = ()
-
-
 def decode_row(raw: dict, era: int = 0) -> StoreRow:
     """Return a row as the store tells it in an era; one that can't be read says why.
 
@@ -120,17 +75,10 @@
     >>> _decode_conflict({"rows": [{"table": "t", "tls_key": "k", "ver": 7}]})
     Conflict(rows=(RowState(table='t', key='k', version=7),))
     """
-    return Conflict(tuple(_decode_state(row, era) for row in answer["rows"]))
-
-
-def _decode_state(raw: dict, era: int) -> RowState:
-    version = int(raw["ver"])
-    return RowState(raw["table"], raw["tls_key"], make_revision(era, version) if version else 0)
-
-
-def _is_of_earlier_era(row: RowState, era: int) -> bool:
-    """Whether a row's version can't be compared with those of an era; an absent row has none."""
-    return row.version != 0 and era_of(row.version) < era
+    rows = answer["rows"]
+    return Conflict(
+        tuple(RowState(r["table"], r["tls_key"], row_revision(era, int(r["ver"]))) for r in rows)
+    )
 
 
 def _read_body(answer: HttpAnswer | CallFailed) -> dict | HistoryLost | Unavailable:
@@ -150,12 +98,10 @@
 def _read_era(answer: HttpAnswer, known: int) -> int:
     """Return the era that an answer tells, the one known if it tells none that can be read."""
     told = answer.headers.get(ERA_HEADER)
-    if told is None:
-        return known
-    if told.isascii() and told.isdigit():
-        return int(told)
-    logging.warning("event=store_era_unreadable told=%r", told)
-    return known
+    era = read_count(told)
+    if era is None and told is not None:
+        logging.warning("event=store_era_unreadable told=%r", told)
+    return known if era is None else era
 
 
 def _decode_written(answer: HttpAnswer, era: int) -> Written | Conflict | Unavailable:
@@ -188,8 +134,8 @@
     def __init__(self, make_session: Callable[[], aiohttp.ClientSession], address: Address):
         self._calls = HttpCalls(make_session)
         self._url = address.url + "/mulleinreach/"
-        # The latest era that an answer told; -1 before the first answer.
-        self._era = -1
+        # The latest era that an answer told.
+        self.era: int | None = None
 
     async def close(self) -> None:
         """End the connections."""
@@ -205,19 +151,14 @@
         return answer
 
     def _era_of(self, answer: HttpAnswer) -> int:
-        return _read_era(answer, self.era)
+        return _read_era(answer, self.era or 0)
 
     def _note_era(self, era: int) -> None:
-        if era > self._era >= 0:
-            logging.warning("event=store_restored era=%d before=%d", era, self._era)
+        if self.era is not None and era > self.era:
+            logging.warning("event=store_restored era=%d before=%d", era, self.era)
             # They began at a version that the store may reach only much later.
             self._calls.end_all_waits()
-        self._era = max(era, self._era)
-
-    @property
-    def era(self) -> int:
-        """The latest era that an answer told; 0 before the first answer."""
-        return max(0, self._era)
+        self.era = max(era, self.era or 0)
 
     async def read_table(self, table: str) -> StoreRows | Unavailable:
         """Return all rows of a table's empty part."""
@@ -259,12 +200,12 @@
         self, table: str, revision: int, wait_s: float
     ) -> StoreRows | HistoryLost | Unavailable:
         """Return the rows of a table that changed after ``revision``."""
-        if era_of(revision) < self._era:
+        if era_of(revision) < (self.era or 0):
             return HistoryLost()
         asked_at = asyncio.get_running_loop().time()
         answer = await self._ask_for_changes(table, revision, wait_s)
         if isinstance(answer, CallSilent) and self._calls.answered_at > asked_at:
-            if era_of(revision) < self._era:
+            if era_of(revision) < (self.era or 0):
                 return HistoryLost()
             # The store answers other calls, so only this one's connection was silent.
             answer = await self._ask_for_changes(table, revision, LOOK_S)
@@ -296,7 +237,7 @@
         meanwhile and the versions happened to fit.
         """
         named = [row, *unchanged]
-        comparable = tuple(r for r in named if not _is_of_earlier_era(r, self._era))
+        comparable = tuple(r for r in named if not is_of_earlier_era(r, self.era or 0))
         if len(comparable) < len(named):
             return Conflict(comparable)
         encoded = base64.b64encode(json.dumps(value).encode()).decode()
@@ -310,7 +251,7 @@
             return Unavailable(answer.reason)
         era = self._era_of(answer)
         result = _decode_written(answer, era)
-        is_restored = any(_is_of_earlier_era(r, era) for r in named)
+        is_restored = any(is_of_earlier_era(r, era) for r in named)
         return Conflict() if isinstance(result, Written) and is_restored else result
 
     def _decode(self, answer: dict, era: int) -> StoreRows | Unavailable:
--- a/mulleinreach/platform/tests/test_settings.py
+++ b/mulleinreach/platform/tests/test_settings.py
@@ -6,7 +6,7 @@
 import pytest
 
 from mulleinreach.common.fields import SettingsError, parse_lines
-from mulleinreach.gateway.ports import Bounds
+from mulleinreach.gateway.deployment import Bounds
 from mulleinreach.platform.settings import make_settings
 
 COMPLETE = """\
--- a/mulleinreach/platform/tests/test_silent_nodes.py
+++ b/mulleinreach/platform/tests/test_silent_nodes.py
@@ -7,7 +7,8 @@
 import pytest
 
 from mulleinreach.common import Address
-from mulleinreach.gateway.ports import Bounds, Ports
+from mulleinreach.gateway.deployment import Bounds
+from mulleinreach.gateway.ports import Ports
 from mulleinreach.gateway.upstream import UpstreamState
 from mulleinreach.platform.sources import (
     CONFIGURATION_KEY,
--- a/mulleinreach/platform/tests/test_silent_store.py
+++ b/mulleinreach/platform/tests/test_silent_store.py
@@ -8,15 +8,12 @@
 
 from mulleinreach.common import Address
 from mulleinreach.gateway.ports import Unavailable
+from mulleinreach.gateway.stored_rows import RowState, StoreRow, StoreRows, Written
 from mulleinreach.platform.store import (
     READ_TIMEOUT_S,
     WAIT_ANSWER_S,
     WRITE_TIMEOUT_S,
     PlatformStore,
-    RowState,
-    StoreRow,
-    StoreRows,
-    Written,
 )
 from mulleinreach.platform.tests.standin import StoreStandIn
 from mulleinreach.standins.gateway.store import MemoryStore
--- a/mulleinreach/standins/gateway/store.py
+++ b/mulleinreach/standins/gateway/store.py
@@ -21,7 +21,7 @@
     Unavailable,
     UpstreamsRead,
 )
-from mulleinreach.gateway.revision import era_of, make_revision, version_of
+from mulleinreach.gateway.revision import era_of, make_revision, row_revision, version_of
 from mulleinreach.gateway.upstream import Upstream
 
 CONFIGURATION = "configuration"
@@ -118,8 +118,7 @@
 
     def row_revision(self, table: str, key: str) -> int:
         """Return the revision of a row's latest change, 0 for an absent row."""
-        version = self.get(table, key).version
-        return self.revision(version) if version else 0
+        return row_revision(self.era, self.get(table, key).version)
 
     def rows(self, table: str, after: int = 0) -> list[MemoryRow]:
         """Return the rows that changed after a version, in the order of their changes."""
--- a/mulleinreach/standins/gateway/world.py
+++ b/mulleinreach/standins/gateway/world.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 
 from mulleinreach.common import Address, VirtualClock
+from mulleinreach.gateway.deployment import Bounds, GatewayIdentity
 from mulleinreach.gateway.model import (
     Configuration,
     EngineModel,
@@ -22,7 +23,7 @@
     WeightedService,
 )
 from mulleinreach.gateway.node import GatewayNode
-from mulleinreach.gateway.ports import Bounds, GatewayIdentity, Ports
+from mulleinreach.gateway.ports import Ports
 from mulleinreach.gateway.upstream import Upstream
 from mulleinreach.standins.gateway.crashes import Crashes
 from mulleinreach.standins.gateway.dialect import DEADLINE_MS, MODEL, REQUEST_ID, PlainDialect
