--- a/mulleinreach/gateway/coordination/tests/test_restored_lease.py
+++ b/mulleinreach/gateway/coordination/tests/test_restored_lease.py
@@ -159,7 +159,7 @@
             await world.kill_node(world.coordinator())
             await world.until(lambda: world.coordinator() is not None, 5)
         await asyncio.sleep(1)
-        holding = asyncio.create_task(_watch_holders(world))
+        holding = asyncio.create_task(watch_holders(world))
         await restore(world.store, copy, away_s)
         write_hosts_again(world.fabric)
         back_s = await world.until(lambda: world.coordinator() is not None, 8)
@@ -172,7 +172,7 @@
     run_world(test, nodes=4)
 
 
-async def _watch_holders(world) -> None:
+async def watch_holders(world) -> None:
     """Check for ever that one node at most may give orders."""
     while True:
         holders = [name for name, node in world.nodes.items() if node.lease.is_held()]
--- a/mulleinreach/standins/gateway/store.py
+++ b/mulleinreach/standins/gateway/store.py
@@ -64,8 +64,9 @@
     ===========
 
     Knobs: ``is_down`` refuses every call, ``is_silent`` lets calls hang, ``loses``
-    carries writes out and loses their answers, ``history_from`` is the oldest
-    version from which a wait may continue. :meth:`restore` takes the store back to
+    carries writes out and loses their answers, ``late_s`` does so later by that time, if
+    their conditions still hold; ``history_from`` is the oldest version from which a wait
+    may continue. :meth:`restore` takes the store back to
     a copy: what was written since is gone, and its versions are given out again.
     """
 
@@ -76,6 +77,7 @@
         self.is_down = False
         self.is_silent = False
         self.loses = False
+        self.late_s = 0.0
         self.history_from = 0
         self.calls = 0
         self._changed = asyncio.Event()
@@ -249,6 +251,15 @@
         failure = await self._store.arrive()
         if failure is not None:
             return failure
+        if self._store.late_s:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self._store.late_s, self._write_now, version, record, unchanged)
+            return Unavailable("no answer yet")
+        return self._write_now(version, record, unchanged)
+
+    def _write_now(
+        self, version: int, record: LeaseRecord, unchanged: OperatorRows | None
+    ) -> LeaseWritten | LeaseConflict | OperatorRowsChanged | Unavailable:
         if self._store.row_revision(LEASE, COORDINATOR) != version:
             return LeaseConflict()
         if unchanged is not None and not self._is_unchanged(unchanged):
