--- a/mulleinreach/standins/gateway/world.py
+++ b/mulleinreach/standins/gateway/world.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import string
-from collections.abc import Callable
+from collections.abc import AsyncIterable, Callable, Mapping
 from dataclasses import dataclass, field
+from types import MappingProxyType
 
 import aiohttp
 from aiohttp import web
@@ -328,12 +329,13 @@
     async def call(
         self,
         path: str,
-        body: bytes = b"",
+        body: bytes | AsyncIterable[bytes] = b"",
         node: str | None = None,
         model: str = LARGE,
         key: str | None = API_KEY,
         deadline_s: float = 8.0,
         method: str = "POST",
+        fields: Mapping[str, str] = MappingProxyType({}),
     ) -> CallerAnswer:
         """Send a request as a caller would; each has an id of its own."""
         self._requests += 1
@@ -343,6 +345,7 @@
             REQUEST_ID: f"request-{self._requests}",
             DEADLINE_MS: str(int(deadline_s * 1000)),
             MODEL: model,
+            **fields,
         }
         if key is not None:
             headers["Authorization"] = key
