--- a/mulleinreach/gateway/known/tests/test_restored_store.py
+++ b/mulleinreach/gateway/known/tests/test_restored_store.py
@@ -19,7 +19,13 @@
 from mulleinreach.gateway.tests.support import run_world
 from mulleinreach.gateway.upstream import UpstreamState
 from mulleinreach.standins.gateway.hosts import make_upstream
-from mulleinreach.standins.gateway.restoring import restore, write_hosts_again, write_others
+from mulleinreach.standins.gateway.restoring import (
+    COPY_AGE_S,
+    restore,
+    restored_after,
+    write_hosts_again,
+    write_others,
+)
 from mulleinreach.standins.gateway.store import CONFIGURATION, NEWEST, UPSTREAMS
 from mulleinreach.standins.gateway.world import (
     LARGE,
@@ -29,8 +35,7 @@
     make_configuration,
 )
 
-# How old the copy is, and how long the store has been back, as a caller would see it.
-COPY_AGE_S = 5.0
+# How long the store has been back, as a caller would see it.
 BACK_S = 3.0
 # News of a change has to be everywhere within this time.
 HEARD_S = 0.5
@@ -83,10 +88,8 @@
 def test_leave_that_is_told_after_the_store_was_restored_is_heeded(lost_writes, writes_at_once):
     async def test(world):
         await _serve(world)
-        copy = world.store.copy()
-        write_others(world.store, lost_writes)
-        await asyncio.sleep(COPY_AGE_S)
-        await restore(world.store, copy, writes_at_once=writes_at_once)
+        async with restored_after(world.store, writes_at_once=writes_at_once):
+            write_others(world.store, lost_writes)
         await asyncio.sleep(BACK_S)
         _say_leaving(world)
         await asyncio.sleep(HEARD_S)
@@ -115,11 +118,9 @@
 def test_upstream_that_said_it_leaves_stays_so_when_the_store_has_forgotten_that():
     async def test(world):
         await _serve(world)
-        copy = world.store.copy()
-        await asyncio.sleep(1)
-        _say_leaving(world)
-        await asyncio.sleep(HEARD_S)
-        await restore(world.store, copy)
+        async with restored_after(world.store, age_s=HEARD_S):
+            await asyncio.sleep(1)
+            _say_leaving(world)
         for _ in range(4):
             await asyncio.sleep(1)
             assert await _sent_to(world, LEAVING) == []
@@ -130,11 +131,9 @@
 def test_upstream_that_was_off_the_list_gets_nothing_when_the_copy_still_names_it():
     async def test(world):
         await _serve(world)
-        copy = world.store.copy()
-        await asyncio.sleep(1)
-        world.store.put(UPSTREAMS, LEAVING, None)
-        await asyncio.sleep(1)
-        await restore(world.store, copy)
+        async with restored_after(world.store, age_s=1):
+            await asyncio.sleep(1)
+            world.store.put(UPSTREAMS, LEAVING, None)
         for _ in range(3):
             await asyncio.sleep(1)
             assert await _sent_to(world, LEAVING) == []
@@ -150,11 +149,9 @@
 def test_upstream_that_the_copy_names_is_used_again_if_it_lives():
     async def test(world):
         await _serve(world)
-        copy = world.store.copy()
-        await asyncio.sleep(1)
-        world.store.put(UPSTREAMS, LEAVING, None)
-        await asyncio.sleep(1)
-        await restore(world.store, copy)
+        async with restored_after(world.store, age_s=1):
+            await asyncio.sleep(1)
+            world.store.put(UPSTREAMS, LEAVING, None)
         await asyncio.sleep(8)
         assert await _sent_to(world, LEAVING) != []
 
@@ -164,10 +161,8 @@
 def test_upstream_that_the_copy_lacks_serves_on():
     async def test(world):
         await _serve(world, 1)
-        copy = world.store.copy()
-        await world.add_plain("desk-1", answer_whole)
-        await asyncio.sleep(COPY_AGE_S)
-        await restore(world.store, copy)
+        async with restored_after(world.store):
+            await world.add_plain("desk-1", answer_whole)
         await asyncio.sleep(HEARD_S)
         assert await _sent_to(world, "desk-1") != []
         await asyncio.sleep(HEARTBEAT_S - HEARD_S)
@@ -183,10 +178,8 @@
 def test_upstream_that_the_copy_lacks_serves_on_though_nobody_missed_the_store(away_s):
     async def test(world):
         await _serve(world, 1)
-        copy = world.store.copy()
-        await world.add_plain("desk-1", answer_whole)
-        await asyncio.sleep(COPY_AGE_S)
-        await restore(world.store, copy, away_s)
+        async with restored_after(world.store, away_s=away_s):
+            await world.add_plain("desk-1", answer_whole)
         for _ in range(int(HEARTBEAT_S / 0.2)):
             await asyncio.sleep(0.2)
             assert await _sent_to(world, "desk-1") != []
@@ -197,11 +190,9 @@
 def test_word_that_an_upstream_leaves_outlives_the_doubt_about_a_copy():
     async def test(world):
         await _serve(world)
-        copy = world.store.copy()
-        await asyncio.sleep(1)
-        _say_leaving(world)
-        await asyncio.sleep(HEARD_S)
-        await restore(world.store, copy)
+        async with restored_after(world.store, age_s=HEARD_S):
+            await asyncio.sleep(1)
+            _say_leaving(world)
         await asyncio.sleep(8)
         assert await _sent_to(world, LEAVING) == []
         # A heartbeat that was on its way.
@@ -215,10 +206,8 @@
 def test_upstream_that_the_copy_lacks_and_that_is_not_back_is_gone():
     async def test(world):
         await _serve(world, 1)
-        copy = world.store.copy()
-        await world.add_plain("desk-1", answer_whole)
-        await asyncio.sleep(COPY_AGE_S)
-        await restore(world.store, copy)
+        async with restored_after(world.store):
+            await world.add_plain("desk-1", answer_whole)
         await asyncio.sleep(GONE_S)
         assert await _sent_to(world, "desk-1") == []
 
@@ -235,10 +224,8 @@
         )
         world.store.put(UPSTREAMS, "desk-x", replace(before, address=address))
         await asyncio.sleep(1)
-        copy = world.store.copy()
-        world.store.put(UPSTREAMS, "desk-x", replace(after, address=address))
-        await asyncio.sleep(1)
-        await restore(world.store, copy)
+        async with restored_after(world.store, age_s=1):
+            world.store.put(UPSTREAMS, "desk-x", replace(after, address=address))
         await asyncio.sleep(HEARD_S)
         for node in world.nodes.values():
             assert node.directory.running("desk-x") == after.id
@@ -249,10 +236,8 @@
 def test_nodes_stop_reading_for_themselves_once_the_store_is_restored():
     async def test(world):
         await _serve(world)
-        copy = world.store.copy()
-        write_others(world.store, 60)
-        await asyncio.sleep(COPY_AGE_S)
-        await restore(world.store, copy)
+        async with restored_after(world.store):
+            write_others(world.store, 60)
         await asyncio.sleep(BACK_S)
         calls = world.store.calls
         await asyncio.sleep(10)
@@ -267,10 +252,8 @@
 def test_evacuation_that_is_asked_for_after_the_restore_is_heeded(lost_writes, writes_at_once):
     async def test(world):
         await _serve(world)
-        copy = world.store.copy()
-        write_others(world.store, lost_writes)
-        await asyncio.sleep(COPY_AGE_S)
-        await restore(world.store, copy, writes_at_once=writes_at_once)
+        async with restored_after(world.store, writes_at_once=writes_at_once):
+            write_others(world.store, lost_writes)
         await asyncio.sleep(BACK_S)
         world.evacuate("hall-b")
         await asyncio.sleep(HEARD_S)
@@ -283,10 +266,8 @@
 def test_evacuation_that_the_copy_lacks_holds_until_it_is_written_again():
     async def test(world):
         await _serve(world)
-        copy = world.store.copy()
-        world.evacuate("hall-b")
-        await asyncio.sleep(COPY_AGE_S)
-        await restore(world.store, copy)
+        async with restored_after(world.store):
+            world.evacuate("hall-b")
         for _ in range(10):
             await asyncio.sleep(0.2)
             for node in world.nodes.values():
@@ -306,10 +287,8 @@
 def test_evacuation_that_the_copy_lacks_outlives_another_row_that_is_written():
     async def test(world):
         await _serve(world)
-        copy = world.store.copy()
-        world.evacuate("hall-b")
-        await asyncio.sleep(COPY_AGE_S)
-        await restore(world.store, copy)
+        async with restored_after(world.store):
+            world.evacuate("hall-b")
         for version in (5, 6, 7):
             await asyncio.sleep(0.6)
             world.store.put(CONFIGURATION, NEWEST, make_configuration(version))
@@ -323,10 +302,8 @@
 def test_evacuation_that_is_not_written_again_ends():
     async def test(world):
         await _serve(world)
-        copy = world.store.copy()
-        world.evacuate("hall-b")
-        await asyncio.sleep(COPY_AGE_S)
-        await restore(world.store, copy)
+        async with restored_after(world.store):
+            world.evacuate("hall-b")
         await asyncio.sleep(8)
         for node in world.nodes.values():
             assert node.in_force.evacuations.halls == frozenset()
@@ -338,11 +315,9 @@
 def test_configuration_that_is_written_after_the_restore_is_in_force(writes_at_once):
     async def test(world):
         await _serve(world)
-        copy = world.store.copy()
-        world.store.put(CONFIGURATION, NEWEST, make_configuration(5))
-        write_others(world.store, 60)
-        await asyncio.sleep(COPY_AGE_S)
-        await restore(world.store, copy, writes_at_once=writes_at_once)
+        async with restored_after(world.store, writes_at_once=writes_at_once):
+            world.store.put(CONFIGURATION, NEWEST, make_configuration(5))
+            write_others(world.store, 60)
         await asyncio.sleep(HEARD_S)
         for node in world.nodes.values():
             assert node.in_force.version == 5
@@ -359,10 +334,8 @@
 def test_older_configuration_of_a_copy_proves_nothing():
     async def test(world):
         await _serve(world)
-        copy = world.store.copy()
-        world.store.put(CONFIGURATION, NEWEST, make_configuration(5))
-        await asyncio.sleep(COPY_AGE_S)
-        await restore(world.store, copy)
+        async with restored_after(world.store):
+            world.store.put(CONFIGURATION, NEWEST, make_configuration(5))
         restored_at = world.clock.now()
         await asyncio.sleep(BACK_S)
         for node in world.nodes.values():
--- a/mulleinreach/standins/gateway/restoring.py
+++ b/mulleinreach/standins/gateway/restoring.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+from collections.abc import AsyncIterator
 
 from mulleinreach.gateway.upstream import name_of
 from mulleinreach.standins.gateway.fabric import Fabric
 from mulleinreach.standins.gateway.store import UPSTREAMS, MemoryStore, StoreCopy
 
 AWAY_S = 2.4
+COPY_AGE_S = 5.0
 # Rows of other users of the store, whose writes raise its versions too.
 OTHER_TABLE = "other"
 
@@ -36,6 +39,24 @@
     store.is_down = False
 
 
+@contextlib.asynccontextmanager
+async def restored_after(
+    store: MemoryStore, age_s: float = COPY_AGE_S, **options: float
+) -> AsyncIterator[None]:
+    """Take a copy, and restore the store from it after what is written within.
+
+    Parameters
+    ==========
+
+    age_s : how long after the last of that the store goes away.
+    options : go to :func:`restore` as they are.
+    """
+    copy = store.copy()
+    yield
+    await asyncio.sleep(age_s)
+    await restore(store, copy, **options)
+
+
 def write_hosts_again(fabric: Fabric) -> None:
     """Let all hosts write what the store's copy lacks, as their next heartbeats do."""
     for host in fabric.hosts.values():
