--- a/mulleinreach/gateway/coordination/tests/test_restored_lease.py
+++ b/mulleinreach/gateway/coordination/tests/test_restored_lease.py
@@ -42,6 +42,14 @@
     return lease
 
 
+async def _lose_takeover(store: MemoryStore) -> CoordinatorLease:
+    """Return a lease that was taken over, and whose row a restore has lost right after."""
+    copy = store.copy()
+    later = await _take_over(store, "b.1")
+    store.restore(copy)
+    return later
+
+
 async def _never_both(first: CoordinatorLease, second: CoordinatorLease, act) -> None:
     """Let a node act again and again, as long as the other one may believe that it holds."""
     for _ in range(int(LAPSED_S / 0.05)):
@@ -55,9 +63,7 @@
         store = MemoryStore()
         earlier = make_lease(store, "a.1")
         assert await earlier.acquire()
-        copy = store.copy()
-        later = await _take_over(store, "b.1")
-        store.restore(copy)
+        later = await _lose_takeover(store)
         assert later.is_held()
         await _never_both(earlier, later, earlier.renew)
         assert earlier.is_held()
@@ -69,9 +75,7 @@
     async def test():
         store = MemoryStore()
         assert await make_lease(store, "a.1").acquire()
-        copy = store.copy()
-        later = await _take_over(store, "b.1")
-        store.restore(copy)
+        later = await _lose_takeover(store)
         again = make_lease(store, "a.2")
 
         async def take():
@@ -123,9 +127,7 @@
     async def test():
         store = MemoryStore()
         assert await make_lease(store, "a.1").acquire()
-        copy = store.copy()
-        later = await _take_over(store, "b.1")
-        store.restore(copy)
+        later = await _lose_takeover(store)
         other = await _take_over(store, "c.1")
         assert other.token > later.token
 
--- a/mulleinreach/gateway/stored_rows.py
+++ b/mulleinreach/gateway/stored_rows.py
@@ -52,8 +52,9 @@
 
 @dataclass(frozen=True)
 class Conflict:
-    """A row had another version than was expected; nothing was written.
+    """A row had another version than was expected, or one of an earlier era.
 
+    Nothing was written, unless the store was restored while the write was on its way.
     ``rows`` are the rows that were named, as they are now.
     """
 
--- a/mulleinreach/platform/tests/soak/notice_faults.py
+++ b/mulleinreach/platform/tests/soak/notice_faults.py
@@ -49,9 +49,7 @@
         host = self._world.fabric.running(name)
         self._world.notices.leaving.add(name)
         await asyncio.sleep(self._rng.uniform(*SERVES_ON_S))
-        if not host.is_dark:
-            self._world.end_host(host)
-        await self._world.fill_hall(host.upstream.hall)
+        await self._world.replace_host(host)
 
     def mend(self) -> None:
         """Let nobody turn requests away any more."""
--- a/mulleinreach/platform/tests/soak/restore_faults.py
+++ b/mulleinreach/platform/tests/soak/restore_faults.py
@@ -8,6 +8,7 @@
 
 from mulleinreach.gateway.upstream import UpstreamState, name_of
 from mulleinreach.platform.tests.soak.harmer import Harmer
+from mulleinreach.platform.tests.soak.notice_faults import SERVES_ON_S
 from mulleinreach.platform.tests.soak.world import Leaving
 from mulleinreach.standins.gateway.restoring import write_hosts_again, write_others
 from mulleinreach.standins.gateway.store import UPSTREAMS
@@ -23,8 +24,6 @@
 # Upstreams write again with their next heartbeat; the rows of those that are silent lapse after
 # two more.
 HEARTBEAT_S = 1.2
-# An upstream that leaves serves on for so long, and is off the list before it ends.
-SERVES_ON_S = (2.5, 6.0)
 
 
 class RestoreFaults(Harmer):
@@ -98,9 +97,7 @@
         host.drain()
         self._note_leaving(host.id)
         await asyncio.sleep(self._rng.uniform(*SERVES_ON_S))
-        if not host.is_dark:
-            self._world.end_host(host)
-        await self._world.fill_hall(host.upstream.hall)
+        await self._world.replace_host(host)
 
     async def _leave_plain(self) -> None:
         links, plain = self._world.links, self._world.plain_upstreams
--- a/mulleinreach/platform/tests/soak/world.py
+++ b/mulleinreach/platform/tests/soak/world.py
@@ -271,6 +271,12 @@
         self.links[name_of(host.id)].is_silent = True
         self._ending.append(asyncio.create_task(host.die(LISTED_S)))
 
+    async def replace_host(self, host: HostStandIn) -> None:
+        """End a host, unless it has ended already, and start another one in its place."""
+        if not host.is_dark:
+            self.end_host(host)
+        await self.fill_hall(host.upstream.hall)
+
     def lose_hall(self, hall: str) -> None:
         """Let all that stands in a hall end in one moment."""
         self.lost_halls.add(hall)
