Nodes log and count the upstreams that they can't connect to

Orders open a connection each, as requests do: a kept one may have fallen silent, and a report that gets no answer there counts the host as lost.

The stand-in of orders needs a connection to its host, so that a partition concerns orders, too; links play partitions of one process from others that hang, reset or refuse connections. No decision changes.

--- a/mulleinreach/common/net.py
+++ b/mulleinreach/common/net.py
@@ -96,8 +96,16 @@
         aiohttp retries a request by itself if a reused connection turns out to be
         closed. This is disabled, because a retry must be decided by the caller.
         """
+        return self.http_client_on(
+            self._connector(force_close=not keeps_connections), connect_timeout_s
+        )
+
+    def http_client_on(
+        self, connector: aiohttp.BaseConnector, connect_timeout_s: float
+    ) -> aiohttp.ClientSession:
+        """Return a client session like :meth:`http_client` on a given connector."""
         session = aiohttp.ClientSession(
-            connector=self._connector(force_close=not keeps_connections),
+            connector=connector,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s),
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
@@ -112,6 +120,13 @@
         """Accept stream connections; ``handler`` runs once for each."""
         return await asyncio.start_server(handler, address.host, address.port)
 
+    async def create_connection(
+        self, protocol_factory: Callable[[], asyncio.BaseProtocol], address: Address
+    ) -> tuple[asyncio.Transport, asyncio.BaseProtocol]:
+        """Open a connection with a protocol of its own, without a timeout."""
+        loop = asyncio.get_running_loop()
+        return await loop.create_connection(protocol_factory, address.host, address.port)
+
     async def connect(self, address: Address) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         """Open a stream connection, within ``CONNECT_TIMEOUT_S`` seconds."""
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
--- /dev/null
+++ b/mulleinreach/gateway/connectivity/__init__.py
@@ -0,0 +1,1 @@
+"""How a node connects to upstreams: directly, or through another node."""
--- a/mulleinreach/gateway/metrics.py
+++ b/mulleinreach/gateway/metrics.py
@@ -64,6 +64,10 @@
         self.cold_heads = self._gauge(
             "cold_heads", "Heads that this node may send to and that are cold"
         )
+        self.unreachable_upstreams = self._gauge(
+            "unreachable_upstreams", "Upstreams to which this node's latest connection failed"
+        )
+        self.is_isolated = self._gauge("isolated", "1 if this node can't connect to any upstream")
         self.open_groups = self._gauge("open_groups", "Heads that this node may send to")
 
     def _counter(self, name: str, text: str, labels: list[str]) -> Counter:
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -13,6 +13,7 @@
 
 from mulleinreach.common import Address, Clock, Network, TaskGroup
 from mulleinreach.common.loop import suspended_s
+from mulleinreach.gateway.connectivity.upstream_network import UpstreamNetwork
 from mulleinreach.gateway.coordination.lease import CoordinatorLease
 from mulleinreach.gateway.coordination.membership import Coordination
 from mulleinreach.gateway.coordination.totals import sum_loads
@@ -23,7 +24,7 @@
 from mulleinreach.gateway.http_server import IDLE_TIMEOUT_S, serve
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.model import RequestLimits
-from mulleinreach.gateway.ports import Ports
+from mulleinreach.gateway.ports import MakePorts
 from mulleinreach.gateway.request.active import ActiveExchanges
 from mulleinreach.gateway.request.admission import Admission
 from mulleinreach.gateway.request.budget import WindowedRetryBudget
@@ -55,7 +56,6 @@
 from mulleinreach.gateway.state.upstreams import UpstreamDirectory
 from mulleinreach.gateway.upstream import Notice, Upstream
 
-CONNECT_TIMEOUT_S = 0.35
 # An upper bound only: callers' connections are closed after the configured idle timeout.
 CALLERS_IDLE_TIMEOUT_S = 3600.0
 UPSTREAM_LIST_READ_DELAY_S = 0.03
@@ -72,6 +72,7 @@
     Parameters
     ==========
 
+    make_ports : creates the adapter's ports.
     seed : of the node's random numbers; ``None`` for a random seed.
     callers_socket : a socket that already listens on the callers' address; ``None`` to open
         one.
@@ -81,7 +82,7 @@
         self,
         identity: GatewayIdentity,
         bounds: DeploymentBounds,
-        ports: Ports,
+        make_ports: MakePorts,
         network: Network | None = None,
         clock: Clock | None = None,
         seed: int | None = None,
@@ -89,7 +90,6 @@
     ):
         self.identity = identity
         self.bounds = bounds
-        self.ports = ports
         self.network = network or Network(identity.name)
         self.clock = clock or Clock()
         self.metrics = GatewayMetrics()
@@ -98,6 +98,11 @@
         self.store_calls = StoreCalls(
             self.metrics, self.log, self.clock, self.rng, self._store_pause_s
         )
+        self.directory = UpstreamDirectory(self._on_lost)
+        self.upstream_network = UpstreamNetwork(
+            self.network, self.directory.addresses, self.clock, self.log
+        )
+        self.ports = make_ports(self.network, self.upstream_network)
         self.is_stopping = False
         self._callers_socket = callers_socket
         self._tasks = TaskGroup()
@@ -107,7 +112,6 @@
         self._make_control()
 
     def _make_state(self) -> None:
-        self.directory = UpstreamDirectory(self._on_lost)
         self.loads = LoadTracker(self.clock)
         self.suspects = SuspectList(self.clock)
         self.active = ActiveExchanges()
@@ -167,9 +171,7 @@
             self.permits,
             self.clock,
         )
-        self.session = self.network.http_client(
-            keeps_connections=False, connect_timeout_s=CONNECT_TIMEOUT_S
-        )
+        self.session = self.upstream_network.http_client()
         budget = WindowedRetryBudget(self.bounds, self.clock, self._node_count)
         self.first_waits = FirstWaitEstimator()
         sender = Sender(
@@ -371,6 +373,9 @@
         self.metrics.unusable_rows.set(self.follower.unusable_count)
         self.metrics.resting_upstreams.set(len(self.notices.resting()))
         self.metrics.limited_upstreams.set(len(self.limits.limits()))
+        reachability = self.upstream_network.reachability
+        self.metrics.unreachable_upstreams.set(len(reachability.unreachable()))
+        self.metrics.is_isolated.set(reachability.is_isolated)
         self.metrics.held_requests.set(len(self.crashes.held()))
         self.metrics.evacuated_halls.set(len(self.in_force.evacuations.halls))
         body = generate_latest(self.metrics.registry)
--- a/mulleinreach/gateway/ports.py
+++ b/mulleinreach/gateway/ports.py
@@ -9,12 +9,15 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
+import aiohttp
 from multidict import CIMultiDict, CIMultiDictProxy
 
+from mulleinreach.common import Address, Network
 from mulleinreach.gateway.model import Configuration, HandoverState
 from mulleinreach.gateway.upstream import Notice, Upstream
 
@@ -348,3 +351,19 @@
     lease: LeaseStore
     orders: EngineOrders
     dialect: Dialect
+
+
+class UpstreamConnections(Protocol):
+    """The connections to upstreams that an adapter uses for orders."""
+
+    def http_client(self) -> aiohttp.ClientSession:
+        """Return a client session that opens a new connection for each request."""
+
+    async def open(
+        self, protocol_factory: Callable[[], asyncio.BaseProtocol], address: Address
+    ) -> tuple[asyncio.Transport, asyncio.BaseProtocol]:
+        """Open a connection to an upstream; raises ``OSError`` if that fails."""
+
+
+# Creates the ports of one node.
+MakePorts = Callable[[Network, UpstreamConnections], Ports]
--- a/mulleinreach/gateway/process.py
+++ b/mulleinreach/gateway/process.py
@@ -5,7 +5,6 @@
 import asyncio
 import signal
 import socket
-from collections.abc import Callable
 
 from absl import logging
 
@@ -14,13 +13,13 @@
 from mulleinreach.common.loop import SuspendAwareEventLoop
 from mulleinreach.gateway.deployment import DeploymentBounds, GatewayIdentity
 from mulleinreach.gateway.node import GatewayNode
-from mulleinreach.gateway.ports import Ports
+from mulleinreach.gateway.ports import MakePorts
 
 
 def run_process(
     identity: GatewayIdentity,
     bounds: DeploymentBounds,
-    make_ports: Callable[[Network], Ports],
+    make_ports: MakePorts,
     callers: socket.socket | None,
 ) -> None:
     """Run a node until SIGTERM or SIGINT, then stop it gracefully.
@@ -40,12 +39,11 @@
 async def _run_node(
     identity: GatewayIdentity,
     bounds: DeploymentBounds,
-    make_ports: Callable[[Network], Ports],
+    make_ports: MakePorts,
     callers: socket.socket | None,
 ) -> None:
     network = Network(identity.name)
-    ports = make_ports(network)
-    node = GatewayNode(identity, bounds, ports, network, Clock(), callers_socket=callers)
+    node = GatewayNode(identity, bounds, make_ports, network, Clock(), callers_socket=callers)
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
--- a/mulleinreach/gateway/state/upstreams.py
+++ b/mulleinreach/gateway/state/upstreams.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
+from mulleinreach.common import Address
 from mulleinreach.gateway.upstream import (
     MemberState,
     Upstream,
@@ -306,6 +307,10 @@
         """Return the ids of all upstreams."""
         return list(self._by_id)
 
+    def addresses(self) -> list[Address]:
+        """Return the addresses of all upstreams."""
+        return [upstream.address for upstream in self._by_id.values()]
+
     def of_service(self, service: str) -> list[Upstream]:
         """Return all upstreams of a service."""
         return [u for u in self._by_id.values() if u.service == service]
--- a/mulleinreach/gateway/tests/test_imports.py
+++ b/mulleinreach/gateway/tests/test_imports.py
@@ -22,6 +22,7 @@
     "metrics",
     "http_server",
     "explain",
+    "connectivity",
     "state",
     "coordination",
     "fleet",
--- a/mulleinreach/platform/process.py
+++ b/mulleinreach/platform/process.py
@@ -4,10 +4,11 @@
 
 import socket
 import sys
+from functools import partial
 
 from mulleinreach.common import Network
 from mulleinreach.common.fields import SettingsError
-from mulleinreach.gateway.ports import Ports
+from mulleinreach.gateway.ports import Ports, UpstreamConnections
 from mulleinreach.gateway.process import run_process
 from mulleinreach.platform.dialect import PlatformDialect
 from mulleinreach.platform.early import SETTINGS_VARIABLE
@@ -23,14 +24,18 @@
 EXIT_BAD_SETTINGS = 2
 
 
-def make_ports(settings: PlatformSettings, network: Network) -> Ports:
+def make_ports(
+    settings: PlatformSettings,
+    network: Network,
+    upstream_connections: UpstreamConnections,
+) -> Ports:
     """Return the gateway's ports, implemented by the platform's services."""
     store = PlatformStore(network.http_client, settings.store)
     return Ports(
         configurations=PlatformConfigurations(store),
         upstreams=PlatformUpstreams(store),
         lease=PlatformLease(store),
-        orders=PlatformOrders(network.http_client(), settings.engines_check_token),
+        orders=PlatformOrders(upstream_connections.http_client(), settings.engines_check_token),
         dialect=PlatformDialect(),
     )
 
@@ -48,6 +53,4 @@
     except SettingsError as error:
         print(f"{SETTINGS_VARIABLE}: {error}", file=sys.stderr)
         raise SystemExit(EXIT_BAD_SETTINGS) from error
-    run_process(
-        settings.identity, settings.bounds, lambda network: make_ports(settings, network), listener
-    )
+    run_process(settings.identity, settings.bounds, partial(make_ports, settings), listener)
--- a/mulleinreach/platform/tests/test_silent_nodes.py
+++ b/mulleinreach/platform/tests/test_silent_nodes.py
@@ -8,7 +8,7 @@
 
 from mulleinreach.common import Address
 from mulleinreach.gateway.deployment import DeploymentBounds
-from mulleinreach.gateway.ports import Ports
+from mulleinreach.gateway.ports import Ports, UpstreamConnections
 from mulleinreach.gateway.upstream import UpstreamState
 from mulleinreach.platform.sources import (
     CONFIGURATION_KEY,
@@ -52,14 +52,16 @@
         """Write a configuration."""
         self.store.put(CONFIGURATION_TABLE, CONFIGURATION_KEY, make_document(version, ["key"]))
 
-    def make_ports(self, network: VirtualNetwork) -> Ports:
+    def make_ports(
+        self, network: VirtualNetwork, upstream_connections: UpstreamConnections
+    ) -> Ports:
         store = PlatformStore(network.http_client, STORE_ADDRESS)
         self._clients.append(store)
         return Ports(
             PlatformConfigurations(store),
             PlatformUpstreams(store),
             PlatformLease(store),
-            FabricOrders(self.fabric),
+            FabricOrders(self.fabric, upstream_connections),
             PlainDialect(),
         )
 
--- a/mulleinreach/standins/gateway/orders.py
+++ b/mulleinreach/standins/gateway/orders.py
@@ -2,22 +2,32 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import asyncio
+from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
-from mulleinreach.gateway.ports import NoAnswer, OrderResult, Unavailable
+from mulleinreach.gateway.ports import NoAnswer, OrderResult, Unavailable, UpstreamConnections
 from mulleinreach.gateway.upstream import Notice, Upstream
 from mulleinreach.standins.gateway.dialect import LEAVING, read_limit
 from mulleinreach.standins.gateway.fabric import Fabric
 
+ORDER_TIMEOUT_S = 0.4
+
 Answer = TypeVar("Answer")
 
 
 class FabricOrders:
-    """Passes orders on, and tells the node what hosts say of themselves in their answers."""
+    """Passes orders on, and tells the node what hosts say of themselves in their answers.
+
+    Parameters
+    ==========
+
+    connections : the node's connections to upstreams, without which no order arrives.
+    """
 
-    def __init__(self, fabric: Fabric):
+    def __init__(self, fabric: Fabric, connections: UpstreamConnections):
         self._fabric = fabric
+        self._connections = connections
         self._on_notice: Callable[[Upstream, Notice], None] = lambda host, notice: None
 
     def subscribe(self, on_notice: Callable[[Upstream, Notice], None]) -> None:
@@ -34,24 +44,44 @@
         token: int,
     ) -> OrderResult:
         """Order a join."""
-        return self._tell(host, await self._fabric.join(host, group, epoch, model, members, token))
+        return await self._order(
+            host, lambda: self._fabric.join(host, group, epoch, model, members, token)
+        )
 
     async def open(self, head: Upstream, group: str, epoch: int, token: int) -> OrderResult:
         """Order a head to serve."""
-        return self._tell(head, await self._fabric.open(head, group, epoch, token))
+        return await self._order(head, lambda: self._fabric.open(head, group, epoch, token))
 
     async def leave(self, host: Upstream, group: str, epoch: int, token: int) -> OrderResult:
         """Order a member out of its group."""
-        return self._tell(host, await self._fabric.leave(host, group, epoch, token))
+        return await self._order(host, lambda: self._fabric.leave(host, group, epoch, token))
 
     async def stage(self, host: Upstream, model: str, token: int) -> OrderResult:
         """Order a load of weights."""
-        return self._tell(host, await self._fabric.stage(host, model, token))
+        return await self._order(host, lambda: self._fabric.stage(host, model, token))
 
     async def report(self, host: Upstream, timeout_s: float) -> Upstream | Unavailable:
         """Ask a host for its state."""
+        if not await self._can_connect(host, timeout_s):
+            return Unavailable("no connection")
         return self._tell(host, await self._fabric.report(host, timeout_s))
 
+    async def _order(
+        self, host: Upstream, order: Callable[[], Awaitable[OrderResult]]
+    ) -> OrderResult:
+        if not await self._can_connect(host, ORDER_TIMEOUT_S):
+            return NoAnswer("no connection")
+        return self._tell(host, await order())
+
+    async def _can_connect(self, host: Upstream, timeout_s: float) -> bool:
+        try:
+            async with asyncio.timeout(timeout_s):
+                transport, _ = await self._connections.open(asyncio.Protocol, host.address)
+        except OSError:
+            return False
+        transport.close()
+        return True
+
     def _tell(self, host: Upstream, answer: Answer) -> Answer:
         standin = self._fabric.hosts[host.id]
         if not standin.is_dark:
--- a/mulleinreach/standins/gateway/world.py
+++ b/mulleinreach/standins/gateway/world.py
@@ -24,7 +24,7 @@
     WeightedService,
 )
 from mulleinreach.gateway.node import GatewayNode
-from mulleinreach.gateway.ports import Ports
+from mulleinreach.gateway.ports import Ports, UpstreamConnections
 from mulleinreach.gateway.upstream import Upstream
 from mulleinreach.standins.gateway.crashes import Crashes
 from mulleinreach.standins.gateway.dialect import DEADLINE_MS, MODEL, REQUEST_ID, PlainDialect
@@ -258,20 +258,23 @@
             self.links.names[str(address)] = name
         self.links.accept(name)
         network = VirtualNetwork(self.links, name)
-        ports = self.make_ports(network)
         clock = SuspendableClock()
-        node = GatewayNode(identity, self._bounds, ports, network, clock, seed=self._next_port)
+        node = GatewayNode(
+            identity, self._bounds, self.make_ports, network, clock, seed=self._next_port
+        )
         self.nodes[name] = node
         await node.start()
         return node
 
-    def make_ports(self, network: VirtualNetwork) -> Ports:
+    def make_ports(
+        self, network: VirtualNetwork, upstream_connections: UpstreamConnections
+    ) -> Ports:
         """Return the ports of one node, whose calls to the store can't be cut."""
         return Ports(
             MemoryConfigurations(self.store),
             MemoryUpstreams(self.store),
             MemoryLease(self.store),
-            FabricOrders(self.fabric),
+            FabricOrders(self.fabric, upstream_connections),
             PlainDialect(),
         )
 
--- a/mulleinreach/standins/links.py
+++ b/mulleinreach/standins/links.py
@@ -3,11 +3,25 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Collection
+import enum
+from collections.abc import Collection, Iterable
 
 from mulleinreach.common.net import CONNECT_TIMEOUT_S
 
 
+class Partition(enum.Enum):
+    """What a partition does to connections; it concerns open ones and new ones.
+
+    ``HANG``: open connections fall silent, new ones hang.
+    ``RESET``: open connections are reset, new ones hang.
+    ``REFUSE``: open connections live on, new ones are refused.
+    """
+
+    HANG = enum.auto()
+    RESET = enum.auto()
+    REFUSE = enum.auto()
+
+
 class Links:
     """Which processes can reach which; a cut breaks open connections too."""
 
@@ -16,6 +30,7 @@
         self._cuts: set[tuple[str, str]] = set()
         self._refusing: set[str] = set()
         self._dark: set[str] = set()
+        self._partitions: dict[tuple[str, str], Partition] = {}
         self._transports: dict[tuple[str, str], list[asyncio.Transport]] = {}
 
     def cut(self, origin: str, target: str) -> None:
@@ -44,9 +59,26 @@
                 continue
             silenced = [t for t in transports if not t.is_closing()][part]
             transports[:] = [t for t in transports if t not in silenced]
-            for transport in silenced:
-                transport.write = _drop
-                transport.pause_reading()
+            _silence(silenced)
+
+    def partition(self, origin: str, targets: Iterable[str], kind: Partition) -> None:
+        """Partition one process from some others, which still reach it and each other."""
+        for target in targets:
+            self._partitions[origin, target] = kind
+            if kind is Partition.REFUSE:
+                continue
+            open_ones = [
+                t for t in self._transports.pop((origin, target), []) if not t.is_closing()
+            ]
+            if kind is Partition.HANG:
+                _silence(open_ones)
+            else:
+                for transport in open_ones:
+                    transport.abort()
+
+    def end_partition(self, origin: str) -> None:
+        """Let a process reach all others again."""
+        self._partitions = {pair: k for pair, k in self._partitions.items() if pair[0] != origin}
 
     def darken(self, names: Collection[str]) -> None:
         """Let some processes lose power: nothing comes from them any more, not even a reset."""
@@ -88,7 +120,11 @@
         if (origin, target) in self._cuts or self._dark & {origin, target}:
             await asyncio.sleep(CONNECT_TIMEOUT_S)
             raise TimeoutError(f"no way from {origin} to {target}")
-        if target in self._refusing:
+        partition = self._partitions.get((origin, target))
+        if partition in (Partition.HANG, Partition.RESET):
+            await asyncio.sleep(CONNECT_TIMEOUT_S)
+            raise TimeoutError(f"no way from {origin} to {target}")
+        if partition is Partition.REFUSE or target in self._refusing:
             raise ConnectionRefusedError(f"{target} refuses connections")
         loop = asyncio.get_running_loop()
         transport, protocol = await loop.create_connection(factory, host, port)
@@ -98,6 +134,13 @@
         return transport, protocol
 
 
+def _silence(transports: Iterable[asyncio.Transport]) -> None:
+    """Let connections fall silent without a reset."""
+    for transport in transports:
+        transport.write = _drop
+        transport.pause_reading()
+
+
 def _drop(data: bytes) -> None:
     """Take bytes that never arrive."""
 
--- a/mulleinreach/standins/virtual.py
+++ b/mulleinreach/standins/virtual.py
@@ -12,7 +12,7 @@
 
 import asyncio
 import socket
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 
 import aiohttp
 import async_solipsism
@@ -87,13 +87,16 @@
     def _connector(self, force_close: bool) -> aiohttp.TCPConnector:
         return _LinkConnector(self._links, self.origin, limit=0, force_close=force_close)
 
+    async def create_connection(
+        self, protocol_factory: Callable[[], asyncio.BaseProtocol], address: Address
+    ) -> tuple[asyncio.Transport, asyncio.BaseProtocol]:
+        return await self._links.connect(self.origin, protocol_factory, address.host, address.port)
+
     async def connect(self, address: Address) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         loop = asyncio.get_running_loop()
         reader = asyncio.StreamReader(loop=loop)
         protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
-        transport, _ = await self._links.connect(
-            self.origin, lambda: protocol, address.host, address.port
-        )
+        transport, _ = await self.create_connection(lambda: protocol, address)
         return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
 
 
