Nodes connect to upstreams through other nodes where their own paths are lost

Cause: what a node couldn't reach counted as out of everybody's reach. A failed connection made the upstream suspect and the next one was tried until none was left; no node had another way.

Mend: all connections to upstreams, of requests, orders, reports and probes, are opened by one object. It tries directly, and after 0.1 s or a failure through another node, which copies bytes and decides nothing. The coordinator assigns these nodes beforehand. A node that has lost all paths refuses at once if no other node helps, and says that it isn't ready.

Ruled out: overrun nodes (processor time falls), loss found by the coordinator (not in the users' record, where open connections lived on).

--- a/benchmarks/crash_breakages.py
+++ b/benchmarks/crash_breakages.py
@@ -30,7 +30,7 @@
         "BUDGET",
         "only an upstream that refuses connections has ended",
         f"{GATEWAY}/request/sending.py",
-        "if not await self._probe.has_ended(upstream):",
+        "if not await self._is_refusing(upstream.address):",
         "if False:",
         f"{CRASHING} -k loses_answers",
     ),
--- a/benchmarks/gateway_breakages.py
+++ b/benchmarks/gateway_breakages.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from benchmarks.breakage import Breakage
+from benchmarks.connectivity_breakages import CONNECTIVITY_BREAKAGES
 from benchmarks.crash_breakages import CRASH_BREAKAGES
 from benchmarks.hall_breakages import HALL_BREAKAGES
 from benchmarks.notice_breakages import NOTICE_BREAKAGES
@@ -245,4 +246,5 @@
     *START_BREAKAGES,
     *NOTICE_BREAKAGES,
     *RESTORE_BREAKAGES,
+    *CONNECTIVITY_BREAKAGES,
 ]
--- a/mulleinreach/gateway/connectivity/connector.py
+++ b/mulleinreach/gateway/connectivity/connector.py
@@ -4,13 +4,28 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 import aiohttp
 
 from mulleinreach.common import Address
 
 ProtocolFactory = Callable[[], asyncio.BaseProtocol]
-OpenedConnection = tuple[asyncio.Transport, asyncio.BaseProtocol]
+
+
+@dataclass(frozen=True)
+class UpstreamConnection:
+    """An open connection to an upstream.
+
+    Parameters
+    ==========
+
+    is_tunnel : whether it leads through another node.
+    """
+
+    transport: asyncio.Transport
+    protocol: asyncio.BaseProtocol
+    is_tunnel: bool = False
 
 
 class UpstreamConnector(aiohttp.BaseConnector):
@@ -25,7 +40,7 @@
     """
 
     def __init__(
-        self, open_connection: Callable[[ProtocolFactory, Address], Awaitable[OpenedConnection]]
+        self, open_connection: Callable[[ProtocolFactory, Address], Awaitable[UpstreamConnection]]
     ):
         super().__init__(force_close=True, limit=0)
         self._open_connection = open_connection
@@ -34,9 +49,9 @@
         address = Address(req.url.raw_host, req.url.port)
         try:
             async with asyncio.timeout(timeout.sock_connect):
-                _, protocol = await self._open_connection(self._factory, address)
+                connection = await self._open_connection(self._factory, address)
         except TimeoutError:
             raise
         except OSError as error:
             raise aiohttp.ClientConnectorError(req.connection_key, error) from error
-        return protocol
+        return connection.protocol
--- a/mulleinreach/gateway/connectivity/reachability.py
+++ b/mulleinreach/gateway/connectivity/reachability.py
@@ -8,8 +8,6 @@
 
 # Upstreams in a row to which no connection could be opened. One or two may have ended.
 ISOLATION_FAILURES = 3
-# A failed upstream is probed again within this time, also beside many others.
-FAILURE_TTL_S = 2.0
 
 
 class ReachabilityTracker:
@@ -20,7 +18,8 @@
 
     That this node can't connect to an upstream shows only that the direct path between the two
     is lost; the upstream may run, and serve other nodes. A node that can't connect to any
-    upstream is *isolated*.
+    upstream is *isolated*. An upstream is *bypassed* while only another node's tunnel reaches it;
+    an upstream that has ended isn't, since no node reaches it.
 
     Parameters
     ==========
@@ -37,10 +36,11 @@
         self._upstream_addresses = upstream_addresses
         self._clock = clock
         self._log = log
-        # When the latest attempt failed, by address; without those that have succeeded since.
-        self._failed_at: dict[Address, float] = {}
+        # The addresses to which the latest attempt failed.
+        self._failed: set[Address] = set()
         # The addresses that failed since the latest success of any attempt.
         self._failed_in_a_row: set[Address] = set()
+        self._bypassed: set[Address] = set()
         self._isolated_since: float | None = None
 
     @property
@@ -50,19 +50,22 @@
 
     def note_connected(self, address: Address) -> None:
         """Record that a direct connection was opened."""
-        self._failed_at.pop(address, None)
+        self._failed.discard(address)
         self._failed_in_a_row.clear()
+        if address in self._bypassed:
+            self._bypassed.discard(address)
+            self._log.event("path_restored", upstream=address, bypassed=len(self._bypassed))
         if self._isolated_since is None:
             return
         isolated_s = round(self._clock.now() - self._isolated_since, 2)
         self._isolated_since = None
-        # The other paths are probably restored, too.
-        self._failed_at.clear()
+        # Any other path may be restored, too.
+        self._failed.clear()
         self._log.event("upstreams_reachable", upstream=address, isolated_s=isolated_s)
 
     def note_failed(self, address: Address) -> None:
         """Record that no direct connection could be opened."""
-        self._failed_at[address] = self._clock.now()
+        self._failed.add(address)
         self._failed_in_a_row.add(address)
         if self.is_isolated or len(self._failed_in_a_row) < self._isolation_threshold():
             return
@@ -70,15 +73,30 @@
         failed = ",".join(sorted(map(str, self._failed_in_a_row)))
         self._log.event("upstreams_unreachable", failed=failed)
 
+    def note_bypassed(self, address: Address) -> None:
+        """Record that a tunnel was opened to an upstream whose direct path is lost."""
+        if address in self._bypassed:
+            return
+        self._bypassed.add(address)
+        self._log.event("path_lost", upstream=address, bypassed=len(self._bypassed))
+
+    def is_bypassed(self, address: Address) -> bool:
+        """Whether tunnels reach an upstream to which direct attempts fail."""
+        return address in self._bypassed
+
+    def bypassed(self) -> list[Address]:
+        """Return the listed addresses to which only tunnels lead."""
+        self._bypassed.intersection_update(self._upstream_addresses())
+        return sorted(self._bypassed, key=str)
+
     def _isolation_threshold(self) -> int:
         return max(1, min(ISOLATION_FAILURES, len(self._upstream_addresses())))
 
-    def has_failed_recently(self, address: Address) -> bool:
-        """Whether the latest attempt to connect to an upstream has failed recently."""
-        return self._clock.now() - self._failed_at.get(address, float("-inf")) < FAILURE_TTL_S
+    def has_failed(self, address: Address) -> bool:
+        """Whether the latest direct attempt to connect to an upstream failed."""
+        return address in self._failed
 
     def unreachable(self) -> list[Address]:
         """Return the listed addresses to which the latest attempt failed."""
-        listed = set(self._upstream_addresses())
-        self._failed_at = {a: at for a, at in self._failed_at.items() if a in listed}
-        return list(self._failed_at)
+        self._failed.intersection_update(self._upstream_addresses())
+        return sorted(self._failed, key=str)
--- /dev/null
+++ b/mulleinreach/gateway/connectivity/tunnel_server.py
@@ -0,0 +1,171 @@
+"""Connects other nodes to upstreams that they can't connect to themselves."""
+
+from __future__ import annotations
+
+import asyncio
+import hmac
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
+
+from mulleinreach.common import Address, EventLog, Network
+from mulleinreach.gateway.connectivity.messages import (
+    LENGTH,
+    MAX_MESSAGE_BYTES,
+    TunnelError,
+    TunnelOutcome,
+    TunnelRequest,
+    decode_request,
+    encode_reply,
+)
+from mulleinreach.gateway.metrics import GatewayMetrics
+
+REQUEST_TIMEOUT_S = 1.0
+# Shorter than the asking node waits, so that it learns why there is no connection.
+CONNECT_TIMEOUT_S = 0.25
+# Each takes two descriptors, of which callers' requests need some, too.
+MAX_TUNNELS = 1000
+BLOCK_BYTES = 65_536
+
+
+@dataclass(frozen=True)
+class StreamPair:
+    """Both directions of a connection."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+
+class TunnelServer:
+    """Accepts other nodes' requests for connections to upstreams.
+
+    Explanation
+    ===========
+
+    Connects only to listed upstreams, and never through a further node. The asking node decides
+    what is sent; this node only copies bytes.
+
+    Parameters
+    ==========
+
+    is_upstream : returns whether an address is the one of a listed upstream.
+    secrets : returns the secrets of the lease by which nodes of the deployment are known.
+    """
+
+    def __init__(
+        self,
+        network: Network,
+        is_upstream: Callable[[Address], bool],
+        secrets: Callable[[], Collection[str]],
+        metrics: GatewayMetrics,
+        log: EventLog,
+    ):
+        self._network = network
+        self._is_upstream = is_upstream
+        self._secrets = secrets
+        self._metrics = metrics
+        self._log = log
+        self._server: asyncio.AbstractServer | None = None
+        self._handlers: set[asyncio.Task] = set()
+        # The number of connected tunnels.
+        self.open_count = 0
+
+    async def listen(self, address: Address) -> None:
+        """Start to accept requests."""
+        self._server = await self._network.listen(address, self._serve)
+
+    def stop_listening(self) -> None:
+        """Accept no more requests; open tunnels stay open."""
+        if self._server is not None:
+            self._server.close()
+
+    async def close(self) -> None:
+        """Stop listening and cut all tunnels."""
+        self.stop_listening()
+        handlers = list(self._handlers)
+        for handler in handlers:
+            handler.cancel()
+        await asyncio.gather(*handlers, return_exceptions=True)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        handler = asyncio.current_task()
+        self._handlers.add(handler)
+        node = StreamPair(reader, writer)
+        try:
+            await self._serve_node(node)
+        except (TunnelError, OSError, asyncio.IncompleteReadError) as error:
+            self._log.event("tunnel_failed", why=repr(error))
+            writer.transport.abort()
+        finally:
+            self._handlers.discard(handler)
+            writer.close()
+
+    async def _serve_node(self, node: StreamPair) -> None:
+        async with asyncio.timeout(REQUEST_TIMEOUT_S):
+            request = await _read_request(node.reader)
+        outcome, upstream = await self._connect(request)
+        self._metrics.count_tunnel(outcome.name.lower())
+        node.writer.write(encode_reply(outcome))
+        if upstream is None:
+            await node.writer.drain()
+            return
+        self.open_count += 1
+        try:
+            await _splice(node, upstream)
+        finally:
+            self.open_count -= 1
+            upstream.writer.close()
+
+    async def _connect(self, request: TunnelRequest) -> tuple[TunnelOutcome, StreamPair | None]:
+        if not self._is_allowed(request):
+            return TunnelOutcome.DENIED, None
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                return TunnelOutcome.OPENED, StreamPair(
+                    *await self._network.connect(request.upstream)
+                )
+        except ConnectionRefusedError:
+            return TunnelOutcome.REFUSED, None
+        except OSError:
+            return TunnelOutcome.UNREACHABLE, None
+
+    def _is_allowed(self, request: TunnelRequest) -> bool:
+        is_known = any(hmac.compare_digest(request.secret, known) for known in self._secrets())
+        has_room = self.open_count < MAX_TUNNELS
+        return is_known and has_room and self._is_upstream(request.upstream)
+
+
+async def _read_request(reader: asyncio.StreamReader) -> TunnelRequest:
+    (length,) = LENGTH.unpack(await reader.readexactly(LENGTH.size))
+    if length > MAX_MESSAGE_BYTES:
+        raise TunnelError(f"request of {length} bytes is too long")
+    return decode_request(await reader.readexactly(length))
+
+
+async def _splice(node: StreamPair, upstream: StreamPair) -> None:
+    """Copy both directions until one of them ends."""
+    to_upstream = asyncio.create_task(_copy(node.reader, upstream.writer))
+    to_node = asyncio.create_task(_copy_in_blocks(upstream.reader, node.writer))
+    copies = {to_upstream, to_node}
+    try:
+        done, _ = await asyncio.wait(copies, return_when=asyncio.FIRST_COMPLETED)
+        for copy in done:
+            copy.result()
+    finally:
+        for copy in copies:
+            copy.cancel()
+        await asyncio.gather(*copies, return_exceptions=True)
+
+
+async def _copy(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    while data := await reader.read(BLOCK_BYTES):
+        writer.write(data)
+        await writer.drain()
+
+
+async def _copy_in_blocks(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Copy an upstream's bytes in blocks; an empty block follows if it closes the connection."""
+    while data := await reader.read(BLOCK_BYTES):
+        writer.write(LENGTH.pack(len(data)) + data)
+        await writer.drain()
+    writer.write(LENGTH.pack(0))
+    await writer.drain()
--- a/mulleinreach/gateway/connectivity/upstream_network.py
+++ b/mulleinreach/gateway/connectivity/upstream_network.py
@@ -1,53 +1,205 @@
-"""Opens connections to upstreams, and records which upstreams this node can't connect to."""
+"""Opens connections to upstreams: directly, or through another node if the direct path is lost."""
 
 from __future__ import annotations
 
 import asyncio
+import errno
+import random
 from collections.abc import Callable, Collection
+from functools import partial
 
 import aiohttp
 
 from mulleinreach.common import Address, Clock, EventLog, Network
+from mulleinreach.gateway.connectivity.attempts import Attempt, open_first
 from mulleinreach.gateway.connectivity.connector import (
-    OpenedConnection,
     ProtocolFactory,
+    UpstreamConnection,
     UpstreamConnector,
 )
+from mulleinreach.gateway.connectivity.messages import TunnelError, TunnelOutcome, TunnelRequest
 from mulleinreach.gateway.connectivity.reachability import ReachabilityTracker
+from mulleinreach.gateway.connectivity.tunnel import open_tunnel
+from mulleinreach.gateway.connectivity.tunnel_servers import TunnelServers
 
 CONNECT_TIMEOUT_S = 0.35
+# After this time without a connection, another path is tried beside the first one.
+ATTEMPT_DELAY_S = 0.1
+TUNNELS_PER_CONNECTION = 2
+# Short, since the retry of a request waits for it.
+REFUSAL_TIMEOUT_S = 0.1
+PROBE_INTERVAL_S = 0.25
+# Direct connections that are tried in an interval while paths are lost; doubled as long as all of
+# them open.
+MIN_PROBES = 2
 
 
 class UpstreamNetwork:
     """All connections of a node to upstreams: for requests, orders and probes.
 
+    Explanation
+    ===========
+
+    The paths between one node and the upstreams may be lost while other nodes still reach both.
+    The node then opens a tunnel, a connection through another node. Requests and orders take
+    either path alike, so whatever is decided, counted or limited at a node stays there.
+
     Parameters
     ==========
 
     upstream_addresses : returns the addresses of all listed upstreams.
+    secret : returns the secret of the coordinator's lease.
     """
 
     def __init__(
         self,
         network: Network,
         upstream_addresses: Callable[[], Collection[Address]],
+        secret: Callable[[], str],
         clock: Clock,
         log: EventLog,
+        rng: random.Random,
     ):
         self._network = network
+        self._upstream_addresses = upstream_addresses
+        self._secret = secret
+        self._rng = rng
         self.reachability = ReachabilityTracker(upstream_addresses, clock, log)
+        self.tunnel_servers = TunnelServers(clock, rng)
 
     def http_client(self) -> aiohttp.ClientSession:
         """Return a client session that opens a new connection for each request."""
         return self._network.http_client_on(UpstreamConnector(self.open), CONNECT_TIMEOUT_S)
 
-    async def open(self, protocol_factory: ProtocolFactory, address: Address) -> OpenedConnection:
+    def can_serve(self) -> bool:
+        """Whether this node reaches upstreams, directly or through another node."""
+        return not self.reachability.is_isolated or bool(self.tunnel_servers.choose(1))
+
+    async def open(self, protocol_factory: ProtocolFactory, address: Address) -> UpstreamConnection:
         """Open a connection to an upstream; raises ``OSError`` if that fails."""
+        connection = await open_first(self._attempts(protocol_factory, address), ATTEMPT_DELAY_S)
+        if connection.is_tunnel:
+            self.reachability.note_bypassed(address)
+        return connection
+
+    async def can_connect(self, address: Address) -> bool:
+        """Whether a connection to an upstream can be opened."""
+        try:
+            connection = await self.open(asyncio.Protocol, address)
+        except OSError:
+            return False
+        connection.transport.close()
+        return True
+
+    def _attempts(self, protocol_factory: ProtocolFactory, address: Address) -> list[Attempt]:
+        """Return the attempts to make at a connection, in order."""
+        direct = partial(self._open_directly, protocol_factory, address)
+        tunnels = [
+            partial(self._open_tunnel, protocol_factory, address, server)
+            for server in self.tunnel_servers.choose(TUNNELS_PER_CONNECTION)
+        ]
+        if self.reachability.is_isolated:
+            if not tunnels and self.reachability.has_failed(address):
+                return [partial(_fail, address)]
+            return tunnels or [direct]
+        if self.reachability.is_bypassed(address):
+            return [*tunnels, direct]
+        return [direct, *tunnels]
+
+    async def _open_directly(
+        self, protocol_factory: ProtocolFactory, address: Address
+    ) -> UpstreamConnection:
+        began_at = self._now()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                opened = await self._network.create_connection(protocol_factory, address)
+                transport, protocol = await self._network.create_connection(
+                    protocol_factory, address
+                )
         except OSError:
             self.reachability.note_failed(address)
             raise
+        except asyncio.CancelledError:
+            if self._now() - began_at >= ATTEMPT_DELAY_S:
+                self.reachability.note_failed(address)
+            raise
         self.reachability.note_connected(address)
-        return opened
+        return UpstreamConnection(transport, protocol)
+
+    async def _open_tunnel(
+        self, protocol_factory: ProtocolFactory, address: Address, server: Address
+    ) -> UpstreamConnection:
+        request = TunnelRequest(self._secret(), address)
+        began_at = self._now()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                return await open_tunnel(self._network, server, request, protocol_factory)
+        except TunnelError as error:
+            if error.outcome is not TunnelOutcome.REFUSED:
+                self.tunnel_servers.note_failed(server)
+            raise
+        except OSError:
+            self.tunnel_servers.note_failed(server)
+            raise
+        except asyncio.CancelledError:
+            if self._now() - began_at >= ATTEMPT_DELAY_S:
+                self.tunnel_servers.note_failed(server)
+            raise
+
+    async def is_refusing(self, address: Address) -> bool:
+        """Whether the host of an upstream refuses connections, since its process has ended.
+
+        A partition may refuse this node's connections, too, so another node is asked.
+        """
+        try:
+            async with asyncio.timeout(REFUSAL_TIMEOUT_S):
+                transport, _ = await self._network.create_connection(asyncio.Protocol, address)
+        except ConnectionRefusedError:
+            return await self._is_refusing_others(address)
+        except OSError:
+            return False
+        transport.close()
+        return False
+
+    async def _is_refusing_others(self, address: Address) -> bool:
+        """Whether another node is refused, too; without one, whether this node isn't isolated."""
+        for server in self.tunnel_servers.choose(1):
+            request = TunnelRequest(self._secret(), address)
+            try:
+                async with asyncio.timeout(REFUSAL_TIMEOUT_S):
+                    connection = await open_tunnel(self._network, server, request, asyncio.Protocol)
+            except TunnelError as error:
+                return error.outcome is TunnelOutcome.REFUSED
+            except OSError:
+                return False
+            connection.transport.close()
+            return False
+        return not self.reachability.is_isolated
+
+    async def probe_lost_paths(self) -> None:
+        """Try direct connections to upstreams whose paths are lost, until cancelled."""
+        count = MIN_PROBES
+        while True:
+            await asyncio.sleep(PROBE_INTERVAL_S)
+            if self.reachability.is_isolated:
+                candidates = list(self._upstream_addresses())
+            else:
+                candidates = self.reachability.bypassed()
+            probed = self._rng.sample(candidates, min(count, len(candidates)))
+            results = await asyncio.gather(*(self._probe(address) for address in probed))
+            count = 2 * count if probed and all(results) else MIN_PROBES
+
+    async def _probe(self, address: Address) -> bool:
+        """Try a direct connection; returns whether it was opened."""
+        try:
+            connection = await self._open_directly(asyncio.Protocol, address)
+        except OSError:
+            return False
+        connection.transport.close()
+        return True
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+
+async def _fail(address: Address) -> UpstreamConnection:
+    raise OSError(errno.EHOSTUNREACH, f"no path to {address}")
--- a/mulleinreach/gateway/coordination/hub.py
+++ b/mulleinreach/gateway/coordination/hub.py
@@ -12,7 +12,7 @@
 
 import asyncio
 import hmac
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 
 from mulleinreach.common import Address, Clock, Network
@@ -29,6 +29,7 @@
 from mulleinreach.gateway.coordination.permit_allocation import PermitAllocator
 from mulleinreach.gateway.coordination.reports import CoordinatorReport, NodeReport
 from mulleinreach.gateway.coordination.totals import TotalsCompactor, sum_loads
+from mulleinreach.gateway.coordination.tunnel_assignment import TunnelAssignment
 from mulleinreach.gateway.state.permits import PermitCount
 
 REPORT_INTERVAL_S = 0.1
@@ -78,6 +79,7 @@
     sent_revision: int | None = None
     sent_configuration: int = 0
     has_list: bool = False
+    sent_tunnel_servers: tuple[Address, ...] | None = None
     # Sequence number of the latest report for which permits were allocated.
     allocated_seq: int = -1
 
@@ -89,6 +91,7 @@
     ==========
 
     own_report : returns this node's own report.
+    regions : the region of each hall.
     """
 
     def __init__(
@@ -99,6 +102,7 @@
         clock: Clock,
         knowledge: Knowledge,
         own_report: Callable[[], NodeReport],
+        regions: Mapping[str, str],
     ):
         self._lease = lease
         self._network = network
@@ -106,6 +110,7 @@
         self._clock = clock
         self._knowledge = knowledge
         self._own_report = own_report
+        self._tunnels = TunnelAssignment(regions)
         self._members: dict[object, _Member] = {}
         self._received: dict[str, _ReceivedReport] = {}
         self._server: asyncio.AbstractServer | None = None
@@ -176,12 +181,18 @@
             )
             encoded = self._latest_totals = encode_totals(self._compactor.compact(totals))
             permits = self._allocate_permits(reports[0])
+            self._tunnels.update(reports)
             for member in list(self._members.values()):
                 if member.report is not None:
                     self._report_to(member, encoded, tuple(permits.get(member, ())))
             # Applying its own flag would make this node retain removed upstreams forever.
             own_totals = replace(totals, keeps_removed=False)
-            own = CoordinatorReport(0, own_totals, permits=tuple(permits.get(None, ())))
+            own = CoordinatorReport(
+                0,
+                own_totals,
+                permits=tuple(permits.get(None, ())),
+                tunnel_servers=self._tunnels.servers_of(reports[0].node),
+            )
             self._knowledge.take(own, self._clock.now(), reports[0].loads)
             await asyncio.sleep(report_interval_s(self.node_count))
 
@@ -227,6 +238,7 @@
             whole_list,
             self._numbering.number_of(member),
             permits,
+            self._changed_tunnel_servers(member),
         )
         if member.writer.buffered_bytes() > MAX_BUFFERED_BYTES:
             # Changes must not be skipped, so a node that reads too slowly has to reconnect.
@@ -255,6 +267,14 @@
         member.sent_configuration = version
         return self._knowledge.configuration_document()
 
+    def _changed_tunnel_servers(self, member: _Member) -> tuple[Address, ...] | None:
+        """Return the tunnel servers of a member; ``None`` if it was sent the same ones."""
+        servers = self._tunnels.servers_of(member.report.node)
+        if servers == member.sent_tunnel_servers:
+            return None
+        member.sent_tunnel_servers = servers
+        return servers
+
     def node_reports(self) -> list[NodeReport]:
         """Return the latest report of each connected node, this node's own first."""
         return [self._own_report()] + [
--- a/mulleinreach/gateway/coordination/lease.py
+++ b/mulleinreach/gateway/coordination/lease.py
@@ -131,7 +131,8 @@
         # The store's era, which each restore increments, as last read.
         self._era: int | None = None
         self._others_may_hold_until = NEVER
-        self.record: LeaseRecord | None = None
+        self._record: LeaseRecord | None = None
+        self._previous_secret = ""
         # Kept apart from the row, so that tokens increase even if the row is lost or unreadable.
         self._highest_token = 0
         # Renewal count and first send time of the renewal whose outcome is unknown.
@@ -139,6 +140,22 @@
         # Set when a host refuses an order because of a higher token; cleared on acquiring.
         self.fenced = asyncio.Event()
 
+    @property
+    def record(self) -> LeaseRecord | None:
+        """The record of the latest known holder."""
+        return self._record
+
+    @record.setter
+    def record(self, record: LeaseRecord | None) -> None:
+        if record is not None and record.secret != self.secret:
+            self._previous_secret = self.secret
+        self._record = record
+
+    @property
+    def recent_secrets(self) -> tuple[str, ...]:
+        """The secrets of the latest two known holders; nodes learn of a new one one by one."""
+        return tuple(secret for secret in (self.secret, self._previous_secret) if secret)
+
     @property
     def token(self) -> int:
         """The token of the latest known holder."""
--- a/mulleinreach/gateway/coordination/membership.py
+++ b/mulleinreach/gateway/coordination/membership.py
@@ -67,7 +67,13 @@
         self._own_reports = OwnReports(identity, lease, loads, knowledge, clock)
         self._follower = Follower(lease, network, self._own_reports, knowledge)
         self._hub = MemberHub(
-            lease, network, identity.peers_address, clock, knowledge, self._own_reports.current
+            lease,
+            network,
+            identity.peers_address,
+            clock,
+            knowledge,
+            self._own_reports.current,
+            identity.regions,
         )
         self._term = CoordinatorTerm(
             lease, self._hub, self._own_reports, knowledge, coordinate, clock, log
--- a/mulleinreach/gateway/coordination/messages.py
+++ b/mulleinreach/gateway/coordination/messages.py
@@ -113,6 +113,10 @@
     return tuple(PermitCount(row.upstream, row.count) for row in rows)
 
 
+def _unpack_addresses(rows) -> tuple[Address, ...]:
+    return tuple(Address.parse(row) for row in rows)
+
+
 def _pack_successor(row, successor: Successor | None) -> None:
     if successor is not None:
         row.token, row.address = successor.token, successor.address
@@ -133,6 +137,7 @@
         listRevision=report.list_revision,
         configVersion=report.configuration_version,
         hall=report.hall,
+        tunnelAddress=report.tunnel_address,
     )
     _pack_loads(message, report.loads)
     _pack_sightings(message, report.sightings)
@@ -159,6 +164,7 @@
     >>> report = NodeReport(
     ...     "a", loads, seq=4, successor=successor, hall="h", sightings=seen,
     ...     limits=(NamedLimit("u", 2.1, 0.5),), wanted=(PermitCount("u", 3),),
+    ...     tunnel_address="10.0.0.1:81",
     ... )
     >>> decode_node_report(encode_node_report(report)) == report
     True
@@ -178,6 +184,7 @@
             _unpack_sightings(message.sightings),
             _unpack_limits(message.limits),
             _unpack_permits(message.wanted),
+            message.tunnelAddress,
         )
     except (capnp.KjException, ValueError) as error:
         raise PeerError(str(error)) from error
@@ -263,6 +270,7 @@
     whole_list: bytes = b"",
     number: int = 0,
     permits: tuple[PermitCount, ...] = (),
+    tunnel_servers: tuple[Address, ...] | None = None,
 ) -> bytes:
     """Return the encoded report to one node, given the encoded totals and upstream list.
 
@@ -280,10 +288,10 @@
     >>> changes = [ListChange(41, [upstream], ["w"])]
     >>> data = encode_coordinator_report(
     ...     8, encode_totals(totals), changes, False, b"c", encode_list(changes[0]), 5,
-    ...     (PermitCount("u", 2),),
+    ...     (PermitCount("u", 2),), (Address("10.0.0.3", 81),),
     ... )
-    >>> permits = (PermitCount("u", 2),)
-    >>> report = CoordinatorReport(8, totals, changes, False, b"c", changes[0], 5, permits)
+    >>> permits, servers = (PermitCount("u", 2),), (Address("10.0.0.3", 81),)
+    >>> report = CoordinatorReport(8, totals, changes, False, b"c", changes[0], 5, permits, servers)
     >>> decode_coordinator_report(data) == report
     True
     """
@@ -294,6 +302,8 @@
         configuration=configuration,
         wholeList=whole_list,
         number=number,
+        hasTunnelServers=tunnel_servers is not None,
+        tunnelServers=[str(address) for address in tunnel_servers or ()],
     )
     _pack_permits(message.init("permits", len(permits)), permits)
     rows = message.init("changes", len(changes))
@@ -347,6 +357,7 @@
             whole_list,
             message.number,
             _unpack_permits(message.permits),
+            _unpack_addresses(message.tunnelServers) if message.hasTunnelServers else None,
         )
     except (capnp.KjException, ValueError) as error:
         raise PeerError(str(error)) from error
--- a/mulleinreach/gateway/coordination/node_reports.py
+++ b/mulleinreach/gateway/coordination/node_reports.py
@@ -79,8 +79,15 @@
             sightings=self._knowledge.sightings(includes_old=is_coordinator_new),
             limits=self._knowledge.unreported_limits(includes_published=is_coordinator_new),
             wanted=self._knowledge.wanted_permits(),
+            tunnel_address=self._tunnel_address(),
         )
 
+    def _tunnel_address(self) -> str:
+        """Return where this node opens tunnels; empty if it can't, or won't do so for long."""
+        if self.is_stopping or not self._knowledge.reaches_upstreams():
+            return ""
+        return str(self._identity.tunnel_address)
+
     def _is_coordinator_new(self) -> bool:
         """Whether the coordinator has changed recently and lacks this node's earlier reports."""
         now = self._clock.now()
--- a/mulleinreach/gateway/coordination/peer.capnp
+++ b/mulleinreach/gateway/coordination/peer.capnp
@@ -48,6 +48,7 @@
   sightings @9 :List(Sighting);
   limits @10 :List(NamedLimit);  # limits that the coordinator hasn't reported
   wanted @11 :List(PermitCount); # requested in addition to the permits held
+  tunnelAddress @12 :Text;   # where the node opens tunnels to upstreams; empty if it can't
 }
 
 # The holder of the coordinator's lease.
@@ -125,4 +126,6 @@
   wholeList @5 :Data;        # a ListChange with all upstreams, if the node has no list
   number @6 :UInt16;         # number of the receiving node
   permits @7 :List(PermitCount); # newly granted permits
+  hasTunnelServers @8 :Bool; # false if unchanged since last sent
+  tunnelServers @9 :List(Text);  # addresses of nodes that open tunnels for the receiver
 }
--- a/mulleinreach/gateway/coordination/reports.py
+++ b/mulleinreach/gateway/coordination/reports.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from mulleinreach.common import Address
 from mulleinreach.gateway.coordination.lease import Resignation, Successor
 from mulleinreach.gateway.model import HeldContent
 from mulleinreach.gateway.state.crashes import RunObservation
@@ -27,6 +28,7 @@
     sightings : observations of upstreams that ended while they ran a request.
     limits : upstreams' rate limits that the node knows and the coordinator hasn't reported.
     wanted : numbers of permits that the node requests, by upstream.
+    tunnel_address : where the node opens tunnels to upstreams; empty if it can't or is stopping.
     """
 
     node: str
@@ -41,6 +43,7 @@
     sightings: list[RunObservation] = field(default_factory=list)
     limits: tuple[NamedLimit, ...] = ()
     wanted: tuple[PermitCount, ...] = ()
+    tunnel_address: str = ""
 
 
 @dataclass(frozen=True)
@@ -124,6 +127,8 @@
     whole_list : all upstreams, if the node has no list yet.
     number : the node's number, 0 for the coordinator; ``totals.numbers`` if none is assigned yet.
     permits : newly granted permits for requests to upstreams with a rate limit.
+    tunnel_servers : the nodes that open tunnels for the receiver; ``None`` if unchanged since last
+        sent.
     """
 
     echoed_seq: int
@@ -134,3 +139,4 @@
     whole_list: ListChange | None = None
     number: int = 0
     permits: tuple[PermitCount, ...] = ()
+    tunnel_servers: tuple[Address, ...] | None = None
--- a/mulleinreach/gateway/deployment.py
+++ b/mulleinreach/gateway/deployment.py
@@ -57,9 +57,9 @@
     Parameters
     ==========
 
-    callers_address, readiness_address, peers_address, metrics_address : where the node
-        accepts requests of callers, readiness probes, reports of other nodes, and requests
-        for its metrics; ``None`` for no metrics.
+    callers_address, readiness_address, peers_address, tunnel_address, metrics_address : where
+        the node accepts requests of callers, readiness probes, reports of other nodes, their
+        requests for tunnels, and requests for its metrics; ``None`` for no metrics.
     processor_cores : the processor time that the node may use, in cores.
     link_mbps : the bandwidth of its network link, in megabits per second.
     is_first_start : whether the whole system starts for the first time, without a lease.
@@ -71,6 +71,7 @@
     callers_address: Address
     readiness_address: Address
     peers_address: Address
+    tunnel_address: Address
     metrics_address: Address | None = None
     processor_cores: float = 1.0
     link_mbps: float = 1000.0
--- a/mulleinreach/gateway/metrics.py
+++ b/mulleinreach/gateway/metrics.py
@@ -22,6 +22,9 @@
         self._evacuated_sends = self._counter(
             "evacuated_sends", "Requests sent to halls that are to be empty", ["hall"]
         )
+        self._tunnels = self._counter(
+            "tunnels", "Other nodes' requests for connections to upstreams", ["outcome"]
+        )
         self._orders = self._counter("orders", "Orders to hosts", ["order", "outcome"])
         self._answer_seconds = self._histogram("answer_seconds", "Time to the end of an answer")
         self._first_event = self._histogram("first_event_seconds", "Time to a stream's first event")
@@ -68,6 +71,9 @@
             "unreachable_upstreams", "Upstreams to which this node's latest connection failed"
         )
         self.is_isolated = self._gauge("isolated", "1 if this node can't connect to any upstream")
+        self.open_tunnels = self._gauge(
+            "open_tunnels", "Connections of other nodes to upstreams through this node"
+        )
         self.open_groups = self._gauge("open_groups", "Heads that this node may send to")
 
     def _counter(self, name: str, text: str, labels: list[str]) -> Counter:
@@ -130,6 +136,10 @@
         """Count a request that was sent to an upstream in an evacuated hall."""
         self._evacuated_sends.labels(hall).inc()
 
+    def count_tunnel(self, outcome: str) -> None:
+        """Count another node's request for a connection to an upstream."""
+        self._tunnels.labels(outcome).inc()
+
     def count_order(self, order: str, outcome: str) -> None:
         """Count an order to a host."""
         self._orders.labels(order, outcome).inc()
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -13,6 +13,7 @@
 
 from mulleinreach.common import Address, Clock, Network, TaskGroup
 from mulleinreach.common.loop import suspended_s
+from mulleinreach.gateway.connectivity.tunnel_server import TunnelServer
 from mulleinreach.gateway.connectivity.upstream_network import UpstreamNetwork
 from mulleinreach.gateway.coordination.lease import CoordinatorLease
 from mulleinreach.gateway.coordination.membership import Coordination
@@ -28,7 +29,6 @@
 from mulleinreach.gateway.request.active import ActiveExchanges
 from mulleinreach.gateway.request.admission import Admission
 from mulleinreach.gateway.request.budget import WindowedRetryBudget
-from mulleinreach.gateway.request.ends import EndedProbe
 from mulleinreach.gateway.request.exchange import UpstreamClient
 from mulleinreach.gateway.request.late import LateGate
 from mulleinreach.gateway.request.relay import Relay
@@ -100,7 +100,19 @@
         )
         self.directory = UpstreamDirectory(self._on_lost)
         self.upstream_network = UpstreamNetwork(
-            self.network, self.directory.addresses, self.clock, self.log
+            self.network,
+            self.directory.addresses,
+            lambda: self.lease.secret,
+            self.clock,
+            self.log,
+            self.rng,
+        )
+        self.tunnel_server = TunnelServer(
+            self.network,
+            self.directory.lists_address,
+            lambda: self.lease.recent_secrets,
+            self.metrics,
+            self.log,
         )
         self.ports = make_ports(self.network, self.upstream_network)
         self.is_stopping = False
@@ -184,7 +196,7 @@
             budget,
             self.first_waits,
             self.crashes,
-            EndedProbe(self.network),
+            self.upstream_network.is_refusing,
             self.metrics,
             self.clock,
             self.log,
@@ -258,6 +270,7 @@
                 self.controller,
                 self.first_waits,
                 self.crashes,
+                self.upstream_network,
                 self._on_lost,
             ),
         )
@@ -265,6 +278,7 @@
     async def start(self) -> None:
         """Open all listening sockets, then start all tasks."""
         await self.coordination.listen()
+        await self.tunnel_server.listen(self.identity.tunnel_address)
         callers = await self._serve(
             self.relay.handle,
             self.identity.callers_address,
@@ -279,6 +293,7 @@
         self._tasks.spawn(self.follower.follow())
         self._tasks.spawn(self.coordination.run())
         self._tasks.spawn(self.store_calls.log_counts())
+        self._tasks.spawn(self.upstream_network.probe_lost_paths())
         self._tasks.spawn(SuspensionMonitor(suspended_s, self._describe_wake, self.log).run())
         self.log.event(
             "node_started", callers=self.identity.callers_address, hall=self.identity.hall
@@ -353,7 +368,8 @@
 
     def is_ready(self) -> bool:
         """Whether this node should get new connections."""
-        return not self.is_stopping and self.in_force.configuration is not None
+        has_started = self.in_force.configuration is not None
+        return has_started and not self.is_stopping and self.upstream_network.can_serve()
 
     async def _handle_readiness(self, request: web.BaseRequest) -> web.Response:
         if request.path != self.ports.dialect.ready_path:
@@ -376,6 +392,7 @@
         reachability = self.upstream_network.reachability
         self.metrics.unreachable_upstreams.set(len(reachability.unreachable()))
         self.metrics.is_isolated.set(reachability.is_isolated)
+        self.metrics.open_tunnels.set(self.tunnel_server.open_count)
         self.metrics.held_requests.set(len(self.crashes.held()))
         self.metrics.evacuated_halls.set(len(self.in_force.evacuations.halls))
         body = generate_latest(self.metrics.registry)
@@ -397,15 +414,21 @@
         for server, listener in self._servers:
             listener.close()
             self.relay.connections.close_all(server.connections)
-        while self.relay.in_flight and self.clock.now() < abort_at:
+        self.tunnel_server.stop_listening()
+        while self._has_work() and self.clock.now() < abort_at:
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
         await self.abort()
         self.log.event("node_stopped", in_flight=self.relay.in_flight)
 
+    def _has_work(self) -> bool:
+        """Whether requests of callers, or of other nodes through this one, are in flight."""
+        return bool(self.relay.in_flight or self.tunnel_server.open_count)
+
     async def abort(self) -> None:
         """Cancel all tasks and close all connections immediately."""
         await self._tasks.close()
         await self.coordination.close()
+        await self.tunnel_server.close()
         for server, listener in self._servers:
             listener.close()
             await server.shutdown(0.2)
--- a/mulleinreach/gateway/ports.py
+++ b/mulleinreach/gateway/ports.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -359,10 +358,8 @@
     def http_client(self) -> aiohttp.ClientSession:
         """Return a client session that opens a new connection for each request."""
 
-    async def open(
-        self, protocol_factory: Callable[[], asyncio.BaseProtocol], address: Address
-    ) -> tuple[asyncio.Transport, asyncio.BaseProtocol]:
-        """Open a connection to an upstream; raises ``OSError`` if that fails."""
+    async def can_connect(self, address: Address) -> bool:
+        """Whether a connection to an upstream can be opened."""
 
 
 # Creates the ports of one node.
--- a/mulleinreach/gateway/request/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
-from mulleinreach.common import Clock, EventLog
+from mulleinreach.common import Address, Clock, EventLog
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.model import RouteKind
 from mulleinreach.gateway.ports import Dialect
 from mulleinreach.gateway.request.active import ActiveExchange, ActiveExchanges
 from mulleinreach.gateway.request.budget import WindowedRetryBudget
-from mulleinreach.gateway.request.ends import EndedProbe
 from mulleinreach.gateway.request.exchange import (
     Broken,
     ExchangeResult,
@@ -46,7 +46,13 @@
 
 
 class Sender:
-    """Chooses upstreams for requests, sends the requests and records the results."""
+    """Chooses upstreams for requests, sends the requests and records the results.
+
+    Parameters
+    ==========
+
+    is_refusing : whether the host at an address refuses connections.
+    """
 
     def __init__(
         self,
@@ -59,7 +65,7 @@
         budget: WindowedRetryBudget,
         first_waits: FirstWaitEstimator,
         crashes: CrashTracker,
-        probe: EndedProbe,
+        is_refusing: Callable[[Address], Awaitable[bool]],
         metrics: GatewayMetrics,
         clock: Clock,
         log: EventLog,
@@ -73,7 +79,7 @@
         self._budget = budget
         self._first_waits = first_waits
         self._crashes = crashes
-        self._probe = probe
+        self._is_refusing = is_refusing
         self._metrics = metrics
         self._clock = clock
         self._log = log
@@ -197,7 +203,7 @@
 
         outcome : outcome of the run that is recorded if the upstream has ended.
         """
-        if not await self._probe.has_ended(upstream):
+        if not await self._is_refusing(upstream.address):
             return
         if outcome is not RunOutcome.ENDED_GIVING:
             job.ended_halls.add(upstream.hall)
--- a/mulleinreach/gateway/shared_state.py
+++ b/mulleinreach/gateway/shared_state.py
@@ -13,6 +13,7 @@
 
 from collections.abc import Callable
 
+from mulleinreach.gateway.connectivity.upstream_network import UpstreamNetwork
 from mulleinreach.gateway.coordination.reports import (
     CoordinatorReport,
     OpenHead,
@@ -61,6 +62,7 @@
         controller: FleetController,
         first_waits: FirstWaitEstimator,
         crashes: CrashTracker,
+        upstream_network: UpstreamNetwork,
         on_lost: Callable[[str], None],
     ):
         self._in_force = in_force
@@ -74,6 +76,7 @@
         self._controller = controller
         self._first_waits = first_waits
         self._crashes = crashes
+        self._upstream_network = upstream_network
         self._on_lost = on_lost
         self._heads: list[OpenHead] = []
 
@@ -142,6 +145,10 @@
         """Merge another node's observations of requests during which upstreams ended."""
         self._crashes.merge_observations(sightings)
 
+    def reaches_upstreams(self) -> bool:
+        """Whether this node can connect to upstreams directly."""
+        return not self._upstream_network.reachability.is_isolated
+
     def unreported_limits(self, includes_published: bool) -> tuple[NamedLimit, ...]:
         """Return the upstream limits that the coordinator doesn't know yet.
 
@@ -230,6 +237,8 @@
             self._permits.limits.merge_published(totals.limits, asked_at)
         self._permits.receive(report.permits, asked_at, totals.nodes)
         self._crashes.merge_held(totals.held or (), asked_at)
+        if report.tunnel_servers is not None:
+            self._upstream_network.tunnel_servers.replace(report.tunnel_servers)
         self._take_heads(totals)
         self._take_lost(totals.lost)
 
--- a/mulleinreach/gateway/state/upstreams.py
+++ b/mulleinreach/gateway/state/upstreams.py
@@ -311,6 +311,10 @@
         """Return the addresses of all upstreams."""
         return [upstream.address for upstream in self._by_id.values()]
 
+    def lists_address(self, address: Address) -> bool:
+        """Whether an address is the one of an upstream."""
+        return any(upstream.address == address for upstream in self._by_id.values())
+
     def of_service(self, service: str) -> list[Upstream]:
         """Return all upstreams of a service."""
         return [u for u in self._by_id.values() if u.service == service]
--- a/mulleinreach/platform/settings.py
+++ b/mulleinreach/platform/settings.py
@@ -9,6 +9,7 @@
 from mulleinreach.gateway.deployment import DeploymentBounds, GatewayIdentity
 
 METRICS_PORT_OFFSET = 1
+TUNNEL_PORT_OFFSET = 2
 # Leaves time for a revocation to reach the node; the bound starts at its acknowledgement.
 KEY_EVIDENCE_BOUND_RATIO = 0.9
 
@@ -59,6 +60,7 @@
         callers_address=reader.address("listen.front"),
         readiness_address=reader.address("listen.readiness"),
         peers_address=Address(ip, peer_port),
+        tunnel_address=Address(ip, peer_port + TUNNEL_PORT_OFFSET),
         metrics_address=Address(ip, peer_port + METRICS_PORT_OFFSET),
         is_first_start=reader.flag("bootstrap"),
         processor_cores=reader.number("limits.cores") * reader.number("limits.cpu_fraction"),
--- a/mulleinreach/standins/gateway/orders.py
+++ b/mulleinreach/standins/gateway/orders.py
@@ -76,11 +76,9 @@
     async def _can_connect(self, host: Upstream, timeout_s: float) -> bool:
         try:
             async with asyncio.timeout(timeout_s):
-                transport, _ = await self._connections.open(asyncio.Protocol, host.address)
-        except OSError:
+                return await self._connections.can_connect(host.address)
+        except TimeoutError:
             return False
-        transport.close()
-        return True
 
     def _tell(self, host: Upstream, answer: Answer) -> Answer:
         standin = self._fabric.hosts[host.id]
--- a/mulleinreach/standins/gateway/world.py
+++ b/mulleinreach/standins/gateway/world.py
@@ -247,6 +247,7 @@
             callers_address=Address("10.0.0.1", self._port()),
             readiness_address=Address("10.0.0.1", self._port()),
             peers_address=Address("10.0.0.1", self._port()),
+            tunnel_address=Address("10.0.0.1", self._port()),
             processor_cores=processor_cores,
             regions=self._regions,
         )
@@ -254,6 +255,7 @@
             identity.callers_address,
             identity.readiness_address,
             identity.peers_address,
+            identity.tunnel_address,
         ):
             self.links.names[str(address)] = name
         self.links.accept(name)
