A new coordinator leaves nodes the tunnel servers of its predecessor until nodes have connected

Found by test_stream_is_resumed_if_the_node_in_between_is_lost[killed], red before: no path at 7.96 s, 34 ms after the election. Assignments now begin 0.5 s after a term, and say nothing to nodes they don't hold. Ruled out: failed servers (none was marked). With it tests of a planned stop and of a silent node in between, which passed at once.

--- a/mulleinreach/gateway/connectivity/tests/test_partitioned_nodes.py
+++ b/mulleinreach/gateway/connectivity/tests/test_partitioned_nodes.py
@@ -89,6 +89,51 @@
     run_formed(test)
 
 
+async def stream_through_another_node(world):
+    """Begin a long stream at a partitioned follower; returns its call and the other node's name."""
+    node = next(name for name in world.nodes if name != world.coordinator())
+    partition_nodes(world, [node], Partition.HANG)
+    await try_for(world, [node], CONTACT_S)
+    call = asyncio.create_task(world.stream(40, node=node))
+    await asyncio.sleep(0.5)
+    through = [name for name, other in world.nodes.items() if other.tunnel_server.open_count]
+    assert len(through) == 1
+    return call, through[0]
+
+
+# Guards against planned stops that cut requests of other nodes.
+def test_planned_stop_waits_for_streams_of_other_nodes():
+    async def test(world):
+        call, through = await stream_through_another_node(world)
+        stopping = asyncio.create_task(world.nodes[through].stop())
+        answer = await call
+        assert answer.event_ids == [str(number) for number in range(1, 41)]
+        assert len(world.fabric.checks.runs[max(world.fabric.checks.runs, key=_number)]) == 1
+        await stopping
+
+    run_formed(test)
+
+
+def _number(request_id: str) -> int:
+    return int(request_id.rpartition("-")[2])
+
+
+# Guards against streams that end with the node through which they came.
+@pytest.mark.parametrize("end", ["killed", "silent"])
+def test_stream_is_resumed_if_the_node_in_between_is_lost(end):
+    async def test(world):
+        call, through = await stream_through_another_node(world)
+        if end == "killed":
+            await world.kill_node(through)
+        else:
+            world.links.darken([through])
+        answer = await call
+        assert not answer.is_cut
+        assert answer.event_ids == [str(number) for number in range(1, 41)]
+
+    run_formed(test)
+
+
 # Guards against requests that wait for connections which are known to fail.
 @each_kind
 def test_requests_are_refused_at_once_while_no_node_reaches_an_upstream(kind):
--- a/mulleinreach/gateway/coordination/hub.py
+++ b/mulleinreach/gateway/coordination/hub.py
@@ -41,6 +41,8 @@
 MAX_BUFFERED_BYTES = 262_144
 # By then a node that can read the store has replaced a coordinator that resigned.
 REPLACEMENT_DEADLINE_S = 2.0
+# By then most nodes have connected to a new coordinator.
+TUNNEL_ASSIGNMENT_DELAY_S = 0.5
 # Long enough to detect a failed hall by the age of its nodes' last reports.
 RECENT_NODE_TTL_S = 5.0
 
@@ -110,7 +112,8 @@
         self._clock = clock
         self._knowledge = knowledge
         self._own_report = own_report
-        self._tunnels = TunnelAssignment(regions)
+        self._regions = regions
+        self._tunnels = TunnelAssignment(regions, clock.now())
         self._members: dict[object, _Member] = {}
         self._received: dict[str, _ReceivedReport] = {}
         self._server: asyncio.AbstractServer | None = None
@@ -167,6 +170,9 @@
         """Send the totals to all members periodically, until cancelled."""
         self._numbering = NodeNumbers(self._clock.now())
         self._allocator = PermitAllocator(self._clock.now())
+        self._tunnels = TunnelAssignment(
+            self._regions, self._clock.now() + TUNNEL_ASSIGNMENT_DELAY_S
+        )
         while True:
             reports = self.node_reports()
             self.node_count = len(reports)
@@ -181,7 +187,7 @@
             )
             encoded = self._latest_totals = encode_totals(self._compactor.compact(totals))
             permits = self._allocate_permits(reports[0])
-            self._tunnels.update(reports)
+            self._tunnels.update(reports, self._clock.now())
             for member in list(self._members.values()):
                 if member.report is not None:
                     self._report_to(member, encoded, tuple(permits.get(member, ())))
@@ -268,7 +274,7 @@
         return self._knowledge.configuration_document()
 
     def _changed_tunnel_servers(self, member: _Member) -> tuple[Address, ...] | None:
-        """Return the tunnel servers of a member; ``None`` if it was sent the same ones."""
+        """Return the tunnel servers of a member; ``None`` if it has them already."""
         servers = self._tunnels.servers_of(member.report.node)
         if servers == member.sent_tunnel_servers:
             return None
--- a/mulleinreach/gateway/coordination/tests/test_tunnel_assignment.py
+++ b/mulleinreach/gateway/coordination/tests/test_tunnel_assignment.py
@@ -27,8 +27,8 @@
 
 
 def assign(reports: list[NodeReport]) -> dict[str, tuple]:
-    assignment = TunnelAssignment(REGIONS)
-    assignment.update(reports)
+    assignment = TunnelAssignment(REGIONS, begins_at=0.0)
+    assignment.update(reports, now=0.0)
     return {report.node: assignment.servers_of(report.node) for report in reports}
 
 
@@ -61,10 +61,19 @@
 
 
 def test_assignment_follows_what_nodes_offer():
-    assignment = TunnelAssignment(REGIONS)
-    assignment.update(make_reports())
+    assignment = TunnelAssignment(REGIONS, begins_at=0.0)
+    assignment.update(make_reports(), now=0.0)
     before = assignment.servers_of("node-005")
-    assignment.update(make_reports(isolated=9))
+    assignment.update(make_reports(isolated=9), now=0.1)
     after = assignment.servers_of("node-005")
     assert before != after
-    assert assignment.servers_of("node-999") == ()
+
+
+# Guards against a new coordinator that takes the servers from nodes while few have connected.
+def test_nothing_is_assigned_to_nodes_that_are_new_or_too_early():
+    assignment = TunnelAssignment(REGIONS, begins_at=0.5)
+    assignment.update(make_reports(nodes=2), now=0.4)
+    assert assignment.servers_of("node-000") is None
+    assignment.update(make_reports(), now=0.6)
+    assert assignment.servers_of("node-000")
+    assert assignment.servers_of("node-999") is None
--- a/mulleinreach/gateway/coordination/tunnel_assignment.py
+++ b/mulleinreach/gateway/coordination/tunnel_assignment.py
@@ -31,22 +31,32 @@
 
 
 class TunnelAssignment:
-    """The tunnel servers of each node.
+    """The tunnel servers of each node, as one coordinator assigns them.
+
+    Explanation
+    ===========
+
+    At first only some nodes have connected to a new coordinator. Until the others have done so,
+    it assigns nothing, and nodes keep the servers that its predecessor assigned.
 
     Parameters
     ==========
 
+    begins_at : when the first assignment is made.
     regions : the region of each hall. The body of a request that is bound to a region must not
         leave it, so nodes get servers in their own region.
     """
 
-    def __init__(self, regions: Mapping[str, str]):
+    def __init__(self, regions: Mapping[str, str], begins_at: float):
         self._regions = regions
+        self._begins_at = begins_at
         self._nodes: list[_Node] = []
         self._servers: dict[str, tuple[Address, ...]] = {}
 
-    def update(self, reports: list[NodeReport]) -> None:
+    def update(self, reports: list[NodeReport], now: float) -> None:
         """Assign servers anew if the nodes, or what they offer, have changed."""
+        if now < self._begins_at:
+            return
         nodes = sorted(
             (_Node(report.node, report.hall, report.tunnel_address) for report in reports),
             key=lambda node: node.name,
@@ -60,9 +70,9 @@
             node.name: _assign(number, node, *pools[node.hall]) for number, node in enumerate(nodes)
         }
 
-    def servers_of(self, node: str) -> tuple[Address, ...]:
-        """Return the tunnel servers of a node."""
-        return self._servers.get(node, ())
+    def servers_of(self, node: str) -> tuple[Address, ...] | None:
+        """Return the tunnel servers of a node; ``None`` before any were assigned to it."""
+        return self._servers.get(node)
 
     def _pools(self, hall: str, offers: list[_Node]) -> tuple[list[_Node], list[_Node]]:
         """Return the nodes in a hall, and those in other halls of its region."""
