--- a/mulleinreach/platform/tests/soak/processes.py
+++ b/mulleinreach/platform/tests/soak/processes.py
@@ -17,7 +17,8 @@
 from mulleinreach.platform.tests.soak.document import COLD_OVERAGE, COLD_SLACK
 from mulleinreach.platform.tests.soak.proxy import Link
 
-PORTS_PER_NODE = 2
+# For reports of other nodes, metrics and tunnels.
+PORTS_PER_NODE = 3
 LOCAL = "127.0.0.1"
 # Below the ports that systems hand out by themselves (32768 and up, as Linux is set).
 FIRST_PORT, LAST_PORT = 20_000, 32_000
@@ -71,7 +72,7 @@
     settings.write_text(
         f"node_name={name}\nip={LOCAL}\nzone={hall}\nregion=r\nrole=gateway\n"
         f"listen.front={LOCAL}:{ports[0]}\nlisten.readiness={LOCAL}:{ports[1]}\n"
-        f"internal_ports={ports[2]},{ports[2] + 1}\n"
+        f"internal_ports={ports[2]},{ports[-1]}\n"
         f"platform.address={LOCAL}:{store_link.port}\n"
         "limits.cores=1\nlimits.cpu_fraction=1\nlimits.link_mbps=100\n"
         "bounds.grace_s=8\nbounds.revoke_ms=5000\nbounds.strict_revoke=true\n"
