Stand-ins play hosts that fall silent for about a second and go on

Played on memory with heads and members silent for 0.4 and 1 s under streams at all nodes: every stream arrives whole, no host stays lost. A request that may run once waits a pause of 1 s out. A head's pause of 1 s ends its group (probes get no answer for 0.55 s), which is as before; the model gets it back when its places are missed.

--- a/mulleinreach/standins/gateway/fabric.py
+++ b/mulleinreach/standins/gateway/fabric.py
@@ -13,6 +13,8 @@
 from mulleinreach.standins.gateway.standings import FabricChecks, Standing
 from mulleinreach.standins.gateway.store import MemoryStore
 
+ORDER_TIMEOUT_S = 0.4
+
 
 class Fabric:
     """All hosts, the orders to them, and the checks of what must always hold.
@@ -110,6 +112,11 @@
         if target.is_dark:
             await asyncio.sleep(timeout_s)
             return Unavailable("no answer")
+        try:
+            async with asyncio.timeout(timeout_s):
+                await target.wait_for_pause()
+        except TimeoutError:
+            return Unavailable("no answer")
         return target.report() if target.id == host.id else Unavailable("started again")
 
     async def _order(self, host: Upstream, token: int, action) -> OrderResult:
@@ -117,15 +124,21 @@
         await asyncio.sleep(ORDER_S)
         target = self.running(host.id)
         if target.is_dark:
-            await asyncio.sleep(0.4)
+            await asyncio.sleep(ORDER_TIMEOUT_S)
             return NoAnswer("no answer")
+        try:
+            async with asyncio.timeout(ORDER_TIMEOUT_S):
+                await target.wait_for_pause()
+        except TimeoutError:
+            self._tasks.spawn(self._carry_out_after_pause(target, token, action))
+            return NoAnswer("no answer yet")
         target.ordered_at.append(asyncio.get_running_loop().time())
         if target.rests_from_orders_s:
             return NoAnswer("status 503")
         if target.late_orders > 0:
             target.late_orders -= 1
             self._tasks.spawn(self._carry_out_late(target, token, action))
-            await asyncio.sleep(0.4)
+            await asyncio.sleep(ORDER_TIMEOUT_S)
             return NoAnswer("no answer yet")
         return self._carry_out(target, token, action)
 
@@ -144,6 +157,11 @@
         if not target.is_dark:
             self._carry_out(target, token, action)
 
+    async def _carry_out_after_pause(self, target: HostStandIn, token: int, action) -> None:
+        await target.wait_for_pause()
+        if not target.is_dark:
+            self._carry_out(target, token, action)
+
     async def close(self) -> None:
         """End what runs."""
         await self._tasks.close()
--- a/mulleinreach/standins/gateway/hosts.py
+++ b/mulleinreach/standins/gateway/hosts.py
@@ -49,7 +49,8 @@
     Explanation
     ===========
 
-    Knobs: ``is_dark`` gives no answer to anything; ``is_cut`` takes the host off
+    Knobs: ``is_dark`` gives no answer to anything; ``pause`` does so for a while, and everything
+    that has come meanwhile is answered then; ``is_cut`` takes the host off
     the list while requests still reach it; ``late_orders`` gives orders no answer
     and carries them out seconds later; ``breaks_after`` cuts streams partway; ``fails`` runs
     so many requests in vain;
@@ -70,6 +71,8 @@
         self.highest_epoch = 0
         self.highest_token = 0
         self.is_dark = False
+        self._goes_on = asyncio.Event()
+        self._goes_on.set()
         self.is_cut = False
         self.late_orders = 0
         self.breaks_after: int | None = None
@@ -253,6 +256,16 @@
         self.is_dark = True
         self.standing = None
 
+    async def pause(self, seconds: float) -> None:
+        """Fall silent for some seconds, then go on."""
+        self._goes_on.clear()
+        await asyncio.sleep(seconds)
+        self._goes_on.set()
+
+    async def wait_for_pause(self) -> None:
+        """Wait for the end of a pause, if there is one."""
+        await self._goes_on.wait()
+
     async def close(self) -> None:
         """End what runs."""
         await self._tasks.close()
@@ -263,6 +276,7 @@
         """Answer a request as a member of its group would."""
         body = await request.read()
         self.arrivals.append(asyncio.get_running_loop().time())
+        await self.wait_for_pause()
         if self.is_dark:
             await asyncio.sleep(3600)
         request_id = request.headers.get(self._names.request_id, "")
@@ -314,6 +328,7 @@
     async def _step(self, standing: Standing) -> bool:
         """Wait for the next event; a group that lacks a member stands still, then breaks."""
         await asyncio.sleep(EVENT_GAP_S * self._fabric.pace(standing))
+        await self.wait_for_pause()
         stalled_s = 0.0
         while self.is_dark or not self._fabric.is_whole(standing):
             await asyncio.sleep(EVENT_GAP_S)
--- a/mulleinreach/standins/gateway/orders.py
+++ b/mulleinreach/standins/gateway/orders.py
@@ -9,9 +9,7 @@
 from mulleinreach.gateway.ports import NoAnswer, OrderResult, Unavailable, UpstreamConnections
 from mulleinreach.gateway.upstream import Notice, Upstream
 from mulleinreach.standins.gateway.dialect import LEAVING, read_limit
-from mulleinreach.standins.gateway.fabric import Fabric
-
-ORDER_TIMEOUT_S = 0.4
+from mulleinreach.standins.gateway.fabric import ORDER_TIMEOUT_S, Fabric
 
 Answer = TypeVar("Answer")
 
