A node that can't reach one upstream stays a tunnel server; addresses of upstreams are kept as a set

A dark replica made each server that was asked for it be left out for a second; with several, a node without paths of its own had none left for sound replicas (read, then tests: red before).

--- a/mulleinreach/gateway/connectivity/tests/test_tunnels.py
+++ b/mulleinreach/gateway/connectivity/tests/test_tunnels.py
@@ -44,7 +44,11 @@
         self.server_address = free_address()
         log = EventLog("node")
         self.server = TunnelServer(
-            NETWORK, lambda address: is_listed, lambda: secrets, GatewayMetrics(), log
+            NETWORK,
+            lambda: [self.upstream] if is_listed else [],
+            lambda: secrets,
+            GatewayMetrics(),
+            log,
         )
         self.network = UpstreamNetwork(
             NETWORK,
@@ -225,3 +229,20 @@
         connection.transport.close()
 
     run_tunnelled(test, answer_with_length)
+
+
+# Guards against giving up tunnel servers for an upstream that nobody reaches.
+def test_server_that_cannot_reach_one_upstream_stays_in_use():
+    async def test(world):
+        assert not await world.network.can_connect(world.upstream)
+        assert world.network.tunnel_servers.choose(1) == [world.server_address]
+
+    run_tunnelled(test)
+
+
+def test_server_that_denies_tunnels_or_is_gone_is_left_out_for_a_while():
+    async def test(world):
+        assert not await world.network.can_connect(world.upstream)
+        assert world.network.tunnel_servers.choose(1) == []
+
+    run_tunnelled(test, is_listed=False)
--- a/mulleinreach/gateway/connectivity/tunnel_server.py
+++ b/mulleinreach/gateway/connectivity/tunnel_server.py
@@ -47,20 +47,20 @@
     Parameters
     ==========
 
-    is_upstream : returns whether an address is the one of a listed upstream.
+    upstream_addresses : returns the addresses of all listed upstreams.
     secrets : returns the secrets of the lease by which nodes of the deployment are known.
     """
 
     def __init__(
         self,
         network: Network,
-        is_upstream: Callable[[Address], bool],
+        upstream_addresses: Callable[[], Collection[Address]],
         secrets: Callable[[], Collection[str]],
         metrics: GatewayMetrics,
         log: EventLog,
     ):
         self._network = network
-        self._is_upstream = is_upstream
+        self._upstream_addresses = upstream_addresses
         self._secrets = secrets
         self._metrics = metrics
         self._log = log
@@ -131,7 +131,8 @@
     def _is_allowed(self, request: TunnelRequest) -> bool:
         is_known = any(hmac.compare_digest(request.secret, known) for known in self._secrets())
         has_room = self.open_count < MAX_TUNNELS
-        return is_known and has_room and self._is_upstream(request.upstream)
+        is_listed = request.upstream in self._upstream_addresses()
+        return is_known and has_room and is_listed
 
 
 async def _read_request(reader: asyncio.StreamReader) -> TunnelRequest:
--- a/mulleinreach/gateway/connectivity/tunnel_servers.py
+++ b/mulleinreach/gateway/connectivity/tunnel_servers.py
@@ -29,7 +29,7 @@
         self._failed_at = {a: at for a, at in self._failed_at.items() if a in self._addresses}
 
     def note_failed(self, address: Address) -> None:
-        """Record that a node couldn't be reached, or couldn't reach an upstream."""
+        """Record that a node couldn't be reached, or denied a tunnel."""
         self._failed_at[address] = self._clock.now()
 
     def choose(self, count: int) -> list[Address]:
--- a/mulleinreach/gateway/connectivity/upstream_network.py
+++ b/mulleinreach/gateway/connectivity/upstream_network.py
@@ -129,19 +129,15 @@
         self, protocol_factory: ProtocolFactory, address: Address, server: Address
     ) -> UpstreamConnection:
         request = TunnelRequest(self._secret(), address)
-        began_at = self._now()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 return await open_tunnel(self._network, server, request, protocol_factory)
-        except TunnelError as error:
-            if error.outcome is not TunnelOutcome.REFUSED:
-                self.tunnel_servers.note_failed(server)
-            raise
-        except OSError:
-            self.tunnel_servers.note_failed(server)
-            raise
-        except asyncio.CancelledError:
-            if self._now() - began_at >= ATTEMPT_DELAY_S:
+        except OSError as error:
+            # That the server can't reach one upstream says nothing of the others.
+            if getattr(error, "outcome", None) not in (
+                TunnelOutcome.REFUSED,
+                TunnelOutcome.UNREACHABLE,
+            ):
                 self.tunnel_servers.note_failed(server)
             raise
 
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -109,7 +109,7 @@
         )
         self.tunnel_server = TunnelServer(
             self.network,
-            self.directory.lists_address,
+            self.directory.addresses,
             lambda: self.lease.recent_secrets,
             self.metrics,
             self.log,
--- a/mulleinreach/gateway/state/upstreams.py
+++ b/mulleinreach/gateway/state/upstreams.py
@@ -124,6 +124,8 @@
         # Ids of leaving and of removed upstreams, oldest first.
         self._leaving: dict[str, None] = {}
         self._departed: dict[str, None] = {}
+        # The addresses of all upstreams; ``None`` since the latest change of the list.
+        self._addresses: frozenset[Address] | None = None
         self._changes: deque[ListChange] = deque()
         self._changes_from: int | None = None
         self.revision: int | None = None
@@ -161,6 +163,7 @@
         self._apply_change(change, observed_at, keeps_removed)
 
     def _apply_change(self, change: ListChange, observed_at: float, keeps_removed: bool) -> None:
+        self._addresses = None
         for upstream in map(self._with_leaving_state, change.upstreams):
             self._replace_start(upstream.id)
             self._by_id[upstream.id] = upstream
@@ -233,6 +236,7 @@
         return len(kept)
 
     def _drop(self, upstream_id: str) -> None:
+        self._addresses = None
         self._by_id.pop(upstream_id, None)
         self._running.pop(upstream_name(upstream_id), None)
         self._changed_at.pop(upstream_id, None)
@@ -307,13 +311,11 @@
         """Return the ids of all upstreams."""
         return list(self._by_id)
 
-    def addresses(self) -> list[Address]:
+    def addresses(self) -> frozenset[Address]:
         """Return the addresses of all upstreams."""
-        return [upstream.address for upstream in self._by_id.values()]
-
-    def lists_address(self, address: Address) -> bool:
-        """Whether an address is the one of an upstream."""
-        return any(upstream.address == address for upstream in self._by_id.values())
+        if self._addresses is None:
+            self._addresses = frozenset(u.address for u in self._by_id.values())
+        return self._addresses
 
     def of_service(self, service: str) -> list[Upstream]:
         """Return all upstreams of a service."""
