Requests that are bound to other regions take no tunnel

Nodes that open tunnels stand in the region of the asking node. Such requests are sent directly or not at all.

--- a/benchmarks/connectivity_breakages.py
+++ b/benchmarks/connectivity_breakages.py
@@ -17,7 +17,7 @@
         "RECOVER",
         "an upstream that can't be reached directly is reached through another node",
         NETWORK,
-        "for server in self.tunnel_servers.choose(TUNNELS_PER_CONNECTION)",
+        "for server in self.tunnel_servers.choose(TUNNELS_PER_CONNECTION if may_tunnel else 0)",
         "for server in self.tunnel_servers.choose(0)",
         f"{PARTITIONED} -k callers_of",
     ),
@@ -85,6 +85,14 @@
         "return is_known and has_room",
         TUNNELS,
     ),
+    Breakage(
+        "HOME",
+        "requests that are bound to other regions take no tunnel",
+        "mulleinreach/gateway/request/sending.py",
+        "if allowed is None or self._region in allowed:",
+        "if True:",
+        f"{PARTITIONED} -k other_regions",
+    ),
     Breakage(
         "HOME",
         "tunnels stay in the region",
--- a/mulleinreach/gateway/connectivity/tests/test_partitioned_nodes.py
+++ b/mulleinreach/gateway/connectivity/tests/test_partitioned_nodes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 from aiohttp import web
@@ -15,7 +16,8 @@
     try_for,
     upstream_names,
 )
-from mulleinreach.standins.gateway.world import LARGE, SMALL
+from mulleinreach.standins.gateway.store import CONFIGURATION, NEWEST
+from mulleinreach.standins.gateway.world import LARGE, SMALL, make_configuration
 from mulleinreach.standins.links import Partition
 
 TRIED_FOR_S = 3.0
@@ -155,6 +157,24 @@
     run_formed(test)
 
 
+# Guards against bodies that reach nodes outside of the regions to which a request is bound.
+def test_requests_bound_to_other_regions_take_no_tunnel():
+    async def test(world):
+        node = "node-0"
+        configuration = make_configuration(2)
+        routes = [replace(r, allowed_regions=frozenset({"south"})) for r in configuration.routes]
+        configuration = replace(configuration, routes=tuple(routes))
+        world.store.put(CONFIGURATION, NEWEST, configuration)
+        await world.until(lambda: world.nodes[node].in_force.version == 2)
+        assert (await world.call("/order/1", node=node)).status == 200
+        partition_nodes(world, [node], Partition.HANG)
+        tries = await try_for(world, [node], CONTACT_S)
+        assert set(tries[node].statuses) == {503}
+        assert not any(other.tunnel_server.open_count for other in world.nodes.values())
+
+    run_formed(test, halls=2, regions={"hall-a": "north", "hall-b": "south"})
+
+
 # Guards against requests that wait again and again for paths that stay lost.
 @each_kind
 @pytest.mark.parametrize("part", ["a hall", "every second upstream"])
--- a/mulleinreach/gateway/connectivity/upstream_network.py
+++ b/mulleinreach/gateway/connectivity/upstream_network.py
@@ -67,17 +67,27 @@
         self.reachability = ReachabilityTracker(upstream_addresses, clock, log)
         self.tunnel_servers = TunnelServers(clock, rng)
 
-    def http_client(self) -> aiohttp.ClientSession:
-        """Return a client session that opens a new connection for each request."""
-        return self._network.http_client_on(UpstreamConnector(self.open), CONNECT_TIMEOUT_S)
+    def http_client(self, may_tunnel: bool = True) -> aiohttp.ClientSession:
+        """Return a client session that opens a new connection for each request.
+
+        Parameters
+        ==========
+
+        may_tunnel : whether the requests may pass through another node of this region.
+        """
+        connector = UpstreamConnector(partial(self.open, may_tunnel=may_tunnel))
+        return self._network.http_client_on(connector, CONNECT_TIMEOUT_S)
 
     def can_serve(self) -> bool:
         """Whether this node reaches upstreams, directly or through another node."""
         return not self.reachability.is_isolated or bool(self.tunnel_servers.choose(1))
 
-    async def open(self, protocol_factory: ProtocolFactory, address: Address) -> UpstreamConnection:
+    async def open(
+        self, protocol_factory: ProtocolFactory, address: Address, may_tunnel: bool = True
+    ) -> UpstreamConnection:
         """Open a connection to an upstream; raises ``OSError`` if that fails."""
-        connection = await open_first(self._attempts(protocol_factory, address), ATTEMPT_DELAY_S)
+        attempts = self._attempts(protocol_factory, address, may_tunnel)
+        connection = await open_first(attempts, ATTEMPT_DELAY_S)
         if connection.is_tunnel:
             self.reachability.note_bypassed(address)
         return connection
@@ -91,12 +101,14 @@
         connection.transport.close()
         return True
 
-    def _attempts(self, protocol_factory: ProtocolFactory, address: Address) -> list[Attempt]:
+    def _attempts(
+        self, protocol_factory: ProtocolFactory, address: Address, may_tunnel: bool
+    ) -> list[Attempt]:
         """Return the attempts to make at a connection, in order."""
         direct = partial(self._open_directly, protocol_factory, address)
         tunnels = [
             partial(self._open_tunnel, protocol_factory, address, server)
-            for server in self.tunnel_servers.choose(TUNNELS_PER_CONNECTION)
+            for server in self.tunnel_servers.choose(TUNNELS_PER_CONNECTION if may_tunnel else 0)
         ]
         if self.reachability.is_isolated:
             if not tunnels and self.reachability.has_failed(address):
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -183,12 +183,20 @@
             self.permits,
             self.clock,
         )
-        self.session = self.upstream_network.http_client()
+        self._sessions = [
+            self.upstream_network.http_client(may_tunnel) for may_tunnel in (True, False)
+        ]
+        client, direct_client = (
+            UpstreamClient(session, self.ports.dialect, self._on_notice)
+            for session in self._sessions
+        )
         budget = WindowedRetryBudget(self.bounds, self.clock, self._node_count)
         self.first_waits = FirstWaitEstimator()
         sender = Sender(
             self.chooser,
-            UpstreamClient(self.session, self.ports.dialect, self._on_notice),
+            client,
+            direct_client,
+            self.identity.regions.get(self.identity.hall),
             self.ports.dialect,
             self.loads,
             self.active,
@@ -432,4 +440,5 @@
         for server, listener in self._servers:
             listener.close()
             await server.shutdown(0.2)
-        await self.session.close()
+        for session in self._sessions:
+            await session.close()
--- a/mulleinreach/gateway/request/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -51,6 +51,8 @@
     Parameters
     ==========
 
+    client, direct_client : the latter never sends through another node.
+    region : the region of this node.
     is_refusing : whether the host at an address refuses connections.
     """
 
@@ -58,6 +60,8 @@
         self,
         chooser: UpstreamChooser,
         client: UpstreamClient,
+        direct_client: UpstreamClient,
+        region: str | None,
         dialect: Dialect,
         loads: LoadTracker,
         active: ActiveExchanges,
@@ -72,6 +76,8 @@
     ):
         self._chooser = chooser
         self._client = client
+        self._direct_client = direct_client
+        self._region = region
         self._dialect = dialect
         self._loads = loads
         self._active = active
@@ -261,7 +267,8 @@
         request = self._build_request(job, upstream, remaining_s)
         try:
             async with asyncio.timeout(self._answer_timeout_s(job, remaining_s)):
-                result = await exchange.send(self._client, upstream, request, wants_stream)
+                client = self._client_for(job)
+                result = await exchange.send(client, upstream, request, wants_stream)
         except TimeoutError:
             result = Broken("no answer in time")
         self._record_result(job, upstream, result)
@@ -269,6 +276,17 @@
             await self.check_ended(job, upstream, RunOutcome.ENDED)
         return result
 
+    def _client_for(self, job: RelayJob) -> UpstreamClient:
+        """Return the client that sends a request.
+
+        Nodes that open tunnels are in this node's region, and the body of a request that is
+        restricted to other regions must not get to any of them.
+        """
+        allowed = job.constraints.allowed_regions
+        if allowed is None or self._region in allowed:
+            return self._client
+        return self._direct_client
+
     def _answer_timeout_s(self, job: RelayJob, remaining_s: float) -> float:
         """Return how long to wait for an answer before another upstream is tried."""
         route = job.admitted.route
