--- a/mulleinreach/platform/tests/test_orders.py
+++ b/mulleinreach/platform/tests/test_orders.py
@@ -1,10 +1,12 @@
 """Orders to replicas and their reports, by the platform's protocol."""
 
+import random
 from dataclasses import replace
 
 import pytest
 
-from mulleinreach.common import Address
+from mulleinreach.common import Address, EventLog, VirtualClock
+from mulleinreach.gateway.connectivity.upstream_network import UpstreamNetwork
 from mulleinreach.gateway.ports import Accepted, Fenced, NoAnswer, Rejected, Unavailable
 from mulleinreach.gateway.upstream import Membership, MemberState, Upstream
 from mulleinreach.platform.orders import PlatformOrders
@@ -15,14 +17,26 @@
 HOST = Upstream("u-1", "models", Address("10.0.1.1", 80), "hall-a", slots=3, domain="d1")
 
 
-def run_orders(order_statuses, test, sends_token=False):
+def make_upstream_network(network):
+    """Return a node's connections to upstreams, without any other node."""
+    return UpstreamNetwork(
+        network,
+        lambda: [HOST.address],
+        lambda: "",
+        VirtualClock(),
+        EventLog("test"),
+        random.Random(1),
+    )
+
+
+def run_orders(order_statuses, test, sends_token=False, links=None):
     """Run a test against a fake replica."""
 
     async def run():
         replica = ReplicaStandIn(HOST.id, order_statuses)
-        network = VirtualNetwork(Links(), "test")
+        network = VirtualNetwork(links or Links(), "test")
         server = await network.serve_http(replica.app(), HOST.address)
-        session = network.http_client()
+        session = make_upstream_network(network).http_client()
         try:
             await test(PlatformOrders(session, sends_token), replica)
         finally:
@@ -94,3 +108,16 @@
         assert isinstance(await orders.report(HOST, 0.2), Unavailable)
 
     run_orders([], test)
+
+
+# Guards against hosts that count as lost since a kept connection to them has fallen silent.
+def test_report_arrives_after_open_connections_fell_silent():
+    links = Links()
+
+    async def test(orders, replica):
+        assert await orders.join(HOST, "g", 12, "m", ["u-1"], 3) == Accepted()
+        links.silence(["test"])
+        assert not isinstance(await orders.report(HOST, 0.25), Unavailable)
+        assert await orders.leave(HOST, "g", 12, 3) == Accepted()
+
+    run_orders([202, 202], test, links=links)
