--- a/mulleinreach/common/net.py
+++ b/mulleinreach/common/net.py
@@ -10,7 +10,7 @@
 import aiohttp
 from aiohttp import web
 
-StreamHandler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+StreamHandler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None] | None]
 
 CONNECT_TIMEOUT_S = 1.0
 # IP addresses and host names; other characters could alter URLs and headers.
@@ -117,7 +117,7 @@
         return aiohttp.TCPConnector(limit=0, use_dns_cache=False, force_close=force_close)
 
     async def listen(self, address: Address, handler: StreamHandler) -> asyncio.AbstractServer:
-        """Accept stream connections; ``handler`` runs once for each."""
+        """Accept stream connections; ``handler`` is called, or runs as a task, for each."""
         return await asyncio.start_server(handler, address.host, address.port)
 
     async def create_connection(
--- a/mulleinreach/gateway/connectivity/tunnel_server.py
+++ b/mulleinreach/gateway/connectivity/tunnel_server.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
-from mulleinreach.common import Address, EventLog, Network
+from mulleinreach.common import Address, EventLog, Network, TaskGroup
 from mulleinreach.gateway.connectivity.messages import (
     LENGTH,
     MAX_MESSAGE_BYTES,
@@ -65,13 +65,13 @@
         self._metrics = metrics
         self._log = log
         self._server: asyncio.AbstractServer | None = None
-        self._handlers: set[asyncio.Task] = set()
+        self._handlers = TaskGroup()
         # The number of connected tunnels.
         self.open_count = 0
 
     async def listen(self, address: Address) -> None:
         """Start to accept requests."""
-        self._server = await self._network.listen(address, self._serve)
+        self._server = await self._network.listen(address, self._accept)
 
     def stop_listening(self) -> None:
         """Accept no more requests; open tunnels stay open."""
@@ -81,23 +81,20 @@
     async def close(self) -> None:
         """Stop listening and cut all tunnels."""
         self.stop_listening()
-        handlers = list(self._handlers)
-        for handler in handlers:
-            handler.cancel()
-        await asyncio.gather(*handlers, return_exceptions=True)
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        handler = asyncio.current_task()
-        self._handlers.add(handler)
-        node = StreamPair(reader, writer)
+        await self._handlers.close()
+
+    def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve a connection in a task that :meth:`close` can cancel."""
+        self._handlers.spawn(self._serve(StreamPair(reader, writer)))
+
+    async def _serve(self, node: StreamPair) -> None:
         try:
             await self._serve_node(node)
         except (TunnelError, OSError, asyncio.IncompleteReadError) as error:
             self._log.event("tunnel_failed", why=repr(error))
-            writer.transport.abort()
+            node.writer.transport.abort()
         finally:
-            self._handlers.discard(handler)
-            writer.close()
+            node.writer.close()
 
     async def _serve_node(self, node: StreamPair) -> None:
         async with asyncio.timeout(REQUEST_TIMEOUT_S):
