--- a/benchmarks/control_traffic.py
+++ b/benchmarks/control_traffic.py
@@ -83,7 +83,14 @@
     streams = IN_FLIGHT // NODES
     loads = _loads(rng.sample(range(REPLICAS), streams), streams, rng)
     return encode_node_report(
-        NodeReport("node-0349", loads, secret="s" * 2 * SECRET_BYTES, seq=1_000_000, hall="lagos-a")
+        NodeReport(
+            "node-0349",
+            loads,
+            secret="s" * 2 * SECRET_BYTES,
+            seq=1_000_000,
+            hall="lagos-a",
+            tunnel_address="10.200.100.40:7342",
+        )
     )
 
 
