--- a/mulleinreach/gateway/connectivity/upstream_network.py
+++ b/mulleinreach/gateway/connectivity/upstream_network.py
@@ -23,6 +23,8 @@
 from mulleinreach.gateway.connectivity.tunnel_servers import TunnelServers
 
 CONNECT_TIMEOUT_S = 0.35
+# They say nothing of the server's paths to other upstreams.
+OUTCOMES_OF_ONE_UPSTREAM = frozenset({TunnelOutcome.REFUSED, TunnelOutcome.UNREACHABLE})
 # After this time without a connection, another path is tried beside the first one.
 ATTEMPT_DELAY_S = 0.1
 TUNNELS_PER_CONNECTION = 2
@@ -144,14 +146,13 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 return await open_tunnel(self._network, server, request, protocol_factory)
-        except OSError as error:
-            # That the server can't reach one upstream says nothing of the others.
-            if getattr(error, "outcome", None) not in (
-                TunnelOutcome.REFUSED,
-                TunnelOutcome.UNREACHABLE,
-            ):
+        except TunnelError as error:
+            if error.outcome not in OUTCOMES_OF_ONE_UPSTREAM:
                 self.tunnel_servers.note_failed(server)
             raise
+        except OSError:
+            self.tunnel_servers.note_failed(server)
+            raise
 
     async def is_refusing(self, address: Address) -> bool:
         """Whether the host of an upstream refuses connections, since its process has ended.
