--- a/mulleinreach/gateway/coordination/messages.py
+++ b/mulleinreach/gateway/coordination/messages.py
@@ -26,7 +26,8 @@
 
 MAX_UINT16 = 65_535
 MAX_UINT32 = 4_294_967_295
-# In words of 8 bytes; bounds the time to read a message with a corrupted list length.
+# In words of 8 bytes, six times the list of 2,840 hosts. Bounds the time to read a message with a
+# corrupted list length, which blocked a node for 40 s.
 MAX_TRAVERSAL_WORDS = 524_288
 
 capnp.remove_import_hook()
--- a/mulleinreach/gateway/coordination/succession.py
+++ b/mulleinreach/gateway/coordination/succession.py
@@ -15,6 +15,7 @@
 )
 from mulleinreach.gateway.ports import LeaseRecord
 
+# Nodes are milliseconds apart; one that doesn't answer by then is partitioned or suspended.
 CONNECT_TIMEOUT_S = 0.5
 
 
--- a/mulleinreach/gateway/fleet/allocation.py
+++ b/mulleinreach/gateway/fleet/allocation.py
@@ -28,8 +28,10 @@
 # Fractions of slots in use; the gap is a hysteresis against moves back and forth.
 CROWDED_USAGE = 0.6
 RELIEVED_USAGE = 0.45
-# Fraction of the cost; a move interrupts service of its hosts, so small gains do not pay.
+# Fraction of the cost; a move interrupts service of its hosts for two to four seconds, so small
+# gains do not pay.
 MIN_MOVE_GAIN = 0.2
+# What a move changes shows within some seconds.
 MAX_CONCURRENT_MOVES = 3
 # Queueing time grows faster than usage.
 COST_EXPONENT = 3
--- a/mulleinreach/gateway/fleet/group_monitor.py
+++ b/mulleinreach/gateway/fleet/group_monitor.py
@@ -27,6 +27,7 @@
 SLOW_PROBE_TIMEOUT_S = 0.5
 LOST_CHECK_INTERVAL_S = 1.0
 MAX_UNFINISHED_S = 4.0
+# A draining host stays for three seconds, and longer while its group has work.
 MAX_RETIRING_S = 3.5
 # Requests may still arrive until all nodes know that the group is retiring.
 MIN_RETIRING_S = 0.5
--- a/mulleinreach/gateway/fleet/planner.py
+++ b/mulleinreach/gateway/fleet/planner.py
@@ -15,7 +15,8 @@
 from mulleinreach.gateway.model import EngineModel
 
 STANDBYS_PER_MODEL = 1
-# Standbys are loaded for a missing group only if it lacks at most this many hosts.
+# Standbys are loaded for a missing group only if it lacks at most this many hosts: so few are back
+# soon after a loss, and standbys for more would be missed by the groups that serve.
 MAX_MISSING_HOSTS = 2
 # Fraction of slots in use; models below it have equal need.
 MIN_PLANNED_USAGE = 0.25
--- a/mulleinreach/gateway/fleet/rebalancing.py
+++ b/mulleinreach/gateway/fleet/rebalancing.py
@@ -29,7 +29,8 @@
 
 # Longer than the repair of a group, which may end the shortage without a move.
 MIN_WANTED_S = 1.5
-# Prevents moves back and forth during bursts.
+# Prevents moves back and forth: bursts last about as long, and a domain that moves to a model and
+# back serves less than one that stays.
 MOVE_COOLDOWN_S = 10.0
 # Covers retiring a group, joining with staged weights and opening.
 MOVE_TIMEOUT_S = 8.0
--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -33,9 +33,11 @@
 from mulleinreach.gateway.state.load import InFlightRequest
 from mulleinreach.gateway.state.upstream_ends import RunOutcome
 
-# A stream without a byte for this time is resumed at another upstream, before callers give up.
+# A stream without a byte for this time is resumed at another upstream. A group that lost a member
+# is noticed within a second; callers give up after two seconds or more.
 PAUSE_LIMIT_S = 1.5
 # Value of Retry-After for a held request, which isn't sent since upstreams crash when they run it.
+# The hold lasts an hour; callers that come back sooner cost no upstream anything.
 HELD_RETRY_AFTER_S = 60.0
 # Jitter of Retry-After as a fraction of the upstream's rest, against simultaneous retries.
 RETRY_SPREAD_RATIO = 1.0
--- a/mulleinreach/gateway/request/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -41,7 +41,8 @@
 SILENCE_CHECK_INTERVAL_S = 0.4
 # After this time without data from an upstream, streams without response headers leave it.
 SILENCE_LIMIT_S = 1.3
-# Sends of a stream beyond the route's limit, one for each replica lost in mid-stream.
+# Sends of a stream beyond the route's limit, one for each replica lost in mid-stream. A lost
+# replica no longer runs the request, whereas one that failed has run it and counts.
 MAX_EXTRA_RESUMES = 2
 
 
--- a/mulleinreach/gateway/request/urgency.py
+++ b/mulleinreach/gateway/request/urgency.py
@@ -26,6 +26,8 @@
 MAX_WAITS_PER_ROUTE = 200
 MIN_WAITS = 20
 # Fraction of the timeouts, the shortest ones, that the estimate ignores as possible retries.
+# Larger than the share of retries, which would hide late requests; callers of a rarer kind count
+# as late.
 IGNORED_SHORT_FRACTION = 0.05
 # Keeps the stored row that carries the estimates small.
 MAX_ANNOUNCED_ROUTES = 50
--- a/mulleinreach/gateway/state/crashes.py
+++ b/mulleinreach/gateway/state/crashes.py
@@ -30,11 +30,14 @@
 
 # Ends after the request began and before any output, a state that other requests are rarely in.
 MIN_ENDS_AFTER_BEGIN = 2
-# If more requests had begun at an upstream that ended, the begun state doesn't show the culprit.
+# If more requests had begun at an upstream that ended, its engine responds before it begins them,
+# and the begun state doesn't show the culprit.
 MAX_BEGUN_REQUESTS = 3
-# Ends before any output, begun or not. Other requests in flight at the upstream look the same.
+# Ends before any output, begun or not. Other requests in flight at the upstream look the same; a
+# sound one is sent twice in one try, and its caller asks once more.
 MIN_ENDS_BEFORE_OUTPUT = 3
-# Ends of any kind. The limit is highest because a stream with output is rarely the culprit.
+# Ends of any kind. The limit is highest because a stream with output is rarely the culprit: most
+# that lose several upstreams run beside one.
 MIN_ENDS_ANY_OUTCOME = 4
 # How long a content is held; a fix of the engine within this time is unlikely.
 HOLD_S = 3600.0
--- a/mulleinreach/gateway/state/store_calls.py
+++ b/mulleinreach/gateway/state/store_calls.py
@@ -20,6 +20,7 @@
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.ports import Unavailable
 
+# One line a node in this time stays readable beside its decisions.
 CALLS_LOG_INTERVAL_S = 10.0
 # No other call is sent during a probe. Exceeds the timeout of a call, which is 1 s.
 MAX_PROBE_S = 1.2
--- a/mulleinreach/gateway/state/store_reading.py
+++ b/mulleinreach/gateway/state/store_reading.py
@@ -11,13 +11,15 @@
 # Long poll of a node that reads only for itself. Its data can be as old as two polls.
 FOLLOWER_WAIT_S = 0.45
 # Long poll of the node that reads for all. Bounds how long a dead connection goes undetected.
+# Changes end the poll at once, and renewals of the lease prove in between that there were none.
 READER_WAIT_S = 2.0
 # After a failure, a short poll tests whether the source answers at all.
 PROBE_WAIT_S = 0.01
 # How often a node checks whether it has to read.
 CHECK_INTERVAL_S = 0.1
 START_CHECK_INTERVAL_S = 0.02
-# Older evidence shows that the coordinator doesn't read the store any more.
+# Older evidence shows that the coordinator doesn't read the store any more. Otherwise its age is at
+# most a renewal of the lease (0.7 s), 0.1 s more for the list, and two reports (0.2 s each).
 MAX_EVIDENCE_AGE_S = 1.5
 
 
--- a/mulleinreach/gateway/state/upstream_follower.py
+++ b/mulleinreach/gateway/state/upstream_follower.py
@@ -35,9 +35,12 @@
 # A pending long poll reports a change at most this long after the change.
 CHANGE_DELIVERY_S = 0.1
 # Pauses between reads, so that one read returns several changes; short if a change is urgent.
+# While a group is formed or repaired, each step waits for a host's row; otherwise the bound on
+# leaving upstreams (2 s or more) leaves room.
 URGENT_BATCH_S = 0.04
 BATCH_S = 0.25
 # After a longer outage of the store, rows may have expired because upstreams couldn't renew them.
+# Upstreams that live are listed again about two seconds after its return.
 OUTAGE_S = 1.5
 # Live upstreams write their rows again within this time after the store is back.
 RELISTING_GRACE_S = 2.2
--- a/mulleinreach/gateway/state/upstreams.py
+++ b/mulleinreach/gateway/state/upstreams.py
@@ -71,7 +71,8 @@
 
 
 NEVER = float("-inf")
-# Bounds the memory for ids of draining and removed upstreams.
+# More than are replaced in an hour among 2,840 hosts. An upstream ends seconds after it announced
+# that, and a copy of the store that lists it again is only seconds old.
 MAX_REMEMBERED_IDS = 4096
 
 
