A coordinator that reaches no hosts decides nothing about them

Seven of eight nodes were partitioned from the replicas, the coordinator among them; the eighth, through which all went, was stopped as planned at 14.0 s. From then on no node reached a host, and the coordinator found one host after the other lost and dissolved the groups, which had to be formed anew afterwards (log: group_checked lost=all members).

While a node is isolated and knows no other that helps, its probes find nobody lost, groups aren't dissolved, and passes of the control loop are left out.

Evidence: test_groups_outlive_the_partition_of_all_nodes failed before for connections that hang or are reset, and passes; tests of fleet, connectivity and coordination pass. Kept: a stopping node withdraws its tunnels at once.

--- a/benchmarks/connectivity_breakages.py
+++ b/benchmarks/connectivity_breakages.py
@@ -25,7 +25,7 @@
         "RECOVER",
         "a node that reaches no upstream opens no tunnels",
         "mulleinreach/gateway/coordination/node_reports.py",
-        "if self.is_stopping or not self._knowledge.reaches_upstreams():",
+        "if self.is_stopping or not self._knowledge.can_open_tunnels():",
         "if self.is_stopping:",
         f"{PARTITIONED} -k refused_at_once",
     ),
@@ -53,6 +53,14 @@
         "return True",
         f"{PARTITIONED} -k does_not_count_as_ended",
     ),
+    Breakage(
+        "RECOVER",
+        "a coordinator that reaches no hosts finds none of them lost",
+        "mulleinreach/gateway/fleet/group_monitor.py",
+        "if lost and not self._operator.reaches_hosts():",
+        "if False:",
+        f"{PARTITIONED} -k outlive",
+    ),
     Breakage(
         "RECOVER",
         "one success ends a node's isolation",
--- a/mulleinreach/gateway/connectivity/tests/test_partitioned_nodes.py
+++ b/mulleinreach/gateway/connectivity/tests/test_partitioned_nodes.py
@@ -76,6 +76,25 @@
     run_formed(test)
 
 
+# Guards against a coordinator that dissolves all groups while no node reaches any host.
+@each_kind
+def test_groups_outlive_the_partition_of_all_nodes(kind):
+    async def test(world):
+        groups = world.fabric.checks.ready.copy()
+        partition_nodes(world, world.nodes, kind)
+        for _ in range(4):
+            await try_for(world, world.nodes, 1.0)
+            assert not any(node.eligibility.lost for node in world.nodes.values())
+        for node in world.nodes:
+            world.links.end_partition(node)
+        await asyncio.sleep(1.0)
+        tries = await try_for(world, world.nodes, 1.0)
+        assert join_tries(tries, world.nodes).served_share == 1.0
+        assert world.fabric.checks.ready == groups
+
+    run_formed(test)
+
+
 # Guards against a partitioned coordinator that can't replace a lost member.
 @each_kind
 def test_partitioned_coordinator_repairs_a_group(kind):
--- a/mulleinreach/gateway/connectivity/tunnel_servers.py
+++ b/mulleinreach/gateway/connectivity/tunnel_servers.py
@@ -32,12 +32,16 @@
         """Record that a node couldn't be reached, or denied a tunnel."""
         self._failed_at[address] = self._clock.now()
 
-    def choose(self, count: int) -> list[Address]:
-        """Return up to ``count`` random tunnel servers that have not failed recently."""
+    def usable(self) -> list[Address]:
+        """Return the tunnel servers that have not failed recently."""
         now = self._clock.now()
-        usable = [
+        return [
             address
             for address in self._addresses
             if now - self._failed_at.get(address, float("-inf")) > RETRY_S
         ]
+
+    def choose(self, count: int) -> list[Address]:
+        """Return up to ``count`` random usable tunnel servers."""
+        usable = self.usable()
         return self._rng.sample(usable, min(count, len(usable)))
--- a/mulleinreach/gateway/connectivity/upstream_network.py
+++ b/mulleinreach/gateway/connectivity/upstream_network.py
@@ -80,9 +80,9 @@
         connector = UpstreamConnector(partial(self.open, may_tunnel=may_tunnel))
         return self._network.http_client_on(connector, CONNECT_TIMEOUT_S)
 
-    def can_serve(self) -> bool:
+    def reaches_upstreams(self) -> bool:
         """Whether this node reaches upstreams, directly or through another node."""
-        return not self.reachability.is_isolated or bool(self.tunnel_servers.choose(1))
+        return not self.reachability.is_isolated or bool(self.tunnel_servers.usable())
 
     async def open(
         self, protocol_factory: ProtocolFactory, address: Address, may_tunnel: bool = True
--- a/mulleinreach/gateway/coordination/knowledge.py
+++ b/mulleinreach/gateway/coordination/knowledge.py
@@ -62,8 +62,8 @@
     def merge_sightings(self, sightings: list[RunObservation]) -> None:
         """Merge another node's observations of upstreams that ended under requests."""
 
-    def reaches_upstreams(self) -> bool:
-        """Whether this node can connect to upstreams directly."""
+    def can_open_tunnels(self) -> bool:
+        """Whether this node can connect to upstreams itself, and so for other nodes."""
 
     def unreported_limits(self, includes_published: bool) -> tuple[NamedLimit, ...]:
         """Return rate limits of upstreams that the coordinator hasn't reported."""
--- a/mulleinreach/gateway/coordination/node_reports.py
+++ b/mulleinreach/gateway/coordination/node_reports.py
@@ -84,7 +84,7 @@
 
     def _tunnel_address(self) -> str:
         """Return where this node opens tunnels; empty if it can't, or won't do so for long."""
-        if self.is_stopping or not self._knowledge.reaches_upstreams():
+        if self.is_stopping or not self._knowledge.can_open_tunnels():
             return ""
         return str(self._identity.tunnel_address)
 
--- a/mulleinreach/gateway/fleet/controller.py
+++ b/mulleinreach/gateway/fleet/controller.py
@@ -5,7 +5,8 @@
 
 Each pass derives its decisions from the host list and the hosts' own reports, so a new
 coordinator can continue the work of the previous one. If all requests at a group's head
-stall, the members of the group are probed.
+stall, the members of the group are probed. A coordinator that reaches no hosts, directly or through
+other nodes, decides nothing: the hosts may be sound, and no order would arrive.
 """
 
 from __future__ import annotations
@@ -115,9 +116,8 @@
                 self._log.event("list_unread", why="the store gave no answer")
             self._hosts.begin_term(self._is_first_holder())
             while True:
-                self._hall_monitor.check_halls(self._open_heads())
-                for service in self._model_services():
-                    self._check_service(service)
+                if self._operator.reaches_hosts():
+                    self._run_pass()
                 await asyncio.sleep(MIN_PASS_INTERVAL_S)
                 self._host_tasks.wake.clear()
                 try:
@@ -130,6 +130,11 @@
             self._hall_monitor.end_term()
             await self._host_tasks.close()
 
+    def _run_pass(self) -> None:
+        self._hall_monitor.check_halls(self._open_heads())
+        for service in self._model_services():
+            self._check_service(service)
+
     def _model_services(self) -> list[Service]:
         configuration = self._in_force.configuration
         if configuration is None:
--- a/mulleinreach/gateway/fleet/formation.py
+++ b/mulleinreach/gateway/fleet/formation.py
@@ -69,6 +69,8 @@
 
     report_lag_s : returns the age in seconds of the state in reports of a service's hosts.
     is_resting : returns whether a host is resting: it asked this node to pause requests.
+    reaches_hosts : returns whether this node reaches any hosts; otherwise a host without an answer
+        doesn't count as lost.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         hosts: HostRegistry,
         report_lag_s: Callable[[str], float],
         is_resting: Callable[[str], bool],
+        reaches_hosts: Callable[[], bool],
         metrics: GatewayMetrics,
         clock: Clock,
         log: EventLog,
@@ -85,6 +88,7 @@
         self._orders = orders
         self._report_lag_s = report_lag_s
         self._is_resting = is_resting
+        self.reaches_hosts = reaches_hosts
         self._lease = lease
         self._hosts = hosts
         self._metrics = metrics
@@ -125,6 +129,11 @@
             self.notify()
         return self._hosts.get(host.id) or report
 
+    def _mark_lost(self, host: str) -> None:
+        """Record that a host gave no answer, unless this node reaches no hosts at all."""
+        if self.reaches_hosts():
+            self._hosts.mark_lost(host)
+
     def _lag_s(self, host: Upstream) -> float:
         return self._report_lag_s(host.service) + REPORT_LAG_MARGIN_S
 
@@ -168,7 +177,7 @@
         as_of = self._clock.now() - self._lag_s(member)
         report = await self._orders.report(member, PROBE_TIMEOUT_S)
         if isinstance(report, Unavailable):
-            self._hosts.mark_lost(member.id)
+            self._mark_lost(member.id)
             return False
         self._hosts.merge_report(report, as_of)
         if report.group_key == member.group_key:
@@ -190,7 +199,7 @@
             if self._is_member(member.id, name, epoch):
                 return True
             if isinstance(await self.probe(member), Unavailable):
-                self._hosts.mark_lost(member.id)
+                self._mark_lost(member.id)
                 return False
         return False
 
@@ -261,7 +270,7 @@
         if head is not None and not self._hosts.is_lost(head.id):
             if await self._leave(head, group):
                 return None
-            self._hosts.mark_lost(head.id)
+            self._mark_lost(head.id)
         members = [m for m in self._members_by_rank(group) if head is None or m.id != head.id]
         alive = [m for m in members if not self._hosts.is_lost(m.id)]
         results = await asyncio.gather(*(self._leave(member, group) for member in alive))
--- a/mulleinreach/gateway/fleet/group_monitor.py
+++ b/mulleinreach/gateway/fleet/group_monitor.py
@@ -224,6 +224,8 @@
             for m, r in zip(members, reports, strict=True)
             if isinstance(r, Upstream) and not is_member(r, group)
         ]
+        if lost and not self._operator.reaches_hosts():
+            return
         for host in lost:
             self._hosts.mark_lost(host)
         key = (group.name, group.epoch)
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -240,6 +240,7 @@
             self.hosts,
             self._report_lag_s,
             self.notices.is_resting,
+            self.upstream_network.reaches_upstreams,
             self.metrics,
             self.clock,
             self.log,
@@ -377,7 +378,7 @@
     def is_ready(self) -> bool:
         """Whether this node should get new connections."""
         has_started = self.in_force.configuration is not None
-        return has_started and not self.is_stopping and self.upstream_network.can_serve()
+        return has_started and not self.is_stopping and self.upstream_network.reaches_upstreams()
 
     async def _handle_readiness(self, request: web.BaseRequest) -> web.Response:
         if request.path != self.ports.dialect.ready_path:
--- a/mulleinreach/gateway/shared_state.py
+++ b/mulleinreach/gateway/shared_state.py
@@ -145,8 +145,8 @@
         """Merge another node's observations of requests during which upstreams ended."""
         self._crashes.merge_observations(sightings)
 
-    def reaches_upstreams(self) -> bool:
-        """Whether this node can connect to upstreams directly."""
+    def can_open_tunnels(self) -> bool:
+        """Whether this node can connect to upstreams itself, and so for other nodes."""
         return not self._upstream_network.reachability.is_isolated
 
     def unreported_limits(self, includes_published: bool) -> tuple[NamedLimit, ...]:
