--- a/mulleinreach/gateway/connectivity/tests/test_partitioned_nodes.py
+++ b/mulleinreach/gateway/connectivity/tests/test_partitioned_nodes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import replace
+from functools import partial
 
 import pytest
 from aiohttp import web
@@ -96,9 +97,8 @@
 
 
 # Guards against a partitioned coordinator that can't replace a lost member.
-@each_kind
-def test_partitioned_coordinator_repairs_a_group(kind):
-    async def test(world):
+def test_partitioned_coordinator_repairs_a_group():
+    async def test(world, kind):
         partition_nodes(world, [world.coordinator()], kind)
         await try_for(world, world.nodes, CONTACT_S)
         large = [h for h in world.fabric.hosts.values() if h.standing.model == LARGE]
@@ -110,7 +110,8 @@
         assert len(heads) == 2
         assert all(map(world.fabric.is_whole, standings))
 
-    run_formed(test)
+    for kind in Partition:
+        run_formed(partial(test, kind=kind))
 
 
 async def stream_through_another_node(world):
--- a/mulleinreach/gateway/connectivity/upstream_network.py
+++ b/mulleinreach/gateway/connectivity/upstream_network.py
@@ -37,14 +37,15 @@
 
 
 class UpstreamNetwork:
-    """All connections of a node to upstreams: for requests, orders and probes.
+    """The connections of a node to upstreams for requests, and the probes of lost paths.
 
     Explanation
     ===========
 
     The paths between one node and the upstreams may be lost while other nodes still reach both.
-    The node then opens a tunnel, a connection through another node. Requests and orders take
-    either path alike, so whatever is decided, counted or limited at a node stays there.
+    The node then opens a tunnel, a connection through another node. Whatever is decided, counted or
+    limited at a node stays there. Orders take no tunnels: a coordinator gives them to thousands of
+    hosts at once.
 
     Parameters
     ==========
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -114,7 +114,7 @@
             self.metrics,
             self.log,
         )
-        self.ports = make_ports(self.network, self.upstream_network)
+        self.ports = make_ports(self.network)
         self.is_stopping = False
         self._callers_socket = callers_socket
         self._tasks = TaskGroup()
--- a/mulleinreach/gateway/ports.py
+++ b/mulleinreach/gateway/ports.py
@@ -13,10 +13,9 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-import aiohttp
 from multidict import CIMultiDict, CIMultiDictProxy
 
-from mulleinreach.common import Address, Network
+from mulleinreach.common import Network
 from mulleinreach.gateway.model import Configuration, HandoverState
 from mulleinreach.gateway.upstream import Notice, Upstream
 
@@ -352,15 +351,5 @@
     dialect: Dialect
 
 
-class UpstreamConnections(Protocol):
-    """The connections to upstreams that an adapter uses for orders."""
-
-    def http_client(self) -> aiohttp.ClientSession:
-        """Return a client session that opens a new connection for each request."""
-
-    async def can_connect(self, address: Address) -> bool:
-        """Whether a connection to an upstream can be opened."""
-
-
 # Creates the ports of one node.
-MakePorts = Callable[[Network, UpstreamConnections], Ports]
+MakePorts = Callable[[Network], Ports]
--- a/mulleinreach/platform/process.py
+++ b/mulleinreach/platform/process.py
@@ -8,7 +8,7 @@
 
 from mulleinreach.common import Network
 from mulleinreach.common.fields import SettingsError
-from mulleinreach.gateway.ports import Ports, UpstreamConnections
+from mulleinreach.gateway.ports import Ports
 from mulleinreach.gateway.process import run_process
 from mulleinreach.platform.dialect import PlatformDialect
 from mulleinreach.platform.early import SETTINGS_VARIABLE
@@ -24,11 +24,7 @@
 EXIT_BAD_SETTINGS = 2
 
 
-def make_ports(
-    settings: PlatformSettings,
-    network: Network,
-    upstream_connections: UpstreamConnections,
-) -> Ports:
+def make_ports(settings: PlatformSettings, network: Network) -> Ports:
     """Return the gateway's ports, implemented by the platform's services."""
     store = PlatformStore(network.http_client, settings.store)
     return Ports(
--- a/mulleinreach/platform/tests/test_orders.py
+++ b/mulleinreach/platform/tests/test_orders.py
@@ -1,12 +1,10 @@
 """Orders to replicas and their reports, by the platform's protocol."""
 
-import random
 from dataclasses import replace
 
 import pytest
 
-from mulleinreach.common import Address, EventLog, VirtualClock
-from mulleinreach.gateway.connectivity.upstream_network import UpstreamNetwork
+from mulleinreach.common import Address
 from mulleinreach.gateway.ports import Accepted, Fenced, NoAnswer, Rejected, Unavailable
 from mulleinreach.gateway.upstream import Membership, MemberState, Upstream
 from mulleinreach.platform.orders import PlatformOrders
@@ -17,18 +15,6 @@
 HOST = Upstream("u-1", "models", Address("10.0.1.1", 80), "hall-a", slots=3, domain="d1")
 
 
-def make_upstream_network(network):
-    """Return a node's connections to upstreams, without any other node."""
-    return UpstreamNetwork(
-        network,
-        lambda: [HOST.address],
-        lambda: "",
-        VirtualClock(),
-        EventLog("test"),
-        random.Random(1),
-    )
-
-
 def run_orders(order_statuses, test, sends_token=False, links=None):
     """Run a test against a fake replica."""
 
--- a/mulleinreach/platform/tests/test_silent_nodes.py
+++ b/mulleinreach/platform/tests/test_silent_nodes.py
@@ -8,7 +8,7 @@
 
 from mulleinreach.common import Address
 from mulleinreach.gateway.deployment import DeploymentBounds
-from mulleinreach.gateway.ports import Ports, UpstreamConnections
+from mulleinreach.gateway.ports import Ports
 from mulleinreach.gateway.upstream import UpstreamState
 from mulleinreach.platform.sources import (
     CONFIGURATION_KEY,
@@ -52,9 +52,7 @@
         """Write a configuration."""
         self.store.put(CONFIGURATION_TABLE, CONFIGURATION_KEY, make_document(version, ["key"]))
 
-    def make_ports(
-        self, network: VirtualNetwork, upstream_connections: UpstreamConnections
-    ) -> Ports:
+    def make_ports(self, network: VirtualNetwork) -> Ports:
         store = PlatformStore(network.http_client, STORE_ADDRESS)
         self._clients.append(store)
         return Ports(
--- a/mulleinreach/standins/gateway/world.py
+++ b/mulleinreach/standins/gateway/world.py
@@ -24,7 +24,7 @@
     WeightedService,
 )
 from mulleinreach.gateway.node import GatewayNode
-from mulleinreach.gateway.ports import Ports, UpstreamConnections
+from mulleinreach.gateway.ports import Ports
 from mulleinreach.gateway.upstream import Upstream
 from mulleinreach.standins.gateway.crashes import Crashes
 from mulleinreach.standins.gateway.dialect import DEADLINE_MS, MODEL, REQUEST_ID, PlainDialect
@@ -268,9 +268,7 @@
         await node.start()
         return node
 
-    def make_ports(
-        self, network: VirtualNetwork, upstream_connections: UpstreamConnections
-    ) -> Ports:
+    def make_ports(self, network: VirtualNetwork) -> Ports:
         """Return the ports of one node, whose calls to the store can't be cut."""
         return Ports(
             MemoryConfigurations(self.store),
