Remove UpstreamNetwork.can_connect, which only two tests still called

It repeated the probe's lines. The two tests open a connection themselves and expect the error; what they assert is the same.

--- a/mulleinreach/gateway/connectivity/tests/test_tunnels.py
+++ b/mulleinreach/gateway/connectivity/tests/test_tunnels.py
@@ -234,7 +234,8 @@
 # Guards against giving up tunnel servers for an upstream that nobody reaches.
 def test_server_that_cannot_reach_one_upstream_stays_in_use():
     async def test(world):
-        assert not await world.network.can_connect(world.upstream)
+        with pytest.raises(OSError):
+            await world.network.open(asyncio.Protocol, world.upstream)
         assert world.network.tunnel_servers.choose(1) == [world.server_address]
 
     run_tunnelled(test)
@@ -242,7 +243,8 @@
 
 def test_server_that_denies_tunnels_or_is_gone_is_left_out_for_a_while():
     async def test(world):
-        assert not await world.network.can_connect(world.upstream)
+        with pytest.raises(OSError):
+            await world.network.open(asyncio.Protocol, world.upstream)
         assert world.network.tunnel_servers.choose(1) == []
 
     run_tunnelled(test, is_listed=False)
--- a/mulleinreach/gateway/connectivity/upstream_network.py
+++ b/mulleinreach/gateway/connectivity/upstream_network.py
@@ -95,15 +95,6 @@
             self.reachability.note_bypassed(address)
         return connection
 
-    async def can_connect(self, address: Address) -> bool:
-        """Whether a connection to an upstream can be opened."""
-        try:
-            connection = await self.open(asyncio.Protocol, address)
-        except OSError:
-            return False
-        connection.transport.close()
-        return True
-
     def _attempts(
         self, protocol_factory: ProtocolFactory, address: Address, may_tunnel: bool
     ) -> list[Attempt]:
