Log how an answer's body was framed and ended; stand-ins stream without length

Sessions use a response class that keeps the connection's protocol, since aiohttp releases the connection at the body's end. Stand-ins: hosts stream with neither length nor chunks, and break off at a chosen place, by a close or a reset, a chosen number of loop passes later; on memory a reset is seen as one now (an abort was seen as a close).

--- a/mulleinreach/common/net.py
+++ b/mulleinreach/common/net.py
@@ -10,6 +10,8 @@
 import aiohttp
 from aiohttp import web
 
+from mulleinreach.common.responses import Response
+
 StreamHandler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None] | None]
 
 CONNECT_TIMEOUT_S = 1.0
@@ -109,6 +111,7 @@
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s),
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
+            response_class=Response,
         )
         session._retry_connection = False
         return session
--- /dev/null
+++ b/mulleinreach/common/responses.py
@@ -0,0 +1,81 @@
+"""HTTP client responses that tell how their body was delimited and how it ended."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+import aiohttp
+
+_STATUSES_WITHOUT_BODY = (204, 304)
+
+
+class BodyFraming(enum.Enum):
+    """What delimits the body of a response [1]_.
+
+    ``LENGTH``: its announced length, or the response has no body.
+    ``CHUNKED``: its last chunk.
+    ``CLOSE``: the end of the connection.
+
+    References
+    ==========
+
+    .. [1] RFC 9112, "HTTP/1.1", section 6.3, message body length.
+    """
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE = "close"
+
+
+@dataclass(frozen=True)
+class BodyEnd:
+    """How the body of a response ended.
+
+    Parameters
+    ==========
+
+    is_reset : whether the connection has ended with a reset or another error; a reset after the
+        whole body doesn't matter to a body of another framing than ``CLOSE``.
+    """
+
+    framing: BodyFraming
+    is_reset: bool
+
+
+class Response(aiohttp.ClientResponse):
+    """A response that still knows its connection's error after it released the connection.
+
+    Explanation
+    ===========
+
+    A body without length or chunks ends with its connection. aiohttp reads it to the same end
+    whether the connection was closed or reset, and releases the connection at that moment, which
+    may be before anybody reads the body.
+    """
+
+    async def start(self, connection) -> Response:
+        """Read the head of the response."""
+        self._connection_protocol = connection.protocol
+        await super().start(connection)
+        return self
+
+    @property
+    def framing(self) -> BodyFraming:
+        """What delimits the body."""
+        if self.method == "HEAD" or self.status in _STATUSES_WITHOUT_BODY:
+            return BodyFraming.LENGTH
+        if "Transfer-Encoding" in self.headers:
+            return BodyFraming.CHUNKED
+        return BodyFraming.LENGTH if "Content-Length" in self.headers else BodyFraming.CLOSE
+
+    @property
+    def connection_error(self) -> BaseException | None:
+        """The error that ended the connection; ``None`` if it is open or was closed."""
+        error = self._connection_protocol.exception()
+        return None if isinstance(error, aiohttp.ServerDisconnectedError) else error
+
+    @property
+    def body_end(self) -> BodyEnd:
+        """How the body ended, once it is read."""
+        return BodyEnd(self.framing, self.connection_error is not None)
--- a/mulleinreach/gateway/request/exchange.py
+++ b/mulleinreach/gateway/request/exchange.py
@@ -17,6 +17,7 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 from yarl import URL
 
+from mulleinreach.common.responses import BodyEnd, Response
 from mulleinreach.gateway.ports import Dialect
 from mulleinreach.gateway.upstream import Notice, Upstream
 
@@ -71,6 +72,7 @@
     status: int
     headers: CIMultiDictProxy[str]
     body: bytes
+    body_end: BodyEnd
 
 
 @dataclass
@@ -79,7 +81,7 @@
 
     status: int
     headers: CIMultiDictProxy[str]
-    response: aiohttp.ClientResponse
+    response: Response
 
     async def chunks(self, pause_limit_s: float) -> AsyncIterator[bytes]:
         """Yield bytes as they arrive; raises :class:`AnswerCut` if the body is incomplete.
@@ -107,6 +109,11 @@
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise AnswerCut(f"{type(error).__name__}: {error}") from error
 
+    @property
+    def body_end(self) -> BodyEnd:
+        """How the body ended, once it is read."""
+        return self.response.body_end
+
     def close(self) -> None:
         """Close the connection."""
         self.response.close()
@@ -123,7 +130,7 @@
 ExchangeResult = NotSent | Refused | Broken | Answered | Streaming
 
 
-def _check_not_reset(response: aiohttp.ClientResponse, protocol) -> None:
+def _check_not_reset(response: Response, protocol) -> None:
     """Raise :class:`AnswerCut` if a body without length ended with a reset.
 
     Such a body ends when the connection is closed. aiohttp doesn't distinguish a close from
@@ -179,7 +186,7 @@
         return await self._read(response, request, wants_stream)
 
     async def _read(
-        self, response: aiohttp.ClientResponse, request: OutgoingRequest, wants_stream: bool
+        self, response: Response, request: OutgoingRequest, wants_stream: bool
     ) -> ExchangeResult:
         is_kept_open = False
         try:
@@ -198,7 +205,7 @@
             if not is_kept_open:
                 response.close()
 
-    async def _read_whole(self, response: aiohttp.ClientResponse) -> ExchangeResult:
+    async def _read_whole(self, response: Response) -> ExchangeResult:
         protocol = response.connection.protocol if response.connection else None
         parts = []
         size = 0
@@ -211,4 +218,4 @@
             _check_not_reset(response, protocol)
         except (aiohttp.ClientError, OSError, ValueError, AnswerCut) as error:
             return Broken(f"{type(error).__name__}: {error}", is_closed=True)
-        return Answered(response.status, response.headers, b"".join(parts))
+        return Answered(response.status, response.headers, b"".join(parts), response.body_end)
--- a/mulleinreach/gateway/request/job.py
+++ b/mulleinreach/gateway/request/job.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 from multidict import CIMultiDict, CIMultiDictProxy
 
+from mulleinreach.common.responses import BodyEnd
 from mulleinreach.gateway.model import Service
 from mulleinreach.gateway.ports import CallerHeaders
 from mulleinreach.gateway.request.admission import Admitted
@@ -84,6 +85,8 @@
     # Replicas whose stream broke off; they no longer run the request.
     lost_runs: int = 0
     upstream_id: str = ""
+    # How the body of the latest answer ended.
+    body_end: BodyEnd | None = None
 
     @property
     def constraints(self) -> RequestConstraints:
--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -166,6 +166,8 @@
             events=job.events_sent,
             first_ms=_milliseconds_between(started_at, job.first_event_at),
             pause_ms=round(job.longest_pause_s * 1000) if job.first_event_at else None,
+            framing=job.body_end.framing.value if job.body_end else None,
+            reset=job.body_end.is_reset if job.body_end else None,
             ms=round(elapsed_s * 1000),
         )
 
@@ -213,6 +215,7 @@
         while (upstream := self._sender.next_upstream(job)) is not None:
             result = await self._sender.send_once(job, upstream)
             if isinstance(result, Answered):
+                job.body_end = result.body_end
                 self._sender.note_served(job, upstream)
                 if not self._is_retryable(job, result):
                     return self._forward(result)
@@ -307,6 +310,7 @@
             )
             return False
         finally:
+            job.body_end = result.body_end
             result.close()
         return not exchange.is_aborted and not splitter.rest
 
--- a/mulleinreach/standins/gateway/fabric.py
+++ b/mulleinreach/standins/gateway/fabric.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from mulleinreach.common import TaskGroup
 from mulleinreach.gateway.ports import Fenced, NoAnswer, OrderResult, Unavailable
@@ -16,9 +17,19 @@
 ORDER_TIMEOUT_S = 0.4
 
 
+def abort(transport: asyncio.Transport) -> None:
+    """End a connection, whose peer may see a close instead of a reset."""
+    transport.abort()
+
+
 class Fabric:
     """All hosts, the orders to them, and the checks of what must always hold.
 
+    Parameters
+    ==========
+
+    reset_connection : resets a connection, given its transport at the host.
+
     Explanation
     ===========
 
@@ -26,8 +37,15 @@
     they have seen. ``orders_by_token`` tells which hosts were given orders under each.
     """
 
-    def __init__(self, store: MemoryStore, seed: int = 1, names: HeaderNames | None = None):
+    def __init__(
+        self,
+        store: MemoryStore,
+        seed: int = 1,
+        names: HeaderNames | None = None,
+        reset_connection: Callable[[asyncio.BaseTransport], None] = abort,
+    ):
         self.store = store
+        self.reset_connection = reset_connection
         self._names = names or HeaderNames()
         self.checks = FabricChecks()
         self.requires_fence = False
--- a/mulleinreach/standins/gateway/hosts.py
+++ b/mulleinreach/standins/gateway/hosts.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from mulleinreach.common import Address, TaskGroup
+from mulleinreach.common.responses import BodyFraming
 from mulleinreach.gateway.ports import (
     Accepted,
     OrderResult,
@@ -20,6 +21,7 @@
     UpstreamState,
     upstream_name,
 )
+from mulleinreach.standins.gateway.bodies import BodyBreak, break_off, make_body
 from mulleinreach.standins.gateway.dialect import PRIORITY, HeaderNames
 from mulleinreach.standins.gateway.standings import ColdStart, HostFabric, Standing
 from mulleinreach.standins.gateway.store import UPSTREAMS
@@ -50,13 +52,13 @@
     ===========
 
     Knobs: ``is_dark`` gives no answer to anything; ``pause`` does so for a while, and everything
-    that has come meanwhile is answered then; ``is_cut`` takes the host off
-    the list while requests still reach it; ``late_orders`` gives orders no answer
-    and carries them out seconds later; ``breaks_after`` cuts streams partway; ``fails`` runs
-    so many requests in vain;
-    ``pace`` makes the host, and its group, so many times slower; ``headers`` go with
-    each of its answers; ``rests_from_orders_s`` turns each order away and asks for so much
-    rest. ``arrivals`` tells when requests came, ``ordered_at`` when orders did.
+    that has come meanwhile is answered then; ``is_cut`` takes the host off the list while
+    requests still reach it; ``late_orders`` gives orders no answer and carries them out seconds
+    later; ``framing`` is that of its streams; ``breaks_after`` cuts them after so many events, as
+    ``broken_by`` says; ``fails`` runs so many requests in vain; ``pace`` makes the host, and its
+    group, so many times slower; ``headers`` go with each of its answers;
+    ``rests_from_orders_s`` turns each order away and asks for so much rest. ``arrivals`` tells
+    when requests came, ``ordered_at`` when orders did.
     """
 
     def __init__(
@@ -75,7 +77,9 @@
         self._goes_on.set()
         self.is_cut = False
         self.late_orders = 0
+        self.framing = BodyFraming.CHUNKED
         self.breaks_after: int | None = None
+        self.broken_by = BodyBreak()
         self.refuses = 0
         self.fails = 0
         self.echoes_wrong_id = False
@@ -299,31 +303,33 @@
             return web.Response(status=500, headers={self._names.request_id: request_id})
         priority = request.headers.get(PRIORITY, "")
         self._fabric.checks.priorities.setdefault(request_id, []).append(priority)
-        return await self._stream(request, standing, request_id, body)
+        return await self._stream(request, standing, request_id, int(body))
 
     async def _stream(
-        self, request: web.BaseRequest, standing: Standing, request_id: str, body: bytes
+        self, request: web.BaseRequest, standing: Standing, request_id: str, pieces: int
     ) -> web.StreamResponse:
         echoed = "another" if self.echoes_wrong_id else request_id
         headers = {self._names.request_id: echoed, self._names.signature: self.id, **self.headers}
-        response = web.StreamResponse(headers=headers)
-        response.content_type = "text/event-stream"
-        response.enable_chunked_encoding()
+        body = make_body(self.framing, request, headers)
+        has_begun = False
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
-        for number in range(first, int(body) + 1):
+        for number in range(first, pieces + 1):
             if not await self._step(standing):
                 request.transport.abort()
-                return response
-            if not response.prepared:
+                return body.response
+            if not has_begun:
                 self._fabric.check_start(standing)
-                await response.prepare(request)
+                await body.begin()
+                has_begun = True
             if self.breaks_after is not None and number > self.breaks_after:
-                await response.write(b"id: torn")
-                request.transport.abort()
-                return response
-            await response.write(f"id: {number}\ndata: piece {number}\n\n".encode())
-        await response.write_eof()
-        return response
+                await body.write(self.broken_by.torn)
+                await break_off(request, self.broken_by, self._fabric.reset_connection)
+                return body.response
+            await body.write(f"id: {number}\ndata: piece {number}\n\n".encode())
+        if not has_begun:
+            await body.begin()
+        await body.end()
+        return body.response
 
     async def _step(self, standing: Standing) -> bool:
         """Wait for the next event; a group that lacks a member stands still, then breaks."""
--- a/mulleinreach/standins/gateway/world.py
+++ b/mulleinreach/standins/gateway/world.py
@@ -172,7 +172,7 @@
         self.links = Links()
         self.clock = VirtualClock()
         self.store = MemoryStore()
-        self.fabric = Fabric(self.store)
+        self.fabric = Fabric(self.store, reset_connection=self.links.reset_peer)
         self.crashes = Crashes(self.links, self.fabric, self.clock, self.add_host)
         self.nodes: dict[str, GatewayNode] = {}
         self.plain: dict[str, PlainStandIn] = {}
--- a/mulleinreach/standins/links.py
+++ b/mulleinreach/standins/links.py
@@ -37,7 +37,7 @@
         """Break all connections from ``origin`` to ``target``; new ones hang."""
         self._cuts.add((origin, target))
         for transport in self._transports.pop((origin, target), []):
-            transport.abort()
+            _reset(transport)
 
     def cut_both(self, first: str, second: str) -> None:
         """Cut two processes off from each other."""
@@ -74,7 +74,7 @@
                 _silence(open_ones)
             else:
                 for transport in open_ones:
-                    transport.abort()
+                    _reset(transport)
 
     def end_partition(self, origin: str) -> None:
         """Let a process reach all others again."""
@@ -94,6 +94,14 @@
                 if origin in names:
                     transport.close = transport.abort = _stay_open
 
+    def reset_peer(self, transport: asyncio.BaseTransport) -> None:
+        """Reset one connection, given the transport of the process that was connected to."""
+        opened_from = transport.get_extra_info("peername")
+        for transports in self._transports.values():
+            for opened in transports:
+                if opened.get_extra_info("sockname") == opened_from:
+                    _reset(opened)
+
     def mend(self) -> None:
         """Join everything again."""
         self._cuts.clear()
@@ -107,7 +115,7 @@
             if other == target:
                 del self._transports[origin, other]
                 for transport in transports:
-                    transport.abort()
+                    _reset(transport)
 
     def accept(self, target: str) -> None:
         """Let connections to ``target`` through again."""
@@ -134,6 +142,11 @@
         return transport, protocol
 
 
+def _reset(transport: asyncio.Transport) -> None:
+    """Let the process that opened a connection see a reset; on memory, an abort is a close."""
+    transport._force_close(ConnectionResetError("reset by the peer"))
+
+
 def _silence(transports: Iterable[asyncio.Transport]) -> None:
     """Let connections fall silent without a reset."""
     for transport in transports:
