--- /dev/null
+++ b/mulleinreach/gateway/request/tests/test_streams_without_length.py
@@ -0,0 +1,109 @@
+"""Streams that end with their connection are complete only if their upstream closed it whole.
+
+Guards against streams that an upstream broke off and that reach their caller as complete.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from mulleinreach.common.responses import BodyFraming
+from mulleinreach.gateway.tests.event_recording import event_fields, record_events
+from mulleinreach.gateway.tests.support import run_world
+from mulleinreach.standins.gateway.bodies import BodyBreak
+from mulleinreach.standins.gateway.world import MODEL_SERVICE
+from mulleinreach.standins.links import Partition
+
+PIECES = 12
+ALL_IDS = [str(number) for number in range(1, PIECES + 1)]
+# Covers the end of an answer from before its head is handled until its body is being read.
+MAX_LOOP_STEPS = 12
+# A close between two events can't be told from the end of the stream.
+BREAKS = [
+    pytest.param(0, BodyBreak(b""), id="closed before any event"),
+    pytest.param(0, BodyBreak(b"id: 1\ndata"), id="closed in the first event"),
+    pytest.param(5, BodyBreak(b"id: 6\ndata"), id="closed in an event"),
+    pytest.param(0, BodyBreak(b"", is_reset=True), id="reset before any event"),
+    pytest.param(0, BodyBreak(b"id: 1\ndata", is_reset=True), id="reset in the first event"),
+    pytest.param(5, BodyBreak(b"", is_reset=True), id="reset between events"),
+    pytest.param(5, BodyBreak(b"id: 6\ndata", is_reset=True), id="reset in an event"),
+]
+
+
+def set_framing(world, framing: BodyFraming) -> None:
+    """Let all hosts frame their streams in one way."""
+    for host in world.fabric.hosts.values():
+        host.framing = framing
+
+
+def break_streams(world, events: int, how: BodyBreak, loop_steps: int) -> None:
+    """Let all hosts break their streams off after some events."""
+    for host in world.fabric.hosts.values():
+        host.breaks_after = events
+        host.broken_by = BodyBreak(how.torn, how.is_reset, loop_steps)
+
+
+async def assert_broken_streams_are_cut(world, events: int, how: BodyBreak) -> None:
+    """Ask for streams that break, with more and more time between the last event and the end."""
+    for loop_steps in range(MAX_LOOP_STEPS):
+        break_streams(world, events, how, loop_steps)
+        answer = await world.stream(PIECES)
+        assert answer.is_cut or answer.status >= 500, f"{loop_steps=}: {answer}"
+        assert answer.event_ids == ALL_IDS[: len(answer.event_ids)]
+
+
+@pytest.mark.parametrize("framing", [BodyFraming.CHUNKED, BodyFraming.CLOSE])
+@pytest.mark.parametrize(("events", "how"), BREAKS)
+def test_broken_stream_never_looks_complete(framing, events, how):
+    async def test(world):
+        await world.until_formed()
+        set_framing(world, framing)
+        await assert_broken_streams_are_cut(world, events, how)
+
+    run_world(test, nodes=1)
+
+
+@pytest.mark.parametrize(("events", "how"), BREAKS)
+def test_broken_stream_through_another_node_never_looks_complete(events, how):
+    async def test(world):
+        await world.until_formed()
+        await asyncio.sleep(2)
+        set_framing(world, BodyFraming.CLOSE)
+        world.links.partition("node-0", list(world.fabric.hosts), Partition.REFUSE)
+        await assert_broken_streams_are_cut(world, events, how)
+
+    run_world(test, nodes=2)
+
+
+@pytest.mark.parametrize(("events", "how"), BREAKS)
+def test_broken_stream_is_continued_at_another_replica(events, how):
+    async def test(world):
+        await world.until_formed()
+        set_framing(world, BodyFraming.CLOSE)
+        heads = world.nodes["node-0"].chooser.heads(MODEL_SERVICE, "large")
+        for loop_steps in range(MAX_LOOP_STEPS):
+            break_streams(world, events, how, loop_steps)
+            for name, host in world.fabric.hosts.items():
+                if name != heads[0].upstream.id:
+                    host.breaks_after = None
+            answer = await world.stream(PIECES)
+            assert not answer.is_cut
+            assert answer.event_ids == ALL_IDS
+
+    run_world(test, nodes=1)
+
+
+def test_whole_stream_without_length_is_complete():
+    async def test(world):
+        await world.until_formed()
+        set_framing(world, BodyFraming.CLOSE)
+        events = record_events(world.nodes["node-0"])
+        answer = await world.stream(PIECES)
+        assert not answer.is_cut
+        assert answer.event_ids == ALL_IDS
+        (line,) = event_fields(events, "request_answered")
+        assert (line["framing"], line["reset"], line["sends"]) == ("close", False, 1)
+
+    run_world(test, nodes=1)
