A reset ends a body without length as an error, for each reader of a body

Callers saw a stream that its replica had broken off as complete. Now the response keeps the connection's protocol from its start, and is asked after the end. The same cause elsewhere: no other reader of a body asked at all.

--- a/mulleinreach/common/responses.py
+++ b/mulleinreach/common/responses.py
@@ -75,6 +75,21 @@
         error = self._connection_protocol.exception()
         return None if isinstance(error, aiohttp.ServerDisconnectedError) else error
 
+    def check_complete(self) -> None:
+        """Raise ``aiohttp.ClientPayloadError`` if the connection's end cut the body off.
+
+        To be called by whoever reads ``content``, after its end; :meth:`read` does so itself.
+        """
+        error = self.connection_error
+        if error is not None and self.framing is BodyFraming.CLOSE:
+            raise aiohttp.ClientPayloadError(f"reset: {error}")
+
+    async def read(self) -> bytes:
+        """Return the whole body; raises ``aiohttp.ClientPayloadError`` if it was cut off."""
+        body = await super().read()
+        self.check_complete()
+        return body
+
     @property
     def body_end(self) -> BodyEnd:
         """How the body ended, once it is read."""
--- a/mulleinreach/entry/relay.py
+++ b/mulleinreach/entry/relay.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from mulleinreach.common import Code, ExecutionStatus, MulleinreachError
+from mulleinreach.common.responses import Response
 from mulleinreach.requests.call import CallerDisconnected
 from mulleinreach.requests.claims import StoredResponse
 from mulleinreach.requests.plain import PlainCall, filter_hop_headers
@@ -58,7 +59,7 @@
 async def relay_plain(
     request: web.Request,
     call: PlainCall,
-    upstream: aiohttp.ClientResponse,
+    upstream: Response,
     answer: Answer,
     keep: bool,
 ) -> StoredResponse | None:
@@ -79,6 +80,7 @@
             await _write(response, chunk)
             if keep:
                 kept += chunk
+        upstream.check_complete()
     except (aiohttp.ClientError, TimeoutError) as error:
         if has_begun:
             # The head has gone out: only a broken connection tells the caller
--- a/mulleinreach/gateway/request/exchange.py
+++ b/mulleinreach/gateway/request/exchange.py
@@ -91,10 +91,12 @@
 
         pause_limit_s : longest time without data; :class:`AnswerSilent` is raised after it.
         """
-        protocol = self.response.connection.protocol if self.response.connection else None
         while data := await self._next_chunk(pause_limit_s):
             yield data
-        _check_not_reset(self.response, protocol)
+        try:
+            self.response.check_complete()
+        except aiohttp.ClientPayloadError as error:
+            raise AnswerCut(str(error)) from error
 
     async def _next_chunk(self, pause_limit_s: float) -> bytes:
         """Return the next bytes, empty at the end."""
@@ -130,21 +132,6 @@
 ExchangeResult = NotSent | Refused | Broken | Answered | Streaming
 
 
-def _check_not_reset(response: Response, protocol) -> None:
-    """Raise :class:`AnswerCut` if a body without length ended with a reset.
-
-    Such a body ends when the connection is closed. aiohttp doesn't distinguish a close from
-    a reset there, but keeps the error in the protocol object.
-    """
-    headers = response.headers
-    has_length = "Content-Length" in headers or "Transfer-Encoding" in headers
-    if has_length or protocol is None:
-        return
-    error = protocol.exception()
-    if error is not None and not isinstance(error, aiohttp.ServerDisconnectedError):
-        raise AnswerCut(f"reset: {error}")
-
-
 class UpstreamClient:
     """Sends requests to upstreams.
 
@@ -206,7 +193,6 @@
                 response.close()
 
     async def _read_whole(self, response: Response) -> ExchangeResult:
-        protocol = response.connection.protocol if response.connection else None
         parts = []
         size = 0
         try:
@@ -215,7 +201,7 @@
                 size += len(data)
                 if size > MAX_ANSWER_BYTES:
                     return Broken(f"an answer over {MAX_ANSWER_BYTES} bytes")
-            _check_not_reset(response, protocol)
-        except (aiohttp.ClientError, OSError, ValueError, AnswerCut) as error:
+            response.check_complete()
+        except (aiohttp.ClientError, OSError, ValueError) as error:
             return Broken(f"{type(error).__name__}: {error}", is_closed=True)
         return Answered(response.status, response.headers, b"".join(parts), response.body_end)
--- a/mulleinreach/gateway/request/tests/test_exchange.py
+++ b/mulleinreach/gateway/request/tests/test_exchange.py
@@ -29,8 +29,14 @@
     """Ignore the notices of an upstream."""
 
 
-async def exchange(ends_with_reset: bool, wants_stream: bool):
-    """Send a request to a server that answers without a length."""
+async def exchange(ends_with_reset: bool, wants_stream: bool, reads_late: bool = False):
+    """Send a request to a server that answers without a length.
+
+    Parameters
+    ==========
+
+    reads_late : whether the end has arrived before anybody reads the stream.
+    """
 
     async def serve(reader, writer):
         await reader.readuntil(b"\r\n\r\n")
@@ -53,6 +59,9 @@
         client = UpstreamClient(session, PlainDialect(), ignore_notice)
         result = await client.send(upstream, request, wants_stream)
         if isinstance(result, Streaming):
+            async with asyncio.timeout(30):
+                while reads_late and result.response.connection is not None:
+                    await asyncio.sleep(0.01)
             return b"".join([data async for data in result.chunks(PAUSE_LIMIT_S)])
         return result
     finally:
@@ -71,13 +80,15 @@
     assert isinstance(result, Broken)
 
 
-def test_closed_stream_without_length_is_complete():
-    assert asyncio.run(exchange(ends_with_reset=False, wants_stream=True)) == b"part"
+@pytest.mark.parametrize("reads_late", [False, True])
+def test_closed_stream_without_length_is_complete(reads_late):
+    assert asyncio.run(exchange(False, wants_stream=True, reads_late=reads_late)) == b"part"
 
 
-def test_reset_stream_without_length_is_cut():
+@pytest.mark.parametrize("reads_late", [False, True])
+def test_reset_stream_without_length_is_cut(reads_late):
     with pytest.raises(AnswerCut):
-        asyncio.run(exchange(ends_with_reset=True, wants_stream=True))
+        asyncio.run(exchange(True, wants_stream=True, reads_late=reads_late))
 
 
 def test_refused_connection_means_not_sent():
--- a/mulleinreach/requests/answers.py
+++ b/mulleinreach/requests/answers.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from mulleinreach.common import Address
+from mulleinreach.common.responses import Response
 from mulleinreach.requests.call import AttemptOutcome, AttemptResult, ModelCall
 from mulleinreach.requests.stream import OrderedStream
 
@@ -36,13 +37,14 @@
     return json.dumps({**call.fields, "resume_text": text}).encode()
 
 
-async def read_bounded(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
-    """Return the whole body; raises ``ClientPayloadError`` if it exceeds ``max_bytes``."""
+async def read_bounded(response: Response, max_bytes: int) -> bytes:
+    """Return the whole body; raises ``ClientPayloadError`` if it was cut off or is too long."""
     body = bytearray()
     async for chunk in response.content.iter_any():
         body += chunk
         if len(body) > max_bytes:
             raise aiohttp.ClientPayloadError(f"the response exceeds {max_bytes} bytes")
+    response.check_complete()
     return bytes(body)
 
 
