A stream that ends with its connection before any event was broken off

The node looked for the rest of an event only, so a replica that ended between the head and its first event gave its caller a complete, empty stream. Now such a stream is cut, and continued elsewhere if it may be; one that ends inside an event counts as cut by its upstream, too, so that the upstream is checked for a crash.

--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from mulleinreach.common import Clock, EventLog
+from mulleinreach.common.responses import BodyFraming
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.model import RouteKind, Service
 from mulleinreach.gateway.ports import CallerHeaders, Dialect
@@ -296,6 +297,8 @@
                     exchange.has_received_body = True
                     ticket.progress()
                     await self._write_events(job, splitter, data, response)
+            has_events = job.events_sent > events_before
+            self._check_whole(result, splitter, has_events)
         except (AnswerCut, TimeoutError) as error:
             job.has_stalled |= isinstance(error, AnswerSilent)
             exchange.is_cut = isinstance(error, AnswerCut) and not isinstance(error, AnswerSilent)
@@ -312,7 +315,18 @@
         finally:
             job.body_end = result.body_end
             result.close()
-        return not exchange.is_aborted and not splitter.rest
+        return not exchange.is_aborted
+
+    def _check_whole(self, result: Streaming, splitter: EventSplitter, has_events: bool) -> None:
+        """Raise :class:`AnswerCut` if a stream ended before its end.
+
+        A process that ends closes its connections, so a stream that ends with its connection and
+        has no event may have been broken off as well as one that ends inside an event.
+        """
+        if splitter.rest:
+            raise AnswerCut("the stream ended inside an event")
+        if result.body_end.framing is BodyFraming.CLOSE and not has_events:
+            raise AnswerCut("the stream ended before any event")
 
     async def _write_events(
         self, job: RelayJob, splitter: EventSplitter, data: bytes, response: web.StreamResponse
