--- /dev/null
+++ b/mulleinreach/platform/tests/soak/body_faults.py
@@ -0,0 +1,45 @@
+"""Hosts whose streams end with their connection, and break off."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine, Iterator
+
+from mulleinreach.common.responses import BodyFraming
+from mulleinreach.platform.tests.soak.harmer import Harmer
+from mulleinreach.standins.gateway.bodies import BodyBreak
+from mulleinreach.standins.gateway.hosts import HostStandIn
+
+HARMED_FOR_S = (1.0, 4.0)
+# Events before a break.
+EVENTS = (0, 6)
+TORN = (b"id: torn", b"id: 1\ndata")
+
+
+class BodyFaults(Harmer):
+    """Lets hosts stream without a length, and breaks some of their streams off.
+
+    Broken streams end inside an event or before any; a close between two events can't be told
+    from a stream's end.
+    """
+
+    def _draw_faults(self) -> Iterator[Coroutine]:
+        hosts = self._world.hosts_of(self._rng.choice(self._world.halls))
+        if hosts:
+            yield self._stream_without_length(self._rng.choice(hosts))
+
+    async def _stream_without_length(self, host: HostStandIn) -> None:
+        host.framing = BodyFraming.CLOSE
+        if self._rng.random() < 0.5:
+            self._report.faults["break_stream"] += 1
+            events = self._rng.randint(*EVENTS)
+            torn = self._rng.choice(TORN if events else (*TORN, b""))
+            host.broken_by = BodyBreak(torn, is_reset=self._rng.random() < 0.5)
+            host.breaks_after = events
+        await asyncio.sleep(self._rng.uniform(*HARMED_FOR_S))
+        host.breaks_after = None
+
+    def mend(self) -> None:
+        """Let all streams end whole again."""
+        for host in self._world.fabric.hosts.values():
+            host.breaks_after = None
