--- a/benchmarks/gateway_breakages.py
+++ b/benchmarks/gateway_breakages.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from benchmarks.body_breakages import BODY_BREAKAGES
 from benchmarks.breakage import Breakage
 from benchmarks.connectivity_breakages import CONNECTIVITY_BREAKAGES
 from benchmarks.crash_breakages import CRASH_BREAKAGES
@@ -33,14 +34,6 @@
         "if False:",
         f"{GATEWAY}/request/tests/test_relay.py",
     ),
-    Breakage(
-        "MIXED",
-        "a reset is no end of a body without length",
-        f"{GATEWAY}/request/exchange.py",
-        '        raise AnswerCut(f"reset: {error}")',
-        "        return",
-        f"{GATEWAY}/request/tests/test_exchange.py",
-    ),
     Breakage(
         "TWICE",
         "an unsafe request is not sent again once it may have run",
@@ -246,5 +239,6 @@
     *START_BREAKAGES,
     *NOTICE_BREAKAGES,
     *RESTORE_BREAKAGES,
+    *BODY_BREAKAGES,
     *CONNECTIVITY_BREAKAGES,
 ]
--- a/mulleinreach/common/tests/test_responses.py
+++ b/mulleinreach/common/tests/test_responses.py
@@ -65,10 +65,10 @@
         server.close()
 
 
-async def wait_for_end(response: Response) -> None:
+async def wait_for_end(response: Response, is_reset: bool) -> None:
     """Wait until the end of the connection has arrived, before anybody reads the body."""
     async with asyncio.timeout(30):
-        while response.connection is not None:
+        while response.connection is not None or response.body_end.is_reset != is_reset:
             await asyncio.sleep(0.01)
 
 
@@ -92,7 +92,7 @@
             async with NETWORK.http_client() as session:
                 async with session.get(address.url) as response:
                     if is_late:
-                        await wait_for_end(response)
+                        await wait_for_end(response, is_reset)
                     try:
                         return await read(response)
                     except aiohttp.ClientError as error:
--- a/mulleinreach/platform/tests/soak/body_faults.py
+++ b/mulleinreach/platform/tests/soak/body_faults.py
@@ -6,14 +6,15 @@
 from collections.abc import Coroutine, Iterator
 
 from mulleinreach.common.responses import BodyFraming
+from mulleinreach.gateway.upstream import MemberState
 from mulleinreach.platform.tests.soak.harmer import Harmer
 from mulleinreach.standins.gateway.bodies import BodyBreak
 from mulleinreach.standins.gateway.hosts import HostStandIn
 
 HARMED_FOR_S = (1.0, 4.0)
-# Events before a break.
-EVENTS = (0, 6)
-TORN = (b"id: torn", b"id: 1\ndata")
+# Events before a break, if there are any.
+EVENTS = (1, 6)
+TORN = b"id: torn"
 
 
 class BodyFaults(Harmer):
@@ -24,16 +25,17 @@
     """
 
     def _draw_faults(self) -> Iterator[Coroutine]:
-        hosts = self._world.hosts_of(self._rng.choice(self._world.halls))
-        if hosts:
-            yield self._stream_without_length(self._rng.choice(hosts))
+        hosts = self._world.fabric.hosts.values()
+        heads = [h for h in hosts if h.standing and h.standing.state is MemberState.OPEN]
+        if heads:
+            yield self._stream_without_length(self._rng.choice(heads))
 
     async def _stream_without_length(self, host: HostStandIn) -> None:
         host.framing = BodyFraming.CLOSE
         if self._rng.random() < 0.5:
             self._report.faults["break_stream"] += 1
-            events = self._rng.randint(*EVENTS)
-            torn = self._rng.choice(TORN if events else (*TORN, b""))
+            events = self._rng.choice((0, self._rng.randint(*EVENTS)))
+            torn = TORN if events else self._rng.choice((TORN, b""))
             host.broken_by = BodyBreak(torn, is_reset=self._rng.random() < 0.5)
             host.breaks_after = events
         await asyncio.sleep(self._rng.uniform(*HARMED_FOR_S))
--- a/mulleinreach/platform/tests/soak/run.py
+++ b/mulleinreach/platform/tests/soak/run.py
@@ -14,11 +14,13 @@
 import tempfile
 import time
 from collections.abc import Iterator
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
 
 import typer
 
+from mulleinreach.platform.tests.soak.body_faults import BodyFaults
 from mulleinreach.platform.tests.soak.callers import Callers
 from mulleinreach.platform.tests.soak.checks import RunChecks
 from mulleinreach.platform.tests.soak.faults import Faults
@@ -32,27 +34,34 @@
 from mulleinreach.platform.tests.soak.world import SoakWorld
 
 
-class Soak:
-    """One run: callers, faults, and checks of what both ends see.
+@dataclass(frozen=True)
+class SoakKinds:
+    """What goes on in a soak beside its faults.
 
     Parameters
     ==========
 
-    has_notices : whether upstreams ask for rest and say that they leave, beside the faults.
-    has_starts : whether hosts start again under their names, beside the faults.
-    has_limits : whether upstreams name limits, beside the faults.
-    has_restores : whether the store goes back to copies, and upstreams leave by their rows.
+    notices : whether upstreams ask for rest and say that they leave.
+    starts : whether hosts start again under their names.
+    limits : whether upstreams name limits.
+    restores : whether the store goes back to copies, and upstreams leave by their rows.
+    bodies : whether streams end with their connection, and break off.
     """
 
-    def __init__(
-        self,
-        world: SoakWorld,
-        seed: int,
-        has_notices: bool = False,
-        has_starts: bool = False,
-        has_limits: bool = False,
-        has_restores: bool = False,
-    ):
+    notices: bool = False
+    starts: bool = False
+    limits: bool = False
+    restores: bool = False
+    bodies: bool = False
+
+
+NO_KINDS = SoakKinds()
+
+
+class Soak:
+    """One run: callers, faults, and checks of what both ends see."""
+
+    def __init__(self, world: SoakWorld, seed: int, kinds: SoakKinds = NO_KINDS):
         self.report = SoakReport(seed)
         self.callers = Callers(world, random.Random(seed), self.report)
         self.checks = RunChecks(world, self.callers, self.report)
@@ -63,11 +72,13 @@
         starts = StartFaults(world, random.Random(f"starts {seed}"), self.report)
         self._limits = LimitFaults(world, random.Random(f"limits {seed}"), self.report)
         self._harmers = [self._faults]
-        self._harmers += [self._notices] if has_notices else []
-        self._harmers += [starts] if has_starts else []
-        self._harmers += [self._limits] if has_limits else []
+        self._harmers += [self._notices] if kinds.notices else []
+        self._harmers += [starts] if kinds.starts else []
+        self._harmers += [self._limits] if kinds.limits else []
         self._restores = RestoreFaults(world, random.Random(f"restores {seed}"), self.report)
-        self._harmers += [self._restores] if has_restores else []
+        self._harmers += [self._restores] if kinds.restores else []
+        self._bodies = BodyFaults(world, random.Random(f"bodies {seed}"), self.report)
+        self._harmers += [self._bodies] if kinds.bodies else []
         self._notice_checks = NoticeChecks(world, self.callers, self.report)
         self._limit_checks = LimitChecks(world, self.callers, self.report)
         self._world = world
@@ -88,6 +99,7 @@
             self._notices.mend()
             self._limits.mend()
             self._restores.mend()
+            self._bodies.mend()
             await self.callers.until_served()
         self.checks.check()
         self._notice_checks.check()
@@ -102,21 +114,14 @@
 
 
 async def soak_once(
-    seed: int,
-    seconds: float,
-    nodes: int = 3,
-    has_notices: bool = False,
-    has_starts: bool = False,
-    has_limits: bool = False,
-    has_restores: bool = False,
+    seed: int, seconds: float, nodes: int = 3, kinds: SoakKinds = NO_KINDS
 ) -> SoakReport:
     """Run one soak in a directory of its own, which is kept if a promise was broken."""
     directory = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     world = SoakWorld(directory, nodes, hosts=8, seed=seed)
     await world.start()
     try:
-        kinds = has_notices, has_starts, has_limits, has_restores
-        report = await Soak(world, seed, *kinds).run(seconds)
+        report = await Soak(world, seed, kinds).run(seconds)
     finally:
         await world.close()
     if report.broken:
@@ -152,6 +157,9 @@
     ] = True,
     limits: Annotated[bool, typer.Option(help="Whether upstreams name limits.")] = True,
     restores: Annotated[bool, typer.Option(help="Whether the store goes back to copies.")] = True,
+    bodies: Annotated[
+        bool, typer.Option(help="Whether streams end with their connection, and break off.")
+    ] = True,
     report_file: Annotated[
         Path | None, typer.Option("--report", help="Where to write what was injected and seen.")
     ] = None,
@@ -161,8 +169,8 @@
     failed = 0
     reports = []
     for number in _seeds(seed, seeds, minutes):
-        kinds = notices, starts, limits, restores
-        report = asyncio.run(soak_once(number, seconds, nodes, *kinds))
+        kinds = SoakKinds(notices, starts, limits, restores, bodies)
+        report = asyncio.run(soak_once(number, seconds, nodes, kinds))
         failed += bool(report.broken)
         reports.append(report.to_json())
         verdict = "broken" if report.broken else "kept"
--- a/mulleinreach/platform/tests/test_soak.py
+++ b/mulleinreach/platform/tests/test_soak.py
@@ -10,7 +10,7 @@
 from mulleinreach.platform.tests.soak.notices import Arrival, Limited, Notices, Rest
 from mulleinreach.platform.tests.soak.plain import PlainRun
 from mulleinreach.platform.tests.soak.report import SoakReport
-from mulleinreach.platform.tests.soak.run import Soak, soak_once
+from mulleinreach.platform.tests.soak.run import Soak, SoakKinds, soak_once
 from mulleinreach.platform.tests.soak.world import (
     Disturbance,
     Evacuation,
@@ -36,22 +36,27 @@
 
 
 def test_short_soak_in_which_upstreams_rest_and_leave_keeps_every_promise():
-    report = asyncio.run(soak_once(2, SECONDS, has_notices=True))
+    report = asyncio.run(soak_once(2, SECONDS, kinds=SoakKinds(notices=True)))
     assert report.broken == []
 
 
 def test_short_soak_in_which_hosts_start_again_keeps_every_promise():
-    report = asyncio.run(soak_once(3, SECONDS, has_starts=True))
+    report = asyncio.run(soak_once(3, SECONDS, kinds=SoakKinds(starts=True)))
     assert report.broken == []
 
 
 def test_short_soak_in_which_upstreams_name_limits_keeps_every_promise():
-    report = asyncio.run(soak_once(4, 2 * SECONDS, has_limits=True))
+    report = asyncio.run(soak_once(4, 2 * SECONDS, kinds=SoakKinds(limits=True)))
     assert report.broken == []
 
 
 def test_short_soak_in_which_the_store_is_restored_keeps_every_promise():
-    report = asyncio.run(soak_once(5, 2 * SECONDS, has_restores=True))
+    report = asyncio.run(soak_once(5, 2 * SECONDS, kinds=SoakKinds(restores=True)))
+    assert report.broken == []
+
+
+def test_short_soak_in_which_streams_break_off_keeps_every_promise():
+    report = asyncio.run(soak_once(6, 2 * SECONDS, kinds=SoakKinds(bodies=True)))
     assert report.broken == []
 
 
