Prompt parts are decoded, and named in the line of an upstream's end; stand-ins crash under a part

upstream_ended gets the digests of the parts of the request's prompt, but for the last: what tells hypothesis 1 from the others, under which one part stands in lines of every head that ended. Adapter: X-Mulleinreach-Prompt-Prefix is decoded once, into typed digests.

--- a/mulleinreach/gateway/ports.py
+++ b/mulleinreach/gateway/ports.py
@@ -294,7 +294,13 @@
 
 @dataclass(frozen=True)
 class CallerHeaders:
-    """The parsed headers of a caller's request; ``None`` for absent or invalid ones."""
+    """The parsed headers of a caller's request; ``None`` for absent or invalid ones.
+
+    Parameters
+    ==========
+
+    prompt_parts : digests of the parts of the prompt that requests may share, in their order.
+    """
 
     request_id: str | None
     deadline_s: float | None
@@ -303,6 +309,7 @@
     prompt_tokens: int | None
     answer_tokens: int | None
     last_event_id: str | None
+    prompt_parts: tuple[int, ...] = ()
 
 
 class Dialect(Protocol):
--- a/mulleinreach/gateway/request/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -221,6 +221,7 @@
             upstream=upstream.id,
             hall=upstream.hall,
             outcome=outcome.name.lower(),
+            parts=",".join(format_digest(part) for part in job.headers.prompt_parts),
         )
         self._crashes.note_end(job.content, upstream, outcome)
 
--- a/mulleinreach/platform/dialect.py
+++ b/mulleinreach/platform/dialect.py
@@ -9,6 +9,7 @@
 
 from mulleinreach.common.http_fields import bearer_key, read_number
 from mulleinreach.gateway.ports import CallerHeaders
+from mulleinreach.gateway.state.content import prompt_part_digests
 from mulleinreach.gateway.upstream import Notice, upstream_name
 from mulleinreach.platform.notices import read_notice
 from mulleinreach.platform.orders import EXPECT_INSTANCE
@@ -19,6 +20,7 @@
 PRIORITY = "X-Mulleinreach-Request-Priority"
 MODEL = "X-Mulleinreach-Model"
 TOKEN_USAGE = "X-Mulleinreach-Token-Usage"
+PROMPT_PREFIX = "X-Mulleinreach-Prompt-Prefix"
 SIGNATURE = "X-Mulleinreach-Server-Signature"
 NOT_EXECUTED = "X-Mulleinreach-Not-Executed"
 LAST_EVENT_ID = "Last-Event-Id"
@@ -53,6 +55,7 @@
             prompt_tokens=None if prompt_tokens is None else int(prompt_tokens),
             answer_tokens=None if answer_tokens is None else int(answer_tokens),
             last_event_id=headers.get(LAST_EVENT_ID),
+            prompt_parts=_read_prompt_parts(headers.get(PROMPT_PREFIX, "")),
         )
 
     def forward_headers(
@@ -101,3 +104,17 @@
     def refusal_headers(self, request_id: str | None) -> CIMultiDict[str]:
         """Return the headers of a response that the gateway itself generates."""
         return CIMultiDict({} if request_id is None else {REQUEST_ID: request_id})
+
+
+def _read_prompt_parts(value: str) -> tuple[int, ...]:
+    """Return the digests of the shared parts in a list of ``ID:TOKENS``.
+
+    Examples
+    ========
+
+    >>> len(_read_prompt_parts("5c1e07a2:800,91bd3f06:410,e4402b7d:250"))
+    2
+    >>> _read_prompt_parts("")
+    ()
+    """
+    return prompt_part_digests([part.partition(":")[0] for part in value.split(",") if part])
--- a/mulleinreach/standins/gateway/crashes.py
+++ b/mulleinreach/standins/gateway/crashes.py
@@ -10,7 +10,7 @@
 
 from mulleinreach.common import TaskGroup, VirtualClock
 from mulleinreach.gateway.upstream import MemberState, incarnation_id, upstream_name
-from mulleinreach.standins.gateway.dialect import REQUEST_ID, SIGNATURE
+from mulleinreach.standins.gateway.dialect import REQUEST_ID, SIGNATURE, read_part_ids
 from mulleinreach.standins.gateway.fabric import Fabric
 from mulleinreach.standins.gateway.hosts import HostStandIn
 from mulleinreach.standins.gateway.store import UPSTREAMS
@@ -43,9 +43,10 @@
     Explanation
     ===========
 
-    Knobs: a request whose body is one of ``fatal_bodies`` ends each upstream that begins to
-    run it, a host after it has given ``fatal_events`` events. ``arrivals`` tells where such
-    requests began, ``ended`` which processes ended.
+    Knobs: a request whose body is one of ``fatal_bodies``, or that has one of ``fatal_parts`` in
+    its prompt, ends each upstream that begins to run it, a host after it has given
+    ``fatal_events`` events. ``arrivals`` tells where such requests began, ``ended`` which
+    processes ended.
     """
 
     def __init__(
@@ -61,6 +62,7 @@
         self._clock = clock
         self._tasks = TaskGroup()
         self.fatal_bodies: set[bytes] = set()
+        self.fatal_parts: set[str] = set()
         self.fatal_events = 0
         self.arrivals: list[Moment] = []
         self.ended: list[Moment] = []
@@ -107,8 +109,7 @@
         """Return a handler under which fatal requests end the upstream."""
 
         async def handle(request: web.BaseRequest) -> web.StreamResponse:
-            is_fatal = await request.read() in self.fatal_bodies
-            if not is_fatal or not self._begins(upstream_id):
+            if not await self._is_fatal(request) or not self._begins(upstream_id):
                 return await handler(request)
             self.arrivals.append(Moment(upstream_id, self._clock.now()))
             await asyncio.sleep(FATAL_RUN_S)
@@ -119,6 +120,10 @@
 
         return handle
 
+    async def _is_fatal(self, request: web.BaseRequest) -> bool:
+        has_fatal_part = not self.fatal_parts.isdisjoint(read_part_ids(request.headers))
+        return await request.read() in self.fatal_bodies or has_fatal_part
+
     def _begins(self, upstream_id: str) -> bool:
         """Whether an upstream would begin to run a request now."""
         host = self._fabric.hosts.get(upstream_id)
--- a/mulleinreach/standins/gateway/dialect.py
+++ b/mulleinreach/standins/gateway/dialect.py
@@ -9,6 +9,7 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from mulleinreach.gateway.ports import CallerHeaders
+from mulleinreach.gateway.state.content import prompt_part_digests
 from mulleinreach.gateway.upstream import Notice, upstream_name
 
 REQUEST_ID = "X-Request-Id"
@@ -22,6 +23,7 @@
 LIMIT = "X-Limit"
 EXPECT = "X-Expect-Upstream"
 ORGANISATION = "X-Organisation"
+PROMPT_PARTS = "X-Prompt-Parts"
 
 
 @dataclass(frozen=True)
@@ -50,6 +52,7 @@
             prompt_tokens=100,
             answer_tokens=100,
             last_event_id=headers.get("Last-Event-Id"),
+            prompt_parts=prompt_part_digests(read_part_ids(headers)),
         )
 
     def forward_headers(
@@ -97,6 +100,11 @@
         return CIMultiDict({} if request_id is None else {REQUEST_ID: request_id})
 
 
+def read_part_ids(headers: Mapping[str, str]) -> list[str]:
+    """Return the ids of the parts of a request's prompt."""
+    return [part for part in headers.get(PROMPT_PARTS, "").split(",") if part]
+
+
 def read_limit(headers: Mapping[str, str], default: float | None) -> float | None:
     """Return how many requests a second an upstream takes, the default if it names no limit."""
     return float(headers[LIMIT]) if LIMIT in headers else default
