--- /dev/null
+++ b/mulleinreach/gateway/request/tests/test_crashing_prompt_parts.py
@@ -0,0 +1,263 @@
+"""Requests with a prompt part that crashes each replica are held; sound ones beside them aren't.
+
+Guards against series of requests, no two alike, that crash replica after replica by what they
+share, and against holding what sound requests share with them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from dataclasses import dataclass
+
+import pytest
+
+from mulleinreach.gateway.tests.support import run_world
+from mulleinreach.standins.gateway.crashes import Moment
+from mulleinreach.standins.gateway.dialect import PROMPT_PARTS
+from mulleinreach.standins.gateway.world import CallerAnswer, GatewayWorld
+
+THREE_HALLS = {"halls": 3, "nodes": 3, "domains": 3}
+HOT = "hot"
+# The users' rule: after so many crashes and so long, at most so many more requests arrive.
+LAST_FREE_CRASH = 5
+CONTACT_S = 3.0
+MAX_LATE_ARRIVALS = 3
+# Pieces of a sound stream, about half a second.
+PIECES = 12
+
+
+@dataclass
+class SoundAnswer:
+    """What a sound request's caller saw at its first attempt."""
+
+    asked_at: float
+    answer: CallerAnswer
+
+    @property
+    def is_served(self) -> bool:
+        """Whether the stream is whole."""
+        return len(self.answer.event_ids) == PIECES and not self.answer.is_cut
+
+
+class Prompts:
+    """Sends sound requests and hot ones through all nodes, no two alike.
+
+    Parameters
+    ==========
+
+    hot_prompt : the parts of hot requests but for the last; sound ones have others for ``HOT``.
+    """
+
+    def __init__(self, world: GatewayWorld, hot_prompt: tuple[str, ...] = ("system", "org", HOT)):
+        self._world = world
+        self._hot_prompt = hot_prompt
+        self._numbers = itertools.count()
+        self._tasks: set[asyncio.Task] = set()
+        self.sound: list[SoundAnswer] = []
+
+    def _spawn(self, call) -> None:
+        task = asyncio.create_task(call)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _ask(self, prompt: tuple[str, ...], node: str) -> CallerAnswer:
+        number = next(self._numbers)
+        parts = ",".join([*prompt, f"own-{number}"])
+        path = f"/stream/{number}"
+        return await self._world.call(
+            path, str(PIECES).encode(), node=node, fields={PROMPT_PARTS: parts}
+        )
+
+    async def ask_sound(self, subject: str, node: str) -> SoundAnswer:
+        """Send a request that shares all parts with hot ones but the hot one."""
+        asked_at = self._world.clock.now()
+        prompt = tuple(subject if part == HOT else part for part in self._hot_prompt)
+        answer = SoundAnswer(asked_at, await self._ask(prompt, node))
+        self.sound.append(answer)
+        return answer
+
+    async def ask_hot(self, node: str) -> CallerAnswer:
+        """Send a request with the hot part."""
+        return await self._ask(self._hot_prompt, node)
+
+    async def send(self, seconds: float, sound_every_s: float, hot_every_s: float = 1e9) -> None:
+        """Send both for some seconds; hot ones in the order of the nodes."""
+        names = itertools.cycle(self._world.nodes)
+        until = self._world.clock.now() + seconds
+        next_sound = next_hot = self._world.clock.now()
+        while (now := self._world.clock.now()) < until:
+            if now >= next_sound:
+                subject = f"subject-{next(self._numbers) % 7}"
+                self._spawn(self.ask_sound(subject, next(names)))
+                next_sound += sound_every_s
+            if now >= next_hot:
+                self._spawn(self.ask_hot(next(names)))
+                next_hot += hot_every_s
+            await asyncio.sleep(0.01)
+
+    async def finish(self) -> None:
+        """Wait for all answers."""
+        while self._tasks:
+            await asyncio.gather(*self._tasks)
+
+    def served_share(self, since: float) -> float:
+        """Return the share of sound requests that were served of those asked after a moment."""
+        late = [answer for answer in self.sound if answer.asked_at >= since]
+        return sum(answer.is_served for answer in late) / len(late)
+
+
+def last_free_crash(world: GatewayWorld) -> Moment:
+    """Return the crash after which the rule's time runs."""
+    return world.crashes.ended[LAST_FREE_CRASH - 1]
+
+
+def assert_hot_requests_are_held(world: GatewayWorld) -> None:
+    """Assert that too few hot requests for the rule reached replicas after its time."""
+    since = last_free_crash(world).at + CONTACT_S
+    late = [moment for moment in world.crashes.arrivals if moment.at > since]
+    assert len(late) <= MAX_LATE_ARRIVALS, (len(late), len(world.crashes.ended))
+
+
+@pytest.mark.parametrize(
+    "hot_prompt",
+    [
+        ("system", "org", HOT),
+        ("system", HOT, "org"),
+        (HOT, "system", "org"),
+        ("system", HOT),
+        (HOT,),
+    ],
+)
+@pytest.mark.parametrize("hot_every_s", [0.15, 0.6])
+def test_requests_with_a_hot_part_are_held_and_sound_ones_served(hot_prompt, hot_every_s):
+    async def test(world):
+        await world.until_formed()
+        world.crashes.fatal_parts.add(HOT)
+        prompts = Prompts(world, hot_prompt)
+        await prompts.send(2, sound_every_s=0.05)
+        await prompts.send(14, sound_every_s=0.05, hot_every_s=hot_every_s)
+        await prompts.finish()
+        assert_hot_requests_are_held(world)
+        assert prompts.served_share(since=last_free_crash(world).at + 2 * CONTACT_S) > 0.95
+
+    run_world(test, **THREE_HALLS)
+
+
+@pytest.mark.parametrize("events", [1, 3])
+def test_hot_requests_that_give_events_before_each_crash_are_held(events):
+    async def test(world):
+        await world.until_formed()
+        world.crashes.fatal_parts.add(HOT)
+        world.crashes.fatal_events = events
+        prompts = Prompts(world)
+        await prompts.send(14, sound_every_s=0.05, hot_every_s=0.25)
+        await prompts.finish()
+        assert_hot_requests_are_held(world)
+        assert prompts.served_share(since=last_free_crash(world).at + 2 * CONTACT_S) > 0.95
+
+    run_world(test, **THREE_HALLS)
+
+
+def test_part_turns_hot_that_was_served_before():
+    async def test(world):
+        await world.until_formed()
+        prompts = Prompts(world)
+        await prompts.send(3, sound_every_s=0.05, hot_every_s=0.3)
+        world.crashes.fatal_parts.add(HOT)
+        await prompts.send(14, sound_every_s=0.05, hot_every_s=0.3)
+        await prompts.finish()
+        assert_hot_requests_are_held(world)
+        assert prompts.served_share(since=last_free_crash(world).at + 2 * CONTACT_S) > 0.95
+
+    run_world(test, **THREE_HALLS)
+
+
+def test_rare_hot_requests_are_held():
+    """Few requests of any kind: most replicas run one request, or none, when they crash."""
+
+    async def test(world):
+        await world.until_formed()
+        world.crashes.fatal_parts.add(HOT)
+        prompts = Prompts(world)
+        await prompts.send(40, sound_every_s=0.8, hot_every_s=4.0)
+        await prompts.finish()
+        assert len(world.crashes.ended) <= 6
+        assert prompts.served_share(since=20) > 0.9
+
+    run_world(test, **THREE_HALLS)
+
+
+def test_parts_of_all_requests_are_not_held_in_an_outage():
+    """All replicas crash before any answer is whole, so that nothing is served meanwhile."""
+
+    async def test(world):
+        await world.until_formed()
+        world.crashes.fatal_parts.add(HOT)
+        prompts = Prompts(world)
+        await prompts.send(1, sound_every_s=0.04)
+        await prompts.send(6, sound_every_s=0.04, hot_every_s=0.04)
+        await world.until_formed()
+        began_at = world.clock.now()
+        await prompts.send(3, sound_every_s=0.04, hot_every_s=0.2)
+        await prompts.finish()
+        assert prompts.served_share(since=began_at) > 0.95
+        assert_hot_requests_are_held(world)
+
+    run_world(test, **{**THREE_HALLS, "domains": 6})
+
+
+def test_new_coordinator_and_new_node_hold_a_hot_part():
+    async def test(world):
+        await world.until_formed()
+        world.crashes.fatal_parts.add(HOT)
+        prompts = Prompts(world)
+        await prompts.send(8, sound_every_s=0.05, hot_every_s=0.2)
+        await prompts.finish()
+        ended = len(world.crashes.ended)
+        await world.kill_node(world.coordinator())
+        await world.until(lambda: world.coordinator() is not None)
+        await world.start_node("node-9")
+        await world.until_formed()
+        await asyncio.sleep(2)
+        for name in world.nodes:
+            assert (await prompts.ask_hot(name)).status == 503
+            assert (await prompts.ask_sound("subject", name)).is_served
+        assert len(world.crashes.ended) == ended
+
+    run_world(test, **THREE_HALLS)
+
+
+def test_coordinator_is_lost_amid_the_series():
+    async def test(world):
+        await world.until_formed()
+        world.crashes.fatal_parts.add(HOT)
+        prompts = Prompts(world)
+        await prompts.send(0.6, sound_every_s=0.05, hot_every_s=0.3)
+        await world.kill_node(world.coordinator())
+        await prompts.send(14, sound_every_s=0.05, hot_every_s=0.3)
+        await prompts.finish()
+        assert_hot_requests_are_held(world)
+
+    run_world(test, **{**THREE_HALLS, "nodes": 4})
+
+
+def test_hold_of_a_hot_part_survives_a_restart_of_all_nodes():
+    async def test(world):
+        await world.until_formed()
+        world.crashes.fatal_parts.add(HOT)
+        prompts = Prompts(world)
+        await prompts.send(8, sound_every_s=0.05, hot_every_s=0.2)
+        await prompts.finish()
+        await asyncio.sleep(1)
+        ended = len(world.crashes.ended)
+        for name in list(world.nodes):
+            await world.kill_node(name)
+        for number in range(3):
+            await world.start_node(f"node-{number}", hall=world.halls[number])
+        await world.until_formed()
+        for name in world.nodes:
+            assert (await prompts.ask_hot(name)).status == 503
+        assert len(world.crashes.ended) == ended
+
+    run_world(test, **THREE_HALLS)
