An unreachable tunnel server tells nothing about an upstream that refuses connections

Cause: a refused connection counts as an end if another node is refused, too; a timeout or a reset on the way to that node was taken as its answer 'not refused'. Now it is no answer, and the rule for a node without others applies.

--- a/mulleinreach/gateway/connectivity/tests/test_tunnels.py
+++ b/mulleinreach/gateway/connectivity/tests/test_tunnels.py
@@ -248,3 +248,14 @@
         assert world.network.tunnel_servers.choose(1) == []
 
     run_tunnelled(test, is_listed=False)
+
+
+# Guards against ends of upstreams that a node misses, since the node that it asks is gone, too.
+def test_refused_connection_counts_while_the_tunnel_server_is_gone():
+    async def test(world):
+        world.network.reachability.note_connected(world.upstream)
+        assert await world.network.is_refusing(world.upstream)
+        await world.server.close()
+        assert await world.network.is_refusing(world.upstream)
+
+    run_tunnelled(test)
--- a/mulleinreach/gateway/connectivity/upstream_network.py
+++ b/mulleinreach/gateway/connectivity/upstream_network.py
@@ -164,18 +164,26 @@
     async def _is_refusing_others(self, address: Address) -> bool:
         """Whether another node is refused, too; without one, whether this node isn't isolated."""
         for server in self.tunnel_servers.choose(1):
-            request = TunnelRequest(self._secret(), address)
-            try:
-                async with asyncio.timeout(REFUSAL_TIMEOUT_S):
-                    connection = await open_tunnel(self._network, server, request, asyncio.Protocol)
-            except TunnelError as error:
-                return error.outcome is TunnelOutcome.REFUSED
-            except OSError:
+            outcome = await self._ask_server(server, address)
+            if outcome in (TunnelOutcome.OPENED, TunnelOutcome.UNREACHABLE):
                 return False
-            connection.transport.close()
-            return False
+            if outcome is TunnelOutcome.REFUSED:
+                return True
         return not self.reachability.is_isolated
 
+    async def _ask_server(self, server: Address, address: Address) -> TunnelOutcome | None:
+        """Return how another node reaches an upstream, ``None`` if it doesn't tell."""
+        try:
+            async with asyncio.timeout(REFUSAL_TIMEOUT_S):
+                connection = await self._open_tunnel(asyncio.Protocol, address, server)
+        except TunnelError as error:
+            return error.outcome
+        except OSError:
+            self.tunnel_servers.note_failed(server)
+            return None
+        connection.transport.close()
+        return TunnelOutcome.OPENED
+
     async def probe_lost_paths(self) -> None:
         """Try direct connections to upstreams whose paths are lost, until cancelled."""
         count = MIN_PROBES
