Prompt parts that crash replicas are held, like the contents of requests

Callers saw replica after replica end under requests that share one part of their prompts and are otherwise all different. Now observations of lost and served requests carry the digests of their prompt's shared parts. The coordinator weighs the parts of all nodes' observations by the probability of what was seen if the part were innocent: how often its requests were among the youngest ones that crashes lost, and how many requests without it were served. It publishes suspects, and nodes report what they served of them; a part that is served is cleared. A part that is held takes its crashes with it, so what it shares prompts with isn't held for them. Holds of parts travel as those of contents do: coordinator's totals, lease's row. A node without a coordinator decides by its own observations. Failed before: 17 of 18 cases of test_crashing_prompt_parts.py; 33 of 33 pass, 15 of them new, on crashes without a hot part, a lost hall, many requests in flight, a node without a coordinator.

--- a/benchmarks/ends.py
+++ b/benchmarks/ends.py
@@ -29,6 +29,7 @@
             f"hall-{number % 3}",
             RunOutcome.ENDED_BEGUN,
             0.1,
+            (1, 2 + rng.randrange(24), 100 + rng.randrange(400)),
         )
         for number in range(UPSTREAMS)
         for _ in range(REQUESTS_EACH)
@@ -49,6 +50,9 @@
     first_ms = milliseconds(lambda: tracker.merge_observations(told))
     again_ms = milliseconds(lambda: [tracker.merge_observations(told) for _ in range(TELLINGS)])
     print(f"{len(told)} sightings: {first_ms:.1f} ms; {TELLINGS} tellings more: {again_ms:.1f} ms")
+    print(
+        f"parts judged: {milliseconds(tracker.held):.1f} ms, again {milliseconds(tracker.held):.1f}"
+    )
 
 
 if __name__ == "__main__":
--- a/mulleinreach/gateway/coordination/hub.py
+++ b/mulleinreach/gateway/coordination/hub.py
@@ -326,6 +326,9 @@
                 is_first = member.report is None
                 member.report = report
                 self._knowledge.merge_sightings(report.sightings)
+                self._knowledge.merge_served(
+                    report.node, report.served_count, report.known_suspects
+                )
                 self._knowledge.merge_limits(report.limits)
                 self._record_report(report)
                 if is_first and self._latest_totals is not None:
--- a/mulleinreach/gateway/coordination/knowledge.py
+++ b/mulleinreach/gateway/coordination/knowledge.py
@@ -62,6 +62,15 @@
     def merge_sightings(self, sightings: list[RunObservation]) -> None:
         """Merge another node's observations of upstreams that ended under requests."""
 
+    def served_count(self) -> int:
+        """Return the number of requests that this node has served."""
+
+    def known_suspects(self) -> tuple[int, ...]:
+        """Return the suspected prompt parts of requests that this node has served."""
+
+    def merge_served(self, node: str, count: int, known_suspects: tuple[int, ...]) -> None:
+        """Merge what another node has served: how many requests, and which suspected parts."""
+
     def can_open_tunnels(self) -> bool:
         """Whether this node can connect to upstreams itself, and so for other nodes."""
 
--- a/mulleinreach/gateway/coordination/messages.py
+++ b/mulleinreach/gateway/coordination/messages.py
@@ -25,6 +25,7 @@
 from mulleinreach.gateway.upstream import Membership, MemberState, Upstream, UpstreamState
 
 MAX_UINT16 = 65_535
+MAX_UINT32 = 2**32 - 1
 MAX_UINT32 = 4_294_967_295
 # In words of 8 bytes, six times the list of 2,840 hosts. Bounds the time to read a message with a
 # corrupted list length, which blocked a node for 40 s.
@@ -74,6 +75,7 @@
         row.id, row.content = sighting.id, sighting.content
         row.upstream, row.hall = sighting.upstream_id, sighting.hall
         row.outcome, row.agoMs = int(sighting.outcome), _milliseconds(sighting.ago_s)
+        row.parts, row.gaveMs = sighting.parts, _milliseconds(sighting.gave_for_s)
 
 
 def _unpack_sightings(rows) -> list[RunObservation]:
@@ -85,6 +87,8 @@
             row.hall,
             RunOutcome(row.outcome),
             row.agoMs / 1000,
+            tuple(row.parts),
+            row.gaveMs / 1000,
         )
         for row in rows
     ]
@@ -139,6 +143,8 @@
         configVersion=report.configuration_version,
         hall=report.hall,
         tunnelAddress=report.tunnel_address,
+        served=report.served_count & MAX_UINT32,
+        knownSuspects=report.known_suspects,
     )
     _pack_loads(message, report.loads)
     _pack_sightings(message, report.sightings)
@@ -161,11 +167,12 @@
 
     >>> successor = Successor(3, "10.0.0.1:80", "secret")
     >>> loads = [LoadReport("u", 2, 70, 0.5, 0.5, 1)]
-    >>> seen = [RunObservation(2**64 - 1, 2**63, "u", "h", RunOutcome.ENDED_BEGUN, 0.25)]
+    >>> outcome = RunOutcome.ENDED_GIVING
+    >>> seen = [RunObservation(2**64 - 1, 2**63, "u", "h", outcome, 0.25, (7,), 1.5)]
     >>> report = NodeReport(
     ...     "a", loads, seq=4, successor=successor, hall="h", sightings=seen,
     ...     limits=(NamedLimit("u", 2.1, 0.5),), wanted=(PermitCount("u", 3),),
-    ...     tunnel_address="10.0.0.1:81",
+    ...     tunnel_address="10.0.0.1:81", served_count=9, known_suspects=(7,),
     ... )
     >>> decode_node_report(encode_node_report(report)) == report
     True
@@ -186,6 +193,8 @@
             _unpack_limits(message.limits),
             _unpack_permits(message.wanted),
             message.tunnelAddress,
+            message.served,
+            tuple(message.knownSuspects),
         )
     except (capnp.KjException, ValueError) as error:
         raise PeerError(str(error)) from error
@@ -225,6 +234,8 @@
     message.heldForMs = [_milliseconds(h.remaining_s) for h in held]
     message.hasLimits = totals.limits is not None
     _pack_limits(message, totals.limits or ())
+    message.hasSuspects = totals.suspects is not None
+    message.suspects = totals.suspects or ()
     return message.to_bytes_packed()
 
 
@@ -253,6 +264,7 @@
         message.numbers,
         _unpack_held(message) if message.hasHeld else None,
         _unpack_limits(message.limits) if message.hasLimits else None,
+        tuple(message.suspects) if message.hasSuspects else None,
     )
 
 
@@ -282,7 +294,7 @@
     >>> totals = Totals(
     ...     3, 9, [], heads, ["v"], 7, 0.5, 40, 0.25, Resignation(3, 6), ["w"], True,
     ...     Successor(4, "10.0.0.2:80", "secret"), False, ["hall"], 38, 9,
-    ...     (HeldContent(2**64 - 1, 60.0),), (NamedLimit("u", float("inf"), 1.5),),
+    ...     (HeldContent(2**64 - 1, 60.0),), (NamedLimit("u", float("inf"), 1.5),), (7,),
     ... )
     >>> member = Membership("g", 5, 0, MemberState.OPEN)
     >>> upstream = Upstream("u", "s", Address("10.0.0.1", 80), "hall", membership=member, cold_s=2)
--- a/mulleinreach/gateway/coordination/node_reports.py
+++ b/mulleinreach/gateway/coordination/node_reports.py
@@ -80,6 +80,8 @@
             limits=self._knowledge.unreported_limits(includes_published=is_coordinator_new),
             wanted=self._knowledge.wanted_permits(),
             tunnel_address=self._tunnel_address(),
+            served_count=self._knowledge.served_count(),
+            known_suspects=self._knowledge.known_suspects(),
         )
 
     def _tunnel_address(self) -> str:
--- a/mulleinreach/gateway/coordination/peer.capnp
+++ b/mulleinreach/gateway/coordination/peer.capnp
@@ -20,6 +20,8 @@
   hall @3 :Text;             # of the upstream
   outcome @4 :UInt8;         # 1 ended, 2 ended after start, 3 served, 4 ended after part of the response
   agoMs @5 :UInt32;
+  parts @6 :List(UInt64);    # digests of shared parts of the prompt; if served, of suspected ones
+  gaveMs @7 :UInt32;         # for how long the run had sent parts of the response
 }
 
 # The rate limit over all nodes that an upstream announced last.
@@ -49,6 +51,8 @@
   limits @10 :List(NamedLimit);  # limits that the coordinator hasn't reported
   wanted @11 :List(PermitCount); # requested in addition to the permits held
   tunnelAddress @12 :Text;   # where the node opens tunnels to upstreams; empty if it can't
+  served @13 :UInt32;        # requests with prompt parts that the node has served since its start
+  knownSuspects @14 :List(UInt64);  # suspected prompt parts of requests that the node has served
 }
 
 # The holder of the coordinator's lease.
@@ -88,10 +92,12 @@
   operatorRevision @17 :UInt64;  # store revision up to which evacuated is known
   numbers @18 :UInt16;       # one above the highest node number; 0 if not valid
   hasHeld @19 :Bool;         # false if unchanged since last sent
-  held @20 :List(UInt64);    # digests of requests that are not sent any more
+  held @20 :List(UInt64);    # digests of requests and prompt parts that are not sent any more
   heldForMs @21 :List(UInt32);  # remaining time for each of them
   hasLimits @22 :Bool;       # false if unchanged since last sent
   limits @23 :List(NamedLimit);
+  hasSuspects @24 :Bool;     # false if unchanged since last sent
+  suspects @25 :List(UInt64);  # prompt parts of which nodes report that they served them
 }
 
 struct Upstream {
--- a/mulleinreach/gateway/coordination/reports.py
+++ b/mulleinreach/gateway/coordination/reports.py
@@ -29,6 +29,8 @@
     limits : upstreams' rate limits that the node knows and the coordinator hasn't reported.
     wanted : numbers of permits that the node requests, by upstream.
     tunnel_address : where the node opens tunnels to upstreams; empty if it can't or is stopping.
+    served_count : the number of requests with prompt parts that the node has served.
+    known_suspects : suspected prompt parts of requests that the node has served at some time.
     """
 
     node: str
@@ -44,6 +46,8 @@
     limits: tuple[NamedLimit, ...] = ()
     wanted: tuple[PermitCount, ...] = ()
     tunnel_address: str = ""
+    served_count: int = 0
+    known_suspects: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -85,10 +89,12 @@
     evacuated : halls that operators have ordered to be emptied.
     operator_revision : the store's revision up to which ``evacuated`` is known.
     numbers : one above the highest node number; 0 if the node numbers are not valid.
-    held : requests that are not sent any more, since they end the upstreams which run them;
-        ``None`` if unchanged since last sent.
+    held : requests and prompt parts that are not sent any more, since they end the upstreams which
+        run them; ``None`` if unchanged since last sent.
     limits : rate limits of upstreams, recently ended limits included; ``None`` if unchanged since
         last sent.
+    suspects : prompt parts that may end upstreams, of which nodes report that they served them;
+        ``None`` if unchanged since last sent.
     """
 
     token: int
@@ -110,6 +116,7 @@
     numbers: int = 0
     held: tuple[HeldContent, ...] | None = None
     limits: tuple[NamedLimit, ...] | None = None
+    suspects: tuple[int, ...] | None = None
 
 
 @dataclass(frozen=True)
--- a/mulleinreach/gateway/coordination/totals.py
+++ b/mulleinreach/gateway/coordination/totals.py
@@ -40,6 +40,7 @@
         self._heads = SendOnChange([])
         self._held = SendOnChange(set())
         self._limits = SendOnChange(set())
+        self._suspects = SendOnChange(set())
 
     def compact(self, totals: Totals) -> Totals:
         """Return the totals to send in the next round."""
@@ -48,12 +49,14 @@
         # Without the remaining times and ages, which change constantly.
         contents = {held.content for held in totals.held or ()}
         limits = {(limit.upstream_id, limit.per_s) for limit in totals.limits or ()}
+        suspects = set(totals.suspects or ())
         return replace(
             totals,
             loads=[load for load in totals.loads if load.running > 0],
             heads=totals.heads if self._heads.is_due(totals.heads, is_full_round) else None,
             held=totals.held if self._held.is_due(contents, is_full_round) else None,
             limits=totals.limits if self._limits.is_due(limits, is_full_round) else None,
+            suspects=totals.suspects if self._suspects.is_due(suspects, is_full_round) else None,
         )
 
 
--- a/mulleinreach/gateway/model.py
+++ b/mulleinreach/gateway/model.py
@@ -234,12 +234,12 @@
 
 @dataclass(frozen=True)
 class HeldContent:
-    """A request that is held (not sent to any upstream), since it made upstreams crash.
+    """A request or prompt part that is held (sent to no upstream), since upstreams crashed.
 
     Parameters
     ==========
 
-    content : the digest of the request.
+    content : the digest of the request, or of the part, which differ.
     remaining_s : how much longer it is held.
     """
 
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -133,7 +133,7 @@
             self.directory, self.clock, self.log, self._on_upstreams_changed
         )
         self.ports.orders.subscribe(self._on_notice)
-        self.crashes = CrashTracker(self.clock, self.log, self.rng, self._on_content_held)
+        self.crashes = CrashTracker(self.clock, self.log, self.rng, self._on_held)
         schedule = direct_read_schedule(
             self.bounds, self.identity.processor_cores, self.identity.is_first_start, self.rng
         )
@@ -361,9 +361,9 @@
         count = self.active.abort(upstream_id)
         self.log.event("upstream_lost", upstream=upstream_id, in_flight=count)
 
-    def _on_content_held(self, content: int) -> None:
-        count = self.active.abort_content(content)
-        self.log.event("held_withdrawn", content=format_digest(content), in_flight=count)
+    def _on_held(self, digest: int) -> None:
+        count = self.active.abort_held(digest)
+        self.log.event("held_withdrawn", content=format_digest(digest), in_flight=count)
 
     def _describe_wake(self) -> dict[str, object]:
         return {
--- a/mulleinreach/gateway/request/active.py
+++ b/mulleinreach/gateway/request/active.py
@@ -21,13 +21,16 @@
     ==========
 
     content : digest of the request's content.
+    parts : digests of its prompt's shared parts.
     """
 
-    def __init__(self, upstream_id: str, content: int):
+    def __init__(self, upstream_id: str, content: int, parts: tuple[int, ...] = ()):
         self.upstream_id = upstream_id
         self.content = content
+        self.parts = parts
         self.is_aborted = False
-        self.has_received_body = False
+        # When the first part of the response's body was received.
+        self.body_began_at: float | None = None
         # Whether the connection was closed or reset before the end of the answer.
         self.is_cut = False
         self._task: asyncio.Task | None = None
@@ -52,6 +55,20 @@
             self._streaming = result
         return result
 
+    def has_digest(self, digest: int) -> bool:
+        """Whether a digest is that of the request's content or of a part of its prompt."""
+        return digest == self.content or digest in self.parts
+
+    @property
+    def has_received_body(self) -> bool:
+        """Whether a part of the response's body was received."""
+        return self.body_began_at is not None
+
+    def note_body(self, now: float) -> None:
+        """Record that a part of the response's body was received."""
+        if self.body_began_at is None:
+            self.body_began_at = now
+
     @property
     def is_cut_by_upstream(self) -> bool:
         """Whether the connection was lost, and not because this node aborted the exchange."""
@@ -72,9 +89,9 @@
     def __init__(self) -> None:
         self._by_upstream: dict[str, set[ActiveExchange]] = {}
 
-    def begin(self, upstream_id: str, content: int) -> ActiveExchange:
+    def begin(self, upstream_id: str, content: int, parts: tuple[int, ...] = ()) -> ActiveExchange:
         """Register an exchange that is about to start."""
-        exchange = ActiveExchange(upstream_id, content)
+        exchange = ActiveExchange(upstream_id, content, parts)
         self._by_upstream.setdefault(upstream_id, set()).add(exchange)
         return exchange
 
@@ -92,13 +109,13 @@
             exchange.abort()
         return len(exchanges)
 
-    def abort_content(self, content: int) -> int:
-        """Abort all exchanges of a request without a body so far; returns how many there were."""
+    def abort_held(self, digest: int) -> int:
+        """Abort all exchanges of a content or part that have no body; returns how many."""
         exchanges = [
             exchange
             for at_upstream in self._by_upstream.values()
             for exchange in at_upstream
-            if exchange.content == content and not exchange.has_received_body
+            if exchange.has_digest(digest) and not exchange.has_received_body
         ]
         for exchange in exchanges:
             exchange.abort()
--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -32,7 +32,6 @@
 from mulleinreach.gateway.request.urgency import FirstWaitEstimator
 from mulleinreach.gateway.state.content import content_digest, format_digest
 from mulleinreach.gateway.state.load import InFlightRequest
-from mulleinreach.gateway.state.upstream_ends import RunOutcome
 
 # A stream without a byte for this time is resumed at another upstream. A group that lost a member
 # is noticed within a second; callers give up after two seconds or more.
@@ -250,12 +249,7 @@
                     job.lost_runs += 1
                     self._sender.suspect(upstream.id)
                     if exchange.is_cut_by_upstream:
-                        outcome = (
-                            RunOutcome.ENDED_GIVING
-                            if exchange.has_received_body
-                            else RunOutcome.ENDED_BEGUN
-                        )
-                        await self._sender.check_ended(job, upstream, outcome)
+                        await self._sender.check_ended_stream(job, upstream, exchange)
             finally:
                 self._sender.end(exchange, ticket)
             if isinstance(result, Answered):
@@ -294,7 +288,7 @@
         try:
             async with asyncio.timeout(max(0, job.deadline - self._clock.now())):
                 async for data in result.chunks(PAUSE_LIMIT_S):
-                    exchange.has_received_body = True
+                    exchange.note_body(self._clock.now())
                     ticket.progress()
                     await self._write_events(job, splitter, data, response)
             has_events = job.events_sent > events_before
--- a/mulleinreach/gateway/request/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -116,7 +116,7 @@
             limit += min(job.lost_runs, MAX_EXTRA_RESUMES)
         if job.sends >= limit:
             return None
-        if self._crashes.is_held(job.content):
+        if self.is_held(job):
             return None
         upstream = self._chooser.choose(job.constraints, job.headers, job.tried, job.ended_halls)
         if upstream is None:
@@ -191,7 +191,8 @@
         # Without a stream there is no event that shows when the engine has admitted the request.
         is_deprioritized = stands_back and job.admitted.route.kind is RouteKind.STREAMING
         ticket = self._loads.start(upstream.id, job.headers.prompt_tokens or 0, is_deprioritized)
-        return self._active.begin(upstream.id, job.content), ticket
+        exchange = self._active.begin(upstream.id, job.content, job.headers.prompt_parts)
+        return exchange, ticket
 
     def end(self, exchange: ActiveExchange, ticket: InFlightRequest) -> None:
         """Remove an exchange that is over."""
@@ -202,13 +203,26 @@
         """Mark an upstream whose stream was cut as suspect."""
         self._suspects.add(upstream_id)
 
-    async def check_ended(self, job: RelayJob, upstream: Upstream, outcome: RunOutcome) -> None:
+    async def check_ended_stream(
+        self, job: RelayJob, upstream: Upstream, exchange: ActiveExchange
+    ) -> None:
+        """Check whether an upstream that cut a stream after its head has ended, and record it."""
+        if exchange.body_began_at is None:
+            await self._check_ended(job, upstream, RunOutcome.ENDED_BEGUN)
+            return
+        gave_for_s = self._clock.now() - exchange.body_began_at
+        await self._check_ended(job, upstream, RunOutcome.ENDED_GIVING, gave_for_s)
+
+    async def _check_ended(
+        self, job: RelayJob, upstream: Upstream, outcome: RunOutcome, gave_for_s: float = 0.0
+    ) -> None:
         """Check whether an upstream that closed a request's connection has ended, and record it.
 
         Parameters
         ==========
 
         outcome : outcome of the run that is recorded if the upstream has ended.
+        gave_for_s : for how long the run had sent parts of the response.
         """
         if not await self._is_refusing(upstream.address):
             return
@@ -223,15 +237,16 @@
             outcome=outcome.name.lower(),
             parts=",".join(format_digest(part) for part in job.headers.prompt_parts),
         )
-        self._crashes.note_end(job.content, upstream, outcome)
+        self._crashes.note_end(job.content, upstream, outcome, job.headers.prompt_parts, gave_for_s)
 
     def note_served(self, job: RelayJob, upstream: Upstream) -> None:
         """Record that an upstream has answered a request completely."""
-        self._crashes.note_served(job.content, upstream)
+        self._crashes.note_served(job.content, upstream, job.headers.prompt_parts)
 
     def is_held(self, job: RelayJob) -> bool:
         """Whether a request is held: not sent, since upstreams crash when they run it."""
-        return self._crashes.is_held(job.content)
+        digests = (job.content, *job.headers.prompt_parts)
+        return any(self._crashes.is_held(digest) for digest in digests)
 
     def rest(self, job: RelayJob) -> Rest | None:
         """Return the rest (back-off) that ends first if all eligible upstreams are resting."""
@@ -275,7 +290,7 @@
             result = Broken("no answer in time")
         self._record_result(job, upstream, result)
         if isinstance(result, Broken) and result.is_closed:
-            await self.check_ended(job, upstream, RunOutcome.ENDED)
+            await self._check_ended(job, upstream, RunOutcome.ENDED)
         return result
 
     def _client_for(self, job: RelayJob) -> UpstreamClient:
--- a/mulleinreach/gateway/request/tests/test_crashing_prompt_parts.py
+++ b/mulleinreach/gateway/request/tests/test_crashing_prompt_parts.py
@@ -12,7 +12,9 @@
 
 import pytest
 
+from mulleinreach.gateway.state.content import prompt_part_digests
 from mulleinreach.gateway.tests.support import run_world
+from mulleinreach.gateway.upstream import MemberState
 from mulleinreach.standins.gateway.crashes import Moment
 from mulleinreach.standins.gateway.dialect import PROMPT_PARTS
 from mulleinreach.standins.gateway.world import CallerAnswer, GatewayWorld
@@ -23,6 +25,8 @@
 LAST_FREE_CRASH = 5
 CONTACT_S = 3.0
 MAX_LATE_ARRIVALS = 3
+# Covers the start of crashed replicas, loading weights and forming groups.
+REPAIR_S = 8.0
 # Pieces of a sound stream, about half a second.
 PIECES = 12
 
@@ -218,11 +222,13 @@
         await world.kill_node(world.coordinator())
         await world.until(lambda: world.coordinator() is not None)
         await world.start_node("node-9")
+        # The groups of the crashed replicas are formed again meanwhile.
+        await asyncio.sleep(REPAIR_S)
         await world.until_formed()
-        await asyncio.sleep(2)
         for name in world.nodes:
-            assert (await prompts.ask_hot(name)).status == 503
             assert (await prompts.ask_sound("subject", name)).is_served
+            held = await prompts.ask_hot(name)
+            assert (held.status, held.headers["Retry-After"]) == (503, "60")
         assert len(world.crashes.ended) == ended
 
     run_world(test, **THREE_HALLS)
@@ -257,7 +263,104 @@
             await world.start_node(f"node-{number}", hall=world.halls[number])
         await world.until_formed()
         for name in world.nodes:
-            assert (await prompts.ask_hot(name)).status == 503
+            held = await prompts.ask_hot(name)
+            assert (held.status, held.headers["Retry-After"]) == (503, "60")
         assert len(world.crashes.ended) == ended
 
     run_world(test, **THREE_HALLS)
+
+
+async def lose_replicas_in_turn(world: GatewayWorld, every_s: float, count: int) -> None:
+    """Let heads of groups crash one after the other, whatever they run."""
+    for _ in range(count):
+        heads = [
+            host
+            for host in world.fabric.hosts.values()
+            if host.standing is not None and host.standing.state is MemberState.OPEN
+        ]
+        if heads:
+            world.crashes.begin(heads[0].id)
+        await asyncio.sleep(every_s)
+
+
+def held_digests(world: GatewayWorld) -> set[int]:
+    """Return all that any node holds."""
+    return {held.content for node in world.nodes.values() for held in node.crashes.held()}
+
+
+@pytest.mark.parametrize("every_s", [0.0, 0.06, 0.2, 0.7])
+@pytest.mark.parametrize("sound_every_s", [0.02, 0.1, 0.5])
+def test_crashes_without_a_hot_part_hold_no_part(every_s, sound_every_s):
+    """Replicas crash in turn, all of them at last, while all requests share parts."""
+
+    async def test(world):
+        await world.until_formed()
+        prompts = Prompts(world)
+        sending = asyncio.create_task(prompts.send(8, sound_every_s=sound_every_s))
+        await asyncio.sleep(1)
+        await lose_replicas_in_turn(world, every_s, count=12)
+        await sending
+        await prompts.finish()
+        parts = ["system", "org", *(f"subject-{number}" for number in range(7))]
+        digests = prompt_part_digests([*parts, "own"])
+        assert held_digests(world).isdisjoint(digests)
+
+    run_world(test, **{**THREE_HALLS, "domains": 6})
+
+
+def test_lost_hall_holds_no_part():
+    async def test(world):
+        await world.until_formed()
+        prompts = Prompts(world)
+        sending = asyncio.create_task(prompts.send(6, sound_every_s=0.02))
+        await asyncio.sleep(1)
+        for host in world.hosts_in("hall-a"):
+            world.crashes.begin(host.id, back_after_s=60)
+        await sending
+        await prompts.finish()
+        assert held_digests(world) == set()
+
+    run_world(test, **{**THREE_HALLS, "domains": 6})
+
+
+def test_hot_part_and_sound_requests_at_the_same_replicas():
+    """Many requests are in flight at each replica that crashes, hot ones among them."""
+
+    async def test(world):
+        await world.until_formed()
+        world.crashes.fatal_parts.add(HOT)
+        prompts = Prompts(world)
+        await prompts.send(2, sound_every_s=0.01)
+        await prompts.send(10, sound_every_s=0.01, hot_every_s=0.3)
+        await prompts.finish()
+        assert_hot_requests_are_held(world)
+        [hot] = prompt_part_digests([HOT, "own"])
+        parts = ["system", "org", *(f"subject-{number}" for number in range(7))]
+        held = held_digests(world)
+        assert hot in held
+        assert held.isdisjoint(prompt_part_digests([*parts, "own"]))
+
+    run_world(test, **{**THREE_HALLS, "domains": 6})
+
+
+def test_node_without_a_coordinator_holds_a_hot_part():
+    async def test(world):
+        await world.until_formed()
+        await asyncio.sleep(1)
+        alone = next(name for name in world.nodes if name != world.coordinator())
+        for name in world.nodes:
+            if name != alone:
+                world.links.cut_both(alone, name)
+        await asyncio.sleep(2)
+        world.crashes.fatal_parts.add(HOT)
+        prompts = Prompts(world)
+        for _ in range(8):
+            await asyncio.gather(
+                prompts.ask_hot(alone), *(prompts.ask_sound(f"s-{n}", alone) for n in range(6))
+            )
+            await asyncio.sleep(1)
+        assert_hot_requests_are_held(world)
+        held = await prompts.ask_hot(alone)
+        assert (held.status, held.headers["Retry-After"]) == (503, "60")
+
+    run_world(test, **{**THREE_HALLS, "domains": 6})
--- a/mulleinreach/gateway/shared_state.py
+++ b/mulleinreach/gateway/shared_state.py
@@ -101,6 +101,7 @@
             operator_revision=self._in_force.evacuations.revision,
             held=self._crashes.held(),
             limits=self._permits.limits.known_limits(),
+            suspects=self._crashes.suspects(),
         )
 
     def changes_since(self, revision: int) -> list[ListChange] | None:
@@ -145,6 +146,19 @@
         """Merge another node's observations of requests during which upstreams ended."""
         self._crashes.merge_observations(sightings)
 
+    def served_count(self) -> int:
+        """Return the number of requests that this node has served since it started."""
+        return self._crashes.served_count
+
+    def known_suspects(self) -> tuple[int, ...]:
+        """Return the suspected prompt parts of requests that this node has served."""
+        return self._crashes.known_suspects()
+
+    def merge_served(self, node: str, count: int, known_suspects: tuple[int, ...]) -> None:
+        """Merge what another node has served: how many requests, and which suspected parts."""
+        self._crashes.merge_served_count(node, count)
+        self._crashes.merge_known_suspects(known_suspects)
+
     def can_open_tunnels(self) -> bool:
         """Whether this node can connect to upstreams itself, and so for other nodes."""
         return not self._upstream_network.reachability.is_isolated
@@ -237,11 +251,21 @@
             self._permits.limits.merge_published(totals.limits, asked_at)
         self._permits.receive(report.permits, asked_at, totals.nodes)
         self._crashes.merge_held(totals.held or (), asked_at)
+        self._take_suspects(report, asked_at)
         if report.tunnel_servers is not None:
             self._upstream_network.tunnel_servers.replace(report.tunnel_servers)
         self._take_heads(totals)
         self._take_lost(totals.lost)
 
+    def _take_suspects(self, report: CoordinatorReport, asked_at: float) -> None:
+        """Apply the suspected prompt parts, unless this node coordinates itself."""
+        is_own = report.echoed_seq == 0
+        if is_own:
+            return
+        self._crashes.note_coordinator(asked_at)
+        if report.totals.suspects is not None:
+            self._crashes.merge_suspects(report.totals.suspects)
+
     def _take_heads(self, totals: Totals) -> None:
         if totals.heads is not None:
             self._heads = totals.heads
--- a/mulleinreach/gateway/state/crashes.py
+++ b/mulleinreach/gateway/state/crashes.py
@@ -4,8 +4,9 @@
 ===========
 
 Nodes report their observations to the coordinator, which combines those of all nodes and
-publishes the contents to be held. An end is the end of an upstream's process while it has a
-request. A request is identified by the digest of its content.
+publishes what is to be held. An end is the end of an upstream's process while it has a
+request. A request is identified by the digest of its content, and by those of the parts of its
+prompt: a part may crash upstreams in whichever request it is.
 """
 
 from __future__ import annotations
@@ -19,6 +20,7 @@
 from mulleinreach.common import Clock, EventLog
 from mulleinreach.gateway.model import HeldContent
 from mulleinreach.gateway.state.content import format_digest
+from mulleinreach.gateway.state.part_suspects import PartSuspects
 from mulleinreach.gateway.state.upstream_ends import (
     MAX_TRACKED_ENDS,
     OBSERVATION_RETENTION_S,
@@ -39,7 +41,7 @@
 # Ends of any kind. The limit is highest because a stream with output is rarely the culprit: most
 # that lose several upstreams run beside one.
 MIN_ENDS_ANY_OUTCOME = 4
-# How long a content is held; a fix of the engine within this time is unlikely.
+# How long a content or part is held; a fix of the engine within this time is unlikely.
 HOLD_S = 3600.0
 # Holds the contents of a lost hall; beyond it those without recent observations are evicted.
 MAX_TRACKED_CONTENTS = 256
@@ -51,6 +53,11 @@
 MAX_OBSERVATION_IDS = 2 * MAX_TRACKED_ENDS
 # A node repeats an observation in all reports of this time, because reports may be lost.
 REPORT_WINDOW_S = 1.0
+# A node leaves the judgement of parts to a coordinator that it has heard of within this time.
+MAX_COORDINATOR_SILENCE_S = 1.5
+JUDGE_INTERVAL_S = 0.2
+# Nodes that are replaced get new names; their counts are forgotten.
+MAX_REPORTING_NODES = 1024
 
 
 @dataclass(frozen=True)
@@ -64,6 +71,8 @@
     content : the digest of the request.
     upstream_id, hall : the upstream that ran it, and its hall.
     ago_s : the age of the observation when the report was written.
+    parts : digests of the prompt's shared parts; of a served run, those that were suspected.
+    gave_for_s : for how long the run had sent parts of the response.
     """
 
     id: int
@@ -72,6 +81,8 @@
     hall: str
     outcome: RunOutcome
     ago_s: float
+    parts: tuple[int, ...] = ()
+    gave_for_s: float = 0.0
 
 
 class CrashTracker:
@@ -80,7 +91,7 @@
     Parameters
     ==========
 
-    on_held : called with each content when its hold begins.
+    on_held : called with the digest of each content or part when its hold begins.
     """
 
     def __init__(
@@ -93,16 +104,25 @@
         # Ordered by the latest observation, the most recent content last.
         self._seen: dict[int, list[ObservedRun]] = {}
         self._ends = UpstreamEnds(clock)
+        self._parts = PartSuspects(clock)
+        # Suspected parts as the coordinator published them last.
+        self._published_suspects: frozenset[int] = frozenset()
+        self._coordinator_heard_at = float("-inf")
+        self._judged_at = float("-inf")
+        # Requests with prompt parts that this node has served, and those that others reported.
+        self.served_count = 0
+        self._reported_served: dict[str, int] = {}
         self._own: deque[ObservedRun] = deque(maxlen=MAX_TRACKED_CONTENTS)
         self._known_ids: dict[int, None] = {}
         self._held_until: dict[int, float] = {}
 
-    def is_held(self, content: int) -> bool:
-        """Whether a request is held: it must not be sent to any upstream."""
-        return self._held_until.get(content, 0.0) > self._clock.now()
+    def is_held(self, digest: int) -> bool:
+        """Whether a content or part is held: no upstream must get a request with it."""
+        return self._held_until.get(digest, 0.0) > self._clock.now()
 
     def held(self) -> tuple[HeldContent, ...]:
-        """Return the held contents with the remaining time of each hold."""
+        """Return the held contents and parts with the remaining time of each hold."""
+        self._judge_parts()
         now = self._clock.now()
         return tuple(
             HeldContent(content, until - now)
@@ -127,19 +147,87 @@
             elif until > self._clock.now():
                 self._hold(held.content, until, is_told=True)
 
-    def note_end(self, content: int, upstream: Upstream, outcome: RunOutcome) -> None:
-        """Record that an upstream's process ended while it had a request."""
+    def merge_suspects(self, suspects: Iterable[int]) -> None:
+        """Record the suspected parts that another node publishes as the coordinator."""
+        self._published_suspects = frozenset(suspects)
+
+    def note_coordinator(self, asked_at: float) -> None:
+        """Record that another node coordinates, which judges parts for all."""
+        self._coordinator_heard_at = asked_at
+
+    def suspects(self) -> tuple[int, ...]:
+        """Return the parts of which nodes should report that they served them."""
+        return self._parts.suspects()
+
+    def known_suspects(self) -> tuple[int, ...]:
+        """Return those of the published suspects that this node has served at some time."""
+        return self._parts.served_among(self._published_suspects)
+
+    def merge_known_suspects(self, parts: Iterable[int]) -> None:
+        """Record that another node has served requests with these parts."""
+        self._parts.note_known(parts)
+
+    def merge_served_count(self, node: str, count: int) -> None:
+        """Record how many requests another node has served since it started."""
+        known = self._reported_served.pop(node, None)
+        self._reported_served[node] = count
+        if len(self._reported_served) > MAX_REPORTING_NODES:
+            del self._reported_served[next(iter(self._reported_served))]
+        if known is not None:
+            self._parts.count_served(max(0, count - known))
+
+    def note_end(
+        self,
+        content: int,
+        upstream: Upstream,
+        outcome: RunOutcome,
+        parts: tuple[int, ...] = (),
+        gave_for_s: float = 0.0,
+    ) -> None:
+        """Record that an upstream's process ended while it had a request.
+
+        Parameters
+        ==========
+
+        parts : digests of the prompt's shared parts.
+        gave_for_s : for how long the upstream had sent parts of the response.
+        """
+        self._observe(content, upstream, outcome, parts, gave_for_s)
+        self._judge_parts()
+
+    def note_served(self, content: int, upstream: Upstream, parts: tuple[int, ...] = ()) -> None:
+        """Record that a request was served, if upstreams have ended under it or its parts."""
+        if parts:
+            self.served_count += 1
+            self._parts.count_served(1)
+            self._parts.note_own_served(parts)
+        known = self._seen.get(content)
+        is_suspect = bool(known) and known[-1].outcome is not RunOutcome.SERVED
+        suspected = tuple(part for part in parts if self._is_suspected(part))
+        if is_suspect or suspected:
+            self._observe(content, upstream, RunOutcome.SERVED, suspected)
+        self._judge_parts()
+
+    def _is_suspected(self, part: int) -> bool:
+        """Whether that a part was served says something, here or to the coordinator."""
+        return part in self._published_suspects or self._parts.has_lost(part)
+
+    def _observe(
+        self,
+        content: int,
+        upstream: Upstream,
+        outcome: RunOutcome,
+        parts: tuple[int, ...],
+        gave_for_s: float = 0.0,
+    ) -> None:
+        """Record an observation of this node, to be reported to the coordinator."""
         seen_id, now = self._rng.getrandbits(64), self._clock.now()
-        seen = ObservedRun(seen_id, content, upstream.id, upstream.hall, outcome, now)
+        seen = ObservedRun(
+            seen_id, content, upstream.id, upstream.hall, outcome, now, parts, gave_for_s
+        )
         self._own.append(seen)
         self._add(seen)
 
-    def note_served(self, content: int, upstream: Upstream) -> None:
-        """Record that a request was served, if upstreams have ended while they had it."""
-        known = self._seen.get(content)
-        if known and known[-1].outcome is not RunOutcome.SERVED:
-            self.note_end(content, upstream, RunOutcome.SERVED)
-
     def merge_observations(self, observations: Iterable[RunObservation]) -> None:
         """Merge the observations of another node, except those that are known."""
         now = self._clock.now()
@@ -155,6 +243,8 @@
                     observation.hall,
                     observation.outcome,
                     at,
+                    observation.parts,
+                    observation.gave_for_s,
                 )
             )
 
@@ -163,15 +253,16 @@
         now = self._clock.now()
         oldest = now - (OBSERVATION_RETENTION_S if includes_old else REPORT_WINDOW_S)
         recent = itertools.takewhile(lambda seen: seen.at >= oldest, reversed(self._own))
-        return [
-            RunObservation(s.id, s.content, s.upstream_id, s.hall, s.outcome, now - s.at)
-            for s in reversed(list(recent))
-        ]
+        return [_to_report(s, now) for s in reversed(list(recent))]
 
     def _add(self, seen: ObservedRun) -> None:
         self._known_ids[seen.id] = None
         if len(self._known_ids) > MAX_OBSERVATION_IDS:
             del self._known_ids[next(iter(self._known_ids))]
+        if seen.outcome is RunOutcome.SERVED:
+            self._parts.note_served(seen.parts, seen.at)
+            if seen.content not in self._seen:
+                return
         oldest = self._clock.now() - OBSERVATION_RETENTION_S
         known = [other for other in self._seen.pop(seen.content, ()) if other.at >= oldest]
         self._seen[seen.content] = runs = [*known, seen][-MAX_RUNS_PER_CONTENT:]
@@ -180,10 +271,37 @@
         if seen.outcome is RunOutcome.SERVED:
             return
         self._ends.add(seen)
+        self._add_to_parts(seen)
         # Skips the evaluation for most requests at a crashed upstream, which have a single run.
         if len(runs) >= MIN_ENDS_AFTER_BEGIN:
             self._hold_if_culprit(seen.content)
 
+    def _add_to_parts(self, end: ObservedRun) -> None:
+        self._parts.note_end(end)
+        if not self._held_until:
+            return
+        for part in end.parts:
+            if self.is_held(part):
+                self._parts.attribute_crashes(part)
+
+    def _judge_parts(self) -> None:
+        """Hold parts that are proven to be at fault, unless a coordinator does it for all."""
+        now = self._clock.now()
+        is_led = now - self._coordinator_heard_at < MAX_COORDINATOR_SILENCE_S
+        if is_led or now - self._judged_at < JUDGE_INTERVAL_S:
+            return
+        self._judged_at = now
+        while (evidence := self._parts.find_culprit()) is not None:
+            self._hold(
+                evidence.part,
+                now + HOLD_S,
+                is_part=True,
+                crashes=evidence.crashes,
+                of_crashes=evidence.of_crashes,
+                others_served=evidence.others_served,
+                chance=f"{evidence.chance:.2g}",
+            )
+
     def _hold_if_culprit(self, content: int) -> None:
         """Hold a request if enough upstreams ended while they had it since it was last served."""
         known = self._seen[content]
@@ -192,6 +310,7 @@
             default=float("-inf"),
         )
         ends = [seen for seen in known if seen.at > served_at]
+        ends = [end for end in ends if not self._parts.is_explained(end)]
         begun = self._count_independent([seen for seen in ends if self._had_begun(seen)])
         early = [seen for seen in ends if seen.outcome is not RunOutcome.ENDED_GIVING]
         counts = (begun, self._count_independent(early), self._count_independent(ends))
@@ -219,13 +338,28 @@
                 counted.append(end)
         return len(counted)
 
-    def _hold(self, content: int, until: float, **reasons: object) -> None:
-        self._held_until.pop(content, None)
-        self._held_until[content] = until
+    def _hold(self, digest: int, until: float, **reasons: object) -> None:
+        self._held_until.pop(digest, None)
+        self._held_until[digest] = until
+        self._parts.attribute_crashes(digest)
         if len(self._held_until) > MAX_HELD_CONTENTS:
             del self._held_until[next(iter(self._held_until))]
-        self._log.event("content_held", content=format_digest(content), **reasons)
-        self._on_held(content)
+        self._log.event("content_held", content=format_digest(digest), **reasons)
+        self._on_held(digest)
+
+
+def _to_report(run: ObservedRun, now: float) -> RunObservation:
+    """Return an observed run with its age instead of its time."""
+    return RunObservation(
+        run.id,
+        run.content,
+        run.upstream_id,
+        run.hall,
+        run.outcome,
+        now - run.at,
+        run.parts,
+        run.gave_for_s,
+    )
 
 
 def held_contents(contents: Iterable[int], times_s: Iterable[float]) -> tuple[HeldContent, ...]:
--- a/mulleinreach/gateway/state/part_suspects.py
+++ b/mulleinreach/gateway/state/part_suspects.py
@@ -8,7 +8,7 @@
 
 - Its requests had just begun. In crash after crash one of them is among the youngest, although
   few of all lost requests have the part.
-- It is never served. Requests without it are served after its crashes, and none with it.
+- It is never served. Requests without it are served, and none with it.
 
 Both are expressed as the probability of the observations if the part were innocent: if its
 requests were lost, and served, as often as their share in all lost requests makes likely. The
@@ -24,6 +24,7 @@
 
 from mulleinreach.common import Clock
 from mulleinreach.gateway.state.upstream_ends import (
+    OBSERVATION_RETENTION_S,
     SAME_FAILURE_WINDOW_S,
     ObservedRun,
     RunOutcome,
@@ -33,14 +34,21 @@
 MIN_CRASHES = 3
 # Upstreams that end within this time count as one crash: they may have lost power together.
 SAME_CRASH_WINDOW_S = 0.03
-# Largest probability of what was observed of a part that is held, if it were innocent.
-MAX_CHANCE = 0.01
+# Largest probability of what was observed of a part that is held, if it were innocent. A part
+# that was served until its first crash is more rarely at fault.
+MAX_CHANCE_OF_KNOWN = 0.005
+MAX_CHANCE_OF_NEW = 0.03
+# Requests served before the crashes that count as evidence against a part which none of them
+# had; not more, since parts may come into use just then.
+MAX_SERVED_BEFORE = 20
 # Time for other nodes to report what they lost in a crash.
 LOSS_REPORT_DELAY_S = 0.25
 # Time for other nodes to learn of a suspect, and to report that they served it.
 SERVED_REPORT_DELAY_S = 0.4
 MAX_TRACKED_PARTS = 256
-MAX_ENDS_PER_PART = 64
+# Parts that this node has served, the least recent are forgotten first.
+MAX_SERVED_PARTS = 4096
+MAX_CRASHES_PER_PART = 64
 # More than a host runs; a lost hall is one crash of many hosts.
 MAX_LOST_PER_CRASH = 512
 # Covers the crashes of several minutes.
@@ -56,15 +64,15 @@
     at: float
     upstream_ids: set[str] = field(default_factory=set)
     lost: list[ObservedRun] = field(default_factory=list)
-    # The part that is held for it.
+    # The part that is held for it; then it is evidence against nothing else.
     explained_by: int | None = None
 
     def includes(self, end: ObservedRun) -> bool:
         """Whether an upstream's end belongs to this crash."""
         distance_s = abs(end.at - self.at)
-        if end.upstream_id in self.upstream_ids:
-            return distance_s < SAME_FAILURE_WINDOW_S
-        return distance_s < SAME_CRASH_WINDOW_S
+        if distance_s < SAME_CRASH_WINDOW_S:
+            return True
+        return distance_s < SAME_FAILURE_WINDOW_S and end.upstream_id in self.upstream_ids
 
     def count_as_young(self, run: ObservedRun) -> int:
         """Return how many lost requests had begun to write as lately as a run, itself included."""
@@ -78,7 +86,7 @@
         )
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True, eq=False)
 class LostRun:
     """A request with a part that was lost in a crash.
 
@@ -93,28 +101,42 @@
     depth: int
 
 
-@dataclass
+@dataclass(slots=True, eq=False)
 class _PartRecord:
-    """What is known of a part since it was last served."""
+    """The crashes that lost requests with a part, and what is known of it since.
+
+    Parameters
+    ==========
+
+    lost_at, served_at : when a request with it was last lost, and last served after a loss.
+    is_known : whether any node has served requests with it, at any time.
+    suspected_at : when it had been lost in enough crashes.
+    served_count : how many requests had been served when all nodes knew of the suspicion.
+    """
 
-    lost: deque[LostRun] = field(default_factory=lambda: deque(maxlen=MAX_ENDS_PER_PART))
+    crashes: list[Crash] = field(default_factory=list)
+    lost_at: float = float("-inf")
     served_at: float = float("-inf")
-    # When it was first seen in enough crashes, and the count of served requests somewhat later.
+    is_known: bool = False
     suspected_at: float | None = None
     served_count: int | None = None
 
-    def forget_before(self, at: float) -> None:
-        """Drop what was lost up to a moment."""
-        self.served_at = max(self.served_at, at)
-        kept = [lost for lost in self.lost if lost.run.at > self.served_at]
-        self.lost.clear()
-        self.lost.extend(kept)
-        if len(_witnesses(self.unexplained())) < MIN_CRASHES:
-            self.suspected_at = self.served_count = None
+    def lost_runs(self, part: int, until: float = float("inf")) -> list[LostRun]:
+        """Return the requests lost in unexplained crashes since the part was last served."""
+        return [
+            LostRun(crash, run, run.parts.index(part))
+            for crash in self.crashes
+            if crash.explained_by is None and crash.at <= until
+            for run in crash.lost
+            if run.at > self.served_at and part in run.parts
+        ]
 
-    def unexplained(self) -> list[LostRun]:
-        """Return the lost runs in crashes for which no part is held."""
-        return [lost for lost in self.lost if lost.crash.explained_by is None]
+
+def _is_suspect(part: int, record: _PartRecord) -> bool:
+    """Whether different requests with a part were lost in enough unexplained crashes."""
+    if len(record.crashes) < MIN_CRASHES:
+        return False
+    return len(_witnesses(record.lost_runs(part))) >= MIN_CRASHES
 
 
 def _witnesses(lost_runs: Iterable[LostRun]) -> list[LostRun]:
@@ -145,8 +167,10 @@
     ==========
 
     crashes : in how many crashes it was lost, of how many that happened meanwhile.
-    others_served : how many requests without it were served since, and none with it.
+    others_served : how many requests without it were served since, or before, too, if none
+        with it ever was.
     chance : the probability of all this if the part is innocent.
+    is_known : whether requests with it were served before.
     """
 
     part: int
@@ -155,6 +179,13 @@
     others_served: int
     chance: float
     depth: int
+    is_known: bool
+
+    @property
+    def is_proof(self) -> bool:
+        """Whether the part is at fault."""
+        max_chance = MAX_CHANCE_OF_KNOWN if self.is_known else MAX_CHANCE_OF_NEW
+        return self.crashes >= MIN_CRASHES and self.chance <= max_chance
 
 
 class PartSuspects:
@@ -162,37 +193,76 @@
 
     def __init__(self, clock: Clock):
         self._clock = clock
+        # Ordered by the latest loss, the most recent part last.
         self._records: dict[int, _PartRecord] = {}
+        self._suspects: list[int] = []
+        self._served_parts: dict[int, None] = {}
+        self._has_changed = False
         self._crashes: deque[Crash] = deque(maxlen=MAX_CRASHES)
         self._served_count = 0
 
     def note_end(self, end: ObservedRun) -> None:
         """Record a request that was lost when its upstream ended."""
+        self._has_changed = True
         crash = self._crash_of(end)
         if len(crash.lost) < MAX_LOST_PER_CRASH:
             crash.lost.append(end)
-        for depth, part in enumerate(end.parts):
-            record = self._records.pop(part, None) or _PartRecord()
-            self._records[part] = record
-            if end.at > record.served_at:
-                record.lost.append(LostRun(crash, end, depth))
+        for part in end.parts:
+            record = self._records.get(part)
+            if record is None or not record.crashes or record.crashes[-1] is not crash:
+                record = self._move_to_end(part)
+                record.crashes.append(crash)
+                del record.crashes[:-MAX_CRASHES_PER_PART]
+            record.lost_at = max(record.lost_at, end.at)
         while len(self._records) > MAX_TRACKED_PARTS:
             del self._records[next(iter(self._records))]
 
+    def _move_to_end(self, part: int) -> _PartRecord:
+        """Return the record of a part that is lost now, a new one if there is none."""
+        record = self._records.pop(part, None) or _PartRecord()
+        self._records[part] = record
+        return record
+
     def _crash_of(self, end: ObservedRun) -> Crash:
         """Return the crash that an end belongs to."""
-        crash = next((c for c in reversed(self._crashes) if c.includes(end)), None)
+        crash = self._find_crash(end)
         if crash is None:
             crash = Crash(end.at)
             self._crashes.append(crash)
         crash.upstream_ids.add(end.upstream_id)
         return crash
 
+    def _find_crash(self, end: ObservedRun) -> Crash | None:
+        for crash in reversed(self._crashes):
+            if crash.includes(end):
+                return crash
+        return None
+
     def note_served(self, parts: Iterable[int], at: float) -> None:
         """Record that requests with these parts were served."""
+        for part in parts:
+            record = self._records.get(part)
+            if record is not None:
+                record.served_at = max(record.served_at, at)
+                self._has_changed = True
+
+    def note_own_served(self, parts: Iterable[int]) -> None:
+        """Remember the parts of a request that this node served."""
+        for part in parts:
+            self._served_parts.pop(part, None)
+            self._served_parts[part] = None
+        while len(self._served_parts) > MAX_SERVED_PARTS:
+            del self._served_parts[next(iter(self._served_parts))]
+
+    def served_among(self, parts: Iterable[int]) -> tuple[int, ...]:
+        """Return those of some parts that this node has served."""
+        return tuple(part for part in parts if part in self._served_parts)
+
+    def note_known(self, parts: Iterable[int]) -> None:
+        """Record that another node served requests with these parts, at some time."""
         for part in parts:
             if part in self._records:
-                self._records[part].forget_before(at)
+                self._records[part].is_known = True
 
     def count_served(self, count: int) -> None:
         """Record that some requests with prompt parts were served, whichever they are."""
@@ -201,66 +271,82 @@
     def has_lost(self, part: int) -> bool:
         """Whether requests with a part were lost since it was last served."""
         record = self._records.get(part)
-        return record is not None and bool(record.lost)
+        return record is not None and record.lost_at > record.served_at
+
+    def attribute_crashes(self, part: int) -> None:
+        """Attribute the crashes of a part to it, since it is held; they count for no other part."""
+        record = self._records.get(part)
+        if record is None:
+            return
+        for crash in record.crashes:
+            crash.explained_by = part
+        self._has_changed = True
 
-    def explain(self, end: ObservedRun, part: int) -> None:
-        """Attribute the crash of an end to a part that is held."""
-        self._crash_of(end).explained_by = part
+    def is_explained(self, end: ObservedRun) -> bool:
+        """Whether the crash of an end is attributed to a part that is held."""
+        crash = self._find_crash(end)
+        return crash is not None and crash.explained_by is not None
 
     def suspects(self) -> tuple[int, ...]:
         """Return the parts of which every node should report that it served them."""
-        return tuple(self._suspected()[-MAX_SUSPECTS:])
+        self._update_suspects()
+        return tuple(self._suspects)
 
-    def _suspected(self) -> list[int]:
-        """Return the parts in enough unexplained crashes, those lost last at the end."""
-        suspected = []
+    def _update_suspects(self) -> None:
+        if not self._has_changed:
+            return
+        self._has_changed = False
+        now = self._clock.now()
+        self._suspects = []
         for part, record in self._records.items():
-            if len(record.lost) < MIN_CRASHES:
+            oldest = now - OBSERVATION_RETENTION_S
+            record.crashes = [crash for crash in record.crashes if crash.at >= oldest]
+            if not _is_suspect(part, record):
+                record.suspected_at = record.served_count = None
                 continue
-            if len(_witnesses(record.unexplained())) >= MIN_CRASHES:
-                suspected.append(part)
-                self._begin_watch(record)
-        return suspected
+            if record.suspected_at is None:
+                record.suspected_at = now
+            self._suspects.append(part)
+        del self._suspects[:-MAX_SUSPECTS]
 
-    def _begin_watch(self, record: _PartRecord) -> None:
-        now = self._clock.now()
-        if record.suspected_at is None:
-            record.suspected_at = now
-        is_reported = now - record.suspected_at >= SERVED_REPORT_DELAY_S
-        if record.served_count is None and is_reported:
+    def _is_published(self, part: int) -> bool:
+        """Whether all nodes have learned of a suspect, and have said what they served."""
+        record = self._records[part]
+        if self._clock.now() - record.suspected_at < SERVED_REPORT_DELAY_S:
+            return False
+        if record.served_count is None:
             record.served_count = self._served_count
+        record.is_known |= part in self._served_parts
+        return True
 
     def find_culprit(self) -> Evidence | None:
-        """Return the evidence against the part at fault, the likeliest one if there are several.
-
-        Its crashes are attributed to it and no longer count for other parts.
-        """
-        evidence = [self._weigh(part) for part in self._suspected()]
-        proven = [e for e in evidence if e.crashes >= MIN_CRASHES and e.chance <= MAX_CHANCE]
+        """Return the evidence against the part at fault, the likeliest one if there are several."""
+        self._update_suspects()
+        evidence = [self._weigh(part) for part in self._suspects if self._is_published(part)]
+        proven = [e for e in evidence if e.is_proof]
         if not proven:
             return None
-        culprit = min(proven, key=lambda evidence: (evidence.chance, -evidence.depth))
-        for lost in self._records[culprit.part].lost:
-            lost.crash.explained_by = culprit.part
-        return culprit
+        return min(proven, key=lambda evidence: (evidence.chance, -evidence.depth))
 
     def _weigh(self, part: int) -> Evidence:
         record = self._records[part]
         reported_until = self._clock.now() - LOSS_REPORT_DELAY_S
-        lost_runs = [lost for lost in record.unexplained() if lost.crash.at <= reported_until]
+        lost_runs = record.lost_runs(part, reported_until)
         witnesses = _witnesses(lost_runs)
         crashes = len(witnesses) + self._count_others(record, witnesses)
-        served = self._served_count - (record.served_count or self._served_count)
+        served = self._served_count - record.served_count
+        if not record.is_known:
+            served += min(record.served_count, MAX_SERVED_BEFORE)
         chance = _chance(witnesses, _share(lost_runs), crashes, served)
         depth = max((witness.depth for witness in witnesses), default=0)
-        return Evidence(part, len(witnesses), crashes, served, chance, depth)
+        return Evidence(part, len(witnesses), crashes, served, chance, depth, record.is_known)
 
     def _count_others(self, record: _PartRecord, witnesses: list[LostRun]) -> int:
         """Return how many other crashes happened meanwhile that lost no request with the part."""
         times = [witness.crash.at for witness in witnesses]
         if not times:
             return 0
-        affected = {lost.crash for lost in record.lost}
+        affected = set(record.crashes)
         return sum(
             min(times) <= crash.at <= max(times)
             and crash.explained_by is None
--- a/mulleinreach/gateway/state/upstream_ends.py
+++ b/mulleinreach/gateway/state/upstream_ends.py
@@ -42,6 +42,8 @@
     content : the digest of the request.
     hall : the hall of the upstream.
     at : when the run ended.
+    parts : digests of the prompt's shared parts; of a served run, those that were suspected.
+    gave_for_s : for how long the run had sent parts of the response.
     """
 
     id: int
@@ -50,6 +52,8 @@
     hall: str
     outcome: RunOutcome
     at: float
+    parts: tuple[int, ...] = ()
+    gave_for_s: float = 0.0
 
     def is_simultaneous_with(self, other: ObservedRun) -> bool:
         """Whether both runs ended at about the same time."""
