--- a/benchmarks/crash_breakages.py
+++ b/benchmarks/crash_breakages.py
@@ -7,6 +7,9 @@
 GATEWAY = "mulleinreach/gateway"
 CRASHING = f"{GATEWAY}/request/tests/test_crashing_requests.py"
 BOOK = f"{GATEWAY}/state/tests/test_crashes.py"
+PROMPT_PARTS = f"{GATEWAY}/request/tests/test_crashing_prompt_parts.py"
+PARTS = f"{GATEWAY}/state/part_suspects.py"
+PART_BOOK = f"{GATEWAY}/state/tests/test_part_suspects.py"
 WORK = f"{GATEWAY}/state/tests/test_crash_tracker_cost.py"
 
 CRASH_BREAKAGES = [
@@ -138,4 +141,100 @@
         "times_s = []",
         "mulleinreach/platform/tests/test_ports.py -k lease_is_written",
     ),
+    Breakage(
+        "BUDGET",
+        "observations of lost requests name their prompt's parts",
+        f"{GATEWAY}/request/sending.py",
+        "job.content, upstream, outcome, job.headers.prompt_parts, gave_for_s",
+        "job.content, upstream, outcome, (), gave_for_s",
+        f"{PROMPT_PARTS} -k restart_of_all",
+    ),
+    Breakage(
+        "BUDGET",
+        "a request with a held part is held",
+        f"{GATEWAY}/request/sending.py",
+        "digests = (job.content, *job.headers.prompt_parts)",
+        "digests = (job.content,)",
+        f"{PROMPT_PARTS} -k restart_of_all",
+    ),
+    Breakage(
+        "BUDGET",
+        "messages carry the parts of lost requests",
+        f"{GATEWAY}/coordination/messages.py",
+        "row.parts, row.gaveMs = sighting.parts, _milliseconds(sighting.gave_for_s)",
+        "row.parts, row.gaveMs = (), 0",
+        f"{PROMPT_PARTS} -k restart_of_all",
+    ),
+    Breakage(
+        "BUDGET",
+        "how lately a request had begun tells it from its neighbours",
+        PARTS,
+        "other.outcome is not RunOutcome.ENDED and other.gave_for_s <= run.gave_for_s",
+        "True",
+        f"{PART_BOOK} -k youngest",
+    ),
+    Breakage(
+        "BUDGET",
+        "repeats of one request count once against its parts",
+        PARTS,
+        "if lost.crash not in chosen and lost.run.content not in contents:",
+        "if lost.crash not in chosen:",
+        f"{PART_BOOK} -k one_request",
+    ),
+    Breakage(
+        "BUDGET",
+        "upstreams that end at one moment count once against a part",
+        PARTS,
+        "        if distance_s < SAME_CRASH_WINDOW_S:\n            return True\n",
+        "",
+        f"{PART_BOOK} -k one_moment",
+    ),
+    Breakage(
+        "BUDGET",
+        "requests that are served without a part speak against it",
+        PARTS,
+        "chance = math.comb(crashes, len(witnesses)) * (1 - share) ** others_served",
+        "chance = math.comb(crashes, len(witnesses))",
+        f"{PART_BOOK} -k without_neighbours",
+    ),
+    Breakage(
+        "LOST",
+        "a part that was served is cleared",
+        PARTS,
+        "if run.at > self.served_at and part in run.parts",
+        "if part in run.parts",
+        f"{PART_BOOK} -k is_cleared",
+    ),
+    Breakage(
+        "LOST",
+        "crashes of a held part count for no other",
+        PARTS,
+        "            crash.explained_by = part\n",
+        "            pass\n",
+        f"{PART_BOOK} -k held_part",
+    ),
+    Breakage(
+        "LOST",
+        "a part that was served before needs more evidence",
+        PARTS,
+        "max_chance = MAX_CHANCE_OF_KNOWN if self.is_known else MAX_CHANCE_OF_NEW",
+        "max_chance = MAX_CHANCE_OF_NEW",
+        f"{PART_BOOK} -k served_before",
+    ),
+    Breakage(
+        "LOST",
+        "nodes leave the judgement of parts to the coordinator",
+        f"{GATEWAY}/state/crashes.py",
+        "if is_led or now - self._judged_at < JUDGE_INTERVAL_S:",
+        "if now - self._judged_at < JUDGE_INTERVAL_S:",
+        f"{PART_BOOK} -k leaves_the_judgement",
+    ),
+    Breakage(
+        "RECOVER",
+        "a tunnel server that doesn't answer says nothing of an upstream",
+        f"{GATEWAY}/connectivity/upstream_network.py",
+        "if outcome in (TunnelOutcome.OPENED, TunnelOutcome.UNREACHABLE):",
+        "if outcome is not TunnelOutcome.REFUSED:",
+        f"{GATEWAY}/connectivity/tests/test_tunnels.py -k server_is_gone",
+    ),
 ]
