--- a/benchmarks/connectivity_breakages.py
+++ b/benchmarks/connectivity_breakages.py
@@ -109,4 +109,12 @@
         "if n.hall != hall",
         ASSIGNMENT_TESTS,
     ),
+    Breakage(
+        "RECOVER",
+        "a coordinator that can't connect to hosts hands the lease to a node that can",
+        "mulleinreach/gateway/coordination/term.py",
+        "return not self._knowledge.can_open_tunnels() and self._hub.has_member_reaching_hosts()",
+        "return False",
+        f"{PARTITIONED} -k repairs_a_group",
+    ),
 ]
--- a/mulleinreach/gateway/coordination/hub.py
+++ b/mulleinreach/gateway/coordination/hub.py
@@ -152,6 +152,11 @@
             return False
         return self._clock.now() - self._resigned_at > REPLACEMENT_DEADLINE_S
 
+    def has_member_reaching_hosts(self) -> bool:
+        """Whether another node can connect to hosts."""
+        reports = [member.report for member in self._members.values()]
+        return any(report is not None and report.tunnel_address for report in reports)
+
     async def listen(self) -> None:
         """Start listening; reports are accepted while the hub is open."""
         self._server = await self._network.listen(self._address, self._serve_member)
--- a/mulleinreach/gateway/coordination/membership.py
+++ b/mulleinreach/gateway/coordination/membership.py
@@ -174,8 +174,9 @@
     async def _stand_after_resignation(self, resignation: Resignation) -> None:
         await asyncio.sleep(self._election_delay_s())
         replaced_record = self._lease.record
-        is_stopping = self._own_reports.is_stopping
-        if not is_stopping and await self._lease.acquire_after(resignation):
+        # A coordinator that can't connect to hosts is of no use; another node stands.
+        may_stand = not self._own_reports.is_stopping and self._knowledge.can_open_tunnels()
+        if may_stand and await self._lease.acquire_after(resignation):
             await self._coordinate_after(replaced_record)
         else:
             await self._back_off_after_election()
--- a/mulleinreach/gateway/coordination/term.py
+++ b/mulleinreach/gateway/coordination/term.py
@@ -5,7 +5,8 @@
 
 A coordinator that can't renew its lease gives no more orders, but keeps exchanging reports with
 the other nodes. It announces its resignation in them, and continues once it has renewed the lease
-or until a node that can reach the store replaces it.
+or until a node that can reach the store replaces it. A coordinator that can't connect to any host,
+unlike another node, resigns as well: it could give no orders.
 """
 
 from __future__ import annotations
@@ -102,8 +103,8 @@
     async def _coordinate_while_held(self, reporting: asyncio.Task) -> bool:
         """Run the coordinator's duty and renew the lease until it is lost or this node stops.
 
-        Returns whether to try to reacquire the lease: it has expired, or the store is unavailable
-        while this node stops, and no other holder is known.
+        Returns whether to resign, and to try to reacquire the lease: it has expired, another node
+        is to replace this one, or the store is unavailable while this node stops.
         """
         duty = asyncio.create_task(self._coordinate())
         fenced = asyncio.create_task(self._lease.fenced.wait())
@@ -122,7 +123,7 @@
                 renewal = await self._renew()
                 if renewal is RenewalOutcome.LOST:
                     return False
-                if not self._lease.is_held():
+                if not self._lease.is_held() or self._should_hand_over():
                     return True
                 pause_s = RENEW_PAUSES_S.get(renewal, UNKNOWN_OUTCOME_RETRY_S)
             # A stopping node hands over the lease, unless the store is unavailable.
@@ -132,6 +133,10 @@
             fenced.cancel()
             await asyncio.gather(duty, fenced, return_exceptions=True)
 
+    def _should_hand_over(self) -> bool:
+        """Whether another node can connect to hosts and this one can't."""
+        return not self._knowledge.can_open_tunnels() and self._hub.has_member_reaching_hosts()
+
     async def _renew(self) -> RenewalOutcome:
         """Renew the lease; the same write verifies that the operators' rows are unchanged."""
         rows = self._knowledge.operator_rows()
@@ -160,6 +165,9 @@
                 await self._step_down(self._hub.successor)
                 return False
             self._hub.resignation = Resignation(self._lease.token, self._lease.record.renewal)
+            if self._should_hand_over():
+                await asyncio.sleep(REACQUIRE_INTERVAL_S)
+                continue
             renewal = await self._renew()
             if renewal is RenewalOutcome.LOST:
                 return False
--- a/mulleinreach/gateway/state/tests/test_part_suspects.py
+++ b/mulleinreach/gateway/state/tests/test_part_suspects.py
@@ -181,6 +181,9 @@
 def test_upstreams_that_end_at_one_moment_count_once(desk):
     for number in range(8):
         desk.lose(f"u{number}", SYSTEM, HOT)
+        for _ in range(NEIGHBOURS):
+            session = FIRST_SESSION + number
+            desk.lose(f"u{number}", SYSTEM, session, outcome=RunOutcome.ENDED_GIVING, gave_for_s=1)
     assert desk.judge() is None
 
 
