--- a/mulleinreach/intents/plan.py
+++ b/mulleinreach/intents/plan.py
@@ -16,8 +16,6 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import asdict, dataclass, replace
 
-from absl import logging
-
 from mulleinreach.audit import AuditTrail
 from mulleinreach.common import Clock, Code, ExecutionStatus, MulleinreachError
 from mulleinreach.intents.document import CONFIG_KEY, ConfigDocument
@@ -157,7 +155,6 @@
         """Return a plan and the version of its row, or raise."""
         row = await self._table.get(PLANS_PREFIX + plan_id)
         if not isinstance(row, Row):
-            logging.warning("event=plan_not_read plan=%s why=%r", plan_id, row.reason)
             raise unavailable("the plan was not read")
         if row.value is None:
             raise MulleinreachError(Code.NOT_FOUND, f"there is no plan {plan_id!r}")
