--- a/benchmarks/connectivity_breakages.py
+++ b/benchmarks/connectivity_breakages.py
@@ -113,7 +113,7 @@
         "RECOVER",
         "a coordinator that can't connect to hosts hands the lease to a node that can",
         "mulleinreach/gateway/coordination/term.py",
-        "return not self._knowledge.can_open_tunnels() and self._hub.has_member_reaching_hosts()",
+        "return is_isolated and self._hub.has_member_reaching_hosts()",
         "return False",
         f"{PARTITIONED} -k repairs_a_group",
     ),
--- a/mulleinreach/gateway/connectivity/reachability.py
+++ b/mulleinreach/gateway/connectivity/reachability.py
@@ -48,6 +48,10 @@
         """Whether this node can't connect to any upstream."""
         return self._isolated_since is not None
 
+    def isolated_s(self) -> float:
+        """Return for how long this node couldn't connect to any upstream; 0 if it can."""
+        return 0.0 if self._isolated_since is None else self._clock.now() - self._isolated_since
+
     def note_connected(self, address: Address) -> None:
         """Record that a direct connection was opened."""
         self._failed.discard(address)
@@ -57,7 +61,7 @@
             self._log.event("path_restored", upstream=address, bypassed=len(self._bypassed))
         if self._isolated_since is None:
             return
-        isolated_s = round(self._clock.now() - self._isolated_since, 2)
+        isolated_s = round(self.isolated_s(), 2)
         self._isolated_since = None
         # Any other path may be restored, too.
         self._failed.clear()
--- a/mulleinreach/gateway/coordination/knowledge.py
+++ b/mulleinreach/gateway/coordination/knowledge.py
@@ -74,6 +74,9 @@
     def can_open_tunnels(self) -> bool:
         """Whether this node can connect to upstreams itself, and so for other nodes."""
 
+    def isolated_s(self) -> float:
+        """Return for how long this node couldn't connect to any upstream; 0 if it can."""
+
     def unreported_limits(self, includes_published: bool) -> tuple[NamedLimit, ...]:
         """Return rate limits of upstreams that the coordinator hasn't reported."""
 
--- a/mulleinreach/gateway/coordination/term.py
+++ b/mulleinreach/gateway/coordination/term.py
@@ -37,6 +37,8 @@
 }
 # Interval between attempts to reacquire an expired lease.
 REACQUIRE_INTERVAL_S = 0.5
+# Hosts that crash one after the other refuse connections for shorter.
+HANDOVER_AFTER_S = 1.5
 # Long enough for at least two reports to each connected node.
 SUCCESSOR_NOTICE_S = 0.5
 
@@ -134,8 +136,9 @@
             await asyncio.gather(duty, fenced, return_exceptions=True)
 
     def _should_hand_over(self) -> bool:
-        """Whether another node can connect to hosts and this one can't."""
-        return not self._knowledge.can_open_tunnels() and self._hub.has_member_reaching_hosts()
+        """Whether another node can connect to hosts and this one can't for a while."""
+        is_isolated = self._knowledge.isolated_s() > HANDOVER_AFTER_S
+        return is_isolated and self._hub.has_member_reaching_hosts()
 
     async def _renew(self) -> RenewalOutcome:
         """Renew the lease; the same write verifies that the operators' rows are unchanged."""
--- a/mulleinreach/gateway/request/tests/test_crashing_prompt_parts.py
+++ b/mulleinreach/gateway/request/tests/test_crashing_prompt_parts.py
@@ -85,8 +85,10 @@
         """Send a request with the hot part."""
         return await self._ask(self._hot_prompt, node)
 
-    async def send(self, seconds: float, sound_every_s: float, hot_every_s: float = 1e9) -> None:
-        """Send both for some seconds; hot ones in the order of the nodes."""
+    async def send(
+        self, seconds: float, sound_every_s: float, hot_every_s: float | None = None
+    ) -> None:
+        """Send sound requests for some seconds, and hot ones if there are any."""
         names = itertools.cycle(self._world.nodes)
         until = self._world.clock.now() + seconds
         next_sound = next_hot = self._world.clock.now()
@@ -95,7 +97,7 @@
                 subject = f"subject-{next(self._numbers) % 7}"
                 self._spawn(self.ask_sound(subject, next(names)))
                 next_sound += sound_every_s
-            if now >= next_hot:
+            if hot_every_s is not None and now >= next_hot:
                 self._spawn(self.ask_hot(next(names)))
                 next_hot += hot_every_s
             await asyncio.sleep(0.01)
@@ -111,6 +113,17 @@
         return sum(answer.is_served for answer in late) / len(late)
 
 
+def run_prompts(test, hot_prompt: tuple[str, ...] = ("system", "org", HOT), **options) -> None:
+    """Run a test on formed groups whose hosts crash under the hot part."""
+
+    async def run(world: GatewayWorld) -> None:
+        await world.until_formed()
+        world.crashes.fatal_parts.add(HOT)
+        await test(world, Prompts(world, hot_prompt))
+
+    run_world(run, **{**THREE_HALLS, **options})
+
+
 def last_free_crash(world: GatewayWorld) -> Moment:
     """Return the crash after which the rule's time runs."""
     return world.crashes.ended[LAST_FREE_CRASH - 1]
@@ -135,38 +148,31 @@
 )
 @pytest.mark.parametrize("hot_every_s", [0.15, 0.6])
 def test_requests_with_a_hot_part_are_held_and_sound_ones_served(hot_prompt, hot_every_s):
-    async def test(world):
-        await world.until_formed()
-        world.crashes.fatal_parts.add(HOT)
-        prompts = Prompts(world, hot_prompt)
+    async def test(world, prompts):
         await prompts.send(2, sound_every_s=0.05)
         await prompts.send(14, sound_every_s=0.05, hot_every_s=hot_every_s)
         await prompts.finish()
         assert_hot_requests_are_held(world)
         assert prompts.served_share(since=last_free_crash(world).at + 2 * CONTACT_S) > 0.95
 
-    run_world(test, **THREE_HALLS)
+    run_prompts(test, hot_prompt)
 
 
 @pytest.mark.parametrize("events", [1, 3])
 def test_hot_requests_that_give_events_before_each_crash_are_held(events):
-    async def test(world):
-        await world.until_formed()
-        world.crashes.fatal_parts.add(HOT)
+    async def test(world, prompts):
         world.crashes.fatal_events = events
-        prompts = Prompts(world)
         await prompts.send(14, sound_every_s=0.05, hot_every_s=0.25)
         await prompts.finish()
         assert_hot_requests_are_held(world)
         assert prompts.served_share(since=last_free_crash(world).at + 2 * CONTACT_S) > 0.95
 
-    run_world(test, **THREE_HALLS)
+    run_prompts(test)
 
 
 def test_part_turns_hot_that_was_served_before():
-    async def test(world):
-        await world.until_formed()
-        prompts = Prompts(world)
+    async def test(world, prompts):
+        world.crashes.fatal_parts.clear()
         await prompts.send(3, sound_every_s=0.05, hot_every_s=0.3)
         world.crashes.fatal_parts.add(HOT)
         await prompts.send(14, sound_every_s=0.05, hot_every_s=0.3)
@@ -174,31 +180,25 @@
         assert_hot_requests_are_held(world)
         assert prompts.served_share(since=last_free_crash(world).at + 2 * CONTACT_S) > 0.95
 
-    run_world(test, **THREE_HALLS)
+    run_prompts(test)
 
 
 def test_rare_hot_requests_are_held():
     """Few requests of any kind: most replicas run one request, or none, when they crash."""
 
-    async def test(world):
-        await world.until_formed()
-        world.crashes.fatal_parts.add(HOT)
-        prompts = Prompts(world)
+    async def test(world, prompts):
         await prompts.send(40, sound_every_s=0.8, hot_every_s=4.0)
         await prompts.finish()
         assert len(world.crashes.ended) <= 6
         assert prompts.served_share(since=20) > 0.9
 
-    run_world(test, **THREE_HALLS)
+    run_prompts(test)
 
 
 def test_parts_of_all_requests_are_not_held_in_an_outage():
     """All replicas crash before any answer is whole, so that nothing is served meanwhile."""
 
-    async def test(world):
-        await world.until_formed()
-        world.crashes.fatal_parts.add(HOT)
-        prompts = Prompts(world)
+    async def test(world, prompts):
         await prompts.send(1, sound_every_s=0.04)
         await prompts.send(6, sound_every_s=0.04, hot_every_s=0.04)
         await world.until_formed()
@@ -208,14 +208,11 @@
         assert prompts.served_share(since=began_at) > 0.95
         assert_hot_requests_are_held(world)
 
-    run_world(test, **{**THREE_HALLS, "domains": 6})
+    run_prompts(test, domains=6)
 
 
 def test_new_coordinator_and_new_node_hold_a_hot_part():
-    async def test(world):
-        await world.until_formed()
-        world.crashes.fatal_parts.add(HOT)
-        prompts = Prompts(world)
+    async def test(world, prompts):
         await prompts.send(8, sound_every_s=0.05, hot_every_s=0.2)
         await prompts.finish()
         ended = len(world.crashes.ended)
@@ -231,28 +228,22 @@
             assert (held.status, held.headers["Retry-After"]) == (503, "60")
         assert len(world.crashes.ended) == ended
 
-    run_world(test, **THREE_HALLS)
+    run_prompts(test)
 
 
 def test_coordinator_is_lost_amid_the_series():
-    async def test(world):
-        await world.until_formed()
-        world.crashes.fatal_parts.add(HOT)
-        prompts = Prompts(world)
+    async def test(world, prompts):
         await prompts.send(0.6, sound_every_s=0.05, hot_every_s=0.3)
         await world.kill_node(world.coordinator())
         await prompts.send(14, sound_every_s=0.05, hot_every_s=0.3)
         await prompts.finish()
         assert_hot_requests_are_held(world)
 
-    run_world(test, **{**THREE_HALLS, "nodes": 4})
+    run_prompts(test, nodes=4)
 
 
 def test_hold_of_a_hot_part_survives_a_restart_of_all_nodes():
-    async def test(world):
-        await world.until_formed()
-        world.crashes.fatal_parts.add(HOT)
-        prompts = Prompts(world)
+    async def test(world, prompts):
         await prompts.send(8, sound_every_s=0.05, hot_every_s=0.2)
         await prompts.finish()
         await asyncio.sleep(1)
@@ -267,7 +258,7 @@
             assert (held.status, held.headers["Retry-After"]) == (503, "60")
         assert len(world.crashes.ended) == ended
 
-    run_world(test, **THREE_HALLS)
+    run_prompts(test)
 
 
 async def lose_replicas_in_turn(world: GatewayWorld, every_s: float, count: int) -> None:
@@ -293,9 +284,7 @@
 def test_crashes_without_a_hot_part_hold_no_part(every_s, sound_every_s):
     """Replicas crash in turn, all of them at last, while all requests share parts."""
 
-    async def test(world):
-        await world.until_formed()
-        prompts = Prompts(world)
+    async def test(world, prompts):
         sending = asyncio.create_task(prompts.send(8, sound_every_s=sound_every_s))
         await asyncio.sleep(1)
         await lose_replicas_in_turn(world, every_s, count=12)
@@ -305,13 +294,11 @@
         digests = prompt_part_digests([*parts, "own"])
         assert held_digests(world).isdisjoint(digests)
 
-    run_world(test, **{**THREE_HALLS, "domains": 6})
+    run_prompts(test, domains=6)
 
 
 def test_lost_hall_holds_no_part():
-    async def test(world):
-        await world.until_formed()
-        prompts = Prompts(world)
+    async def test(world, prompts):
         sending = asyncio.create_task(prompts.send(6, sound_every_s=0.02))
         await asyncio.sleep(1)
         for host in world.hosts_in("hall-a"):
@@ -320,16 +307,13 @@
         await prompts.finish()
         assert held_digests(world) == set()
 
-    run_world(test, **{**THREE_HALLS, "domains": 6})
+    run_prompts(test, domains=6)
 
 
 def test_hot_part_and_sound_requests_at_the_same_replicas():
     """Many requests are in flight at each replica that crashes, hot ones among them."""
 
-    async def test(world):
-        await world.until_formed()
-        world.crashes.fatal_parts.add(HOT)
-        prompts = Prompts(world)
+    async def test(world, prompts):
         await prompts.send(2, sound_every_s=0.01)
         await prompts.send(10, sound_every_s=0.01, hot_every_s=0.3)
         await prompts.finish()
@@ -340,20 +324,17 @@
         assert hot in held
         assert held.isdisjoint(prompt_part_digests([*parts, "own"]))
 
-    run_world(test, **{**THREE_HALLS, "domains": 6})
+    run_prompts(test, domains=6)
 
 
 def test_node_without_a_coordinator_holds_a_hot_part():
-    async def test(world):
-        await world.until_formed()
+    async def test(world, prompts):
         await asyncio.sleep(1)
         alone = next(name for name in world.nodes if name != world.coordinator())
         for name in world.nodes:
             if name != alone:
                 world.links.cut_both(alone, name)
         await asyncio.sleep(2)
-        world.crashes.fatal_parts.add(HOT)
-        prompts = Prompts(world)
         for _ in range(8):
             await asyncio.gather(
                 prompts.ask_hot(alone), *(prompts.ask_sound(f"s-{n}", alone) for n in range(6))
@@ -363,4 +344,4 @@
         held = await prompts.ask_hot(alone)
         assert (held.status, held.headers["Retry-After"]) == (503, "60")
 
-    run_world(test, **{**THREE_HALLS, "domains": 6})
+    run_prompts(test, domains=6)
--- a/mulleinreach/gateway/shared_state.py
+++ b/mulleinreach/gateway/shared_state.py
@@ -163,6 +163,10 @@
         """Whether this node can connect to upstreams itself, and so for other nodes."""
         return not self._upstream_network.reachability.is_isolated
 
+    def isolated_s(self) -> float:
+        """Return for how long this node couldn't connect to any upstream; 0 if it can."""
+        return self._upstream_network.reachability.isolated_s()
+
     def unreported_limits(self, includes_published: bool) -> tuple[NamedLimit, ...]:
         """Return the upstream limits that the coordinator doesn't know yet.
 
