--- a/mulleinreach/common/http_fields.py
+++ b/mulleinreach/common/http_fields.py
@@ -36,6 +36,19 @@
         return None
 
 
+def keys_of_pairs(text: str) -> list[str]:
+    """Return the keys in a list of ``key:value`` pairs that are separated by commas.
+
+    Examples
+    ========
+
+    >>> keys_of_pairs("5c1e:800, 91bd:410,e440"), keys_of_pairs("")
+    (['5c1e', '91bd', 'e440'], [])
+    """
+    pairs = [pair.strip() for pair in text.split(",")]
+    return [pair.partition(":")[0] for pair in pairs if pair]
+
+
 def read_count(text: str | None) -> int | None:
     """Parse a non-negative integer; returns ``None`` if the text isn't one.
 
--- a/mulleinreach/platform/dialect.py
+++ b/mulleinreach/platform/dialect.py
@@ -7,7 +7,7 @@
 
 from multidict import CIMultiDict, CIMultiDictProxy
 
-from mulleinreach.common.http_fields import bearer_key, read_number
+from mulleinreach.common.http_fields import bearer_key, keys_of_pairs, read_number
 from mulleinreach.gateway.ports import CallerHeaders
 from mulleinreach.gateway.state.content import prompt_part_digests
 from mulleinreach.gateway.upstream import Notice, upstream_name
@@ -55,7 +55,7 @@
             prompt_tokens=None if prompt_tokens is None else int(prompt_tokens),
             answer_tokens=None if answer_tokens is None else int(answer_tokens),
             last_event_id=headers.get(LAST_EVENT_ID),
-            prompt_parts=_read_prompt_parts(headers.get(PROMPT_PREFIX, "")),
+            prompt_parts=prompt_part_digests(keys_of_pairs(headers.get(PROMPT_PREFIX, ""))),
         )
 
     def forward_headers(
@@ -104,17 +104,3 @@
     def refusal_headers(self, request_id: str | None) -> CIMultiDict[str]:
         """Return the headers of a response that the gateway itself generates."""
         return CIMultiDict({} if request_id is None else {REQUEST_ID: request_id})
-
-
-def _read_prompt_parts(value: str) -> tuple[int, ...]:
-    """Return the digests of the shared parts in a list of ``ID:TOKENS``.
-
-    Examples
-    ========
-
-    >>> len(_read_prompt_parts("5c1e07a2:800,91bd3f06:410,e4402b7d:250"))
-    2
-    >>> _read_prompt_parts("")
-    ()
-    """
-    return prompt_part_digests([part.partition(":")[0] for part in value.split(",") if part])
--- a/mulleinreach/platform/orders.py
+++ b/mulleinreach/platform/orders.py
@@ -4,11 +4,13 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from http import HTTPStatus
 
 import aiohttp
 
 from mulleinreach.common.checked import CheckError, read_object
+from mulleinreach.common.hedge import hedge
 from mulleinreach.gateway.ports import (
     Accepted,
     Fenced,
@@ -33,18 +35,12 @@
     Parameters
     ==========
 
-    session, fresh_session : the former keeps connections, the latter opens one for each request.
+    make_session : returns a session that keeps connections, or not if it is given ``False``.
     sends_token : whether the engines check the fencing token of orders.
     """
 
-    def __init__(
-        self,
-        session: aiohttp.ClientSession,
-        fresh_session: aiohttp.ClientSession,
-        sends_token: bool,
-    ):
-        self._session = session
-        self._fresh_session = fresh_session
+    def __init__(self, make_session: Callable[..., aiohttp.ClientSession], sends_token: bool):
+        self._session, self._fresh_session = make_session(), make_session(False)
         self._sends_token = sends_token
         self._on_notice: Callable[[Upstream, Notice], None] = lambda host, notice: None
 
@@ -53,13 +49,7 @@
         self._on_notice = on_notice
 
     async def join(
-        self,
-        host: Upstream,
-        group: str,
-        epoch: int,
-        model: str,
-        members: list[str],
-        token: int,
+        self, host: Upstream, group: str, epoch: int, model: str, members: list[str], token: int
     ) -> OrderResult:
         """Make the host a member of a group."""
         order = {
@@ -86,24 +76,18 @@
     async def report(self, host: Upstream, timeout_s: float) -> Upstream | Unavailable:
         """Return the host with the state that it reports.
 
-        A kept connection may have fallen silent while the host answers on new ones, so it is
-        asked on another connection, too, if the answer takes long.
+        A kept connection may have fallen silent while the host answers on new ones.
         """
-        kept = asyncio.ensure_future(self._read_report(self._session, host))
-        fresh: asyncio.Future[Upstream | Unavailable] | None = None
         try:
             async with asyncio.timeout(timeout_s):
-                done, _ = await asyncio.wait({kept}, timeout=timeout_s * HEDGE_DELAY_RATIO)
-                if done:
-                    return kept.result()
-                fresh = asyncio.ensure_future(self._read_report(self._fresh_session, host))
-                return await _first_report(kept, fresh)
+                return await hedge(
+                    partial(self._read_report, self._session, host),
+                    partial(self._read_report, self._fresh_session, host),
+                    timeout_s * HEDGE_DELAY_RATIO,
+                    lambda result: not isinstance(result, Unavailable),
+                )
         except TimeoutError:
             return Unavailable(f"no answer in {timeout_s:g} s")
-        finally:
-            kept.cancel()
-            if fresh is not None:
-                fresh.cancel()
 
     async def _read_report(
         self, session: aiohttp.ClientSession, host: Upstream
@@ -141,14 +125,3 @@
                     return Rejected(response.status)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             return NoAnswer(f"{type(error).__name__}: {error}")
-
-
-async def _first_report(
-    *pending: asyncio.Future[Upstream | Unavailable],
-) -> Upstream | Unavailable:
-    """Return the first report of several questions, or the last failure."""
-    for answer in asyncio.as_completed(pending):
-        result = await answer
-        if not isinstance(result, Unavailable):
-            return result
-    return result
--- a/mulleinreach/platform/process.py
+++ b/mulleinreach/platform/process.py
@@ -31,11 +31,7 @@
         configurations=PlatformConfigurations(store),
         upstreams=PlatformUpstreams(store),
         lease=PlatformLease(store),
-        orders=PlatformOrders(
-            network.http_client(),
-            network.http_client(keeps_connections=False),
-            settings.engines_check_token,
-        ),
+        orders=PlatformOrders(network.http_client, settings.engines_check_token),
         dialect=PlatformDialect(),
     )
 
--- a/mulleinreach/platform/store.py
+++ b/mulleinreach/platform/store.py
@@ -92,15 +92,6 @@
         return Unavailable(str(error))
 
 
-def _read_era(answer: HttpResponse, known: int) -> int:
-    """Return the era in a response's header, ``known`` if it is missing or invalid."""
-    header = answer.headers.get(ERA_HEADER)
-    era = read_count(header)
-    if era is None and header is not None:
-        logging.warning("event=store_era_unreadable told=%r", header)
-    return known if era is None else era
-
-
 def _decode_written(answer: HttpResponse, era: int) -> Written | Conflict | Unavailable:
     """Return the result of a write from its response."""
     try:
@@ -145,7 +136,12 @@
         return answer
 
     def _era_of(self, answer: HttpResponse) -> int:
-        return _read_era(answer, self.era or 0)
+        """Return the era in a response's header, the known one if it is missing or invalid."""
+        header = answer.headers.get(ERA_HEADER)
+        era = read_count(header)
+        if era is None and header is not None:
+            logging.warning("event=store_era_unreadable told=%r", header)
+        return era if era is not None else self.era or 0
 
     def _update_era(self, era: int) -> None:
         if self.era is not None and era > self.era:
--- a/mulleinreach/platform/tests/test_orders.py
+++ b/mulleinreach/platform/tests/test_orders.py
@@ -22,13 +22,17 @@
         replica = ReplicaStandIn(HOST.id, order_statuses)
         network = VirtualNetwork(links or Links(), "test")
         server = await network.serve_http(replica.app(), HOST.address)
-        session = network.http_client()
-        fresh_session = network.http_client(keeps_connections=False)
+        sessions = []
+
+        def make_session(keeps_connections=True):
+            sessions.append(network.http_client(keeps_connections))
+            return sessions[-1]
+
         try:
-            await test(PlatformOrders(session, fresh_session, sends_token), replica)
+            await test(PlatformOrders(make_session, sends_token), replica)
         finally:
-            await session.close()
-            await fresh_session.close()
+            for session in sessions:
+                await session.close()
             await server.close()
 
     run_virtual(run())
