--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -13,14 +13,38 @@
 
 
 class Store:
-    """Serves rows as PROTOCOL.md, "The platform's metadata store", says; all answers are whole."""
+    """Serves rows as PROTOCOL.md, "The platform's metadata store", says; all answers are whole.
+
+    Knobs: while ``is_away``, every call is answered 503, and nothing is done; ``restore`` takes the
+    rows back to a copy, as in the drill of PAGES-ADDED.md, and raises the era by one.
+    """
 
     def __init__(self) -> None:
         self.version = 0
+        self.era = 0
+        self.is_away = False
+        # The text of the row that was last written under a condition, for ``last_writer``.
+        self._last_conditional = ""
         # By table and key: the version and the value, ``None`` once dropped.
         self._rows: dict[str, dict[str, tuple[int, bytes | None]]] = {}
         self._changed = asyncio.Event()
 
+    def copy(self) -> tuple[int, dict]:
+        """Return what the store holds now."""
+        return self.version, {table: dict(rows) for table, rows in self._rows.items()}
+
+    def restore(self, copy: tuple[int, dict]) -> None:
+        """Go back to a copy; what was written since is gone, and versions are given out again."""
+        self.era += 1
+        self.version, rows = copy
+        self._rows = {table: dict(entries) for table, entries in rows.items()}
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def last_writer(self, names: list[str]) -> str | None:
+        """Return which of these machines last wrote to the store under a condition."""
+        return next((name for name in names if name in self._last_conditional), None)
+
     def put(self, table: str, key: str, value: dict | None) -> int:
         """Write a row as the operator and the replicas do; ``None`` drops it."""
         encoded = None if value is None else json.dumps(value).encode()
@@ -40,16 +64,27 @@
 
     def app(self) -> web.Application:
         """Return the HTTP application."""
-        app = web.Application(client_max_size=4_000_000)
+        app = web.Application(client_max_size=4_000_000, middlewares=[self._refuse_while_away])
+        app.on_response_prepare.append(self._add_era)
         app.router.add_get("/mulleinreach/rows-get", self._get)
         app.router.add_get("/mulleinreach/rows-feed", self._feed)
         app.router.add_post("/mulleinreach/rows-tx", self._transact)
         return app
 
+    @web.middleware
+    async def _refuse_while_away(self, request: web.Request, handler) -> web.StreamResponse:
+        if self.is_away:
+            return web.Response(status=503)
+        response = await handler(request)
+        return web.Response(status=503) if self.is_away else response
+
+    async def _add_era(self, request: web.Request, response: web.StreamResponse) -> None:
+        response.headers["Store-Era"] = str(self.era)
+
     def _answer(self, rows: list[dict], has_more: bool = False) -> web.Response:
         now_ms = int(asyncio.get_running_loop().time() * 1000)
         body = {"rows": rows, "has_more": has_more, "ver": self.version, "now_ms": now_ms}
-        return web.json_response(body, headers={"Store-Era": "0"})
+        return web.json_response(body)
 
     def _describe(self, table: str, key: str) -> dict:
         version, value = self._rows[table][key]
@@ -76,13 +111,16 @@
         query = request.query
         table, after = query["table"], int(query["after_rev"])
         if after > self.version:
-            return web.Response(status=410, headers={"Store-Era": "0"})
+            return web.Response(status=410)
+        era = self.era
         try:
             async with asyncio.timeout(int(query["wait_ms"]) / 1000):
-                while not self._changed_since(table, after):
+                while era == self.era and not self._changed_since(table, after):
                     await self._changed.wait()
         except TimeoutError:
             pass
+        if after > self.version:
+            return web.Response(status=410)
         return self._answer([self._describe(table, k) for k in self._changed_since(table, after)])
 
     def _changed_since(self, table: str, after: int) -> list[str]:
@@ -93,6 +131,8 @@
     async def _transact(self, request: web.Request) -> web.Response:
         await asyncio.sleep(ANSWER_S)
         body = await request.json()
+        if self.is_away:
+            return web.Response(status=503)
         expected = body.get("expected_rev", [])
         if any(self._version_of(r["table"], r["tls_key"]) != r["ver"] for r in expected):
             rows = [
@@ -100,13 +140,13 @@
                 for r in expected
                 if self._version_of(r["table"], r["tls_key"])
             ]
-            return web.json_response(
-                {"rows": rows, "ver": self.version}, status=412, headers={"Store-Era": "0"}
-            )
+            return web.json_response({"rows": rows, "ver": self.version}, status=412)
         changes = [
             (p["table"], p["tls_key"], base64.b64decode(p["value"])) for p in body.get("puts", [])
         ]
         changes += [(r["table"], r["tls_key"], None) for r in body.get("remove", [])]
         version = self._apply(changes) if changes else self.version
+        if expected and changes:
+            self._last_conditional = (changes[0][2] or b"").decode(errors="replace")
         now_ms = int(asyncio.get_running_loop().time() * 1000)
-        return web.json_response({"ver": version, "now_ms": now_ms}, headers={"Store-Era": "0"})
+        return web.json_response({"ver": version, "now_ms": now_ms})
