--- a/review/standins/engines.py
+++ b/review/standins/engines.py
@@ -75,6 +75,9 @@
         self.service = service
         self.replicas: dict[str, Replica] = {}
         self.has_requests = False
+        # Where each request runs, by its id, and which of them their replica broke off.
+        self.runs: dict[str, str] = {}
+        self.broken_off: set[str] = set()
 
     def is_whole(self, standing: Standing) -> bool:
         """Whether all members stand in the group, and are ready for it."""
@@ -414,11 +417,13 @@
         response.enable_chunked_encoding()
         for number in range(int(request.headers.get("Last-Event-Id", "0")) + 1, events + 1):
             if not await self._make_event(own):
+                self._engines.broken_off.add(request_id)
                 with contextlib.suppress(AttributeError):
                     request.transport.abort()
                 return response
             if not response.prepared:
                 self._engines.record.note(f"{self.name} runs {request_id} in {own.group}")
+                self._engines.runs[request_id] = self.name
                 await response.prepare(request)
             await response.write(f"id: {number}\ndata: piece {number}\n\n".encode())
         await response.write_eof()
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -15,14 +15,16 @@
 class Store:
     """Serves rows as PROTOCOL.md, "The platform's metadata store", says; all answers are whole.
 
-    Knobs: while ``is_away``, every call is answered 503, and nothing is done; ``restore`` takes the
-    rows back to a copy, as in the drill of PAGES-ADDED.md, and raises the era by one.
+    Knobs: between ``go_away`` and ``restore`` no call is answered, and nothing is done; ``restore``
+    takes the rows back to a copy, as in the drill of PAGES-ADDED.md, raises the era by one, and
+    answers the calls that still wait.
     """
 
     def __init__(self) -> None:
         self.version = 0
         self.era = 0
-        self.is_away = False
+        self._is_there = asyncio.Event()
+        self._is_there.set()
         # The text of the row that was last written under a condition, for ``last_writer``.
         self._last_conditional = ""
         # By table and key: the version and the value, ``None`` once dropped.
@@ -33,11 +35,16 @@
         """Return what the store holds now."""
         return self.version, {table: dict(rows) for table, rows in self._rows.items()}
 
+    def go_away(self) -> None:
+        """Answer nothing any more."""
+        self._is_there.clear()
+
     def restore(self, copy: tuple[int, dict]) -> None:
         """Go back to a copy; what was written since is gone, and versions are given out again."""
         self.era += 1
         self.version, rows = copy
         self._rows = {table: dict(entries) for table, entries in rows.items()}
+        self._is_there.set()
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -64,7 +71,7 @@
 
     def app(self) -> web.Application:
         """Return the HTTP application."""
-        app = web.Application(client_max_size=4_000_000, middlewares=[self._refuse_while_away])
+        app = web.Application(client_max_size=4_000_000, middlewares=[self._wait_while_away])
         app.on_response_prepare.append(self._add_era)
         app.router.add_get("/mulleinreach/rows-get", self._get)
         app.router.add_get("/mulleinreach/rows-feed", self._feed)
@@ -72,11 +79,11 @@
         return app
 
     @web.middleware
-    async def _refuse_while_away(self, request: web.Request, handler) -> web.StreamResponse:
-        if self.is_away:
-            return web.Response(status=503)
+    async def _wait_while_away(self, request: web.Request, handler) -> web.StreamResponse:
+        await self._is_there.wait()
         response = await handler(request)
-        return web.Response(status=503) if self.is_away else response
+        await self._is_there.wait()
+        return response
 
     async def _add_era(self, request: web.Request, response: web.StreamResponse) -> None:
         response.headers["Store-Era"] = str(self.era)
@@ -131,8 +138,7 @@
     async def _transact(self, request: web.Request) -> web.Response:
         await asyncio.sleep(ANSWER_S)
         body = await request.json()
-        if self.is_away:
-            return web.Response(status=503)
+        await self._is_there.wait()
         expected = body.get("expected_rev", [])
         if any(self._version_of(r["table"], r["tls_key"]) != r["ver"] for r in expected):
             rows = [
