--- a/mulleinreach/platform/tests/soak/callers.py
+++ b/mulleinreach/platform/tests/soak/callers.py
@@ -18,17 +18,31 @@
     TOKEN_USAGE,
 )
 from mulleinreach.platform.notices import LEAVING, LIMIT
-from mulleinreach.platform.tests.soak.document import CALLER_HOST
+from mulleinreach.platform.tests.soak.document import CALLER_HOST, MODEL_SERVICE, PLAIN_SERVICE
 from mulleinreach.platform.tests.soak.processes import GatewayProcess
 from mulleinreach.platform.tests.soak.report import SoakReport
 from mulleinreach.platform.tests.soak.world import SoakWorld
 
-# Seconds between two requests of all callers together.
-CALL_EVERY_S = 0.03
 # Seconds after the last fault within which every gateway has to serve again; only a hang takes it.
 RECOVERY_S = 90.0
-# Events of a stream.
-PIECES = 15
+
+
+@dataclass(frozen=True)
+class Traffic:
+    """How much callers ask for.
+
+    Parameters
+    ==========
+
+    call_every_s : between two requests of all callers together, in seconds.
+    pieces : events of a stream.
+    """
+
+    call_every_s: float = 0.03
+    pieces: int = 15
+
+
+USUAL_TRAFFIC = Traffic()
 
 
 @dataclass(frozen=True)
@@ -38,6 +52,7 @@
     at: float
     key: str
     gateway: str = ""
+    service: str = ""
 
 
 @dataclass(frozen=True)
@@ -60,10 +75,17 @@
     answers of upstreams that leave, ``told_limits`` of those that name a limit.
     """
 
-    def __init__(self, world: SoakWorld, rng: random.Random, report: SoakReport):
+    def __init__(
+        self,
+        world: SoakWorld,
+        rng: random.Random,
+        report: SoakReport,
+        traffic: Traffic = USUAL_TRAFFIC,
+    ):
         self._world = world
         self._rng = rng
         self._report = report
+        self._traffic = traffic
         self.sent: dict[str, SentRequest] = {}
         self.orders: set[str] = set()
         self.not_run: set[str] = set()
@@ -84,7 +106,7 @@
             while True:
                 kind = self._rng.choice(["stream", "stream", "order"])
                 group.create_task(self._call(kind, self._rng.choice(self._world.gateways)))
-                await asyncio.sleep(CALL_EVERY_S)
+                await asyncio.sleep(self._traffic.call_every_s)
 
     async def _call(self, kind: str, gateway: GatewayProcess) -> int:
         """Send a request; returns its status, 0 without a whole answer."""
@@ -92,7 +114,8 @@
         request_id = f"request-{self._number}"
         key = self._rng.choice(["key-1", "key-2"])
         now = asyncio.get_running_loop().time()
-        self.sent[request_id] = SentRequest(now, key, gateway.name)
+        service = PLAIN_SERVICE if kind == "order" else MODEL_SERVICE
+        self.sent[request_id] = SentRequest(now, key, gateway.name, service)
         if kind == "order":
             self.orders.add(request_id)
         headers = {
@@ -103,7 +126,7 @@
             TOKEN_USAGE: "300,75",
             "Authorization": f"Bearer {key}",
         }
-        body = str(PIECES) if kind == "stream" else f"tins {request_id}"
+        body = str(self._traffic.pieces) if kind == "stream" else f"tins {request_id}"
         status = await self._exchange(gateway, kind, request_id, headers, body)
         self._report.answers[f"{kind} {status}"] += 1
         return status
@@ -139,7 +162,7 @@
         """Check that an answer is whole, and that it belongs to its request."""
         if kind == "stream":
             lines = [line for line in answer.splitlines() if line.startswith("id: ")]
-            if lines != [f"id: {number}" for number in range(1, PIECES + 1)]:
+            if lines != [f"id: {number}" for number in range(1, self._traffic.pieces + 1)]:
                 self._report.broken.append(f"{request_id}: a stream that is not whole: {lines}")
         elif answer != f"{request_id} {body}":
             self._report.broken.append(f"{request_id}: the answer {answer!r}")
--- a/mulleinreach/platform/tests/soak/document.py
+++ b/mulleinreach/platform/tests/soak/document.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 MODEL_SERVICE, PLAIN_SERVICE = "soak-model", "soak-desk"
 CALLER_HOST = "soak.example"
 # Seconds for which a host is cold, and the requests a second that it bears then: less than
@@ -13,15 +15,30 @@
 COLD_SLACK = 1.0
 
 
-def make_document(version: int, keys: list[str]) -> dict:
+@dataclass(frozen=True)
+class DocumentOptions:
+    """What operators change in a configuration beside its keys."""
+
+    idle_timeout_ms: int = 15_000
+    stream_timeout_ms: int = 8_000
+    has_extra_route: bool = False
+
+
+def make_document(
+    version: int, keys: list[str], options: DocumentOptions = DocumentOptions()
+) -> dict:
     """Return the operator's configuration."""
     model = {"kind": "streaming", "service": MODEL_SERVICE, "resumable": True, "max_attempts": 2}
     plain = {"service": PLAIN_SERVICE}
     common = {"host": CALLER_HOST, "priority": 1, "target_latency_ms": 500}
+    timeout = {"timeout_ms": options.stream_timeout_ms}
+    extra = {**common, **model, **timeout, "name": "x", "path_prefix": "/extra/"}
     return {
         "version": version,
+        "limits": {"idle_timeout_ms": options.idle_timeout_ms},
         "routes": [
-            {**common, **model, "name": "s", "path_prefix": "/stream/", "timeout_ms": 8000},
+            *([extra] if options.has_extra_route else []),
+            {**common, **model, **timeout, "name": "s", "path_prefix": "/stream/"},
             {
                 **common,
                 **plain,
--- a/mulleinreach/platform/tests/soak/processes.py
+++ b/mulleinreach/platform/tests/soak/processes.py
@@ -25,6 +25,7 @@
 # How soon after an operator's request nothing more may be sent to a hall, in seconds:
 # shorter than deployments agree on, so that a short soak sees requests after it.
 EVACUATION_S = 3.0
+RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_S = 0.2, 136, 10
 
 
 @dataclass
@@ -78,7 +79,8 @@
         "bounds.grace_s=8\nbounds.revoke_ms=5000\nbounds.strict_revoke=true\n"
         "bootstrap=false\nbounds.drain_ms=2000\nbounds.config_ms=2000\n"
         "bounds.stall_ms=5000\nbounds.require_fence=true\n"
-        "bounds.retry_budget_ratio=0.2\nbounds.budget_window_s=10\nbounds.retry_slack=136\n"
+        f"bounds.retry_budget_ratio={RETRY_RATIO}\nbounds.budget_window_s={RETRY_WINDOW_S}\n"
+        f"bounds.retry_slack={RETRY_SLACK}\n"
         f"bounds.evac_ms={EVACUATION_S * 1000:.0f}\nbounds.cold_overage={COLD_OVERAGE}\n"
         f"bounds.cold_slack={COLD_SLACK}\nfault_tolerance.zones=1\n{regions}"
     )
--- /dev/null
+++ b/mulleinreach/platform/tests/soak/replica_process.py
@@ -0,0 +1,134 @@
+"""A domain of stand-in hosts as a process of its own, which can be stopped and continued.
+
+A stopped process accepts connections and takes bytes as any other: the system does that for it. Run
+with ``python -m mulleinreach.platform.tests.soak.replica_process``; :class:`ReplicaProcess` does.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+from typing import Annotated, TextIO
+
+import aiohttp
+import typer
+from aiohttp import web
+
+from mulleinreach.common import Address
+from mulleinreach.platform.dialect import (
+    DEADLINE_MS,
+    EXPECT_INSTANCE,
+    NOT_EXECUTED,
+    REQUEST_ID,
+    SIGNATURE,
+)
+from mulleinreach.platform.tests.soak.document import MODEL_SERVICE
+from mulleinreach.platform.tests.soak.host_app import host_app
+from mulleinreach.platform.tests.soak.replicas import USUAL_BACKLOG
+from mulleinreach.platform.tests.standin import row_of
+from mulleinreach.standins.gateway.dialect import HeaderNames
+from mulleinreach.standins.gateway.fabric import Fabric
+from mulleinreach.standins.gateway.hosts import HostStandIn, HostTimes, make_upstream
+from mulleinreach.standins.gateway.store import UPSTREAMS, MemoryStore
+
+LOCAL = "127.0.0.1"
+NAMES = HeaderNames(REQUEST_ID, SIGNATURE, NOT_EXECUTED, EXPECT_INSTANCE)
+TIMES = HostTimes(load_s=0.4, warm_s=0.2)
+# The table of the platform's store in which replicas keep themselves.
+SERVERS = "servers"
+
+
+class ArrivalFile:
+    """Writes down each request that a process has read, by the system's steady clock."""
+
+    def __init__(self, file: TextIO):
+        self._file = file
+
+    def attach(self, app: web.Application, upstream_id: str) -> None:
+        """Have a host's application write its requests down."""
+
+        @web.middleware
+        async def note(request: web.Request, handler: Callable) -> web.StreamResponse:
+            request_id = request.headers.get(REQUEST_ID)
+            if request_id is not None:
+                at = asyncio.get_running_loop().time()
+                deadline_ms = float(request.headers[DEADLINE_MS])
+                line = {"upstream": upstream_id, "id": request_id, "at": at, "ms": deadline_ms}
+                self._file.write(json.dumps(line) + "\n")
+            return await handler(request)
+
+        app.middlewares.append(note)
+
+
+class ReplicaDomain:
+    """The hosts of one domain, whose rows are written to the platform's store.
+
+    Parameters
+    ==========
+
+    backlog : connections to each host that the system holds until they are accepted.
+    """
+
+    def __init__(self, domain: str, hall: str, store_url: str, arrivals: ArrivalFile, backlog: int):
+        self._domain = domain
+        self._hall = hall
+        self._store_url = store_url
+        self._arrivals = arrivals
+        self._backlog = backlog
+        self._memory = MemoryStore()
+        self._fabric = Fabric(self._memory, seed=1, names=NAMES)
+
+    async def run(self, hosts: int) -> None:
+        """Start the hosts, and write their rows until cancelled."""
+        for number in range(hosts):
+            await self._add_host(f"{self._domain}-host-{number}")
+        async with aiohttp.ClientSession() as session:
+            written = 0
+            while True:
+                rows = await self._memory.wait(UPSTREAMS, written, wait_s=3600)
+                written = rows[0]
+                for row in rows[1]:
+                    await self._write(session, row.key, row_of(row.value))
+
+    async def _add_host(self, name: str) -> None:
+        cell: list[HostStandIn] = []
+        app = host_app(cell, lambda each: self._fabric.running(each).id)
+        self._arrivals.attach(app, name)
+        runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+        await runner.setup()
+        site = web.TCPSite(runner, LOCAL, 0, backlog=self._backlog)
+        await site.start()
+        port = site._server.sockets[0].getsockname()[1]
+        upstream = make_upstream(name, MODEL_SERVICE, port, self._domain, self._hall)
+        upstream = replace(upstream, address=Address(LOCAL, port))
+        cell.append(self._fabric.add(upstream, TIMES))
+
+    async def _write(self, session: aiohttp.ClientSession, name: str, row: dict) -> None:
+        value = base64.b64encode(json.dumps(row).encode()).decode()
+        put = {"table": SERVERS, "part": "", "tls_key": name, "value": value}
+        body = {"expected_rev": [], "puts": [put], "remove": []}
+        url = f"{self._store_url}/mulleinreach/rows-tx"
+        async with session.post(url, json=body) as response:
+            response.raise_for_status()
+
+
+def main(
+    domain: Annotated[str, typer.Option()],
+    hall: Annotated[str, typer.Option()],
+    store_url: Annotated[str, typer.Option()],
+    arrivals: Annotated[Path, typer.Option()],
+    hosts: Annotated[int, typer.Option()] = 4,
+    backlog: Annotated[int, typer.Option()] = USUAL_BACKLOG,
+) -> None:
+    """Run the hosts of a domain until the process is ended."""
+    with arrivals.open("w", buffering=1) as file:
+        replica_domain = ReplicaDomain(domain, hall, store_url, ArrivalFile(file), backlog)
+        asyncio.run(replica_domain.run(hosts))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/mulleinreach/platform/tests/soak/report.py
+++ b/mulleinreach/platform/tests/soak/report.py
@@ -8,12 +8,19 @@
 
 @dataclass
 class SoakReport:
-    """What a soak saw; ``broken`` is empty if every promise was kept."""
+    """What a soak saw; ``broken`` is empty if every promise was kept.
+
+    Parameters
+    ==========
+
+    most_retries : by service, the most retries that arrived in a window of its budget.
+    """
 
     seed: int
     broken: list[str] = field(default_factory=list)
     answers: Counter = field(default_factory=Counter)
     faults: Counter = field(default_factory=Counter)
+    most_retries: dict[str, int] = field(default_factory=dict)
 
     def to_json(self) -> dict:
         """Return the report in the form in which ``--report`` writes it."""
@@ -22,4 +29,5 @@
             "broken": self.broken,
             "answers": dict(self.answers),
             "faults": dict(self.faults),
+            "most_retries": self.most_retries,
         }
--- a/mulleinreach/platform/tests/soak/restore_faults.py
+++ b/mulleinreach/platform/tests/soak/restore_faults.py
@@ -81,7 +81,8 @@
         plain = {n for n in self._world.plain_upstreams if not self._world.links[n].is_silent}
         memory = self._world.memory
         for row in memory.rows(UPSTREAMS):
-            if row.value is not None and row.key not in hosts | plain:
+            is_elsewhere = any(each.runs(row.key) for each in self._world.replicas)
+            if row.value is not None and row.key not in hosts | plain and not is_elsewhere:
                 memory.put(UPSTREAMS, row.key, None)
 
     async def leave(self) -> None:
--- a/mulleinreach/platform/tests/soak/run.py
+++ b/mulleinreach/platform/tests/soak/run.py
@@ -21,26 +21,32 @@
 import typer
 
 from mulleinreach.platform.tests.soak.body_faults import BodyFaults
-from mulleinreach.platform.tests.soak.callers import Callers
+from mulleinreach.platform.tests.soak.callers import USUAL_TRAFFIC, Callers, Traffic
 from mulleinreach.platform.tests.soak.checks import RunChecks
 from mulleinreach.platform.tests.soak.faults import Faults
 from mulleinreach.platform.tests.soak.limit_checks import LimitChecks
 from mulleinreach.platform.tests.soak.limit_faults import LimitFaults
 from mulleinreach.platform.tests.soak.notice_checks import NoticeChecks
 from mulleinreach.platform.tests.soak.notice_faults import NoticeFaults
+from mulleinreach.platform.tests.soak.replicas import USUAL_BACKLOG
 from mulleinreach.platform.tests.soak.report import SoakReport
 from mulleinreach.platform.tests.soak.restore_faults import RestoreFaults
+from mulleinreach.platform.tests.soak.retry_checks import RetryChecks
+from mulleinreach.platform.tests.soak.silence_faults import SilenceFaults
 from mulleinreach.platform.tests.soak.start_faults import StartFaults
 from mulleinreach.platform.tests.soak.world import SoakWorld
 
 
 @dataclass(frozen=True)
 class SoakKinds:
-    """What goes on in a soak beside its faults.
+    """What goes on in a soak.
 
     Parameters
     ==========
 
+    processes : whether single processes, hosts and the store have faults.
+    silences_every_s : between two times at which hosts that are processes of their own stand still
+        for a second, while the configuration changes; ``None`` for none of that.
     notices : whether upstreams ask for rest and say that they leave.
     starts : whether hosts start again under their names.
     limits : whether upstreams name limits.
@@ -48,6 +54,8 @@
     bodies : whether streams end with their connection, and break off.
     """
 
+    processes: bool = True
+    silences_every_s: float | None = None
     notices: bool = False
     starts: bool = False
     limits: bool = False
@@ -61,9 +69,15 @@
 class Soak:
     """One run: callers, faults, and checks of what both ends see."""
 
-    def __init__(self, world: SoakWorld, seed: int, kinds: SoakKinds = NO_KINDS):
+    def __init__(
+        self,
+        world: SoakWorld,
+        seed: int,
+        kinds: SoakKinds = NO_KINDS,
+        traffic: Traffic = USUAL_TRAFFIC,
+    ):
         self.report = SoakReport(seed)
-        self.callers = Callers(world, random.Random(seed), self.report)
+        self.callers = Callers(world, random.Random(seed), self.report, traffic)
         self.checks = RunChecks(world, self.callers, self.report)
         # Numbers of its own, or else the kinds of faults would hang on how many calls the
         # gateways' start takes.
@@ -71,7 +85,11 @@
         self._notices = NoticeFaults(world, random.Random(f"notices {seed}"), self.report)
         starts = StartFaults(world, random.Random(f"starts {seed}"), self.report)
         self._limits = LimitFaults(world, random.Random(f"limits {seed}"), self.report)
-        self._harmers = [self._faults]
+        self._harmers = [self._faults] if kinds.processes else []
+        if kinds.silences_every_s is not None:
+            rng = random.Random(f"silences {seed}")
+            silences = SilenceFaults(world, rng, self.report, kinds.silences_every_s)
+            self._harmers.append(silences)
         self._harmers += [self._notices] if kinds.notices else []
         self._harmers += [starts] if kinds.starts else []
         self._harmers += [self._limits] if kinds.limits else []
@@ -81,6 +99,7 @@
         self._harmers += [self._bodies] if kinds.bodies else []
         self._notice_checks = NoticeChecks(world, self.callers, self.report)
         self._limit_checks = LimitChecks(world, self.callers, self.report)
+        self._retry_checks = RetryChecks(world, self.callers, self.report)
         self._world = world
 
     async def run(self, seconds: float) -> SoakReport:
@@ -104,6 +123,7 @@
         self.checks.check()
         self._notice_checks.check()
         self._limit_checks.check()
+        self._retry_checks.check()
         self.report.broken += self._world.fabric.checks.broken
         return self.report
 
@@ -114,14 +134,27 @@
 
 
 async def soak_once(
-    seed: int, seconds: float, nodes: int = 3, kinds: SoakKinds = NO_KINDS
+    seed: int,
+    seconds: float,
+    nodes: int = 3,
+    kinds: SoakKinds = NO_KINDS,
+    domains: int = 0,
+    backlog: int = USUAL_BACKLOG,
+    traffic: Traffic = USUAL_TRAFFIC,
 ) -> SoakReport:
-    """Run one soak in a directory of its own, which is kept if a promise was broken."""
+    """Run one soak in a directory of its own, which is kept if a promise was broken.
+
+    Parameters
+    ==========
+
+    domains : if any, all hosts stand in so many domains that are processes of their own.
+    """
     directory = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    world = SoakWorld(directory, nodes, hosts=8, seed=seed)
-    await world.start()
+    hosts = 0 if domains else 8
+    world = SoakWorld(directory, nodes, hosts, seed, domains, backlog)
     try:
-        report = await Soak(world, seed, kinds).run(seconds)
+        await world.start()
+        report = await Soak(world, seed, kinds, traffic).run(seconds)
     finally:
         await world.close()
     if report.broken:
@@ -160,6 +193,18 @@
     bodies: Annotated[
         bool, typer.Option(help="Whether streams end with their connection, and break off.")
     ] = True,
+    processes: Annotated[
+        bool, typer.Option(help="Whether gateways, hosts and the store have faults.")
+    ] = True,
+    domains: Annotated[
+        int, typer.Option(help="Hosts stand in so many processes, which fall silent.")
+    ] = 0,
+    silences_every_s: Annotated[float, typer.Option(help="Between two silences.")] = 6.0,
+    backlog: Annotated[
+        int, typer.Option(help="Connections that the system holds for a host in such a process.")
+    ] = USUAL_BACKLOG,
+    calls_per_s: Annotated[float, typer.Option(help="Requests of all callers together.")] = 33.0,
+    pieces: Annotated[int, typer.Option(help="Events of a stream.")] = 15,
     report_file: Annotated[
         Path | None, typer.Option("--report", help="Where to write what was injected and seen.")
     ] = None,
@@ -169,14 +214,18 @@
     failed = 0
     reports = []
     for number in _seeds(seed, seeds, minutes):
-        kinds = SoakKinds(notices, starts, limits, restores, bodies)
-        report = asyncio.run(soak_once(number, seconds, nodes, kinds))
+        every_s = silences_every_s if domains else None
+        kinds = SoakKinds(processes, every_s, notices, starts, limits, restores, bodies)
+        traffic = Traffic(1 / calls_per_s, pieces)
+        report = asyncio.run(soak_once(number, seconds, nodes, kinds, domains, backlog, traffic))
         failed += bool(report.broken)
         reports.append(report.to_json())
         verdict = "broken" if report.broken else "kept"
         answers = " ".join(f"{k}: {v}" for k, v in sorted(report.answers.items()))
         print(
-            f"seed {number} {verdict}; {answers}; faults {sum(report.faults.values())}", flush=True
+            f"seed {number} {verdict}; {answers}; faults {sum(report.faults.values())};"
+            f" retries in a window {max(report.most_retries.values(), default=0)}",
+            flush=True,
         )
         for line in report.broken[:10]:
             print(f"    {line}", flush=True)
--- a/mulleinreach/platform/tests/soak/world.py
+++ b/mulleinreach/platform/tests/soak/world.py
@@ -19,13 +19,15 @@
     COLD_S,
     MODEL_SERVICE,
     PLAIN_SERVICE,
+    DocumentOptions,
     make_document,
 )
 from mulleinreach.platform.tests.soak.host_app import host_app
-from mulleinreach.platform.tests.soak.notices import Notices
+from mulleinreach.platform.tests.soak.notices import Arrival, Notices
 from mulleinreach.platform.tests.soak.plain import PlainService
 from mulleinreach.platform.tests.soak.processes import LOCAL, GatewayProcess, make_gateway
 from mulleinreach.platform.tests.soak.proxy import Link, Proxy
+from mulleinreach.platform.tests.soak.replicas import USUAL_BACKLOG, ReplicaProcess
 from mulleinreach.platform.tests.standin import StoreStandIn
 from mulleinreach.standins.gateway.dialect import HeaderNames
 from mulleinreach.standins.gateway.fabric import Fabric
@@ -81,13 +83,31 @@
     ===========
 
     Each hall has a domain of hosts and a plain upstream; gateways stand in the halls
-    in turn. Hosts that start once the world runs come cold.
+    in turn. Hosts that start once the world runs come cold. Further domains of hosts
+    may be processes of their own.
+
+    Parameters
+    ==========
+
+    hosts : hosts of each hall in this process.
+    domains : domains that are processes of their own.
+    backlog : connections to each of their hosts that are held until they are accepted.
     """
 
-    def __init__(self, directory: Path, nodes: int, hosts: int, seed: int):
+    def __init__(
+        self,
+        directory: Path,
+        nodes: int,
+        hosts: int,
+        seed: int,
+        domains: int = 0,
+        backlog: int = USUAL_BACKLOG,
+    ):
         self._directory = directory
         self._nodes = nodes
         self._hosts_per_hall = hosts
+        self._domains = domains
+        self._backlog = backlog
         self.halls = [f"hall-{letter}" for letter in string.ascii_lowercase[:HALLS]]
         self.lost_halls: set[str] = set()
         self.memory = MemoryStore()
@@ -98,7 +118,9 @@
         self.proxy = Proxy()
         self.links: dict[str, Link] = {}
         self.gateways: list[GatewayProcess] = []
+        self.replicas: list[ReplicaProcess] = []
         self.version = 0
+        self.options = DocumentOptions()
         self.keys = ["key-1", "key-2"]
         self.revocations: list[Revocation] = []
         self.evacuations: list[Evacuation] = []
@@ -119,6 +141,11 @@
         self.configure(self.keys)
         for hall in self.halls:
             await self.fill_hall(hall, cold_s=0.0)
+        for number in range(self._domains):
+            hall = self.halls[number % HALLS]
+            domain = ReplicaProcess(f"domain-{number}", hall, self._directory, self._backlog)
+            domain.start(store_port)
+            self.replicas.append(domain)
         for number in range(self._nodes):
             link = await self.proxy.open(LOCAL, store_port)
             hall = self.halls[number % HALLS]
@@ -139,8 +166,13 @@
         self.version += 1
         self._write_configuration()
 
+    def change_options(self, options: DocumentOptions) -> None:
+        """Write a configuration with the same keys and other options."""
+        self.options = options
+        self.configure(self.keys)
+
     def _write_configuration(self) -> None:
-        document = make_document(self.version, self.keys)
+        document = make_document(self.version, self.keys, self.options)
         self.memory.put(CONFIGURATION_TABLE, CONFIGURATION_KEY, document)
 
     def evacuate(self, hall: str) -> None:
@@ -300,6 +332,10 @@
         self.restart_ended()
         await self.fill_hall(hall)
 
+    def arrivals(self) -> list[Arrival]:
+        """Return all requests that upstreams have read."""
+        return self.notices.arrivals + [a for each in self.replicas for a in each.arrivals()]
+
     # Gateways.
 
     def restart_ended(self) -> None:
@@ -322,6 +358,8 @@
             gateway.signal(signal.SIGCONT)
             gateway.signal(signal.SIGKILL)
             gateway.process.wait()
+        for domain in self.replicas:
+            domain.end()
         for task in self._ending:
             task.cancel()
         self.proxy.close()
--- a/mulleinreach/platform/tests/standin.py
+++ b/mulleinreach/platform/tests/standin.py
@@ -72,6 +72,9 @@
             return web.Response(status=410)
         return self._answer(query["table"], result[1], False)
 
+    def _version_of(self, place: dict) -> int:
+        return self.memory.get(self._memory_table(place["table"]), place["tls_key"]).version
+
     def _memory_table(self, table: str) -> str:
         return self._tables.get(table, table)
 
@@ -95,13 +98,14 @@
             return web.Response(status=self.status)
         body = await request.json()
         conditions = body["expected_rev"]
-        versions = [self.memory.get(p["table"], p["tls_key"]).version for p in conditions]
+        versions = [self._version_of(p) for p in conditions]
         if versions != [place["ver"] for place in conditions]:
             rows = [{**p, "ver": v} for p, v in zip(conditions, versions, strict=True) if v]
             return web.json_response({"rows": rows}, status=412)
         for put in body["puts"]:
             value = json.loads(base64.b64decode(put["value"]))
-            version = self.memory.put(put["table"], put["tls_key"], value)
+            table = self._memory_table(put["table"])
+            version = self.memory.put(table, put["tls_key"], value)
         if self.memory.loses:
             request.transport.abort()
         return web.json_response({"ver": version, "now_ms": 1})
--- a/mulleinreach/platform/tests/test_soak.py
+++ b/mulleinreach/platform/tests/test_soak.py
@@ -60,6 +60,12 @@
     assert report.broken == []
 
 
+def test_short_soak_in_which_hosts_fall_silent_keeps_every_promise():
+    kinds = SoakKinds(processes=False, silences_every_s=3.0)
+    report = asyncio.run(soak_once(7, 2 * SECONDS, kinds=kinds, domains=6))
+    assert report.broken == []
+
+
 def test_report_can_be_written():
     report = SoakReport(7, ["a promise"])
     report.answers["order 200"] += 2
@@ -69,6 +75,7 @@
         "broken": ["a promise"],
         "answers": {"order 200": 2},
         "faults": {"kill": 1},
+        "most_retries": {},
     }
 
 
@@ -84,6 +91,7 @@
         disturbances=[],
         gateways=[SimpleNamespace(name="gateway-0", started_at=[90.0])],
         notices=Notices(),
+        arrivals=lambda: world.notices.arrivals,
         resets=[],
         is_out_of_touch=lambda *at: SoakWorld.is_out_of_touch(world, *at),
         hall_of={"desk-0": "hall-a", "desk-1": "hall-b", "host-1": "hall-a"}.get,
@@ -96,6 +104,7 @@
     soak.checks.check()
     soak._notice_checks.check()
     soak._limit_checks.check()
+    soak._retry_checks.check()
     return soak.report.broken
 
 
@@ -107,6 +116,16 @@
     assert find_broken(soak) == ["r ran 2 times"]
 
 
+# 100 requests allow 20 retries and the slack.
+@pytest.mark.parametrize(("retries", "is_found"), [(156, False), (157, True)])
+def test_retries_above_the_bound_are_found(retries, is_found):
+    soak, world = make_soak()
+    for number in range(100):
+        soak.callers.sent[f"r{number}"] = SentRequest(101.0, "key-1", "gateway-0", "models")
+    world.notices.arrivals += [Arrival("desk-0", "r0", 102.0)] * (retries + 1)
+    assert bool(find_broken(soak)) is is_found
+
+
 def test_run_of_a_request_told_as_not_run_is_found():
     soak, world = make_soak()
     soak.callers.sent["r"] = SentRequest(0.0, "key-1")
