A retry counts from its decision until a window after it has arrived

Callers saw: nothing; the operators' bound on retries of all nodes together (BUDGET) can be broken.

Cause: a node forgot a retry a window after it was decided. The bound concerns arrivals, and what is sent to an upstream that stands still arrives when it goes on, also if its sender has left. So the retries of a silence's beginning, which arrive at its end, and those decided a window after its beginning are in one window of the bound, each up to the budget. Class: a use that is dated by when it was allowed, where the bound dates it by when it takes place.

Why it works: at the last decision of a window each earlier retry that arrives in it still counts. A head, a refusal or a closed connection shows that a retry has arrived; one that was left without an answer counts for MAX_UNREAD_S more. Shares stay charged, and a new process retries less, for as long. CLOCK_MARGIN_S (0.1 s for 14 s) gives way to the rate that the lease reckons with.

--- a/benchmarks/share_breakages.py
+++ b/benchmarks/share_breakages.py
@@ -8,12 +8,39 @@
 LEDGER_TESTS = "mulleinreach/gateway/coordination/tests/test_share_ledger.py"
 SERIES = "mulleinreach/gateway/request/tests/test_retry_budget_series.py"
 
+LATE_ARRIVALS = "mulleinreach/gateway/request/tests/test_late_arrivals.py"
+ARRIVALS = "mulleinreach/gateway/state/arrivals.py"
+
 SHARE_BREAKAGES = [
+    Breakage(
+        "BUDGET",
+        "a retry counts until it has arrived",
+        ARRIVALS,
+        'self._counts_until = float("inf")',
+        "self._counts_until = clock.now() + window_s",
+        LATE_ARRIVALS,
+    ),
+    Breakage(
+        "BUDGET",
+        "a retry whose connection was left may still arrive",
+        ARRIVALS,
+        "self._end(self._clock.now() + MAX_UNREAD_S)",
+        "self._end(self._clock.now())",
+        f"{LATE_ARRIVALS} -k end_of_a_silence",
+    ),
+    Breakage(
+        "BUDGET",
+        "a retry without an answer isn't taken for arrived",
+        "mulleinreach/gateway/request/sending.py",
+        "        if not isinstance(result, Broken) or result.is_closed:\n            exchange.note",
+        "        if True:\n            exchange.note",
+        f"{LATE_ARRIVALS} -k end_of_a_silence",
+    ),
     Breakage(
         "BUDGET",
         "a process that has just started allows for retries of the one before it",
         "mulleinreach/gateway/request/budget.py",
-        "NEW_PROCESS_RATIO_PART if age_s < self._bounds.retry_window_s else RATIO_PART",
+        "NEW_PROCESS_RATIO_PART if is_new else RATIO_PART",
         "RATIO_PART",
         f"{SERIES} -k soon_after",
     ),
@@ -29,8 +56,8 @@
         "BUDGET",
         "what a lost node may have used counts for a window",
         LEDGER,
-        "self._charged_for_s = SHARE_DURATION_S + window_s + CLOCK_MARGIN_S",
-        "self._charged_for_s = CLOCK_MARGIN_S",
+        "charged_for_s = SHARE_DURATION_S + MAX_UNREAD_S + window_s",
+        "charged_for_s = 0.1",
         SERIES,
     ),
     Breakage(
--- a/mulleinreach/gateway/coordination/share_ledger.py
+++ b/mulleinreach/gateway/coordination/share_ledger.py
@@ -3,9 +3,9 @@
 Explanation
 ===========
 
-The bound concerns any window of a fixed length. What a node has used under its share counts for
-one more window after the share's lease has ended, whether the node still runs or not. Until then
-the ledger keeps the share charged to it.
+The bound concerns arrivals in any window of a fixed length. What a node has used under its share
+counts until it has arrived and one more window is over, whether the node still runs or not. Until
+then the ledger keeps the share charged to it.
 
 A new coordinator doesn't know the shares that the previous one leased. It renews those that nodes
 report to hold, and leases nothing else until all others have ended.
@@ -19,6 +19,7 @@
 from typing import TypeVar
 
 from mulleinreach.gateway.coordination.lease import CLOCK_RATE_MARGIN, LEASE_DURATION_S
+from mulleinreach.gateway.state.arrivals import MAX_UNREAD_S
 from mulleinreach.gateway.state.leased_share import SHARE_DURATION_S
 
 # Sum of the shares of connected nodes. The rest is kept for nodes that join.
@@ -28,7 +29,6 @@
 # Most nodes of a new deployment start within this time; until then shares are kept small.
 SETTLING_S = 3.0
 SETTLING_SHARE = 0.09
-CLOCK_MARGIN_S = 0.1
 
 Holder = TypeVar("Holder", bound=Hashable)
 
@@ -79,7 +79,8 @@
     """
 
     def __init__(self, begun_at: float, window_s: float, is_first_term: bool = False):
-        self._charged_for_s = SHARE_DURATION_S + window_s + CLOCK_MARGIN_S
+        charged_for_s = SHARE_DURATION_S + MAX_UNREAD_S + window_s
+        self._charged_for_s = charged_for_s * (1 + CLOCK_RATE_MARGIN)
         self._accounts: dict[Hashable, _Account] = {}
         self._settled_at = begun_at + SETTLING_S if is_first_term else begun_at
         # The previous coordinator may lease shares until its own lease has expired.
--- a/mulleinreach/gateway/coordination/tests/test_share_ledger.py
+++ b/mulleinreach/gateway/coordination/tests/test_share_ledger.py
@@ -13,13 +13,14 @@
     TARGET_TOTAL,
     ShareLedger,
 )
+from mulleinreach.gateway.state.arrivals import MAX_UNREAD_S
 from mulleinreach.gateway.state.leased_share import SHARE_DURATION_S, LeasedShare
 from mulleinreach.gateway.state.tests.test_crashes import ManualClock
 from mulleinreach.gateway.tests.support import block_store_access, run_world
 
 WINDOW_S = 10.0
 # Until then a share counts that was leased at time 0.
-CHARGED_UNTIL_S = SHARE_DURATION_S + WINDOW_S
+CHARGED_UNTIL_S = SHARE_DURATION_S + MAX_UNREAD_S + WINDOW_S
 NODES = 8
 
 
--- a/mulleinreach/gateway/request/active.py
+++ b/mulleinreach/gateway/request/active.py
@@ -11,6 +11,7 @@
     Streaming,
     UpstreamClient,
 )
+from mulleinreach.gateway.state.arrivals import SendCharge
 from mulleinreach.gateway.upstream import Upstream
 
 
@@ -22,9 +23,17 @@
 
     content : digest of the request's content.
     parts : digests of its prompt's shared parts.
+    charges : what counts this send until it has arrived.
     """
 
-    def __init__(self, upstream_id: str, content: int, parts: tuple[int, ...] = ()):
+    def __init__(
+        self,
+        upstream_id: str,
+        content: int,
+        parts: tuple[int, ...] = (),
+        charges: tuple[SendCharge, ...] = (),
+    ):
+        self._charges = charges
         self.upstream_id = upstream_id
         self.content = content
         self.parts = parts
@@ -55,6 +64,16 @@
             self._streaming = result
         return result
 
+    def note_arrived(self) -> None:
+        """Note that the upstream has read the request, or never will."""
+        for charge in self._charges:
+            charge.note_arrived()
+
+    def note_abandoned(self) -> None:
+        """Note that the exchange is over; without an answer the request may be unread yet."""
+        for charge in self._charges:
+            charge.note_abandoned()
+
     def has_digest(self, digest: int) -> bool:
         """Whether a digest is that of the request's content or of a part of its prompt."""
         return digest == self.content or digest in self.parts
@@ -89,14 +108,21 @@
     def __init__(self) -> None:
         self._by_upstream: dict[str, set[ActiveExchange]] = {}
 
-    def begin(self, upstream_id: str, content: int, parts: tuple[int, ...] = ()) -> ActiveExchange:
+    def begin(
+        self,
+        upstream_id: str,
+        content: int,
+        parts: tuple[int, ...] = (),
+        charges: tuple[SendCharge, ...] = (),
+    ) -> ActiveExchange:
         """Register an exchange that is about to start."""
-        exchange = ActiveExchange(upstream_id, content, parts)
+        exchange = ActiveExchange(upstream_id, content, parts, charges)
         self._by_upstream.setdefault(upstream_id, set()).add(exchange)
         return exchange
 
     def end(self, exchange: ActiveExchange) -> None:
         """Remove an exchange that is over."""
+        exchange.note_abandoned()
         exchanges = self._by_upstream.get(exchange.upstream_id, set())
         exchanges.discard(exchange)
         if not exchanges:
--- a/mulleinreach/gateway/request/budget.py
+++ b/mulleinreach/gateway/request/budget.py
@@ -7,11 +7,12 @@
 
 from mulleinreach.common import Clock
 from mulleinreach.gateway.deployment import DeploymentBounds
+from mulleinreach.gateway.state.arrivals import MAX_UNREAD_S, ArrivalWindow, SendCharge
 from mulleinreach.gateway.state.leased_share import LeasedShare
 
 # Part of the ratio that a node uses; below 1, since nodes' windows differ.
 RATIO_PART = 0.7
-# The part while a process has run for less than a window: the one before it may have used the rest.
+# The part of a new process while retries of the one before it may still arrive in the window.
 NEW_PROCESS_RATIO_PART = 0.3
 
 
@@ -22,20 +23,26 @@
     Parameters
     ==========
 
-    retries : retries in the current window, this one not included.
+    charge : the retry to send; ``None`` if there is none left.
+    retries : retries that may arrive in the current window, this one not included.
     allowed : retries that this node may send in a window.
     requests : callers' requests in the current window.
     share : this node's share of the slack.
     share_age_s : time since this node asked for its share, in seconds.
     """
 
-    is_granted: bool
+    charge: SendCharge | None
     retries: int
     allowed: float
     requests: int
     share: float
     share_age_s: float
 
+    @property
+    def is_granted(self) -> bool:
+        """Whether the retry may be sent."""
+        return self.charge is not None
+
 
 class WindowedRetryBudget:
     """Allows retries up to a fraction of the requests within a sliding window.
@@ -45,7 +52,8 @@
 
     The configured bound holds for all nodes together. A node applies a part of the ratio to
     its own requests, for which it need not know of other nodes, and adds its share of the
-    slack, which is 0 while no coordinator leases it one.
+    slack, which is 0 while no coordinator leases it one. The bound concerns arrivals at
+    upstreams, so a retry counts until a window after it has arrived.
     """
 
     def __init__(self, bounds: DeploymentBounds, clock: Clock, share: LeasedShare):
@@ -54,37 +62,38 @@
         self._share = share
         self._started_at = clock.now()
         self._requests: dict[str, deque[float]] = {}
-        self._retries: dict[str, deque[float]] = {}
+        self._retries: dict[str, ArrivalWindow] = {}
 
     def count_request(self, service: str) -> None:
         """Count one request of a caller."""
-        self._recent(self._requests, service).append(self._clock.now())
+        self._recent_requests(service).append(self._clock.now())
 
     def try_spend(self, service: str) -> RetryDecision:
         """Take one retry from the budget if there is one left."""
-        requests = len(self._recent(self._requests, service))
-        retries = self._recent(self._retries, service)
+        requests = len(self._recent_requests(service))
+        window = self._retries.setdefault(
+            service, ArrivalWindow(self._clock, self._bounds.retry_window_s)
+        )
+        retries = len(window)
         share = self._share.fraction
         of_requests = self._ratio_part() * self._bounds.retry_ratio * requests
         allowed = of_requests + share * self._bounds.retry_slack
-        decision = RetryDecision(
-            is_granted=len(retries) + 1 <= allowed,
-            retries=len(retries),
+        return RetryDecision(
+            charge=window.add() if retries + 1 <= allowed else None,
+            retries=retries,
             allowed=allowed,
             requests=requests,
             share=share,
             share_age_s=self._share.age_s,
         )
-        if decision.is_granted:
-            retries.append(self._clock.now())
-        return decision
 
     def _ratio_part(self) -> float:
         age_s = self._clock.now() - self._started_at
-        return NEW_PROCESS_RATIO_PART if age_s < self._bounds.retry_window_s else RATIO_PART
+        is_new = age_s < self._bounds.retry_window_s + MAX_UNREAD_S
+        return NEW_PROCESS_RATIO_PART if is_new else RATIO_PART
 
-    def _recent(self, times_of: dict[str, deque[float]], service: str) -> deque[float]:
-        times = times_of.setdefault(service, deque())
+    def _recent_requests(self, service: str) -> deque[float]:
+        times = self._requests.setdefault(service, deque())
         oldest = self._clock.now() - self._bounds.retry_window_s
         while times and times[0] < oldest:
             times.popleft()
--- a/mulleinreach/gateway/request/job.py
+++ b/mulleinreach/gateway/request/job.py
@@ -12,6 +12,7 @@
 from mulleinreach.gateway.ports import CallerHeaders
 from mulleinreach.gateway.request.admission import Admitted
 from mulleinreach.gateway.request.exchange import Answered
+from mulleinreach.gateway.state.arrivals import SendCharge
 from mulleinreach.gateway.state.eligibility import RequestConstraints
 
 _HOP_HEADERS = frozenset(
@@ -72,6 +73,8 @@
     # if the upstream there ends too, the request is the probable cause, not a failing hall.
     ended_halls: set[str] = field(default_factory=set)
     sends: int = 0
+    # The retry that the budget has granted, until it is sent.
+    retry_charge: SendCharge | None = None
     priority: int = 0
     may_have_run: bool = False
     failure: Answered | None = None
--- a/mulleinreach/gateway/request/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -141,6 +141,7 @@
             share=round(decision.share, 4),
             share_age_s=round(decision.share_age_s, 2),
         )
+        job.retry_charge = decision.charge
         return decision.is_granted
 
     def _log_shortage(self, job: RelayJob) -> None:
@@ -208,7 +209,9 @@
         # Without a stream there is no event that shows when the engine has admitted the request.
         is_deprioritized = stands_back and job.admitted.route.kind is RouteKind.STREAMING
         ticket = self._loads.start(upstream.id, job.headers.prompt_tokens or 0, is_deprioritized)
-        exchange = self._active.begin(upstream.id, job.content, job.headers.prompt_parts)
+        charges = () if job.retry_charge is None else (job.retry_charge,)
+        job.retry_charge = None
+        exchange = self._active.begin(upstream.id, job.content, job.headers.prompt_parts, charges)
         return exchange, ticket
 
     def end(self, exchange: ActiveExchange, ticket: InFlightRequest) -> None:
@@ -305,6 +308,8 @@
                 result = await exchange.send(client, upstream, request, wants_stream)
         except TimeoutError:
             result = Broken("no answer in time")
+        if not isinstance(result, Broken) or result.is_closed:
+            exchange.note_arrived()
         self._record_result(job, upstream, result)
         if isinstance(result, Broken) and result.is_closed:
             await self._check_ended(job, upstream, RunOutcome.ENDED)
--- a/mulleinreach/gateway/request/tests/retry_harness.py
+++ b/mulleinreach/gateway/request/tests/retry_harness.py
@@ -11,6 +11,7 @@
 from mulleinreach.gateway.deployment import DeploymentBounds
 from mulleinreach.gateway.request.budget import WindowedRetryBudget
 from mulleinreach.gateway.request.tests.retry_bound import RetryRecord
+from mulleinreach.gateway.state.arrivals import SendCharge
 from mulleinreach.gateway.state.leased_share import LeasedShare
 from mulleinreach.gateway.state.tests.test_crashes import ManualClock
 
@@ -57,6 +58,9 @@
         self._incarnations = itertools.count(1)
         self._coordinators: list[Coordinator] = []
         self._owed_requests = 0.0
+        self._silent_until = 0.0
+        # Retries under way: when each arrives, and the charge of the node that sent it.
+        self._under_way: list[tuple[float, SendCharge]] = []
         self.nodes = [self._make_node() for _ in range(self.node_count)]
         self.replace_coordinator(is_first=True)
 
@@ -99,6 +103,10 @@
             if len(self.nodes) > 1:
                 del self.nodes[number]
 
+    def begin_silence(self, seconds: float) -> None:
+        """Let upstreams read nothing for some time; what is sent meanwhile arrives at its end."""
+        self._silent_until = self.clock.now() + seconds
+
     def replace_coordinator(self, is_first: bool = False, followers: float = 1.0) -> None:
         """Begin a new term; the previous coordinator leases on until its lease has ended.
 
@@ -131,6 +139,7 @@
         """
         for _ in range(round(seconds / ROUND_S)):
             self._send_requests()
+            self._note_arrivals()
             for coordinator in self._coordinators[-3:]:
                 self._lease_shares(coordinator, lost_answers)
             self.clock.at += ROUND_S
@@ -144,8 +153,18 @@
             node.budget.count_request(SERVICE)
             self.record.requests_at.append(now)
             is_failing = self._rng.random() < self.failing
-            if is_failing and node.budget.try_spend(SERVICE).is_granted:
-                self.record.retries_at.append(now + self._rng.uniform(0, MAX_SEND_S))
+            decision = node.budget.try_spend(SERVICE) if is_failing else None
+            if decision is not None and decision.is_granted:
+                arrives_at = max(now, self._silent_until) + self._rng.uniform(0, MAX_SEND_S)
+                self.record.retries_at.append(arrives_at)
+                self._under_way.append((arrives_at, decision.charge))
+
+    def _note_arrivals(self) -> None:
+        now = self.clock.now()
+        for arrives_at, charge in self._under_way:
+            if arrives_at <= now:
+                charge.note_arrived()
+        self._under_way = [entry for entry in self._under_way if entry[0] > now]
 
     def _lease_shares(self, coordinator: Coordinator, lost_answers: float) -> None:
         now = self.clock.now()
--- a/mulleinreach/gateway/request/tests/test_bounds.py
+++ b/mulleinreach/gateway/request/tests/test_bounds.py
@@ -44,8 +44,10 @@
                 share.receive(TARGET_TOTAL / NODES, clock.now())
             budget.count_request("service")
             requests_at.append(clock.now())
-            if budget.try_spend("service").is_granted:
+            decision = budget.try_spend("service")
+            if decision.is_granted:
                 second_sends_at.append(clock.now())
+                decision.charge.note_arrived()
             await asyncio.sleep(0.01)
         in_window = len(requests_at) * bounds.retry_window_s / clock.now()
         max_count = max_count_in_window(second_sends_at, bounds.retry_window_s)
