Silence of an upstream ends no answer that can't go on elsewhere

Cause: a belief (the coordinator probed a head in vain for half a second; nothing came for 1.3 or 1.5 s) was acted on as if it were evidence: each node aborted whatever was in flight at a lost upstream and only then asked whether the request may go on elsewhere and whether the retry budget allows it; and the coordinator took the group apart, whose head carries out the order to leave when it goes on.

Change: a request leaves a lost or silent upstream only if it is repeatable, has sends left, another upstream is there and the budget grants the retry, which is reserved first. Otherwise it stays until its deadline, the upstream's close or reset, or evidence that its process is gone (a new start). The limit of a safe request's answer follows the same way. The coordinator keeps a group that may only be silent for 1.5 s if no other serves the model; a refused connection, another start or a row that is gone is evidence and ends it at once.

--- a/mulleinreach/gateway/fleet/group_monitor.py
+++ b/mulleinreach/gateway/fleet/group_monitor.py
@@ -19,7 +19,7 @@
 from mulleinreach.gateway.model import EngineModel, EngineProfile
 from mulleinreach.gateway.ports import Unavailable
 from mulleinreach.gateway.state.load import LoadReport
-from mulleinreach.gateway.state.upstreams import Group
+from mulleinreach.gateway.state.upstreams import Group, open_heads
 from mulleinreach.gateway.upstream import MemberState, Upstream, UpstreamState
 
 SUSPECT_STALL_S = 0.3
@@ -31,6 +31,8 @@
 MAX_RETIRING_S = 3.5
 # Requests may still arrive until all nodes know that the group is retiring.
 MIN_RETIRING_S = 0.5
+# A silent group that no other can replace is kept for so long; sound hosts are silent for a second.
+MAX_SILENCE_S = 1.5
 # A store outage may remove a host from the list until its next heartbeat.
 MAX_HEAD_ABSENCE_S = 1.5
 
@@ -96,7 +98,8 @@
             is_silent = load is not None and load.stalled_s > SUSPECT_STALL_S
             is_missing = not (group.is_whole(model.size) or self._hosts.is_in_grace_period())
             if self._hosts.has_lost_member(group):
-                self._spawn_dissolve(group, model, "a member is lost")
+                if not self._may_continue(group, model):
+                    self._spawn_dissolve(group, model, "a member is lost")
             elif is_silent or is_missing:
                 self._start_check(key, group, model, "silent" if is_silent else "member not listed")
             elif self._hosts.retiring_for_s(key) is not None:
@@ -113,6 +116,16 @@
         elif self._is_stuck(key, group, model):
             self._spawn_dissolve(group, model, "forming did not complete")
 
+    def _may_continue(self, group: Group, model: EngineModel) -> bool:
+        """Whether a group with lost members may only be silent, and no other can replace it.
+
+        Its requests have nowhere else to go, and end if it is dissolved.
+        """
+        if any(self._hosts.silent_s(m.id) > MAX_SILENCE_S for m in group.members.values()):
+            return False
+        others = self._hosts.usable(group.head.service)
+        return not any(head.model == model.name for head in open_heads(others))
+
     def _end_when_idle(
         self,
         key: tuple[str, int],
@@ -226,8 +239,9 @@
         ]
         if lost and not self._operator.reaches_hosts():
             return
-        for host in lost:
-            self._hosts.mark_lost(host)
+        for member, report in zip(members, reports, strict=True):
+            if isinstance(report, Unavailable):
+                self._hosts.mark_lost(member.id, report.is_refused)
         key = (group.name, group.epoch)
         self._paces[key] = max((self._hosts.pace(m.id) for m in members), default=1.0)
         if self._paces[key] > MAX_NORMAL_PACE:
@@ -242,7 +256,8 @@
             pace=self._paces[key],
         )
         is_incomplete = len(members) < model.size and not self._makes_progress(group)
-        if (lost or moved or is_incomplete) and not self._is_busy(group):
+        may_continue = not moved and not is_incomplete and self._may_continue(group, model)
+        if (lost or moved or is_incomplete) and not may_continue and not self._is_busy(group):
             self._spawn_dissolve(group, model, f"lost {lost} moved {moved}")
         self._host_tasks.wake.set()
 
--- a/mulleinreach/gateway/fleet/hosts.py
+++ b/mulleinreach/gateway/fleet/hosts.py
@@ -84,6 +84,7 @@
         self._last_model: dict[str, str] = {}
         self._ever_listed: dict[str, Upstream] = {}
         self._lost_at: dict[str, float] = {}
+        self._silent_since: dict[str, float] = {}
         self._paces: dict[str, tuple[float, float]] = {}
         self._cold_until: dict[str, float] = {}
         self._delisted_at: dict[str, float] = {}
@@ -132,6 +133,7 @@
         if not self.is_listed(report.id):
             self._ever_listed[report.id] = report
         self._lost_at.pop(report.id, None)
+        self._silent_since.pop(report.id, None)
         self._paces[report.id] = (report.pace, self._clock.now())
         return is_newer
 
@@ -157,9 +159,23 @@
         """Whether a host recently reported that its work takes much longer than usual."""
         return self.pace(host) > MAX_NORMAL_PACE
 
-    def mark_lost(self, host: str) -> None:
-        """Record that a host does not respond."""
+    def mark_lost(self, host: str, is_refused: bool = False) -> None:
+        """Record that a host does not respond, or refuses connections."""
         self._lost_at[host] = self._clock.now()
+        self._silent_since.setdefault(host, self._clock.now())
+        if is_refused:
+            self._silent_since[host] = NEVER
+
+    def silent_s(self, host: str) -> float:
+        """Return for how many seconds a lost host may only have been silent.
+
+        Infinite if there is evidence that its process has ended; 0 if it isn't lost.
+        """
+        if not self.is_lost(host):
+            return 0.0
+        if self._directory.is_replaced(host) or not self.is_listed(host):
+            return float("inf")
+        return self._clock.now() - self._silent_since.get(host, NEVER)
 
     def is_lost(self, host: str) -> bool:
         """Whether a host does not respond, was restarted, or is in a hall that is down.
@@ -179,6 +195,7 @@
         """Return the hosts that did not respond individually."""
         oldest = self._clock.now() - LOST_RETENTION_S
         self._lost_at = {h: at for h, at in self._lost_at.items() if at > oldest}
+        self._silent_since = {h: at for h, at in self._silent_since.items() if h in self._lost_at}
         return list(self._lost_at)
 
     # Halls.
@@ -208,6 +225,7 @@
             self._last_model.pop(host, None)
             if host in recovered:
                 self._lost_at.pop(host, None)
+                self._silent_since.pop(host, None)
             elif upstream.domain is not None:
                 self.mark_lost(host)
 
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -99,7 +99,7 @@
         self.store_calls = StoreCalls(
             self.metrics, self.log, self.clock, self.rng, self._store_pause_s
         )
-        self.directory = UpstreamDirectory(self._on_lost)
+        self.directory = UpstreamDirectory(self._on_ended)
         self.upstream_network = UpstreamNetwork(
             self.network,
             self.directory.addresses,
@@ -363,9 +363,14 @@
     def _total_loads(self):
         return sum_loads(self.coordination.node_reports())
 
-    def _on_lost(self, upstream_id: str) -> None:
+    def _on_ended(self, upstream_id: str) -> None:
         count = self.active.abort(upstream_id)
-        self.log.event("upstream_lost", upstream=upstream_id, in_flight=count)
+        self.log.event("upstream_gone", upstream=upstream_id, in_flight=count)
+
+    def _on_lost(self, upstream_id: str) -> None:
+        in_flight = self.active.count(upstream_id)
+        moved = self.active.move(upstream_id)
+        self.log.event("upstream_lost", upstream=upstream_id, in_flight=in_flight, moved=moved)
 
     def _on_held(self, digest: int) -> None:
         count = self.active.abort_held(digest)
--- a/mulleinreach/gateway/ports.py
+++ b/mulleinreach/gateway/ports.py
@@ -25,9 +25,16 @@
 
 @dataclass(frozen=True)
 class Unavailable:
-    """The call failed or gave an unusable answer, so its outcome is unknown."""
+    """The call failed or gave an unusable answer, so its outcome is unknown.
+
+    Parameters
+    ==========
+
+    is_refused : whether the connection was refused, so no process listens there.
+    """
 
     reason: str
+    is_refused: bool = False
 
 
 @dataclass(frozen=True)
--- a/mulleinreach/gateway/request/active.py
+++ b/mulleinreach/gateway/request/active.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from mulleinreach.gateway.request.exchange import (
     Broken,
@@ -25,6 +25,7 @@
     content : digest of the request's content.
     parts : digests of its prompt's shared parts.
     charges : what counts this send until it has arrived.
+    may_move : whether the request can go on at another upstream; reserves what that takes.
     """
 
     def __init__(
@@ -33,8 +34,10 @@
         content: int,
         parts: tuple[int, ...] = (),
         charges: Collection[SendCharge] = (),
+        may_move: Callable[[], bool] = lambda: True,
     ):
         self._charges = charges
+        self.may_move = may_move
         self.upstream_id = upstream_id
         self.content = content
         self.parts = parts
@@ -115,9 +118,10 @@
         content: int,
         parts: tuple[int, ...] = (),
         charges: Collection[SendCharge] = (),
+        may_move: Callable[[], bool] = lambda: True,
     ) -> ActiveExchange:
         """Register an exchange that is about to start."""
-        exchange = ActiveExchange(upstream_id, content, parts, charges)
+        exchange = ActiveExchange(upstream_id, content, parts, charges, may_move)
         self._by_upstream.setdefault(upstream_id, set()).add(exchange)
         return exchange
 
@@ -129,21 +133,34 @@
         if not exchanges:
             self._by_upstream.pop(exchange.upstream_id, None)
 
+    def count(self, upstream_id: str) -> int:
+        """Return how many exchanges with an upstream are in flight."""
+        return len(self._by_upstream.get(upstream_id, ()))
+
     def abort(self, upstream_id: str) -> int:
-        """Abort all exchanges with a lost upstream; returns how many there were."""
-        exchanges = list(self._by_upstream.get(upstream_id, ()))
+        """Abort all exchanges with an upstream that has ended; returns how many there were."""
+        return self._abort_all(list(self._by_upstream.get(upstream_id, ())))
+
+    def move(self, upstream_id: str) -> int:
+        """Abort the exchanges with a lost upstream that can go on at another; returns how many.
+
+        The upstream may only be silent, so the others are left to it.
+        """
+        exchanges = self._by_upstream.get(upstream_id, ())
+        return self._abort_all([exchange for exchange in exchanges if exchange.may_move()])
+
+    def _abort_all(self, exchanges: list[ActiveExchange]) -> int:
         for exchange in exchanges:
             exchange.abort()
         return len(exchanges)
 
     def abort_held(self, digest: int) -> int:
         """Abort all exchanges of a content or part that have no body; returns how many."""
-        exchanges = [
-            exchange
-            for at_upstream in self._by_upstream.values()
-            for exchange in at_upstream
-            if exchange.has_digest(digest) and not exchange.has_received_body
-        ]
-        for exchange in exchanges:
-            exchange.abort()
-        return len(exchanges)
+        return self._abort_all(
+            [
+                exchange
+                for at_upstream in self._by_upstream.values()
+                for exchange in at_upstream
+                if exchange.has_digest(digest) and not exchange.has_received_body
+            ]
+        )
--- a/mulleinreach/gateway/request/exchange.py
+++ b/mulleinreach/gateway/request/exchange.py
@@ -23,6 +23,8 @@
 
 MAX_ANSWER_BYTES = 64_000_000
 CHUNK_BYTES = 65_536
+# How often a stream without data is looked at.
+PAUSE_CHECK_INTERVAL_S = 0.5
 _NO_AUTOMATIC_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
@@ -83,31 +85,41 @@
     headers: CIMultiDictProxy[str]
     response: Response
 
-    async def chunks(self, pause_limit_s: float) -> AsyncIterator[bytes]:
+    async def chunks(self, may_leave: Callable[[float], bool]) -> AsyncIterator[bytes]:
         """Yield bytes as they arrive; raises :class:`AnswerCut` if the body is incomplete.
 
         Parameters
         ==========
 
-        pause_limit_s : longest time without data; :class:`AnswerSilent` is raised after it.
+        may_leave : called now and then while no data comes, with the seconds since the last data;
+            :class:`AnswerSilent` is raised if it returns ``True``.
         """
-        while data := await self._next_chunk(pause_limit_s):
+        while data := await self._next_chunk(may_leave):
             yield data
         try:
             self.response.check_complete()
         except aiohttp.ClientPayloadError as error:
             raise AnswerCut(str(error)) from error
 
-    async def _next_chunk(self, pause_limit_s: float) -> bytes:
+    async def _next_chunk(self, may_leave: Callable[[float], bool]) -> bytes:
         """Return the next bytes, empty at the end."""
-        pause_timeout = asyncio.timeout(pause_limit_s)
+        silent_s = 0.0
+        while (data := await self._read_for(PAUSE_CHECK_INTERVAL_S)) is None:
+            silent_s += PAUSE_CHECK_INTERVAL_S
+            if may_leave(silent_s):
+                raise AnswerSilent(f"nothing came for {silent_s:g} s")
+        return data
+
+    async def _read_for(self, seconds: float) -> bytes | None:
+        """Return the next bytes, empty at the end, or ``None`` if none come for some time."""
+        pause_timeout = asyncio.timeout(seconds)
         try:
             async with pause_timeout:
                 return await self.response.content.readany()
-        except TimeoutError as error:
+        except TimeoutError:
             if not pause_timeout.expired():
                 raise
-            raise AnswerSilent(f"nothing came for {pause_limit_s:g} s") from error
+            return None
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise AnswerCut(f"{type(error).__name__}: {error}") from error
 
--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from functools import partial
 from http import HTTPStatus
 
 from aiohttp import web
@@ -33,9 +34,6 @@
 from mulleinreach.gateway.state.content import content_digest, format_digest
 from mulleinreach.gateway.state.load import InFlightRequest
 
-# A stream without a byte for this time is resumed at another upstream. A group that lost a member
-# is noticed within a second; callers give up after two seconds or more.
-PAUSE_LIMIT_S = 1.5
 # Value of Retry-After for a held request, which isn't sent since upstreams crash when they run it.
 # The hold lasts an hour; callers that come back sooner cost no upstream anything.
 HELD_RETRY_AFTER_S = 60.0
@@ -125,10 +123,13 @@
             return self._refuse_held(job)
         self._budget.count_request(job.service.name)
         await self._sender.wait_for_permit(job)
-        if decision.route.kind is RouteKind.STREAMING:
-            response = await self._relay_stream(job)
-        else:
-            response = await self._relay_plain(job)
+        try:
+            if decision.route.kind is RouteKind.STREAMING:
+                response = await self._relay_stream(job)
+            else:
+                response = await self._relay_plain(job)
+        finally:
+            self._sender.release(job)
         self._record_completion(job, response, started_at)
         return response
 
@@ -287,7 +288,7 @@
         events_before = job.events_sent
         try:
             async with asyncio.timeout(max(0, job.deadline - self._clock.now())):
-                async for data in result.chunks(PAUSE_LIMIT_S):
+                async for data in result.chunks(partial(self._sender.may_leave, job, exchange)):
                     exchange.note_body(self._clock.now())
                     ticket.progress()
                     await self._write_events(job, splitter, data, response)
--- a/mulleinreach/gateway/request/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from functools import partial
 from http import HTTPStatus
 
 from mulleinreach.common import Address, Clock, EventLog
@@ -39,8 +40,11 @@
 MIN_REMAINING_S = 0.005
 # How often a request that waits for response headers checks whether its upstream is silent.
 SILENCE_CHECK_INTERVAL_S = 0.4
-# After this time without data from an upstream, streams without response headers leave it.
+# After this time without data from an upstream, streams without response headers leave it if they
+# can go on elsewhere. A group that lost a member is noticed within a second.
 SILENCE_LIMIT_S = 1.3
+# The same for streams with response headers; callers give up after two seconds or more.
+PAUSE_LIMIT_S = 1.5
 # Sends of a stream beyond the route's limit, one for each replica lost in mid-stream. A lost
 # replica no longer runs the request, whereas one that failed has run it and counts.
 MAX_EXTRA_RESUMES = 2
@@ -111,10 +115,7 @@
         """Return the next upstream, or ``None`` if the request must not be sent again."""
         if job.deadline - self._clock.now() < MIN_REMAINING_S:
             return None
-        limit = job.admitted.route.max_attempts
-        if job.events_sent and not job.has_stalled:
-            limit += min(job.lost_runs, MAX_EXTRA_RESUMES)
-        if job.sends >= limit:
+        if job.sends >= self._max_sends(job, job.lost_runs):
             return None
         if self.is_held(job):
             return None
@@ -122,10 +123,48 @@
         if upstream is None:
             self._log_shortage(job)
             return None
-        if job.sends > 0 and not self._take_retry(job):
+        if job.sends > 0 and job.retry_charge is None and not self._take_retry(job):
             return None
         return upstream
 
+    def _max_sends(self, job: RelayJob, lost_runs: int) -> int:
+        """Return the largest number of sends of a request, after so many lost replicas."""
+        limit = job.admitted.route.max_attempts
+        if job.events_sent and not job.has_stalled:
+            limit += min(lost_runs, MAX_EXTRA_RESUMES)
+        return limit
+
+    def _reserve_move(self, job: RelayJob, is_lost: bool) -> bool:
+        """Whether a request can go on at another upstream; takes a retry for it.
+
+        Parameters
+        ==========
+
+        is_lost : whether its upstream is lost, and not only silent.
+        """
+        if job.retry_charge is not None:
+            return True
+        if not job.admitted.route.is_repeatable or self.is_held(job):
+            return False
+        if job.sends >= self._max_sends(job, job.lost_runs + is_lost):
+            return False
+        upstream = self._chooser.choose(job.constraints, job.headers, job.tried, job.ended_halls)
+        return upstream is not None and self._take_retry(job)
+
+    def may_leave(self, job: RelayJob, exchange: ActiveExchange, silent_s: float) -> bool:
+        """Whether a request leaves an upstream that has been silent for some time.
+
+        Silence alone ends no request that can't go on elsewhere.
+        """
+        is_lost = exchange.upstream_id in self._chooser.lost
+        return (is_lost or silent_s >= PAUSE_LIMIT_S) and self._reserve_move(job, is_lost)
+
+    def release(self, job: RelayJob) -> None:
+        """Return what a request that is over has reserved."""
+        if job.retry_charge is not None:
+            job.retry_charge.note_arrived()
+            job.retry_charge = None
+
     def _take_retry(self, job: RelayJob) -> bool:
         """Take a retry from the service's budget; returns whether there was one left."""
         decision = self._budget.try_spend(job.service.name)
@@ -171,8 +210,13 @@
     async def send_once(self, job: RelayJob, upstream: Upstream) -> ExchangeResult:
         """Send a request and read the whole answer."""
         exchange, ticket = self.begin(job, upstream)
+        overdue_at = self._clock.now() + self._patience_s(job)
+
+        def is_overdue() -> bool:
+            return self._clock.now() >= overdue_at
+
         try:
-            return await self._send(job, exchange, upstream, wants_stream=False)
+            return await self._send_until(job, exchange, upstream, is_overdue, wants_stream=False)
         finally:
             self.end(exchange, ticket)
 
@@ -211,7 +255,13 @@
         ticket = self._loads.start(upstream.id, job.headers.prompt_tokens or 0, is_deprioritized)
         charges = [charge for charge in (sent_charge, job.retry_charge) if charge is not None]
         job.retry_charge = None
-        exchange = self._active.begin(upstream.id, job.content, job.headers.prompt_parts, charges)
+        exchange = self._active.begin(
+            upstream.id,
+            job.content,
+            job.headers.prompt_parts,
+            charges,
+            may_move=partial(self._reserve_move, job, is_lost=True),
+        )
         return exchange, ticket
 
     def end(self, exchange: ActiveExchange, ticket: InFlightRequest) -> None:
@@ -276,34 +326,40 @@
         self, job: RelayJob, exchange: ActiveExchange, upstream: Upstream, ticket: InFlightRequest
     ) -> ExchangeResult:
         """Send the request and wait for the head of the answer."""
-        send_task = asyncio.ensure_future(self._send(job, exchange, upstream, wants_stream=True))
+
+        def is_overdue() -> bool:
+            return self._loads.stalled_s(upstream.id) > SILENCE_LIMIT_S
+
+        return await self._send_until(job, exchange, upstream, is_overdue, wants_stream=True)
+
+    async def _send_until(
+        self,
+        job: RelayJob,
+        exchange: ActiveExchange,
+        upstream: Upstream,
+        is_overdue: Callable[[], bool],
+        wants_stream: bool,
+    ) -> ExchangeResult:
+        """Send the request; leave its upstream once it is overdue or lost, if it can go on."""
+        send_task = asyncio.ensure_future(self._send(job, exchange, upstream, wants_stream))
         try:
             while True:
                 done, _ = await asyncio.wait({send_task}, timeout=SILENCE_CHECK_INTERVAL_S)
                 if done:
                     return send_task.result()
-                if self._is_silent(upstream.id) and self._can_move(job):
+                is_lost = upstream.id in self._chooser.lost
+                if (is_lost or is_overdue()) and self._reserve_move(job, is_lost):
                     exchange.abort()
         finally:
             send_task.cancel()
 
-    def _can_move(self, job: RelayJob) -> bool:
-        """Whether the request is repeatable and another replica is available."""
-        if not job.admitted.route.is_repeatable:
-            return False
-        return self._chooser.choose(job.constraints, job.headers, job.tried) is not None
-
-    def _is_silent(self, upstream_id: str) -> bool:
-        """Whether an upstream has sent nothing to this node's requests for too long."""
-        return self._loads.stalled_s(upstream_id) > SILENCE_LIMIT_S
-
     async def _send(
         self, job: RelayJob, exchange: ActiveExchange, upstream: Upstream, wants_stream: bool
     ) -> ExchangeResult:
         remaining_s = job.deadline - self._clock.now()
         request = self._build_request(job, upstream, remaining_s)
         try:
-            async with asyncio.timeout(self._answer_timeout_s(job, remaining_s)):
+            async with asyncio.timeout(remaining_s):
                 client = self._client_for(job)
                 result = await exchange.send(client, upstream, request, wants_stream)
         except TimeoutError:
@@ -326,9 +382,10 @@
             return self._client
         return self._direct_client
 
-    def _answer_timeout_s(self, job: RelayJob, remaining_s: float) -> float:
-        """Return how long to wait for an answer before another upstream is tried."""
+    def _patience_s(self, job: RelayJob) -> float:
+        """Return how long to wait for an answer before another upstream is preferred."""
         route = job.admitted.route
+        remaining_s = job.deadline - self._clock.now()
         if route.kind is RouteKind.SAFE and job.sends < route.max_attempts:
             return min(remaining_s, max(3 * route.objective_s, remaining_s / 2))
         return remaining_s
--- a/mulleinreach/gateway/request/tests/test_exchange.py
+++ b/mulleinreach/gateway/request/tests/test_exchange.py
@@ -17,7 +17,6 @@
     Streaming,
     UpstreamClient,
 )
-from mulleinreach.gateway.request.relay import PAUSE_LIMIT_S
 from mulleinreach.gateway.upstream import Upstream
 from mulleinreach.standins.gateway.dialect import PlainDialect
 
@@ -62,7 +61,7 @@
             async with asyncio.timeout(30):
                 while reads_late and result.response.connection is not None:
                     await asyncio.sleep(0.01)
-            return b"".join([data async for data in result.chunks(PAUSE_LIMIT_S)])
+            return b"".join([data async for data in result.chunks(lambda silent_s: False)])
         return result
     finally:
         await session.close()
--- a/mulleinreach/gateway/state/selection.py
+++ b/mulleinreach/gateway/state/selection.py
@@ -256,6 +256,11 @@
             return listed
         return [u for u in listed if serves_model(u, headers.model)]
 
+    @property
+    def lost(self) -> Collection[str]:
+        """The upstreams that don't respond, as the coordinator found."""
+        return self._eligibility.lost
+
     def is_evacuated(self, upstream: Upstream) -> bool:
         """Whether an upstream is in an evacuated hall."""
         return upstream.hall in self._eligibility.evacuated_halls
