Bytes without end from an upstream are left at a bound

Cause: aiohttp reads informational responses and empty lines for ever; the splitter of events kept an event without end and searched it from its start at each piece; reports of hosts and answers of the store were read whole; whole answers had a bound of 64 MB each, and none together.

Change: a response head has 64 KB, informational responses among them (common/response_head.py; also through another node, for orders and the store); an event 1 MB, and is searched once; all answers that are read whole 64 MB together; a report 64 KB, the store's answer 16 MB. The connection is closed, the upstream is suspect, the line send_failed or stream_broken tells why, and a second try is made only where it is allowed, as for any answer that is broken.

Ruled out as faults: one line or one field without end, many fields, bytes that are no HTTP (aiohttp's own bounds hold), a length that is a lie, chunks (left at 64 MB).

--- a/mulleinreach/common/net.py
+++ b/mulleinreach/common/net.py
@@ -6,10 +6,12 @@
 import re
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from functools import partial
 
 import aiohttp
 from aiohttp import web
 
+from mulleinreach.common.response_head import BoundedResponseHandler
 from mulleinreach.common.responses import Response
 
 StreamHandler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None] | None]
@@ -106,6 +108,7 @@
         self, connector: aiohttp.BaseConnector, connect_timeout_s: float
     ) -> aiohttp.ClientSession:
         """Return a client session like :meth:`http_client` on a given connector."""
+        connector._factory = partial(BoundedResponseHandler, loop=asyncio.get_running_loop())
         session = aiohttp.ClientSession(
             connector=connector,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s),
--- a/mulleinreach/common/responses.py
+++ b/mulleinreach/common/responses.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
 import aiohttp
 
+# Twice the largest object of the platform's store.
+MAX_BODY_BYTES = 16_777_216
 _STATUSES_WITHOUT_BODY = (204, 304)
 
 
@@ -84,11 +87,25 @@
         if error is not None and self.framing is BodyFraming.CLOSE:
             raise aiohttp.ClientPayloadError(f"reset: {error}")
 
-    async def read(self) -> bytes:
-        """Return the whole body; raises ``aiohttp.ClientPayloadError`` if it was cut off."""
-        body = await super().read()
-        self.check_complete()
-        return body
+    async def read(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
+        """Return the whole body; raises ``aiohttp.ClientPayloadError`` if it was cut off.
+
+        A body of more than ``max_bytes`` is an error, too, and ends the connection.
+        """
+        if self._body is None:
+            parts = [part async for part in self._parts(max_bytes)]
+            self.check_complete()
+            self._body = b"".join(parts)
+        return self._body
+
+    async def _parts(self, max_bytes: int) -> AsyncIterator[bytes]:
+        size = 0
+        async for part in self.content.iter_any():
+            size += len(part)
+            if size > max_bytes:
+                self.close()
+                raise aiohttp.ClientPayloadError(f"a body over {max_bytes} bytes")
+            yield part
 
     @property
     def body_end(self) -> BodyEnd:
--- a/mulleinreach/gateway/request/exchange.py
+++ b/mulleinreach/gateway/request/exchange.py
@@ -22,6 +22,8 @@
 from mulleinreach.gateway.upstream import Notice, Upstream
 
 MAX_ANSWER_BYTES = 64_000_000
+# All answers that are being read together; a node has 256 MB and needs some of it twice.
+MAX_BUFFERED_BYTES = 64_000_000
 CHUNK_BYTES = 65_536
 # How often a stream without data is looked at.
 PAUSE_CHECK_INTERVAL_S = 0.5
@@ -162,6 +164,7 @@
         self._session = session
         self._dialect = dialect
         self._on_notice = on_notice
+        self._buffered = 0
 
     async def send(
         self, upstream: Upstream, request: OutgoingRequest, wants_stream: bool
@@ -211,9 +214,14 @@
             async for data in response.content.iter_chunked(CHUNK_BYTES):
                 parts.append(data)
                 size += len(data)
+                self._buffered += len(data)
                 if size > MAX_ANSWER_BYTES:
                     return Broken(f"an answer over {MAX_ANSWER_BYTES} bytes")
+                if self._buffered > MAX_BUFFERED_BYTES:
+                    return Broken(f"answers over {MAX_BUFFERED_BYTES} bytes together")
             response.check_complete()
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return Broken(f"{type(error).__name__}: {error}", is_closed=True)
+        finally:
+            self._buffered -= size
         return Answered(response.status, response.headers, b"".join(parts), response.body_end)
--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -18,7 +18,7 @@
 from mulleinreach.gateway.request.admission import RETRY_AFTER_S, Admission, Admitted, Denied
 from mulleinreach.gateway.request.budget import WindowedRetryBudget
 from mulleinreach.gateway.request.connections import CallerConnections
-from mulleinreach.gateway.request.events import EventSplitter
+from mulleinreach.gateway.request.events import EventSplitter, EventTooLong
 from mulleinreach.gateway.request.exchange import (
     AnswerCut,
     Answered,
@@ -326,7 +326,10 @@
     async def _write_events(
         self, job: RelayJob, splitter: EventSplitter, data: bytes, response: web.StreamResponse
     ) -> None:
-        events = splitter.feed(data)
+        try:
+            events = splitter.feed(data)
+        except EventTooLong as error:
+            raise AnswerCut(str(error)) from error
         if not events:
             return
         await response.write(b"".join(event.data for event in events))
--- a/mulleinreach/platform/orders.py
+++ b/mulleinreach/platform/orders.py
@@ -26,6 +26,7 @@
 ORDER_TIMEOUT_S = 0.4
 # Part of a report's timeout after which the host is asked on a new connection, too.
 HEDGE_DELAY_RATIO = 0.4
+MAX_REPORT_BYTES = 65_536
 EXPECT_INSTANCE = "X-Mulleinreach-Expect-Instance"
 
 
@@ -99,7 +100,7 @@
                 self._on_notice(host, read_notice(response.status, response.headers))
                 if response.status != 200:
                     return Unavailable(f"status {response.status}")
-                return parse_report(host, read_object(await response.read()))
+                return parse_report(host, read_object(await response.read(MAX_REPORT_BYTES)))
         except aiohttp.ClientConnectorError as error:
             is_refused = isinstance(error.os_error, ConnectionRefusedError)
             return Unavailable(f"{type(error).__name__}: {error}", is_refused)
