--- a/mulleinreach/gateway/state/arrivals.py
+++ b/mulleinreach/gateway/state/arrivals.py
@@ -10,7 +10,7 @@
 
 # A closed connection may hold an unread request for this long; sound upstreams stand still for
 # about a second.
-MAX_UNREAD_S = 3.0
+MAX_UNREAD_S = 1.5
 
 
 class SendCharge:
