--- a/benchmarks/body_breakages.py
+++ b/benchmarks/body_breakages.py
@@ -30,8 +30,8 @@
         "MIXED",
         "a body that is read at once is asked for its end",
         RESPONSES,
-        "        self.check_complete()\n        return body",
-        "        return body",
+        "            self.check_complete()\n            self._body",
+        "            self._body",
         READERS,
     ),
     Breakage(
--- a/benchmarks/gateway_breakages.py
+++ b/benchmarks/gateway_breakages.py
@@ -13,6 +13,7 @@
 from benchmarks.notice_breakages import NOTICE_BREAKAGES
 from benchmarks.restore_breakages import RESTORE_BREAKAGES
 from benchmarks.share_breakages import SHARE_BREAKAGES
+from benchmarks.silence_breakages import SILENCE_BREAKAGES
 from benchmarks.start_breakages import START_BREAKAGES
 
 GATEWAY = "mulleinreach/gateway"
@@ -55,15 +56,15 @@
         "BUDGET",
         "second sends are counted",
         f"{GATEWAY}/request/budget.py",
-        "is_granted=len(retries) + 1 <= allowed,",
-        "is_granted=True,",
+        "charge=window.add() if retries + 1 <= allowed else None,",
+        "charge=window.add(),",
         f"{GATEWAY}/request/tests/test_bounds.py -k second_sends",
     ),
     Breakage(
         "BUDGET",
         "a request reaches a bounded number of upstreams",
         f"{GATEWAY}/request/sending.py",
-        "if job.sends >= limit:",
+        "if job.sends >= self._max_sends(job, job.lost_runs):",
         "if False:",
         f"{GATEWAY}/request/tests/test_bounds.py -k reaches",
     ),
@@ -231,7 +232,7 @@
         "BUDGET",
         "only lost replicas excuse further runs of a stream",
         f"{GATEWAY}/request/sending.py",
-        "limit += min(job.lost_runs, MAX_EXTRA_RESUMES)",
+        "limit += min(lost_runs, MAX_EXTRA_RESUMES)",
         "limit += MAX_EXTRA_RESUMES",
         f"{GATEWAY}/request/tests/test_bounds.py -k lost_replica",
     ),
@@ -243,4 +244,5 @@
     *SHARE_BREAKAGES,
     *BODY_BREAKAGES,
     *CONNECTIVITY_BREAKAGES,
+    *SILENCE_BREAKAGES,
 ]
--- /dev/null
+++ b/benchmarks/silence_breakages.py
@@ -0,0 +1,52 @@
+"""Guards of answers whose upstream is silent, and of upstreams that send without end."""
+
+from __future__ import annotations
+
+from benchmarks.breakage import Breakage
+
+GATEWAY = "mulleinreach/gateway"
+SILENCE = f"{GATEWAY}/tests/test_silence_during_stops.py"
+ENDLESS = f"{GATEWAY}/request/tests/test_endless_answers.py"
+
+SILENCE_BREAKAGES = [
+    Breakage(
+        "LOST",
+        "a request that can't go on elsewhere stays at an upstream that is believed lost",
+        f"{GATEWAY}/request/active.py",
+        "[exchange for exchange in exchanges if exchange.may_move()]",
+        "list(exchanges)",
+        SILENCE,
+    ),
+    Breakage(
+        "LOST",
+        "a silent group that no other can replace is kept for a while",
+        f"{GATEWAY}/fleet/group_monitor.py",
+        "if any(self._hosts.silent_s(m.id) > MAX_SILENCE_S for m in group.members.values()):",
+        "if True:",
+        SILENCE,
+    ),
+    Breakage(
+        "MEMORY",
+        "informational responses are bounded",
+        "mulleinreach/common/response_head.py",
+        "if self._head_bytes > MAX_HEAD_BYTES and self.exception() is None:",
+        "if False:",
+        f"{ENDLESS} -k head_without_end",
+    ),
+    Breakage(
+        "MEMORY",
+        "an event is bounded",
+        f"{GATEWAY}/request/events.py",
+        "if len(self._buffer) > MAX_EVENT_BYTES:",
+        "if False:",
+        f"{ENDLESS} -k event_without_end",
+    ),
+    Breakage(
+        "MEMORY",
+        "bodies are bounded together",
+        f"{GATEWAY}/request/exchange.py",
+        "if self._buffered > MAX_BUFFERED_BYTES:",
+        "if False:",
+        f"{ENDLESS} -k bounded_together",
+    ),
+]
--- a/mulleinreach/platform/orders.py
+++ b/mulleinreach/platform/orders.py
@@ -101,11 +101,9 @@
                 if response.status != 200:
                     return Unavailable(f"status {response.status}")
                 return parse_report(host, read_object(await response.read(MAX_REPORT_BYTES)))
-        except aiohttp.ClientConnectorError as error:
-            is_refused = isinstance(error.os_error, ConnectionRefusedError)
-            return Unavailable(f"{type(error).__name__}: {error}", is_refused)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            return Unavailable(f"{type(error).__name__}: {error}")
+            is_refused = isinstance(getattr(error, "os_error", None), ConnectionRefusedError)
+            return Unavailable(f"{type(error).__name__}: {error}", is_refused)
         except CheckError as error:
             return Unavailable(f"invalid report: {error}")
 
