What decides on a further send is a module of its own; a stream leaves only for a send that it has

Read in, before any landing: a stream that asked again later whether it may leave its lost upstream was allowed an extra send for the lost replica, and was then counted as stalled, for which there is none. So with its attempts used up it gave the upstream up and was cut.

--- a/benchmarks/gateway_breakages.py
+++ b/benchmarks/gateway_breakages.py
@@ -63,7 +63,7 @@
     Breakage(
         "BUDGET",
         "a request reaches a bounded number of upstreams",
-        f"{GATEWAY}/request/sending.py",
+        f"{GATEWAY}/request/send_policy.py",
         "if job.sends >= self._max_sends(job, job.lost_runs):",
         "if False:",
         f"{GATEWAY}/request/tests/test_bounds.py -k reaches",
@@ -231,7 +231,7 @@
     Breakage(
         "BUDGET",
         "only lost replicas excuse further runs of a stream",
-        f"{GATEWAY}/request/sending.py",
+        f"{GATEWAY}/request/send_policy.py",
         "limit += min(lost_runs, MAX_EXTRA_RESUMES)",
         "limit += MAX_EXTRA_RESUMES",
         f"{GATEWAY}/request/tests/test_bounds.py -k lost_replica",
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -32,6 +32,7 @@
 from mulleinreach.gateway.request.exchange import UpstreamClient
 from mulleinreach.gateway.request.late import LateGate
 from mulleinreach.gateway.request.relay import Relay
+from mulleinreach.gateway.request.send_policy import SendPolicy
 from mulleinreach.gateway.request.sending import Sender
 from mulleinreach.gateway.request.starting import StartGate
 from mulleinreach.gateway.request.urgency import FirstWaitEstimator
@@ -194,8 +195,10 @@
         )
         budget = WindowedRetryBudget(self.bounds, self.clock, self.leased_share)
         self.first_waits = FirstWaitEstimator()
+        policy = SendPolicy(self.chooser, budget, self.crashes, self.metrics, self.clock, self.log)
         sender = Sender(
             self.chooser,
+            policy,
             client,
             direct_client,
             self.identity.regions.get(self.identity.hall),
@@ -203,7 +206,6 @@
             self.loads,
             self.active,
             self.suspects,
-            budget,
             self.first_waits,
             self.crashes,
             self.upstream_network.is_refusing,
@@ -213,6 +215,7 @@
         )
         self.relay = Relay(
             Admission(self.in_force, self.bounds),
+            policy,
             sender,
             self.ports.dialect,
             budget,
--- a/mulleinreach/gateway/request/active.py
+++ b/mulleinreach/gateway/request/active.py
@@ -25,7 +25,8 @@
     content : digest of the request's content.
     parts : digests of its prompt's shared parts.
     charges : what counts this send until it has arrived.
-    may_move : whether the request can go on at another upstream; reserves what that takes.
+    may_move : whether the request of an exchange can go on at another upstream; reserves what
+        that takes.
     """
 
     def __init__(
@@ -34,10 +35,10 @@
         content: int,
         parts: tuple[int, ...] = (),
         charges: Collection[SendCharge] = (),
-        may_move: Callable[[], bool] = lambda: True,
+        may_move: Callable[[ActiveExchange], bool] = lambda exchange: True,
     ):
         self._charges = charges
-        self.may_move = may_move
+        self._may_move = may_move
         self.upstream_id = upstream_id
         self.content = content
         self.parts = parts
@@ -78,6 +79,15 @@
         for charge in self._charges:
             charge.note_abandoned()
 
+    def may_move(self) -> bool:
+        """Whether the request can go on at another upstream; reserves what that takes."""
+        return self._may_move(self)
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the head of a stream was received."""
+        return self._streaming is not None
+
     def has_digest(self, digest: int) -> bool:
         """Whether a digest is that of the request's content or of a part of its prompt."""
         return digest == self.content or digest in self.parts
@@ -118,7 +128,7 @@
         content: int,
         parts: tuple[int, ...] = (),
         charges: Collection[SendCharge] = (),
-        may_move: Callable[[], bool] = lambda: True,
+        may_move: Callable[[ActiveExchange], bool] = lambda exchange: True,
     ) -> ActiveExchange:
         """Register an exchange that is about to start."""
         exchange = ActiveExchange(upstream_id, content, parts, charges, may_move)
--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -28,7 +28,8 @@
 )
 from mulleinreach.gateway.request.job import RelayJob, end_to_end_headers
 from mulleinreach.gateway.request.late import LateGate
-from mulleinreach.gateway.request.sending import MIN_REMAINING_S, Sender
+from mulleinreach.gateway.request.send_policy import MIN_REMAINING_S, SendPolicy
+from mulleinreach.gateway.request.sending import Sender
 from mulleinreach.gateway.request.starting import StartGate
 from mulleinreach.gateway.request.urgency import FirstWaitEstimator
 from mulleinreach.gateway.state.content import content_digest, format_digest
@@ -58,6 +59,7 @@
     def __init__(
         self,
         admission: Admission,
+        policy: SendPolicy,
         sender: Sender,
         dialect: Dialect,
         budget: WindowedRetryBudget,
@@ -70,6 +72,7 @@
         rng: random.Random,
     ):
         self._admission = admission
+        self._policy = policy
         self._sender = sender
         self._dialect = dialect
         self._budget = budget
@@ -119,7 +122,7 @@
         if body is None:
             return self._gateway_answer(headers, 413, None)
         job = self._make_job(request, headers, decision, body, started_at)
-        if self._sender.is_held(job):
+        if self._policy.is_held(job):
             return self._refuse_held(job)
         self._budget.count_request(job.service.name)
         await self._sender.wait_for_permit(job)
@@ -129,7 +132,7 @@
             else:
                 response = await self._relay_plain(job)
         finally:
-            self._sender.release(job)
+            self._policy.release(job)
         self._record_completion(job, response, started_at)
         return response
 
@@ -213,7 +216,7 @@
         )
 
     async def _relay_plain(self, job: RelayJob) -> web.StreamResponse:
-        while (upstream := self._sender.next_upstream(job)) is not None:
+        while (upstream := self._policy.next_upstream(job)) is not None:
             result = await self._sender.send_once(job, upstream)
             if isinstance(result, Answered):
                 job.body_end = result.body_end
@@ -235,7 +238,7 @@
             self._sender.log_held_back(job)
             remaining_s = job.deadline - self._clock.now()
             await self._late_gate.wait(job.constraints, job.headers, remaining_s)
-        while (upstream := self._sender.next_upstream(job)) is not None:
+        while (upstream := self._policy.next_upstream(job)) is not None:
             exchange, ticket = self._sender.begin(job, upstream)
             try:
                 result = await self._sender.open_stream(job, exchange, upstream, ticket)
@@ -288,14 +291,13 @@
         events_before = job.events_sent
         try:
             async with asyncio.timeout(max(0, job.deadline - self._clock.now())):
-                async for data in result.chunks(partial(self._sender.may_leave, job, exchange)):
+                async for data in result.chunks(partial(self._policy.may_leave, job, exchange)):
                     exchange.note_body(self._clock.now())
                     ticket.progress()
                     await self._write_events(job, splitter, data, response)
             has_events = job.events_sent > events_before
             self._check_whole(result, splitter, has_events)
         except (AnswerCut, TimeoutError) as error:
-            job.has_stalled |= isinstance(error, AnswerSilent)
             exchange.is_cut = isinstance(error, AnswerCut) and not isinstance(error, AnswerSilent)
             self._log.event(
                 "stream_broken",
@@ -348,7 +350,7 @@
         if job.failure is not None:
             return self._forward(job.failure)
         if not job.may_have_run:
-            if self._sender.is_held(job):
+            if self._policy.is_held(job):
                 return self._refuse_held(job)
             return self._gateway_answer(job.headers, 503, self._retry_after_s(job))
         is_late = job.deadline - self._clock.now() < MIN_REMAINING_S
--- /dev/null
+++ b/mulleinreach/gateway/request/send_policy.py
@@ -0,0 +1,138 @@
+"""Decides whether, and at which upstream, a request is sent once more."""
+
+from __future__ import annotations
+
+from mulleinreach.common import Clock, EventLog
+from mulleinreach.gateway.metrics import GatewayMetrics
+from mulleinreach.gateway.request.active import ActiveExchange
+from mulleinreach.gateway.request.budget import WindowedRetryBudget
+from mulleinreach.gateway.request.job import RelayJob
+from mulleinreach.gateway.state.crashes import CrashTracker
+from mulleinreach.gateway.state.eligibility import Exclusion
+from mulleinreach.gateway.state.selection import UpstreamChooser
+from mulleinreach.gateway.upstream import Upstream
+
+MIN_REMAINING_S = 0.005
+# A stream without an event for this time leaves its upstream if it can go on elsewhere; callers
+# give up after two seconds or more.
+PAUSE_LIMIT_S = 1.5
+# Sends of a stream beyond the route's limit, one for each replica lost in mid-stream. A lost
+# replica no longer runs the request, whereas one that failed has run it and counts.
+MAX_EXTRA_RESUMES = 2
+
+
+class SendPolicy:
+    """The limits on the sends of a request: its deadline, its route, holds and the retry budget."""
+
+    def __init__(
+        self,
+        chooser: UpstreamChooser,
+        budget: WindowedRetryBudget,
+        crashes: CrashTracker,
+        metrics: GatewayMetrics,
+        clock: Clock,
+        log: EventLog,
+    ):
+        self._chooser = chooser
+        self._budget = budget
+        self._crashes = crashes
+        self._metrics = metrics
+        self._clock = clock
+        self._log = log
+
+    def next_upstream(self, job: RelayJob) -> Upstream | None:
+        """Return the next upstream, or ``None`` if the request must not be sent again."""
+        if job.deadline - self._clock.now() < MIN_REMAINING_S:
+            return None
+        if job.sends >= self._max_sends(job, job.lost_runs):
+            return None
+        if self.is_held(job):
+            return None
+        upstream = self._chooser.choose(job.constraints, job.headers, job.tried, job.ended_halls)
+        if upstream is None:
+            self._log_shortage(job)
+            return None
+        if job.sends > 0 and job.retry_charge is None and not self._take_retry(job):
+            return None
+        return upstream
+
+    def reserve_move(self, job: RelayJob, exchange: ActiveExchange) -> bool:
+        """Whether a request can leave its lost or overdue upstream; takes a retry for it."""
+        lost_runs = job.lost_runs + exchange.has_begun
+        return self._reserve(job, self._max_sends(job, lost_runs))
+
+    def may_leave(self, job: RelayJob, exchange: ActiveExchange, silent_s: float) -> bool:
+        """Whether a stream that has begun leaves an upstream that has been silent for some time.
+
+        Silence alone ends no request that can't go on elsewhere.
+        """
+        if exchange.upstream_id in self._chooser.lost:
+            return self.reserve_move(job, exchange)
+        if silent_s < PAUSE_LIMIT_S or not self._reserve(job, job.admitted.route.max_attempts):
+            return False
+        job.has_stalled = True
+        return True
+
+    def _reserve(self, job: RelayJob, max_sends: int) -> bool:
+        """Whether a request can go on at another upstream; takes a retry for it."""
+        if job.retry_charge is not None:
+            return True
+        if job.sends >= max_sends:
+            return False
+        if not job.admitted.route.is_repeatable or self.is_held(job):
+            return False
+        upstream = self._chooser.choose(job.constraints, job.headers, job.tried, job.ended_halls)
+        return upstream is not None and self._take_retry(job)
+
+    def _max_sends(self, job: RelayJob, lost_runs: int) -> int:
+        """Return the largest number of sends of a request, after so many lost replicas."""
+        limit = job.admitted.route.max_attempts
+        if job.events_sent and not job.has_stalled:
+            limit += min(lost_runs, MAX_EXTRA_RESUMES)
+        return limit
+
+    def release(self, job: RelayJob) -> None:
+        """Return what a request that is over has reserved."""
+        if job.retry_charge is not None:
+            job.retry_charge.note_arrived()
+            job.retry_charge = None
+
+    def _take_retry(self, job: RelayJob) -> bool:
+        """Take a retry from the service's budget; returns whether there was one left."""
+        decision = self._budget.try_spend(job.service.name)
+        if not decision.is_granted:
+            self._metrics.count_refused_retry(job.service.name)
+        self._log.event(
+            "retry_granted" if decision.is_granted else "retry_refused",
+            id=job.headers.request_id,
+            service=job.service.name,
+            retries=decision.retries,
+            allowed=round(decision.allowed, 2),
+            requests=decision.requests,
+            share=round(decision.share, 4),
+            share_age_s=round(decision.share_age_s, 2),
+        )
+        job.retry_charge = decision.charge
+        return decision.is_granted
+
+    def _log_shortage(self, job: RelayJob) -> None:
+        """Log why no upstream is available for a request."""
+        shortage = self._chooser.exclusion_summary(job.constraints, job.headers, job.tried)
+        engine = job.service.engine
+        # The model's name comes from the caller; only a configured one is logged.
+        model = engine.model(job.headers.model or "") if engine else None
+        self._log.event(
+            "no_upstream",
+            id=job.headers.request_id,
+            service=job.service.name,
+            model=model.name if model else "",
+            listed=shortage.listed,
+            tried=shortage.tried,
+            **{reason.value: shortage.excluded.get(reason, 0) for reason in Exclusion},
+            evacuated_halls=",".join(shortage.evacuated_halls),
+        )
+
+    def is_held(self, job: RelayJob) -> bool:
+        """Whether a request is held: not sent, since upstreams crash when they run it."""
+        digests = (job.content, *job.headers.prompt_parts)
+        return any(self._crashes.is_held(digest) for digest in digests)
--- a/mulleinreach/gateway/request/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -1,4 +1,4 @@
-"""Sends a request to upstreams and retries within the limits of its route."""
+"""Sends a request to an upstream, and leaves it if it stays silent."""
 
 from __future__ import annotations
 
@@ -12,7 +12,6 @@
 from mulleinreach.gateway.model import RouteKind
 from mulleinreach.gateway.ports import Dialect
 from mulleinreach.gateway.request.active import ActiveExchange, ActiveExchanges
-from mulleinreach.gateway.request.budget import WindowedRetryBudget
 from mulleinreach.gateway.request.exchange import (
     Broken,
     ExchangeResult,
@@ -22,6 +21,7 @@
     UpstreamClient,
 )
 from mulleinreach.gateway.request.job import RelayJob, end_to_end_headers
+from mulleinreach.gateway.request.send_policy import SendPolicy
 from mulleinreach.gateway.request.urgency import (
     FirstWaitEstimator,
     Lateness,
@@ -30,28 +30,21 @@
 )
 from mulleinreach.gateway.state.content import format_digest
 from mulleinreach.gateway.state.crashes import CrashTracker
-from mulleinreach.gateway.state.eligibility import Exclusion
 from mulleinreach.gateway.state.load import InFlightRequest, LoadTracker
 from mulleinreach.gateway.state.notices import Rest
 from mulleinreach.gateway.state.selection import SuspectList, UpstreamChooser
 from mulleinreach.gateway.state.upstream_ends import RunOutcome
 from mulleinreach.gateway.upstream import Upstream
 
-MIN_REMAINING_S = 0.005
 # How often a request that waits for response headers checks whether its upstream is silent.
 SILENCE_CHECK_INTERVAL_S = 0.4
 # After this time without data from an upstream, streams without response headers leave it if they
 # can go on elsewhere. A group that lost a member is noticed within a second.
 SILENCE_LIMIT_S = 1.3
-# The same for streams with response headers; callers give up after two seconds or more.
-PAUSE_LIMIT_S = 1.5
-# Sends of a stream beyond the route's limit, one for each replica lost in mid-stream. A lost
-# replica no longer runs the request, whereas one that failed has run it and counts.
-MAX_EXTRA_RESUMES = 2
 
 
 class Sender:
-    """Chooses upstreams for requests, sends the requests and records the results.
+    """Sends requests to upstreams and records the results.
 
     Parameters
     ==========
@@ -64,6 +57,7 @@
     def __init__(
         self,
         chooser: UpstreamChooser,
+        policy: SendPolicy,
         client: UpstreamClient,
         direct_client: UpstreamClient,
         region: str | None,
@@ -71,7 +65,6 @@
         loads: LoadTracker,
         active: ActiveExchanges,
         suspects: SuspectList,
-        budget: WindowedRetryBudget,
         first_waits: FirstWaitEstimator,
         crashes: CrashTracker,
         is_refusing: Callable[[Address], Awaitable[bool]],
@@ -80,6 +73,7 @@
         log: EventLog,
     ):
         self._chooser = chooser
+        self._policy = policy
         self._client = client
         self._direct_client = direct_client
         self._region = region
@@ -87,7 +81,6 @@
         self._loads = loads
         self._active = active
         self._suspects = suspects
-        self._budget = budget
         self._first_waits = first_waits
         self._crashes = crashes
         self._is_refusing = is_refusing
@@ -111,95 +104,6 @@
                 ms=round(awaited.waited_s * 1000),
             )
 
-    def next_upstream(self, job: RelayJob) -> Upstream | None:
-        """Return the next upstream, or ``None`` if the request must not be sent again."""
-        if job.deadline - self._clock.now() < MIN_REMAINING_S:
-            return None
-        if job.sends >= self._max_sends(job, job.lost_runs):
-            return None
-        if self.is_held(job):
-            return None
-        upstream = self._chooser.choose(job.constraints, job.headers, job.tried, job.ended_halls)
-        if upstream is None:
-            self._log_shortage(job)
-            return None
-        if job.sends > 0 and job.retry_charge is None and not self._take_retry(job):
-            return None
-        return upstream
-
-    def _max_sends(self, job: RelayJob, lost_runs: int) -> int:
-        """Return the largest number of sends of a request, after so many lost replicas."""
-        limit = job.admitted.route.max_attempts
-        if job.events_sent and not job.has_stalled:
-            limit += min(lost_runs, MAX_EXTRA_RESUMES)
-        return limit
-
-    def _reserve_move(self, job: RelayJob, is_lost: bool) -> bool:
-        """Whether a request can go on at another upstream; takes a retry for it.
-
-        Parameters
-        ==========
-
-        is_lost : whether its upstream is lost, and not only silent.
-        """
-        if job.retry_charge is not None:
-            return True
-        if not job.admitted.route.is_repeatable or self.is_held(job):
-            return False
-        if job.sends >= self._max_sends(job, job.lost_runs + is_lost):
-            return False
-        upstream = self._chooser.choose(job.constraints, job.headers, job.tried, job.ended_halls)
-        return upstream is not None and self._take_retry(job)
-
-    def may_leave(self, job: RelayJob, exchange: ActiveExchange, silent_s: float) -> bool:
-        """Whether a request leaves an upstream that has been silent for some time.
-
-        Silence alone ends no request that can't go on elsewhere.
-        """
-        is_lost = exchange.upstream_id in self._chooser.lost
-        return (is_lost or silent_s >= PAUSE_LIMIT_S) and self._reserve_move(job, is_lost)
-
-    def release(self, job: RelayJob) -> None:
-        """Return what a request that is over has reserved."""
-        if job.retry_charge is not None:
-            job.retry_charge.note_arrived()
-            job.retry_charge = None
-
-    def _take_retry(self, job: RelayJob) -> bool:
-        """Take a retry from the service's budget; returns whether there was one left."""
-        decision = self._budget.try_spend(job.service.name)
-        if not decision.is_granted:
-            self._metrics.count_refused_retry(job.service.name)
-        self._log.event(
-            "retry_granted" if decision.is_granted else "retry_refused",
-            id=job.headers.request_id,
-            service=job.service.name,
-            retries=decision.retries,
-            allowed=round(decision.allowed, 2),
-            requests=decision.requests,
-            share=round(decision.share, 4),
-            share_age_s=round(decision.share_age_s, 2),
-        )
-        job.retry_charge = decision.charge
-        return decision.is_granted
-
-    def _log_shortage(self, job: RelayJob) -> None:
-        """Log why no upstream is available for a request."""
-        shortage = self._chooser.exclusion_summary(job.constraints, job.headers, job.tried)
-        engine = job.service.engine
-        # The model's name comes from the caller; only a configured one is logged.
-        model = engine.model(job.headers.model or "") if engine else None
-        self._log.event(
-            "no_upstream",
-            id=job.headers.request_id,
-            service=job.service.name,
-            model=model.name if model else "",
-            listed=shortage.listed,
-            tried=shortage.tried,
-            **{reason.value: shortage.excluded.get(reason, 0) for reason in Exclusion},
-            evacuated_halls=",".join(shortage.evacuated_halls),
-        )
-
     def may_retry(self, job: RelayJob, result: ExchangeResult) -> bool:
         """Whether the request may be retried after an exchange without an answer."""
         if isinstance(result, NotSent | Refused):
@@ -260,7 +164,7 @@
             job.content,
             job.headers.prompt_parts,
             charges,
-            may_move=partial(self._reserve_move, job, is_lost=True),
+            may_move=partial(self._policy.reserve_move, job),
         )
         return exchange, ticket
 
@@ -313,11 +217,6 @@
         """Record that an upstream has answered a request completely."""
         self._crashes.note_served(job.content, upstream, job.headers.prompt_parts)
 
-    def is_held(self, job: RelayJob) -> bool:
-        """Whether a request is held: not sent, since upstreams crash when they run it."""
-        digests = (job.content, *job.headers.prompt_parts)
-        return any(self._crashes.is_held(digest) for digest in digests)
-
     def rest(self, job: RelayJob) -> Rest | None:
         """Return the rest (back-off) that ends first if all eligible upstreams are resting."""
         return self._chooser.rest(job.constraints, job.headers)
@@ -348,7 +247,7 @@
                 if done:
                     return send_task.result()
                 is_lost = upstream.id in self._chooser.lost
-                if (is_lost or is_overdue()) and self._reserve_move(job, is_lost):
+                if (is_lost or is_overdue()) and self._policy.reserve_move(job, exchange):
                     exchange.abort()
         finally:
             send_task.cancel()
--- a/mulleinreach/gateway/request/tests/test_bounds.py
+++ b/mulleinreach/gateway/request/tests/test_bounds.py
@@ -13,7 +13,7 @@
 from mulleinreach.gateway.deployment import DeploymentBounds
 from mulleinreach.gateway.fleet.weight_loads import RATE_WINDOW_S, WeightLoadLimiter
 from mulleinreach.gateway.request.budget import WindowedRetryBudget
-from mulleinreach.gateway.request.sending import MAX_EXTRA_RESUMES
+from mulleinreach.gateway.request.send_policy import MAX_EXTRA_RESUMES
 from mulleinreach.gateway.state.leased_share import LeasedShare
 from mulleinreach.gateway.tests.notice_support import large_heads, request_repeatedly
 from mulleinreach.gateway.tests.support import run_world
--- /dev/null
+++ b/mulleinreach/gateway/request/tests/test_send_policy.py
@@ -0,0 +1,109 @@
+"""What decides whether a request leaves a silent upstream, on stand-ins of its parts."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import pytest
+
+from mulleinreach.common import Clock, EventLog
+from mulleinreach.gateway.request.budget import RetryDecision
+from mulleinreach.gateway.request.send_policy import PAUSE_LIMIT_S, SendPolicy
+from mulleinreach.gateway.state.arrivals import ArrivalWindow
+from mulleinreach.gateway.state.tests.test_crashes import ManualClock
+
+NAMES = SimpleNamespace(request_id="r", prompt_parts=(), model=None)
+
+
+class Budget:
+    """A budget with so many retries left."""
+
+    def __init__(self, clock: Clock, left: int):
+        self.left = left
+        self.window = ArrivalWindow(clock, 10.0)
+
+    def try_spend(self, service: str) -> RetryDecision:
+        """Take one retry if there is one left."""
+        is_granted = self.left > 0
+        self.left -= is_granted
+        return RetryDecision(self.window.add() if is_granted else None, 0, 1.0, 1, 1.0, 0.0)
+
+
+def make_policy(left: int = 1, lost: frozenset[str] = frozenset({"u"})):
+    """Return a policy, and the budget that it asks."""
+    clock = ManualClock()
+    budget = Budget(clock, left)
+    chooser = SimpleNamespace(lost=lost, choose=lambda *args: SimpleNamespace(id="other"))
+    crashes = SimpleNamespace(is_held=lambda digest: False)
+    metrics = SimpleNamespace(count_refused_retry=lambda service: None)
+    return SendPolicy(chooser, budget, crashes, metrics, clock, EventLog("node")), budget
+
+
+def make_job(sends: int = 1, lost_runs: int = 0, events_sent: int = 5, is_repeatable: bool = True):
+    """Return a request on a route with two attempts."""
+    route = SimpleNamespace(max_attempts=2, is_repeatable=is_repeatable)
+    return SimpleNamespace(
+        deadline=float("inf"),
+        admitted=SimpleNamespace(route=route),
+        constraints=None,
+        content=1,
+        ended_halls=set(),
+        events_sent=events_sent,
+        has_stalled=False,
+        headers=NAMES,
+        lost_runs=lost_runs,
+        retry_charge=None,
+        sends=sends,
+        service=SimpleNamespace(name="models", engine=None),
+        tried=set(),
+    )
+
+
+def make_exchange(has_begun: bool = True):
+    return SimpleNamespace(upstream_id="u", has_begun=has_begun)
+
+
+# Guards against requests that give their upstream up for a send that is then refused.
+@pytest.mark.parametrize("has_begun", [False, True])
+@pytest.mark.parametrize("is_lost", [False, True])
+@pytest.mark.parametrize("sends", [1, 2, 3, 4])
+@pytest.mark.parametrize("lost_runs", [0, 1, 2, 3])
+def test_request_that_leaves_its_upstream_is_sent_once_more(has_begun, is_lost, sends, lost_runs):
+    policy, _ = make_policy(lost=frozenset({"u"} if is_lost else ()))
+    job = make_job(sends, lost_runs)
+    exchange = make_exchange(has_begun)
+    if has_begun:
+        leaves = policy.may_leave(job, exchange, PAUSE_LIMIT_S)
+        job.lost_runs += 1
+    else:
+        leaves = policy.reserve_move(job, exchange)
+    assert not leaves or policy.next_upstream(job).id == "other"
+
+
+def test_retry_is_reserved_once_and_returned_if_it_is_not_sent():
+    policy, budget = make_policy(left=2)
+    job = make_job()
+    assert policy.reserve_move(job, make_exchange())
+    assert policy.reserve_move(job, make_exchange())
+    assert budget.left == 1
+    policy.release(job)
+    assert job.retry_charge is None
+    policy._clock.at += 10.1
+    assert len(budget.window) == 0
+
+
+@pytest.mark.parametrize(
+    ("left", "job"), [(0, make_job()), (1, make_job(is_repeatable=False)), (1, make_job(sends=4))]
+)
+def test_request_that_cannot_go_on_elsewhere_stays(left, job):
+    policy, _ = make_policy(left)
+    assert not policy.may_leave(job, make_exchange(), 60.0)
+    assert not policy.reserve_move(job, make_exchange())
+
+
+def test_silent_upstream_that_is_not_lost_is_left_only_after_the_limit():
+    policy, _ = make_policy(lost=frozenset())
+    job = make_job()
+    assert not policy.may_leave(job, make_exchange(), PAUSE_LIMIT_S - 0.1)
+    assert policy.may_leave(job, make_exchange(), PAUSE_LIMIT_S)
+    assert job.has_stalled
