Tests of a silent head of the only group, and of a host that refuses connections; its guard notices

The guard of the group that is kept had gone unnoticed: streams of the dissolved group were resumed elsewhere, so they were whole. The new test asks that nothing was run twice and that the group stands.

--- a/benchmarks/silence_breakages.py
+++ b/benchmarks/silence_breakages.py
@@ -23,7 +23,7 @@
         f"{GATEWAY}/fleet/group_monitor.py",
         "if any(self._hosts.silent_s(m.id) > MAX_SILENCE_S for m in group.members.values()):",
         "if True:",
-        SILENCE,
+        f"{SILENCE} -k only_group",
     ),
     Breakage(
         "MEMORY",
--- a/mulleinreach/gateway/tests/test_silence_during_stops.py
+++ b/mulleinreach/gateway/tests/test_silence_during_stops.py
@@ -34,3 +34,22 @@
         assert [answer.event_ids for answer in answers] == [expected] * len(calls)
 
     run_world(test, nodes=3, domains=1)
+
+
+# Guards against a group that is taken apart for a silent moment of its head, with all that runs
+# there, though no other group serves its model.
+def test_only_group_of_a_model_outlives_the_silence_of_its_head():
+    async def test(world):
+        await world.until(lambda: all(world.open_groups(LARGE, name) for name in world.nodes))
+        await asyncio.sleep(2)
+        host = next(h for h in world.fabric.hosts.values() if h.standing.model == LARGE)
+        head = world.fabric.hosts[host.standing.members[0]]
+        group = head.standing.group
+        calls = [asyncio.create_task(world.stream(EVENTS)) for _ in range(6)]
+        await asyncio.sleep(0.8)
+        await head.pause(SILENT_S)
+        await asyncio.gather(*calls)
+        assert head.standing.group == group
+        assert all(len(hosts) == 1 for hosts in world.fabric.checks.runs.values())
+
+    run_world(test, nodes=3, domains=1)
--- a/mulleinreach/platform/tests/test_orders.py
+++ b/mulleinreach/platform/tests/test_orders.py
@@ -133,3 +133,14 @@
         assert isinstance(await orders.report(HOST, 0.25), Unavailable)
 
     run_orders([], test, links=links)
+
+
+# Guards against a process that has ended and is given time as if it were only silent.
+def test_refused_connection_is_told_apart_from_silence():
+    async def test(orders, replica):
+        ended = replace(HOST, address=Address("10.0.1.1", 81))
+        assert (await orders.report(ended, 0.5)).is_refused
+        replica.report_delay_s = 1.0
+        assert not (await orders.report(HOST, 0.5)).is_refused
+
+    run_orders([], test)
