A window of sends drops what is over, also if nobody asks it

Found by reading as a newcomer, before any landing: the windows of upstreams that are warm are only added to, one entry a request, on services whose hosts can be cold. test_arrivals.py failed before (10,000 entries where 64 may stay).

--- a/mulleinreach/gateway/state/arrivals.py
+++ b/mulleinreach/gateway/state/arrivals.py
@@ -11,6 +11,8 @@
 # A closed connection may hold an unread request for this long; sound upstreams stand still for
 # about a second.
 MAX_UNREAD_S = 1.5
+# Sends that are over are dropped once a window holds so many, or twice those that still count.
+MIN_FULL = 64
 
 
 class SendCharge:
@@ -73,6 +75,7 @@
         self._clock = clock
         self._window_s = window_s
         self._charges: list[SendCharge] = []
+        self._full_at = MIN_FULL
 
     def __len__(self) -> int:
         self._charges = [charge for charge in self._charges if charge.counts]
@@ -80,6 +83,8 @@
 
     def add(self) -> SendCharge:
         """Count a send that is about to begin."""
+        if len(self._charges) >= self._full_at:
+            self._full_at = max(MIN_FULL, 2 * len(self))
         charge = SendCharge(self._clock, self._window_s)
         self._charges.append(charge)
         return charge
