A safe request asks another upstream at its limit again, and not up to 0.4 s later

Callers would have seen (read in, before any landing): a safe request whose upstream hangs asked another one up to 0.4 s later than before, half of its time on routes of a second. The limit was looked at only each 0.4 s; now it is looked at when it is reached. The new test failed before (1.6 s for 1.5 s).

--- a/mulleinreach/gateway/request/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -114,13 +114,11 @@
     async def send_once(self, job: RelayJob, upstream: Upstream) -> ExchangeResult:
         """Send a request and read the whole answer."""
         exchange, ticket = self.begin(job, upstream)
-        overdue_at = self._clock.now() + self._patience_s(job)
-
-        def is_overdue() -> bool:
-            return self._clock.now() >= overdue_at
-
+        patience_s = self._patience_s(job)
         try:
-            return await self._send_until(job, exchange, upstream, is_overdue, wants_stream=False)
+            return await self._send_until(
+                job, exchange, upstream, lambda: True, patience_s, wants_stream=False
+            )
         finally:
             self.end(exchange, ticket)
 
@@ -229,7 +227,9 @@
         def is_overdue() -> bool:
             return self._loads.stalled_s(upstream.id) > SILENCE_LIMIT_S
 
-        return await self._send_until(job, exchange, upstream, is_overdue, wants_stream=True)
+        return await self._send_until(
+            job, exchange, upstream, is_overdue, SILENCE_CHECK_INTERVAL_S, wants_stream=True
+        )
 
     async def _send_until(
         self,
@@ -237,15 +237,24 @@
         exchange: ActiveExchange,
         upstream: Upstream,
         is_overdue: Callable[[], bool],
+        first_check_s: float,
         wants_stream: bool,
     ) -> ExchangeResult:
-        """Send the request; leave its upstream once it is overdue or lost, if it can go on."""
+        """Send the request; leave its upstream once it is overdue or lost, if it can go on.
+
+        Parameters
+        ==========
+
+        first_check_s : when it is looked at first; later every ``SILENCE_CHECK_INTERVAL_S``.
+        """
         send_task = asyncio.ensure_future(self._send(job, exchange, upstream, wants_stream))
+        check_s = first_check_s
         try:
             while True:
-                done, _ = await asyncio.wait({send_task}, timeout=SILENCE_CHECK_INTERVAL_S)
+                done, _ = await asyncio.wait({send_task}, timeout=check_s)
                 if done:
                     return send_task.result()
+                check_s = SILENCE_CHECK_INTERVAL_S
                 is_lost = upstream.id in self._chooser.lost
                 if (is_lost or is_overdue()) and self._policy.reserve_move(job, exchange):
                     exchange.abort()
--- a/mulleinreach/gateway/request/tests/test_relay.py
+++ b/mulleinreach/gateway/request/tests/test_relay.py
@@ -22,6 +22,9 @@
 from mulleinreach.gateway.tests.support import run_world
 from mulleinreach.standins.gateway.store import UPSTREAMS
 
+# Of all routes of the stand-in deployment.
+OBJECTIVE_S = 0.5
+
 
 def test_path_and_query_are_forwarded_unchanged():
     async def test(world):
@@ -112,3 +115,19 @@
         assert (await world.call("/public/1", key="x" * 20_000)).status == 431
 
     run_world(test, **NO_HOSTS)
+
+
+# Guards against a safe request that asks another upstream later than its route's objective allows.
+def test_safe_request_leaves_an_upstream_that_hangs_at_its_limit():
+    async def test(world):
+        await start_plain_upstreams(world, hang, echo_path)
+        limit_s = 3 * OBJECTIVE_S
+        for _ in range(6):
+            began_at = world.clock.now()
+            answer = await world.call("/stock/1", method="GET")
+            assert answer.status == 200
+            elapsed_s = world.clock.now() - began_at
+            assert elapsed_s < 0.2 or limit_s - 0.05 < elapsed_s < limit_s + 0.05
+            await asyncio.sleep(2)
+
+    run_world(test, **NO_HOSTS)
