--- a/benchmarks/crash_breakages.py
+++ b/benchmarks/crash_breakages.py
@@ -16,7 +16,7 @@
     Breakage(
         "BUDGET",
         "a held request is sent to nobody else within its try",
-        f"{GATEWAY}/request/sending.py",
+        f"{GATEWAY}/request/send_policy.py",
         "if self.is_held(job):",
         "if False:",
         f"{CRASHING} -k aborted",
@@ -152,7 +152,7 @@
     Breakage(
         "BUDGET",
         "a request with a held part is held",
-        f"{GATEWAY}/request/sending.py",
+        f"{GATEWAY}/request/send_policy.py",
         "digests = (job.content, *job.headers.prompt_parts)",
         "digests = (job.content,)",
         f"{PROMPT_PARTS} -k restart_of_all",
--- a/benchmarks/hall_breakages.py
+++ b/benchmarks/hall_breakages.py
@@ -77,7 +77,7 @@
     Breakage(
         "EVAC",
         "a request without an upstream says why",
-        f"{GATEWAY}/request/sending.py",
+        f"{GATEWAY}/request/send_policy.py",
         "            self._log_shortage(job)\n",
         "",
         f"{GATEWAY}/request/tests/test_shortage.py",
