One copy of what stood twice: an exchange's parameters, the names and times of the soak's hosts

ActiveExchanges.begin repeated the five parameters of ActiveExchange, with defaults that nobody used; it now takes the exchange. The soak's two kinds of hosts share names and times (host_app.py). The arrivals of hosts in processes of their own no longer write a deadline that nothing in the repository reads.

No behaviour is meant to change.

--- a/mulleinreach/gateway/request/active.py
+++ b/mulleinreach/gateway/request/active.py
@@ -33,9 +33,9 @@
         self,
         upstream_id: str,
         content: int,
-        parts: tuple[int, ...] = (),
-        charges: Collection[SendCharge] = (),
-        may_move: Callable[[ActiveExchange], bool] = lambda exchange: True,
+        parts: tuple[int, ...],
+        charges: Collection[SendCharge],
+        may_move: Callable[[ActiveExchange], bool],
     ):
         self._charges = charges
         self._may_move = may_move
@@ -122,18 +122,9 @@
     def __init__(self) -> None:
         self._by_upstream: dict[str, set[ActiveExchange]] = {}
 
-    def begin(
-        self,
-        upstream_id: str,
-        content: int,
-        parts: tuple[int, ...] = (),
-        charges: Collection[SendCharge] = (),
-        may_move: Callable[[ActiveExchange], bool] = lambda exchange: True,
-    ) -> ActiveExchange:
+    def begin(self, exchange: ActiveExchange) -> None:
         """Register an exchange that is about to start."""
-        exchange = ActiveExchange(upstream_id, content, parts, charges, may_move)
-        self._by_upstream.setdefault(upstream_id, set()).add(exchange)
-        return exchange
+        self._by_upstream.setdefault(exchange.upstream_id, set()).add(exchange)
 
     def end(self, exchange: ActiveExchange) -> None:
         """Remove an exchange that is over."""
--- a/mulleinreach/gateway/request/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -157,13 +157,14 @@
         ticket = self._loads.start(upstream.id, job.headers.prompt_tokens or 0, is_deprioritized)
         charges = [charge for charge in (sent_charge, job.retry_charge) if charge is not None]
         job.retry_charge = None
-        exchange = self._active.begin(
+        exchange = ActiveExchange(
             upstream.id,
             job.content,
             job.headers.prompt_parts,
             charges,
             may_move=partial(self._policy.reserve_move, job),
         )
+        self._active.begin(exchange)
         return exchange, ticket
 
     def end(self, exchange: ActiveExchange, ticket: InFlightRequest) -> None:
--- a/mulleinreach/platform/tests/soak/host_app.py
+++ b/mulleinreach/platform/tests/soak/host_app.py
@@ -9,9 +9,13 @@
 
 from mulleinreach.gateway.ports import Accepted, OrderResult
 from mulleinreach.gateway.upstream import upstream_name
-from mulleinreach.platform.dialect import EXPECT_INSTANCE
+from mulleinreach.platform.dialect import EXPECT_INSTANCE, NOT_EXECUTED, REQUEST_ID, SIGNATURE
 from mulleinreach.platform.tests.standin import row_of
-from mulleinreach.standins.gateway.hosts import HostStandIn
+from mulleinreach.standins.gateway.dialect import HeaderNames
+from mulleinreach.standins.gateway.hosts import HostStandIn, HostTimes
+
+NAMES = HeaderNames(REQUEST_ID, SIGNATURE, NOT_EXECUTED, EXPECT_INSTANCE)
+TIMES = HostTimes(load_s=0.4, warm_s=0.2)
 
 
 def host_app(cell: list[HostStandIn], running: Callable[[str], str]) -> web.Application:
--- a/mulleinreach/platform/tests/soak/replica_process.py
+++ b/mulleinreach/platform/tests/soak/replica_process.py
@@ -19,25 +19,16 @@
 from aiohttp import web
 
 from mulleinreach.common import Address
-from mulleinreach.platform.dialect import (
-    DEADLINE_MS,
-    EXPECT_INSTANCE,
-    NOT_EXECUTED,
-    REQUEST_ID,
-    SIGNATURE,
-)
+from mulleinreach.platform.dialect import REQUEST_ID
 from mulleinreach.platform.tests.soak.document import MODEL_SERVICE
-from mulleinreach.platform.tests.soak.host_app import host_app
+from mulleinreach.platform.tests.soak.host_app import NAMES, TIMES, host_app
+from mulleinreach.platform.tests.soak.processes import LOCAL
 from mulleinreach.platform.tests.soak.replicas import USUAL_BACKLOG
 from mulleinreach.platform.tests.standin import row_of
-from mulleinreach.standins.gateway.dialect import HeaderNames
 from mulleinreach.standins.gateway.fabric import Fabric
-from mulleinreach.standins.gateway.hosts import HostStandIn, HostTimes, make_upstream
+from mulleinreach.standins.gateway.hosts import HostStandIn, make_upstream
 from mulleinreach.standins.gateway.store import UPSTREAMS, MemoryStore
 
-LOCAL = "127.0.0.1"
-NAMES = HeaderNames(REQUEST_ID, SIGNATURE, NOT_EXECUTED, EXPECT_INSTANCE)
-TIMES = HostTimes(load_s=0.4, warm_s=0.2)
 # The table of the platform's store in which replicas keep themselves.
 SERVERS = "servers"
 
@@ -56,8 +47,7 @@
             request_id = request.headers.get(REQUEST_ID)
             if request_id is not None:
                 at = asyncio.get_running_loop().time()
-                deadline_ms = float(request.headers[DEADLINE_MS])
-                line = {"upstream": upstream_id, "id": request_id, "at": at, "ms": deadline_ms}
+                line = {"upstream": upstream_id, "id": request_id, "at": at}
                 self._file.write(json.dumps(line) + "\n")
             return await handler(request)
 
--- a/mulleinreach/platform/tests/soak/world.py
+++ b/mulleinreach/platform/tests/soak/world.py
@@ -13,7 +13,6 @@
 
 from mulleinreach.common import Address
 from mulleinreach.gateway.upstream import Upstream, UpstreamState, incarnation_id, upstream_name
-from mulleinreach.platform.dialect import EXPECT_INSTANCE, NOT_EXECUTED, REQUEST_ID, SIGNATURE
 from mulleinreach.platform.sources import CONFIGURATION_KEY, CONFIGURATION_TABLE, EVACUATION_PREFIX
 from mulleinreach.platform.tests.soak.document import (
     COLD_S,
@@ -22,20 +21,17 @@
     DocumentOptions,
     make_document,
 )
-from mulleinreach.platform.tests.soak.host_app import host_app
+from mulleinreach.platform.tests.soak.host_app import NAMES, TIMES, host_app
 from mulleinreach.platform.tests.soak.notices import Arrival, Notices
 from mulleinreach.platform.tests.soak.plain import PlainService
 from mulleinreach.platform.tests.soak.processes import LOCAL, GatewayProcess, make_gateway
 from mulleinreach.platform.tests.soak.proxy import Link, Proxy
 from mulleinreach.platform.tests.soak.replicas import USUAL_BACKLOG, ReplicaProcess
 from mulleinreach.platform.tests.standin import StoreStandIn
-from mulleinreach.standins.gateway.dialect import HeaderNames
 from mulleinreach.standins.gateway.fabric import Fabric
-from mulleinreach.standins.gateway.hosts import HostStandIn, HostTimes, make_upstream
+from mulleinreach.standins.gateway.hosts import HostStandIn, make_upstream
 from mulleinreach.standins.gateway.store import UPSTREAMS, MemoryStore
 
-NAMES = HeaderNames(REQUEST_ID, SIGNATURE, NOT_EXECUTED, EXPECT_INSTANCE)
-TIMES = HostTimes(load_s=0.4, warm_s=0.2)
 HALLS = 3
 # The list names a host that has fallen silent for so many seconds more.
 LISTED_S = 2.0
