--- a/review/standins_3/deployment.py
+++ b/review/standins_3/deployment.py
@@ -13,6 +13,8 @@
 import sys
 import tempfile
 import time
+import traceback
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -46,6 +48,10 @@
         """Return the seconds since the start."""
         return time.monotonic() - self._began
 
+    def seconds_of(self, steady: float) -> float:
+        """Return the seconds since the start of a time on the system's steady clock."""
+        return steady - self._began
+
     def note(self, event: str, **fields: object) -> float:
         """Write one line; returns its time."""
         at = self.now()
@@ -142,6 +148,47 @@
         self._directory.cleanup()
 
 
+def run_case(case: Coroutine[None, None, int]) -> int:
+    """Run a case; returns its exit code, that of a case that couldn't run if it failed itself."""
+    try:
+        return asyncio.run(case)
+    except Exception:
+        traceback.print_exc()
+        return COULD_NOT_RUN
+
+
+class CallerConnection:
+    """A connection of a caller, which may be kept for several requests."""
+
+    def __init__(self, gateway: GatewayProcess):
+        self._gateway = gateway
+        self._reader: asyncio.StreamReader | None = None
+        self._writer: asyncio.StreamWriter | None = None
+
+    async def open(self) -> None:
+        """Connect to the gateway."""
+        port = self._gateway.callers.port
+        self._reader, self._writer = await asyncio.open_connection(LOCAL, port)
+
+    async def call(
+        self, method: str, path: str, headers: dict[str, str], body: bytes = b""
+    ) -> Answer:
+        """Send a request, and read the answer as far as it comes."""
+        answer = Answer()
+        fields = {"Host": CALLER_HOST, "Authorization": f"Bearer {KEY}", **headers}
+        fields |= {"Content-Length": str(len(body))}
+        lines = [f"{method} {path} HTTP/1.1", *(f"{n}: {v}" for n, v in fields.items()), "", ""]
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, ValueError):
+            self._writer.write("\r\n".join(lines).encode() + body)
+            await _read_answer(self._reader, answer)
+        return answer
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._writer is not None:
+            self._writer.transport.abort()
+
+
 async def call(
     gateway: GatewayProcess,
     method: str,
@@ -151,21 +198,15 @@
     timeout_s: float = 12.0,
 ) -> Answer:
     """Send a request on a connection of its own, and read the answer to its end."""
-    answer = Answer()
-    fields = {"Host": CALLER_HOST, "Authorization": f"Bearer {KEY}", **headers}
-    fields |= {"Content-Length": str(len(body)), "Connection": "close"}
-    lines = [f"{method} {path} HTTP/1.1", *(f"{n}: {v}" for n, v in fields.items()), "", ""]
+    connection = CallerConnection(gateway)
     try:
         async with asyncio.timeout(timeout_s):
-            reader, writer = await asyncio.open_connection(LOCAL, gateway.callers.port)
-            try:
-                writer.write("\r\n".join(lines).encode() + body)
-                await _read_answer(reader, answer)
-            finally:
-                writer.transport.abort()
-    except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError):
-        return answer
-    return answer
+            await connection.open()
+            return await connection.call(method, path, {**headers, "Connection": "close"}, body)
+    except (OSError, TimeoutError):
+        return Answer()
+    finally:
+        connection.close()
 
 
 async def _read_answer(reader: asyncio.StreamReader, answer: Answer) -> None:
