--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,4 +1,5 @@
 #!/bin/sh
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+# Runs the case; exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
-PYTHONPATH=target/deps:. exec python3 review/5/case.py
+export PYTHONPATH="target/deps:."
+exec python3 -m review.5.case
