A retiring group finishes what its routes allow

What callers saw: streams that can't go on elsewhere cut at a sound head 8.3 s after its group had begun to retire, whatever time their route leaves them. Fix: a retirement ends by the longest timeout of the routes to its service. Retirements have a module of their own and a reason, which the log line group_retiring names. Moves of hosts reckon with the same time (8 s: 13 s as before).

--- /dev/null
+++ b/benchmarks/ending_breakages.py
@@ -0,0 +1,17 @@
+"""Breakages of how groups end: each switches off one rule, which a test has to notice."""
+
+from benchmarks.breakage import Breakage
+
+FLEET = "mulleinreach/gateway/fleet"
+ENDING_GROUPS = f"{FLEET}/tests/test_ending_groups.py"
+
+ENDING_BREAKAGES = [
+    Breakage(
+        "LOST",
+        "a retiring group finishes answers as long as their route allows",
+        f"{FLEET}/retirements.py",
+        "return self._longest_timeout_s(service) + END_MARGIN_S",
+        "return 8.0 + END_MARGIN_S",
+        f"{ENDING_GROUPS} -k as_long_as",
+    ),
+]
--- a/benchmarks/gateway_breakages.py
+++ b/benchmarks/gateway_breakages.py
@@ -9,6 +9,7 @@
 from benchmarks.breakage import Breakage
 from benchmarks.connectivity_breakages import CONNECTIVITY_BREAKAGES
 from benchmarks.crash_breakages import CRASH_BREAKAGES
+from benchmarks.ending_breakages import ENDING_BREAKAGES
 from benchmarks.hall_breakages import HALL_BREAKAGES
 from benchmarks.notice_breakages import NOTICE_BREAKAGES
 from benchmarks.restore_breakages import RESTORE_BREAKAGES
@@ -244,14 +245,6 @@
         "job.ended_runs += 1",
         f"{GATEWAY}/request/tests/test_attempts_in_silences.py",
     ),
-    Breakage(
-        "LOST",
-        "a group whose member leaves finishes what can't go on elsewhere",
-        f"{GATEWAY}/fleet/group_monitor.py",
-        "MAX_RETIRING_S = 8.3",
-        "MAX_RETIRING_S = 3.5",
-        f"{GATEWAY}/fleet/tests/test_released_members.py",
-    ),
     Breakage(
         "LOST",
         "what can go on elsewhere leaves a retiring head",
@@ -260,6 +253,7 @@
         "            pass",
         f"{GATEWAY}/fleet/tests/test_draining.py -k endless",
     ),
+    *ENDING_BREAKAGES,
     *HALL_BREAKAGES,
     *CRASH_BREAKAGES,
     *START_BREAKAGES,
--- a/mulleinreach/gateway/fleet/controller.py
+++ b/mulleinreach/gateway/fleet/controller.py
@@ -151,7 +151,7 @@
 
     def describe(self) -> FleetStatus:
         """Return the state of groups and hosts to publish to all nodes."""
-        retiring = self._hosts.retiring_heads()
+        retiring = [retirement.head for retirement in self._hosts.retirements.current()]
         heads = []
         for service in self._model_services():
             for head in open_heads(self._hosts.usable(service.name)):
--- a/mulleinreach/gateway/fleet/group_monitor.py
+++ b/mulleinreach/gateway/fleet/group_monitor.py
@@ -16,6 +16,7 @@
     is_standby,
 )
 from mulleinreach.gateway.fleet.placement import Placement
+from mulleinreach.gateway.fleet.retirements import RetirementReason
 from mulleinreach.gateway.model import EngineModel, EngineProfile
 from mulleinreach.gateway.ports import Unavailable
 from mulleinreach.gateway.state.load import LoadReport
@@ -27,8 +28,6 @@
 SLOW_PROBE_TIMEOUT_S = 0.5
 LOST_CHECK_INTERVAL_S = 1.0
 MAX_UNFINISHED_S = 4.0
-# A draining host stays for up to ten seconds while its group has work.
-MAX_RETIRING_S = 8.3
 # Requests may still arrive until all nodes know that the group is retiring.
 MIN_RETIRING_S = 0.5
 # A silent group that no other can replace is kept for so long; sound hosts are silent for a second.
@@ -63,6 +62,7 @@
         self._loads = loads
         self._clock = clock
         self._log = log
+        self._retirements = hosts.retirements
         self._checked_at: dict[tuple[str, int], float] = {}
         self._rechecked_at: dict[str, float] = {}
         self._paces: dict[tuple[str, int], float] = {}
@@ -94,21 +94,7 @@
         if head is None:
             self._check_headless(key, group, model)
         elif is_serving(group):
-            load = loads.get(head.id)
-            is_silent = load is not None and load.stalled_s > SUSPECT_STALL_S
-            is_missing = not (group.is_whole(model.size) or self._hosts.is_in_grace_period())
-            if self._hosts.has_lost_member(group):
-                if not self._may_continue(group, model):
-                    self._spawn_dissolve(group, model, "a member is lost")
-            elif is_silent or is_missing:
-                self._start_check(key, group, model, "silent" if is_silent else "member not listed")
-            elif self._hosts.retiring_for_s(key) is not None:
-                self._end_when_idle(key, group, model, load)
-            elif self._can_replace(group, model, self._draining_members(group)):
-                self._log.event("group_retiring", group=group.name, why="a member drains")
-                self._hosts.begin_retiring(key, head.id)
-            elif self._can_replace(group, model, self._slow_members(key, group, model)):
-                self._spawn_dissolve(group, model, "a member is slow")
+            self._check_serving(key, group, model, loads.get(head.id))
         elif head.membership.state is MemberState.BROKEN:
             self._spawn_dissolve(group, model, "broken")
         elif self._is_ready(group, model):
@@ -116,6 +102,39 @@
         elif self._is_stuck(key, group, model):
             self._spawn_dissolve(group, model, "forming did not complete")
 
+    def _check_serving(
+        self, key: tuple[str, int], group: Group, model: EngineModel, load: LoadReport | None
+    ) -> None:
+        """Keep, probe, retire or dissolve a group whose head is listed as serving."""
+        if self._hosts.has_lost_member(group):
+            if not self._may_continue(group, model):
+                self._spawn_dissolve(group, model, "a member is lost")
+            return
+        is_silent = load is not None and load.stalled_s > SUSPECT_STALL_S
+        is_missing = not (group.is_whole(model.size) or self._hosts.is_in_grace_period())
+        if is_silent or is_missing:
+            self._start_check(key, group, model, "silent" if is_silent else "member not listed")
+        retirement = self._retirements.get(key)
+        if retirement is not None:
+            self._end_when_idle(key, group, model, load)
+        elif not (is_silent or is_missing):
+            self._retire_if_replaceable(key, group, model)
+
+    def _retire_if_replaceable(
+        self, key: tuple[str, int], group: Group, model: EngineModel
+    ) -> None:
+        """Retire a group with leaving or slow members that spare hosts can replace."""
+        if self._can_replace(group, model, self._draining_members(group)):
+            self._begin_retiring(key, group.head, RetirementReason.MEMBER_DRAINS)
+        elif self._can_replace(group, model, self._slow_members(key, group, model)):
+            self._spawn_dissolve(group, model, "a member is slow")
+
+    def _begin_retiring(
+        self, key: tuple[str, int], head: Upstream, reason: RetirementReason
+    ) -> None:
+        self._log.event("group_retiring", group=key[0], head=head.id, why=reason)
+        self._retirements.begin(key, head, reason)
+
     def _may_continue(self, group: Group, model: EngineModel) -> bool:
         """Whether a group with lost members may only be silent, and no other can replace it.
 
@@ -134,9 +153,11 @@
         load: LoadReport | None,
     ) -> None:
         """Dissolve a retiring group when it is idle or its time is up."""
-        retiring_s = self._hosts.retiring_for_s(key)
+        now, retirement = self._clock.now(), self._retirements.get(key)
         is_idle = load is None or load.running == 0
-        if retiring_s > MAX_RETIRING_S or (is_idle and retiring_s > MIN_RETIRING_S):
+        if now > retirement.ends_at:
+            self._spawn_dissolve(group, model, "its time to retire is over")
+        elif is_idle and now - retirement.began_at > MIN_RETIRING_S:
             self._spawn_dissolve(group, model, "it has retired")
 
     def _is_stuck(self, key: tuple[str, int], group: Group, model: EngineModel) -> bool:
@@ -277,7 +298,15 @@
         return list(members.values())
 
     def _spawn_dissolve(self, group: Group, model: EngineModel, why: str) -> None:
-        self._log.event("group_dissolving", group=group.name, model=model.name, why=why)
+        head = self._hosts.head_of((group.name, group.epoch))
+        running = [load.running for load in self._loads() if head and load.upstream_id == head.id]
+        self._log.event(
+            "group_dissolving",
+            group=group.name,
+            model=model.name,
+            why=why,
+            running=sum(running),
+        )
         known = {m.membership.rank: m for m in self._members_ever_known(group) if m.membership}
         whole = Group(group.name, group.epoch, {**known, **group.members})
         if is_serving(group) and group.head.domain is not None:
--- a/mulleinreach/gateway/fleet/hosts.py
+++ b/mulleinreach/gateway/fleet/hosts.py
@@ -1,18 +1,18 @@
-"""The coordinator's state of hosts and groups beyond the host list: lost, busy, retiring."""
+"""The coordinator's state of hosts and groups beyond the host list: lost, busy, ended."""
 
 from __future__ import annotations
 
 import itertools
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 from mulleinreach.common import Clock
+from mulleinreach.gateway.fleet.retirements import Retirements
 from mulleinreach.gateway.state.upstream_follower import RELISTING_GRACE_S
 from mulleinreach.gateway.state.upstreams import Group, UpstreamDirectory
 from mulleinreach.gateway.upstream import MemberState, Upstream, UpstreamState, model_of_group
 
 LOST_RETENTION_S = 30.0
-# Longer than any retirement takes; older entries belong to groups that are gone.
-RETIRING_RETENTION_S = 8.8
 # Relative duration of a host's work; 1.0 is usual.
 MAX_NORMAL_PACE = 1.6
 MAX_PACE_AGE_S = 3.0
@@ -35,18 +35,6 @@
     attempts: int = 1
 
 
-@dataclass(frozen=True)
-class RetiringGroup:
-    """A group that accepts no new requests, and is dissolved after those in flight.
-
-    ``yields_hosts`` if its hosts are to move to another model.
-    """
-
-    head: str
-    retiring_since: float
-    yields_hosts: bool = False
-
-
 @dataclass(frozen=True)
 class GroupDeparture:
     """A host's accepted order to leave a group, which is given by name and epoch.
@@ -76,11 +64,22 @@
     A host is *lost* if it did not respond to a probe or an order, or if its hall is down;
     upstreams without a domain are lost only with their hall. Hosts that left the list
     are kept, since they may still run.
+
+    Parameters
+    ==========
+
+    longest_timeout_s : returns the longest time that a request to a service may take.
     """
 
-    def __init__(self, directory: UpstreamDirectory, clock: Clock):
+    def __init__(
+        self,
+        directory: UpstreamDirectory,
+        clock: Clock,
+        longest_timeout_s: Callable[[str], float],
+    ):
         self._directory = directory
         self._clock = clock
+        self.retirements = Retirements(longest_timeout_s, clock)
         self._last_model: dict[str, str] = {}
         self._ever_listed: dict[str, Upstream] = {}
         self._lost_at: dict[str, float] = {}
@@ -92,7 +91,6 @@
         self._heads: dict[tuple[str, int], str] = {}
         self._ended: dict[tuple[str, int], EndedGroup] = {}
         self._missing_since: dict[tuple[str, str], list[float]] = {}
-        self._retiring: dict[tuple[str, int], RetiringGroup] = {}
         self._forming_ids = itertools.count()
         self._grace_ends_at = NEVER
         self.forming: dict[int, PendingFormation] = {}
@@ -299,37 +297,13 @@
     def mark_ended(self, group: Group, left_members: set[str] | None) -> None:
         """Record the members that have left a group; ``None`` if the head has left."""
         key = (group.name, group.epoch)
-        self._retiring.pop(key, None)
+        self.retirements.end(key)
         known = self._ended.get(key)
         if left_members is not None and known is not None:
             left_members = None if known.left_members is None else known.left_members | left_members
         attempts = 1 if known is None else known.attempts + 1
         self._ended[key] = EndedGroup(self._clock.now(), left_members, attempts)
 
-    def begin_retiring(self, key: tuple[str, int], head: str, yields_hosts: bool = False) -> None:
-        """Let a group finish its requests in flight and accept no new ones."""
-        self._retiring[key] = RetiringGroup(head, self._clock.now(), yields_hosts)
-
-    def yields_hosts(self, key: tuple[str, int]) -> bool:
-        """Whether a group is retiring so that its hosts can move to another model."""
-        retiring = self._retiring.get(key)
-        return retiring is not None and retiring.yields_hosts
-
-    def cancel_moves(self) -> None:
-        """Return groups that retire for a move to service, since no orders can be sent."""
-        self._retiring = {key: r for key, r in self._retiring.items() if not r.yields_hosts}
-
-    def retiring_for_s(self, key: tuple[str, int]) -> float | None:
-        """Return for how many seconds a group has been retiring, or ``None``."""
-        retiring = self._retiring.get(key)
-        return None if retiring is None else self._clock.now() - retiring.retiring_since
-
-    def retiring_heads(self) -> list[str]:
-        """Return the heads of the retiring groups."""
-        oldest = self._clock.now() - RETIRING_RETENTION_S
-        self._retiring = {key: r for key, r in self._retiring.items() if r.retiring_since > oldest}
-        return [retiring.head for retiring in self._retiring.values()]
-
     def begin_term(self, is_first_holder: bool) -> None:
         """Clear the operations in progress of an earlier term, and start the grace period.
 
@@ -340,7 +314,7 @@
         """
         self._grace_ends_at = NEVER if is_first_holder else self._clock.now() + RELISTING_GRACE_S
         self.busy.clear()
-        self._retiring.clear()
+        self.retirements.clear()
         self._missing_since.clear()
 
     def is_in_grace_period(self) -> bool:
--- a/mulleinreach/gateway/fleet/placement.py
+++ b/mulleinreach/gateway/fleet/placement.py
@@ -107,7 +107,7 @@
         """Cancel moves in progress, since no more orders can be sent."""
         for rebalancer in self._rebalancers.values():
             rebalancer.end_term()
-        self._hosts.cancel_moves()
+        self._hosts.retirements.cancel_moves()
 
     def _placeable_hosts(self, service: str) -> list[Upstream]:
         """Return the usable hosts outside of evacuated halls."""
@@ -213,7 +213,7 @@
 
     def _counts_as_serving(self, key: tuple[str, int], group: Group) -> bool:
         """Whether a group serves, is whole and keeps its hosts."""
-        if self._hosts.yields_hosts(key) or not is_serving(group):
+        if self._hosts.retirements.yields_hosts(key) or not is_serving(group):
             return False
         return not self._hosts.has_lost_member(group)
 
--- a/mulleinreach/gateway/fleet/rebalancing.py
+++ b/mulleinreach/gateway/fleet/rebalancing.py
@@ -25,6 +25,7 @@
 )
 from mulleinreach.gateway.fleet.hosts import HostRegistry
 from mulleinreach.gateway.fleet.planner import DomainView, plan_groups
+from mulleinreach.gateway.fleet.retirements import RetirementReason
 from mulleinreach.gateway.model import EngineProfile, Service
 
 # Longer than the repair of a group, which may end the shortage without a move.
@@ -32,8 +33,8 @@
 # Prevents moves back and forth: bursts last about as long, and a domain that moves to a model and
 # back serves less than one that stays.
 MOVE_COOLDOWN_S = 10.0
-# Covers retiring a group, joining with staged weights and opening.
-MOVE_TIMEOUT_S = 13.0
+# Covers joining with staged weights and opening, after the groups have retired.
+FORMING_TIMEOUT_S = 4.5
 
 
 @dataclass(frozen=True)
@@ -102,7 +103,7 @@
             move = self._next_move(planned, targets, engine, workload)
             if move is None:
                 break
-            self._start_move(move)
+            self._start_move(service.name, move)
             planned = self._with_pending_moves(views)
             workload = self._workload(engine, planned, demand)
             targets = allocate(planned, engine, workload)
@@ -165,17 +166,19 @@
         }
         return replace(view, groups=groups, serving=serving)
 
-    def _start_move(self, move: Move) -> None:
-        self._pending_moves[move.domain] = _PendingMove(move, self._clock.now() + MOVE_TIMEOUT_S)
+    def _start_move(self, service: str, move: Move) -> None:
+        timeout_s = self._hosts.retirements.max_duration_s(service) + FORMING_TIMEOUT_S
+        self._pending_moves[move.domain] = _PendingMove(move, self._clock.now() + timeout_s)
         self._moved_at[move.to_model] = self._clock.now()
         for group in move.ended:
             name, epoch = group.key
             head = self._hosts.head_of(group.key)
             if head is None:
                 continue
-            self._hosts.begin_retiring(group.key, head.id, yields_hosts=True)
+            reason = RetirementReason.HOSTS_MOVE
+            self._hosts.retirements.begin(group.key, head, reason)
             self._log.event(
-                "group_retiring", group=name, epoch=epoch, why=f"hosts move to {move.to_model}"
+                "group_retiring", group=name, epoch=epoch, why=reason, to_model=move.to_model
             )
 
 
--- a/mulleinreach/gateway/fleet/tests/test_allocation.py
+++ b/mulleinreach/gateway/fleet/tests/test_allocation.py
@@ -17,11 +17,12 @@
 from mulleinreach.gateway.fleet.hosts import HostRegistry
 from mulleinreach.gateway.fleet.planner import DomainView, FreeHost, ServingGroup
 from mulleinreach.gateway.fleet.rebalancing import (
+    FORMING_TIMEOUT_S,
     MIN_WANTED_S,
     MOVE_COOLDOWN_S,
-    MOVE_TIMEOUT_S,
     HostRebalancer,
 )
+from mulleinreach.gateway.fleet.retirements import END_MARGIN_S, RetirementReason
 from mulleinreach.gateway.model import EngineModel, EngineProfile, Service
 from mulleinreach.gateway.state.upstreams import UpstreamDirectory
 from mulleinreach.gateway.tests.support import run_world
@@ -32,6 +33,7 @@
 SERVICE = Service("models", engine=ENGINE)
 FEW_LARGE_MANY_SMALL = {LARGE: 23.0, SMALL: 190.0}
 MANY_MOVES = 20
+TIMEOUT_S = 8.0
 EVEN = {LARGE: 30.0, SMALL: 60.0}
 
 
@@ -131,7 +133,7 @@
 def _rebalancer(
     clock: VirtualClock, may_begin: bool = True, tolerates_hall_loss: bool = False
 ) -> HostRebalancer:
-    hosts = HostRegistry(UpstreamDirectory(), clock)
+    hosts = HostRegistry(UpstreamDirectory(), clock, lambda service: TIMEOUT_S)
     return HostRebalancer(tolerates_hall_loss, hosts, lambda: may_begin, clock, EventLog("test"))
 
 
@@ -175,8 +177,8 @@
         running = [asyncio.create_task(world.stream(150)) for _ in range(8)]
         await asyncio.sleep(0.3)
         head = coordinator.chooser.heads(MODEL_SERVICE, LARGE)[0]
-        coordinator.hosts.begin_retiring(
-            (head.group, head.epoch), head.upstream.id, yields_hosts=True
+        coordinator.hosts.retirements.begin(
+            (head.group, head.epoch), head.upstream, RetirementReason.HOSTS_MOVE
         )
         await asyncio.sleep(0.3)
         assert world.open_groups(LARGE) == 1
@@ -240,7 +242,7 @@
         views += [_domain(f"e{n}", "hall") for n in range(5)]
         rebalancer.targets(SERVICE, views, FEW_LARGE_MANY_SMALL)
         await asyncio.sleep(MIN_WANTED_S)
-        await asyncio.sleep(MOVE_TIMEOUT_S)
+        await asyncio.sleep(TIMEOUT_S + END_MARGIN_S + FORMING_TIMEOUT_S)
         many_large = {LARGE: 200.0, SMALL: 20.0}
         rebalancer._moved_at[SMALL] = asyncio.get_running_loop().time()
         rebalancer.targets(SERVICE, views, many_large)
--- a/mulleinreach/gateway/fleet/tests/test_draining.py
+++ b/mulleinreach/gateway/fleet/tests/test_draining.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from mulleinreach.gateway.fleet.retirements import RetirementReason
 from mulleinreach.gateway.fleet.tests.test_fleet import member_of
 from mulleinreach.gateway.tests.support import run_world
 from mulleinreach.standins.gateway.world import LARGE, MODEL_SERVICE
@@ -76,10 +77,11 @@
     async def test(world):
         await world.until_formed()
         hosts = world.nodes[world.coordinator()].hosts
-        hosts.begin_retiring(("a group that is gone", 1), "host-0-0")
+        head, reason = hosts.get("host-0-0"), RetirementReason.MEMBER_DRAINS
+        hosts.retirements.begin(("a group that is gone", 1), head, reason)
         await asyncio.sleep(1)
-        assert hosts.retiring_heads() == ["host-0-0"]
+        assert [retirement.head for retirement in hosts.retirements.current()] == ["host-0-0"]
         await asyncio.sleep(8)
-        assert hosts.retiring_heads() == []
+        assert hosts.retirements.current() == []
 
     run_world(test)
--- /dev/null
+++ b/mulleinreach/gateway/fleet/tests/test_ending_groups.py
@@ -0,0 +1,75 @@
+"""A group that has to end finishes the answers that can't go on at another group."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+
+from mulleinreach.gateway.fleet.tests.test_fleet import member_of
+from mulleinreach.gateway.tests.support import run_world
+from mulleinreach.standins.gateway.store import CONFIGURATION
+from mulleinreach.standins.gateway.world import LARGE, make_configuration
+
+CALLS = 24
+# A stream sends an event every 0.04 s.
+EVENTS_IN_ELEVEN_SECONDS = 270
+USUAL_TIMEOUT_S = 8.0
+LONG_TIMEOUT_S = 12.0
+
+
+def allow_one_attempt(world, timeout_s: float = USUAL_TIMEOUT_S) -> None:
+    """Write a configuration whose streams can't go on at another upstream."""
+    configuration = make_configuration(version=2)
+    routes = tuple(
+        replace(route, is_resumable=False, max_attempts=1, timeout_s=timeout_s)
+        for route in configuration.routes
+    )
+    world.store.put(CONFIGURATION, "newest", replace(configuration, routes=routes))
+
+
+async def stream_beside(
+    world, trouble, events: int, after_s: float, timeout_s=USUAL_TIMEOUT_S, through=None
+) -> list[int]:
+    """Return how many events each of the streams got that run while ``trouble`` begins.
+
+    Parameters
+    ==========
+
+    trouble : called with the world ``after_s`` after the start of the streams.
+    through : the nodes that callers use; all nodes if it is left out.
+    """
+    names = through or list(world.nodes)
+    calls = [
+        asyncio.create_task(
+            world.stream(events, node=names[number % len(names)], deadline_s=timeout_s)
+        )
+        for number in range(CALLS)
+    ]
+    await asyncio.sleep(after_s)
+    await trouble(world)
+    return [len(answer.event_ids) for answer in await asyncio.gather(*calls)]
+
+
+async def form(world, timeout_s: float = USUAL_TIMEOUT_S) -> None:
+    """Wait for the groups, and for a configuration without further attempts."""
+    await world.until_formed()
+    allow_one_attempt(world, timeout_s)
+    await asyncio.sleep(3)
+
+
+# Guards against a group that ends under its answers as soon as an old bound has passed.
+@pytest.mark.parametrize("nodes", [2, 4])
+@pytest.mark.parametrize("after_s", [0.3, 1.5])
+def test_retiring_group_finishes_answers_as_long_as_their_route_allows(nodes, after_s):
+    async def drain(world):
+        member_of(world, LARGE, 1).drain()
+
+    async def test(world):
+        await form(world, LONG_TIMEOUT_S)
+        events = EVENTS_IN_ELEVEN_SECONDS
+        got = await stream_beside(world, drain, events, after_s, LONG_TIMEOUT_S)
+        assert got == [events] * CALLS
+
+    run_world(test, nodes=nodes)
--- a/mulleinreach/gateway/fleet/tests/test_halls.py
+++ b/mulleinreach/gateway/fleet/tests/test_halls.py
@@ -188,7 +188,7 @@
         until = world.clock.now() + 9
         while world.clock.now() < until:
             most_loads = max(most_loads, sum(map(_is_loading, world.hosts_in(hall))))
-            retiring = [node.hosts.retiring_heads() for node in world.nodes.values()]
+            retiring = [node.hosts.retirements.current() for node in world.nodes.values()]
             assert not any(retiring)
             await asyncio.sleep(0.05)
         # One group of each model in each of the two domains.
@@ -273,7 +273,7 @@
 def test_hosts_of_a_hall_that_is_down_are_lost_until_they_respond():
     async def test():
         directory, clock = UpstreamDirectory(), VirtualClock()
-        hosts = HostRegistry(directory, clock)
+        hosts = HostRegistry(directory, clock, lambda service: 8.0)
         rows = [make_upstream(name, "s", 1, "d", name[0]) for name in ("a1", "a2", "b1")]
         directory.replace_all(1, rows, clock.now())
         hosts.refresh("s")
--- a/mulleinreach/gateway/fleet/tests/test_planner.py
+++ b/mulleinreach/gateway/fleet/tests/test_planner.py
@@ -119,7 +119,7 @@
 def test_host_is_cold_for_as_long_as_its_row_states():
     async def test():
         directory, clock = UpstreamDirectory(), VirtualClock()
-        hosts = HostRegistry(directory, clock)
+        hosts = HostRegistry(directory, clock, lambda service: 8.0)
         row = Upstream("u", "s", Address("10.0.0.1", 1), "hall", cold_s=5.0)
         directory.replace_all(1, [row], clock.now())
         hosts.refresh("s")
--- a/mulleinreach/gateway/model.py
+++ b/mulleinreach/gateway/model.py
@@ -208,6 +208,24 @@
                 return route
         return None
 
+    def longest_timeout_s(self, service: str) -> float:
+        """Return the longest timeout of the routes to a service in seconds, 0 without any.
+
+        Examples
+        ========
+
+        >>> to_s = (WeightedService("s", 1),)
+        >>> route = Route("r", "h.example", "/a/", RouteKind.SAFE, 8.0, 1, 1, to_s)
+        >>> Configuration(1, (route,)).longest_timeout_s("s")
+        8.0
+        """
+        timeouts_s = [
+            route.timeout_s
+            for route in self.routes
+            if any(destination.service == service for destination in route.destinations)
+        ]
+        return max(timeouts_s, default=0.0)
+
     def organisation_for_key(self, key: str) -> Organisation | None:
         """Return the organisation that owns an API key, ``None`` if the key is unknown."""
         return self._organisations_by_key.get(key)
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -248,7 +248,7 @@
             self.log,
             self.identity.is_first_start,
         )
-        self.hosts = HostRegistry(self.directory, self.clock)
+        self.hosts = HostRegistry(self.directory, self.clock, self._longest_timeout_s)
         self.operator = GroupOperator(
             self.ports.orders,
             self.lease,
@@ -371,6 +371,10 @@
         configured = configuration.services.get(service) if configuration else None
         return configured.engine.report_lag_s if configured and configured.engine else 0.0
 
+    def _longest_timeout_s(self, service: str) -> float:
+        configuration = self.in_force.configuration
+        return configuration.longest_timeout_s(service) if configuration else 0.0
+
     def _node_count(self) -> int:
         return self.coordination.node_count
 
