A group is idle when its head says so

Cause: a retiring group counted as idle when the reports that the coordinator has sum to nothing; a node that it doesn't hear has requests there, too. Fix: before the group is dissolved its head is asked; while it reports requests, queued or active, the group stays. A head that tells no numbers, or gives no answer, is judged by the nodes' reports, as before. Costs a probe or two for each retirement. group_dissolving tells both counts, so that a log shows by which path a group has ended. Ruled out as cause of the same on one line of reports: none is lost while nodes hear each other.

--- a/benchmarks/ending_breakages.py
+++ b/benchmarks/ending_breakages.py
@@ -14,4 +14,12 @@
         "return 8.0 + END_MARGIN_S",
         f"{ENDING_GROUPS} -k as_long_as",
     ),
+    Breakage(
+        "LOST",
+        "a head that reports requests isn't idle",
+        f"{FLEET}/group_monitor.py",
+        "if isinstance(report, Upstream) and self._hosts.reported_running(head.id):",
+        "if False:",
+        f"{ENDING_GROUPS} -k coordinator_misses",
+    ),
 ]
--- a/mulleinreach/gateway/fleet/group_monitor.py
+++ b/mulleinreach/gateway/fleet/group_monitor.py
@@ -30,6 +30,8 @@
 MAX_UNFINISHED_S = 4.0
 # Requests may still arrive until all nodes know that the group is retiring.
 MIN_RETIRING_S = 0.5
+# Shorter than a report of the head is old, so that some retiring groups are asked again.
+IDLE_CHECK_INTERVAL_S = 0.2
 # A silent group that no other can replace is kept for so long; sound hosts are silent for a second.
 MAX_SILENCE_S = 1.5
 # A store outage may remove a host from the list until its next heartbeat.
@@ -64,6 +66,7 @@
         self._log = log
         self._retirements = hosts.retirements
         self._checked_at: dict[tuple[str, int], float] = {}
+        self._idle_checked_at: dict[tuple[str, int], float] = {}
         self._rechecked_at: dict[str, float] = {}
         self._paces: dict[tuple[str, int], float] = {}
         self._unfinished_since: dict[tuple[str, int], float] = {}
@@ -116,7 +119,7 @@
             self._start_check(key, group, model, "silent" if is_silent else "member not listed")
         retirement = self._retirements.get(key)
         if retirement is not None:
-            self._end_when_idle(key, group, model, load)
+            self._end_when_idle(key, group, model, group.head, load)
         elif not (is_silent or is_missing):
             self._retire_if_replaceable(key, group, model)
 
@@ -150,6 +153,7 @@
         key: tuple[str, int],
         group: Group,
         model: EngineModel,
+        head: Upstream,
         load: LoadReport | None,
     ) -> None:
         """Dissolve a retiring group when it is idle or its time is up."""
@@ -158,6 +162,28 @@
         if now > retirement.ends_at:
             self._spawn_dissolve(group, model, "its time to retire is over")
         elif is_idle and now - retirement.began_at > MIN_RETIRING_S:
+            self._start_idle_check(key, group, model, head)
+
+    def _start_idle_check(
+        self, key: tuple[str, int], group: Group, model: EngineModel, head: Upstream
+    ) -> None:
+        """Ask a head whether it is idle, at most once per ``IDLE_CHECK_INTERVAL_S``."""
+        now = self._clock.now()
+        if now - self._idle_checked_at.get(key, float("-inf")) > IDLE_CHECK_INTERVAL_S:
+            self._idle_checked_at[key] = now
+            self._host_tasks.spawn_probe(self._end_if_idle(key, group, model, head))
+
+    async def _end_if_idle(
+        self, key: tuple[str, int], group: Group, model: EngineModel, head: Upstream
+    ) -> None:
+        """Dissolve a retiring group unless its head reports that it has requests.
+
+        They may be those of a node that can't report them to this one.
+        """
+        report = await self._operator.probe(head)
+        if isinstance(report, Upstream) and self._hosts.reported_running(head.id):
+            return
+        if self._retirements.get(key) is not None and not self._is_busy(group):
             self._spawn_dissolve(group, model, "it has retired")
 
     def _is_stuck(self, key: tuple[str, int], group: Group, model: EngineModel) -> bool:
@@ -306,6 +332,7 @@
             model=model.name,
             why=why,
             running=sum(running),
+            reported_running=self._hosts.reported_running(head.id) if head else None,
         )
         known = {m.membership.rank: m for m in self._members_ever_known(group) if m.membership}
         whole = Group(group.name, group.epoch, {**known, **group.members})
--- a/mulleinreach/gateway/fleet/hosts.py
+++ b/mulleinreach/gateway/fleet/hosts.py
@@ -85,6 +85,7 @@
         self._lost_at: dict[str, float] = {}
         self._silent_since: dict[str, float] = {}
         self._paces: dict[str, tuple[float, float]] = {}
+        self._running: dict[str, int | None] = {}
         self._cold_until: dict[str, float] = {}
         self._delisted_at: dict[str, float] = {}
         self._departures: dict[str, GroupDeparture] = {}
@@ -133,6 +134,7 @@
         self._lost_at.pop(report.id, None)
         self._silent_since.pop(report.id, None)
         self._paces[report.id] = (report.pace, self._clock.now())
+        self._running[report.id] = report.running
         return is_newer
 
     def record_left(self, host: str, group: Group) -> None:
@@ -148,6 +150,10 @@
         departure = self._departures.get(host)
         return departure is not None and departure.key == key and departure.left_at >= since
 
+    def reported_running(self, host: str) -> int | None:
+        """Return how many requests a host last reported to have, ``None`` if it didn't say."""
+        return self._running.get(host)
+
     def pace(self, host: str) -> float:
         """Return a host's recently reported pace: the duration of its work, 1.0 if usual."""
         pace, reported_at = self._paces.get(host, (1.0, 0.0))
--- a/mulleinreach/gateway/fleet/tests/test_ending_groups.py
+++ b/mulleinreach/gateway/fleet/tests/test_ending_groups.py
@@ -14,6 +14,7 @@
 
 CALLS = 24
 # A stream sends an event every 0.04 s.
+EVENTS_IN_SIX_SECONDS = 150
 EVENTS_IN_ELEVEN_SECONDS = 270
 USUAL_TIMEOUT_S = 8.0
 LONG_TIMEOUT_S = 12.0
@@ -59,6 +60,14 @@
     await asyncio.sleep(3)
 
 
+def cut_nodes_from_each_other(world) -> None:
+    names = list(world.nodes)
+    for first in names:
+        for second in names:
+            if first < second:
+                world.links.cut_both(first, second)
+
+
 # Guards against a group that ends under its answers as soon as an old bound has passed.
 @pytest.mark.parametrize("nodes", [2, 4])
 @pytest.mark.parametrize("after_s", [0.3, 1.5])
@@ -73,3 +82,22 @@
         assert got == [events] * CALLS
 
     run_world(test, nodes=nodes)
+
+
+# Guards against a group that counts as idle since the node with its requests can't report.
+@pytest.mark.parametrize("nodes", [2, 4])
+@pytest.mark.parametrize("after_s", [0.3, 1.5])
+def test_retiring_group_finishes_answers_of_nodes_that_the_coordinator_misses(nodes, after_s):
+    async def drain_and_cut(world):
+        member_of(world, LARGE, 1).drain()
+        await asyncio.sleep(0.3)
+        cut_nodes_from_each_other(world)
+
+    async def test(world):
+        await form(world)
+        through = [name for name in world.nodes if name != world.coordinator()]
+        events = EVENTS_IN_SIX_SECONDS
+        got = await stream_beside(world, drain_and_cut, events, after_s, through=through)
+        assert got == [events] * CALLS
+
+    run_world(test, nodes=nodes)
--- a/mulleinreach/platform/tests/soak/host_app.py
+++ b/mulleinreach/platform/tests/soak/host_app.py
@@ -42,7 +42,8 @@
         host = cell[0]
         if request.headers.get(EXPECT_INSTANCE) != upstream_name(host.id):
             return web.Response(status=421)
-        return web.json_response({**row_of(host.describe()), "pace": host.pace})
+        load = {"pace": host.pace, "queued": 0, "active": host.running}
+        return web.json_response({**row_of(host.describe()), **load})
 
     async def relay(request: web.Request) -> web.StreamResponse:
         return await cell[0].handle(request)
--- a/mulleinreach/standins/gateway/hosts.py
+++ b/mulleinreach/standins/gateway/hosts.py
@@ -57,8 +57,8 @@
     later; ``framing`` is that of its streams; ``breaks_after`` cuts them after so many events, as
     ``broken_by`` says; ``fails`` runs so many requests in vain; ``pace`` makes the host, and its
     group, so many times slower; ``headers`` go with each of its answers;
-    ``rests_from_orders_s`` turns each order away and asks for so much rest. ``arrivals`` tells
-    when requests came, ``ordered_at`` when orders did.
+    ``rests_from_orders_s`` turns each order away and asks for so much rest. ``running`` counts the
+    requests in work, ``arrivals`` tells when requests came, ``ordered_at`` when orders did.
     """
 
     def __init__(
@@ -86,6 +86,7 @@
         self.pace = 1.0
         self.headers: dict[str, str] = {}
         self.rests_from_orders_s = 0.0
+        self.running = 0
         self.arrivals: list[float] = []
         self.ordered_at: list[float] = []
         self._cold_until = float("-inf")
@@ -213,7 +214,7 @@
         for changed_at, described in self._history:
             if changed_at <= as_of:
                 told = described
-        return replace(told, pace=self.pace)
+        return replace(told, pace=self.pace, running=self.running)
 
     def _publish(self) -> None:
         now = asyncio.get_running_loop().time()
@@ -309,7 +310,11 @@
             return web.Response(status=500, headers={self._names.request_id: request_id})
         priority = request.headers.get(PRIORITY, "")
         self._fabric.checks.priorities.setdefault(request_id, []).append(priority)
-        return await self._stream(request, standing, request_id, int(body))
+        self.running += 1
+        try:
+            return await self._stream(request, standing, request_id, int(body))
+        finally:
+            self.running -= 1
 
     async def _stream(
         self, request: web.BaseRequest, standing: Standing, request_id: str, pieces: int
