A group with a slow member finishes its answers

What callers saw: streams that can't go on elsewhere cut as soon as a spare host could replace a slow member of their group, though they would have been whole in time. Cause: such a group was dissolved without any wait. Fix: it retires like a group whose member drains, but nodes move at once what can go on elsewhere.

--- a/benchmarks/ending_breakages.py
+++ b/benchmarks/ending_breakages.py
@@ -30,4 +30,12 @@
         "if True:",
         f"{ENDING_GROUPS} -k silence_of_a_host",
     ),
+    Breakage(
+        "LOST",
+        "a slow group finishes what can't go on elsewhere",
+        f"{FLEET}/group_monitor.py",
+        "self._begin_retiring(key, group.head, RetirementReason.MEMBER_SLOW)",
+        'self._spawn_dissolve(group, model, "slow")',
+        f"{ENDING_GROUPS} -k slow_group",
+    ),
 ]
--- a/mulleinreach/gateway/fleet/group_monitor.py
+++ b/mulleinreach/gateway/fleet/group_monitor.py
@@ -133,7 +133,7 @@
         if self._can_replace(group, model, self._draining_members(group)):
             self._begin_retiring(key, group.head, RetirementReason.MEMBER_DRAINS)
         elif self._can_replace(group, model, self._slow_members(key, group, model)):
-            self._spawn_dissolve(group, model, "a member is slow")
+            self._begin_retiring(key, group.head, RetirementReason.MEMBER_SLOW)
 
     def _begin_retiring(
         self, key: tuple[str, int], head: Upstream, reason: RetirementReason
--- a/mulleinreach/gateway/fleet/retirements.py
+++ b/mulleinreach/gateway/fleet/retirements.py
@@ -19,12 +19,13 @@
     """Why a group has to end, or may have to."""
 
     MEMBER_DRAINS = "a member drains"
+    MEMBER_SLOW = "a member is slow"
     MEMBER_SILENT = "a member is silent"
     HOSTS_MOVE = "hosts move to another model"
 
 
 # The head is of little use in this time, so requests that can go on elsewhere move at once.
-_URGENT_REASONS = frozenset({RetirementReason.MEMBER_SILENT})
+_URGENT_REASONS = frozenset({RetirementReason.MEMBER_SLOW, RetirementReason.MEMBER_SILENT})
 
 
 @dataclass(frozen=True)
--- a/mulleinreach/gateway/fleet/tests/test_ending_groups.py
+++ b/mulleinreach/gateway/fleet/tests/test_ending_groups.py
@@ -18,6 +18,7 @@
 EVENTS_IN_ELEVEN_SECONDS = 270
 USUAL_TIMEOUT_S = 8.0
 LONG_TIMEOUT_S = 12.0
+SLOW_PACE = 9.0
 
 
 def allow_one_attempt(world, timeout_s: float = USUAL_TIMEOUT_S) -> None:
@@ -122,6 +123,23 @@
     run_world(test)
 
 
+# Guards against answers that are cut since their group has become slow.
+@pytest.mark.parametrize("rank", [0, 1])
+@pytest.mark.parametrize("nodes", [2, 4])
+def test_slow_group_finishes_its_answers_before_it_is_replaced(rank, nodes):
+    async def slow_down(world):
+        member_of(world, LARGE, rank).pace = SLOW_PACE
+
+    async def test(world):
+        await form(world)
+        head, group = member_of(world, LARGE, 0), member_of(world, LARGE, rank).standing.group
+        events = 20
+        assert await stream_beside(world, slow_down, events, 0.3) == [events] * CALLS
+        await world.until(lambda: not head.standing or head.standing.group != group, timeout_s=3)
+
+    run_world(test, nodes=nodes)
+
+
 def _heads(world) -> list:
     """Return the heads of the groups of the larger model that a node would use."""
     return next(iter(world.nodes.values())).chooser.heads(MODEL_SERVICE, LARGE)
