A head that is off the list finishes its answers

What callers saw: streams that can't go on elsewhere cut 1.5 s after the entry of their sound head had gone, be it that it leaves without saying so or can't reach the store. Cause: a group without a listed head was dissolved then, busy or not. Fix: a head that has requests, as nodes report, retires with its group; if it falls silent it is probed and dissolved as before, and if it is listed again the group goes on serving.

--- a/benchmarks/ending_breakages.py
+++ b/benchmarks/ending_breakages.py
@@ -38,4 +38,12 @@
         'self._spawn_dissolve(group, model, "slow")',
         f"{ENDING_GROUPS} -k slow_group",
     ),
+    Breakage(
+        "LOST",
+        "a head that is off the list finishes what it answers",
+        f"{FLEET}/group_monitor.py",
+        "elif load is not None and load.running and math.isfinite(absent_s):",
+        "elif False:",
+        f"{ENDING_GROUPS} -k off_the_list",
+    ),
 ]
--- a/mulleinreach/gateway/fleet/group_monitor.py
+++ b/mulleinreach/gateway/fleet/group_monitor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from mulleinreach.common import Clock, EventLog
@@ -36,6 +37,8 @@
 MAX_SILENCE_S = 1.5
 # A store outage may remove a host from the list until its next heartbeat.
 MAX_HEAD_ABSENCE_S = 1.5
+# These end when the members respond and the head is listed.
+RECOVERABLE_REASONS = frozenset({RetirementReason.MEMBER_SILENT, RetirementReason.HEAD_DELISTED})
 
 
 class GroupMonitor:
@@ -95,7 +98,7 @@
                 self._spawn_dissolve(group, model, "a member is back that was not told to leave")
             return
         if head is None:
-            self._check_headless(key, group, model)
+            self._check_headless(key, group, model, loads)
         elif is_serving(group):
             self._check_serving(key, group, model, loads.get(head.id))
         elif head.membership.state is MemberState.BROKEN:
@@ -118,7 +121,7 @@
         if is_silent or is_missing:
             self._start_check(key, group, model, "silent" if is_silent else "member not listed")
         retirement = self._retirements.get(key)
-        if retirement is not None and retirement.reason is RetirementReason.MEMBER_SILENT:
+        if retirement is not None and retirement.reason in RECOVERABLE_REASONS:
             self._retirements.end(key)
             self._log.event("group_serves_again", group=group.name, why=retirement.reason)
         elif retirement is not None:
@@ -213,8 +216,14 @@
             return not self._hosts.is_in_grace_period()
         return self._clock.now() - since > MAX_UNFINISHED_S
 
-    def _check_headless(self, key: tuple[str, int], group: Group, model: EngineModel) -> None:
-        """Dissolve a group whose head has not been listed for too long.
+    def _check_headless(
+        self,
+        key: tuple[str, int],
+        group: Group,
+        model: EngineModel,
+        loads: dict[str, LoadReport],
+    ) -> None:
+        """End a group whose head has not been listed for too long.
 
         The head may still run and be listed again with its next heartbeat.
         """
@@ -224,7 +233,16 @@
         if self._hosts.is_in_grace_period():
             return
         absent_s = MAX_HEAD_ABSENCE_S if head is None else self._hosts.delisted_for_s(head.id)
-        if absent_s >= MAX_HEAD_ABSENCE_S:
+        if absent_s < MAX_HEAD_ABSENCE_S:
+            return
+        load = None if head is None else loads.get(head.id)
+        if load is not None and load.stalled_s > SUSPECT_STALL_S:
+            self._start_check(key, group, model, "silent")
+        if self._retirements.get(key) is not None:
+            self._end_when_idle(key, group, model, head, load)
+        elif load is not None and load.running and math.isfinite(absent_s):
+            self._begin_retiring(key, head, RetirementReason.HEAD_DELISTED)
+        else:
             self._spawn_dissolve(group, model, "the head is off the list")
 
     def _has_ended(self, key: tuple[str, int], group: Group) -> bool:
--- a/mulleinreach/gateway/fleet/retirements.py
+++ b/mulleinreach/gateway/fleet/retirements.py
@@ -21,6 +21,7 @@
     MEMBER_DRAINS = "a member drains"
     MEMBER_SLOW = "a member is slow"
     MEMBER_SILENT = "a member is silent"
+    HEAD_DELISTED = "the head is off the list"
     HOSTS_MOVE = "hosts move to another model"
 
 
--- a/mulleinreach/gateway/fleet/tests/test_ending_groups.py
+++ b/mulleinreach/gateway/fleet/tests/test_ending_groups.py
@@ -140,6 +140,44 @@
     run_world(test, nodes=nodes)
 
 
+# Guards against answers that are cut since the entry of their sound head has gone.
+@pytest.mark.parametrize("nodes", [2, 4])
+@pytest.mark.parametrize("after_s", [0.3, 1.5])
+def test_head_that_is_off_the_list_finishes_its_answers(nodes, after_s):
+    async def cut_from_list(world):
+        member_of(world, LARGE, 0).cut_from_list()
+
+    async def test(world):
+        await form(world)
+        head = member_of(world, LARGE, 0)
+        events = EVENTS_IN_SIX_SECONDS
+        assert await stream_beside(world, cut_from_list, events, after_s) == [events] * CALLS
+        await world.until(lambda: head.standing is None, timeout_s=3)
+
+    run_world(test, nodes=nodes)
+
+
+# Guards against a sound group that is lost since its head's entry had gone for some seconds.
+def test_head_that_is_listed_again_goes_on_serving():
+    async def leave_the_list_for_a_while(world):
+        head = member_of(world, LARGE, 0)
+        head.cut_from_list()
+        await asyncio.sleep(3)
+        head.is_cut = False
+        head.list_again()
+
+    async def test(world):
+        await form(world)
+        groups = {head.group for head in _heads(world)}
+        events = EVENTS_IN_SIX_SECONDS
+        got = await stream_beside(world, leave_the_list_for_a_while, events, 0.3)
+        assert got == [events] * CALLS
+        await asyncio.sleep(1)
+        assert {head.group for head in _heads(world)} == groups
+
+    run_world(test)
+
+
 def _heads(world) -> list:
     """Return the heads of the groups of the larger model that a node would use."""
     return next(iter(world.nodes.values())).chooser.heads(MODEL_SERVICE, LARGE)
