A group waits only for requests that can't go on elsewhere

Fix: nodes report how many of their requests at an upstream may not be sent to another one, by their route and attempts. Without any, a group with a silent or slow member, or with a head that is off the list, ends in the same pass as before. test_group_with_a_lost_member_does_not_wait_for_requests_that_can_leave is red without it.

--- a/mulleinreach/gateway/coordination/message_fields.py
+++ b/mulleinreach/gateway/coordination/message_fields.py
@@ -42,6 +42,7 @@
         row.silentMs = to_milliseconds(load.silent_s)
         row.oldestMs = to_milliseconds(load.oldest_s)
         row.standingBack = min(load.standing_back, MAX_UINT16)
+        row.fixed = min(load.fixed, MAX_UINT16)
 
 
 def unpack_loads(rows) -> list[LoadReport]:
@@ -54,6 +55,7 @@
             row.silentMs / 1000,
             row.oldestMs / 1000,
             row.standingBack,
+            row.fixed,
         )
         for row in rows
     ]
--- a/mulleinreach/gateway/coordination/peer.capnp
+++ b/mulleinreach/gateway/coordination/peer.capnp
@@ -10,6 +10,7 @@
   silentMs @3 :UInt32;       # time since the last byte of any response
   oldestMs @4 :UInt32;       # age of the oldest request in flight
   standingBack @5 :UInt16;   # requests without an event yet that yield to all others
+  fixed @6 :UInt16;          # requests that may not be sent to another upstream
 }
 
 # A node's observation of one run of a request.
--- a/mulleinreach/gateway/coordination/totals.py
+++ b/mulleinreach/gateway/coordination/totals.py
@@ -70,7 +70,7 @@
     >>> two = NodeReport("b", [LoadReport("u", 2, 0, 0.1, 2.0)])
     >>> sum_loads([one, two])  # doctest: +NORMALIZE_WHITESPACE
     [LoadReport(upstream_id='u', running=3, pending_tokens=10, silent_s=0.1, oldest_s=2.0,
-    standing_back=0)]
+    standing_back=0, fixed=0)]
     """
     totals: dict[str, LoadReport] = {}
     for report in reports:
@@ -84,6 +84,7 @@
                     min(known.silent_s, load.silent_s),
                     max(known.oldest_s, load.oldest_s),
                     known.standing_back + load.standing_back,
+                    known.fixed + load.fixed,
                 )
             totals[load.upstream_id] = load
     return list(totals.values())
--- a/mulleinreach/gateway/fleet/group_monitor.py
+++ b/mulleinreach/gateway/fleet/group_monitor.py
@@ -20,7 +20,7 @@
 from mulleinreach.gateway.fleet.retirements import RetirementReason
 from mulleinreach.gateway.model import EngineModel, EngineProfile
 from mulleinreach.gateway.ports import Unavailable
-from mulleinreach.gateway.state.load import LoadReport
+from mulleinreach.gateway.state.load import LoadReport, has_fixed_requests
 from mulleinreach.gateway.state.upstreams import Group, open_heads
 from mulleinreach.gateway.upstream import MemberState, Upstream, UpstreamState
 
@@ -127,16 +127,19 @@
         elif retirement is not None:
             self._end_when_idle(key, group, model, group.head, load)
         elif not (is_silent or is_missing):
-            self._retire_if_replaceable(key, group, model)
+            self._retire_if_replaceable(key, group, model, load)
 
     def _retire_if_replaceable(
-        self, key: tuple[str, int], group: Group, model: EngineModel
+        self, key: tuple[str, int], group: Group, model: EngineModel, load: LoadReport | None
     ) -> None:
-        """Retire a group with leaving or slow members that spare hosts can replace."""
+        """End a group with leaving or slow members that spare hosts can replace."""
         if self._can_replace(group, model, self._draining_members(group)):
             self._begin_retiring(key, group.head, RetirementReason.MEMBER_DRAINS)
         elif self._can_replace(group, model, self._slow_members(key, group, model)):
-            self._begin_retiring(key, group.head, RetirementReason.MEMBER_SLOW)
+            if has_fixed_requests(load):
+                self._begin_retiring(key, group.head, RetirementReason.MEMBER_SLOW)
+            else:
+                self._spawn_dissolve(group, model, "a member is slow")
 
     def _begin_retiring(
         self, key: tuple[str, int], head: Upstream, reason: RetirementReason
@@ -159,11 +162,11 @@
         return not any(head.model == model.name for head in open_heads(others))
 
     def _may_finish(self, key: tuple[str, int], group: Group, load: LoadReport | None) -> bool:
-        """Whether a group with lost members may only be silent, and has requests in flight.
+        """Whether a group with lost members may only be silent, and has requests that can't leave.
 
-        Those that can go on elsewhere move as soon as it retires.
+        The others move as soon as it retires.
         """
-        if load is None or load.running == 0 or not self._is_briefly_silent(group):
+        if not has_fixed_requests(load) or not self._is_briefly_silent(group):
             return False
         if self._retirements.get(key) is None:
             self._begin_retiring(key, group.head, RetirementReason.MEMBER_SILENT)
@@ -240,7 +243,7 @@
             self._start_check(key, group, model, "silent")
         if self._retirements.get(key) is not None:
             self._end_when_idle(key, group, model, head, load)
-        elif load is not None and load.running and math.isfinite(absent_s):
+        elif has_fixed_requests(load) and math.isfinite(absent_s):
             self._begin_retiring(key, head, RetirementReason.HEAD_DELISTED)
         else:
             self._spawn_dissolve(group, model, "the head is off the list")
--- a/mulleinreach/gateway/fleet/tests/test_ending_groups.py
+++ b/mulleinreach/gateway/fleet/tests/test_ending_groups.py
@@ -178,6 +178,26 @@
     run_world(test)
 
 
+# Guards against slower repair of a group whose requests can all go on elsewhere.
+def test_group_with_a_lost_member_does_not_wait_for_requests_that_can_leave():
+    async def test(world):
+        await world.until_formed()
+        await asyncio.sleep(3)
+        coordinator = world.nodes[world.coordinator()]
+        calls = [asyncio.create_task(world.stream(100)) for _ in range(CALLS)]
+        await asyncio.sleep(0.3)
+        failing = asyncio.create_task(member_of(world, LARGE, 1).die())
+        until = world.clock.now() + 3
+        while world.clock.now() < until:
+            assert coordinator.hosts.retirements.current() == []
+            await asyncio.sleep(0.01)
+        answers = await asyncio.gather(*calls)
+        assert [len(answer.event_ids) for answer in answers] == [100] * CALLS
+        await failing
+
+    run_world(test)
+
+
 def _heads(world) -> list:
     """Return the heads of the groups of the larger model that a node would use."""
     return next(iter(world.nodes.values())).chooser.heads(MODEL_SERVICE, LARGE)
--- a/mulleinreach/gateway/request/send_policy.py
+++ b/mulleinreach/gateway/request/send_policy.py
@@ -68,13 +68,15 @@
         """Whether a request can go on at another upstream; takes a retry for it."""
         if job.retry_charge is not None:
             return True
-        if job.sends >= self._max_sends(job):
-            return False
-        if not job.admitted.route.is_repeatable or self.is_held(job):
+        if self.is_fixed(job) or self.is_held(job):
             return False
         upstream = self._chooser.choose(job.constraints, job.headers, job.tried, job.ended_halls)
         return upstream is not None and self._take_retry(job)
 
+    def is_fixed(self, job: RelayJob) -> bool:
+        """Whether a request that was sent may not be sent to another upstream."""
+        return job.sends >= self._max_sends(job) or not job.admitted.route.is_repeatable
+
     def _max_sends(self, job: RelayJob) -> int:
         """Return the largest number of sends of a request."""
         limit = job.admitted.route.max_attempts
--- a/mulleinreach/gateway/request/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -157,7 +157,12 @@
             self._metrics.count_evacuated_send(upstream.hall)
         # Without a stream there is no event that shows when the engine has admitted the request.
         is_deprioritized = stands_back and job.admitted.route.kind is RouteKind.STREAMING
-        ticket = self._loads.start(upstream.id, job.headers.prompt_tokens or 0, is_deprioritized)
+        ticket = self._loads.start(
+            upstream.id,
+            job.headers.prompt_tokens or 0,
+            is_deprioritized,
+            self._policy.is_fixed(job),
+        )
         charges = [charge for charge in (sent_charge, job.retry_charge) if charge is not None]
         job.retry_charge = None
         exchange = ActiveExchange(
--- a/mulleinreach/gateway/state/load.py
+++ b/mulleinreach/gateway/state/load.py
@@ -26,6 +26,7 @@
     silent_s : seconds since the upstream last sent a byte of any answer.
     oldest_s : age in seconds of the oldest request in flight; 0 without one.
     standing_back : requests without an event yet that were sent at the lowest priority.
+    fixed : requests that may not be sent to another upstream, whatever happens to this one.
     """
 
     upstream_id: str
@@ -34,6 +35,7 @@
     silent_s: float
     oldest_s: float = 0.0
     standing_back: int = 0
+    fixed: int = 0
 
     @property
     def stalled_s(self) -> float:
@@ -41,6 +43,11 @@
         return min(self.silent_s, self.oldest_s)
 
 
+def has_fixed_requests(load: LoadReport | None) -> bool:
+    """Whether an upstream has requests that may not be sent to another upstream."""
+    return load is not None and load.fixed > 0
+
+
 class InFlightRequest:
     """One request in flight at an upstream.
 
@@ -49,6 +56,7 @@
 
     stands_back : whether it has the lowest priority and waits for others; ``False`` once the
         upstream has sent bytes of its answer.
+    is_fixed : whether it may not be sent to another upstream.
     """
 
     def __init__(
@@ -58,6 +66,7 @@
         prompt_tokens: int,
         started_at: float,
         stands_back: bool = False,
+        is_fixed: bool = False,
     ):
         self._tracker = tracker
         self.upstream_id = upstream_id
@@ -65,6 +74,7 @@
         self.pending_tokens = 0 if stands_back else prompt_tokens
         self.started_at = started_at
         self.stands_back = stands_back
+        self.is_fixed = is_fixed
         self.is_finished = False
 
     def progress(self) -> None:
@@ -95,7 +105,11 @@
         return self._clock.now()
 
     def start(
-        self, upstream_id: str, prompt_tokens: int = 0, stands_back: bool = False
+        self,
+        upstream_id: str,
+        prompt_tokens: int = 0,
+        stands_back: bool = False,
+        is_fixed: bool = False,
     ) -> InFlightRequest:
         """Register a request that is about to be sent.
 
@@ -103,8 +117,11 @@
         ==========
 
         stands_back : whether it is sent at the lowest priority, so that others don't wait for it.
+        is_fixed : whether it may not be sent to another upstream.
         """
-        request = InFlightRequest(self, upstream_id, prompt_tokens, self.now(), stands_back)
+        request = InFlightRequest(
+            self, upstream_id, prompt_tokens, self.now(), stands_back, is_fixed
+        )
         self._in_flight.setdefault(upstream_id, []).append(request)
         return request
 
@@ -135,7 +152,10 @@
         silent_s = now - self._progress_at.get(upstream_id, now - NO_PROGRESS_SILENT_S)
         oldest_s = max((now - request.started_at for request in in_flight), default=0.0)
         standing_back = sum(request.stands_back for request in in_flight)
-        return LoadReport(upstream_id, len(in_flight), pending, silent_s, oldest_s, standing_back)
+        fixed = sum(request.is_fixed for request in in_flight)
+        return LoadReport(
+            upstream_id, len(in_flight), pending, silent_s, oldest_s, standing_back, fixed
+        )
 
     def stalled_s(self, upstream_id: str) -> float:
         """Return for how many seconds this node's requests at an upstream have been stalled."""
@@ -202,4 +222,5 @@
         running=max(0, total.running - own.running),
         pending_tokens=max(0, total.pending_tokens - own.pending_tokens),
         standing_back=max(0, total.standing_back - own.standing_back),
+        fixed=max(0, total.fixed - own.fixed),
     )
