Soak: resets are resets, and a leaving plain upstream is replaced at the end

Change in the player: a link and a host that cut an answer reset its connection; a link passes a reset on as one. The check is as it was. All three plain upstreams had said that they leave when the soak ended, and nobody replaced them; the fault does that now also if it is cancelled.

--- a/mulleinreach/platform/tests/soak/proxy.py
+++ b/mulleinreach/platform/tests/soak/proxy.py
@@ -4,9 +4,21 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 from dataclasses import dataclass, field
 
 CHUNK_BYTES = 65_536
+# A socket that lingers for no time is reset when it closes, also if all was read.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+def reset(transport: asyncio.BaseTransport) -> None:
+    """End a connection by a reset."""
+    with contextlib.suppress(OSError):
+        connection = transport.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    transport.abort()
 
 
 @dataclass
@@ -32,7 +44,7 @@
     def reset(self) -> None:
         """Break all open connections."""
         for writer in list(self.writers):
-            writer.transport.abort()
+            reset(writer.transport)
 
 
 class Proxy:
@@ -61,7 +73,8 @@
                 group.create_task(self._pump(link, reader, back, is_back=False))
                 group.create_task(self._pump(link, there, writer, is_back=True))
         except* OSError:
-            pass
+            for each in (writer, back):
+                reset(each.transport)
         finally:
             link.writers -= {writer, back}
             for each in (writer, back):
--- a/mulleinreach/platform/tests/soak/restore_faults.py
+++ b/mulleinreach/platform/tests/soak/restore_faults.py
@@ -115,10 +115,13 @@
         plain[name] = replace(plain[name], state=UpstreamState.DRAINING)
         self._world.memory.put(UPSTREAMS, name, plain[name])
         self._note_leaving(name)
-        await asyncio.sleep(self._rng.uniform(*SERVES_ON_S))
-        links[name].is_silent = True
-        self._world.memory.put(UPSTREAMS, name, None)
-        await self._world.fill_hall(plain[name].hall)
+        try:
+            await asyncio.sleep(self._rng.uniform(*SERVES_ON_S))
+        finally:
+            # Also when the soak ends meanwhile, since nobody would take its place.
+            links[name].is_silent = True
+            self._world.memory.put(UPSTREAMS, name, None)
+            await self._world.fill_hall(plain[name].hall)
 
     def _note_leaving(self, upstream_id: str) -> None:
         now = asyncio.get_running_loop().time()
--- a/mulleinreach/platform/tests/soak/world.py
+++ b/mulleinreach/platform/tests/soak/world.py
@@ -25,7 +25,7 @@
 from mulleinreach.platform.tests.soak.notices import Arrival, Notices, Run
 from mulleinreach.platform.tests.soak.plain import PlainService
 from mulleinreach.platform.tests.soak.processes import LOCAL, GatewayProcess, make_gateway
-from mulleinreach.platform.tests.soak.proxy import Link, Proxy
+from mulleinreach.platform.tests.soak.proxy import Link, Proxy, reset
 from mulleinreach.platform.tests.soak.replicas import USUAL_BACKLOG, ReplicaProcess
 from mulleinreach.platform.tests.standin import StoreStandIn
 from mulleinreach.standins.gateway.fabric import Fabric
@@ -114,7 +114,7 @@
         self.lost_halls: set[str] = set()
         self.memory = MemoryStore()
         self.store = StoreStandIn(self.memory, page=500, tables={"servers": UPSTREAMS})
-        self.fabric = Fabric(self.memory, seed, NAMES)
+        self.fabric = Fabric(self.memory, seed, NAMES, reset)
         self.plain = PlainService()
         self.plain_upstreams: dict[str, Upstream] = {}
         self.proxy = Proxy()
--- a/mulleinreach/standins/gateway/hosts.py
+++ b/mulleinreach/standins/gateway/hosts.py
@@ -331,6 +331,8 @@
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         for number in range(first, pieces + 1):
             if not await self._step(standing):
+                # A close between two events would look like the end of a body without length.
+                self._fabric.reset_connection(request.transport)
                 request.transport.abort()
                 return body.response
             if not has_begun:
