Soak: a break before the first event cuts no stream that has passed it

Cause, in the player: hosts that break streams off before any event, by a close, did so to streams in the middle as well, and a close between two events ends a body without length; the player's own comment says that it doesn't do this. Change: such a host cuts streams that come to that event, and those that begin behind it. The check is as it was.

--- a/mulleinreach/standins/gateway/hosts.py
+++ b/mulleinreach/standins/gateway/hosts.py
@@ -55,10 +55,11 @@
     that has come meanwhile is answered then; ``is_cut`` takes the host off the list while
     requests still reach it; ``late_orders`` gives orders no answer and carries them out seconds
     later; ``framing`` is that of its streams; ``breaks_after`` cuts them after so many events, as
-    ``broken_by`` says; ``fails`` runs so many requests in vain; ``pace`` makes the host, and its
-    group, so many times slower; ``headers`` go with each of its answers;
-    ``rests_from_orders_s`` turns each order away and asks for so much rest. ``running`` counts the
-    requests in work, ``arrivals`` tells when requests came, ``ordered_at`` when orders did.
+    ``broken_by`` says, but for those that have passed that event before; ``fails`` runs so many
+    requests in vain; ``pace`` makes the host, and its group, so many times slower; ``headers`` go
+    with each of its answers; ``rests_from_orders_s`` turns each order away and asks for so much
+    rest. ``running`` counts the requests in work, ``arrivals`` tells when requests came,
+    ``ordered_at`` when orders did.
     """
 
     def __init__(
@@ -339,7 +340,7 @@
                 self._fabric.check_start(standing)
                 await body.begin()
                 has_begun = True
-            if self.breaks_after is not None and number > self.breaks_after:
+            if self.breaks_after is not None and number == max(first, self.breaks_after + 1):
                 await body.write(self.broken_by.torn)
                 await break_off(request, self.broken_by, self._fabric.reset_connection)
                 return body.response
