--- a/mulleinreach/gateway/fleet/group_monitor.py
+++ b/mulleinreach/gateway/fleet/group_monitor.py
@@ -31,7 +31,7 @@
 MAX_UNFINISHED_S = 4.0
 # Requests may still arrive until all nodes know that the group is retiring.
 MIN_RETIRING_S = 0.5
-# Shorter than a report of the head is old, so that some retiring groups are asked again.
+# A head's report is some tenths of a second old, so it may have to be asked again.
 IDLE_CHECK_INTERVAL_S = 0.2
 # Sound hosts may be silent for about a second.
 MAX_SILENCE_S = 1.5
