--- a/mulleinreach/gateway/fleet/hosts.py
+++ b/mulleinreach/gateway/fleet/hosts.py
@@ -85,7 +85,7 @@
         self._lost_at: dict[str, float] = {}
         self._silent_since: dict[str, float] = {}
         self._paces: dict[str, tuple[float, float]] = {}
-        self._running: dict[str, int | None] = {}
+        self._running: dict[str, int] = {}
         self._cold_until: dict[str, float] = {}
         self._delisted_at: dict[str, float] = {}
         self._departures: dict[str, GroupDeparture] = {}
@@ -151,7 +151,7 @@
         return departure is not None and departure.key == key and departure.left_at >= since
 
     def reported_running(self, host: str) -> int | None:
-        """Return how many requests a host last reported to have, ``None`` if it didn't say."""
+        """Return how many requests a host last reported, ``None`` if it wasn't asked."""
         return self._running.get(host)
 
     def pace(self, host: str) -> float:
--- a/mulleinreach/gateway/upstream.py
+++ b/mulleinreach/gateway/upstream.py
@@ -52,7 +52,7 @@
     domain : the fabric domain; ``None`` for plain services.
     pace : its reported slowdown factor; 1 at normal speed.
     cold_s : how much longer it is cold, counted from the receipt of this state; 0 if warm.
-    running : how many requests it has, queued ones included; only its own reports tell.
+    running : how many requests it reports to have, queued ones included; 0 if it doesn't say.
     """
 
     id: str
@@ -67,7 +67,7 @@
     membership: Membership | None = None
     pace: float = 1.0
     cold_s: float = 0.0
-    running: int | None = field(default=None, compare=False)
+    running: int = field(default=0, compare=False)
 
     @property
     def group_key(self) -> tuple[str, int] | None:
--- a/mulleinreach/platform/orders.py
+++ b/mulleinreach/platform/orders.py
@@ -53,13 +53,8 @@
         self, host: Upstream, group: str, epoch: int, model: str, members: list[str], token: int
     ) -> OrderResult:
         """Make the host a member of a group."""
-        order = {
-            "op": "join",
-            "group": group,
-            "epoch": epoch,
-            "model": model,
-            "members": [upstream_name(member) for member in members],
-        }
+        order = {"op": "join", "group": group, "epoch": epoch, "model": model}
+        order["members"] = [upstream_name(member) for member in members]
         return await self._order(host, order, token)
 
     async def open(self, head: Upstream, group: str, epoch: int, token: int) -> OrderResult:
--- a/mulleinreach/platform/rows.py
+++ b/mulleinreach/platform/rows.py
@@ -88,23 +88,9 @@
 
 
 class _Report(_ReplicaState, kw_only=True):
-    """A replica's report.
-
-    Parameters
-    ==========
-
-    queued, active : the numbers of requests that wait or run; optional.
-    """
-
     pace: Annotated[float, Meta(gt=0, le=1000)] = 1.0
-    queued: Count | None = None
-    active: Count | None = None
-
-    def running(self) -> int | None:
-        """Return how many requests the replica has, ``None`` if it doesn't say."""
-        if self.queued is None and self.active is None:
-            return None
-        return (self.queued or 0) + (self.active or 0)
+    queued: Count = 0
+    active: Count = 0
 
 
 def parse_upstream(name: str, raw: object) -> Upstream:
@@ -148,5 +134,5 @@
         staged=report.staged_names(),
         membership=report.membership(),
         pace=report.pace,
-        running=report.running(),
+        running=report.queued + report.active,
     )
--- a/mulleinreach/platform/tests/test_rows.py
+++ b/mulleinreach/platform/tests/test_rows.py
@@ -168,6 +168,14 @@
             parse_report(HOST, {**report, **invalid})
 
 
+# Guards against a head that counts as idle while requests wait in its queue.
+@pytest.mark.parametrize(
+    ("told", "running"), [({}, 0), ({"active": 2}, 2), ({"queued": 3, "active": 2}, 5)]
+)
+def test_report_counts_queued_and_active_requests(told, running):
+    assert parse_report(HOST, {**SOUND, "pace": 1.0, **told}).running == running
+
+
 def test_start_time_is_part_of_an_upstreams_id():
     first = parse_upstream("u-1", {**SOUND, "born": 1_790_000_000_000})
     restarted = parse_upstream("u-1", {**SOUND, "born": 1_790_000_000_001})
