Soak: streams without length carry the notices of their upstream

Cause, in the stand-in: a stream without length or chunks is written without the headers that the application adds to every answer, so that the limit seemed to have ended. Change: its head gets them, too. The check is as it was.

--- a/mulleinreach/standins/gateway/bodies.py
+++ b/mulleinreach/standins/gateway/bodies.py
@@ -54,14 +54,18 @@
     """A body with neither a length nor chunks, which ends with its connection."""
 
     def __init__(self, request: web.BaseRequest, headers: Mapping[str, str]):
+        self._request = request
         self._transport = request.transport
         self._headers = {"Content-Type": "text/event-stream", **headers}
         # Returned to aiohttp's server, which can't send it on the closed connection.
         self.response = web.Response()
 
     async def begin(self) -> None:
-        """Send the head."""
-        lines = ["HTTP/1.1 200 OK", *(f"{name}: {v}" for name, v in self._headers.items())]
+        """Send the head, with the headers that the application adds to all its responses."""
+        head = web.StreamResponse(headers=self._headers)
+        if isinstance(self._request, web.Request):
+            await self._request.app.on_response_prepare.send(self._request, head)
+        lines = ["HTTP/1.1 200 OK", *(f"{name}: {v}" for name, v in head.headers.items())]
         self._transport.write("".join(f"{line}\r\n" for line in [*lines, ""]).encode())
 
     async def write(self, data: bytes) -> None:
