--- a/mulleinreach/platform/tests/soak/processes.py
+++ b/mulleinreach/platform/tests/soak/processes.py
@@ -10,6 +10,7 @@
 import socket
 import subprocess
 import sys
+from collections import deque
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -26,6 +27,8 @@
 # shorter than deployments agree on, so that a short soak sees requests after it.
 EVACUATION_S = 3.0
 RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_S = 0.2, 136, 10
+# Ports of gateways that may not have started yet, or are down: those of the last hundred.
+_given_ports: deque[int] = deque(maxlen=500)
 
 
 @dataclass
@@ -92,15 +95,18 @@
     """Return ports that follow on each other and that nobody listens on.
 
     None of them is handed out by the system, or else a link or a connection that is opened
-    while a gateway is down might take the gateway's.
+    while a gateway is down might take the gateway's. Nor is one given to two gateways.
     """
     while True:
         start = random.randrange(FIRST_PORT, LAST_PORT - count)
         ports = range(start, start + count)
+        if not set(ports).isdisjoint(_given_ports):
+            continue
         with contextlib.ExitStack() as stack:
             try:
                 for port in ports:
                     stack.enter_context(socket.socket()).bind((LOCAL, port))
             except OSError:
                 continue
+            _given_ports.extend(ports)
             return list(ports)
