--- a/mulleinreach/gateway/request/tests/retry_bound.py
+++ b/mulleinreach/gateway/request/tests/retry_bound.py
@@ -33,12 +33,25 @@
         """
         return max((self._excess(at, bounds) for at in self.retries_at), default=float("-inf"))
 
+    def max_use(self, bounds: DeploymentBounds) -> float:
+        """Return the largest part of what a window allows that its retries use."""
+        return max(
+            (
+                self._retries(at, bounds.retry_window_s) / self._allowed(at, bounds)
+                for at in self.retries_at
+            ),
+            default=0.0,
+        )
+
     def _excess(self, begin: float, bounds: DeploymentBounds) -> float:
+        return self._retries(begin, bounds.retry_window_s) - self._allowed(begin, bounds)
+
+    def _allowed(self, begin: float, bounds: DeploymentBounds) -> float:
+        """Return how many retries the window that begins then allows."""
         window_s = bounds.retry_window_s
         begins = (begin, begin - window_s / 2, begin - window_s)
         requests = max(_count(self.requests_at, at, window_s) for at in begins)
-        allowed = bounds.retry_ratio * requests + bounds.retry_slack
-        return self._retries(begin, window_s) - allowed
+        return bounds.retry_ratio * requests + bounds.retry_slack
 
     def _retries(self, begin: float, window_s: float) -> int:
         return _count(self.retries_at, begin, window_s)
--- a/mulleinreach/platform/tests/soak/body_faults.py
+++ b/mulleinreach/platform/tests/soak/body_faults.py
@@ -33,7 +33,7 @@
     async def _stream_without_length(self, host: HostStandIn) -> None:
         host.framing = BodyFraming.CLOSE
         if self._rng.random() < 0.5:
-            self._report.faults["break_stream"] += 1
+            self._report.note_fault("break_stream")
             events = self._rng.choice((0, self._rng.randint(*EVENTS)))
             torn = TORN if events else self._rng.choice((TORN, b""))
             host.broken_by = BodyBreak(torn, is_reset=self._rng.random() < 0.5)
--- a/mulleinreach/platform/tests/soak/callers.py
+++ b/mulleinreach/platform/tests/soak/callers.py
@@ -13,6 +13,7 @@
 from mulleinreach.platform.dialect import (
     DEADLINE_MS,
     MODEL,
+    PROMPT_PREFIX,
     REQUEST_ID,
     SIGNATURE,
     TOKEN_USAGE,
@@ -20,6 +21,7 @@
 from mulleinreach.platform.notices import LEAVING, LIMIT
 from mulleinreach.platform.tests.soak.document import (
     CALLER_HOST,
+    FATAL_PART,
     FATAL_PIECES,
     MODEL_SERVICE,
     PLAIN_SERVICE,
@@ -32,6 +34,9 @@
 RECOVERY_S = 90.0
 # How long callers wait for an answer.
 DEADLINE_S = 6.0
+# Parts of prompts that requests share: the first one with all, the second with some.
+SYSTEM_PART = "a1"
+SUBJECTS = 7
 
 
 @dataclass(frozen=True)
@@ -43,10 +48,14 @@
 
     call_every_s : between two requests of all callers together, in seconds.
     pieces : events of a stream.
+    kinds : of requests, each one drawn as often as it stands here.
+    has_parts : whether requests name the parts of their prompts; then no two streams are alike.
     """
 
     call_every_s: float = 0.03
     pieces: int = 15
+    kinds: tuple[str, ...] = ("stream", "stream", "order")
+    has_parts: bool = False
 
 
 USUAL_TRAFFIC = Traffic()
@@ -78,9 +87,9 @@
     ===========
 
     ``sent`` holds all requests by their ids, ``fatal`` the ids of those that crash replicas,
-    ``orders`` of those that may run once at most, ``not_run`` of those that were answered
-    as not run; ``told_leaving`` the answers of upstreams that leave, ``told_limits`` of
-    those that name a limit.
+    ``fatal_by_part`` of those that do so by a part of their prompts, ``orders`` of those that may
+    run once at most, ``not_run`` of those that were answered as not run; ``told_leaving`` the
+    answers of upstreams that leave, ``told_limits`` of those that name a limit.
     """
 
     def __init__(
@@ -96,10 +105,13 @@
         self._traffic = traffic
         self.sent: dict[str, SentRequest] = {}
         self.fatal: set[str] = set()
+        self.fatal_by_part: set[str] = set()
         self.orders: set[str] = set()
         self.not_run: set[str] = set()
         self.told_leaving: list[ToldNotice] = []
         self.told_limits: list[ToldNotice] = []
+        # How many times as often as usual requests come.
+        self.factor = 1.0
         self._number = 0
 
     def open(self) -> aiohttp.ClientSession:
@@ -113,23 +125,35 @@
         """Send requests of all kinds to all gateways."""
         async with asyncio.TaskGroup() as group:
             while True:
-                kind = self._rng.choice(["stream", "stream", "order"])
+                kind = self._rng.choice(self._traffic.kinds)
                 group.create_task(self._call(kind, self._rng.choice(self._world.gateways)))
-                await asyncio.sleep(self._traffic.call_every_s)
+                await asyncio.sleep(self._traffic.call_every_s / self.factor)
 
     async def call_fatally(self, gateway: GatewayProcess) -> None:
         """Send the request that crashes the replicas which run it."""
         await self._call("stream", gateway, is_fatal=True)
 
-    async def _call(self, kind: str, gateway: GatewayProcess, is_fatal: bool = False) -> int:
+    async def call_with_fatal_part(self, gateway: GatewayProcess) -> None:
+        """Send a request with the prompt part that crashes the replicas which write on it."""
+        await self._call("stream", gateway, has_fatal_part=True)
+
+    async def _call(
+        self,
+        kind: str,
+        gateway: GatewayProcess,
+        is_fatal: bool = False,
+        has_fatal_part: bool = False,
+    ) -> int:
         """Send a request; returns its status, 0 without a whole answer."""
         self._number += 1
         request_id = f"request-{self._number}"
         if is_fatal:
             self.fatal.add(request_id)
+        if has_fatal_part:
+            self.fatal_by_part.add(request_id)
         key = self._rng.choice(["key-1", "key-2"])
         now = asyncio.get_running_loop().time()
-        service = PLAIN_SERVICE if kind == "order" else MODEL_SERVICE
+        service = MODEL_SERVICE if kind == "stream" else PLAIN_SERVICE
         self.sent[request_id] = SentRequest(now, key, gateway.name, service)
         if kind == "order":
             self.orders.add(request_id)
@@ -141,16 +165,25 @@
             TOKEN_USAGE: "300,75",
             "Authorization": f"Bearer {key}",
         }
+        if self._traffic.has_parts and not is_fatal:
+            headers[PROMPT_PREFIX] = self._prompt_parts(has_fatal_part)
         pieces = FATAL_PIECES if is_fatal else self._traffic.pieces
         body = str(pieces) if kind == "stream" else f"tins {request_id}"
         status = await self._exchange(gateway, kind, request_id, headers, body)
         self._report.answers[f"{kind} {status}"] += 1
         return status
 
+    def _prompt_parts(self, has_fatal_part: bool) -> str:
+        """Return the parts of the latest request's prompt; the last one is its own."""
+        subject = FATAL_PART if has_fatal_part else f"b{self._number % SUBJECTS}"
+        return f"{SYSTEM_PART}:40,{subject}:200,c{self._number:x}:60"
+
     async def _exchange(
         self, gateway: GatewayProcess, kind: str, request_id: str, headers: dict, body: str
     ) -> int:
-        url = f"{gateway.callers.url}/{kind}/1"
+        # Requests are alike but for those that name their parts.
+        number = request_id if PROMPT_PREFIX in headers else "1"
+        url = f"{gateway.callers.url}/{kind}/{number}"
         try:
             async with self._session.post(url, data=body, headers=headers) as response:
                 self._note_notices(gateway, response.headers)
@@ -158,12 +191,15 @@
                 status = response.status
         except (aiohttp.ClientError, OSError, TimeoutError):
             return 0
-        if status == 200 and request_id not in self.fatal:
+        if status == 200 and not self._is_fatal(request_id):
             self.check_answer(kind, request_id, body, answer)
         if status in (429, 503):
             self.not_run.add(request_id)
         return status
 
+    def _is_fatal(self, request_id: str) -> bool:
+        return request_id in self.fatal or request_id in self.fatal_by_part
+
     def _note_notices(self, gateway: GatewayProcess, headers: Mapping[str, str]) -> None:
         if SIGNATURE not in headers:
             return
--- a/mulleinreach/platform/tests/soak/checks.py
+++ b/mulleinreach/platform/tests/soak/checks.py
@@ -9,8 +9,9 @@
 from mulleinreach.platform.tests.soak.document import COLD_OVERAGE, COLD_PER_S, COLD_SLACK
 from mulleinreach.platform.tests.soak.faults import REVOKE_S
 from mulleinreach.platform.tests.soak.processes import EVACUATION_S
+from mulleinreach.platform.tests.soak.records import Disturbance, Evacuation
 from mulleinreach.platform.tests.soak.report import SoakReport
-from mulleinreach.platform.tests.soak.world import Disturbance, Evacuation, SoakWorld
+from mulleinreach.platform.tests.soak.world import SoakWorld
 from mulleinreach.standins.gateway.standings import ColdStart
 
 # A gateway counts as in touch once its last disturbance is over for so long.
--- a/mulleinreach/platform/tests/soak/crash_checks.py
+++ b/mulleinreach/platform/tests/soak/crash_checks.py
@@ -1,4 +1,4 @@
-"""A request that crashes replicas must be kept from them once it has crashed a few."""
+"""Requests that crash replicas must be kept from them once they have crashed a few."""
 
 from __future__ import annotations
 
@@ -8,12 +8,13 @@
 
 # What the deployment's rules allow: so many arrivals later than so long after a number of crashes.
 KNOWN_CRASHES = 3
+KNOWN_CRASHES_BY_PART = 5
 CONTACT_S = 3.0
 MAX_LATE_ARRIVALS = 3
 
 
 class CrashChecks:
-    """Checks where the request that crashes replicas arrived, and when."""
+    """Checks where the requests that crash replicas arrived, and when."""
 
     def __init__(self, world: SoakWorld, callers: Callers, report: SoakReport):
         self._world = world
@@ -21,17 +22,22 @@
         self._report = report
 
     def check(self) -> None:
-        """BUDGET: after its third crash few retries of the request reach replicas."""
+        """BUDGET: after some crashes few of the requests that cause them reach replicas."""
+        self._check_late(self._callers.fatal, KNOWN_CRASHES)
+        self._check_late(self._callers.fatal_by_part, KNOWN_CRASHES_BY_PART)
+
+    def _check_late(self, fatal: set[str], known_crashes: int) -> None:
         crashes = sorted(self._world.domain_crashes)
-        if len(crashes) < KNOWN_CRASHES:
+        if len(crashes) < known_crashes:
             return
-        known_at = crashes[KNOWN_CRASHES - 1] + CONTACT_S
+        known_at = crashes[known_crashes - 1] + CONTACT_S
         late = sum(
-            arrival.at > known_at and arrival.request_id in self._callers.fatal
+            arrival.at > known_at and arrival.request_id in fatal
             for arrival in self._world.arrivals()
         )
+        self._report.late_fatal = max(self._report.late_fatal, late)
         if late > MAX_LATE_ARRIVALS:
             self._report.broken.append(
-                f"a request that had crashed {len(crashes)} replicas arrived {late} times"
-                f" over {CONTACT_S:g} s after the third"
+                f"requests that had crashed {len(crashes)} replicas arrived {late} times"
+                f" over {CONTACT_S:g} s after the crash {known_crashes}"
             )
--- a/mulleinreach/platform/tests/soak/crash_faults.py
+++ b/mulleinreach/platform/tests/soak/crash_faults.py
@@ -1,8 +1,9 @@
-"""A request that crashes each replica that runs it, and comes again and again."""
+"""Requests that crash each replica that runs them, and come again and again."""
 
 from __future__ import annotations
 
 import asyncio
+import enum
 import random
 from collections.abc import Coroutine, Iterator
 
@@ -17,14 +18,38 @@
 POLL_S = 0.02
 
 
+class CrashCause(enum.StrEnum):
+    """By what requests crash the replicas that run them."""
+
+    NONE = "none"
+    # One request, which comes again and again.
+    REQUEST = "request"
+    # A part of their prompts, which many requests share; no two of them are alike.
+    PART = "part"
+
+
 class CrashFaults(Harmer):
-    """Sends the request that crashes domains of hosts, and brings crashed domains back."""
+    """Sends the requests that crash domains of hosts, and brings crashed domains back.
+
+    Parameters
+    ==========
+
+    cause : by what requests crash domains.
+    """
 
     between_s = (0.8, 1.2)
 
-    def __init__(self, world: SoakWorld, rng: random.Random, report: SoakReport, callers: Callers):
+    def __init__(
+        self,
+        world: SoakWorld,
+        rng: random.Random,
+        report: SoakReport,
+        callers: Callers,
+        cause: CrashCause,
+    ):
         super().__init__(world, rng, report)
         self._callers = callers
+        self._cause = cause
 
     async def harm_for_ever(self) -> None:
         """Send the request now and then, and watch the domains."""
@@ -33,8 +58,13 @@
             group.create_task(self._watch())
 
     def _draw_faults(self) -> Iterator[Coroutine]:
-        self._report.faults["crashing_request"] += 1
-        yield self._callers.call_fatally(self._rng.choice(self._world.gateways))
+        gateway = self._rng.choice(self._world.gateways)
+        if self._cause is CrashCause.PART:
+            self._report.note_fault("crashing_part")
+            yield self._callers.call_with_fatal_part(gateway)
+        else:
+            self._report.note_fault("crashing_request")
+            yield self._callers.call_fatally(gateway)
 
     async def _watch(self) -> None:
         """Note each crash, and bring the domain back."""
@@ -44,6 +74,7 @@
                 for domain in self._world.replicas:
                     if domain not in known and not domain.is_running():
                         known.add(domain)
+                        self._report.note_fault("crash")
                         self._world.domain_crashes.append(asyncio.get_running_loop().time())
                         group.create_task(self._bring_back(domain))
                 await asyncio.sleep(POLL_S)
--- a/mulleinreach/platform/tests/soak/document.py
+++ b/mulleinreach/platform/tests/soak/document.py
@@ -14,8 +14,12 @@
 COLD_OVERAGE = 1.5
 COLD_SLACK = 1.0
 STREAM_MAX_ATTEMPTS = 2
+# Requests for the plain service that may be repeated.
+STOCK_PREFIX = "/stock/"
 # Streams of so many events crash the replicas that run them, where a soak has such requests.
 FATAL_PIECES = 13
+# The prompt part that crashes the replicas which write on it, where a soak has one.
+FATAL_PART = "fa7a1"
 
 
 @dataclass(frozen=True)
@@ -59,7 +63,7 @@
                 **common,
                 **plain,
                 "name": "r",
-                "path_prefix": "/stock/",
+                "path_prefix": STOCK_PREFIX,
                 "kind": "safe",
                 "max_attempts": 2,
                 "timeout_ms": 3000,
--- a/mulleinreach/platform/tests/soak/faults.py
+++ b/mulleinreach/platform/tests/soak/faults.py
@@ -40,7 +40,7 @@
         async with asyncio.TaskGroup() as group:
             while True:
                 kind = self._rng.choice(kinds)
-                self._report.faults[kind.__name__] += 1
+                self._report.note_fault(kind.__name__)
                 group.create_task(kind())
                 await asyncio.sleep(self._rng.uniform(*BETWEEN_FAULTS_S))
 
--- a/mulleinreach/platform/tests/soak/limit_faults.py
+++ b/mulleinreach/platform/tests/soak/limit_faults.py
@@ -22,7 +22,7 @@
         name = self._some_upstream()
         if name is None or self._world.notices.limit_of(name) is not None:
             return
-        self._report.faults["name_limit"] += 1
+        self._report.note_fault("name_limit")
         self._world.notices.name_limit(name, self._rng.uniform(*LIMIT_PER_S))
         await asyncio.sleep(self._rng.uniform(*NAMED_FOR_S))
         self._world.notices.end_limit(name)
--- a/mulleinreach/platform/tests/soak/notice_faults.py
+++ b/mulleinreach/platform/tests/soak/notice_faults.py
@@ -23,7 +23,7 @@
     def _draw_faults(self) -> Iterator[Coroutine]:
         """Let an upstream ask for rest, or leave."""
         kind = self._rng.choice([self.ask_for_rest, self.ask_for_rest, self.leave])
-        self._report.faults[kind.__name__] += 1
+        self._report.note_fault(kind.__name__)
         yield kind()
 
     def _some_upstream(self) -> str | None:
--- a/mulleinreach/platform/tests/soak/plain.py
+++ b/mulleinreach/platform/tests/soak/plain.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from mulleinreach.platform.dialect import EXPECT_INSTANCE, REQUEST_ID, SIGNATURE, TENANT
+from mulleinreach.platform.tests.soak.document import STOCK_PREFIX
 
 PLAIN_WORK_S = 0.05
 
@@ -23,11 +24,20 @@
 
 
 class PlainService:
-    """Runs requests and notes them; an answer may be lost after the run."""
+    """Runs requests and notes them.
+
+    Explanation
+    ===========
+
+    Knobs: with ``loses_answers`` answers are lost after the run; while ``failing`` isn't 0, the
+    first run of each request fails, but for those that may run once only.
+    """
 
     def __init__(self) -> None:
         self.runs: list[PlainRun] = []
         self.loses_answers = False
+        self.failing = 0
+        self._failed: set[str] = set()
 
     def handler(self, upstream_id: str):
         """Return the handler of one upstream."""
@@ -43,8 +53,18 @@
             await asyncio.sleep(PLAIN_WORK_S)
             if self.loses_answers:
                 request.transport.abort()
+            if self._fails(request, request_id):
+                return web.Response(status=500, headers={REQUEST_ID: request_id})
             answer = request_id.encode() + b" " + body
             headers = {REQUEST_ID: request_id, SIGNATURE: upstream_id}
             return web.Response(body=answer, headers=headers)
 
         return handle
+
+    def _fails(self, request: web.BaseRequest, request_id: str) -> bool:
+        """Whether a run of a request fails."""
+        is_repeatable = request.path.startswith(STOCK_PREFIX)
+        if not self.failing or not is_repeatable or request_id in self._failed:
+            return False
+        self._failed.add(request_id)
+        return True
--- a/mulleinreach/platform/tests/soak/processes.py
+++ b/mulleinreach/platform/tests/soak/processes.py
@@ -41,6 +41,7 @@
     settings: Path
     callers: Address
     readiness: Address
+    runs_from: Path | None = None
     process: subprocess.Popen | None = None
     started_at: list[float] = field(default_factory=list)
 
@@ -56,6 +57,7 @@
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "mulleinreach.platform"],
                 env={**os.environ, "MULLEINREACH_NODE_FILE": str(self.settings)},
+                cwd=self.runs_from,
                 stdout=log,
                 stderr=log,
             )
@@ -67,7 +69,12 @@
 
 
 def make_gateway(
-    name: str, hall: str, halls: list[str], store_link: Link, directory: Path
+    name: str,
+    hall: str,
+    halls: list[str],
+    store_link: Link,
+    directory: Path,
+    runs_from: Path | None = None,
 ) -> GatewayProcess:
     """Write a gateway's settings; the process isn't started."""
     ports = free_ports(2 + PORTS_PER_NODE)
@@ -88,7 +95,7 @@
         f"bounds.cold_slack={COLD_SLACK}\nfault_tolerance.zones=1\n{regions}"
     )
     callers, readiness = Address(LOCAL, ports[0]), Address(LOCAL, ports[1])
-    return GatewayProcess(name, hall, store_link, settings, callers, readiness)
+    return GatewayProcess(name, hall, store_link, settings, callers, readiness, runs_from)
 
 
 def free_ports(count: int) -> list[int]:
--- a/mulleinreach/platform/tests/soak/replica_process.py
+++ b/mulleinreach/platform/tests/soak/replica_process.py
@@ -10,7 +10,7 @@
 import base64
 import json
 import os
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 from pathlib import Path
 from typing import Annotated, TextIO
@@ -20,10 +20,11 @@
 from aiohttp import web
 
 from mulleinreach.common import Address
+from mulleinreach.common.http_fields import keys_of_pairs
 from mulleinreach.common.responses import BodyFraming
 from mulleinreach.gateway.upstream import MemberState
-from mulleinreach.platform.dialect import NOT_EXECUTED, REQUEST_ID
-from mulleinreach.platform.tests.soak.document import FATAL_PIECES, MODEL_SERVICE
+from mulleinreach.platform.dialect import NOT_EXECUTED, PROMPT_PREFIX, REQUEST_ID
+from mulleinreach.platform.tests.soak.document import FATAL_PART, FATAL_PIECES, MODEL_SERVICE
 from mulleinreach.platform.tests.soak.host_app import NAMES, TIMES, host_app
 from mulleinreach.platform.tests.soak.notices import read_remaining_s
 from mulleinreach.platform.tests.soak.processes import LOCAL
@@ -37,6 +38,8 @@
 SERVERS = "servers"
 # A stream has an event each 0.04 s, so it has given two or three of them by then.
 CRASH_AFTER_S = 0.11
+# Just after its first event.
+CRASH_AT_PART_AFTER_S = 0.05
 
 
 class ArrivalFile:
@@ -72,7 +75,7 @@
 
 
 class Crashes:
-    """Ends the process soon after a host has begun to run the request that crashes it.
+    """Ends the process soon after a host has begun to run a request that crashes it.
 
     Its streams end with their connections.
     """
@@ -84,14 +87,21 @@
         async def look(request: web.Request, handler: Callable) -> web.StreamResponse:
             host = cell[0]
             host.framing = BodyFraming.CLOSE
-            is_fatal = await request.read() == str(FATAL_PIECES).encode()
+            crash_after_s = self._crash_after_s(request.headers, await request.read())
             standing = host.standing
-            if is_fatal and standing is not None and standing.state is MemberState.OPEN:
-                asyncio.get_running_loop().call_later(CRASH_AFTER_S, os._exit, 1)
+            is_open = standing is not None and standing.state is MemberState.OPEN
+            if crash_after_s is not None and is_open:
+                asyncio.get_running_loop().call_later(crash_after_s, os._exit, 1)
             return await handler(request)
 
         app.middlewares.append(look)
 
+    def _crash_after_s(self, headers: Mapping[str, str], body: bytes) -> float | None:
+        """Return how long after a request the process ends; ``None`` for a sound request."""
+        if FATAL_PART in keys_of_pairs(headers.get(PROMPT_PREFIX, "")):
+            return CRASH_AT_PART_AFTER_S
+        return CRASH_AFTER_S if body == str(FATAL_PIECES).encode() else None
+
 
 class ReplicaDomain:
     """The hosts of one domain, whose rows are written to the platform's store.
--- a/mulleinreach/platform/tests/soak/restore_faults.py
+++ b/mulleinreach/platform/tests/soak/restore_faults.py
@@ -9,7 +9,7 @@
 from mulleinreach.gateway.upstream import UpstreamState, upstream_name
 from mulleinreach.platform.tests.soak.harmer import Harmer
 from mulleinreach.platform.tests.soak.notice_faults import SERVES_ON_S
-from mulleinreach.platform.tests.soak.world import Leaving
+from mulleinreach.platform.tests.soak.records import Leaving
 from mulleinreach.standins.gateway.restoring import write_hosts_again, write_others
 from mulleinreach.standins.gateway.store import UPSTREAMS
 
@@ -40,7 +40,7 @@
         kind = self._rng.choice([self.restore, self.leave])
         if kind == self.restore and self._is_restoring:
             return
-        self._report.faults[kind.__name__] += 1
+        self._report.note_fault(kind.__name__)
         yield kind()
 
     async def restore(self) -> None:
--- a/mulleinreach/platform/tests/soak/retry_checks.py
+++ b/mulleinreach/platform/tests/soak/retry_checks.py
@@ -30,6 +30,7 @@
             excess = record.max_excess(BOUNDS)
             most = record.most_retries(BOUNDS.retry_window_s)
             self._report.most_retries[service] = most
+            self._report.retry_bound_used[service] = round(record.max_use(BOUNDS), 3)
             if excess > 0:
                 self._report.broken.append(
                     f"{service} got {most} retries in {RETRY_WINDOW_S:g} s,"
--- a/mulleinreach/platform/tests/soak/run.py
+++ b/mulleinreach/platform/tests/soak/run.py
@@ -25,8 +25,10 @@
 from mulleinreach.platform.tests.soak.callers import USUAL_TRAFFIC, Callers, Traffic
 from mulleinreach.platform.tests.soak.checks import RunChecks
 from mulleinreach.platform.tests.soak.crash_checks import CrashChecks
-from mulleinreach.platform.tests.soak.crash_faults import CrashFaults
+from mulleinreach.platform.tests.soak.crash_faults import CrashCause, CrashFaults
 from mulleinreach.platform.tests.soak.deadline_checks import DeadlineChecks
+from mulleinreach.platform.tests.soak.failure_faults import FailureFaults
+from mulleinreach.platform.tests.soak.fault_log import write_fault_log
 from mulleinreach.platform.tests.soak.faults import Faults
 from mulleinreach.platform.tests.soak.limit_checks import LimitChecks
 from mulleinreach.platform.tests.soak.limit_faults import LimitFaults
@@ -56,8 +58,8 @@
     limits : whether upstreams name limits.
     restores : whether the store goes back to copies, and upstreams leave by their rows.
     bodies : whether streams end with their connection, and break off.
-    crashes : whether a request crashes the domains, which are processes of their own, and comes
-        again and again.
+    crashes : by what requests crash the domains, which are processes of their own, if they do.
+    failures : whether first tries fail at the plain service, beside bursts of requests.
     """
 
     processes: bool = True
@@ -67,10 +69,13 @@
     limits: bool = False
     restores: bool = False
     bodies: bool = False
-    crashes: bool = False
+    crashes: CrashCause = CrashCause.NONE
+    failures: bool = False
 
 
 NO_KINDS = SoakKinds()
+# Kinds of requests, nearly all of which may be retried.
+FAILING_REQUESTS = ("stock", "stock", "stock", "stream")
 
 
 class Soak:
@@ -104,9 +109,13 @@
         self._harmers += [self._restores] if kinds.restores else []
         self._bodies = BodyFaults(world, random.Random(f"bodies {seed}"), self.report)
         self._harmers += [self._bodies] if kinds.bodies else []
-        if kinds.crashes:
+        if kinds.crashes is not CrashCause.NONE:
             rng = random.Random(f"crashes {seed}")
-            self._harmers.append(CrashFaults(world, rng, self.report, self.callers))
+            crashes = CrashFaults(world, rng, self.report, self.callers, kinds.crashes)
+            self._harmers.append(crashes)
+        if kinds.failures:
+            rng = random.Random(f"failures {seed}")
+            self._harmers.append(FailureFaults(world, rng, self.report, self.callers))
         self._notice_checks = NoticeChecks(world, self.callers, self.report)
         self._limit_checks = LimitChecks(world, self.callers, self.report)
         self._retry_checks = RetryChecks(world, self.callers, self.report)
@@ -149,6 +158,12 @@
         self.report.broken += [f"the soak itself failed: {each!r}" for each in failed]
 
 
+def make_traffic(kinds: SoakKinds, calls_per_s: float, pieces: int) -> Traffic:
+    """Return what callers ask for under some kinds of faults."""
+    requests = FAILING_REQUESTS if kinds.failures else USUAL_TRAFFIC.kinds
+    return Traffic(1 / calls_per_s, pieces, requests, kinds.crashes is CrashCause.PART)
+
+
 async def soak_once(
     seed: int,
     seconds: float,
@@ -157,6 +172,7 @@
     domains: int = 0,
     backlog: int = USUAL_BACKLOG,
     traffic: Traffic = USUAL_TRAFFIC,
+    gateways_from: Path | None = None,
 ) -> SoakReport:
     """Run one soak in a directory of its own, which is kept if a promise was broken.
 
@@ -164,13 +180,16 @@
     ==========
 
     domains : if any, all hosts stand in so many domains that are processes of their own.
+    gateways_from : the directory of the version whose gateways run; this one's by default.
     """
     directory = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     hosts = 0 if domains else 8
-    world = SoakWorld(directory, nodes, hosts, seed, domains, backlog, kinds.crashes)
+    has_crashes = kinds.crashes is not CrashCause.NONE
+    world = SoakWorld(directory, nodes, hosts, seed, domains, backlog, has_crashes, gateways_from)
     try:
         await world.start()
         report = await Soak(world, seed, kinds, traffic).run(seconds)
+        write_fault_log(directory, report, world)
     finally:
         await world.close()
     if report.broken:
@@ -219,13 +238,19 @@
         float, typer.Option(help="Between two silences; 0 for none of them.")
     ] = 6.0,
     crashes: Annotated[
-        bool, typer.Option(help="Whether a request crashes those processes, and comes again.")
+        CrashCause, typer.Option(help="By what requests crash those processes, if they do.")
+    ] = CrashCause.NONE,
+    failures: Annotated[
+        bool, typer.Option(help="Whether first tries fail at the plain service, beside bursts.")
     ] = False,
     backlog: Annotated[
         int, typer.Option(help="Connections that the system holds for a host in such a process.")
     ] = USUAL_BACKLOG,
     calls_per_s: Annotated[float, typer.Option(help="Requests of all callers together.")] = 33.0,
     pieces: Annotated[int, typer.Option(help="Events of a stream.")] = 15,
+    gateways_from: Annotated[
+        Path | None, typer.Option(help="Directory of another version whose gateways run.")
+    ] = None,
     report_file: Annotated[
         Path | None, typer.Option("--report", help="Where to write what was injected and seen.")
     ] = None,
@@ -236,16 +261,22 @@
     reports = []
     for number in _seeds(seed, seeds, minutes):
         every_s = silences_every_s if domains and silences_every_s else None
-        kinds = SoakKinds(processes, every_s, notices, starts, limits, restores, bodies, crashes)
-        traffic = Traffic(1 / calls_per_s, pieces)
-        report = asyncio.run(soak_once(number, seconds, nodes, kinds, domains, backlog, traffic))
+        kinds = SoakKinds(
+            processes, every_s, notices, starts, limits, restores, bodies, crashes, failures
+        )
+        traffic = make_traffic(kinds, calls_per_s, pieces)
+        report = asyncio.run(
+            soak_once(number, seconds, nodes, kinds, domains, backlog, traffic, gateways_from)
+        )
         failed += bool(report.broken)
         reports.append(report.to_json())
         verdict = "broken" if report.broken else "kept"
         answers = " ".join(f"{k}: {v}" for k, v in sorted(report.answers.items()))
         print(
             f"seed {number} {verdict}; {answers}; faults {sum(report.faults.values())};"
-            f" retries in a window {max(report.most_retries.values(), default=0)};"
+            f" retries in a window {max(report.most_retries.values(), default=0)}"
+            f" ({max(report.retry_bound_used.values(), default=0)} of the bound);"
+            f" crashes {report.faults['crash']}, late crashing {report.late_fatal};"
             f" above their attempts {report.excessive_attempts};"
             f" above their time {report.excessive_deadlines}",
             flush=True,
--- a/mulleinreach/platform/tests/soak/silence_faults.py
+++ b/mulleinreach/platform/tests/soak/silence_faults.py
@@ -37,7 +37,7 @@
         self.between_s = (every_s - SPREAD_S, every_s + SPREAD_S)
 
     def _draw_faults(self) -> Iterator[Coroutine]:
-        self._report.faults["silence"] += 1
+        self._report.note_fault("silence")
         yield self._change_and_silence()
 
     async def _change_and_silence(self) -> None:
--- a/mulleinreach/platform/tests/soak/start_faults.py
+++ b/mulleinreach/platform/tests/soak/start_faults.py
@@ -25,7 +25,7 @@
         hosts = self._world.hosts_of(self._rng.choice(self._world.halls))
         count = len(hosts) if self._rng.random() < 0.1 else min(1, len(hosts))
         for host in self._rng.sample(hosts, count):
-            self._report.faults["start_again"] += 1
+            self._report.note_fault("start_again")
             yield self._start_again(host)
 
     async def _start_again(self, host: HostStandIn) -> None:
--- a/mulleinreach/platform/tests/soak/world.py
+++ b/mulleinreach/platform/tests/soak/world.py
@@ -6,7 +6,7 @@
 import contextlib
 import signal
 import string
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from pathlib import Path
 
 from aiohttp import web
@@ -26,6 +26,12 @@
 from mulleinreach.platform.tests.soak.plain import PlainService
 from mulleinreach.platform.tests.soak.processes import LOCAL, GatewayProcess, make_gateway
 from mulleinreach.platform.tests.soak.proxy import Link, Proxy, reset
+from mulleinreach.platform.tests.soak.records import (
+    Disturbance,
+    Evacuation,
+    Leaving,
+    Revocation,
+)
 from mulleinreach.platform.tests.soak.replicas import USUAL_BACKLOG, ReplicaProcess
 from mulleinreach.platform.tests.standin import StoreStandIn
 from mulleinreach.standins.gateway.fabric import Fabric
@@ -37,41 +43,6 @@
 LISTED_S = 2.0
 
 
-@dataclass
-class Revocation:
-    """A time during which a key was not in the newest configuration."""
-
-    key: str
-    since: float
-    until: float = float("inf")
-
-
-@dataclass
-class Evacuation:
-    """A time during which operators wanted a hall empty; the store had taken it at ``since``."""
-
-    hall: str
-    since: float
-    until: float = float("inf")
-
-
-@dataclass(frozen=True)
-class Leaving:
-    """An upstream that says in its row that it leaves; the store had taken that at ``since``."""
-
-    upstream_id: str
-    since: float
-
-
-@dataclass
-class Disturbance:
-    """A time during which a gateway, or every one, was frozen or could not reach the store."""
-
-    gateway: str | None
-    since: float
-    until: float = float("inf")
-
-
 class SoakWorld:
     """Everything that a soak needs, on loopback.
 
@@ -89,6 +60,7 @@
     domains : domains that are processes of their own.
     backlog : connections to each of their hosts that are held until they are accepted.
     has_crashes : whether requests may crash those processes.
+    gateways_from : the directory of the version whose gateways run; this one's by default.
     """
 
     def __init__(
@@ -100,6 +72,7 @@
         domains: int = 0,
         backlog: int = USUAL_BACKLOG,
         has_crashes: bool = False,
+        gateways_from: Path | None = None,
     ):
         self._directory = directory
         self._nodes = nodes
@@ -107,6 +80,7 @@
         self._domains = domains
         self._backlog = backlog
         self._has_crashes = has_crashes
+        self._gateways_from = gateways_from
         self._ended_replicas: list[ReplicaProcess] = []
         # When processes of domains ended under a request.
         self.domain_crashes: list[float] = []
@@ -148,7 +122,9 @@
         for number in range(self._nodes):
             link = await self.proxy.open(LOCAL, store_port)
             hall = self.halls[number % HALLS]
-            gateway = make_gateway(f"gateway-{number}", hall, self.halls, link, self._directory)
+            gateway = make_gateway(
+                f"gateway-{number}", hall, self.halls, link, self._directory, self._gateways_from
+            )
             self.gateways.append(gateway)
             gateway.start()
 
--- a/mulleinreach/platform/tests/test_silent_nodes.py
+++ b/mulleinreach/platform/tests/test_silent_nodes.py
@@ -19,7 +19,7 @@
     PlatformUpstreams,
 )
 from mulleinreach.platform.store import PlatformStore
-from mulleinreach.platform.tests.soak.world import make_document
+from mulleinreach.platform.tests.soak.document import make_document
 from mulleinreach.platform.tests.standin import StoreStandIn
 from mulleinreach.standins.gateway.dialect import PlainDialect
 from mulleinreach.standins.gateway.orders import FabricOrders
