--- a/mulleinreach/platform/tests/soak/replica_process.py
+++ b/mulleinreach/platform/tests/soak/replica_process.py
@@ -77,16 +77,22 @@
 class Crashes:
     """Ends the process soon after a host has begun to run a request that crashes it.
 
-    Its streams end with their connections.
+    Parameters
+    ==========
+
+    framing : how the ends of the hosts' streams are marked.
     """
 
+    def __init__(self, framing: BodyFraming):
+        self._framing = framing
+
     def attach(self, app: web.Application, cell: list[HostStandIn]) -> None:
         """Have a host's application look at its requests."""
 
         @web.middleware
         async def look(request: web.Request, handler: Callable) -> web.StreamResponse:
             host = cell[0]
-            host.framing = BodyFraming.CLOSE
+            host.framing = self._framing
             crash_after_s = self._crash_after_s(request.headers, await request.read())
             standing = host.standing
             is_open = standing is not None and standing.state is MemberState.OPEN
@@ -174,10 +180,10 @@
     arrivals: Annotated[Path, typer.Option()],
     hosts: Annotated[int, typer.Option()] = 4,
     backlog: Annotated[int, typer.Option()] = USUAL_BACKLOG,
-    has_crashes: Annotated[bool, typer.Option()] = False,
+    crash_framing: Annotated[BodyFraming | None, typer.Option()] = None,
 ) -> None:
     """Run the hosts of a domain until the process is ended."""
-    crashes = Crashes() if has_crashes else None
+    crashes = None if crash_framing is None else Crashes(crash_framing)
     with arrivals.open("w", buffering=1) as file:
         arrival_file = ArrivalFile(file)
         replica_domain = ReplicaDomain(domain, hall, store_url, arrival_file, backlog, crashes)
--- a/mulleinreach/platform/tests/soak/replicas.py
+++ b/mulleinreach/platform/tests/soak/replicas.py
@@ -8,6 +8,7 @@
 import sys
 from pathlib import Path
 
+from mulleinreach.common.responses import BodyFraming
 from mulleinreach.platform.tests.soak.notices import Arrival, Run
 from mulleinreach.platform.tests.soak.processes import LOCAL
 
@@ -20,14 +21,19 @@
     Parameters
     ==========
 
-    has_crashes : whether requests may crash the process.
+    crash_framing : how the ends of streams are marked if requests may crash the process.
     """
 
     def __init__(
-        self, domain: str, hall: str, directory: Path, backlog: int, has_crashes: bool = False
+        self,
+        domain: str,
+        hall: str,
+        directory: Path,
+        backlog: int,
+        crash_framing: BodyFraming | None = None,
     ):
         self._backlog = backlog
-        self._has_crashes = has_crashes
+        self._crash_framing = crash_framing
         self.domain = domain
         self.hall = hall
         self._arrivals = directory / f"{domain}.arrivals"
@@ -45,7 +51,8 @@
         }
         module = "mulleinreach.platform.tests.soak.replica_process"
         words = [f"--{name}={value}" for name, value in options.items()]
-        words += ["--has-crashes"] if self._has_crashes else []
+        if self._crash_framing is not None:
+            words.append(f"--crash-framing={self._crash_framing.value}")
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", module, *words], stdout=log, stderr=log
--- a/mulleinreach/platform/tests/soak/run.py
+++ b/mulleinreach/platform/tests/soak/run.py
@@ -20,6 +20,7 @@
 
 import typer
 
+from mulleinreach.common.responses import BodyFraming
 from mulleinreach.platform.tests.soak.attempt_checks import AttemptChecks
 from mulleinreach.platform.tests.soak.body_faults import BodyFaults
 from mulleinreach.platform.tests.soak.callers import USUAL_TRAFFIC, Callers, Traffic
@@ -59,6 +60,7 @@
     restores : whether the store goes back to copies, and upstreams leave by their rows.
     bodies : whether streams end with their connection, and break off.
     crashes : by what requests crash the domains, which are processes of their own, if they do.
+    crash_framing : how the ends of streams are marked where requests crash domains.
     failures : whether first tries fail at the plain service, beside bursts of requests.
     """
 
@@ -71,6 +73,7 @@
     bodies: bool = False
     crashes: CrashCause = CrashCause.NONE
     failures: bool = False
+    crash_framing: BodyFraming = BodyFraming.CLOSE
 
 
 NO_KINDS = SoakKinds()
@@ -184,8 +187,8 @@
     """
     directory = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     hosts = 0 if domains else 8
-    has_crashes = kinds.crashes is not CrashCause.NONE
-    world = SoakWorld(directory, nodes, hosts, seed, domains, backlog, has_crashes, gateways_from)
+    framing = None if kinds.crashes is CrashCause.NONE else kinds.crash_framing
+    world = SoakWorld(directory, nodes, hosts, seed, domains, backlog, framing, gateways_from)
     try:
         await world.start()
         report = await Soak(world, seed, kinds, traffic).run(seconds)
@@ -240,6 +243,9 @@
     crashes: Annotated[
         CrashCause, typer.Option(help="By what requests crash those processes, if they do.")
     ] = CrashCause.NONE,
+    crash_framing: Annotated[
+        BodyFraming, typer.Option(help="How the ends of streams of such processes are marked.")
+    ] = BodyFraming.CLOSE,
     failures: Annotated[
         bool, typer.Option(help="Whether first tries fail at the plain service, beside bursts.")
     ] = False,
@@ -262,7 +268,16 @@
     for number in _seeds(seed, seeds, minutes):
         every_s = silences_every_s if domains and silences_every_s else None
         kinds = SoakKinds(
-            processes, every_s, notices, starts, limits, restores, bodies, crashes, failures
+            processes,
+            every_s,
+            notices,
+            starts,
+            limits,
+            restores,
+            bodies,
+            crashes,
+            failures,
+            crash_framing,
         )
         traffic = make_traffic(kinds, calls_per_s, pieces)
         report = asyncio.run(
--- a/mulleinreach/platform/tests/soak/world.py
+++ b/mulleinreach/platform/tests/soak/world.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 
 from mulleinreach.common import Address
+from mulleinreach.common.responses import BodyFraming
 from mulleinreach.gateway.upstream import Upstream, UpstreamState, incarnation_id, upstream_name
 from mulleinreach.platform.sources import CONFIGURATION_KEY, CONFIGURATION_TABLE, EVACUATION_PREFIX
 from mulleinreach.platform.tests.soak.document import (
@@ -59,7 +60,7 @@
     hosts : hosts of each hall in this process.
     domains : domains that are processes of their own.
     backlog : connections to each of their hosts that are held until they are accepted.
-    has_crashes : whether requests may crash those processes.
+    crash_framing : how the ends of streams are marked if requests may crash those processes.
     gateways_from : the directory of the version whose gateways run; this one's by default.
     """
 
@@ -71,7 +72,7 @@
         seed: int,
         domains: int = 0,
         backlog: int = USUAL_BACKLOG,
-        has_crashes: bool = False,
+        crash_framing: BodyFraming | None = None,
         gateways_from: Path | None = None,
     ):
         self._directory = directory
@@ -79,7 +80,7 @@
         self._hosts_per_hall = hosts
         self._domains = domains
         self._backlog = backlog
-        self._has_crashes = has_crashes
+        self._crash_framing = crash_framing
         self._gateways_from = gateways_from
         self._ended_replicas: list[ReplicaProcess] = []
         # When processes of domains ended under a request.
@@ -130,9 +131,7 @@
 
     def _start_domain(self, name: str, hall: str) -> None:
         """Start a domain of hosts that is a process of its own."""
-        domain = ReplicaProcess(
-            name, hall, self._directory, self._backlog, has_crashes=self._has_crashes
-        )
+        domain = ReplicaProcess(name, hall, self._directory, self._backlog, self._crash_framing)
         domain.start(self._store_port)
         self.replicas.append(domain)
 
