A replica that ends right after the first event allows a stream no further attempt

Cause: each replica that ended under a stream allowed one attempt beyond the route's, twice at most, so one request crashed four replicas where its route allows two. Two requests made eight crashes, while the detection of parts wants three different requests: the third one came when the rule's time was over, and arrived four times. Why this works: an end within 0.3 s of the first event is no end by chance; such a run counts like any other. Ends in mid-stream still allow the further attempt. Ruled out: the framing of answers (chunks and close alike), silences (memory has none).

--- a/mulleinreach/gateway/request/job.py
+++ b/mulleinreach/gateway/request/job.py
@@ -83,7 +83,8 @@
     first_event_at: float | None = None
     last_event_at: float | None = None
     longest_pause_s: float = 0.0
-    # Replicas whose processes have ended in mid-stream; they no longer run the request.
+    # Replicas whose processes have ended in mid-stream; they no longer run the request, and are
+    # unlikely to have ended because of it.
     ended_runs: int = 0
     upstream_id: str = ""
     # How the body of the latest answer ended.
--- a/mulleinreach/gateway/request/run_outcomes.py
+++ b/mulleinreach/gateway/request/run_outcomes.py
@@ -15,6 +15,10 @@
 from mulleinreach.gateway.state.upstream_ends import RunOutcome
 from mulleinreach.gateway.upstream import Upstream
 
+# A replica that ends sooner after the first event may have crashed under that very request, which
+# must not go on to as many others as one that was hit by chance.
+MIN_MIDSTREAM_S = 0.3
+
 
 class RunOutcomeRecorder:
     """Tells runs that were served from those under which their upstream ended.
@@ -63,13 +67,14 @@
         self, job: RelayJob, upstream: Upstream, exchange: ActiveExchange
     ) -> None:
         """Check whether the upstream of a stream that broke after its head has ended."""
+        gave_for_s = self._gave_for_s(exchange)
         if exchange.is_cut_by_upstream:
             has_body = exchange.has_received_body
             outcome = RunOutcome.ENDED_GIVING if has_body else RunOutcome.ENDED_BEGUN
-            gave_for_s = self._gave_for_s(exchange)
             has_ended = await self.check_ended(job, upstream, outcome, gave_for_s)
             exchange.has_upstream_ended = has_ended
-        job.ended_runs += exchange.has_upstream_ended
+        is_midstream = gave_for_s >= MIN_MIDSTREAM_S
+        job.ended_runs += exchange.has_upstream_ended and is_midstream
 
     async def check_ended(
         self, job: RelayJob, upstream: Upstream, outcome: RunOutcome, gave_for_s: float = 0.0
--- a/mulleinreach/gateway/request/send_policy.py
+++ b/mulleinreach/gateway/request/send_policy.py
@@ -17,7 +17,8 @@
 # give up after two seconds or more.
 PAUSE_LIMIT_S = 1.5
 # Sends of a stream beyond the route's limit, one for each replica that ended in mid-stream. It no
-# longer runs the request; one that is silent or lost to the coordinator may, and counts.
+# longer runs the request; one that is silent or lost to the coordinator may, and counts. So does
+# one that ended right after the first event: the request may have crashed it.
 MAX_EXTRA_RESUMES = 2
 
 
--- a/mulleinreach/gateway/request/tests/test_crashing_prompt_parts.py
+++ b/mulleinreach/gateway/request/tests/test_crashing_prompt_parts.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from mulleinreach.common.responses import BodyFraming
 from mulleinreach.gateway.state.content import prompt_part_digests
 from mulleinreach.gateway.tests.support import run_world
 from mulleinreach.gateway.upstream import MemberState
@@ -195,6 +196,21 @@
     run_prompts(test)
 
 
+# Guards against requests each of which crashes more replicas than the detection has requests.
+@pytest.mark.parametrize("events", [0, 1, 3])
+@pytest.mark.parametrize("hot_every_s", [4.0, 7.0])
+@pytest.mark.parametrize("framing", [BodyFraming.CHUNKED, BodyFraming.CLOSE])
+def test_few_requests_with_a_hot_part_crash_few_replicas(events, hot_every_s, framing):
+    async def test(world, prompts):
+        world.crashes.fatal_events, world.crashes.fatal_framing = events, framing
+        await prompts.send(30, sound_every_s=0.1, hot_every_s=hot_every_s)
+        await prompts.finish()
+        assert_hot_requests_are_held(world)
+        assert len(world.crashes.ended) >= LAST_FREE_CRASH
+
+    run_prompts(test, domains=6)
+
+
 def test_parts_of_all_requests_are_not_held_in_an_outage():
     """All replicas crash before any answer is whole, so that nothing is served meanwhile."""
 
