Two repeated requests suffice against a prompt part once five crashes lost them

Callers repeat a stream that broke off, at another node; each try crashes two replicas where the route allows two attempts. Cause: the detection counts different requests, the rule counts crashes. Class: a bound in one unit that is kept by a count in another. The evidence that is asked for (how young, who was served without it) is as before.

--- a/benchmarks/crash_breakages.py
+++ b/benchmarks/crash_breakages.py
@@ -9,6 +9,7 @@
 BOOK = f"{GATEWAY}/state/tests/test_crashes.py"
 PROMPT_PARTS = f"{GATEWAY}/request/tests/test_crashing_prompt_parts.py"
 PARTS = f"{GATEWAY}/state/part_suspects.py"
+LOST_RUNS = f"{GATEWAY}/state/lost_runs.py"
 PART_BOOK = f"{GATEWAY}/state/tests/test_part_suspects.py"
 WORK = f"{GATEWAY}/state/tests/test_crash_tracker_cost.py"
 
@@ -168,7 +169,7 @@
     Breakage(
         "BUDGET",
         "how lately a request had begun tells it from its neighbours",
-        PARTS,
+        LOST_RUNS,
         "other.outcome is not RunOutcome.ENDED and other.gave_for_s <= run.gave_for_s",
         "True",
         f"{PART_BOOK} -k youngest",
@@ -176,15 +177,23 @@
     Breakage(
         "BUDGET",
         "repeats of one request count once against its parts",
-        PARTS,
+        LOST_RUNS,
         "if lost.crash not in chosen and lost.run.content not in contents:",
         "if lost.crash not in chosen:",
         f"{PART_BOOK} -k one_request",
     ),
+    Breakage(
+        "BUDGET",
+        "two requests that are repeated suffice against a part that they share",
+        LOST_RUNS,
+        "return requests >= MIN_REPEATED_REQUESTS and crashes >= MIN_REPEATED_CRASHES",
+        "return False",
+        f"{PART_BOOK} -k repeated",
+    ),
     Breakage(
         "BUDGET",
         "upstreams that end at one moment count once against a part",
-        PARTS,
+        LOST_RUNS,
         "        if distance_s < SAME_CRASH_WINDOW_S:\n            return True\n",
         "",
         f"{PART_BOOK} -k one_moment",
@@ -192,7 +201,7 @@
     Breakage(
         "BUDGET",
         "requests that are served without a part speak against it",
-        PARTS,
+        LOST_RUNS,
         "chance = math.comb(crashes, len(witnesses)) * (1 - share) ** others_served",
         "chance = math.comb(crashes, len(witnesses))",
         f"{PART_BOOK} -k without_neighbours",
--- a/mulleinreach/gateway/request/tests/test_crashing_prompt_parts.py
+++ b/mulleinreach/gateway/request/tests/test_crashing_prompt_parts.py
@@ -60,14 +60,18 @@
         self._numbers = itertools.count()
         self._tasks: set[asyncio.Task] = set()
         self.sound: list[SoundAnswer] = []
+        # How soon callers of hot requests ask for the same once more, at another node.
+        self.hot_repeated_after_s: float | None = None
 
     def _spawn(self, call) -> None:
         task = asyncio.create_task(call)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _ask(self, prompt: tuple[str, ...], node: str) -> CallerAnswer:
-        number = next(self._numbers)
+    async def _ask(
+        self, prompt: tuple[str, ...], node: str, number: int | None = None
+    ) -> CallerAnswer:
+        number = next(self._numbers) if number is None else number
         parts = ",".join([*prompt, f"own-{number}"])
         path = f"/stream/{number}"
         return await self._world.call(
@@ -83,8 +87,14 @@
         return answer
 
     async def ask_hot(self, node: str) -> CallerAnswer:
-        """Send a request with the hot part."""
-        return await self._ask(self._hot_prompt, node)
+        """Send a request with the hot part, and its repeat if callers repeat such requests."""
+        number = next(self._numbers)
+        answer = await self._ask(self._hot_prompt, node, number)
+        if self.hot_repeated_after_s is not None:
+            await asyncio.sleep(self.hot_repeated_after_s)
+            other = next(name for name in self._world.nodes if name != node)
+            answer = await self._ask(self._hot_prompt, other, number)
+        return answer
 
     async def send(
         self, seconds: float, sound_every_s: float, hot_every_s: float | None = None
@@ -211,6 +221,24 @@
     run_prompts(test, domains=6)
 
 
+# Guards against callers who repeat requests before the detection has three different ones.
+@pytest.mark.parametrize("events", [0, 1, 3])
+@pytest.mark.parametrize("hot_every_s", [4.0, 7.0])
+@pytest.mark.parametrize("repeated_after_s", [0.05, 0.4])
+def test_repeated_requests_with_a_hot_part_crash_few_replicas(
+    events, hot_every_s, repeated_after_s
+):
+    async def test(world, prompts):
+        world.crashes.fatal_events = events
+        prompts.hot_repeated_after_s = repeated_after_s
+        await prompts.send(30, sound_every_s=0.1, hot_every_s=hot_every_s)
+        await prompts.finish()
+        assert_hot_requests_are_held(world)
+        assert len(world.crashes.ended) >= LAST_FREE_CRASH
+
+    run_prompts(test, domains=6)
+
+
 def test_parts_of_all_requests_are_not_held_in_an_outage():
     """All replicas crash before any answer is whole, so that nothing is served meanwhile."""
 
--- a/mulleinreach/gateway/state/part_suspects.py
+++ b/mulleinreach/gateway/state/part_suspects.py
@@ -17,23 +17,22 @@
 
 from __future__ import annotations
 
-import math
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from mulleinreach.common import Clock
-from mulleinreach.gateway.state.upstream_ends import (
-    OBSERVATION_RETENTION_S,
-    SAME_FAILURE_WINDOW_S,
-    ObservedRun,
-    RunOutcome,
+from mulleinreach.gateway.state.lost_runs import (
+    MIN_CRASHES,
+    Crash,
+    LostRun,
+    has_enough_crashes,
+    innocence_chance,
+    select_witnesses,
+    share_of_lost,
 )
+from mulleinreach.gateway.state.upstream_ends import OBSERVATION_RETENTION_S, ObservedRun
 
-# Fewer crashes under different requests say nothing of what the requests share.
-MIN_CRASHES = 3
-# Upstreams that end within this time count as one crash: they may have lost power together.
-SAME_CRASH_WINDOW_S = 0.03
 # Largest probability of what was observed of a part that is held, if it were innocent. A part
 # that was served until its first crash is more rarely at fault.
 MAX_CHANCE_OF_KNOWN = 0.005
@@ -57,50 +56,6 @@
 MAX_SUSPECTS = 32
 
 
-@dataclass(eq=False)
-class Crash:
-    """Upstreams that ended at one moment, and the requests that they lost."""
-
-    at: float
-    upstream_ids: set[str] = field(default_factory=set)
-    lost: list[ObservedRun] = field(default_factory=list)
-    # The part that is held for it; then it is evidence against nothing else.
-    explained_by: int | None = None
-
-    def includes(self, end: ObservedRun) -> bool:
-        """Whether an upstream's end belongs to this crash."""
-        distance_s = abs(end.at - self.at)
-        if distance_s < SAME_CRASH_WINDOW_S:
-            return True
-        return distance_s < SAME_FAILURE_WINDOW_S and end.upstream_id in self.upstream_ids
-
-    def count_as_young(self, run: ObservedRun) -> int:
-        """Return how many lost requests had begun to write as lately as a run, itself included."""
-        if run.outcome is RunOutcome.ENDED:
-            # It may have begun just then, unknown to its node.
-            may_be_young = (RunOutcome.ENDED, RunOutcome.ENDED_BEGUN)
-            return sum(other.outcome in may_be_young for other in self.lost)
-        return sum(
-            other.outcome is not RunOutcome.ENDED and other.gave_for_s <= run.gave_for_s
-            for other in self.lost
-        )
-
-
-@dataclass(slots=True, eq=False)
-class LostRun:
-    """A request with a part that was lost in a crash.
-
-    Parameters
-    ==========
-
-    depth : the place of the part in the prompt, from 0.
-    """
-
-    crash: Crash
-    run: ObservedRun
-    depth: int
-
-
 @dataclass(slots=True, eq=False)
 class _PartRecord:
     """The crashes that lost requests with a part, and what is known of it since.
@@ -136,27 +91,7 @@
     """Whether different requests with a part were lost in enough unexplained crashes."""
     if len(record.crashes) < MIN_CRASHES:
         return False
-    return len(_witnesses(record.lost_runs(part))) >= MIN_CRASHES
-
-
-def _witnesses(lost_runs: Iterable[LostRun]) -> list[LostRun]:
-    """Return one lost run for each crash, all of different requests.
-
-    The youngest are preferred, since they say most.
-    """
-    chosen: dict[Crash, LostRun] = {}
-    contents: set[int] = set()
-    for lost in sorted(lost_runs, key=_youth):
-        if lost.crash not in chosen and lost.run.content not in contents:
-            chosen[lost.crash] = lost
-            contents.add(lost.run.content)
-    return list(chosen.values())
-
-
-def _youth(lost: LostRun) -> tuple[bool, float, float]:
-    """Return the sort key of a lost run by how lately it had begun to write."""
-    run = lost.run
-    return run.outcome is RunOutcome.ENDED, run.gave_for_s, run.at
+    return has_enough_crashes(record.lost_runs(part))
 
 
 @dataclass(frozen=True)
@@ -166,7 +101,9 @@
     Parameters
     ==========
 
-    crashes : in how many crashes it was lost, of how many that happened meanwhile.
+    crashes : in how many crashes different requests with it were lost, of how many that happened
+        meanwhile.
+    is_enough : whether it was lost often enough.
     others_served : how many requests without it were served since, or before, too, if none
         with it ever was.
     chance : the probability of all this if the part is innocent.
@@ -180,12 +117,13 @@
     chance: float
     depth: int
     is_known: bool
+    is_enough: bool
 
     @property
     def is_proof(self) -> bool:
         """Whether the part is at fault."""
         max_chance = MAX_CHANCE_OF_KNOWN if self.is_known else MAX_CHANCE_OF_NEW
-        return self.crashes >= MIN_CRASHES and self.chance <= max_chance
+        return self.is_enough and self.chance <= max_chance
 
 
 class PartSuspects:
@@ -332,14 +270,23 @@
         record = self._records[part]
         reported_until = self._clock.now() - LOSS_REPORT_DELAY_S
         lost_runs = record.lost_runs(part, reported_until)
-        witnesses = _witnesses(lost_runs)
+        witnesses = select_witnesses(lost_runs)
         crashes = len(witnesses) + self._count_others(record, witnesses)
         served = self._served_count - record.served_count
         if not record.is_known:
             served += min(record.served_count, MAX_SERVED_BEFORE)
-        chance = _chance(witnesses, _share(lost_runs), crashes, served)
+        chance = innocence_chance(witnesses, share_of_lost(lost_runs), crashes, served)
         depth = max((witness.depth for witness in witnesses), default=0)
-        return Evidence(part, len(witnesses), crashes, served, chance, depth, record.is_known)
+        return Evidence(
+            part,
+            len(witnesses),
+            crashes,
+            served,
+            chance,
+            depth,
+            record.is_known,
+            has_enough_crashes(lost_runs),
+        )
 
     def _count_others(self, record: _PartRecord, witnesses: list[LostRun]) -> int:
         """Return how many other crashes happened meanwhile that lost no request with the part."""
@@ -353,28 +300,3 @@
             and crash not in affected
             for crash in self._crashes
         )
-
-
-def _share(lost_runs: list[LostRun]) -> float:
-    """Return the share of a part's requests in all that its crashes lost.
-
-    Below 1, since a few lost requests don't show that all requests have the part.
-    """
-    lost = sum(len(crash.lost) for crash in {lost.crash for lost in lost_runs})
-    return len(lost_runs) / (lost + 1)
-
-
-def _chance(witnesses: list[LostRun], share: float, crashes: int, others_served: int) -> float:
-    """Return the probability of the observations of an innocent part.
-
-    Explanation
-    ===========
-
-    Of the ``n`` lost requests as young as the witness, one has the part with the probability
-    ``1 - (1 - share) ** n``. The crashes that have one can be chosen in several ways. A served
-    request lacks the part with the probability ``1 - share``.
-    """
-    chance = math.comb(crashes, len(witnesses)) * (1 - share) ** others_served
-    for lost in witnesses:
-        chance *= 1 - (1 - share) ** lost.crash.count_as_young(lost.run)
-    return min(1.0, chance)
--- a/mulleinreach/gateway/state/tests/test_part_suspects.py
+++ b/mulleinreach/gateway/state/tests/test_part_suspects.py
@@ -95,6 +95,17 @@
     assert desk.judge() == HOT
 
 
+# Two requests that are repeated make the five crashes after which few more may follow.
+@pytest.mark.parametrize(("repeats", "found"), [((2, 2), None), ((4, 1), HOT), ((2, 3), HOT)])
+def test_part_of_two_repeated_requests_is_at_fault_after_five_crashes(desk, repeats, found):
+    for content, count in enumerate(repeats, start=1):
+        for _ in range(count):
+            desk.crash(SYSTEM, HOT, content=content)
+    desk.parts.note_served([SYSTEM], desk.clock.now())
+    desk.parts.count_served(20)
+    assert desk.judge() == found
+
+
 @pytest.mark.parametrize("position", range(3))
 def test_place_in_the_prompt_does_not_matter(desk, position):
     prompt = [SYSTEM, SOUND]
