--- a/mulleinreach/platform/tests/soak/world.py
+++ b/mulleinreach/platform/tests/soak/world.py
@@ -216,6 +216,19 @@
         )
         return was_disturbed or any(since <= at <= until for times in started for at in times)
 
+    def is_in_touch(self, gateway: str, at: float, contact_s: float) -> bool:
+        """Whether a gateway and the store were undisturbed for some time before a moment."""
+        since = at - contact_s
+        is_store_disturbed = any(
+            d.gateway is None and d.since <= at and since <= d.until for d in self.disturbances
+        )
+        if is_store_disturbed or self.is_out_of_touch(gateway, since, at):
+            return False
+        [process] = [g for g in self.gateways if g.name == gateway]
+        started_at = max((t for t in process.started_at if t <= at), default=0.0)
+        # A gateway that is being stopped stays out of touch until it has been started again.
+        return not any(started_at <= t <= at for t in process.terminated_at)
+
     # Upstreams.
 
     def hosts_of(self, hall: str) -> list[HostStandIn]:
