--- a/mulleinreach/common/fields.py
+++ b/mulleinreach/common/fields.py
@@ -4,7 +4,7 @@
 
 import math
 
-from mulleinreach.common.net import Address
+from mulleinreach.common.address import Address
 
 
 class SettingsError(Exception):
--- a/mulleinreach/common/http_fields.py
+++ b/mulleinreach/common/http_fields.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
-import math
+import re
 
 _BEARER = "bearer "
+_NUMBER = re.compile(r"[+-]?([0-9]+\.?[0-9]*|\.[0-9]+)([eE][+-]?[0-9]+)?")
+# Larger than any value with a meaning; sums and products of such numbers stay finite.
+MAX_NUMBER = 1e15
+MAX_COUNT_DIGITS = 15
 
 
 def bearer_key(value: str) -> str | None:
@@ -22,18 +26,19 @@
 
 
 def read_number(text: str | None) -> float | None:
-    """Parse a number; returns ``None`` if the text isn't one.
+    """Parse a decimal number; returns ``None`` if the text isn't one, or is out of range.
 
     Examples
     ========
 
-    >>> read_number("2.5"), read_number("many"), read_number(None)
-    (2.5, None, None)
+    >>> read_number("2.5"), read_number("many"), read_number("1e400"), read_number(None)
+    (2.5, None, None, None)
     """
-    try:
-        return float(text) if text else None
-    except ValueError:
+    text = (text or "").strip()
+    if not _NUMBER.fullmatch(text):
         return None
+    number = float(text)
+    return number if abs(number) <= MAX_NUMBER else None
 
 
 def keys_of_pairs(text: str) -> list[str]:
@@ -58,7 +63,8 @@
     >>> read_count("12"), read_count("-1"), read_count("1.5"), read_count(None)
     (12, None, None, None)
     """
-    return int(text) if text and text.isascii() and text.isdigit() else None
+    is_count = text and text.isascii() and text.isdigit() and len(text) <= MAX_COUNT_DIGITS
+    return int(text) if is_count else None
 
 
 def retry_after_s(text: str | None) -> float:
@@ -71,4 +77,4 @@
     [2.5, 0.0, 0.0, 0.0, 0.0]
     """
     seconds = read_number(text)
-    return seconds if seconds is not None and math.isfinite(seconds) and seconds > 0 else 0.0
+    return seconds if seconds is not None and seconds > 0 else 0.0
--- a/mulleinreach/common/net.py
+++ b/mulleinreach/common/net.py
@@ -3,58 +3,24 @@
 from __future__ import annotations
 
 import asyncio
-import re
+import errno
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from functools import partial
 
 import aiohttp
 from aiohttp import web
 
+from mulleinreach.common.address import Address
 from mulleinreach.common.response_head import BoundedResponseHandler
 from mulleinreach.common.responses import Response
 
 StreamHandler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None] | None]
 
 CONNECT_TIMEOUT_S = 1.0
-# IP addresses and host names; other characters could alter URLs and headers.
-_HOST = re.compile(r"[0-9A-Za-z.\-]{1,253}|\[?[0-9A-Fa-f:.]{2,45}\]?")
 MAX_LINE_BYTES = 8190
 MAX_HEADER_BYTES = 16380
 
 
-@dataclass(frozen=True)
-class Address:
-    """An IP address and a TCP port."""
-
-    host: str
-    port: int
-
-    @classmethod
-    def parse(cls, text: str) -> Address:
-        """Parse ``host:port``; raises ``ValueError`` if it is malformed.
-
-        Examples
-        ========
-
-        >>> Address.parse("127.0.0.1:80")
-        Address(host='127.0.0.1', port=80)
-        """
-        host, _, port = text.rpartition(":")
-        is_port = port.isascii() and port.isdigit() and int(port) <= 65535
-        if not _HOST.fullmatch(host) or not is_port:
-            raise ValueError(f"{text!r} is not host:port with a port of 0 to 65535")
-        return cls(host, int(port))
-
-    def __str__(self) -> str:
-        return f"{self.host}:{self.port}"
-
-    @property
-    def url(self) -> str:
-        """The address as the base of HTTP URLs."""
-        return f"http://{self.host}:{self.port}"
-
-
 class HttpServer:
     """A running aiohttp application that listens on one address."""
 
@@ -129,11 +95,28 @@
     async def create_connection(
         self, protocol_factory: Callable[[], asyncio.BaseProtocol], address: Address
     ) -> tuple[asyncio.Transport, asyncio.BaseProtocol]:
-        """Open a connection with a protocol of its own, without a timeout."""
+        """Open a connection with a protocol of its own, without a timeout.
+
+        Raises ``OSError`` if it can't be opened, whatever the reason.
+        """
         loop = asyncio.get_running_loop()
-        return await loop.create_connection(protocol_factory, address.host, address.port)
+        try:
+            return await loop.create_connection(protocol_factory, address.host, address.port)
+        except ValueError as error:
+            raise _unusable(address, error) from error
 
     async def connect(self, address: Address) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        """Open a stream connection, within ``CONNECT_TIMEOUT_S`` seconds."""
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            return await asyncio.open_connection(address.host, address.port)
+        """Open a stream connection, within ``CONNECT_TIMEOUT_S`` seconds.
+
+        Raises ``OSError`` if it can't be opened, whatever the reason.
+        """
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                return await asyncio.open_connection(address.host, address.port)
+        except ValueError as error:
+            raise _unusable(address, error) from error
+
+
+def _unusable(address: Address, error: ValueError) -> OSError:
+    """Return the error for an address that the resolver can't encode."""
+    return OSError(errno.EADDRNOTAVAIL, f"{address}: {error}")
--- a/mulleinreach/orders/engine.py
+++ b/mulleinreach/orders/engine.py
@@ -20,7 +20,7 @@
 
 import aiohttp
 
-from mulleinreach.common.net import Address
+from mulleinreach.common.address import Address
 
 STATUS_TIMEOUT_S = 1.0
 ORDER_TIMEOUT_S = 2.0
--- a/mulleinreach/platform/dialect.py
+++ b/mulleinreach/platform/dialect.py
@@ -7,7 +7,7 @@
 
 from multidict import CIMultiDict, CIMultiDictProxy
 
-from mulleinreach.common.http_fields import bearer_key, keys_of_pairs, read_number
+from mulleinreach.common.http_fields import bearer_key, keys_of_pairs, read_count, read_number
 from mulleinreach.gateway.ports import CallerHeaders
 from mulleinreach.gateway.state.content import prompt_part_digests
 from mulleinreach.gateway.upstream import Notice, upstream_name
@@ -46,14 +46,13 @@
         """
         deadline_ms = read_number(headers.get(DEADLINE_MS))
         prompt, _, answer = headers.get(TOKEN_USAGE, "").partition(",")
-        prompt_tokens, answer_tokens = read_number(prompt), read_number(answer)
         return CallerHeaders(
             request_id=headers.get(REQUEST_ID),
             deadline_s=None if deadline_ms is None else deadline_ms / 1000,
             api_key=bearer_key(headers.get("Authorization", "")),
             model=headers.get(MODEL),
-            prompt_tokens=None if prompt_tokens is None else int(prompt_tokens),
-            answer_tokens=None if answer_tokens is None else int(answer_tokens),
+            prompt_tokens=read_count(prompt.strip()),
+            answer_tokens=read_count(answer.strip()),
             last_event_id=headers.get(LAST_EVENT_ID),
             prompt_parts=prompt_part_digests(keys_of_pairs(headers.get(PROMPT_PREFIX, ""))),
         )
--- a/mulleinreach/platform/notices.py
+++ b/mulleinreach/platform/notices.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from http import HTTPStatus
 
 from multidict import CIMultiDictProxy
@@ -51,4 +50,4 @@
     if LIMIT not in headers:
         return default
     limit = read_number(headers[LIMIT])
-    return limit if limit is not None and math.isfinite(limit) and limit >= 0 else None
+    return limit if limit is not None and limit >= 0 else None
--- a/mulleinreach/standins/virtual.py
+++ b/mulleinreach/standins/virtual.py
@@ -17,8 +17,9 @@
 import aiohttp
 import async_solipsism
 
+from mulleinreach.common.address import Address
 from mulleinreach.common.clock import VirtualClock
-from mulleinreach.common.net import Address, Network
+from mulleinreach.common.net import Network
 from mulleinreach.standins.links import Links
 
 
--- a/mulleinreach/stores/hostlist.py
+++ b/mulleinreach/stores/hostlist.py
@@ -8,7 +8,7 @@
 
 import aiohttp
 
-from mulleinreach.common.net import Address
+from mulleinreach.common.address import Address
 
 REQUEST_TIMEOUT_S = 2.0
 
--- a/mulleinreach/stores/objects.py
+++ b/mulleinreach/stores/objects.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 
-from mulleinreach.common.net import Address
+from mulleinreach.common.address import Address
 
 REQUEST_TIMEOUT_S = 5.0
 
