Duties outlive odd documents; configurations are validated whole

Nothing restarted a follower whose task had ended. Cause: an exception that a reader doesn't foresee (OverflowError of int(inf), RecursionError of writing a deep document again) ended a task that has to run for ever. Why this works, two layers: a configuration is read through ObjectReader, whose types and ranges are stated, and is refused whole with a log line, the one in force stays; only a sound one is passed on to other nodes. A check of the fleet's pass that fails doesn't prevent the others. Calls to the store, orders and reports take aiohttp's ValueError and RuntimeError for failed calls, as requests do.

--- a/mulleinreach/common/calls.py
+++ b/mulleinreach/common/calls.py
@@ -84,7 +84,8 @@
             except TimeoutError:
                 self._replace_session(session)
                 return CallTimedOut(f"no answer in {timeout_s:g} s")
-            except (aiohttp.ClientError, OSError) as error:
+            except (aiohttp.ClientError, OSError, ValueError, RuntimeError) as error:
+                # aiohttp reports some malformed answers by the latter two.
                 return CallFailed(f"{type(error).__name__}: {error}")
             finally:
                 self._long_polls.pop(limit, None)
--- a/mulleinreach/gateway/fleet/controller.py
+++ b/mulleinreach/gateway/fleet/controller.py
@@ -14,6 +14,9 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from functools import partial
+
+from absl import logging
 
 from mulleinreach.common import Clock, EventLog
 from mulleinreach.gateway.coordination.hub import RecentNode
@@ -133,9 +136,16 @@
             await self._host_tasks.close()
 
     def _run_pass(self) -> None:
-        self._hall_monitor.check_halls(self._open_heads())
+        self._attempt(lambda: self._hall_monitor.check_halls(self._open_heads()))
         for service in self._model_services():
-            self._check_service(service)
+            self._attempt(partial(self._check_service, service))
+
+    def _attempt(self, check: Callable[[], None]) -> None:
+        """Run a check; its failure is logged, so that it doesn't prevent the others."""
+        try:
+            check()
+        except Exception as error:
+            logging.error("event=check_failed error=%r", error, exc_info=error)
 
     def _model_services(self) -> list[Service]:
         configuration = self._in_force.configuration
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -6,7 +6,9 @@
 import random
 import secrets
 import socket
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from functools import partial
 
 from aiohttp import web
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
@@ -317,13 +319,20 @@
         await self._serve(self._handle_readiness, self.identity.readiness_address)
         if self.identity.metrics_address is not None:
             await self._serve(self._handle_metrics, self.identity.metrics_address)
-        self._tasks.spawn(self.relay.connections.watch(callers, self._idle_timeout_s))
-        self._tasks.spawn(self.in_force.follow())
-        self._tasks.spawn(self.follower.follow())
-        self._tasks.spawn(self.coordination.run())
-        self._tasks.spawn(self.store_calls.log_counts())
-        self._tasks.spawn(self.upstream_network.probe_lost_paths())
-        self._tasks.spawn(SuspensionMonitor(suspended_s, self._describe_wake, self.log).run())
+        suspension = SuspensionMonitor(suspended_s, self._describe_wake, self.log)
+        duties: dict[str, Callable[[], Awaitable[None]]] = {
+            "idle_connections": partial(
+                self.relay.connections.watch, callers, self._idle_timeout_s
+            ),
+            "configuration": self.in_force.follow,
+            "upstreams": self.follower.follow,
+            "coordination": self.coordination.run,
+            "store_call_counts": self.store_calls.log_counts,
+            "lost_paths": self.upstream_network.probe_lost_paths,
+            "suspension": suspension.run,
+        }
+        for name, duty in duties.items():
+            self._tasks.spawn_forever(name, duty)
         self.log.event(
             "node_started", callers=self.identity.callers_address, hall=self.identity.hall
         )
--- a/mulleinreach/platform/configuration.py
+++ b/mulleinreach/platform/configuration.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from mulleinreach.common.checked import Amount, Count, Number, Positive, Priority, Size
+from mulleinreach.common.object_reader import ObjectReader
 from mulleinreach.gateway.model import (
     Configuration,
     EngineModel,
@@ -16,99 +18,101 @@
 
 
 def parse_configuration(document: dict) -> Configuration:
-    """Return the parsed configuration; raises ``KeyError``, ``TypeError`` or ``ValueError``."""
-    services = [_parse_service(raw) for raw in document.get("services", [])]
-    tenants = document.get("tenants")
+    """Return the parsed configuration; raises :class:`CheckError`."""
+    reader = ObjectReader(document)
+    services = [_parse_service(raw) for raw in reader.objects("services")]
+    has_tenants = reader.read("tenants", list, None) is not None
+    tenants = tuple(_parse_tenant(raw) for raw in reader.objects("tenants"))
     return Configuration(
-        version=int(document["version"]),
-        routes=tuple(_parse_route(raw) for raw in document.get("routes", [])),
+        version=reader.read("version", Number),
+        routes=tuple(_parse_route(raw) for raw in reader.objects("routes")),
         services={service.name: service for service in services},
-        limits=_parse_limits(document.get("limits") or {}),
-        organisations=None if tenants is None else tuple(_parse_tenant(raw) for raw in tenants),
+        limits=_parse_limits(reader.object("limits") or ObjectReader({})),
+        organisations=tenants if has_tenants else None,
     )
 
 
-def _parse_route(raw: dict) -> Route:
-    split = raw.get("traffic_split") or [{"service": raw["service"], "weight": 1}]
-    timeout_s = float(raw["timeout_ms"]) / 1000
+def _parse_route(raw: ObjectReader) -> Route:
+    timeout_ms = raw.read("timeout_ms", Amount)
+    destinations = [
+        WeightedService(part.read("service", str), part.read("weight", Amount))
+        for part in raw.objects("traffic_split")
+    ]
     return Route(
-        name=str(raw["name"]),
-        host=str(raw["host"]),
-        path_prefix=str(raw["path_prefix"]),
-        kind=RouteKind(raw["kind"]),
-        timeout_s=timeout_s,
-        objective_s=float(raw.get("target_latency_ms", raw["timeout_ms"])) / 1000,
-        priority=int(raw.get("priority", 0)),
-        destinations=tuple(
-            WeightedService(str(part["service"]), float(part["weight"])) for part in split
-        ),
-        max_attempts=int(raw.get("max_attempts", 1)),
-        is_public=bool(raw.get("public", False)),
-        is_resumable=bool(raw.get("resumable", False)),
-        gap_objective_s=float(raw.get("gap_target_ms", 1000)) / 1000,
+        name=raw.read("name", str),
+        host=raw.read("host", str),
+        path_prefix=raw.read("path_prefix", str),
+        kind=raw.read("kind", RouteKind),
+        timeout_s=timeout_ms / 1000,
+        objective_s=raw.read("target_latency_ms", Amount, timeout_ms) / 1000,
+        priority=raw.read("priority", Priority, 0),
+        destinations=tuple(destinations or [WeightedService(raw.read("service", str), 1.0)]),
+        max_attempts=raw.read("max_attempts", Count, 1),
+        is_public=raw.read("public", bool, False),
+        is_resumable=raw.read("resumable", bool, False),
+        gap_objective_s=raw.read("gap_target_ms", Amount, 1000.0) / 1000,
         allowed_regions=_parse_allowed_regions(raw),
     )
 
 
-def _parse_allowed_regions(raw: dict) -> frozenset[str] | None:
+def _parse_allowed_regions(raw: ObjectReader) -> frozenset[str] | None:
     """Return the regions that a route or an organisation may use, ``None`` for all."""
-    regions = raw.get("allowed_regions")
-    return frozenset(str(region) for region in regions) if regions else None
+    return frozenset(raw.read("allowed_regions", list[str], [])) or None
 
 
-def _parse_service(raw: dict) -> Service:
-    engine = raw.get("engine")
+def _parse_service(raw: ObjectReader) -> Service:
+    engine = raw.object("engine")
     return Service(
-        name=str(raw["name"]),
-        max_connections=int(raw.get("max_conns", 100)),
-        engine=None if not engine else _parse_engine(engine),
-        cold_s=float(raw.get("cold_s", 0)),
-        cold_per_s=float(raw.get("cold_per_s", 0)),
+        name=raw.read("name", str),
+        max_connections=raw.read("max_conns", Number, 100),
+        engine=None if engine is None else _parse_engine(engine),
+        cold_s=raw.read("cold_s", Amount, 0.0),
+        cold_per_s=raw.read("cold_per_s", Amount, 0.0),
     )
 
 
-def _parse_engine(raw: dict) -> EngineProfile:
+def _parse_engine(raw: ObjectReader) -> EngineProfile:
     models = tuple(
         EngineModel(
-            name=str(model["name"]),
-            size=int(model["size"]),
-            share=float(model.get("share", 1)),
-            pace=float(model.get("pace", 1)),
-            load_s=float(model.get("load_s", 10)),
-            warm_s=float(model.get("warm_s", 1)),
+            name=model.read("name", str),
+            size=model.read("size", Size),
+            share=model.read("share", Amount, 1.0),
+            pace=model.read("pace", Positive, 1.0),
+            load_s=model.read("load_s", Amount, 10.0),
+            warm_s=model.read("warm_s", Amount, 1.0),
         )
-        for model in raw.get("models", [])
+        for model in raw.objects("models")
     )
     return EngineProfile(
         models=models,
-        slots=int(raw["slots"]),
-        step_ms=float(raw["step_ms"]),
-        per_sequence_ms=float(raw.get("per_seq_ms", 0)),
-        read_tokens_per_s=float(raw["read_per_s"]),
-        stride=int(raw.get("stride", 1)),
-        formation_s=float(raw.get("form_ms", 0)) / 1000,
-        loads_per_s=float(raw.get("loads_per_s", 1)),
-        max_concurrent_loads=int(raw.get("loads_at_once", 1)),
-        report_lag_s=float(raw.get("report_lag_ms", 200)) / 1000,
+        slots=raw.read("slots", Size),
+        step_ms=raw.read("step_ms", Amount),
+        per_sequence_ms=raw.read("per_seq_ms", Amount, 0.0),
+        read_tokens_per_s=raw.read("read_per_s", Positive),
+        stride=raw.read("stride", Size, 1),
+        formation_s=raw.read("form_ms", Amount, 0.0) / 1000,
+        loads_per_s=raw.read("loads_per_s", Amount, 1.0),
+        max_concurrent_loads=raw.read("loads_at_once", Count, 1),
+        report_lag_s=raw.read("report_lag_ms", Amount, 200.0) / 1000,
     )
 
 
-def _parse_limits(raw: dict) -> RequestLimits:
+def _parse_limits(raw: ObjectReader) -> RequestLimits:
     default = RequestLimits()
+    header_ms = raw.read("header_timeout_ms", Amount, default.header_timeout_s * 1000)
+    idle_ms = raw.read("idle_timeout_ms", Amount, default.idle_timeout_s * 1000)
     return RequestLimits(
-        header_bytes=int(raw.get("max_header_bytes", default.header_bytes)),
-        body_bytes=int(raw.get("max_body_bytes", default.body_bytes)),
-        header_timeout_s=float(raw.get("header_timeout_ms", default.header_timeout_s * 1000))
-        / 1000,
-        idle_timeout_s=float(raw.get("idle_timeout_ms", default.idle_timeout_s * 1000)) / 1000,
+        header_bytes=raw.read("max_header_bytes", Number, default.header_bytes),
+        body_bytes=raw.read("max_body_bytes", Number, default.body_bytes),
+        header_timeout_s=header_ms / 1000,
+        idle_timeout_s=idle_ms / 1000,
     )
 
 
-def _parse_tenant(raw: dict) -> Organisation:
-    priority = raw.get("priority")
+def _parse_tenant(raw: ObjectReader) -> Organisation:
     return Organisation(
-        name=str(raw["name"]),
-        api_keys=frozenset(str(key) for key in raw.get("api_keys", [])),
-        priority=None if priority is None else int(priority),
+        name=raw.read("name", str),
+        api_keys=frozenset(raw.read("api_keys", list[str], [])),
+        priority=raw.read("priority", Priority, None),
         allowed_regions=_parse_allowed_regions(raw),
     )
--- a/mulleinreach/platform/orders.py
+++ b/mulleinreach/platform/orders.py
@@ -96,11 +96,11 @@
                 if response.status != 200:
                     return Unavailable(f"status {response.status}")
                 return parse_report(host, read_object(await response.read(MAX_REPORT_BYTES)))
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            is_refused = isinstance(getattr(error, "os_error", None), ConnectionRefusedError)
-            return Unavailable(f"{type(error).__name__}: {error}", is_refused)
         except CheckError as error:
             return Unavailable(f"invalid report: {error}")
+        except (aiohttp.ClientError, OSError, ValueError, RuntimeError) as error:
+            is_refused = isinstance(getattr(error, "os_error", None), ConnectionRefusedError)
+            return Unavailable(f"{type(error).__name__}: {error}", is_refused)
 
     async def _order(self, host: Upstream, order: dict, token: int) -> OrderResult:
         if self._sends_token:
@@ -120,5 +120,5 @@
                     if response.status >= 500:
                         return NoAnswer(f"status {response.status}")
                     return Rejected(response.status)
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        except (aiohttp.ClientError, OSError, ValueError, RuntimeError) as error:
             return NoAnswer(f"{type(error).__name__}: {error}")
--- a/mulleinreach/platform/sources.py
+++ b/mulleinreach/platform/sources.py
@@ -68,9 +68,9 @@
             elif row.key == CONFIGURATION_KEY and row.unreadable_reason:
                 logging.error("event=configuration_unreadable why=%r", row.unreadable_reason)
             elif row.key == CONFIGURATION_KEY and row.value is not None:
-                configuration = _parse(row.value)
-                document = pack_document(row.value)
                 row_version = row.version
+                configuration = _parse(row.value)
+                document = b"" if configuration is None else pack_document(row.value)
         return ConfigurationRead(
             result.revision,
             configuration,
@@ -92,9 +92,9 @@
 def _parse(raw: dict) -> Configuration | None:
     try:
         return parse_configuration(raw)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        version = raw.get("version") if isinstance(raw, dict) else None
-        logging.error("event=configuration_unreadable version=%s why=%r", version, error)
+    except CheckError as error:
+        version = raw.get("version")
+        logging.error("event=configuration_unreadable version=%.100s why=%r", version, error)
         return None
 
 
