--- a/mulleinreach/platform/tests/soak/replica_process.py
+++ b/mulleinreach/platform/tests/soak/replica_process.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import os
 from collections.abc import Callable, Mapping
@@ -37,6 +38,7 @@
 
 # The table of the platform's store in which replicas keep themselves.
 SERVERS = "servers"
+REWRITE_PAUSE_S = 0.1
 # A stream has an event each 0.04 s, so it has given two or three of them by then.
 CRASH_AFTER_S = 0.11
 # Just after its first event.
@@ -170,8 +172,13 @@
         put = {"table": SERVERS, "part": "", "tls_key": name, "value": value}
         body = {"expected_rev": [], "puts": [put], "remove": []}
         url = f"{self._store_url}/mulleinreach/rows-tx"
-        async with session.post(url, json=body) as response:
-            response.raise_for_status()
+        # The store may be away, or lose the answer; the latest row is written as long as that.
+        while True:
+            with contextlib.suppress(aiohttp.ClientError, OSError):
+                async with session.post(url, json=body) as response:
+                    response.raise_for_status()
+                    return
+            await asyncio.sleep(REWRITE_PAUSE_S)
 
 
 def main(
