--- a/mulleinreach/platform/tests/test_orders.py
+++ b/mulleinreach/platform/tests/test_orders.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 
 import pytest
+from aiohttp import web
 
 from mulleinreach.common import Address
 from mulleinreach.gateway.ports import Accepted, Fenced, NoAnswer, Rejected, Unavailable
@@ -144,3 +145,35 @@
         assert not (await orders.report(HOST, 0.5)).is_refused
 
     run_orders([], test)
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
+
+
+# Guards against a part of an answer that counts as an accepted order, or as a report.
+@pytest.mark.parametrize("sent_bytes", range(len(HEAD)))
+def test_answer_that_ends_inside_its_head_is_none(sent_bytes):
+    async def answer(request):
+        await request.read()
+        request.transport.write(HEAD[:sent_bytes])
+        request.transport.close()
+        return web.Response()
+
+    async def run():
+        app = web.Application()
+        app.router.add_route("*", "/{tail:.*}", answer)
+        network = VirtualNetwork(Links(), "test")
+        server = await network.serve_http(app, HOST.address)
+        sessions = [network.http_client(), network.http_client(False)]
+        orders = PlatformOrders(
+            lambda keeps_connections=True: sessions[not keeps_connections], False
+        )
+        try:
+            assert isinstance(await orders.join(HOST, "g", 12, "m", ["u-1"], 3), NoAnswer)
+            assert isinstance(await orders.report(HOST, 1.0), Unavailable)
+        finally:
+            for session in sessions:
+                await session.close()
+            await server.close()
+
+    run_virtual(run())
