--- a/mulleinreach/platform/tests/test_soak.py
+++ b/mulleinreach/platform/tests/test_soak.py
@@ -5,8 +5,10 @@
 
 import pytest
 
+from mulleinreach.platform.tests.soak.callers import Traffic
+from mulleinreach.platform.tests.soak.crash_faults import CrashCause
 from mulleinreach.platform.tests.soak.report import SoakReport
-from mulleinreach.platform.tests.soak.run import SoakKinds, soak_once
+from mulleinreach.platform.tests.soak.run import FAILING_REQUESTS, SoakKinds, soak_once
 
 # Seeds that ever failed stay here, each with its cause.
 SEEDS = [
@@ -54,6 +56,21 @@
     assert report.broken == []
 
 
+# Guards against requests with a crashing prompt part that go on arriving at real hosts.
+def test_short_soak_in_which_a_prompt_part_crashes_hosts_keeps_every_promise():
+    kinds = SoakKinds(processes=False, crashes=CrashCause.PART)
+    traffic = Traffic(has_parts=True)
+    report = asyncio.run(soak_once(8, 3 * SECONDS, kinds=kinds, domains=6, traffic=traffic))
+    assert report.broken == []
+
+
+def test_short_soak_in_which_first_tries_fail_keeps_every_promise():
+    kinds = SoakKinds(failures=True)
+    traffic = Traffic(call_every_s=0.02, kinds=FAILING_REQUESTS)
+    report = asyncio.run(soak_once(9, 2 * SECONDS, kinds=kinds, traffic=traffic))
+    assert report.broken == []
+
+
 def test_report_can_be_written():
     report = SoakReport(7, ["a promise"])
     report.answers["order 200"] += 2
