--- a/mulleinreach/common/tasks.py
+++ b/mulleinreach/common/tasks.py
@@ -71,9 +71,9 @@
         started_at = loop.time()
         try:
             await action()
-            logging.error("event=duty_ended duty=%s", name)
+            logging.error("event=task_restarted task=%s error=none", name)
         except Exception as error:
-            logging.error("event=duty_failed duty=%s error=%r", name, error, exc_info=error)
+            logging.error("event=task_restarted task=%s error=%r", name, error, exc_info=error)
         if loop.time() - started_at > LONG_RUN_S:
             pause_s = MIN_RESTART_PAUSE_S
         await asyncio.sleep(pause_s)
