--- a/benchmarks/gateway_breakages.py
+++ b/benchmarks/gateway_breakages.py
@@ -16,6 +16,7 @@
 from benchmarks.share_breakages import SHARE_BREAKAGES
 from benchmarks.silence_breakages import SILENCE_BREAKAGES
 from benchmarks.start_breakages import START_BREAKAGES
+from benchmarks.value_breakages import VALUE_BREAKAGES
 
 GATEWAY = "mulleinreach/gateway"
 TESTS = f"{GATEWAY}/tests"
@@ -265,6 +266,7 @@
     *HALL_BREAKAGES,
     *CRASH_BREAKAGES,
     *START_BREAKAGES,
+    *VALUE_BREAKAGES,
     *NOTICE_BREAKAGES,
     *RESTORE_BREAKAGES,
     *SHARE_BREAKAGES,
