--- a/mulleinreach/requests/runner.py
+++ b/mulleinreach/requests/runner.py
@@ -12,9 +12,7 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import json
-from collections.abc import Iterator
 from dataclasses import dataclass
 
 import aiohttp
@@ -38,13 +36,11 @@
     Sink,
 )
 from mulleinreach.requests.journal import RequestJournal
+from mulleinreach.requests.slots import POLL_INTERVAL_S, RETRY_AFTER_S, ReplicaSlots
 from mulleinreach.requests.stream import OrderedStream, StreamError
 from mulleinreach.routing import Candidate, ReplicaTable, Router
 
 MAX_ATTEMPTS = 4
-NO_REPLICA_WAIT_S = 2.0
-NO_REPLICA_POLL_S = 0.1
-DEFAULT_RETRY_AFTER_S = 2.0
 # Weight of the latest duration in the moving average.
 DURATION_SMOOTHING = 0.05
 
@@ -64,13 +60,6 @@
     duplicate_events: int = 0
 
 
-@dataclass
-class HeldSlot:
-    """The result of the attempt that holds a slot; ``None`` if it was cancelled."""
-
-    result: AttemptResult | None = None
-
-
 class ModelRunner:
     """Runs requests to model services until they complete or fail."""
 
@@ -90,8 +79,7 @@
     ):
         self._session = session
         self._replicas = replicas
-        self._router = router
-        self._queue = queue
+        self._slots = ReplicaSlots(replicas, router, queue, journal, clock)
         self._active = active
         self._budget = budget
         self._journal = journal
@@ -114,7 +102,7 @@
                     candidate,
                     await self._next_candidate(call, attempts, candidate, stream),
                 )
-                with self._hold_slot(call, candidate) as slot:
+                with self._slots.hold(call, candidate) as slot:
                     if attempts.results and attempts.results[-1].outcome is AttemptOutcome.MOVED:
                         await self._transfer_kv_cache(call, previous, candidate)
                     slot.result = await self._try_stream(call, candidate, attempts, stream, sink)
@@ -131,7 +119,7 @@
         while True:
             candidate = await self._next_candidate(call, attempts, candidate, None)
             attempt_started_at = self._clock.now()
-            with self._hold_slot(call, candidate) as slot:
+            with self._slots.hold(call, candidate) as slot:
                 slot.result, answer = await self._try_complete(call, candidate, attempts)
             self._handle_attempt_result(call, candidate, attempts, slot.result, None)
             if answer is not None:
@@ -157,7 +145,6 @@
             self._replicas.note_sent(previous.replica)
             self._journal.note(call.trace, f"resume on {previous.replica}, which has the stream")
             return previous
-        await self._await_candidates(call, attempts)
         ticket = Ticket(
             call.service.name,
             call.organisation.name,
@@ -167,14 +154,10 @@
             0.0 if call.is_streamed else self._mean_duration_s.get(call.service.name, 0.0),
         )
         try:
-            candidate = await self._queue.enter(
-                ticket,
-                lambda: self._acquire_slot(call, attempts),
-                lambda candidate: self._replicas.note_finished(candidate.replica, failed=False),
-            )
+            candidate = await self._slots.enter(ticket, call, attempts)
         except MulleinreachError as error:
             raise self._final_error(call, attempts, error) from None
-        if self._clock.now() - call.trace.started_at > NO_REPLICA_POLL_S:
+        if self._clock.now() - call.trace.started_at > POLL_INTERVAL_S:
             self._journal.note(call.trace, "left the queue")
         return candidate
 
@@ -192,44 +175,6 @@
             return False
         return self._active.is_whole(previous.replica, previous.epoch)
 
-    async def _await_candidates(self, call: ModelCall, attempts: AttemptHistory) -> None:
-        give_up_at = min(call.deadline, self._clock.now() + NO_REPLICA_WAIT_S)
-        while not self._replicas.candidates(call.service.name):
-            if self._clock.now() >= give_up_at:
-                message = f"no replica of {call.service.name!r} is available"
-                error = MulleinreachError(
-                    Code.NO_REPLICA, message, retry_after_s=DEFAULT_RETRY_AFTER_S
-                )
-                raise self._final_error(call, attempts, error)
-            await asyncio.sleep(NO_REPLICA_POLL_S)
-
-    def _acquire_slot(self, call: ModelCall, attempts: AttemptHistory) -> Candidate | None:
-        """Choose a replica with capacity and count the request; ``None`` if none has."""
-        usable = self._replicas.candidates(call.service.name)
-        untried = [c for c in usable if c.replica not in attempts.failed_replicas]
-        choice = self._router.choose(untried or usable, call.affinity)
-        if choice is None:
-            return None
-        self._replicas.note_sent(choice.candidate.replica)
-        candidate = choice.candidate
-        self._journal.note(
-            call.trace,
-            f"attempt {attempts.count} to {candidate.replica} "
-            f"(epoch {candidate.epoch}): {choice.why}",
-        )
-        return candidate
-
-    @contextlib.contextmanager
-    def _hold_slot(self, call: ModelCall, candidate: Candidate) -> Iterator[HeldSlot]:
-        """Release the acquired slot when the attempt ends, whatever its result."""
-        slot = HeldSlot()
-        try:
-            yield slot
-        finally:
-            failed = slot.result is not None and slot.result.is_failure
-            self._replicas.note_finished(candidate.replica, failed)
-            self._queue.admit_waiting(call.service.name)
-
     # A single attempt.
 
     def _headers(self, call: ModelCall, candidate: Candidate, attempt: int) -> dict[str, str]:
@@ -401,7 +346,7 @@
         if error is None:
             expired = self._clock.now() >= call.deadline
             code = Code.DEADLINE_EXCEEDED if expired else Code.UPSTREAM_FAILED
-            error = MulleinreachError(code, reason, retry_after_s=DEFAULT_RETRY_AFTER_S)
+            error = MulleinreachError(code, reason, retry_after_s=RETRY_AFTER_S)
         error.ran = ExecutionStatus.UNKNOWN if attempts.may_have_run else ExecutionStatus.NOT_RUN
         if error.ran is ExecutionStatus.UNKNOWN and call.once_only:
             error.retry_after_s = None
