--- a/benchmarks/crash_breakages.py
+++ b/benchmarks/crash_breakages.py
@@ -73,8 +73,8 @@
     Breakage(
         "BUDGET",
         "copies that wait at replicas are taken back",
-        f"{GATEWAY}/node.py",
-        "count = self.active.abort_held(digest)",
+        f"{GATEWAY}/request/exchange_events.py",
+        "count = self._active.abort_held(digest)",
         "count = 0",
         f"{CRASHING} -k aborted",
     ),
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -32,6 +32,7 @@
 from mulleinreach.gateway.request.admission import Admission
 from mulleinreach.gateway.request.budget import WindowedRetryBudget
 from mulleinreach.gateway.request.exchange import UpstreamClient
+from mulleinreach.gateway.request.exchange_events import ExchangeEvents
 from mulleinreach.gateway.request.late import LateGate
 from mulleinreach.gateway.request.relay import Relay
 from mulleinreach.gateway.request.run_outcomes import RunOutcomeRecorder
@@ -42,7 +43,6 @@
 from mulleinreach.gateway.shared_state import SharedState
 from mulleinreach.gateway.state.cold import ColdRateLimit, ColdUpstreams
 from mulleinreach.gateway.state.configuration_follower import ConfigurationInForce
-from mulleinreach.gateway.state.content import format_digest
 from mulleinreach.gateway.state.crashes import CrashTracker
 from mulleinreach.gateway.state.eligibility import Eligibility
 from mulleinreach.gateway.state.evacuations import Evacuations
@@ -104,7 +104,9 @@
         self.store_calls = StoreCalls(
             self.metrics, self.log, self.clock, self.rng, self._store_pause_s
         )
-        self.directory = UpstreamDirectory(self._on_replaced)
+        self.active = ActiveExchanges()
+        self.exchange_events = ExchangeEvents(self.active, self.log)
+        self.directory = UpstreamDirectory(self.exchange_events.on_replaced)
         self.upstream_network = UpstreamNetwork(
             self.network,
             self.directory.addresses,
@@ -132,7 +134,6 @@
     def _make_state(self) -> None:
         self.loads = LoadTracker(self.clock)
         self.suspects = SuspectList(self.clock)
-        self.active = ActiveExchanges()
         self.limits = LimitTracker(self.directory, self.clock, self.log)
         self.permits = SendPermits(self.limits, self.clock, self.rng)
         self.leased_share = LeasedShare(self.clock)
@@ -140,7 +141,7 @@
             self.directory, self.clock, self.log, self._on_upstreams_changed
         )
         self.ports.orders.subscribe(self._on_notice)
-        self.crashes = CrashTracker(self.clock, self.log, self.rng, self._on_held)
+        self.crashes = CrashTracker(self.clock, self.log, self.rng, self.exchange_events.on_held)
         schedule = direct_read_schedule(
             self.bounds, self.identity.processor_cores, self.identity.is_first_start, self.rng
         )
@@ -299,8 +300,8 @@
                 self.crashes,
                 self.upstream_network,
                 RetiringHeads(self.clock),
-                self._on_lost,
-                self._on_overdue,
+                self.exchange_events.on_lost,
+                self.exchange_events.on_overdue,
             ),
             incarnation,
             self.bounds.retry_window_s,
@@ -390,31 +391,6 @@
     def _total_loads(self):
         return sum_loads(self.coordination.node_reports())
 
-    def _on_replaced(self, replaced_id: str, running_id: str) -> None:
-        in_flight = self.active.count(replaced_id)
-        ended = self.active.replace_start(replaced_id, running_id)
-        self.log.event(
-            "upstream_gone",
-            upstream=replaced_id,
-            running=running_id,
-            in_flight=in_flight,
-            ended=ended,
-        )
-
-    def _on_lost(self, upstream_id: str) -> None:
-        in_flight = self.active.count(upstream_id)
-        moved = self.active.move(upstream_id)
-        self.log.event("upstream_lost", upstream=upstream_id, in_flight=in_flight, moved=moved)
-
-    def _on_overdue(self, upstream_id: str) -> None:
-        moved = self.active.move(upstream_id)
-        if moved:
-            self.log.event("requests_moved", upstream=upstream_id, moved=moved)
-
-    def _on_held(self, digest: int) -> None:
-        count = self.active.abort_held(digest)
-        self.log.event("held_withdrawn", content=format_digest(digest), in_flight=count)
-
     def _describe_wake(self) -> dict[str, object]:
         return {
             "holds_lease": self.lease.is_held(),
