--- a/mulleinreach/platform/tests/soak/callers.py
+++ b/mulleinreach/platform/tests/soak/callers.py
@@ -110,8 +110,8 @@
         self.not_run: set[str] = set()
         self.told_leaving: list[ToldNotice] = []
         self.told_limits: list[ToldNotice] = []
-        # How many times as often as usual requests come.
-        self.factor = 1.0
+        # How many times as many requests come as usual.
+        self.rate_factor = 1.0
         self._number = 0
 
     def open(self) -> aiohttp.ClientSession:
@@ -127,7 +127,7 @@
             while True:
                 kind = self._rng.choice(self._traffic.kinds)
                 group.create_task(self._call(kind, self._rng.choice(self._world.gateways)))
-                await asyncio.sleep(self._traffic.call_every_s / self.factor)
+                await asyncio.sleep(self._traffic.call_every_s / self.rate_factor)
 
     async def call_fatally(self, gateway: GatewayProcess) -> None:
         """Send the request that crashes the replicas which run it."""
--- a/mulleinreach/platform/tests/soak/failure_faults.py
+++ b/mulleinreach/platform/tests/soak/failure_faults.py
@@ -41,8 +41,8 @@
             plain.failing -= 1
 
     async def _burst(self) -> None:
-        self._callers.factor *= BURST_FACTOR
+        self._callers.rate_factor *= BURST_FACTOR
         try:
             await asyncio.sleep(self._rng.uniform(*BURST_S))
         finally:
-            self._callers.factor /= BURST_FACTOR
+            self._callers.rate_factor /= BURST_FACTOR
