--- a/mulleinreach/platform/tests/test_soak_checks.py
+++ b/mulleinreach/platform/tests/test_soak_checks.py
@@ -107,6 +107,14 @@
     assert bool(find_broken(soak)) is is_found
 
 
+def send_fatally(soak, world, fatal, at, count):
+    """Let so many requests of a fatal kind be sent by a gateway and arrive at a moment."""
+    for number in range(count):
+        soak.callers.sent[f"r{number}"] = SentRequest(at, "key-1", "gateway-0", "models")
+        fatal.add(f"r{number}")
+        world.notices.arrivals.append(Arrival("host-1", f"r{number}", at))
+
+
 # Three may arrive later than 3 s after the third crash.
 @pytest.mark.parametrize(
     ("at", "count", "is_found"), [(5.9, 9, False), (6.1, 3, False), (6.1, 4, True)]
@@ -114,10 +122,7 @@
 def test_late_arrivals_of_a_crashing_request_are_found(at, count, is_found):
     soak, world = make_soak()
     world.domain_crashes += [1.0, 2.0, 3.0, 4.0]
-    for number in range(count):
-        soak.callers.sent[f"r{number}"] = SentRequest(at, "key-1", "gateway-0", "models")
-        soak.callers.fatal.add(f"r{number}")
-        world.notices.arrivals.append(Arrival("host-1", f"r{number}", at))
+    send_fatally(soak, world, soak.callers.fatal, at, count)
     assert bool(find_broken(soak)) is is_found
 
 
@@ -128,10 +133,7 @@
 def test_late_arrivals_with_a_crashing_part_are_found(at, count, is_found):
     soak, world = make_soak()
     world.domain_crashes += [1.0, 2.0, 3.0, 4.0, 5.0, 6.0]
-    for number in range(count):
-        soak.callers.sent[f"r{number}"] = SentRequest(at, "key-1", "gateway-0", "models")
-        soak.callers.fatal_by_part.add(f"r{number}")
-        world.notices.arrivals.append(Arrival("host-1", f"r{number}", at))
+    send_fatally(soak, world, soak.callers.fatal_by_part, at, count)
     assert bool(find_broken(soak)) is is_found
 
 
@@ -154,10 +156,7 @@
     world.domain_crashes += [101.0, 102.0, 103.0, 104.0, 105.0]
     world.gateways[0].terminated_at += terminated_at
     world.disturbances += [] if disturbance is None else [disturbance]
-    for number in range(4):
-        soak.callers.sent[f"r{number}"] = SentRequest(120.0, "key-1", "gateway-0", "models")
-        soak.callers.fatal_by_part.add(f"r{number}")
-        world.notices.arrivals.append(Arrival("host-1", f"r{number}", 120.0))
+    send_fatally(soak, world, soak.callers.fatal_by_part, at=120.0, count=4)
     assert bool(find_broken(soak)) is is_found
 
 
