--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,8 @@
 test: $(VENV)/dev.stamp
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/python -m pytest $(ARGS)
+	$(BIN)/python -m pytest -m "not crowd" $(ARGS)
+	$(BIN)/python -m pytest -m crowd -n 0 mulleinreach/platform/tests/crowds
 
 bench: $(VENV)/dev.stamp
 	$(BIN)/python -m benchmarks.all $(ARGS)
--- /dev/null
+++ b/mulleinreach/platform/tests/crowds/gateway.py
@@ -0,0 +1,148 @@
+"""A gateway process with small limits, and what it holds of its machine."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import resource
+import signal
+import tempfile
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from pathlib import Path
+
+from mulleinreach.gateway.upstream import MemberState
+from mulleinreach.platform.tests.soak.callers import Callers
+from mulleinreach.platform.tests.soak.document import CallerLimits, DocumentOptions
+from mulleinreach.platform.tests.soak.processes import GatewayProcess, make_gateway
+from mulleinreach.platform.tests.soak.report import SoakReport
+from mulleinreach.platform.tests.soak.world import SoakWorld
+
+SAMPLE_INTERVAL_S = 0.1
+# Only a hang takes so long.
+ANSWER_WITHIN_S = 90.0
+HOSTS_PER_HALL = 8
+MODELS = {"large", "small"}
+# Connections of a crowd stay open until the test ends.
+PATIENT_MS = 600_000
+
+
+@dataclass(frozen=True)
+class MachineLimits:
+    """The limits of the machine that a gateway runs on."""
+
+    memory_mb: int = 128
+    descriptors: int = 1024
+
+
+class CrowdedGateway:
+    """A gateway process at which a crowd calls.
+
+    Explanation
+    ===========
+
+    ``broken`` says which limit the process didn't keep.
+    """
+
+    def __init__(self, process: GatewayProcess, callers: Callers, limits: MachineLimits):
+        self._process = process
+        self._callers = callers
+        self._limits = limits
+        self._most_descriptors = 0
+        self.address = process.callers
+
+    async def watch_descriptors(self) -> None:
+        """Look at the open descriptors now and then, without end."""
+        directory = Path(f"/proc/{self._process.process.pid}/fd")
+        while True:
+            with contextlib.suppress(OSError):
+                self._most_descriptors = max(self._most_descriptors, len(list(directory.iterdir())))
+            await asyncio.sleep(SAMPLE_INTERVAL_S)
+
+    async def serve_ordinary_request(self, kind: str) -> bool:
+        """Send an ordinary request until it is answered; ``False`` if it never is."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(ANSWER_WITHIN_S), self._callers.open():
+                while await self._callers.send(kind, self._process) != 200:
+                    await asyncio.sleep(SAMPLE_INTERVAL_S)
+                return True
+        return False
+
+    async def stop(self) -> int:
+        """Ask the process to stop, and return its exit status once it has ended."""
+        self._process.signal(signal.SIGTERM)
+        return await asyncio.to_thread(self._process.process.wait, ANSWER_WITHIN_S)
+
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self._process.is_running()
+
+    def most_memory_mb(self) -> float:
+        """Return the largest resident memory of the process so far."""
+        status = Path(f"/proc/{self._process.process.pid}/status").read_text()
+        [line] = [line for line in status.splitlines() if line.startswith("VmHWM:")]
+        return int(line.split()[1]) / 1024
+
+    def log(self) -> str:
+        """Return what the process has logged."""
+        return self._process.settings.with_suffix(".log").read_text()
+
+    def broken_limits(self) -> list[str]:
+        """Return which limits of the machine the process hasn't kept."""
+        broken = []
+        if (memory_mb := self.most_memory_mb()) > self._limits.memory_mb:
+            broken.append(f"{memory_mb:.0f} MB of {self._limits.memory_mb}")
+        if self._most_descriptors > self._limits.descriptors:
+            broken.append(f"{self._most_descriptors} of {self._limits.descriptors} descriptors")
+        return broken
+
+
+@contextlib.asynccontextmanager
+async def crowded_gateway(
+    limits: MachineLimits, caller_limits: CallerLimits
+) -> AsyncIterator[CrowdedGateway]:
+    """Run a gateway that serves, with the limits of its machine and its configuration."""
+    with tempfile.TemporaryDirectory(prefix="crowd-") as directory:
+        world = SoakWorld(Path(directory), nodes=0, hosts=HOSTS_PER_HALL, seed=1)
+        world.options = DocumentOptions(
+            idle_timeout_ms=PATIENT_MS, stream_timeout_ms=PATIENT_MS, limits=caller_limits
+        )
+        watcher = None
+        try:
+            await world.start()
+            process = await _start_gateway(world, Path(directory), limits)
+            callers = Callers(world, random.Random(1), SoakReport(1))
+            async with callers.open():
+                await callers.until_served()
+            while not _served_models(world) >= MODELS:
+                await asyncio.sleep(SAMPLE_INTERVAL_S)
+            gateway = CrowdedGateway(process, callers, limits)
+            watcher = asyncio.create_task(gateway.watch_descriptors())
+            yield gateway
+        finally:
+            if watcher is not None:
+                watcher.cancel()
+            await world.close()
+
+
+def _served_models(world: SoakWorld) -> set[str]:
+    """Return the models of which a group is open."""
+    standings = [host.standing for host in world.fabric.hosts.values()]
+    return {s.model for s in standings if s is not None and s.state is MemberState.OPEN}
+
+
+async def _start_gateway(
+    world: SoakWorld, directory: Path, limits: MachineLimits
+) -> GatewayProcess:
+    link = await world.open_store_link()
+    process = make_gateway("gateway-0", world.halls[0], world.halls, link, directory)
+    with process.settings.open("a") as settings:
+        settings.write(f"limits.memory_mb={limits.memory_mb}\n")
+        settings.write(f"limits.max_fds={limits.descriptors}\n")
+    process.start()
+    resource.prlimit(
+        process.process.pid, resource.RLIMIT_NOFILE, (limits.descriptors, limits.descriptors)
+    )
+    world.gateways.append(process)
+    return process
--- a/mulleinreach/platform/tests/soak/callers.py
+++ b/mulleinreach/platform/tests/soak/callers.py
@@ -137,6 +137,10 @@
         """Send a request with the prompt part that crashes the replicas which write on it."""
         await self._call("stream", gateway, has_fatal_part=True)
 
+    async def send(self, kind: str, gateway: GatewayProcess) -> int:
+        """Send an ordinary request; returns its status, 0 without a whole answer."""
+        return await self._call(kind, gateway)
+
     async def _call(
         self,
         kind: str,
--- a/mulleinreach/platform/tests/soak/document.py
+++ b/mulleinreach/platform/tests/soak/document.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 
 MODEL_SERVICE, PLAIN_SERVICE = "soak-model", "soak-desk"
 CALLER_HOST = "soak.example"
@@ -22,6 +22,19 @@
 FATAL_PART = "fa7a1"
 
 
+@dataclass(frozen=True)
+class CallerLimits:
+    """Limits on callers' requests; those of a gateway's own defaults aren't written."""
+
+    max_header_bytes: int | None = None
+    max_body_bytes: int | None = None
+    header_timeout_ms: int | None = None
+
+    def to_document(self) -> dict:
+        """Return the limits that are set, as operators write them."""
+        return {name: value for name, value in asdict(self).items() if value is not None}
+
+
 @dataclass(frozen=True)
 class DocumentOptions:
     """What operators change in a configuration beside its keys."""
@@ -29,6 +42,7 @@
     idle_timeout_ms: int = 15_000
     stream_timeout_ms: int = 8_000
     has_extra_route: bool = False
+    limits: CallerLimits = CallerLimits()
 
 
 def make_document(
@@ -47,7 +61,7 @@
     extra = {**common, **model, **timeout, "name": "x", "path_prefix": "/extra/"}
     return {
         "version": version,
-        "limits": {"idle_timeout_ms": options.idle_timeout_ms},
+        "limits": {"idle_timeout_ms": options.idle_timeout_ms, **options.limits.to_document()},
         "routes": [
             *([extra] if options.has_extra_route else []),
             {**common, **model, **timeout, "name": "s", "path_prefix": "/stream/"},
--- a/mulleinreach/platform/tests/soak/world.py
+++ b/mulleinreach/platform/tests/soak/world.py
@@ -114,14 +114,14 @@
 
     async def start(self) -> None:
         """Start the stand-ins, write the configuration, start the gateways."""
-        store_port = self._store_port = await self._serve(self.store.app())
+        self._store_port = await self._serve(self.store.app())
         self.configure(self.keys)
         for hall in self.halls:
             await self.fill_hall(hall, cold_s=0.0)
         for number in range(self._domains):
             self._start_domain(f"domain-{number}", self.halls[number % HALLS])
         for number in range(self._nodes):
-            link = await self.proxy.open(LOCAL, store_port)
+            link = await self.open_store_link()
             hall = self.halls[number % HALLS]
             gateway = make_gateway(
                 f"gateway-{number}", hall, self.halls, link, self._directory, self._gateways_from
@@ -129,6 +129,10 @@
             self.gateways.append(gateway)
             gateway.start()
 
+    async def open_store_link(self) -> Link:
+        """Open a link to the store for one gateway."""
+        return await self.proxy.open(LOCAL, self._store_port)
+
     def _start_domain(self, name: str, hall: str) -> None:
         """Start a domain of hosts that is a process of its own."""
         domain = ReplicaProcess(name, hall, self._directory, self._backlog, self._crash_framing)
