Requests are read one at a time, and a head is bounded as a whole

Cause: the HTTP server parses up to 32 requests ahead of the one in progress, whatever their heads hold; it bounds a field and the number of fields, not a head; the head's limit was looked at in the handler, so only once the request's turn came.

Weighed: a ledger of bytes with reading ahead as before, or no reading ahead. Bytes are read on up to 16 kB, since only a connection that is read shows that its client has left.

BoundedRequestHandler: one request at a time; a head over its limit and one read is refused (431) before its end; 16 kB a read in place of 256 kB, 16 kB of an answer are queued, 64 kB in each socket buffer. The connection table is told by the protocol itself when a request begins and ends, so an answer that is being written counts as busy.

--- a/benchmarks/gateway_breakages.py
+++ b/benchmarks/gateway_breakages.py
@@ -82,7 +82,7 @@
         "LOST",
         "connections are closed by a stop",
         f"{GATEWAY}/node.py",
-        "            self.relay.connections.close_all(server.connections)\n",
+        "            bounds.connections.close_all()\n",
         "",
         f"{GATEWAY}/request/tests/test_connections.py -k planned_stop",
     ),
--- /dev/null
+++ b/mulleinreach/common/server/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP servers that bound what their clients make a process hold."""
--- /dev/null
+++ b/mulleinreach/common/server/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the bounds on clients."""
--- /dev/null
+++ b/mulleinreach/common/server/tests/test_handler.py
@@ -0,0 +1,118 @@
+"""What clients send: heads, bodies and requests ahead of their turn."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from mulleinreach.common.server.handler import DEFAULT_HEAD_BYTES, READ_BYTES
+from mulleinreach.common.server.tests.support import (
+    MAX_BODY_BYTES,
+    RawClient,
+    chunked_request,
+    request,
+    run_server,
+)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_requests_sent_ahead_are_answered_in_order_however_they_are_cut(seed):
+    rng = random.Random(seed)
+    requests, answers = [], []
+    for number in range(60):
+        body = rng.randbytes(rng.choice((0, 10, 3000, 40_000)))
+        if rng.random() < 0.3:
+            cuts = [body[i : i + 700] for i in range(0, len(body), 700)]
+            requests.append(chunked_request(f"/{number}", cuts))
+        else:
+            requests.append(request(f"/{number}", body))
+        answers.append((200, b"/%d %s" % (number, body)))
+
+    async def test(server):
+        client = await RawClient.open()
+
+        async def send() -> None:
+            data = b"".join(requests)
+            while data:
+                size = rng.choice((1, 40, 700, 20_000, 100_000))
+                client.writer.write(data[:size])
+                data = data[size:]
+                await client.writer.drain()
+                await asyncio.sleep(rng.choice((0, 0, 0.01)))
+
+        sending = asyncio.create_task(send())
+        received = [await client.read_answer() for _ in requests]
+        await sending
+        assert received == answers
+
+    run_server(test)
+
+
+# Guards against heads that are parsed and kept while an earlier request is in progress.
+def test_only_the_request_in_progress_is_held_of_those_sent_ahead():
+    async def test(server):
+        server.gate.clear()
+        client = await RawClient.open()
+        fields = "".join(f"X-{number}: {'v' * 50}\r\n" for number in range(20))
+        client.writer.write(b"".join(request(f"/{number}", b"", fields) for number in range(500)))
+        await asyncio.sleep(1)
+        assert server.begun == ["/0"]
+        server.gate.set()
+        for number in range(500):
+            assert await client.read_answer() == (200, b"/%d " % number)
+
+    run_server(test)
+
+
+# Guards against a head that is kept whatever its size, as long as each of its fields is small.
+def test_head_over_its_limit_is_refused_before_its_end():
+    async def test(server):
+        client = await RawClient.open()
+        field = b"X-Own: " + b"v" * 4000 + b"\r\n"
+        client.writer.write(b"POST / HTTP/1.1\r\nHost: a\r\n")
+        for _ in range(1 + (DEFAULT_HEAD_BYTES + READ_BYTES) // len(field)):
+            client.writer.write(field)
+        assert (await client.read_answer())[0] == 431
+        assert await client.is_closed()
+        assert server.begun == []
+
+    run_server(test)
+
+
+# Guards against a request that goes on after its client has left, which only reading shows.
+def test_client_that_leaves_with_requests_sent_ahead_is_noticed():
+    async def test(server):
+        server.gate.clear()
+        client = await RawClient.open()
+        client.writer.write(request("/1") + request("/2"))
+        await asyncio.sleep(1)
+        client.writer.close()
+        await asyncio.sleep(1)
+        assert server.cancelled == ["/1"]
+        assert len(server.bounds.connections) == 0
+
+    run_server(test)
+
+
+def test_bytes_behind_a_declined_upgrade_are_requests():
+    async def test(server):
+        client = await RawClient.open()
+        upgrade = request("/1", b"", "Connection: Upgrade\r\nUpgrade: websocket\r\n")
+        client.writer.write(upgrade + request("/2") + request("/3"))
+        for number in (1, 2, 3):
+            assert await client.read_answer() == (200, b"/%d " % number)
+
+    run_server(test)
+
+
+# Guards against requests that are never read since they follow on a body that was refused.
+def test_request_behind_a_body_that_was_refused_is_served():
+    async def test(server):
+        client = await RawClient.open()
+        client.writer.write(request("/1", b"b" * (MAX_BODY_BYTES + 1)) + request("/2", b"2"))
+        assert (await client.read_answer())[0] == 413
+        assert await client.read_answer() == (200, b"/2 2")
+
+    run_server(test)
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -15,6 +15,8 @@
 
 from mulleinreach.common import Address, Clock, Network, TaskGroup
 from mulleinreach.common.loop import suspended_s
+from mulleinreach.common.server.connections import ConnectionTable, ConnectionTimeouts
+from mulleinreach.common.server.handler import ClientBounds
 from mulleinreach.gateway.connectivity.tunnel_server import TunnelServer
 from mulleinreach.gateway.connectivity.upstream_network import UpstreamNetwork
 from mulleinreach.gateway.coordination.lease import CoordinatorLease
@@ -24,7 +26,7 @@
 from mulleinreach.gateway.fleet.controller import FleetController
 from mulleinreach.gateway.fleet.formation import GroupOperator
 from mulleinreach.gateway.fleet.hosts import HostRegistry
-from mulleinreach.gateway.http_server import IDLE_TIMEOUT_S, serve
+from mulleinreach.gateway.http_server import serve
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.model import RequestLimits
 from mulleinreach.gateway.ports import MakePorts
@@ -62,8 +64,8 @@
 from mulleinreach.gateway.state.upstreams import UpstreamDirectory
 from mulleinreach.gateway.upstream import Notice, Upstream
 
-# An upper bound only: callers' connections are closed after the configured idle timeout.
-CALLERS_IDLE_TIMEOUT_S = 3600.0
+# Of readiness probes, and of requests for the metrics.
+OPERATOR_TIMEOUTS = ConnectionTimeouts(idle_s=20.0)
 UPSTREAM_LIST_READ_DELAY_S = 0.03
 # The time left before SIGKILL for closing connections and tasks.
 ABORT_MARGIN_S = 1.0
@@ -130,6 +132,7 @@
         self._make_state()
         self._make_relay()
         self._make_control()
+        self._make_client_bounds()
 
     def _make_state(self) -> None:
         self.loads = LoadTracker(self.clock)
@@ -311,19 +314,25 @@
         """Open all listening sockets, then start all tasks."""
         await self.coordination.listen()
         await self.tunnel_server.listen(self.identity.tunnel_address)
-        callers = await self._serve(
+        await self._serve(
             self.relay.handle,
             self.identity.callers_address,
-            CALLERS_IDLE_TIMEOUT_S,
+            self._caller_bounds,
             self._callers_socket,
         )
-        await self._serve(self._handle_readiness, self.identity.readiness_address)
-        if self.identity.metrics_address is not None:
-            await self._serve(self._handle_metrics, self.identity.metrics_address)
+        for handler, address in (
+            (self._handle_readiness, self.identity.readiness_address),
+            (self._handle_metrics, self.identity.metrics_address),
+        ):
+            if address is not None:
+                await self._serve(handler, address, self._operator_bounds)
         suspension = SuspensionMonitor(suspended_s, self._describe_wake, self.log)
         duties: dict[str, Callable[[], Awaitable[None]]] = {
-            "idle_connections": partial(
-                self.relay.connections.watch, callers, self._idle_timeout_s
+            "caller_connections": partial(
+                self._caller_bounds.connections.watch, self._caller_timeouts
+            ),
+            "operator_connections": partial(
+                self._operator_bounds.connections.watch, lambda: OPERATOR_TIMEOUTS
             ),
             "configuration": self.in_force.follow,
             "upstreams": self.follower.follow,
@@ -342,17 +351,26 @@
         self,
         handler,
         address: Address,
-        idle_timeout_s: float = IDLE_TIMEOUT_S,
+        bounds: ClientBounds,
         listening_socket: socket.socket | None = None,
-    ) -> web.Server:
-        server, listener = await serve(handler, address, idle_timeout_s, listening_socket)
-        self._servers.append((server, listener))
-        return server
+    ) -> None:
+        self._servers.append(await serve(handler, address, bounds, listening_socket))
+
+    def _make_client_bounds(self) -> None:
+        """Bound what callers, and probes of readiness and metrics, make the process hold."""
+        self._caller_bounds = ClientBounds(
+            ConnectionTable(self.clock),
+            head_bytes=lambda: self._request_limits().header_bytes,
+        )
+        self._operator_bounds = ClientBounds(ConnectionTable(self.clock))
 
-    def _idle_timeout_s(self) -> float:
+    def _request_limits(self) -> RequestLimits:
         configuration = self.in_force.configuration
-        limits = configuration.limits if configuration else RequestLimits()
-        return limits.idle_timeout_s
+        return configuration.limits if configuration else RequestLimits()
+
+    def _caller_timeouts(self) -> ConnectionTimeouts:
+        limits = self._request_limits()
+        return ConnectionTimeouts(limits.idle_timeout_s)
 
     # Callbacks of the components.
 
@@ -447,9 +465,10 @@
         await asyncio.sleep(drained_at - started_at)
         # The load balancer opens no new connections by now. Requests on existing ones might
         # not finish in time, so idle connections are closed now, others after their answer.
-        for server, listener in self._servers:
+        for _, listener in self._servers:
             listener.close()
-            self.relay.connections.close_all(server.connections)
+        for bounds in (self._caller_bounds, self._operator_bounds):
+            bounds.connections.close_all()
         self.tunnel_server.stop_listening()
         while self._has_work() and self.clock.now() < abort_at:
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -17,7 +17,6 @@
 from mulleinreach.gateway.request.active import ActiveExchange
 from mulleinreach.gateway.request.admission import RETRY_AFTER_S, Admission, Admitted, Denied
 from mulleinreach.gateway.request.budget import WindowedRetryBudget
-from mulleinreach.gateway.request.connections import CallerConnections
 from mulleinreach.gateway.request.events import EventSplitter, EventTooLong
 from mulleinreach.gateway.request.exchange import (
     AnswerCut,
@@ -87,19 +86,16 @@
         self._log = log
         self._rng = rng
         self.in_flight = 0
-        self.connections = CallerConnections(clock)
         self.is_stopping = False
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request; closes its connection afterwards if the node is stopping."""
         started_at = self._clock.now()
         self.in_flight += 1
-        self.connections.begin(request.protocol)
         try:
             response = await self._answer(request, started_at)
         finally:
             self.in_flight -= 1
-            self.connections.end(request.protocol)
         if self.is_stopping:
             response.force_close()
         return response
