Requests and answers of all callers are bounded together

What callers saw: a node that runs out of memory by many bodies, each within its own limit, and by answers that nobody reads.

Cause: each limit is on one thing (a body, a connection), none on their sum; a connection whose answer isn't taken stays open for good, since closing it waits for what isn't sent.

Weighed: a bound on each connection's share, which a crowd of many connections passes, or one ledger whose largest holder goes first. A ledger it is (common/server/memory.py): heads, bodies and answers are charged to their connections; if there is too little, the one that holds most makes way, as long as its request has not begun to run (503 with Retry-After, which says truly that it has not run) or its client has taken nothing of its answer for 2 s (closed); a request that holds little is served beside any crowd of large ones. What runs is kept; answers displace requests that don't run yet, then the largest answer. The bound is half of what the machine's memory (limits.memory_mb) has beside 96 MB for the process: 102 MB of 300.

A client that takes nothing of its answer within the idle timeout is closed, whatever is unsent.

Ruled out: counting connections only (60 of 4 MB suffice).

--- a/mulleinreach/common/fields.py
+++ b/mulleinreach/common/fields.py
@@ -63,6 +63,10 @@
         """Return a number, or ``default`` if the field is absent or empty."""
         return self.number(name) if self._fields.get(name) else default
 
+    def optional_count(self, name: str, default: int = 0) -> int:
+        """Return a number without its fraction, or ``default`` if the field is absent or empty."""
+        return int(self.optional(name, default))
+
     def fields_with_prefix(self, prefix: str) -> dict[str, str]:
         """Return the fields whose name starts with ``prefix``, keyed by the rest of the name."""
         return {
--- a/mulleinreach/common/server/connections.py
+++ b/mulleinreach/common/server/connections.py
@@ -10,17 +10,27 @@
 from mulleinreach.common.clock import Clock
 
 CHECK_INTERVAL_S = 0.5
+# An answer of which nothing was taken for so long makes way for others.
+STALLED_AFTER_S = 2.0
 
 
 class Connection(Protocol):
     """A client's connection."""
 
+    unsent_bytes: int
+
     def close(self) -> None:
         """Close after the answers to the requests that were read."""
 
     def force_close(self) -> None:
         """Close now; a request in progress is cancelled."""
 
+    def abort(self) -> None:
+        """Drop what isn't sent, and close."""
+
+    def note_stalled(self, is_stalled: bool) -> None:
+        """Record whether the client takes nothing of its answer."""
+
 
 @dataclass(frozen=True)
 class ConnectionTimeouts:
@@ -29,12 +39,20 @@
     Parameters
     ==========
 
-    idle_s : between two requests.
+    idle_s : between two requests, and to take some bytes of an answer.
     """
 
     idle_s: float
 
 
+@dataclass
+class _Unsent:
+    """The bytes that a client hasn't taken, and since when."""
+
+    size: int
+    since: float
+
+
 class ConnectionTable:
     """The open connections of a server.
 
@@ -44,13 +62,24 @@
     Timeouts may change with each configuration, whereas the HTTP server fixes them when a
     connection is opened; so times are tracked here. A connection without a complete request counts
     as idle.
+
+    Parameters
+    ==========
+
+    on_closed : called with the reason for which a client's connection is closed.
     """
 
-    def __init__(self, clock: Clock):
+    def __init__(
+        self,
+        clock: Clock,
+        on_closed: Callable[[str], None] = lambda reason: None,
+    ):
         self._clock = clock
+        self._on_closed = on_closed
         # In the order in which they became busy, or idle.
         self._busy_since: dict[Connection, float] = {}
         self._idle_since: dict[Connection, float] = {}
+        self._unsent: dict[Connection, _Unsent] = {}
 
     def __len__(self) -> int:
         return len(self._busy_since) + len(self._idle_since)
@@ -59,10 +88,16 @@
         """Add a new connection."""
         self._idle_since[connection] = self._clock.now()
 
+    def _drop(self, connection: Connection, reason: str) -> None:
+        self._on_closed(reason)
+        self.remove(connection)
+        connection.abort()
+
     def remove(self, connection: Connection) -> None:
         """Forget a connection that has ended."""
         self._busy_since.pop(connection, None)
         self._idle_since.pop(connection, None)
+        self._unsent.pop(connection, None)
 
     def begin(self, connection: Connection) -> None:
         """Mark a connection as busy with a request."""
@@ -77,11 +112,38 @@
     def check(self, timeouts: ConnectionTimeouts) -> None:
         """Close connections whose clients take too long."""
         now = self._clock.now()
+        self._close_stalled(now, timeouts.idle_s)
         for connection, since in list(self._idle_since.items()):
             if now - since <= timeouts.idle_s:
                 # All others became idle later.
                 break
             self.remove(connection)
+            self._close_unused(connection)
+
+    def _close_stalled(self, now: float, timeout_s: float) -> None:
+        connections = [*self._busy_since, *self._idle_since]
+        sizes = {c: size for c in connections if (size := c.unsent_bytes)}
+        previous = self._unsent
+        self._unsent = {}
+        for connection in previous.keys() - sizes.keys():
+            connection.note_stalled(False)
+        for connection, size in sizes.items():
+            unsent = previous.get(connection)
+            if unsent is None or unsent.size != size:
+                unsent = _Unsent(size, now)
+            self._unsent[connection] = unsent
+            connection.note_stalled(self._is_stalled(unsent, now))
+            if now - unsent.since > timeout_s:
+                self._drop(connection, "answer not taken")
+
+    def _is_stalled(self, unsent: _Unsent, now: float) -> bool:
+        return now - unsent.since > STALLED_AFTER_S
+
+    def _close_unused(self, connection: Connection) -> None:
+        """Close an idle connection; what its client doesn't take would keep it open."""
+        if connection.unsent_bytes:
+            connection.abort()
+        else:
             connection.force_close()
 
     def close_all(self) -> None:
--- a/mulleinreach/common/server/handler.py
+++ b/mulleinreach/common/server/handler.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from http import HTTPStatus
 
@@ -15,15 +15,37 @@
 from aiohttp.http import HttpRequestParser
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
-from aiohttp.web_protocol import RequestHandler, RequestPayloadError, _ErrInfo
+from aiohttp.web_protocol import ERROR, RequestHandler, RequestPayloadError, _ErrInfo
 
 from mulleinreach.common.server.connections import ConnectionTable
+from mulleinreach.common.server.memory import HoldState, MemoryLedger
 
 # Bytes that are read from a connection at once.
 READ_BYTES = 16_384
 # Bytes of an answer that are queued before its writer has to wait.
 WRITE_BUFFER_BYTES = 16_384
+# A head in memory, as a multiple of its bytes and for each of its fields: names and values are held
+# as bytes and as text.
+HEAD_COST_RATIO = 2
+FIELD_COST_BYTES = 320
+# A request in progress beside its head and body: its task, its connection to an upstream, and what
+# was read of its answer.
+REQUEST_COST_BYTES = 16_384
 DEFAULT_HEAD_BYTES = 32_768
+RETRY_AFTER_S = 1.0
+
+
+class RequestEvicted(Exception):
+    """The memory of a request that hasn't run was needed for others."""
+
+
+async def refuse_overload(request: web.BaseRequest) -> web.Response:
+    """Return the answer to a request for which there is no memory; it has not run."""
+    response = web.Response(
+        status=HTTPStatus.SERVICE_UNAVAILABLE, headers={"Retry-After": f"{RETRY_AFTER_S:g}"}
+    )
+    response.force_close()
+    return response
 
 
 @dataclass
@@ -33,11 +55,15 @@
     Parameters
     ==========
 
+    memory : shared by all connections.
     head_bytes : returns the largest head that is read; the handler may refuse smaller ones.
+    refuse : answers a request for which there is no memory.
     """
 
     connections: ConnectionTable
+    memory: MemoryLedger
     head_bytes: Callable[[], int] = lambda: DEFAULT_HEAD_BYTES
+    refuse: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]] = refuse_overload
 
 
 class BoundedRequestHandler(RequestHandler):
@@ -50,6 +76,8 @@
     answer to a request that was read whole. What a client sends while it waits isn't parsed, and no
     more than ``READ_BYTES`` of it are read; reading goes on up to there, since only a connection
     that is read shows that its client has left.
+
+    All that a connection holds is charged to its account in ``bounds.memory``.
     """
 
     def __init__(self, manager: web.Server, bounds: ClientBounds, **options):
@@ -66,6 +94,7 @@
             auto_decompress=options.get("auto_decompress", True),
             max_msg_queue_size=1,
         )
+        self.memory = bounds.memory.open(self._on_evicted)
         self._connected: asyncio.Transport | None = None
         # The body of the latest request, and whether that request has no answer yet.
         self._body: StreamReader = EMPTY_PAYLOAD
@@ -97,6 +126,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Release all that the connection holds."""
         self._bounds.connections.remove(self)
+        self.memory.release()
         self._connected = None
         self._read_ahead = b""
         super().connection_lost(exc)
@@ -116,7 +146,8 @@
         if not data:
             return
         self._read_ahead += data
-        if len(self._read_ahead) >= READ_BYTES and not self._buffer_paused:
+        is_full = not self.memory.try_charge(len(data)) or len(self._read_ahead) >= READ_BYTES
+        if is_full and not self._buffer_paused:
             self._pause_reading_for_buffer()
 
     def _parse_body(self, data: bytes) -> None:
@@ -137,10 +168,13 @@
             )
 
     def _begin_request(self) -> None:
-        _, self._body = self._messages[-1]
+        message, self._body = self._messages[-1]
         self._has_request = True
         self._head_size = 0
         self._bounds.connections.begin(self)
+        if isinstance(message, _ErrInfo):
+            return
+        self.memory.try_charge(REQUEST_COST_BYTES + _head_cost(message.raw_headers))
 
     def _resume_reading_if_drained(self) -> None:
         """Resume reading, unless the client waits."""
@@ -150,14 +184,21 @@
     # Requests.
 
     async def _handle_request(self, request, start_time, request_handler):
+        if not self.memory.held_bytes and not self._is_error(request):
+            request_handler = self._bounds.refuse
         try:
             return await super()._handle_request(request, start_time, request_handler)
         finally:
             self._end_request()
 
+    def _is_error(self, request: web.BaseRequest) -> bool:
+        """Whether a request stands for one that can't be parsed."""
+        return request._message is ERROR
+
     def _end_request(self) -> None:
         """Go on with what the client has sent meanwhile."""
         self._has_request = False
+        self.memory.reset()
         self._bounds.connections.end(self)
         data, self._read_ahead = self._read_ahead, b""
         if self.transport is None or self._force_close or self._close:
@@ -175,6 +216,13 @@
         data, self._message_tail = self._message_tail, b""
         self.data_received(data)
 
+    async def finish_response(self, request, resp, start_time):
+        """Send a response, whose body is held until the client has taken it."""
+        body = getattr(resp, "body", None)
+        if isinstance(body, bytes | bytearray):
+            self.memory.hold_answer(len(body))
+        return await super().finish_response(request, resp, start_time)
+
     def _refuse(self, status: HTTPStatus, reason: str) -> None:
         """Answer with an error, and read nothing more."""
         self._is_refused = True
@@ -184,3 +232,38 @@
         self._begin_request()
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
+
+    def _on_evicted(self) -> None:
+        """Give up the request that is being read, or the answer that isn't taken."""
+        if self.memory.state is not HoldState.PENDING:
+            self.abort()
+        elif self._is_in_body():
+            self._break_body(RequestEvicted("memory is needed for other requests"))
+
+    def _break_body(self, error: Exception) -> None:
+        """Let who reads the body fail; the connection is closed after the answer."""
+        self._body.set_exception(error)
+        self._lingering_time = 0.0
+
+    # What the table of connections does.
+
+    @property
+    def unsent_bytes(self) -> int:
+        """The bytes of answers that the client hasn't taken."""
+        return 0 if self._connected is None else self._connected.get_write_buffer_size()
+
+    def abort(self) -> None:
+        """Drop what isn't sent, and close."""
+        if self._connected is not None:
+            self._connected.abort()
+        self.force_close()
+
+    def note_stalled(self, is_stalled: bool) -> None:
+        """Record whether the client takes nothing of its answer."""
+        self.memory.is_stalled = is_stalled
+
+
+def _head_cost(raw_headers: tuple[tuple[bytes, bytes], ...]) -> int:
+    """Return the memory that a parsed head takes, in bytes."""
+    size = sum(len(name) + len(value) for name, value in raw_headers)
+    return HEAD_COST_RATIO * size + FIELD_COST_BYTES * len(raw_headers)
--- a/mulleinreach/common/server/tests/support.py
+++ b/mulleinreach/common/server/tests/support.py
@@ -10,12 +10,15 @@
 
 from mulleinreach.common.address import Address
 from mulleinreach.common.clock import VirtualClock
+from mulleinreach.common.server.body import BodyRefusal, read_body
 from mulleinreach.common.server.connections import ConnectionTable, ConnectionTimeouts
-from mulleinreach.common.server.handler import ClientBounds
+from mulleinreach.common.server.handler import ClientBounds, refuse_overload
+from mulleinreach.common.server.memory import MemoryLedger
 from mulleinreach.common.server.start import listen
 from mulleinreach.standins.virtual import run_virtual
 
 ADDRESS = Address("10.0.0.1", 80)
+MEMORY_BYTES = 1_000_000
 MAX_BODY_BYTES = 600_000
 
 
@@ -23,15 +26,20 @@
 class EchoServer:
     """Answers each request with its path and body, once ``gate`` is open."""
 
+    memory_bytes: int = MEMORY_BYTES
     timeouts: ConnectionTimeouts = ConnectionTimeouts(idle_s=15.0)
     begun: list[str] = field(default_factory=list)
     cancelled: list[str] = field(default_factory=list)
+    closed: list[str] = field(default_factory=list)
 
     async def start(self) -> None:
         """Listen for clients."""
         self.gate = asyncio.Event()
         self.gate.set()
-        self.bounds = ClientBounds(ConnectionTable(VirtualClock()))
+        self.bounds = ClientBounds(
+            ConnectionTable(VirtualClock(), self.closed.append),
+            MemoryLedger(self.memory_bytes),
+        )
         self._server = web.Server(self._handle, handler_cancellation=True, access_log=None)
         self._listener = await listen(self._server, self.bounds, ADDRESS)
         self._watching = asyncio.create_task(self.bounds.connections.watch(lambda: self.timeouts))
@@ -39,9 +47,11 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self.begun.append(request.path)
         try:
-            if (request.content_length or 0) > MAX_BODY_BYTES:
+            body = await read_body(request, MAX_BODY_BYTES)
+            if body is BodyRefusal.TOO_LARGE:
                 return web.Response(status=413)
-            body = await request.content.read()
+            if body is BodyRefusal.NO_MEMORY:
+                return await refuse_overload(request)
             await self.gate.wait()
         except asyncio.CancelledError:
             self.cancelled.append(request.path)
--- a/mulleinreach/common/server/tests/test_handler.py
+++ b/mulleinreach/common/server/tests/test_handler.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from mulleinreach.common.server.handler import DEFAULT_HEAD_BYTES, READ_BYTES
+from mulleinreach.common.server.handler import DEFAULT_HEAD_BYTES, READ_BYTES, REQUEST_COST_BYTES
 from mulleinreach.common.server.tests.support import (
     MAX_BODY_BYTES,
     RawClient,
@@ -46,6 +46,7 @@
         received = [await client.read_answer() for _ in requests]
         await sending
         assert received == answers
+        assert server.bounds.memory.held_bytes == 0
 
     run_server(test)
 
@@ -59,6 +60,7 @@
         client.writer.write(b"".join(request(f"/{number}", b"", fields) for number in range(500)))
         await asyncio.sleep(1)
         assert server.begun == ["/0"]
+        assert 0 < server.bounds.memory.held_bytes < REQUEST_COST_BYTES + 2 * READ_BYTES + 10_000
         server.gate.set()
         for number in range(500):
             assert await client.read_answer() == (200, b"/%d " % number)
@@ -91,6 +93,7 @@
         client.writer.close()
         await asyncio.sleep(1)
         assert server.cancelled == ["/1"]
+        assert server.bounds.memory.held_bytes == 0
         assert len(server.bounds.connections) == 0
 
     run_server(test)
--- a/mulleinreach/gateway/deployment.py
+++ b/mulleinreach/gateway/deployment.py
@@ -62,6 +62,7 @@
         requests for tunnels, and requests for its metrics; ``None`` for no metrics.
     processor_cores : the processor time that the node may use, in cores.
     link_mbps : the bandwidth of its network link, in megabits per second.
+    memory_mb, max_descriptors : the memory and the open descriptors that its process may have.
     is_first_start : whether the whole system starts for the first time, without a lease.
     regions : the region of each hall of the deployment, by the hall's name.
     """
@@ -75,5 +76,7 @@
     metrics_address: Address | None = None
     processor_cores: float = 1.0
     link_mbps: float = 1000.0
+    memory_mb: float = 300.0
+    max_descriptors: int = 4096
     is_first_start: bool = False
     regions: Mapping[str, str] = field(default_factory=dict)
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -17,6 +17,7 @@
 from mulleinreach.common.loop import suspended_s
 from mulleinreach.common.server.connections import ConnectionTable, ConnectionTimeouts
 from mulleinreach.common.server.handler import ClientBounds
+from mulleinreach.common.server.memory import MemoryLedger
 from mulleinreach.gateway.connectivity.tunnel_server import TunnelServer
 from mulleinreach.gateway.connectivity.upstream_network import UpstreamNetwork
 from mulleinreach.gateway.coordination.lease import CoordinatorLease
@@ -42,6 +43,7 @@
 from mulleinreach.gateway.request.sending import Sender
 from mulleinreach.gateway.request.starting import StartGate
 from mulleinreach.gateway.request.urgency import FirstWaitEstimator
+from mulleinreach.gateway.resources import share_resources
 from mulleinreach.gateway.shared_state import SharedState
 from mulleinreach.gateway.state.cold import ColdRateLimit, ColdUpstreams
 from mulleinreach.gateway.state.configuration_follower import ConfigurationInForce
@@ -65,6 +67,7 @@
 from mulleinreach.gateway.upstream import Notice, Upstream
 
 # Of readiness probes, and of requests for the metrics.
+OPERATOR_MEMORY_BYTES = 4_194_304
 OPERATOR_TIMEOUTS = ConnectionTimeouts(idle_s=20.0)
 UPSTREAM_LIST_READ_DELAY_S = 0.03
 # The time left before SIGKILL for closing connections and tasks.
@@ -129,6 +132,7 @@
         self._callers_socket = callers_socket
         self._tasks = TaskGroup()
         self._servers: list[tuple[web.Server, asyncio.AbstractServer]] = []
+        self._resources = share_resources(identity.memory_mb)
         self._make_state()
         self._make_relay()
         self._make_control()
@@ -359,10 +363,15 @@
     def _make_client_bounds(self) -> None:
         """Bound what callers, and probes of readiness and metrics, make the process hold."""
         self._caller_bounds = ClientBounds(
-            ConnectionTable(self.clock),
+            ConnectionTable(self.clock, self._on_connection_closed),
+            MemoryLedger(self._resources.callers_bytes),
             head_bytes=lambda: self._request_limits().header_bytes,
+            refuse=self.relay.refuse_overload,
+        )
+        self._operator_bounds = ClientBounds(
+            ConnectionTable(self.clock, self._on_connection_closed),
+            MemoryLedger(OPERATOR_MEMORY_BYTES),
         )
-        self._operator_bounds = ClientBounds(ConnectionTable(self.clock))
 
     def _request_limits(self) -> RequestLimits:
         configuration = self.in_force.configuration
@@ -372,6 +381,9 @@
         limits = self._request_limits()
         return ConnectionTimeouts(limits.idle_timeout_s)
 
+    def _on_connection_closed(self, reason: str) -> None:
+        self.log.event("connection_closed", why=reason)
+
     # Callbacks of the components.
 
     def _store_pause_s(self, failures: int) -> float:
--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -11,6 +11,7 @@
 
 from mulleinreach.common import Clock, EventLog
 from mulleinreach.common.responses import BodyFraming
+from mulleinreach.common.server.body import BodyRefusal, read_body
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.model import RouteKind, Service
 from mulleinreach.gateway.ports import CallerHeaders, Dialect
@@ -38,6 +39,8 @@
 # Value of Retry-After for a held request, which isn't sent since upstreams crash when they run it.
 # The hold lasts an hour; callers that come back sooner cost no upstream anything.
 HELD_RETRY_AFTER_S = 60.0
+# Value of Retry-After where other requests hold the memory, most of which take a second or so.
+OVERLOAD_RETRY_AFTER_S = 1.0
 # Jitter of Retry-After as a fraction of the upstream's rest, against simultaneous retries.
 RETRY_SPREAD_RATIO = 1.0
 # An upstream may be replaced before a longer rest is over.
@@ -100,6 +103,15 @@
             response.force_close()
         return response
 
+    async def refuse_overload(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Refuse a request for which there is no memory; it has not run."""
+        headers = self._dialect.read_request(request.headers)
+        self._metrics.count_denied(HTTPStatus.SERVICE_UNAVAILABLE)
+        self._log.event("request_denied", id=headers.request_id, status=503, why="no memory")
+        response = self._gateway_answer(headers, 503, OVERLOAD_RETRY_AFTER_S)
+        response.force_close()
+        return response
+
     async def _answer(self, request: web.BaseRequest, started_at: float) -> web.StreamResponse:
         await self._start_gate.wait()
         headers = self._dialect.read_request(request.headers)
@@ -117,9 +129,11 @@
             return self._gateway_answer(headers, decision.status, decision.retry_after_s)
         if _header_bytes(request) > decision.configuration.limits.header_bytes:
             return self._gateway_answer(headers, 431, None)
-        body = await self._read_body(request, decision)
-        if body is None:
+        body = await read_body(request, decision.configuration.limits.body_bytes)
+        if body is BodyRefusal.TOO_LARGE:
             return self._gateway_answer(headers, 413, None)
+        if body is BodyRefusal.NO_MEMORY:
+            return await self.refuse_overload(request)
         job = self._make_job(request, headers, decision, body, started_at)
         if self._policy.is_held(job):
             return self._refuse_held(job)
@@ -174,18 +188,12 @@
             ms=round(elapsed_s * 1000),
         )
 
-    async def _read_body(self, request: web.BaseRequest, admitted: Admitted) -> bytes | None:
-        limit = admitted.configuration.limits.body_bytes
-        if request.content_length is not None and request.content_length > limit:
-            return None
-        parts = []
-        size = 0
-        async for data in request.content.iter_any():
-            parts.append(data)
-            size += len(data)
-            if size > limit:
-                return None
-        return b"".join(parts)
+    def _timeout_s(self, headers: CallerHeaders, admitted: Admitted) -> float:
+        """Return how long a request may take in all."""
+        route_timeout_s = admitted.route.timeout_s
+        if headers.deadline_s is None:
+            return route_timeout_s
+        return min(headers.deadline_s, route_timeout_s)
 
     def _make_job(
         self,
@@ -209,7 +217,7 @@
             body=body,
             content=content,
             started_at=started_at,
-            deadline=started_at + min(caller_timeout_s, route.timeout_s),
+            deadline=started_at + self._timeout_s(headers, admitted),
             caller_gives_up_at=started_at + caller_timeout_s,
             last_event_id=headers.last_event_id,
         )
--- a/mulleinreach/gateway/tests/test_imports.py
+++ b/mulleinreach/gateway/tests/test_imports.py
@@ -18,6 +18,7 @@
     "model",
     "upstream",
     "deployment",
+    "resources",
     "ports",
     "metrics",
     "http_server",
--- a/mulleinreach/platform/settings.py
+++ b/mulleinreach/platform/settings.py
@@ -65,6 +65,8 @@
         is_first_start=reader.flag("bootstrap"),
         processor_cores=reader.number("limits.cores") * reader.number("limits.cpu_fraction"),
         link_mbps=reader.optional("limits.link_mbps", GatewayIdentity.link_mbps),
+        memory_mb=reader.optional("limits.memory_mb", GatewayIdentity.memory_mb),
+        max_descriptors=reader.optional_count("limits.max_fds", GatewayIdentity.max_descriptors),
         regions=reader.fields_with_prefix("zones."),
     )
     bounds = DeploymentBounds(
@@ -80,9 +82,7 @@
         evacuation_s=reader.optional("bounds.evac_ms", 1000 * DeploymentBounds.evacuation_s) / 1000,
         cold_ratio=reader.optional("bounds.cold_overage", DeploymentBounds.cold_ratio),
         cold_slack=reader.optional("bounds.cold_slack", DeploymentBounds.cold_slack),
-        max_lost_halls=int(
-            reader.optional("fault_tolerance.zones", DeploymentBounds.max_lost_halls)
-        ),
+        max_lost_halls=reader.optional_count("fault_tolerance.zones"),
         heartbeat_s=reader.optional("heartbeat_ms", 1000 * DeploymentBounds.heartbeat_s) / 1000,
     )
     return PlatformSettings(
