Callers' connections are bounded, and slow clients are refused

What callers saw: a crowd of connections that send nothing, half a head, or streams that nobody reads takes all descriptors of a node; ordinary callers get no answer, nor does the node reach upstreams, nodes or store.

Callers get half of the descriptors that are left after a reserve for what is accepted at once and for store, nodes, tunnels, probes and metrics: 1,768 of 4,100. Readiness and metrics have 64.

A head that takes longer than header_timeout_ms gets 408, at two checks 0.5 s apart, since a head may have arrived unread while the machine was suspended; a body that takes longer than its route or its caller allows gets 408, too: it has not run.

--- a/mulleinreach/common/server/connections.py
+++ b/mulleinreach/common/server/connections.py
@@ -1,4 +1,4 @@
-"""Tracks a server's connections and closes those that are of no use."""
+"""Tracks a server's connections: bounds their number and closes those that are of no use."""
 
 from __future__ import annotations
 
@@ -12,12 +12,15 @@
 CHECK_INTERVAL_S = 0.5
 # An answer of which nothing was taken for so long makes way for others.
 STALLED_AFTER_S = 2.0
+# A request that has taken so long makes way for others if all connections are in use.
+LONG_REQUEST_S = 30.0
 
 
 class Connection(Protocol):
     """A client's connection."""
 
     unsent_bytes: int
+    head_begun_at: float | None
 
     def close(self) -> None:
         """Close after the answers to the requests that were read."""
@@ -28,6 +31,9 @@
     def abort(self) -> None:
         """Drop what isn't sent, and close."""
 
+    def refuse_slow_head(self) -> None:
+        """Refuse the head that doesn't end."""
+
     def note_stalled(self, is_stalled: bool) -> None:
         """Record whether the client takes nothing of its answer."""
 
@@ -40,9 +46,11 @@
     ==========
 
     idle_s : between two requests, and to take some bytes of an answer.
+    header_s : from the first byte of a request's head to its end.
     """
 
     idle_s: float
+    header_s: float
 
 
 @dataclass
@@ -63,30 +71,60 @@
     connection is opened; so times are tracked here. A connection without a complete request counts
     as idle.
 
+    If there are too many connections, the one that has been idle for longest is closed; else one
+    whose client takes nothing of its answer; else the one whose request takes longest, if it has
+    taken ``LONG_REQUEST_S``; else the new one.
+
     Parameters
     ==========
 
+    max_connections : bound on the number of open connections.
     on_closed : called with the reason for which a client's connection is closed.
     """
 
     def __init__(
         self,
         clock: Clock,
+        max_connections: int,
         on_closed: Callable[[str], None] = lambda reason: None,
     ):
         self._clock = clock
+        self._max_connections = max_connections
         self._on_closed = on_closed
         # In the order in which they became busy, or idle.
         self._busy_since: dict[Connection, float] = {}
         self._idle_since: dict[Connection, float] = {}
         self._unsent: dict[Connection, _Unsent] = {}
+        self._overdue_heads: set[Connection] = set()
+
+    def now(self) -> float:
+        """Return the time by which clients' times are taken."""
+        return self._clock.now()
 
     def __len__(self) -> int:
         return len(self._busy_since) + len(self._idle_since)
 
     def open(self, connection: Connection) -> None:
-        """Add a new connection."""
+        """Add a new connection, for which another one may be closed."""
         self._idle_since[connection] = self._clock.now()
+        if len(self) > self._max_connections:
+            self._close_one(connection)
+
+    def _close_one(self, newest: Connection) -> None:
+        longest_idle = next(iter(self._idle_since))
+        if longest_idle is not newest:
+            self._drop(longest_idle, "too many connections, idle")
+            return
+        now = self._clock.now()
+        stalled = [(u.since, c) for c, u in self._unsent.items() if self._is_stalled(u, now)]
+        longest_busy, busy_since = next(iter(self._busy_since.items()))
+        if stalled:
+            _, connection = min(stalled, key=lambda entry: entry[0])
+            self._drop(connection, "too many connections, answer not taken")
+        elif now - busy_since >= LONG_REQUEST_S:
+            self._drop(longest_busy, "too many connections, long request")
+        else:
+            self._drop(newest, "too many connections")
 
     def _drop(self, connection: Connection, reason: str) -> None:
         self._on_closed(reason)
@@ -98,6 +136,7 @@
         self._busy_since.pop(connection, None)
         self._idle_since.pop(connection, None)
         self._unsent.pop(connection, None)
+        self._overdue_heads.discard(connection)
 
     def begin(self, connection: Connection) -> None:
         """Mark a connection as busy with a request."""
@@ -112,6 +151,7 @@
     def check(self, timeouts: ConnectionTimeouts) -> None:
         """Close connections whose clients take too long."""
         now = self._clock.now()
+        self._refuse_slow_heads(now, timeouts.header_s)
         self._close_stalled(now, timeouts.idle_s)
         for connection, since in list(self._idle_since.items()):
             if now - since <= timeouts.idle_s:
@@ -120,6 +160,21 @@
             self.remove(connection)
             self._close_unused(connection)
 
+    def _refuse_slow_heads(self, now: float, header_s: float) -> None:
+        """Refuse heads that were overdue at the previous check, too.
+
+        After a suspension of the machine, a head may be overdue whose end has arrived unread.
+        """
+        overdue = {
+            connection
+            for connection in self._idle_since
+            if connection.head_begun_at is not None and now - connection.head_begun_at > header_s
+        }
+        for connection in overdue & self._overdue_heads:
+            self._on_closed("slow head")
+            connection.refuse_slow_head()
+        self._overdue_heads = overdue
+
     def _close_stalled(self, now: float, timeout_s: float) -> None:
         connections = [*self._busy_since, *self._idle_since]
         sizes = {c: size for c in connections if (size := c.unsent_bytes)}
--- a/mulleinreach/common/server/handler.py
+++ b/mulleinreach/common/server/handler.py
@@ -95,6 +95,7 @@
             max_msg_queue_size=1,
         )
         self.memory = bounds.memory.open(self._on_evicted)
+        self.head_begun_at: float | None = None
         self._connected: asyncio.Transport | None = None
         # The body of the latest request, and whether that request has no answer yet.
         self._body: StreamReader = EMPTY_PAYLOAD
@@ -157,6 +158,8 @@
             self._parse_head(b"")
 
     def _parse_head(self, data: bytes) -> None:
+        if data and self.head_begun_at is None:
+            self.head_begun_at = self._bounds.connections.now()
         count_before = self._request_count
         self._head_size += len(data)
         super().data_received(data)
@@ -171,6 +174,7 @@
         message, self._body = self._messages[-1]
         self._has_request = True
         self._head_size = 0
+        self.head_begun_at = None
         self._bounds.connections.begin(self)
         if isinstance(message, _ErrInfo):
             return
@@ -258,6 +262,10 @@
             self._connected.abort()
         self.force_close()
 
+    def refuse_slow_head(self) -> None:
+        """Refuse the head that doesn't end."""
+        self._refuse(HTTPStatus.REQUEST_TIMEOUT, "a head that doesn't end")
+
     def note_stalled(self, is_stalled: bool) -> None:
         """Record whether the client takes nothing of its answer."""
         self.memory.is_stalled = is_stalled
--- a/mulleinreach/common/server/tests/support.py
+++ b/mulleinreach/common/server/tests/support.py
@@ -27,7 +27,8 @@
     """Answers each request with its path and body, once ``gate`` is open."""
 
     memory_bytes: int = MEMORY_BYTES
-    timeouts: ConnectionTimeouts = ConnectionTimeouts(idle_s=15.0)
+    max_connections: int = 100
+    timeouts: ConnectionTimeouts = ConnectionTimeouts(idle_s=15.0, header_s=3.0)
     begun: list[str] = field(default_factory=list)
     cancelled: list[str] = field(default_factory=list)
     closed: list[str] = field(default_factory=list)
@@ -37,7 +38,7 @@
         self.gate = asyncio.Event()
         self.gate.set()
         self.bounds = ClientBounds(
-            ConnectionTable(VirtualClock(), self.closed.append),
+            ConnectionTable(VirtualClock(), self.max_connections, self.closed.append),
             MemoryLedger(self.memory_bytes),
         )
         self._server = web.Server(self._handle, handler_cancellation=True, access_log=None)
--- /dev/null
+++ b/mulleinreach/common/server/tests/test_connections.py
@@ -0,0 +1,71 @@
+"""The number of connections, and which of them are closed if there are too many."""
+
+from __future__ import annotations
+
+import asyncio
+
+from mulleinreach.common.server.connections import LONG_REQUEST_S
+from mulleinreach.common.server.tests.support import RawClient, request, run_server
+
+
+# Guards against idle connections that take all descriptors of a process.
+def test_connection_that_has_been_idle_for_longest_makes_way():
+    async def test(server):
+        first, second, third = [await RawClient.open() for _ in range(3)]
+        first.writer.write(request("/1"))
+        assert (await first.read_answer())[0] == 200
+        fourth = await RawClient.open()
+        assert await second.is_closed(1.0)
+        for client in (first, third, fourth):
+            client.writer.write(request("/2"))
+            assert (await client.read_answer())[0] == 200
+
+    run_server(test, max_connections=3)
+
+
+def test_connections_in_use_do_not_make_way():
+    async def test(server):
+        server.gate.clear()
+        busy = [await RawClient.open() for _ in range(3)]
+        for client in busy:
+            client.writer.write(request("/1"))
+        await asyncio.sleep(0.1)
+        assert await (await RawClient.open()).is_closed(1.0)
+        server.gate.set()
+        assert [await client.read_answer() for client in busy] == [(200, b"/1 ")] * 3
+
+    run_server(test, max_connections=3)
+
+
+def test_connection_whose_client_takes_nothing_makes_way():
+    async def test(server):
+        busy = [await RawClient.open() for _ in range(3)]
+        for client in busy:
+            client.reader._transport.pause_reading()
+            client.writer.write(request("/large", b"b" * 250_000))
+        await asyncio.sleep(4)
+        fourth = await RawClient.open()
+        fourth.writer.write(request("/2"))
+        assert await fourth.read_answer() == (200, b"/2 ")
+        assert server.closed == ["too many connections, answer not taken"]
+
+    run_server(test, max_connections=3, memory_bytes=10_000_000)
+
+
+# Guards against long requests that keep all others out.
+def test_longest_request_makes_way_if_all_connections_are_in_use():
+    async def test(server):
+        server.gate.clear()
+        busy = [await RawClient.open() for _ in range(3)]
+        for number, client in enumerate(busy):
+            client.writer.write(request(f"/{number}"))
+            await asyncio.sleep(1)
+        await asyncio.sleep(LONG_REQUEST_S)
+        newest = await RawClient.open()
+        newest.writer.write(request("/new"))
+        await asyncio.sleep(1)
+        assert server.cancelled == ["/0"]
+        server.gate.set()
+        assert await newest.read_answer() == (200, b"/new ")
+
+    run_server(test, max_connections=3)
--- a/mulleinreach/common/server/tests/test_handler.py
+++ b/mulleinreach/common/server/tests/test_handler.py
@@ -83,6 +83,29 @@
     run_server(test)
 
 
+def test_head_that_does_not_end_in_time_is_refused():
+    async def test(server):
+        client = await RawClient.open()
+        client.writer.write(b"POST / HTTP/1.1\r\nHost: a\r\n")
+        assert (await client.read_answer())[0] == 408
+        assert await client.is_closed()
+
+    run_server(test)
+
+
+def test_heads_that_come_in_time_on_one_connection_are_served():
+    async def test(server):
+        client = await RawClient.open()
+        for number in range(10):
+            whole = request(f"/{number}")
+            client.writer.write(whole[:20])
+            await asyncio.sleep(2)
+            client.writer.write(whole[20:])
+            assert (await client.read_answer())[0] == 200
+
+    run_server(test)
+
+
 # Guards against a request that goes on after its client has left, which only reading shows.
 def test_client_that_leaves_with_requests_sent_ahead_is_noticed():
     async def test(server):
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -66,9 +66,10 @@
 from mulleinreach.gateway.state.upstreams import UpstreamDirectory
 from mulleinreach.gateway.upstream import Notice, Upstream
 
-# Of readiness probes, and of requests for the metrics.
+# Connections for readiness probes, and for the metrics.
+MAX_OPERATOR_CONNECTIONS = 64
 OPERATOR_MEMORY_BYTES = 4_194_304
-OPERATOR_TIMEOUTS = ConnectionTimeouts(idle_s=20.0)
+OPERATOR_TIMEOUTS = ConnectionTimeouts(idle_s=20.0, header_s=5.0)
 UPSTREAM_LIST_READ_DELAY_S = 0.03
 # The time left before SIGKILL for closing connections and tasks.
 ABORT_MARGIN_S = 1.0
@@ -132,7 +133,7 @@
         self._callers_socket = callers_socket
         self._tasks = TaskGroup()
         self._servers: list[tuple[web.Server, asyncio.AbstractServer]] = []
-        self._resources = share_resources(identity.memory_mb)
+        self._resources = share_resources(identity.memory_mb, identity.max_descriptors)
         self._make_state()
         self._make_relay()
         self._make_control()
@@ -363,13 +364,15 @@
     def _make_client_bounds(self) -> None:
         """Bound what callers, and probes of readiness and metrics, make the process hold."""
         self._caller_bounds = ClientBounds(
-            ConnectionTable(self.clock, self._on_connection_closed),
+            ConnectionTable(
+                self.clock, self._resources.caller_connections, self._on_connection_closed
+            ),
             MemoryLedger(self._resources.callers_bytes),
             head_bytes=lambda: self._request_limits().header_bytes,
             refuse=self.relay.refuse_overload,
         )
         self._operator_bounds = ClientBounds(
-            ConnectionTable(self.clock, self._on_connection_closed),
+            ConnectionTable(self.clock, MAX_OPERATOR_CONNECTIONS, self._on_connection_closed),
             MemoryLedger(OPERATOR_MEMORY_BYTES),
         )
 
@@ -379,7 +382,7 @@
 
     def _caller_timeouts(self) -> ConnectionTimeouts:
         limits = self._request_limits()
-        return ConnectionTimeouts(limits.idle_timeout_s)
+        return ConnectionTimeouts(limits.idle_timeout_s, limits.header_timeout_s)
 
     def _on_connection_closed(self, reason: str) -> None:
         self.log.event("connection_closed", why=reason)
--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -129,7 +129,11 @@
             return self._gateway_answer(headers, decision.status, decision.retry_after_s)
         if _header_bytes(request) > decision.configuration.limits.header_bytes:
             return self._gateway_answer(headers, 431, None)
-        body = await read_body(request, decision.configuration.limits.body_bytes)
+        try:
+            async with asyncio.timeout(self._timeout_s(headers, decision)):
+                body = await read_body(request, decision.configuration.limits.body_bytes)
+        except TimeoutError:
+            return self._gateway_answer(headers, 408, None)
         if body is BodyRefusal.TOO_LARGE:
             return self._gateway_answer(headers, 413, None)
         if body is BodyRefusal.NO_MEMORY:
--- a/mulleinreach/gateway/resources.py
+++ b/mulleinreach/gateway/resources.py
@@ -1,13 +1,23 @@
-"""How a node shares its machine's memory among its duties."""
+"""How a node shares its machine's memory and descriptors among its duties."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
+from mulleinreach.common.server.start import ACCEPT_BATCH
+
 # The program itself, what it knows of its deployment, and its connections.
 PROCESS_MB = 96.0
 CALLERS_MEMORY_RATIO = 0.5
 MIN_CALLERS_MB = 16.0
+# Connections that are accepted before the first of them can be closed: it takes some turns of the
+# event loop.
+ACCEPTED_DESCRIPTORS = 4 * ACCEPT_BATCH
+# For files, the store, other nodes, their tunnels, readiness probes and metrics.
+MAX_CONTROL_DESCRIPTORS = 500
+CONTROL_RATIO = 0.25
+# Of the rest; each caller's request may need a connection to an upstream.
+CALLERS_DESCRIPTOR_RATIO = 0.5
 
 
 @dataclass(frozen=True)
@@ -18,23 +28,31 @@
     ==========
 
     callers_bytes : memory for requests of callers and for answers that they haven't taken.
+    caller_connections : connections of callers.
     """
 
     callers_bytes: int
+    caller_connections: int
 
 
-def share_resources(memory_mb: float) -> ResourceShares:
+def share_resources(memory_mb: float, max_descriptors: int) -> ResourceShares:
     """Return a node's shares of its machine.
 
     Examples
     ========
 
-    >>> shares = share_resources(300)
+    >>> shares = share_resources(300, 4100)
     >>> shares.callers_bytes
     106954752
+    >>> shares.caller_connections
+    1768
     """
     spare_mb = memory_mb - PROCESS_MB
     callers_mb = max(MIN_CALLERS_MB, spare_mb * CALLERS_MEMORY_RATIO)
+    control = min(MAX_CONTROL_DESCRIPTORS, int(max_descriptors * CONTROL_RATIO))
     return ResourceShares(
         callers_bytes=int(callers_mb * 2**20),
+        caller_connections=int(
+            (max_descriptors - ACCEPTED_DESCRIPTORS - control) * CALLERS_DESCRIPTOR_RATIO
+        ),
     )
