Requests that can't be parsed are logged in a line each

Cause: the HTTP server logs whatever its parser refuses as an unexpected exception. A handler's own exception keeps its traceback. Also, a body that turned malformed was told as the connection's next request only, so its reader waited until the route's timeout; it gets 400 now, which a unit test shows.

--- a/mulleinreach/common/server/body.py
+++ b/mulleinreach/common/server/body.py
@@ -5,6 +5,7 @@
 import enum
 
 from aiohttp import web
+from aiohttp.web_protocol import RequestPayloadError
 
 from mulleinreach.common.server.handler import BoundedRequestHandler, RequestEvicted
 from mulleinreach.common.server.memory import MemoryAccount
@@ -17,10 +18,12 @@
     """Why a body isn't read; its request has not run.
 
     ``TOO_LARGE``: it exceeds the limit on one body.
+    ``MALFORMED``: its framing can't be parsed.
     ``NO_MEMORY``: there is no memory for it beside other requests.
     """
 
     TOO_LARGE = enum.auto()
+    MALFORMED = enum.auto()
     NO_MEMORY = enum.auto()
 
 
@@ -41,6 +44,8 @@
                 return BodyRefusal.NO_MEMORY
     except RequestEvicted:
         return BodyRefusal.NO_MEMORY
+    except RequestPayloadError:
+        return BodyRefusal.MALFORMED
     if not begin_run(request):
         return BodyRefusal.NO_MEMORY
     return b"".join(parts)
--- a/mulleinreach/common/server/handler.py
+++ b/mulleinreach/common/server/handler.py
@@ -32,6 +32,7 @@
 # was read of its answer.
 REQUEST_COST_BYTES = 16_384
 DEFAULT_HEAD_BYTES = 32_768
+MAX_REASON_LENGTH = 200
 RETRY_AFTER_S = 1.0
 
 
@@ -58,12 +59,14 @@
     memory : shared by all connections.
     head_bytes : returns the largest head that is read; the handler may refuse smaller ones.
     refuse : answers a request for which there is no memory.
+    on_malformed : called with status and reason for each request that can't be parsed.
     """
 
     connections: ConnectionTable
     memory: MemoryLedger
     head_bytes: Callable[[], int] = lambda: DEFAULT_HEAD_BYTES
     refuse: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]] = refuse_overload
+    on_malformed: Callable[[int, str], None] = lambda status, reason: None
 
 
 class BoundedRequestHandler(RequestHandler):
@@ -152,7 +155,11 @@
             self._pause_reading_for_buffer()
 
     def _parse_body(self, data: bytes) -> None:
+        count_before = self._request_count
         super().data_received(data)
+        if self._request_count > count_before and self._has_request and self._is_in_body():
+            # aiohttp tells the error as the next request, but not to who reads the body.
+            self._break_body(RequestPayloadError("a malformed body"))
         if self._body.is_eof() and not self._has_request:
             # The rest of a body whose request was answered before.
             self._parse_head(b"")
@@ -227,6 +234,17 @@
             self.memory.hold_answer(len(body))
         return await super().finish_response(request, resp, start_time)
 
+    def handle_error(self, request, status=500, exc=None, message=None):
+        """Return the answer to a request that can't be parsed, or whose handler failed."""
+        if not self._is_error(request):
+            return super().handle_error(request, status, exc, message)
+        self._bounds.on_malformed(status, (message or "")[:MAX_REASON_LENGTH])
+        if request.writer.output_size > 0:
+            raise ConnectionError("a part of the answer is sent already")
+        response = web.Response(status=status)
+        response.force_close()
+        return response
+
     def _refuse(self, status: HTTPStatus, reason: str) -> None:
         """Answer with an error, and read nothing more."""
         self._is_refused = True
--- a/mulleinreach/common/server/tests/support.py
+++ b/mulleinreach/common/server/tests/support.py
@@ -31,6 +31,7 @@
     timeouts: ConnectionTimeouts = ConnectionTimeouts(idle_s=15.0, header_s=3.0)
     begun: list[str] = field(default_factory=list)
     cancelled: list[str] = field(default_factory=list)
+    malformed: list[int] = field(default_factory=list)
     closed: list[str] = field(default_factory=list)
 
     async def start(self) -> None:
@@ -40,6 +41,7 @@
         self.bounds = ClientBounds(
             ConnectionTable(VirtualClock(), self.max_connections, self.closed.append),
             MemoryLedger(self.memory_bytes),
+            on_malformed=lambda status, reason: self.malformed.append(status),
         )
         self._server = web.Server(self._handle, handler_cancellation=True, access_log=None)
         self._listener = await listen(self._server, self.bounds, ADDRESS)
@@ -51,6 +53,8 @@
             body = await read_body(request, MAX_BODY_BYTES)
             if body is BodyRefusal.TOO_LARGE:
                 return web.Response(status=413)
+            if body is BodyRefusal.MALFORMED:
+                return web.Response(status=400)
             if body is BodyRefusal.NO_MEMORY:
                 return await refuse_overload(request)
             await self.gate.wait()
--- a/mulleinreach/common/server/tests/test_handler.py
+++ b/mulleinreach/common/server/tests/test_handler.py
@@ -79,6 +79,7 @@
         assert (await client.read_answer())[0] == 431
         assert await client.is_closed()
         assert server.begun == []
+        assert server.malformed == [431]
 
     run_server(test)
 
@@ -106,6 +107,32 @@
     run_server(test)
 
 
+@pytest.mark.parametrize("data", [b"\x00\x01\x02\r\n\r\n", b"POST / HTTP/9\r\n\r\n"])
+def test_malformed_request_is_refused_and_noted_once(data):
+    async def test(server):
+        client = await RawClient.open()
+        client.writer.write(data)
+        assert (await client.read_answer())[0] == 400
+        assert await client.is_closed()
+        assert server.malformed == [400]
+
+    run_server(test)
+
+
+# Guards against a handler that waits for the rest of a body which can't be parsed.
+def test_request_whose_body_turns_malformed_is_refused():
+    async def test(server):
+        client = await RawClient.open()
+        client.writer.write(chunked_request("/", [b"hello"])[:-5])
+        await asyncio.sleep(1)
+        client.writer.write(b"no size\r\n")
+        assert (await client.read_answer())[0] == 400
+        assert await client.is_closed()
+        assert server.bounds.memory.held_bytes == 0
+
+    run_server(test)
+
+
 # Guards against a request that goes on after its client has left, which only reading shows.
 def test_client_that_leaves_with_requests_sent_ahead_is_noticed():
     async def test(server):
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -370,10 +370,12 @@
             MemoryLedger(self._resources.callers_bytes),
             head_bytes=lambda: self._request_limits().header_bytes,
             refuse=self.relay.refuse_overload,
+            on_malformed=self._on_malformed,
         )
         self._operator_bounds = ClientBounds(
             ConnectionTable(self.clock, MAX_OPERATOR_CONNECTIONS, self._on_connection_closed),
             MemoryLedger(OPERATOR_MEMORY_BYTES),
+            on_malformed=self._on_malformed,
         )
 
     def _request_limits(self) -> RequestLimits:
@@ -387,6 +389,10 @@
     def _on_connection_closed(self, reason: str) -> None:
         self.log.event("connection_closed", why=reason)
 
+    def _on_malformed(self, status: int, reason: str) -> None:
+        self.metrics.count_denied(status)
+        self.log.event("request_malformed", status=status, why=reason)
+
     # Callbacks of the components.
 
     def _store_pause_s(self, failures: int) -> float:
--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -136,6 +136,8 @@
             return self._gateway_answer(headers, 408, None)
         if body is BodyRefusal.TOO_LARGE:
             return self._gateway_answer(headers, 413, None)
+        if body is BodyRefusal.MALFORMED:
+            return self._gateway_answer(headers, 400, None)
         if body is BodyRefusal.NO_MEMORY:
             return await self.refuse_overload(request)
         job = self._make_job(request, headers, decision, body, started_at)
