A caller that leaves in the middle of its stream is logged in a line

Cause: an event that is read in the same turn of the loop as the caller's end is written to a connection that is closing, and the HTTP server takes the error for a failure of the handler. It is logged as caller_left with the request's id, and ends the connection as before.

--- a/mulleinreach/common/server/handler.py
+++ b/mulleinreach/common/server/handler.py
@@ -235,7 +235,12 @@
         return await super().finish_response(request, resp, start_time)
 
     def handle_error(self, request, status=500, exc=None, message=None):
-        """Return the answer to a request that can't be parsed, or whose handler failed."""
+        """Return the answer to a request that can't be parsed, or whose handler failed.
+
+        Raises :class:`ConnectionError`, which aiohttp drops, if the client has left.
+        """
+        if isinstance(exc, ConnectionError):
+            raise exc
         if not self._is_error(request):
             return super().handle_error(request, status, exc, message)
         self._bounds.on_malformed(status, (message or "")[:MAX_REASON_LENGTH])
--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -97,6 +97,10 @@
         self.in_flight += 1
         try:
             response = await self._answer(request, started_at)
+        except ConnectionError as error:
+            request_id = self._dialect.read_request(request.headers).request_id
+            self._log.event("caller_left", id=request_id, why=str(error))
+            raise
         finally:
             self.in_flight -= 1
         if self.is_stopping:
