Bodies in very small chunks don't keep the event loop busy

Cause: a chunk costs about 1.6 microseconds to parse, whatever it holds, so that 8 MB of data in chunks of one byte keep the loop busy for 13 s. Usual chunks take no delay, which a test shows.

The test counts virtual time from the number of bytes, not the machine's speed.

--- a/mulleinreach/common/server/handler.py
+++ b/mulleinreach/common/server/handler.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from http import HTTPStatus
 
 from aiohttp import web
@@ -18,6 +18,7 @@
 from aiohttp.web_protocol import ERROR, RequestHandler, RequestPayloadError, _ErrInfo
 
 from mulleinreach.common.server.connections import ConnectionTable
+from mulleinreach.common.server.framing import FramingThrottle
 from mulleinreach.common.server.memory import HoldState, MemoryLedger
 
 # Bytes that are read from a connection at once.
@@ -64,6 +65,7 @@
 
     connections: ConnectionTable
     memory: MemoryLedger
+    framing: FramingThrottle = field(default_factory=FramingThrottle)
     head_bytes: Callable[[], int] = lambda: DEFAULT_HEAD_BYTES
     refuse: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]] = refuse_overload
     on_malformed: Callable[[int, str], None] = lambda status, reason: None
@@ -103,10 +105,14 @@
         # The body of the latest request, and whether that request has no answer yet.
         self._body: StreamReader = EMPTY_PAYLOAD
         self._has_request = False
+        self._is_chunked = False
+        self._body_received = 0
+        self._framing_counted = 0
         self._head_size = 0
         # Bytes that were read while the client waits for an answer.
         self._read_ahead = b""
         self._is_refused = False
+        self._is_throttled = False
 
     # Phases of the connection.
 
@@ -155,15 +161,29 @@
             self._pause_reading_for_buffer()
 
     def _parse_body(self, data: bytes) -> None:
+        self._body_received += len(data)
         count_before = self._request_count
         super().data_received(data)
         if self._request_count > count_before and self._has_request and self._is_in_body():
             # aiohttp tells the error as the next request, but not to who reads the body.
             self._break_body(RequestPayloadError("a malformed body"))
+        if self._is_chunked:
+            self._pace_framing()
         if self._body.is_eof() and not self._has_request:
             # The rest of a body whose request was answered before.
             self._parse_head(b"")
 
+    def _pace_framing(self) -> None:
+        """Pause reading if the client has sent much framing of chunks."""
+        total = self._body_received - self._body.total_bytes
+        added = max(0, total - self._framing_counted)
+        self._framing_counted += added
+        delay_s = self._bounds.framing.delay_s(added)
+        if delay_s > 0 and not self._is_throttled:
+            self._is_throttled = True
+            self._pause_reading_for_buffer()
+            self._loop.call_later(delay_s, self._end_throttle)
+
     def _parse_head(self, data: bytes) -> None:
         if data and self.head_begun_at is None:
             self.head_begun_at = self._bounds.connections.now()
@@ -185,11 +205,18 @@
         self._bounds.connections.begin(self)
         if isinstance(message, _ErrInfo):
             return
+        self._is_chunked = message.chunked
+        self._body_received = self._framing_counted = 0
         self.memory.try_charge(REQUEST_COST_BYTES + _head_cost(message.raw_headers))
 
+    def _end_throttle(self) -> None:
+        self._is_throttled = False
+        if self.transport is not None and not self._is_waiting():
+            self._resume_reading_if_drained()
+
     def _resume_reading_if_drained(self) -> None:
-        """Resume reading, unless the client waits."""
-        if not self._is_waiting():
+        """Resume reading, unless the client waits or sends too much framing."""
+        if not self._is_throttled and not self._is_waiting():
             super()._resume_reading_if_drained()
 
     # Requests.
@@ -217,7 +244,7 @@
         self.data_received(data)
         if self._upgraded:
             self._decline_upgrade()
-        if self._buffer_paused and not self._is_waiting():
+        if self._buffer_paused and not self._is_throttled and not self._is_waiting():
             self._resume_reading_for_buffer()
 
     def _decline_upgrade(self) -> None:
--- a/mulleinreach/common/server/tests/test_handler.py
+++ b/mulleinreach/common/server/tests/test_handler.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from mulleinreach.common.server.framing import BURST_S, FRAMING_BYTES_PER_S
 from mulleinreach.common.server.handler import DEFAULT_HEAD_BYTES, READ_BYTES, REQUEST_COST_BYTES
 from mulleinreach.common.server.tests.support import (
     MAX_BODY_BYTES,
@@ -169,3 +170,30 @@
         assert await client.read_answer() == (200, b"/2 2")
 
     run_server(test)
+
+
+# Guards against an event loop that parses small chunks all the time.
+def test_bodies_in_tiny_chunks_are_read_at_a_bounded_rate():
+    async def test(server):
+        count = 100_000
+        client = await RawClient.open()
+        began = asyncio.get_running_loop().time()
+        client.writer.write(chunked_request("/", [b"x"] * count * 4))
+        status, body = await client.read_answer()
+        assert (status, len(body)) == (200, 4 * count + 2)
+        framing_bytes = 5 * 4 * count
+        least_s = framing_bytes / FRAMING_BYTES_PER_S - BURST_S
+        assert asyncio.get_running_loop().time() - began > 0.9 * least_s
+
+    run_server(test, memory_bytes=10_000_000)
+
+
+def test_usual_chunks_are_read_without_delay():
+    async def test(server):
+        client = await RawClient.open()
+        began = asyncio.get_running_loop().time()
+        client.writer.write(chunked_request("/", [b"x" * 500] * 1000))
+        assert (await client.read_answer())[0] == 200
+        assert asyncio.get_running_loop().time() - began < 0.01
+
+    run_server(test, memory_bytes=10_000_000)
