The largest answer that is being read makes way, not whichever reads next

Cause: the sum was looked at by whichever request read next; each of a node's two clients had a sum of its own. The new test failed before: the small answer was broken.

--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -202,8 +202,9 @@
         self._sessions = [
             self.upstream_network.http_client(may_tunnel) for may_tunnel in (True, False)
         ]
+        answers = MemoryLedger(self._resources.answers_bytes)
         client, direct_client = (
-            UpstreamClient(session, self.ports.dialect, self._on_notice)
+            UpstreamClient(session, self.ports.dialect, self._on_notice, answers)
             for session in self._sessions
         )
         budget = WindowedRetryBudget(self.bounds, self.clock, self.leased_share)
--- a/mulleinreach/gateway/request/exchange.py
+++ b/mulleinreach/gateway/request/exchange.py
@@ -18,6 +18,7 @@
 from yarl import URL
 
 from mulleinreach.common.responses import BodyEnd, Response
+from mulleinreach.common.server.memory import MemoryLedger
 from mulleinreach.gateway.ports import Dialect
 from mulleinreach.gateway.upstream import Notice, Upstream
 
@@ -160,6 +161,7 @@
     ==========
 
     on_notice : called with the upstream's notice in the headers of each answer.
+    memory : bounds the answers that are being read together; a bound of its own if left out.
     """
 
     def __init__(
@@ -167,11 +169,12 @@
         session: aiohttp.ClientSession,
         dialect: Dialect,
         on_notice: Callable[[Upstream, Notice], None],
+        memory: MemoryLedger | None = None,
     ):
         self._session = session
         self._dialect = dialect
         self._on_notice = on_notice
-        self._buffered = 0
+        self._memory = memory or MemoryLedger(MAX_BUFFERED_BYTES)
 
     async def send(
         self, upstream: Upstream, request: OutgoingRequest, wants_stream: bool
@@ -216,23 +219,26 @@
 
     async def _read_whole(self, response: Response) -> ExchangeResult:
         parts = []
-        size = 0
+        account = self._memory.open(response.close)
         try:
             while data := await self._next_part(response):
                 parts.append(data)
-                size += len(data)
-                self._buffered += len(data)
-                if size > MAX_ANSWER_BYTES:
+                if account.held_bytes + len(data) > MAX_ANSWER_BYTES:
                     return Broken(f"an answer over {MAX_ANSWER_BYTES} bytes")
-                if self._buffered > MAX_BUFFERED_BYTES:
-                    return Broken(f"answers over {MAX_BUFFERED_BYTES} bytes together")
+                if not account.try_charge(len(data)):
+                    return self._over_memory()
             response.check_complete()
         except (AnswerCut, aiohttp.ClientPayloadError) as error:
+            if account.is_evicted:
+                return self._over_memory()
             return Broken(str(error), is_closed=True)
         finally:
-            self._buffered -= size
+            account.release()
         return Answered(response.status, response.headers, b"".join(parts), response.body_end)
 
+    def _over_memory(self) -> Broken:
+        return Broken(f"answers over {self._memory.limit_bytes} bytes together")
+
     async def _next_part(self, response: Response) -> bytes:
         """Return the next bytes of a body, empty at its end."""
         while (data := await read_part(response)) is None:
--- a/mulleinreach/gateway/request/tests/test_endless_answers.py
+++ b/mulleinreach/gateway/request/tests/test_endless_answers.py
@@ -11,6 +11,7 @@
 
 from mulleinreach.common import Address, Network
 from mulleinreach.common.response_head import MAX_HEAD_BYTES
+from mulleinreach.common.server.memory import MemoryLedger
 from mulleinreach.gateway.request.events import MAX_EVENT_BYTES, EventSplitter, EventTooLong
 from mulleinreach.gateway.request.exchange import (
     MAX_ANSWER_BYTES,
@@ -86,12 +87,26 @@
             server.close()
 
 
+class HaltingServer(EndlessServer):
+    """Sends some bytes, and nothing more until the client closes."""
+
+    def __init__(self, data: bytes):
+        super().__init__(data, b"")
+
+    async def serve(self, reader, writer) -> None:
+        """Send, and wait until the connection is closed."""
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(self._begin)
+        await reader.read()
+        writer.close()
+
+
 @contextlib.asynccontextmanager
-async def client():
+async def client(memory: MemoryLedger | None = None):
     """Yield a client as nodes use it."""
     session = Network("test").http_client(keeps_connections=False)
     try:
-        yield UpstreamClient(session, PlainDialect(), lambda upstream, notice: None)
+        yield UpstreamClient(session, PlainDialect(), lambda upstream, notice: None, memory)
     finally:
         await session.close()
 
@@ -210,3 +225,24 @@
         assert result.body == b"body"
 
     asyncio.run(test())
+
+
+# Guards against a small answer that breaks since a large one fills the memory.
+def test_largest_answer_that_is_read_makes_way_for_a_small_one():
+    async def test():
+        memory = MemoryLedger(45_000)
+        halting = HaltingServer(HEAD + b"Content-Length: 40000\r\n\r\n" + b"l" * 30_000)
+        whole = HaltingServer(HEAD + b"Content-Length: 20000\r\n\r\n" + b"s" * 20_000)
+        async with (
+            client(memory) as sender,
+            halting.upstream() as first,
+            whole.upstream() as second,
+        ):
+            large = asyncio.create_task(sender.send(first, request(), False))
+            while memory.held_bytes < 30_000:
+                await asyncio.sleep(0.01)
+            assert isinstance(await sender.send(second, request(), False), Answered)
+            assert isinstance(await large, Broken)
+        assert memory.held_bytes == 0
+
+    asyncio.run(test())
