The product's own interface has the same bounds on its clients

The same cause: entry/ and common/net.py served with the same HTTP server, without bounds on sums, connections or times. They take the same protocol; limits are settings (client_connections, client_memory_bytes, head_timeout_s, idle_timeout_s). Bodies are read by one function for both interfaces.

--- a/mulleinreach/common/net.py
+++ b/mulleinreach/common/net.py
@@ -13,10 +13,13 @@
 from mulleinreach.common.address import Address
 from mulleinreach.common.response_head import BoundedResponseHandler
 from mulleinreach.common.responses import Response
+from mulleinreach.common.server.handler import ClientBounds
+from mulleinreach.common.server.start import listen
 
 StreamHandler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None] | None]
 
 CONNECT_TIMEOUT_S = 1.0
+BACKLOG = 128
 MAX_LINE_BYTES = 8190
 MAX_HEADER_BYTES = 16380
 
@@ -40,8 +43,16 @@
     def __init__(self, origin: str = ""):
         self.origin = origin
 
-    async def serve_http(self, app: web.Application, address: Address) -> HttpServer:
-        """Serve ``app``; a handler is cancelled when its caller disconnects."""
+    async def serve_http(
+        self, app: web.Application, address: Address, bounds: ClientBounds | None = None
+    ) -> HttpServer:
+        """Serve ``app``; a handler is cancelled when its caller disconnects.
+
+        Parameters
+        ==========
+
+        bounds : on what clients make the process hold; ``None`` for clients that are trusted.
+        """
         runner = web.AppRunner(
             app,
             access_log=None,
@@ -51,6 +62,10 @@
             shutdown_timeout=0.1,
         )
         await runner.setup()
+        if bounds is not None:
+            return HttpServer(
+                runner, await listen(runner.server, bounds, address, accept_batch=BACKLOG)
+            )
         loop = asyncio.get_running_loop()
         server = await loop.create_server(runner.server, address.host, address.port)
         return HttpServer(runner, server)
--- a/mulleinreach/entry/callers.py
+++ b/mulleinreach/entry/callers.py
@@ -13,9 +13,11 @@
 
 from mulleinreach.admission import DistributedLimiter, KeyTable
 from mulleinreach.common import Clock, Code, EventLog, MulleinreachError
+from mulleinreach.common.server.body import begin_run
 from mulleinreach.entry.once import OnceRequest, run_once
 from mulleinreach.entry.parsing import (
     check_completion,
+    no_memory,
     parse_json,
     read_body,
     read_deadline_s,
@@ -231,6 +233,8 @@
         body = None
         if is_small or key is not None:
             body = await read_body(request, parts.bounds.body_bytes)
+        elif not begin_run(request):
+            raise no_memory()
         call = PlainCall(
             request_id=request_id,
             method=request.method,
--- a/mulleinreach/entry/parsing.py
+++ b/mulleinreach/entry/parsing.py
@@ -9,12 +9,15 @@
 from aiohttp import web
 
 from mulleinreach.common import Code, MulleinreachError
+from mulleinreach.common.server.body import BodyRefusal
+from mulleinreach.common.server.body import read_body as body_within_bounds
 
 MAX_TOKENS = 1_000_000
 MAX_KEY_CHARS = 200
 AFFINITY_CHARS = 2048
 DEADLINE_HEADER = "x-deadline-ms"
 KEY_HEADER = "idempotency-key"
+OVERLOAD_RETRY_AFTER_S = 1.0
 
 
 @dataclass(frozen=True)
@@ -27,16 +30,22 @@
     affinity: str
 
 
-async def read_body(request: web.Request, most: int) -> bytes:
-    """Return the whole body, or raise ``BODY_TOO_LARGE``."""
-    if (request.content_length or 0) > most:
-        raise _too_large(most)
-    body = bytearray()
-    async for chunk in request.content.iter_any():
-        body += chunk
-        if len(body) > most:
-            raise _too_large(most)
-    return bytes(body)
+async def read_body(request: web.Request, max_bytes: int) -> bytes:
+    """Return the whole body, or raise ``BODY_TOO_LARGE``, ``BAD_REQUEST`` or ``OVERLOADED``."""
+    body = await body_within_bounds(request, max_bytes)
+    if body is BodyRefusal.TOO_LARGE:
+        raise _too_large(max_bytes)
+    if body is BodyRefusal.MALFORMED:
+        raise MulleinreachError(Code.BAD_REQUEST, "the body's framing can't be parsed")
+    if body is BodyRefusal.NO_MEMORY:
+        raise no_memory()
+    return body
+
+
+def no_memory() -> MulleinreachError:
+    """Return the error of a request for which there is no memory; it has not run."""
+    message = "there is no memory for the body beside other requests"
+    return MulleinreachError(Code.OVERLOADED, message, retry_after_s=OVERLOAD_RETRY_AFTER_S)
 
 
 def _too_large(most: int) -> MulleinreachError:
--- a/mulleinreach/node.py
+++ b/mulleinreach/node.py
@@ -11,6 +11,9 @@
 from mulleinreach.admission import AdmissionQueue, DistributedLimiter, KeyTable
 from mulleinreach.audit import AuditTrail
 from mulleinreach.common import Address, Clock, EventLog, Network, TaskGroup, run_periodically
+from mulleinreach.common.server.connections import ConnectionTable, ConnectionTimeouts
+from mulleinreach.common.server.handler import ClientBounds
+from mulleinreach.common.server.memory import MemoryLedger
 from mulleinreach.entry.callers import CallerInterface, CallerParts
 from mulleinreach.entry.explain import Explainer
 from mulleinreach.entry.operators import OperatorInterface, OperatorParts
@@ -77,6 +80,7 @@
         self.is_stopping = False
         self._tasks = TaskGroup()
         self._servers = []
+        self._client_connections: list[ConnectionTable] = []
 
     async def start(self) -> None:
         """Listen, then begin all tasks."""
@@ -90,11 +94,33 @@
             (self.callers.app(), listen.callers),
             (self.operators.app(), listen.operators),
         ):
-            server = await self.network.serve_http(app, Address.parse(address))
+            bounds = self._make_client_bounds()
+            server = await self.network.serve_http(app, Address.parse(address), bounds)
             self._servers.append(server)
+            self._client_connections.append(bounds.connections)
         self._start_tasks()
         self.log.event("node_started", incarnation=self.incarnation)
 
+    def _make_client_bounds(self) -> ClientBounds:
+        """Return the bounds on what clients of one interface make the process hold."""
+        limits = self.settings.limits
+        connections = ConnectionTable(
+            self.clock,
+            limits.client_connections,
+            lambda reason: self.log.event("connection_closed", why=reason),
+        )
+        return ClientBounds(
+            connections,
+            MemoryLedger(limits.client_memory_bytes),
+            on_malformed=lambda status, reason: self.log.event(
+                "request_malformed", status=status, why=reason
+            ),
+        )
+
+    def _client_timeouts(self) -> ConnectionTimeouts:
+        limits = self.settings.limits
+        return ConnectionTimeouts(limits.idle_timeout_s, limits.head_timeout_s)
+
     def _make_clients(self) -> None:
         platform = self.settings.platform
         self.control_session: aiohttp.ClientSession = self.network.http_client()
@@ -307,6 +333,8 @@
     async def _sweep(self) -> None:
         self.active.sweep()
         self.queue.admit_all_waiting()
+        for connections in self._client_connections:
+            connections.check(self._client_timeouts())
 
     # What the slices ask about the node.
 
--- a/mulleinreach/settings/model.py
+++ b/mulleinreach/settings/model.py
@@ -102,7 +102,16 @@
 
 
 class LimitSettings(StrictModel):
-    """Limits on requests of callers and on the data that a node stores."""
+    """Limits on requests of callers and on the data that a node stores.
+
+    Explanation
+    ===========
+
+    ``client_connections`` and ``client_memory_bytes`` bound the connections of clients, and the
+    requests and untaken answers that they make a node hold, at each of its two interfaces.
+    ``head_timeout_s`` is the time from the first byte of a request's head to its end,
+    ``idle_timeout_s`` that between two requests, and to take some bytes of an answer.
+    """
 
     body_bytes: int = Field(4_000_000, ge=1024, le=64_000_000)
     json_depth: int = Field(32, ge=2, le=200)
@@ -110,6 +119,10 @@
     resume_bytes: int = Field(1_000_000, ge=0, le=64_000_000)
     queue_length: int = Field(256, ge=0, le=100_000)
     explained_requests: int = Field(10_000, ge=10, le=1_000_000)
+    client_connections: int = Field(2000, ge=8, le=100_000)
+    client_memory_bytes: int = Field(128_000_000, ge=1_000_000)
+    head_timeout_s: float = Field(10.0, gt=0, le=3600)
+    idle_timeout_s: float = Field(75.0, gt=0, le=3600)
 
 
 class EngineSettings(StrictModel):
