--- a/mulleinreach/platform/tests/crowds/crowd.py
+++ b/mulleinreach/platform/tests/crowds/crowd.py
@@ -20,10 +20,17 @@
 
 
 class Crowd:
-    """Sends bytes on many connections and never reads."""
+    """Sends bytes on many connections and never reads.
+
+    Explanation
+    ===========
+
+    ``is_refused`` tells that no connection could be opened, as long as nothing listens.
+    """
 
     def __init__(self, address: Address):
         self._address = address
+        self.is_refused = True
         self._sockets: list[socket.socket] = []
 
     async def send(self, payloads: Iterable[Iterable[bytes]]) -> None:
@@ -42,6 +49,7 @@
         # A gateway may refuse such a client or close its connection.
         with contextlib.suppress(OSError):
             await loop.sock_connect(connection, (self._address.host, self._address.port))
+            self.is_refused = False
             for data in payload:
                 await loop.sock_sendall(connection, data)
 
--- a/mulleinreach/platform/tests/crowds/gateway.py
+++ b/mulleinreach/platform/tests/crowds/gateway.py
@@ -45,12 +45,20 @@
     ``broken`` says which limit the process didn't keep.
     """
 
-    def __init__(self, process: GatewayProcess, callers: Callers, limits: MachineLimits):
+    def __init__(
+        self,
+        world: SoakWorld,
+        process: GatewayProcess,
+        callers: Callers,
+        limits: MachineLimits,
+    ):
+        self._world = world
         self._process = process
         self._callers = callers
         self._limits = limits
         self._most_descriptors = 0
-        self.address = process.callers
+        self.callers_address = process.callers
+        self.readiness_address = process.readiness
 
     async def watch_descriptors(self) -> None:
         """Look at the open descriptors now and then, without end."""
@@ -60,6 +68,13 @@
                 self._most_descriptors = max(self._most_descriptors, len(list(directory.iterdir())))
             await asyncio.sleep(SAMPLE_INTERVAL_S)
 
+    async def until_served(self) -> None:
+        """Wait until the gateway serves all models and the plain service."""
+        async with self._callers.open():
+            await self._callers.until_served()
+        while not _served_models(self._world) >= MODELS:
+            await asyncio.sleep(SAMPLE_INTERVAL_S)
+
     async def serve_ordinary_request(self, kind: str) -> bool:
         """Send an ordinary request until it is answered; ``False`` if it never is."""
         with contextlib.suppress(TimeoutError):
@@ -99,10 +114,10 @@
 
 
 @contextlib.asynccontextmanager
-async def crowded_gateway(
+async def starting_gateway(
     limits: MachineLimits, caller_limits: CallerLimits
 ) -> AsyncIterator[CrowdedGateway]:
-    """Run a gateway that serves, with the limits of its machine and its configuration."""
+    """Run a gateway that has just been started, with the limits of machine and configuration."""
     with tempfile.TemporaryDirectory(prefix="crowd-") as directory:
         world = SoakWorld(Path(directory), nodes=0, hosts=HOSTS_PER_HALL, seed=1)
         world.options = DocumentOptions(
@@ -113,11 +128,7 @@
             await world.start()
             process = await _start_gateway(world, Path(directory), limits)
             callers = Callers(world, random.Random(1), SoakReport(1))
-            async with callers.open():
-                await callers.until_served()
-            while not _served_models(world) >= MODELS:
-                await asyncio.sleep(SAMPLE_INTERVAL_S)
-            gateway = CrowdedGateway(process, callers, limits)
+            gateway = CrowdedGateway(world, process, callers, limits)
             watcher = asyncio.create_task(gateway.watch_descriptors())
             yield gateway
         finally:
@@ -126,6 +137,16 @@
             await world.close()
 
 
+@contextlib.asynccontextmanager
+async def crowded_gateway(
+    limits: MachineLimits, caller_limits: CallerLimits
+) -> AsyncIterator[CrowdedGateway]:
+    """Run a gateway that serves all models, like :func:`starting_gateway`."""
+    async with starting_gateway(limits, caller_limits) as gateway:
+        await gateway.until_served()
+        yield gateway
+
+
 def _served_models(world: SoakWorld) -> set[str]:
     """Return the models of which a group is open."""
     standings = [host.standing for host in world.fabric.hosts.values()]
--- a/mulleinreach/platform/tests/crowds/test_crowds.py
+++ b/mulleinreach/platform/tests/crowds/test_crowds.py
@@ -22,6 +22,7 @@
     CrowdedGateway,
     MachineLimits,
     crowded_gateway,
+    starting_gateway,
 )
 from mulleinreach.platform.tests.soak.document import CallerLimits
 
@@ -51,7 +52,7 @@
 
     async def run() -> None:
         async with crowded_gateway(limits, caller_limits) as gateway:
-            crowd = Crowd(gateway.address)
+            crowd = Crowd(gateway.callers_address)
             await crowd.send(payloads)
             if leaves_in_answer:
                 await crowd.until_answered()
@@ -149,11 +150,53 @@
     check_crowd([[OPENINGS[opening], LARGE_BODY, LARGE_BODY] for _ in range(150)])
 
 
+# Guards against connections to another port than the callers' that take all descriptors.
+def test_connections_for_readiness_that_send_nothing_leave_descriptors_for_others():
+    async def run() -> None:
+        async with crowded_gateway(FEW_DESCRIPTORS, CallerLimits()) as gateway:
+            crowd = Crowd(gateway.readiness_address)
+            await crowd.send([[] for _ in range(400)])
+            await check_gateway(gateway)
+            crowd.leave()
+
+    asyncio.run(run())
+
+
+# Guards against a crowd that comes before the gateway has read its configuration.
+def test_crowd_at_the_start_of_a_gateway_keeps_nobody_else_out():
+    async def run() -> None:
+        async with starting_gateway(USUAL_LIMITS, CallerLimits()) as gateway:
+            crowd = Crowd(gateway.callers_address)
+            ahead = b"".join(request("/stock/1", b"", large_fields(100, 100)) for _ in range(40))
+            orders = [request("/order/1", LARGE_BODY)[:-1]] * 100
+            while crowd.is_refused:
+                await asyncio.sleep(0.1)
+                await crowd.send([[ahead] for _ in range(100)] + [[order] for order in orders])
+            await check_gateway(gateway)
+            crowd.leave()
+
+    asyncio.run(run())
+
+
+# Guards against requests that go on at a gateway after their callers have left.
+def test_callers_that_send_and_leave_again_and_again_keep_nobody_else_out():
+    async def run() -> None:
+        async with crowded_gateway(USUAL_LIMITS, CallerLimits()) as gateway:
+            crowd = Crowd(gateway.callers_address)
+            for _ in range(20):
+                await crowd.send([[stream()] for _ in range(30)])
+                await crowd.send([[request("/order/1", LARGE_BODY)] for _ in range(10)])
+                crowd.leave()
+            await check_gateway(gateway)
+
+    asyncio.run(run())
+
+
 # Guards against a crowd that keeps a stopping gateway from ending.
 def test_gateway_with_a_crowd_ends_when_it_is_stopped():
     async def run() -> None:
         async with crowded_gateway(USUAL_LIMITS, CallerLimits()) as gateway:
-            crowd = Crowd(gateway.address)
+            crowd = Crowd(gateway.callers_address)
             held = request("/order/1", LARGE_BODY)[:-1]
             ahead = request("/stock/1", b"", large_fields(100, 100))
             await crowd.send([[stream(), ahead] for _ in range(50)] + [[held]] * 20)
