Few connections are accepted in one turn of the event loop

What callers saw: with the bound on connections a crowd of 400 at 256 descriptors still ran out of them, since asyncio accepts as many at once as the backlog holds, and a connection is closed some turns later (5,790 tracebacks of accept() in the crowd test of unread streams).

The loop accepts 16 a turn now, whatever the backlog, which stays 512. The unit test fails without it: 40 are accepted in the first turn.

--- a/mulleinreach/common/net.py
+++ b/mulleinreach/common/net.py
@@ -19,7 +19,6 @@
 StreamHandler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None] | None]
 
 CONNECT_TIMEOUT_S = 1.0
-BACKLOG = 128
 MAX_LINE_BYTES = 8190
 MAX_HEADER_BYTES = 16380
 
@@ -63,9 +62,7 @@
         )
         await runner.setup()
         if bounds is not None:
-            return HttpServer(
-                runner, await listen(runner.server, bounds, address, accept_batch=BACKLOG)
-            )
+            return HttpServer(runner, await listen(runner.server, bounds, address))
         loop = asyncio.get_running_loop()
         server = await loop.create_server(runner.server, address.host, address.port)
         return HttpServer(runner, server)
--- a/mulleinreach/common/tests/test_loop.py
+++ b/mulleinreach/common/tests/test_loop.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 
 import pytest
 
 from mulleinreach.common import loop as loop_module
-from mulleinreach.common.loop import SuspendAwareEventLoop, suspended_s
+from mulleinreach.common.loop import ACCEPT_BATCH, SuspendAwareEventLoop, suspended_s
 
 
 class FakeSystemClocks:
@@ -72,3 +73,28 @@
     before = suspended_s()
     machine.suspended_for_s = 7
     assert suspended_s() - before == pytest.approx(7, abs=1)
+
+
+# Guards against a crowd whose descriptors are all accepted before any of them can be closed.
+def test_connections_are_accepted_in_batches():
+    async def count_first_batch() -> int:
+        accepted = []
+        listener = socket.create_server(("127.0.0.1", 0), backlog=100)
+        clients = [socket.create_connection(listener.getsockname()) for _ in range(40)]
+        loop = asyncio.get_running_loop()
+        loop._accept_connection2 = lambda factory, connection, *rest: _note(accepted, connection)
+        server = await loop.create_server(asyncio.Protocol, sock=listener, backlog=100)
+        while not accepted:
+            await asyncio.sleep(0)
+        count = len(accepted)
+        server.close()
+        for each in [*clients, *accepted]:
+            each.close()
+        return count
+
+    with asyncio.Runner(loop_factory=SuspendAwareEventLoop) as runner:
+        assert 0 < runner.run(count_first_batch()) <= ACCEPT_BATCH
+
+
+async def _note(accepted: list[socket.socket], connection: socket.socket) -> None:
+    accepted.append(connection)
--- a/mulleinreach/gateway/resources.py
+++ b/mulleinreach/gateway/resources.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from mulleinreach.common.server.start import ACCEPT_BATCH
+from mulleinreach.common.loop import ACCEPT_BATCH
 
 # The program itself, what it knows of its deployment, and its connections.
 PROCESS_MB = 96.0
