Read once more: one Retry-After for lack of memory, one check of a paused connection, a stale docstring

CrowdedGateway's docstring named an attribute that it doesn't have. Behaviour and assertions are as before.

--- a/mulleinreach/common/server/handler.py
+++ b/mulleinreach/common/server/handler.py
@@ -34,7 +34,8 @@
 REQUEST_COST_BYTES = 16_384
 DEFAULT_HEAD_BYTES = 32_768
 MAX_REASON_LENGTH = 200
-RETRY_AFTER_S = 1.0
+# Value of Retry-After where other requests hold the memory, most of which take a second or so.
+OVERLOAD_RETRY_AFTER_S = 1.0
 
 
 class RequestEvicted(Exception):
@@ -44,7 +45,8 @@
 async def refuse_overload(request: web.BaseRequest) -> web.Response:
     """Return the answer to a request for which there is no memory; it has not run."""
     response = web.Response(
-        status=HTTPStatus.SERVICE_UNAVAILABLE, headers={"Retry-After": f"{RETRY_AFTER_S:g}"}
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
+        headers={"Retry-After": f"{OVERLOAD_RETRY_AFTER_S:g}"},
     )
     response.force_close()
     return response
@@ -211,7 +213,7 @@
 
     def _end_throttle(self) -> None:
         self._is_throttled = False
-        if self.transport is not None and not self._is_waiting():
+        if self.transport is not None:
             self._resume_reading_if_drained()
 
     def _resume_reading_if_drained(self) -> None:
--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -12,6 +12,7 @@
 from mulleinreach.common import Clock, EventLog
 from mulleinreach.common.responses import BodyFraming
 from mulleinreach.common.server.body import BodyRefusal, read_body
+from mulleinreach.common.server.handler import OVERLOAD_RETRY_AFTER_S
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.model import RouteKind, Service
 from mulleinreach.gateway.ports import CallerHeaders, Dialect
@@ -39,8 +40,6 @@
 # Value of Retry-After for a held request, which isn't sent since upstreams crash when they run it.
 # The hold lasts an hour; callers that come back sooner cost no upstream anything.
 HELD_RETRY_AFTER_S = 60.0
-# Value of Retry-After where other requests hold the memory, most of which take a second or so.
-OVERLOAD_RETRY_AFTER_S = 1.0
 # Jitter of Retry-After as a fraction of the upstream's rest, against simultaneous retries.
 RETRY_SPREAD_RATIO = 1.0
 # An upstream may be replaced before a longer rest is over.
--- a/mulleinreach/platform/tests/crowds/gateway.py
+++ b/mulleinreach/platform/tests/crowds/gateway.py
@@ -37,13 +37,7 @@
 
 
 class CrowdedGateway:
-    """A gateway process at which a crowd calls.
-
-    Explanation
-    ===========
-
-    ``broken`` says which limit the process didn't keep.
-    """
+    """A gateway process at which a crowd calls."""
 
     def __init__(
         self,
