--- a/mulleinreach/platform/tests/soak/callers.py
+++ b/mulleinreach/platform/tests/soak/callers.py
@@ -25,6 +25,7 @@
     FATAL_PIECES,
     MODEL_SERVICE,
     PLAIN_SERVICE,
+    PLAIN_TIMEOUT_S,
 )
 from mulleinreach.platform.tests.soak.processes import GatewayProcess
 from mulleinreach.platform.tests.soak.report import SoakReport
@@ -71,6 +72,43 @@
     service: str = ""
 
 
+@dataclass(frozen=True)
+class CallerRequest:
+    """A request that a caller is about to send.
+
+    Parameters
+    ==========
+
+    timeout_s : how long it may take; afterwards nobody is owed an answer.
+    """
+
+    request_id: str
+    kind: str
+    gateway: GatewayProcess
+    path: str
+    headers: Mapping[str, str]
+    body: str
+    timeout_s: float
+
+
+@dataclass(frozen=True)
+class Unanswered:
+    """A request whose connection ended without a whole answer; times are the loop's.
+
+    Parameters
+    ==========
+
+    began_at, sent_at : when its first and its last byte were sent.
+    has_part : whether a part of its answer had come.
+    """
+
+    request: CallerRequest
+    began_at: float
+    sent_at: float
+    ended_at: float
+    has_part: bool
+
+
 @dataclass(frozen=True)
 class ToldNotice:
     """An answer, passed on by a gateway, that says something of its upstream."""
@@ -89,7 +127,8 @@
     ``sent`` holds all requests by their ids, ``fatal`` the ids of those that crash replicas,
     ``fatal_by_part`` of those that do so by a part of their prompts, ``orders`` of those that may
     run once at most, ``not_run`` of those that were answered as not run; ``told_leaving`` the
-    answers of upstreams that leave, ``told_limits`` of those that name a limit.
+    answers of upstreams that leave, ``told_limits`` of those that name a limit; ``unanswered`` the
+    requests whose connections ended without a whole answer.
     """
 
     def __init__(
@@ -110,6 +149,7 @@
         self.not_run: set[str] = set()
         self.told_leaving: list[ToldNotice] = []
         self.told_limits: list[ToldNotice] = []
+        self.unanswered: list[Unanswered] = []
         # How many times as many requests come as usual.
         self.rate_factor = 1.0
         self._number = 0
@@ -149,6 +189,19 @@
         has_fatal_part: bool = False,
     ) -> int:
         """Send a request; returns its status, 0 without a whole answer."""
+        request = self.make_request(kind, gateway, is_fatal, has_fatal_part)
+        status = await self._exchange(request)
+        self._report.answers[f"{kind} {status}"] += 1
+        return status
+
+    def make_request(
+        self,
+        kind: str,
+        gateway: GatewayProcess,
+        is_fatal: bool = False,
+        has_fatal_part: bool = False,
+    ) -> CallerRequest:
+        """Return a new request, which is noted as sent."""
         self._number += 1
         request_id = f"request-{self._number}"
         if is_fatal:
@@ -173,34 +226,48 @@
             headers[PROMPT_PREFIX] = self._prompt_parts(has_fatal_part)
         pieces = FATAL_PIECES if is_fatal else self._traffic.pieces
         body = str(pieces) if kind == "stream" else f"tins {request_id}"
-        status = await self._exchange(gateway, kind, request_id, headers, body)
-        self._report.answers[f"{kind} {status}"] += 1
-        return status
+        # Requests are alike but for those that name their parts.
+        number = request_id if PROMPT_PREFIX in headers else "1"
+        timeout_s = DEADLINE_S if kind == "stream" else min(DEADLINE_S, PLAIN_TIMEOUT_S)
+        return CallerRequest(
+            request_id, kind, gateway, f"/{kind}/{number}", headers, body, timeout_s
+        )
 
     def _prompt_parts(self, has_fatal_part: bool) -> str:
         """Return the parts of the latest request's prompt; the last one is its own."""
         subject = FATAL_PART if has_fatal_part else f"b{self._number % SUBJECTS}"
         return f"{SYSTEM_PART}:40,{subject}:200,c{self._number:x}:60"
 
-    async def _exchange(
-        self, gateway: GatewayProcess, kind: str, request_id: str, headers: dict, body: str
-    ) -> int:
-        # Requests are alike but for those that name their parts.
-        number = request_id if PROMPT_PREFIX in headers else "1"
-        url = f"{gateway.callers.url}/{kind}/{number}"
+    async def _exchange(self, request: CallerRequest) -> int:
+        began_at = asyncio.get_running_loop().time()
+        url = request.gateway.callers.url + request.path
+        has_part = False
         try:
-            async with self._session.post(url, data=body, headers=headers) as response:
-                self._note_notices(gateway, response.headers)
+            async with self._session.post(
+                url, data=request.body, headers=request.headers
+            ) as response:
+                has_part = True
+                self._note_notices(request.gateway, response.headers)
                 answer = (await response.read()).decode()
                 status = response.status
+        except aiohttp.ClientConnectorError:
+            # Nobody has read anything of the request.
+            return 0
         except (aiohttp.ClientError, OSError, TimeoutError):
+            # Such a small request is sent at once.
+            ended_at = asyncio.get_running_loop().time()
+            self.unanswered.append(Unanswered(request, began_at, began_at, ended_at, has_part))
             return 0
-        if status == 200 and not self._is_fatal(request_id):
-            self.check_answer(kind, request_id, body, answer)
-        if status in (429, 503):
-            self.not_run.add(request_id)
+        self.note_answer(request, status, answer)
         return status
 
+    def note_answer(self, request: CallerRequest, status: int, answer: str) -> None:
+        """Check a whole answer, and note what it promises."""
+        if status == 200 and not self._is_fatal(request.request_id):
+            self.check_answer(request.kind, request.request_id, request.body, answer)
+        if status in (429, 503):
+            self.not_run.add(request.request_id)
+
     def _is_fatal(self, request_id: str) -> bool:
         return request_id in self.fatal or request_id in self.fatal_by_part
 
--- a/mulleinreach/platform/tests/soak/document.py
+++ b/mulleinreach/platform/tests/soak/document.py
@@ -14,6 +14,8 @@
 COLD_OVERAGE = 1.5
 COLD_SLACK = 1.0
 STREAM_MAX_ATTEMPTS = 2
+# How long requests for the plain service may take.
+PLAIN_TIMEOUT_S = 3.0
 # Requests for the plain service that may be repeated.
 STOCK_PREFIX = "/stock/"
 # Streams of so many events crash the replicas that run them, where a soak has such requests.
@@ -41,6 +43,7 @@
 
     idle_timeout_ms: int = 15_000
     stream_timeout_ms: int = 8_000
+    plain_timeout_s: float = PLAIN_TIMEOUT_S
     has_extra_route: bool = False
     limits: CallerLimits = CallerLimits()
 
@@ -71,7 +74,7 @@
                 "name": "u",
                 "path_prefix": "/order/",
                 "kind": "unsafe",
-                "timeout_ms": 3000,
+                "timeout_ms": int(1000 * options.plain_timeout_s),
             },
             {
                 **common,
@@ -80,7 +83,7 @@
                 "path_prefix": STOCK_PREFIX,
                 "kind": "safe",
                 "max_attempts": 2,
-                "timeout_ms": 3000,
+                "timeout_ms": int(1000 * options.plain_timeout_s),
             },
         ],
         "services": [
--- a/mulleinreach/platform/tests/soak/faults.py
+++ b/mulleinreach/platform/tests/soak/faults.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable
 
 from mulleinreach.platform.tests.soak.hall_faults import HallFaults
+from mulleinreach.platform.tests.soak.processes import GRACE_S
 from mulleinreach.platform.tests.soak.report import SoakReport
 from mulleinreach.platform.tests.soak.world import SoakWorld
 from mulleinreach.standins.gateway.hosts import HostStandIn
@@ -105,7 +106,7 @@
     async def stop_as_planned(self) -> None:
         """End a gateway with notice."""
         self._rng.choice(self._world.gateways).signal(signal.SIGTERM)
-        await asyncio.sleep(8)
+        await asyncio.sleep(GRACE_S)
         self._world.restart_ended()
 
     async def cut_store(self) -> None:
--- a/mulleinreach/platform/tests/soak/plain.py
+++ b/mulleinreach/platform/tests/soak/plain.py
@@ -11,6 +11,8 @@
 from mulleinreach.platform.tests.soak.document import STOCK_PREFIX
 
 PLAIN_WORK_S = 0.05
+# Names in a request's query how long it takes, in seconds.
+WORK_PARAMETER = "work_s"
 
 
 @dataclass
@@ -50,7 +52,7 @@
             now = asyncio.get_running_loop().time()
             organisation = request.headers.get(TENANT, "")
             self.runs.append(PlainRun(request_id, organisation, upstream_id, now))
-            await asyncio.sleep(PLAIN_WORK_S)
+            await asyncio.sleep(float(request.query.get(WORK_PARAMETER, PLAIN_WORK_S)))
             if self.loses_answers:
                 request.transport.abort()
             if self._fails(request, request_id):
--- a/mulleinreach/platform/tests/soak/processes.py
+++ b/mulleinreach/platform/tests/soak/processes.py
@@ -26,6 +26,8 @@
 # How soon after an operator's request nothing more may be sent to a hall, in seconds:
 # shorter than deployments agree on, so that a short soak sees requests after it.
 EVACUATION_S = 3.0
+# Between SIGTERM and SIGKILL.
+GRACE_S = 8.0
 RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_S = 0.2, 136, 10
 # Ports of gateways that may not have started yet, or are down: those of the last hundred.
 _given_ports: deque[int] = deque(maxlen=500)
@@ -45,11 +47,16 @@
     process: subprocess.Popen | None = None
     started_at: list[float] = field(default_factory=list)
     terminated_at: list[float] = field(default_factory=list)
+    killed_at: list[float] = field(default_factory=list)
 
     def is_running(self) -> bool:
         """Whether the process has not ended."""
         return self.process is not None and self.process.poll() is None
 
+    def is_stopping(self) -> bool:
+        """Whether the process was asked to stop and has not ended."""
+        return self.is_running() and any(at >= self.started_at[-1] for at in self.terminated_at)
+
     def start(self) -> None:
         """Start the process; its log goes to a file beside the settings."""
         self.started_at.append(asyncio.get_running_loop().time())
@@ -67,8 +74,11 @@
         """Send the process a signal, unless it has ended."""
         if not self.is_running():
             return
+        now = asyncio.get_running_loop().time()
         if number == signal.SIGTERM:
-            self.terminated_at.append(asyncio.get_running_loop().time())
+            self.terminated_at.append(now)
+        if number == signal.SIGKILL:
+            self.killed_at.append(now)
         self.process.send_signal(number)
 
 
@@ -90,7 +100,7 @@
         f"internal_ports={ports[2]},{ports[-1]}\n"
         f"platform.address={LOCAL}:{store_link.port}\n"
         "limits.cores=1\nlimits.cpu_fraction=1\nlimits.link_mbps=100\n"
-        "bounds.grace_s=8\nbounds.revoke_ms=5000\nbounds.strict_revoke=true\n"
+        f"bounds.grace_s={GRACE_S:g}\nbounds.revoke_ms=5000\nbounds.strict_revoke=true\n"
         "bootstrap=false\nbounds.drain_ms=2000\nbounds.config_ms=2000\n"
         "bounds.stall_ms=5000\nbounds.require_fence=true\n"
         f"bounds.retry_budget_ratio={RETRY_RATIO}\nbounds.budget_window_s={RETRY_WINDOW_S}\n"
--- a/mulleinreach/platform/tests/soak/report.py
+++ b/mulleinreach/platform/tests/soak/report.py
@@ -27,6 +27,7 @@
     excessive_deadlines : sends that gave an upstream more time than their caller waits.
     late_fatal : arrivals of requests that crash replicas, after these should have been known.
     retry_bound_used : by service, the largest part of the bound on retries that was used.
+    lost : requests that were read and whose connections ended without an answer.
     """
 
     seed: int
@@ -38,6 +39,7 @@
     excessive_deadlines: int = 0
     late_fatal: int = 0
     retry_bound_used: dict[str, float] = field(default_factory=dict)
+    lost: int = 0
     begun_faults: list[BegunFault] = field(default_factory=list)
 
     def note_fault(self, name: str) -> None:
@@ -57,4 +59,5 @@
             "excessive_deadlines": self.excessive_deadlines,
             "late_fatal": self.late_fatal,
             "retry_bound_used": self.retry_bound_used,
+            "lost": self.lost,
         }
--- a/mulleinreach/platform/tests/soak/run.py
+++ b/mulleinreach/platform/tests/soak/run.py
@@ -33,14 +33,18 @@
 from mulleinreach.platform.tests.soak.faults import Faults
 from mulleinreach.platform.tests.soak.limit_checks import LimitChecks
 from mulleinreach.platform.tests.soak.limit_faults import LimitFaults
+from mulleinreach.platform.tests.soak.loss_checks import LossChecks
 from mulleinreach.platform.tests.soak.notice_checks import NoticeChecks
 from mulleinreach.platform.tests.soak.notice_faults import NoticeFaults
+from mulleinreach.platform.tests.soak.processes import GRACE_S
 from mulleinreach.platform.tests.soak.replicas import USUAL_BACKLOG
 from mulleinreach.platform.tests.soak.report import SoakReport
 from mulleinreach.platform.tests.soak.restore_faults import RestoreFaults
 from mulleinreach.platform.tests.soak.retry_checks import RetryChecks
+from mulleinreach.platform.tests.soak.segmented_callers import SegmentedCallers
 from mulleinreach.platform.tests.soak.silence_faults import SilenceFaults
 from mulleinreach.platform.tests.soak.start_faults import StartFaults
+from mulleinreach.platform.tests.soak.stop_faults import StopFaults
 from mulleinreach.platform.tests.soak.world import SoakWorld
 
 
@@ -62,6 +66,7 @@
     crashes : by what requests crash the domains, which are processes of their own, if they do.
     crash_framing : how the ends of streams are marked where requests crash domains.
     failures : whether first tries fail at the plain service, beside bursts of requests.
+    stops : whether gateways are stopped as planned, while requests come in segments.
     """
 
     processes: bool = True
@@ -74,6 +79,11 @@
     crashes: CrashCause = CrashCause.NONE
     failures: bool = False
     crash_framing: BodyFraming = BodyFraming.CLOSE
+    stops: bool = False
+
+    def keeps_upstreams_sound(self) -> bool:
+        """Whether hosts and plain upstreams have no faults."""
+        return self == SoakKinds(processes=False, stops=self.stops)
 
 
 NO_KINDS = SoakKinds()
@@ -119,26 +129,37 @@
         if kinds.failures:
             rng = random.Random(f"failures {seed}")
             self._harmers.append(FailureFaults(world, rng, self.report, self.callers))
+        self._calls = [self.callers.call_for_ever]
+        if kinds.stops:
+            rng = random.Random(f"segments {seed}")
+            segmented = SegmentedCallers(world, rng, self.report, self.callers)
+            self._calls.append(segmented.call_for_ever)
+            stops = StopFaults(world, random.Random(f"stops {seed}"), self.report)
+            self._harmers.append(stops)
         self._notice_checks = NoticeChecks(world, self.callers, self.report)
         self._limit_checks = LimitChecks(world, self.callers, self.report)
         self._retry_checks = RetryChecks(world, self.callers, self.report)
         self._attempt_checks = AttemptChecks(world, self.report)
         self._deadline_checks = DeadlineChecks(world, self.callers, self.report)
         self._crash_checks = CrashChecks(world, self.callers, self.report)
+        self._loss_checks = LossChecks(
+            world, self.callers, self.report, kinds.keeps_upstreams_sound()
+        )
         self._world = world
 
     async def run(self, seconds: float) -> SoakReport:
         """Call and harm for some seconds, then see that requests are served again."""
         async with self.callers.open():
             await self.callers.until_served()
-            calling = asyncio.create_task(self.callers.call_for_ever())
+            calling = [asyncio.create_task(call()) for call in self._calls]
             harming = [asyncio.create_task(h.harm_for_ever()) for h in self._harmers]
-            tasks = [calling, *harming]
+            tasks = [*calling, *harming]
             await asyncio.sleep(seconds)
             for task in tasks:
                 task.cancel()
             ended = await asyncio.gather(*tasks, return_exceptions=True)
             self._note_failures(ended)
+            await self._end_stops()
             await self._faults.mend()
             self._notices.mend()
             self._limits.mend()
@@ -152,9 +173,17 @@
         self._attempt_checks.check()
         self._deadline_checks.check()
         self._crash_checks.check()
+        self._loss_checks.check()
         self.report.broken += self._world.fabric.checks.broken
         return self.report
 
+    async def _end_stops(self) -> None:
+        """Wait for the ends of stops that are under way, as operators' machines do."""
+        for gateway in self._world.gateways:
+            if gateway.is_stopping():
+                await asyncio.to_thread(gateway.process.wait, GRACE_S)
+        self._world.restart_ended()
+
     def _note_failures(self, ended: list) -> None:
         """A fault or a caller that failed by itself has tested nothing."""
         failed = [e for e in ended if not isinstance(e, asyncio.CancelledError)]
@@ -252,6 +281,9 @@
     backlog: Annotated[
         int, typer.Option(help="Connections that the system holds for a host in such a process.")
     ] = USUAL_BACKLOG,
+    stops: Annotated[
+        bool, typer.Option(help="Whether gateways are stopped as planned, in series.")
+    ] = False,
     calls_per_s: Annotated[float, typer.Option(help="Requests of all callers together.")] = 33.0,
     pieces: Annotated[int, typer.Option(help="Events of a stream.")] = 15,
     gateways_from: Annotated[
@@ -278,6 +310,7 @@
             crashes,
             failures,
             crash_framing,
+            stops,
         )
         traffic = make_traffic(kinds, calls_per_s, pieces)
         report = asyncio.run(
@@ -293,7 +326,7 @@
             f" ({max(report.retry_bound_used.values(), default=0)} of the bound);"
             f" crashes {report.faults['crash']}, late crashing {report.late_fatal};"
             f" above their attempts {report.excessive_attempts};"
-            f" above their time {report.excessive_deadlines}",
+            f" above their time {report.excessive_deadlines}; lost {report.lost}",
             flush=True,
         )
         for line in report.broken[:10]:
--- a/mulleinreach/platform/tests/test_soak.py
+++ b/mulleinreach/platform/tests/test_soak.py
@@ -85,4 +85,5 @@
         "excessive_deadlines": 0,
         "late_fatal": 0,
         "retry_bound_used": {},
+        "lost": 0,
     }
