--- a/mulleinreach/common/server/handler.py
+++ b/mulleinreach/common/server/handler.py
@@ -63,6 +63,8 @@
     head_bytes : returns the largest head that is read; the handler may refuse smaller ones.
     refuse : answers a request for which there is no memory.
     on_malformed : called with status and reason for each request that can't be parsed.
+    on_dropped : called if a connection ends before all requests that were read have begun, with
+        their number; the rest of what was read counts as one.
     """
 
     connections: ConnectionTable
@@ -71,6 +73,7 @@
     head_bytes: Callable[[], int] = lambda: DEFAULT_HEAD_BYTES
     refuse: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]] = refuse_overload
     on_malformed: Callable[[int, str], None] = lambda status, reason: None
+    on_dropped: Callable[[int], None] = lambda count: None
 
 
 class BoundedRequestHandler(RequestHandler):
@@ -140,6 +143,9 @@
         self._bounds.connections.remove(self)
         self.memory.release()
         self._connected = None
+        dropped = len(self._messages) + bool(self._read_ahead)
+        if dropped:
+            self._bounds.on_dropped(dropped)
         self._read_ahead = b""
         super().connection_lost(exc)
 
--- a/mulleinreach/gateway/http_server.py
+++ b/mulleinreach/gateway/http_server.py
@@ -60,6 +60,7 @@
             head_bytes=lambda: limits().header_bytes,
             refuse=refuse,
             on_malformed=self._on_malformed,
+            on_dropped=self._on_dropped,
         )
         self._operators = ClientBounds(
             ConnectionTable(clock, MAX_OPERATOR_CONNECTIONS, self._on_closed),
@@ -74,6 +75,9 @@
         self._metrics.count_denied(status)
         self._log.event("request_malformed", status=status, why=reason)
 
+    def _on_dropped(self, count: int) -> None:
+        self._log.event("requests_dropped", count=count)
+
     async def serve_callers(
         self, handler: Handler, address: Address, listening_socket: socket.socket | None
     ) -> None:
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -445,6 +445,7 @@
         self.tunnel_server.stop_listening()
         while self._has_work() and self.clock.now() < abort_at:
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
+        self.relay.log_cut()
         await self.abort()
         self.log.event("node_stopped", in_flight=self.relay.in_flight)
 
--- a/mulleinreach/gateway/request/job.py
+++ b/mulleinreach/gateway/request/job.py
@@ -87,6 +87,8 @@
     # unlikely to have ended because of it.
     ended_runs: int = 0
     upstream_id: str = ""
+    # Whether the head of an answer was passed on.
+    is_answering: bool = False
     # How the body of the latest answer ended.
     body_end: BodyEnd | None = None
 
--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -29,6 +29,7 @@
 )
 from mulleinreach.gateway.request.job import RelayJob, end_to_end_headers
 from mulleinreach.gateway.request.late import LateGate
+from mulleinreach.gateway.request.owed import OwedRequest, OwedRequests
 from mulleinreach.gateway.request.run_outcomes import RunOutcomeRecorder
 from mulleinreach.gateway.request.send_policy import MIN_REMAINING_S, SendPolicy
 from mulleinreach.gateway.request.sending import Sender
@@ -87,21 +88,27 @@
         self._clock = clock
         self._log = log
         self._rng = rng
-        self.in_flight = 0
+        self._owed = OwedRequests(clock, log)
         self.is_stopping = False
 
+    @property
+    def in_flight(self) -> int:
+        """The number of requests that are owed an answer."""
+        return len(self._owed)
+
+    def log_cut(self) -> None:
+        """Log the requests that are about to end without a whole answer."""
+        self._owed.log_cut()
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request; closes its connection afterwards if the node is stopping."""
-        started_at = self._clock.now()
-        self.in_flight += 1
-        try:
-            response = await self._answer(request, started_at)
-        except ConnectionError as error:
-            request_id = self._dialect.read_request(request.headers).request_id
-            self._log.event("caller_left", id=request_id, why=str(error))
-            raise
-        finally:
-            self.in_flight -= 1
+        request_id = self._dialect.read_request(request.headers).request_id
+        with self._owed.owe(request_id) as owed:
+            try:
+                response = await self._answer(request, owed)
+            except ConnectionError as error:
+                self._log.event("caller_left", id=request_id, why=str(error))
+                raise
         if self.is_stopping:
             response.force_close()
         return response
@@ -115,7 +122,7 @@
         response.force_close()
         return response
 
-    async def _answer(self, request: web.BaseRequest, started_at: float) -> web.StreamResponse:
+    async def _answer(self, request: web.BaseRequest, owed: OwedRequest) -> web.StreamResponse:
         await self._start_gate.wait()
         headers = self._dialect.read_request(request.headers)
         path = request.raw_path.partition("?")[0]
@@ -143,7 +150,7 @@
             return self._gateway_answer(headers, 400, None)
         if body is BodyRefusal.NO_MEMORY:
             return await self.refuse_overload(request)
-        job = self._make_job(request, headers, decision, body, started_at)
+        job = owed.job = self._make_job(request, headers, decision, body, owed.started_at)
         if self._policy.is_held(job):
             return self._refuse_held(job)
         self._budget.count_request(job.service.name)
@@ -155,7 +162,7 @@
                 response = await self._relay_plain(job)
         finally:
             self._policy.release(job)
-        self._record_completion(job, response, started_at)
+        self._record_completion(job, response, owed.started_at)
         return response
 
     def _refuse_held(self, job: RelayJob) -> web.Response:
@@ -290,6 +297,7 @@
         response.enable_chunked_encoding()
         if self.is_stopping:
             response.force_close()
+        job.is_answering = True
         await response.prepare(job.request)
         return response
 
