--- a/mulleinreach/platform/tests/soak/segmented_callers.py
+++ b/mulleinreach/platform/tests/soak/segmented_callers.py
@@ -9,9 +9,9 @@
 from mulleinreach.platform.tests.soak.callers import CallerRequest, Callers, Unanswered
 from mulleinreach.platform.tests.soak.plain import WORK_PARAMETER
 from mulleinreach.platform.tests.soak.processes import GatewayProcess
-from mulleinreach.platform.tests.soak.raw_connection import RawConnection
 from mulleinreach.platform.tests.soak.report import SoakReport
 from mulleinreach.platform.tests.soak.world import SoakWorld
+from mulleinreach.standins.raw_connection import RawConnection
 
 CALL_EVERY_S = 0.05
 KINDS = ("order", "stock", "stream")
--- a/mulleinreach/platform/tests/soak/raw_connection.py
+++ b/mulleinreach/standins/raw_connection.py
@@ -1,4 +1,4 @@
-"""A caller's connection on which the bytes of requests are written in segments of one's own."""
+"""A caller's connection on which requests are written in segments."""
 
 from __future__ import annotations
 
