A stop reads the rest of requests that have begun to arrive

Cause: close_all() called aiohttp's close() on busy connections, whose flag makes data_received return at once, so the rest of a body was thrown away; connections with half a head were closed as idle. Fix: nothing is flagged while a request is owed. An unused connection is closed at once, each other one when it becomes unused; the stop lasts until no connection owes an answer, whatever the number of handlers says.

--- a/benchmarks/gateway_breakages.py
+++ b/benchmarks/gateway_breakages.py
@@ -83,7 +83,7 @@
         "LOST",
         "connections are closed by a stop",
         f"{GATEWAY}/http_server.py",
-        "            bounds.connections.close_all()\n",
+        "            bounds.connections.begin_draining()\n",
         "            pass\n",
         f"{GATEWAY}/request/tests/test_connections.py -k planned_stop",
     ),
--- a/mulleinreach/common/server/connections.py
+++ b/mulleinreach/common/server/connections.py
@@ -21,9 +21,8 @@
 
     unsent_bytes: int
     head_begun_at: float | None
-
-    def close(self) -> None:
-        """Close after the answers to the requests that were read."""
+    # Whether no part of a request was read that has no answer yet.
+    is_unused: bool
 
     def force_close(self) -> None:
         """Close now; a request in progress is cancelled."""
@@ -96,6 +95,7 @@
         self._idle_since: dict[Connection, float] = {}
         self._unsent: dict[Connection, _Unsent] = {}
         self._overdue_heads: set[Connection] = set()
+        self.is_draining = False
 
     def now(self) -> float:
         """Return the time by which clients' times are taken."""
@@ -201,15 +201,18 @@
         else:
             connection.force_close()
 
-    def close_all(self) -> None:
-        """Close idle connections now, and busy ones after their answer.
-
-        ``close`` alone would let an idle connection read one more request and drop it.
-        """
-        for connection in list(self._busy_since):
-            connection.close()
+    def begin_draining(self) -> None:
+        """Close unused connections now; the others close themselves as they become unused."""
+        self.is_draining = True
         for connection in list(self._idle_since):
-            connection.force_close()
+            if connection.is_unused:
+                connection.force_close()
+
+    def owes_answers(self) -> bool:
+        """Whether a part of a request was read, or of an answer kept, that isn't answered whole."""
+        if self._busy_since:
+            return True
+        return any(c.head_begun_at is not None or c.unsent_bytes for c in self._idle_since)
 
     async def watch(self, timeouts: Callable[[], ConnectionTimeouts]) -> None:
         """Check the connections periodically, without end.
--- a/mulleinreach/common/server/handler.py
+++ b/mulleinreach/common/server/handler.py
@@ -180,6 +180,7 @@
         if self._body.is_eof() and not self._has_request:
             # The rest of a body whose request was answered before.
             self._parse_head(b"")
+            self._close_if_drained()
 
     def _pace_framing(self) -> None:
         """Pause reading if the client has sent much framing of chunks."""
@@ -252,9 +253,15 @@
         self.data_received(data)
         if self._upgraded:
             self._decline_upgrade()
+        self._close_if_drained()
         if self._buffer_paused and not self._is_throttled and not self._is_waiting():
             self._resume_reading_for_buffer()
 
+    def _close_if_drained(self) -> None:
+        """Close an unused connection if the server is about to stop."""
+        if self._bounds.connections.is_draining and self.is_unused:
+            self.close()
+
     def _decline_upgrade(self) -> None:
         """Go on with HTTP after a request for another protocol."""
         self._parser.set_upgraded(False)
@@ -309,6 +316,11 @@
 
     # What the table of connections does.
 
+    @property
+    def is_unused(self) -> bool:
+        """Whether no part of a request was read that has no answer yet."""
+        return not self._has_request and self.head_begun_at is None and self._body.is_eof()
+
     @property
     def unsent_bytes(self) -> int:
         """The bytes of answers that the client hasn't taken."""
--- a/mulleinreach/gateway/http_server.py
+++ b/mulleinreach/gateway/http_server.py
@@ -124,12 +124,16 @@
         limits = self._limits()
         return ConnectionTimeouts(limits.idle_timeout_s, limits.header_timeout_s)
 
-    def begin_stopping(self) -> None:
-        """Stop listening; close idle connections now, others after their answer."""
+    def begin_draining(self) -> None:
+        """Stop listening; close unused connections now, others as they become unused."""
         for _, listener in self._servers:
             listener.close()
         for bounds in (self._callers, self._operators):
-            bounds.connections.close_all()
+            bounds.connections.begin_draining()
+
+    def owes_answers(self) -> bool:
+        """Whether callers wait for answers, or for the rest of them."""
+        return self._callers.connections.owes_answers()
 
     async def abort(self) -> None:
         """Stop listening and close all connections immediately."""
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -439,9 +439,8 @@
         abort_at = started_at + self.bounds.stop_grace_s - ABORT_MARGIN_S
         drained_at = min(started_at + BALANCER_DRAIN_S, abort_at)
         await asyncio.sleep(drained_at - started_at)
-        # The load balancer opens no new connections by now. Requests on existing ones might
-        # not finish in time, so idle connections are closed now, others after their answer.
-        self._servers.begin_stopping()
+        # The load balancer opens no new connections by now.
+        self._servers.begin_draining()
         self.tunnel_server.stop_listening()
         while self._has_work() and self.clock.now() < abort_at:
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
@@ -450,8 +449,8 @@
         self.log.event("node_stopped", in_flight=self.relay.in_flight)
 
     def _has_work(self) -> bool:
-        """Whether requests of callers, or of other nodes through this one, are in flight."""
-        return bool(self.relay.in_flight or self.tunnel_server.open_count)
+        """Whether callers, or other nodes through this one, wait for answers."""
+        return self._servers.owes_answers() or bool(self.tunnel_server.open_count)
 
     async def abort(self) -> None:
         """Cancel all tasks and close all connections immediately."""
