Requests that were read behind another one are answered in a stop, too

Cause: after SIGTERM each answer ended its connection, whatever had been read behind its request. Fix: an answer announces the end of its connection only if nothing was read behind its request; so each request that was read is answered, and the last one ends the connection. To know what was read, bytes behind a request are kept by the handler, not by the HTTP parser: a head is cut at its empty line, a body at its length. Behind a chunked body that can't be told; such a connection is closed when it is unused. These bytes are charged to the connection now. Weighed: refusing what was read behind (the callers' time is lost, they had a connection that was sound); announcing the end in an answer that has begun (can't be done).

--- a/mulleinreach/common/server/handler.py
+++ b/mulleinreach/common/server/handler.py
@@ -12,7 +12,7 @@
 from http import HTTPStatus
 
 from aiohttp import web
-from aiohttp.http import HttpRequestParser
+from aiohttp.http import HttpRequestParser, RawRequestMessage
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 from aiohttp.web_protocol import ERROR, RequestHandler, RequestPayloadError, _ErrInfo
@@ -33,6 +33,7 @@
 # was read of its answer.
 REQUEST_COST_BYTES = 16_384
 DEFAULT_HEAD_BYTES = 32_768
+EMPTY_LINE = b"\r\n\r\n"
 MAX_REASON_LENGTH = 200
 # Value of Retry-After where other requests hold the memory, most of which take a second or so.
 OVERLOAD_RETRY_AFTER_S = 1.0
@@ -52,6 +53,16 @@
     return response
 
 
+def announce_end(request: web.BaseRequest, response: web.StreamResponse) -> None:
+    """Let a connection end with a response, unless its client has sent more already.
+
+    What was read behind a request is owed an answer, too; the last of those announces the end.
+    """
+    protocol = request.protocol
+    if not (isinstance(protocol, BoundedRequestHandler) and protocol.has_read_ahead):
+        response.force_close()
+
+
 @dataclass
 class ClientBounds:
     """The bounds on the clients of one server.
@@ -111,6 +122,11 @@
         self._body: StreamReader = EMPTY_PAYLOAD
         self._has_request = False
         self._is_chunked = False
+        # The parser keeps what it was given behind the end of a chunked body.
+        self._has_been_chunked = False
+        self._body_length: int | None = None
+        # The last bytes of an incomplete head, which may be a part of the empty line at its end.
+        self._head_end = b""
         self._body_received = 0
         self._framing_counted = 0
         self._head_size = 0
@@ -169,6 +185,10 @@
             self._pause_reading_for_buffer()
 
     def _parse_body(self, data: bytes) -> None:
+        rest = b""
+        if self._body_length is not None:
+            missing = self._body_length - self._body_received
+            data, rest = data[:missing], data[missing:]
         self._body_received += len(data)
         count_before = self._request_count
         super().data_received(data)
@@ -177,9 +197,16 @@
             self._break_body(RequestPayloadError("a malformed body"))
         if self._is_chunked:
             self._pace_framing()
-        if self._body.is_eof() and not self._has_request:
-            # The rest of a body whose request was answered before.
-            self._parse_head(b"")
+        if self._body.is_eof():
+            self._end_body(rest)
+
+    def _end_body(self, rest: bytes) -> None:
+        """Go on with what was read behind a body."""
+        if self._has_request:
+            self._keep(rest)
+        else:
+            # Of a request that was answered before the end of its body.
+            self._parse_head(rest)
             self._close_if_drained()
 
     def _pace_framing(self) -> None:
@@ -196,25 +223,46 @@
     def _parse_head(self, data: bytes) -> None:
         if data and self.head_begun_at is None:
             self.head_begun_at = self._bounds.connections.now()
-        count_before = self._request_count
-        self._head_size += len(data)
-        super().data_received(data)
-        if self._request_count > count_before:
-            self._begin_request()
-        elif self._head_size > self._bounds.head_bytes() + READ_BYTES:
+        while True:
+            head, data = self._cut_head(data)
+            count_before = self._request_count
+            self._head_size += len(head)
+            super().data_received(head)
+            if self._request_count > count_before:
+                self._begin_request()
+                self.data_received(data)
+                return
+            if not data:
+                break
+        if self._head_size > self._bounds.head_bytes() + READ_BYTES:
             self._refuse(
                 HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, f"a head over {self._head_size} bytes"
             )
 
+    def _cut_head(self, data: bytes) -> tuple[bytes, bytes]:
+        """Cut received bytes after an empty line, which ends a head.
+
+        The parser would keep what follows a whole request to itself.
+        """
+        joined = self._head_end + data
+        end = joined.find(EMPTY_LINE)
+        cut = len(data) if end < 0 else end + len(EMPTY_LINE) - len(self._head_end)
+        self._head_end = b"" if end >= 0 else joined[1 - len(EMPTY_LINE) :]
+        return data[:cut], data[cut:]
+
     def _begin_request(self) -> None:
         message, self._body = self._messages[-1]
         self._has_request = True
         self._head_size = 0
+        self._head_end = b""
+        self._body_length = None
         self.head_begun_at = None
         self._bounds.connections.begin(self)
         if isinstance(message, _ErrInfo):
             return
         self._is_chunked = message.chunked
+        self._has_been_chunked |= message.chunked
+        self._body_length = _body_length(message)
         self._body_received = self._framing_counted = 0
         self.memory.try_charge(REQUEST_COST_BYTES + _head_cost(message.raw_headers))
 
@@ -314,6 +362,11 @@
         self._body.set_exception(error)
         self._lingering_time = 0.0
 
+    @property
+    def has_read_ahead(self) -> bool:
+        """Whether bytes may have been read behind the request in progress."""
+        return bool(self._read_ahead) or self._has_been_chunked
+
     # What the table of connections does.
 
     @property
@@ -341,6 +394,12 @@
         self.memory.is_stalled = is_stalled
 
 
+def _body_length(message: RawRequestMessage) -> int | None:
+    """Return the length that a request's head gives for its body, if it gives one."""
+    length = message.headers.get("Content-Length")
+    return None if message.chunked or length is None else int(length)
+
+
 def _head_cost(raw_headers: tuple[tuple[bytes, bytes], ...]) -> int:
     """Return the memory that a parsed head takes, in bytes."""
     size = sum(len(name) + len(value) for name, value in raw_headers)
--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -12,7 +12,7 @@
 from mulleinreach.common import Clock, EventLog
 from mulleinreach.common.responses import BodyFraming
 from mulleinreach.common.server.body import BodyRefusal, read_body
-from mulleinreach.common.server.handler import OVERLOAD_RETRY_AFTER_S
+from mulleinreach.common.server.handler import OVERLOAD_RETRY_AFTER_S, announce_end
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.model import RouteKind, Service
 from mulleinreach.gateway.ports import CallerHeaders, Dialect
@@ -101,7 +101,7 @@
         self._owed.log_cut()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Answer one request; closes its connection afterwards if the node is stopping."""
+        """Answer one request, with which its connection may end if the node is stopping."""
         request_id = self._dialect.read_request(request.headers).request_id
         with self._owed.owe(request_id) as owed:
             try:
@@ -109,8 +109,8 @@
             except ConnectionError as error:
                 self._log.event("caller_left", id=request_id, why=str(error))
                 raise
-        if self.is_stopping:
-            response.force_close()
+        if self.is_stopping and not response.prepared:
+            announce_end(request, response)
         return response
 
     async def refuse_overload(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -296,7 +296,7 @@
         )
         response.enable_chunked_encoding()
         if self.is_stopping:
-            response.force_close()
+            announce_end(job.request, response)
         job.is_answering = True
         await response.prepare(job.request)
         return response
