What a stop takes is bounded by its end, and what still runs at the end gets an answer

Cause: a node took responsibility for a request when a byte of its head was read and laid it down by a timer; nothing knew which requests were owed. Fix: OwedRequests holds each request from its head to the decision on its answer. From SIGTERM on a request is taken if its route's answers usually come before the end, after the balancer's time only if its own deadline does; what isn't taken is refused at once with 503, also while its body arrives. At the end, requests that nobody has run get 503, those that may have run 502 or 504; a send that was cut counts as one that may have run. Streams that have begun are cut last. Retry-After is 0, since other nodes take the request now. The stop stands in a module of its own (stopping.py).

--- a/benchmarks/client_breakages.py
+++ b/benchmarks/client_breakages.py
@@ -20,8 +20,8 @@
         "MEMORY",
         "a head is bounded as a whole",
         f"{SERVER}/handler.py",
-        "elif self._head_size > self._bounds.head_bytes() + READ_BYTES:",
-        "elif False:",
+        "if self._head_size > self._bounds.head_bytes() + READ_BYTES:",
+        "if False:",
         f"{TESTS}/test_handler.py -k head_over",
     ),
     Breakage(
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 import secrets
 import socket
@@ -61,14 +60,10 @@
 from mulleinreach.gateway.state.suspension import SuspensionMonitor
 from mulleinreach.gateway.state.upstream_follower import UpstreamFollower
 from mulleinreach.gateway.state.upstreams import UpstreamDirectory
+from mulleinreach.gateway.stopping import GracefulStop
 from mulleinreach.gateway.upstream import Notice, Upstream
 
 UPSTREAM_LIST_READ_DELAY_S = 0.03
-# The time left before SIGKILL for closing connections and tasks.
-ABORT_MARGIN_S = 1.0
-# How long a load balancer may keep opening connections after the node reports not ready.
-BALANCER_DRAIN_S = 2.9
-STOP_POLL_INTERVAL_S = 0.05
 
 
 class GatewayNode:
@@ -122,7 +117,6 @@
             self.log,
         )
         self.ports = make_ports(self.network)
-        self.is_stopping = False
         self._callers_socket = callers_socket
         self._tasks = TaskGroup()
         self._resources = share_resources(identity.memory_mb, identity.max_descriptors)
@@ -398,7 +392,9 @@
     def is_ready(self) -> bool:
         """Whether this node should get new connections."""
         has_started = self.in_force.configuration is not None
-        return has_started and not self.is_stopping and self.upstream_network.reaches_upstreams()
+        return (
+            has_started and not self.relay.is_stopping and self.upstream_network.reaches_upstreams()
+        )
 
     async def _handle_readiness(self, request: web.BaseRequest) -> web.Response:
         if request.path != self.ports.dialect.ready_path:
@@ -431,27 +427,19 @@
     # Stopping.
 
     async def stop(self) -> None:
-        """Stop gracefully: report not ready, hand over duties, finish requests in flight."""
-        started_at = self.clock.now()
-        self.is_stopping = self.relay.is_stopping = True
-        self.coordination.begin_stopping()
-        self.log.event("node_stopping", in_flight=self.relay.in_flight)
-        abort_at = started_at + self.bounds.stop_grace_s - ABORT_MARGIN_S
-        drained_at = min(started_at + BALANCER_DRAIN_S, abort_at)
-        await asyncio.sleep(drained_at - started_at)
-        # The load balancer opens no new connections by now.
-        self._servers.begin_draining()
-        self.tunnel_server.stop_listening()
-        while self._has_work() and self.clock.now() < abort_at:
-            await asyncio.sleep(STOP_POLL_INTERVAL_S)
-        self.relay.log_cut()
+        """Stop gracefully: report not ready, hand over duties, answer requests in flight."""
+        await GracefulStop(
+            self.relay,
+            self._servers,
+            self.coordination,
+            self.tunnel_server,
+            self.clock,
+            self.log,
+            self.bounds.stop_grace_s,
+        ).run()
         await self.abort()
         self.log.event("node_stopped", in_flight=self.relay.in_flight)
 
-    def _has_work(self) -> bool:
-        """Whether callers, or other nodes through this one, wait for answers."""
-        return self._servers.owes_answers() or bool(self.tunnel_server.open_count)
-
     async def abort(self) -> None:
         """Cancel all tasks and close all connections immediately."""
         await self._tasks.close()
--- a/mulleinreach/gateway/request/job.py
+++ b/mulleinreach/gateway/request/job.py
@@ -77,6 +77,8 @@
     retry_charge: SendCharge | None = None
     priority: int = 0
     may_have_run: bool = False
+    # Whether nothing shows yet that the latest send has not run.
+    is_unresolved: bool = False
     failure: Answered | None = None
     last_event_id: str | None = None
     events_sent: int = 0
@@ -87,8 +89,8 @@
     # unlikely to have ended because of it.
     ended_runs: int = 0
     upstream_id: str = ""
-    # Whether the head of an answer was passed on.
-    is_answering: bool = False
+    # The answer of which a part was passed on.
+    response: web.StreamResponse | None = None
     # How the body of the latest answer ended.
     body_end: BodyEnd | None = None
 
--- a/mulleinreach/gateway/request/owed.py
+++ b/mulleinreach/gateway/request/owed.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import enum
-from collections.abc import Iterator
+from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
 from mulleinreach.common import Clock, EventLog
@@ -26,18 +27,31 @@
 
 @dataclass(eq=False)
 class OwedRequest:
-    """A request whose head was read and whose answer isn't complete."""
+    """A request whose head was read and whose answer isn't complete.
+
+    Parameters
+    ==========
+
+    limit : ends the request's handling; the answer to it is decided then.
+    deadline : when its time is over; known once its route is.
+    """
 
     request_id: str
     started_at: float
+    limit: asyncio.Timeout
+    deadline: float = float("inf")
     job: RelayJob | None = None
 
+    def end(self) -> None:
+        """End the request's handling."""
+        self.limit.reschedule(asyncio.get_running_loop().time())
+
     @property
     def phase(self) -> RequestPhase:
         """How far the request has come."""
         if self.job is None:
             return RequestPhase.READING
-        if self.job.is_answering:
+        if self.job.response is not None:
             return RequestPhase.ANSWERING
         return RequestPhase.SENT if self.job.sends else RequestPhase.WAITING
 
@@ -53,23 +67,40 @@
     def __len__(self) -> int:
         return len(self._requests)
 
-    @contextlib.contextmanager
-    def owe(self, request_id: str) -> Iterator[OwedRequest]:
-        """Hold a request as owed until its answer is decided."""
-        request = OwedRequest(request_id, self._clock.now())
-        self._requests.add(request)
-        try:
-            yield request
-        finally:
-            self._requests.discard(request)
+    @contextlib.asynccontextmanager
+    async def owe(self, request_id: str) -> AsyncIterator[OwedRequest]:
+        """Hold a request as owed; raises :class:`TimeoutError` if its handling is ended."""
+        async with asyncio.timeout(None) as limit:
+            request = OwedRequest(request_id, self._clock.now(), limit)
+            self._requests.add(request)
+            try:
+                yield request
+            finally:
+                self._requests.discard(request)
+
+    def end_unread(self, latest_deadline: float) -> None:
+        """End the requests that aren't read whole and whose deadlines are later."""
+        for request in self._requests:
+            if request.phase is RequestPhase.READING and request.deadline > latest_deadline:
+                request.end()
+
+    def end_all(self) -> None:
+        """End all requests, but for those of which a part of an answer was passed on."""
+        for request in self._requests:
+            if request.phase is not RequestPhase.ANSWERING:
+                self._log_unfinished("request_given_up", request)
+                request.end()
 
     def log_cut(self) -> None:
         """Log the requests that are about to end without a whole answer."""
         for request in self._requests:
-            self._log.event(
-                "request_cut",
-                id=request.request_id,
-                phase=request.phase.value,
-                upstream=request.job.upstream_id if request.job else "",
-                ms=round((self._clock.now() - request.started_at) * 1000),
-            )
+            self._log_unfinished("request_cut", request)
+
+    def _log_unfinished(self, event: str, request: OwedRequest) -> None:
+        self._log.event(
+            event,
+            id=request.request_id,
+            phase=request.phase.value,
+            upstream=request.job.upstream_id if request.job else "",
+            ms=round((self._clock.now() - request.started_at) * 1000),
+        )
--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -27,6 +27,7 @@
     Broken,
     Streaming,
 )
+from mulleinreach.gateway.request.intake import StopIntake
 from mulleinreach.gateway.request.job import RelayJob, end_to_end_headers
 from mulleinreach.gateway.request.late import LateGate
 from mulleinreach.gateway.request.owed import OwedRequest, OwedRequests
@@ -41,6 +42,8 @@
 # Value of Retry-After for a held request, which isn't sent since upstreams crash when they run it.
 # The hold lasts an hour; callers that come back sooner cost no upstream anything.
 HELD_RETRY_AFTER_S = 60.0
+# Value of Retry-After while this node stops: others take the request at once.
+STOP_RETRY_AFTER_S = 0.0
 # Jitter of Retry-After as a fraction of the upstream's rest, against simultaneous retries.
 RETRY_SPREAD_RATIO = 1.0
 # An upstream may be replaced before a longer rest is over.
@@ -89,6 +92,8 @@
         self._log = log
         self._rng = rng
         self._owed = OwedRequests(clock, log)
+        self._intake = StopIntake(clock)
+        self._finish_by = float("inf")
         self.is_stopping = False
 
     @property
@@ -96,23 +101,59 @@
         """The number of requests that are owed an answer."""
         return len(self._owed)
 
+    def begin_stopping(self, finish_by: float) -> None:
+        """Take only requests that are usually answered by then."""
+        self.is_stopping = True
+        self._intake.begin_stopping(finish_by)
+        self._finish_by = finish_by
+
+    def close_intake(self) -> None:
+        """Take no more requests that may outlast this node, also of those that are being read."""
+        self._intake.close()
+        self._owed.end_unread(self._finish_by)
+
+    def end_requests(self) -> None:
+        """Decide the answers to all requests; those that have begun to be answered go on."""
+        self._owed.end_all()
+
     def log_cut(self) -> None:
         """Log the requests that are about to end without a whole answer."""
         self._owed.log_cut()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request, with which its connection may end if the node is stopping."""
-        request_id = self._dialect.read_request(request.headers).request_id
-        with self._owed.owe(request_id) as owed:
-            try:
-                response = await self._answer(request, owed)
-            except ConnectionError as error:
-                self._log.event("caller_left", id=request_id, why=str(error))
+        headers = self._dialect.read_request(request.headers)
+        try:
+            async with self._owed.owe(headers.request_id) as owed:
+                response = await self._answer(request, headers, owed)
+        except ConnectionError as error:
+            self._log.event("caller_left", id=headers.request_id, why=str(error))
+            raise
+        except TimeoutError:
+            if not owed.limit.expired():
                 raise
+            response = self._answer_ended(request, headers, owed)
         if self.is_stopping and not response.prepared:
             announce_end(request, response)
         return response
 
+    def _answer_ended(
+        self, request: web.BaseRequest, headers: CallerHeaders, owed: OwedRequest
+    ) -> web.StreamResponse:
+        """Return the answer to a request whose handling was ended since this node stops."""
+        if owed.job is None:
+            return self._refuse_to_take(headers)
+        if owed.job.response is not None:
+            return self._cut_stream(owed.job, owed.job.response)
+        owed.job.may_have_run |= owed.job.is_unresolved
+        return self._final_failure(owed.job)
+
+    def _refuse_to_take(self, headers: CallerHeaders) -> web.Response:
+        """Refuse a request that may outlast this node; another one can take it now."""
+        self._metrics.count_denied(HTTPStatus.SERVICE_UNAVAILABLE)
+        self._log.event("request_denied", id=headers.request_id, status=503, why="the node stops")
+        return self._gateway_answer(headers, HTTPStatus.SERVICE_UNAVAILABLE, STOP_RETRY_AFTER_S)
+
     async def refuse_overload(self, request: web.BaseRequest) -> web.StreamResponse:
         """Refuse a request for which there is no memory; it has not run."""
         headers = self._dialect.read_request(request.headers)
@@ -122,9 +163,10 @@
         response.force_close()
         return response
 
-    async def _answer(self, request: web.BaseRequest, owed: OwedRequest) -> web.StreamResponse:
+    async def _answer(
+        self, request: web.BaseRequest, headers: CallerHeaders, owed: OwedRequest
+    ) -> web.StreamResponse:
         await self._start_gate.wait()
-        headers = self._dialect.read_request(request.headers)
         path = request.raw_path.partition("?")[0]
         decision = self._admission.check(request.headers.get("Host", ""), path, headers)
         if isinstance(decision, Denied):
@@ -139,8 +181,13 @@
             return self._gateway_answer(headers, decision.status, decision.retry_after_s)
         if _header_bytes(request) > decision.configuration.limits.header_bytes:
             return self._gateway_answer(headers, 431, None)
+        route = decision.route
+        timeout_s = self._timeout_s(headers, decision)
+        owed.deadline = owed.started_at + timeout_s
+        if not self._intake.may_take(route.name, owed.deadline):
+            return self._refuse_to_take(headers)
         try:
-            async with asyncio.timeout(self._timeout_s(headers, decision)):
+            async with asyncio.timeout(timeout_s):
                 body = await read_body(request, decision.configuration.limits.body_bytes)
         except TimeoutError:
             return self._gateway_answer(headers, 408, None)
@@ -150,13 +197,17 @@
             return self._gateway_answer(headers, 400, None)
         if body is BodyRefusal.NO_MEMORY:
             return await self.refuse_overload(request)
-        job = owed.job = self._make_job(request, headers, decision, body, owed.started_at)
+        if not self._intake.may_take(route.name, owed.deadline):
+            return self._refuse_to_take(headers)
+        job = owed.job = self._make_job(
+            request, headers, decision, body, owed.started_at, owed.deadline
+        )
         if self._policy.is_held(job):
             return self._refuse_held(job)
         self._budget.count_request(job.service.name)
         await self._sender.wait_for_permit(job)
         try:
-            if decision.route.kind is RouteKind.STREAMING:
+            if route.kind is RouteKind.STREAMING:
                 response = await self._relay_stream(job)
             else:
                 response = await self._relay_plain(job)
@@ -182,6 +233,8 @@
     ) -> None:
         elapsed_s = self._clock.now() - started_at
         kind = job.admitted.route.kind
+        if response.status == HTTPStatus.OK:
+            self._intake.times.note(job.admitted.route.name, elapsed_s)
         self._metrics.count_answer(kind, response.status, elapsed_s, job.sends)
         if job.first_event_at is not None:
             first_event_s = job.first_event_at - started_at
@@ -218,6 +271,7 @@
         admitted: Admitted,
         body: bytes,
         started_at: float,
+        deadline: float,
     ) -> RelayJob:
         route = admitted.route
         caller_timeout_s = route.timeout_s if headers.deadline_s is None else headers.deadline_s
@@ -233,7 +287,7 @@
             body=body,
             content=content,
             started_at=started_at,
-            deadline=started_at + self._timeout_s(headers, admitted),
+            deadline=deadline,
             caller_gives_up_at=started_at + caller_timeout_s,
             last_event_id=headers.last_event_id,
         )
@@ -286,8 +340,13 @@
                 break
         if response is None:
             return self._final_failure(job)
+        return self._cut_stream(job, response)
+
+    def _cut_stream(self, job: RelayJob, response: web.StreamResponse) -> web.StreamResponse:
+        """End a stream without its end, so that its caller doesn't take it for whole."""
         self._log.event("stream_cut", id=job.headers.request_id, events=job.events_sent)
-        job.request.transport.close()
+        if job.request.transport is not None:
+            job.request.transport.close()
         return response
 
     async def _begin_response(self, job: RelayJob, result: Streaming) -> web.StreamResponse:
@@ -297,7 +356,7 @@
         response.enable_chunked_encoding()
         if self.is_stopping:
             announce_end(job.request, response)
-        job.is_answering = True
+        job.response = response
         await response.prepare(job.request)
         return response
 
--- a/mulleinreach/gateway/request/sending.py
+++ b/mulleinreach/gateway/request/sending.py
@@ -129,6 +129,7 @@
         """Register a request that is about to be sent; :meth:`end` has to be called after it."""
         job.tried.add(upstream.id)
         job.sends += 1
+        job.is_unresolved = True
         job.upstream_id = upstream.id
         lateness = self.lateness(job)
         wait_s = self._chooser.predicted_wait_s(job.constraints, upstream.id)
@@ -269,6 +270,7 @@
         return remaining_s
 
     def _record_result(self, job: RelayJob, upstream: Upstream, result: ExchangeResult) -> None:
+        job.is_unresolved = not isinstance(result, NotSent | Refused)
         if isinstance(result, NotSent):
             job.sends -= 1
         if isinstance(result, NotSent | Refused | Broken):
