A connection on which a head has begun isn't closed as idle

Callers saw: a request whose head came in two segments, around the moment at which its connection had been idle for long enough, lost its connection. Cause: connections with half a head counted as idle. The time for a head bounds them anyway (408). Tests of draining and of bytes behind a request, however they are cut.

--- a/mulleinreach/common/server/connections.py
+++ b/mulleinreach/common/server/connections.py
@@ -157,8 +157,9 @@
             if now - since <= timeouts.idle_s:
                 # All others became idle later.
                 break
-            self.remove(connection)
-            self._close_unused(connection)
+            if connection.is_unused:
+                self.remove(connection)
+                self._close_unused(connection)
 
     def _refuse_slow_heads(self, now: float, header_s: float) -> None:
         """Refuse heads that were overdue at the previous check, too.
--- a/mulleinreach/common/server/tests/test_connections.py
+++ b/mulleinreach/common/server/tests/test_connections.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import pytest
+
 from mulleinreach.common.server.connections import LONG_REQUEST_S
 from mulleinreach.common.server.tests.support import RawClient, request, run_server
 
@@ -69,3 +71,64 @@
         assert await newest.read_answer() == (200, b"/new ")
 
     run_server(test, max_connections=3)
+
+
+# Guards against connections that are closed as idle while a request's head arrives on them.
+def test_connection_on_which_a_head_has_begun_is_not_closed_as_idle():
+    async def test(server):
+        client = await RawClient.open()
+        client.writer.write(request("/1"))
+        assert (await client.read_answer())[0] == 200
+        await asyncio.sleep(server.timeouts.idle_s - 0.3)
+        whole = request("/2")
+        client.writer.write(whole[:20])
+        await asyncio.sleep(1.5)
+        client.writer.write(whole[20:])
+        assert await client.read_answer() == (200, b"/2 ")
+
+    run_server(test)
+
+
+# Guards against draining that keeps connections open, or closes those that are owed an answer.
+def test_draining_closes_each_connection_as_it_becomes_unused():
+    async def test(server):
+        server.gate.clear()
+        unused, begun, busy = [await RawClient.open() for _ in range(3)]
+        begun.writer.write(request("/begun")[:20])
+        busy.writer.write(request("/busy"))
+        await asyncio.sleep(0.1)
+        server.bounds.connections.begin_draining()
+        assert await unused.is_closed(0.1)
+        begun.writer.write(request("/begun")[20:])
+        await asyncio.sleep(0.1)
+        assert server.bounds.connections.owes_answers()
+        server.gate.set()
+        assert await begun.read_answer() == (200, b"/begun ")
+        assert await busy.read_answer() == (200, b"/busy ")
+        assert await begun.is_closed(0.1)
+        assert await busy.is_closed(0.1)
+        assert not server.bounds.connections.owes_answers()
+
+    run_server(test)
+
+
+# Guards against bytes that the parser keeps to itself, so that nobody knows of them.
+@pytest.mark.parametrize("body", [b"", b"two tins"])
+@pytest.mark.parametrize("cut", range(0, 120, 7))
+def test_bytes_behind_a_request_are_known_however_they_are_cut(body, cut):
+    async def test(server):
+        server.gate.clear()
+        client = await RawClient.open()
+        data = request("/1", body) + request("/2", body)
+        client.writer.write(data[:cut])
+        await asyncio.sleep(0.1)
+        client.writer.write(data[cut:])
+        await asyncio.sleep(0.1)
+        [connection] = server.bounds.connections._busy_since
+        assert connection.has_read_ahead
+        server.gate.set()
+        assert await client.read_answer() == (200, b"/1 " + body)
+        assert await client.read_answer() == (200, b"/2 " + body)
+        assert not connection.has_read_ahead
+
+    run_server(test)
