--- a/benchmarks/gateway_breakages.py
+++ b/benchmarks/gateway_breakages.py
@@ -17,6 +17,7 @@
 from benchmarks.share_breakages import SHARE_BREAKAGES
 from benchmarks.silence_breakages import SILENCE_BREAKAGES
 from benchmarks.start_breakages import START_BREAKAGES
+from benchmarks.stop_breakages import STOP_BREAKAGES
 from benchmarks.value_breakages import VALUE_BREAKAGES
 
 GATEWAY = "mulleinreach/gateway"
@@ -264,6 +265,7 @@
         f"{GATEWAY}/fleet/tests/test_draining.py -k endless",
     ),
     *CLIENT_BREAKAGES,
+    *STOP_BREAKAGES,
     *ENDING_BREAKAGES,
     *HALL_BREAKAGES,
     *CRASH_BREAKAGES,
--- /dev/null
+++ b/benchmarks/stop_breakages.py
@@ -0,0 +1,85 @@
+"""Breakages of planned stops: what is owed is answered."""
+
+from __future__ import annotations
+
+from benchmarks.breakage import Breakage
+
+SERVER = "mulleinreach/common/server"
+REQUEST = "mulleinreach/gateway/request"
+TESTS = "mulleinreach/gateway/tests/test_owed_answers.py"
+
+STOP_BREAKAGES = [
+    Breakage(
+        "LOST",
+        "draining closes unused connections only",
+        f"{SERVER}/connections.py",
+        "            if connection.is_unused:\n                connection.force_close()",
+        "            if True:\n                connection.force_close()",
+        f"{TESTS} -k head_that_has_begun",
+    ),
+    Breakage(
+        "LOST",
+        "a connection on which a head has begun isn't idle",
+        f"{SERVER}/connections.py",
+        "            if connection.is_unused:\n                self.remove(connection)",
+        "            if True:\n                self.remove(connection)",
+        f"{SERVER}/tests/test_connections.py -k closed_as_idle",
+    ),
+    Breakage(
+        "LOST",
+        "what was read behind a request is answered",
+        f"{SERVER}/handler.py",
+        "if not (isinstance(protocol, BoundedRequestHandler) and protocol.has_read_ahead):",
+        "if True:",
+        f"{TESTS} -k requests_behind",
+    ),
+    Breakage(
+        "LOST",
+        "a connection ends once it is unused",
+        f"{SERVER}/handler.py",
+        "if self._bounds.connections.is_draining and self.is_unused:",
+        "if False:",
+        f"{SERVER}/tests/test_connections.py -k draining",
+    ),
+    Breakage(
+        "LOST",
+        "late in a stop, deadlines decide what is taken",
+        f"{REQUEST}/intake.py",
+        "        if self._is_closed:\n            return False\n",
+        "",
+        f"{TESTS} -k outlast",
+    ),
+    Breakage(
+        "LOST",
+        "in a stop, usual times decide what is taken",
+        f"{REQUEST}/intake.py",
+        "return usual_s is None or self._clock.now() + usual_s <= self._finish_by",
+        "return True",
+        f"{TESTS} -k usually_quick",
+    ),
+    Breakage(
+        "LOST",
+        "requests that are being read are refused at once",
+        f"{REQUEST}/owed.py",
+        "if request.phase is RequestPhase.READING and request.deadline > latest_deadline:",
+        "if False:",
+        f"{TESTS} -k outlast",
+    ),
+    Breakage(
+        "LOST",
+        "requests that still run at the end are answered",
+        f"{REQUEST}/owed.py",
+        '                self._log_unfinished("request_given_up", request)\n'
+        "                request.end()\n",
+        "                pass\n",
+        f"{TESTS} -k at_the_end",
+    ),
+    Breakage(
+        "REFUSED",
+        "a send that was cut may have run",
+        f"{REQUEST}/sending.py",
+        "        job.is_unresolved = True\n",
+        "",
+        f"{TESTS} -k runs_at_the_end",
+    ),
+]
