Answers that consist of little but framing are left, and informational responses are few

Cause: a chunk takes as long to parse as hundreds of bytes, a read hands over 256 kB at once, and nothing bounded the framing of upstreams, or the number of informational responses within 64 kB. Fix: heads and chunked bodies are parsed in pieces of 4 kB; a body whose framing exceeds its data by 8 kB breaks off, and so does a response behind more than 32 informational ones. The flooding answer is closed, sound ones aren't paced. All HTTP clients have it: upstreams, the store, engines' reports. response_head.py is response_bounds.py now.

--- a/mulleinreach/common/net.py
+++ b/mulleinreach/common/net.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 
 from mulleinreach.common.address import Address
-from mulleinreach.common.response_head import BoundedResponseHandler
+from mulleinreach.common.response_bounds import BoundedResponseHandler
 from mulleinreach.common.responses import Response
 from mulleinreach.common.server.handler import ClientBounds
 from mulleinreach.common.server.start import listen
--- /dev/null
+++ b/mulleinreach/common/response_bounds.py
@@ -0,0 +1,104 @@
+"""Bounds what a server may send beside the body of a response.
+
+aiohttp bounds a line and the number of header fields, but neither the informational responses [1]_
+that may come before the final one, nor the framing of chunks, each of which takes as long to parse
+as hundreds of bytes of data.
+
+References
+==========
+
+.. [1] RFC 9110, "HTTP Semantics", section 15.2, informational 1xx.
+"""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
+
+MAX_HEAD_BYTES = 65_536
+MAX_INFORMATIONAL_RESPONSES = 32
+# Framing of chunks beyond the size of the body so far.
+MAX_FRAMING_BYTES = 8192
+# Received bytes are parsed in pieces, so that little is parsed beyond a bound.
+PIECE_BYTES = 4096
+
+
+class BoundedResponseHandler(ResponseHandler):
+    """Client protocol that closes a connection which sends little but heads or framing."""
+
+    _has_final_head = False
+    _is_chunked = False
+    _body: StreamReader = EMPTY_PAYLOAD
+
+    def set_response_params(self, **params) -> None:
+        """Prepare for the response to a request that is about to be sent."""
+        self._head_bytes = 0
+        self._informational_count = 0
+        self._has_final_head = self._is_chunked = False
+        self._body = EMPTY_PAYLOAD
+        self._chunked_bytes = 0
+        super().set_response_params(**params)
+
+    def feed_data(self, data, size: int = 0) -> None:
+        """Queue the head of a response; informational responses are dropped."""
+        message, body = data
+        if message.code < HTTPStatus.OK and message.code != HTTPStatus.SWITCHING_PROTOCOLS:
+            self._informational_count += 1
+            return
+        self._has_final_head = True
+        self._is_chunked = message.chunked
+        self._body = body
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes."""
+        # Bytes that come before any request are held back by aiohttp.
+        is_in_pieces = self._parser is not None and (self._is_chunked or not self._has_final_head)
+        if not is_in_pieces or len(data) <= PIECE_BYTES:
+            self._parse(data)
+            return
+        for begin in range(0, len(data), PIECE_BYTES):
+            self._parse(data[begin : begin + PIECE_BYTES])
+
+    def _parse(self, data: bytes) -> None:
+        if self.exception() is not None or self._body.exception() is not None:
+            return
+        is_in_head = self._parser is not None and not self._has_final_head
+        super().data_received(data)
+        if is_in_head:
+            self._check_head(len(data))
+        elif self._is_chunked:
+            self._check_framing(len(data))
+
+    def _check_head(self, size: int) -> None:
+        """Break off a response whose head doesn't end."""
+        if self._has_final_head:
+            # A part of the body may have come with the head; its framing isn't counted.
+            self._chunked_bytes = self._body.total_bytes
+            return
+        self._head_bytes += size
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self._break_off_head(f"no response head in {MAX_HEAD_BYTES} bytes")
+        elif self._informational_count > MAX_INFORMATIONAL_RESPONSES:
+            self._break_off_head(f"{self._informational_count} informational responses")
+
+    def _break_off_head(self, reason: str) -> None:
+        if self.exception() is None:
+            self.set_exception(HttpProcessingError(code=0, message=reason))
+            self.transport.abort()
+
+    def _check_framing(self, size: int) -> None:
+        """Break off a body that consists of little but the framing of its chunks."""
+        self._chunked_bytes += size
+        # While reading is paused, the parser keeps received bytes to itself.
+        if self._reading_paused or self._body.is_eof():
+            return
+        body_bytes = self._body.total_bytes
+        if self._chunked_bytes - body_bytes > MAX_FRAMING_BYTES + body_bytes:
+            self._body.set_exception(aiohttp.ClientPayloadError("a body with too much framing"))
+            if self.transport is not None:
+                self.transport.abort()
--- a/mulleinreach/gateway/request/tests/test_endless_answers.py
+++ b/mulleinreach/gateway/request/tests/test_endless_answers.py
@@ -10,7 +10,7 @@
 from multidict import CIMultiDict
 
 from mulleinreach.common import Address, Network
-from mulleinreach.common.response_head import MAX_HEAD_BYTES
+from mulleinreach.common.response_bounds import MAX_HEAD_BYTES
 from mulleinreach.common.server.memory import MemoryLedger
 from mulleinreach.gateway.request.events import MAX_EVENT_BYTES, EventSplitter, EventTooLong
 from mulleinreach.gateway.request.exchange import (
--- a/mulleinreach/platform/tests/crowds/gateway.py
+++ b/mulleinreach/platform/tests/crowds/gateway.py
@@ -8,6 +8,7 @@
 import resource
 import signal
 import tempfile
+from collections import Counter
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from pathlib import Path
@@ -78,6 +79,11 @@
                 return True
         return False
 
+    async def call_in_turn(self, kind: str, count: int) -> Counter[int]:
+        """Send ordinary requests one after the other; returns how often each status came."""
+        async with self._callers.open():
+            return Counter([await self._callers.send(kind, self._process) for _ in range(count)])
+
     async def stop(self) -> int:
         """Ask the process to stop, and return its exit status once it has ended."""
         self._process.signal(signal.SIGTERM)
--- a/mulleinreach/platform/tests/soak/plain.py
+++ b/mulleinreach/platform/tests/soak/plain.py
@@ -13,6 +13,9 @@
 PLAIN_WORK_S = 0.05
 # Names in a request's query how long it takes, in seconds.
 WORK_PARAMETER = "work_s"
+# In a request's query: its answer is a body in chunks of one byte, without end.
+FLOOD_PARAMETER = "floods"
+FLOOD_BLOCK = b"1\r\nx\r\n" * 10_000
 
 
 @dataclass
@@ -55,6 +58,8 @@
             await asyncio.sleep(float(request.query.get(WORK_PARAMETER, PLAIN_WORK_S)))
             if self.loses_answers:
                 request.transport.abort()
+            if FLOOD_PARAMETER in request.query:
+                return await _flood(request, request_id, upstream_id)
             if self._fails(request, request_id):
                 return web.Response(status=500, headers={REQUEST_ID: request_id})
             answer = request_id.encode() + b" " + body
@@ -70,3 +75,15 @@
             return False
         self._failed.add(request_id)
         return True
+
+
+async def _flood(request: web.BaseRequest, request_id: str, upstream_id: str) -> web.StreamResponse:
+    """Answer with chunks of one byte until the caller closes."""
+    response = web.StreamResponse(headers={REQUEST_ID: request_id, SIGNATURE: upstream_id})
+    response.enable_chunked_encoding()
+    await response.prepare(request)
+    while not request.transport.is_closing():
+        request.transport.write(FLOOD_BLOCK)
+        await request.protocol._drain_helper()
+        await asyncio.sleep(0)
+    return response
