Streams of very small events or comments are paced

Cause: each event is split, noted and written by itself, whatever its size, and nothing bounded how many of them a read brings. Evidence: 4 of 5 cases of test_small_events.py were red without the pace. Fix: received bytes are split in pieces of 4 kB; after a piece with more than 100 events its stream waits as long as they take at 2,000 a second. Sound streams, which send some hundreds a second, never meet it; bursts of usual events pass undelayed (tested).

--- a/benchmarks/silence_breakages.py
+++ b/benchmarks/silence_breakages.py
@@ -33,6 +33,14 @@
         "if False:",
         f"{ENDLESS} -k head_without_end",
     ),
+    Breakage(
+        "LOOP",
+        "very small events are paced",
+        f"{GATEWAY}/request/relay.py",
+        "if len(events) > FREE_EVENTS:",
+        "if False:",
+        f"{GATEWAY}/request/tests/test_small_events.py",
+    ),
     Breakage(
         "LOOP",
         "the framing of upstreams' bodies is bounded",
--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -42,6 +42,12 @@
 # Value of Retry-After for a held request, which isn't sent since upstreams crash when they run it.
 # The hold lasts an hour; callers that come back sooner cost no upstream anything.
 HELD_RETRY_AFTER_S = 60.0
+# Of a stream with very small events, each of which takes as long as a usual one; engines send some
+# hundreds a second.
+MAX_EVENTS_PER_S = 2000
+# Received bytes are split in pieces; one with no more events than this isn't paced.
+EVENT_PIECE_BYTES = 4096
+FREE_EVENTS = 100
 # Value of Retry-After while this node stops: others take the request at once.
 STOP_RETRY_AFTER_S = 0.0
 # Jitter of Retry-After as a fraction of the upstream's rest, against simultaneous retries.
@@ -376,7 +382,9 @@
                 async for data in result.chunks(partial(self._policy.may_leave, job, exchange)):
                     exchange.note_body(self._clock.now())
                     ticket.progress()
-                    await self._write_events(job, splitter, data, response)
+                    for begin in range(0, len(data), EVENT_PIECE_BYTES):
+                        piece = data[begin : begin + EVENT_PIECE_BYTES]
+                        await self._write_events(job, splitter, piece, response)
             has_events = job.events_sent > events_before
             self._check_whole(result, splitter, has_events)
         except (AnswerCut, TimeoutError) as error:
@@ -421,6 +429,8 @@
             if event.id is not None:
                 job.last_event_id = event.id
         job.note_events(len(events), self._clock.now())
+        if len(events) > FREE_EVENTS:
+            await asyncio.sleep(len(events) / MAX_EVENTS_PER_S)
 
     def _forward(self, result: Answered) -> web.Response:
         return web.Response(
