--- a/benchmarks/body_breakages.py
+++ b/benchmarks/body_breakages.py
@@ -5,7 +5,7 @@
 from benchmarks.breakage import Breakage
 
 RESPONSES = "mulleinreach/common/responses.py"
-RELAY = "mulleinreach/gateway/request/relay.py"
+FORWARDER = "mulleinreach/gateway/request/stream_forwarder.py"
 READERS = "mulleinreach/common/tests/test_responses.py"
 STREAMS = "mulleinreach/gateway/request/tests/test_streams_without_length.py"
 OUTCOMES = "mulleinreach/gateway/request/run_outcomes.py"
@@ -79,7 +79,7 @@
     Breakage(
         "ORDER",
         "a stream without length and without events was broken off",
-        RELAY,
+        FORWARDER,
         "if result.body_end.framing is BodyFraming.CLOSE and not has_events:",
         "if False:",
         STREAMS,
@@ -87,7 +87,7 @@
     Breakage(
         "ORDER",
         "a stream that ends inside an event was broken off",
-        RELAY,
+        FORWARDER,
         "        if splitter.rest:\n",
         "        if False:\n",
         STREAMS,
--- a/benchmarks/crash_breakages.py
+++ b/benchmarks/crash_breakages.py
@@ -26,7 +26,7 @@
         "BUDGET",
         "a held request is refused as it comes",
         f"{GATEWAY}/request/relay.py",
-        "is_held(job):\n            return self._refuse_held(job)\n        self._budget",
+        "is_held(job):\n            return self._refusals.held(job)\n        self._budget",
         "is_held(job) and False:\n            return None\n        self._budget",
         f"{CRASHING} -k without_waiting",
     ),
--- a/benchmarks/silence_breakages.py
+++ b/benchmarks/silence_breakages.py
@@ -36,7 +36,7 @@
     Breakage(
         "LOOP",
         "very small events are paced",
-        f"{GATEWAY}/request/relay.py",
+        f"{GATEWAY}/request/stream_forwarder.py",
         "if len(events) > FREE_EVENTS:",
         "if False:",
         f"{GATEWAY}/request/tests/test_small_events.py",
--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -4,26 +4,20 @@
 
 import asyncio
 import random
-from functools import partial
 from http import HTTPStatus
 
 from aiohttp import web
 
 from mulleinreach.common import Clock, EventLog
-from mulleinreach.common.responses import BodyFraming
 from mulleinreach.common.server.body import BodyRefusal, read_body
-from mulleinreach.common.server.handler import OVERLOAD_RETRY_AFTER_S, announce_end
+from mulleinreach.common.server.handler import announce_end
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.model import RouteKind, Service
 from mulleinreach.gateway.ports import CallerHeaders, Dialect
-from mulleinreach.gateway.request.active import ActiveExchange
 from mulleinreach.gateway.request.admission import RETRY_AFTER_S, Admission, Admitted, Denied
 from mulleinreach.gateway.request.budget import WindowedRetryBudget
-from mulleinreach.gateway.request.events import EventSplitter, EventTooLong
 from mulleinreach.gateway.request.exchange import (
-    AnswerCut,
     Answered,
-    AnswerSilent,
     Broken,
     Streaming,
 )
@@ -31,25 +25,15 @@
 from mulleinreach.gateway.request.job import RelayJob, end_to_end_headers
 from mulleinreach.gateway.request.late import LateGate
 from mulleinreach.gateway.request.owed import OwedRequest, OwedRequests
+from mulleinreach.gateway.request.refusals import Refusals
 from mulleinreach.gateway.request.run_outcomes import RunOutcomeRecorder
 from mulleinreach.gateway.request.send_policy import MIN_REMAINING_S, SendPolicy
 from mulleinreach.gateway.request.sending import Sender
 from mulleinreach.gateway.request.starting import StartGate
+from mulleinreach.gateway.request.stream_forwarder import StreamForwarder
 from mulleinreach.gateway.request.urgency import FirstWaitEstimator
-from mulleinreach.gateway.state.content import content_digest, format_digest
-from mulleinreach.gateway.state.load import InFlightRequest
-
-# Value of Retry-After for a held request, which isn't sent since upstreams crash when they run it.
-# The hold lasts an hour; callers that come back sooner cost no upstream anything.
-HELD_RETRY_AFTER_S = 60.0
-# Of a stream with very small events, each of which takes as long as a usual one; engines send some
-# hundreds a second.
-MAX_EVENTS_PER_S = 2000
-# Received bytes are split in pieces; one with no more events than this isn't paced.
-EVENT_PIECE_BYTES = 4096
-FREE_EVENTS = 100
-# Value of Retry-After while this node stops: others take the request at once.
-STOP_RETRY_AFTER_S = 0.0
+from mulleinreach.gateway.state.content import content_digest
+
 # Jitter of Retry-After as a fraction of the upstream's rest, against simultaneous retries.
 RETRY_SPREAD_RATIO = 1.0
 # An upstream may be replaced before a longer rest is over.
@@ -97,6 +81,8 @@
         self._clock = clock
         self._log = log
         self._rng = rng
+        self._refusals = Refusals(dialect, metrics, log)
+        self._streams = StreamForwarder(policy, clock, log)
         self._owed = OwedRequests(clock, log)
         self._intake = StopIntake(clock)
         self._finish_by = float("inf")
@@ -148,26 +134,15 @@
     ) -> web.StreamResponse:
         """Return the answer to a request whose handling was ended since this node stops."""
         if owed.job is None:
-            return self._refuse_to_take(headers)
+            return self._refusals.stopping(headers)
         if owed.job.response is not None:
             return self._cut_stream(owed.job, owed.job.response)
         owed.job.may_have_run |= owed.job.is_unresolved
         return self._final_failure(owed.job)
 
-    def _refuse_to_take(self, headers: CallerHeaders) -> web.Response:
-        """Refuse a request that may outlast this node; another one can take it now."""
-        self._metrics.count_denied(HTTPStatus.SERVICE_UNAVAILABLE)
-        self._log.event("request_denied", id=headers.request_id, status=503, why="the node stops")
-        return self._gateway_answer(headers, HTTPStatus.SERVICE_UNAVAILABLE, STOP_RETRY_AFTER_S)
-
     async def refuse_overload(self, request: web.BaseRequest) -> web.StreamResponse:
         """Refuse a request for which there is no memory; it has not run."""
-        headers = self._dialect.read_request(request.headers)
-        self._metrics.count_denied(HTTPStatus.SERVICE_UNAVAILABLE)
-        self._log.event("request_denied", id=headers.request_id, status=503, why="no memory")
-        response = self._gateway_answer(headers, 503, OVERLOAD_RETRY_AFTER_S)
-        response.force_close()
-        return response
+        return self._refusals.lack_of_memory(self._dialect.read_request(request.headers))
 
     async def _answer(
         self, request: web.BaseRequest, headers: CallerHeaders, owed: OwedRequest
@@ -176,40 +151,32 @@
         path = request.raw_path.partition("?")[0]
         decision = self._admission.check(request.headers.get("Host", ""), path, headers)
         if isinstance(decision, Denied):
-            self._metrics.count_denied(decision.status)
-            self._log.event(
-                "request_denied",
-                id=headers.request_id,
-                status=decision.status,
-                why=decision.reason,
-                evidence_age_s=self._admission.evidence_age_s(),
-            )
-            return self._gateway_answer(headers, decision.status, decision.retry_after_s)
+            return self._refusals.deny(headers, decision, self._admission.evidence_age_s())
         if _header_bytes(request) > decision.configuration.limits.header_bytes:
-            return self._gateway_answer(headers, 431, None)
+            return self._refusals.answer(headers, 431)
         route = decision.route
         timeout_s = self._timeout_s(headers, decision)
         owed.deadline = owed.started_at + timeout_s
         if not self._intake.may_take(route.name, owed.deadline):
-            return self._refuse_to_take(headers)
+            return self._refusals.stopping(headers)
         try:
             async with asyncio.timeout(timeout_s):
                 body = await read_body(request, decision.configuration.limits.body_bytes)
         except TimeoutError:
-            return self._gateway_answer(headers, 408, None)
+            return self._refusals.answer(headers, 408)
         if body is BodyRefusal.TOO_LARGE:
-            return self._gateway_answer(headers, 413, None)
+            return self._refusals.answer(headers, 413)
         if body is BodyRefusal.MALFORMED:
-            return self._gateway_answer(headers, 400, None)
+            return self._refusals.answer(headers, 400)
         if body is BodyRefusal.NO_MEMORY:
-            return await self.refuse_overload(request)
+            return self._refusals.lack_of_memory(headers)
         if not self._intake.may_take(route.name, owed.deadline):
-            return self._refuse_to_take(headers)
+            return self._refusals.stopping(headers)
         job = owed.job = self._make_job(
             request, headers, decision, body, owed.started_at, owed.deadline
         )
         if self._policy.is_held(job):
-            return self._refuse_held(job)
+            return self._refusals.held(job)
         self._budget.count_request(job.service.name)
         await self._sender.wait_for_permit(job)
         try:
@@ -222,18 +189,6 @@
         self._record_completion(job, response, owed.started_at)
         return response
 
-    def _refuse_held(self, job: RelayJob) -> web.Response:
-        """Refuse a held request, which isn't sent since upstreams crash when they run it."""
-        self._metrics.count_denied(HTTPStatus.SERVICE_UNAVAILABLE)
-        self._log.event(
-            "request_denied",
-            id=job.headers.request_id,
-            content=format_digest(job.content),
-            status=HTTPStatus.SERVICE_UNAVAILABLE.value,
-            why="upstreams end under it",
-        )
-        return self._gateway_answer(job.headers, HTTPStatus.SERVICE_UNAVAILABLE, HELD_RETRY_AFTER_S)
-
     def _record_completion(
         self, job: RelayJob, response: web.StreamResponse, started_at: float
     ) -> None:
@@ -327,7 +282,7 @@
                 if isinstance(result, Streaming):
                     if response is None:
                         response = await self._begin_response(job, result)
-                    is_whole = await self._copy_events(job, result, exchange, ticket, response)
+                    is_whole = await self._streams.forward(job, result, exchange, ticket, response)
                     if is_whole and await self._outcomes.confirm_served(
                         job, upstream, exchange, result.body_end
                     ):
@@ -366,72 +321,6 @@
         await response.prepare(job.request)
         return response
 
-    async def _copy_events(
-        self,
-        job: RelayJob,
-        result: Streaming,
-        exchange: ActiveExchange,
-        ticket: InFlightRequest,
-        response: web.StreamResponse,
-    ) -> bool:
-        """Forward complete events to the caller; returns whether the stream ended without error."""
-        splitter = EventSplitter()
-        events_before = job.events_sent
-        try:
-            async with asyncio.timeout(max(0, job.deadline - self._clock.now())):
-                async for data in result.chunks(partial(self._policy.may_leave, job, exchange)):
-                    exchange.note_body(self._clock.now())
-                    ticket.progress()
-                    for begin in range(0, len(data), EVENT_PIECE_BYTES):
-                        piece = data[begin : begin + EVENT_PIECE_BYTES]
-                        await self._write_events(job, splitter, piece, response)
-            has_events = job.events_sent > events_before
-            self._check_whole(result, splitter, has_events)
-        except (AnswerCut, TimeoutError) as error:
-            exchange.is_cut = isinstance(error, AnswerCut) and not isinstance(error, AnswerSilent)
-            self._log.event(
-                "stream_broken",
-                id=job.headers.request_id,
-                upstream=exchange.upstream_id,
-                content=format_digest(job.content),
-                after=job.last_event_id,
-                events_here=job.events_sent - events_before,
-                why=str(error) or "deadline",
-            )
-            return False
-        finally:
-            job.body_end = result.body_end
-            result.close()
-        return not exchange.is_aborted
-
-    def _check_whole(self, result: Streaming, splitter: EventSplitter, has_events: bool) -> None:
-        """Raise :class:`AnswerCut` if a stream ended before its end.
-
-        A process that ends closes its connections, so a stream that ends with its connection and
-        has no event may have been broken off as well as one that ends inside an event.
-        """
-        if splitter.rest:
-            raise AnswerCut("the stream ended inside an event")
-        if result.body_end.framing is BodyFraming.CLOSE and not has_events:
-            raise AnswerCut("the stream ended before any event")
-
-    async def _write_events(
-        self, job: RelayJob, splitter: EventSplitter, data: bytes, response: web.StreamResponse
-    ) -> None:
-        try:
-            events = splitter.feed(data)
-        except EventTooLong as error:
-            raise AnswerCut(str(error)) from error
-        if not events:
-            return
-        await response.write(b"".join(event.data for event in events))
-        for event in events:
-            if event.id is not None:
-                job.last_event_id = event.id
-        job.note_events(len(events), self._clock.now())
-        if len(events) > FREE_EVENTS:
-            await asyncio.sleep(len(events) / MAX_EVENTS_PER_S)
-
     def _forward(self, result: Answered) -> web.Response:
         return web.Response(
             status=result.status, headers=end_to_end_headers(result.headers), body=result.body
@@ -443,10 +332,10 @@
             return self._forward(job.failure)
         if not job.may_have_run:
             if self._policy.is_held(job):
-                return self._refuse_held(job)
-            return self._gateway_answer(job.headers, 503, self._retry_after_s(job))
+                return self._refusals.held(job)
+            return self._refusals.answer(job.headers, 503, self._retry_after_s(job))
         is_late = job.deadline - self._clock.now() < MIN_REMAINING_S
-        return self._gateway_answer(job.headers, 504 if is_late else 502, None)
+        return self._refusals.answer(job.headers, 504 if is_late else 502)
 
     def _retry_after_s(self, job: RelayJob) -> float:
         """Return the Retry-After for a request that has not run, in seconds."""
@@ -455,11 +344,3 @@
             return RETRY_AFTER_S
         delay_s = rest.remaining_s + self._rng.uniform(0, RETRY_SPREAD_RATIO * rest.requested_s)
         return min(delay_s, MAX_RETRY_AFTER_S)
-
-    def _gateway_answer(
-        self, headers: CallerHeaders, status: int, retry_after_s: float | None
-    ) -> web.Response:
-        answer_headers = self._dialect.refusal_headers(headers.request_id)
-        if retry_after_s is not None:
-            answer_headers["Retry-After"] = f"{retry_after_s:g}"
-        return web.Response(status=status, headers=answer_headers)
--- a/mulleinreach/gateway/request/tests/test_small_events.py
+++ b/mulleinreach/gateway/request/tests/test_small_events.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from mulleinreach.gateway.model import RouteKind, WeightedService
-from mulleinreach.gateway.request.relay import MAX_EVENTS_PER_S
+from mulleinreach.gateway.request.stream_forwarder import MAX_EVENTS_PER_S
 from mulleinreach.gateway.tests.plain_upstreams import NO_HOSTS, start_plain_upstreams
 from mulleinreach.gateway.tests.support import run_world
 from mulleinreach.standins.gateway.dialect import REQUEST_ID, SIGNATURE
--- a/mulleinreach/gateway/tests/test_imports.py
+++ b/mulleinreach/gateway/tests/test_imports.py
@@ -29,6 +29,7 @@
     "fleet",
     "request",
     "shared_state",
+    "stopping",
     "node",
     "process",
 ]
