The product's own interface answers requests of which a part was read when it stops

Callers saw: a request whose head was arriving while a node stopped lost its connection, since only handlers that had begun were waited for. Evidence: the new test was red before. Fix: the same draining of connections as at the gateway; the stop waits until callers are owed nothing.

--- a/mulleinreach/node.py
+++ b/mulleinreach/node.py
@@ -372,7 +372,9 @@
         self.log.event("node_stopping", in_flight=self.callers.in_flight)
         give_up_at = self.clock.now() + grace_s
         await asyncio.sleep(STOP_NOTICE_S)
-        while self.callers.in_flight > 0 and self.clock.now() < give_up_at:
+        for connections in self._client_connections:
+            connections.begin_draining()
+        while self._owes_answers() and self.clock.now() < give_up_at:
             await asyncio.sleep(STOP_POLL_S)
         await self.controller.stop()
         await self.housekeeping.stop()
@@ -380,6 +382,11 @@
         await self.kill()
         self.log.event("node_stopped")
 
+    def _owes_answers(self) -> bool:
+        """Whether callers wait for answers, or are in the middle of a request."""
+        callers, _ = self._client_connections
+        return callers.owes_answers()
+
     async def kill(self) -> None:
         """End everything at once, as a crash would."""
         await self._tasks.close()
--- a/tests/test_promise_7_planned_stops.py
+++ b/tests/test_promise_7_planned_stops.py
@@ -2,8 +2,10 @@
 
 import asyncio
 
+from mulleinreach.common.address import Address
 from mulleinreach.standins.engine_core import EngineSpeed
 from mulleinreach.standins.frames import whole_text
+from mulleinreach.standins.raw_connection import RawConnection
 from mulleinreach.standins.world import WorldSpec
 from tests.support import run_deployed
 
@@ -77,6 +79,27 @@
     run_deployed(scenario, SLOW)
 
 
+# Guards against requests that are cut off since a node stops while they arrive.
+def test_a_node_that_stops_answers_a_request_of_which_a_part_was_read():
+    async def scenario(d):
+        node = d.nodes[0]
+        connection = await RawConnection.open(Address.parse(node.settings.listen.callers))
+        stopping = asyncio.create_task(node.stop())
+        request = b"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n"
+        await asyncio.sleep(0.9)
+        await connection.write(request[:20])
+        await asyncio.sleep(0.5)
+        await connection.write(request[20:])
+        answer = await connection.read_answer()
+        connection.close()
+        assert answer is not None
+        assert answer.status == 200
+        await stopping
+        del d.world.nodes[node.name]
+
+    run_deployed(scenario, SLOW)
+
+
 def test_a_new_version_is_rolled_out_without_cutting_a_request():
     from mulleinreach.standins.people import demo_intent
 
