--- a/mulleinreach/common/net.py
+++ b/mulleinreach/common/net.py
@@ -13,7 +13,7 @@
 from mulleinreach.common.address import Address
 from mulleinreach.common.response_bounds import BoundedResponseHandler
 from mulleinreach.common.responses import Response
-from mulleinreach.common.server.handler import ClientBounds
+from mulleinreach.common.server.bounds import ClientBounds
 from mulleinreach.common.server.start import listen
 
 StreamHandler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None] | None]
--- a/mulleinreach/common/server/body.py
+++ b/mulleinreach/common/server/body.py
@@ -7,7 +7,8 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestPayloadError
 
-from mulleinreach.common.server.handler import BoundedRequestHandler, RequestEvicted
+from mulleinreach.common.server.bounds import RequestEvicted
+from mulleinreach.common.server.handler import BoundedRequestHandler
 from mulleinreach.common.server.memory import MemoryAccount
 
 # The body, and its copy in the connection to an upstream.
--- a/mulleinreach/common/server/start.py
+++ b/mulleinreach/common/server/start.py
@@ -8,7 +8,8 @@
 from aiohttp import web
 
 from mulleinreach.common.address import Address
-from mulleinreach.common.server.handler import BoundedRequestHandler, ClientBounds
+from mulleinreach.common.server.bounds import ClientBounds
+from mulleinreach.common.server.handler import BoundedRequestHandler
 
 # Of the system's buffers for a connection, which hold unread requests and answers that the client
 # doesn't take.
--- a/mulleinreach/common/server/tests/support.py
+++ b/mulleinreach/common/server/tests/support.py
@@ -11,8 +11,8 @@
 from mulleinreach.common.address import Address
 from mulleinreach.common.clock import VirtualClock
 from mulleinreach.common.server.body import BodyRefusal, read_body
+from mulleinreach.common.server.bounds import ClientBounds, refuse_overload
 from mulleinreach.common.server.connections import ConnectionTable, ConnectionTimeouts
-from mulleinreach.common.server.handler import ClientBounds, refuse_overload
 from mulleinreach.common.server.memory import MemoryLedger
 from mulleinreach.common.server.start import listen
 from mulleinreach.standins.virtual import run_virtual
--- a/mulleinreach/common/server/tests/test_handler.py
+++ b/mulleinreach/common/server/tests/test_handler.py
@@ -7,8 +7,9 @@
 
 import pytest
 
+from mulleinreach.common.server.bounds import DEFAULT_HEAD_BYTES
 from mulleinreach.common.server.framing import BURST_S, FRAMING_BYTES_PER_S
-from mulleinreach.common.server.handler import DEFAULT_HEAD_BYTES, READ_BYTES, REQUEST_COST_BYTES
+from mulleinreach.common.server.handler import READ_BYTES, REQUEST_COST_BYTES
 from mulleinreach.common.server.tests.support import (
     MAX_BODY_BYTES,
     RawClient,
--- a/mulleinreach/entry/parsing.py
+++ b/mulleinreach/entry/parsing.py
@@ -11,7 +11,7 @@
 from mulleinreach.common import Code, MulleinreachError
 from mulleinreach.common.server.body import BodyRefusal
 from mulleinreach.common.server.body import read_body as body_within_bounds
-from mulleinreach.common.server.handler import OVERLOAD_RETRY_AFTER_S
+from mulleinreach.common.server.bounds import OVERLOAD_RETRY_AFTER_S
 
 MAX_TOKENS = 1_000_000
 MAX_KEY_CHARS = 200
--- a/mulleinreach/gateway/http_server.py
+++ b/mulleinreach/gateway/http_server.py
@@ -10,8 +10,8 @@
 from aiohttp import web
 
 from mulleinreach.common import Address, Clock, EventLog
+from mulleinreach.common.server.bounds import ClientBounds
 from mulleinreach.common.server.connections import ConnectionTable, ConnectionTimeouts
-from mulleinreach.common.server.handler import ClientBounds
 from mulleinreach.common.server.memory import MemoryLedger
 from mulleinreach.common.server.start import listen
 from mulleinreach.gateway.metrics import GatewayMetrics
--- a/mulleinreach/gateway/request/refusals.py
+++ b/mulleinreach/gateway/request/refusals.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from mulleinreach.common import EventLog
-from mulleinreach.common.server.handler import OVERLOAD_RETRY_AFTER_S
+from mulleinreach.common.server.bounds import OVERLOAD_RETRY_AFTER_S
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.ports import CallerHeaders, Dialect
 from mulleinreach.gateway.request.admission import Denied
--- a/mulleinreach/node.py
+++ b/mulleinreach/node.py
@@ -11,8 +11,8 @@
 from mulleinreach.admission import AdmissionQueue, DistributedLimiter, KeyTable
 from mulleinreach.audit import AuditTrail
 from mulleinreach.common import Address, Clock, EventLog, Network, TaskGroup, run_periodically
+from mulleinreach.common.server.bounds import ClientBounds
 from mulleinreach.common.server.connections import ConnectionTable, ConnectionTimeouts
-from mulleinreach.common.server.handler import ClientBounds
 from mulleinreach.common.server.memory import MemoryLedger
 from mulleinreach.entry.callers import CallerInterface, CallerParts
 from mulleinreach.entry.explain import Explainer
