--- a/mulleinreach/platform/tests/soak/run.py
+++ b/mulleinreach/platform/tests/soak/run.py
@@ -305,17 +305,17 @@
     for number in _seeds(seed, seeds, minutes):
         every_s = silences_every_s if domains and silences_every_s else None
         kinds = SoakKinds(
-            processes,
-            every_s,
-            notices,
-            starts,
-            limits,
-            restores,
-            bodies,
-            crashes,
-            failures,
-            crash_framing,
-            stops,
+            processes=processes,
+            silences_every_s=every_s,
+            notices=notices,
+            starts=starts,
+            limits=limits,
+            restores=restores,
+            bodies=bodies,
+            crashes=crashes,
+            failures=failures,
+            crash_framing=crash_framing,
+            stops=stops,
         )
         traffic = make_traffic(kinds, calls_per_s, pieces)
         report = asyncio.run(
