--- a/mulleinreach/platform/tests/soak/segmented_callers.py
+++ b/mulleinreach/platform/tests/soak/segmented_callers.py
@@ -85,8 +85,10 @@
             sent = waiting.pop(0)
             if not await self._receive(connection, sent):
                 break
-        for sent in waiting:
-            self._note_unanswered(sent, has_part=False)
+        # A caller that gives up closes the connection itself.
+        if connection.has_ended:
+            for sent in waiting:
+                self._note_unanswered(sent, has_part=False)
 
     async def _send(self, connection: RawConnection, gateway: GatewayProcess, kind: str) -> _Sent:
         """Send a request in two or three segments."""
--- a/mulleinreach/standins/raw_connection.py
+++ b/mulleinreach/standins/raw_connection.py
@@ -36,6 +36,8 @@
         self._reading = asyncio.create_task(self._read_answers())
         # Whether a part of an answer was received that isn't whole.
         self.has_partial_answer = False
+        # Whether the other side has ended the connection.
+        self.has_ended = False
         # Whether the latest head announced that the connection ends with its answer.
         self.is_ending = False
 
@@ -60,6 +62,7 @@
                 self._answers.put_nowait(await self._read_answer())
                 self.has_partial_answer = False
         except (asyncio.IncompleteReadError, ConnectionError):
+            self.has_ended = True
             self._answers.put_nowait(None)
 
     async def _read_answer(self) -> RawAnswer:
