--- a/mulleinreach/platform/tests/soak/segmented_callers.py
+++ b/mulleinreach/platform/tests/soak/segmented_callers.py
@@ -86,9 +86,9 @@
             if not await self._receive(connection, sent):
                 break
         # A caller that gives up closes the connection itself.
-        if connection.has_ended:
+        if connection.ended_at is not None:
             for sent in waiting:
-                self._note_unanswered(sent, has_part=False)
+                self._note_unanswered(sent, connection.ended_at, has_part=False)
 
     async def _send(self, connection: RawConnection, gateway: GatewayProcess, kind: str) -> _Sent:
         """Send a request in two or three segments."""
@@ -123,13 +123,14 @@
         status = 0 if answer is None else answer.status
         self._report.answers[f"segmented {sent.request.kind} {status}"] += 1
         if answer is None:
-            self._note_unanswered(sent, connection.has_partial_answer)
+            now = asyncio.get_running_loop().time()
+            ended_at = now if connection.ended_at is None else connection.ended_at
+            self._note_unanswered(sent, ended_at, connection.has_partial_answer)
             return False
         self._callers.note_answer(sent.request, answer.status, answer.body.decode())
         return not answer.is_last
 
-    def _note_unanswered(self, sent: _Sent, has_part: bool) -> None:
-        now = asyncio.get_running_loop().time()
+    def _note_unanswered(self, sent: _Sent, ended_at: float, has_part: bool) -> None:
         self._callers.unanswered.append(
-            Unanswered(sent.request, sent.began_at, sent.sent_at, now, has_part)
+            Unanswered(sent.request, sent.began_at, sent.sent_at, ended_at, has_part)
         )
--- a/mulleinreach/standins/raw_connection.py
+++ b/mulleinreach/standins/raw_connection.py
@@ -36,8 +36,8 @@
         self._reading = asyncio.create_task(self._read_answers())
         # Whether a part of an answer was received that isn't whole.
         self.has_partial_answer = False
-        # Whether the other side has ended the connection.
-        self.has_ended = False
+        # When the other side ended the connection, by the loop's time.
+        self.ended_at: float | None = None
         # Whether the latest head announced that the connection ends with its answer.
         self.is_ending = False
 
@@ -62,7 +62,7 @@
                 self._answers.put_nowait(await self._read_answer())
                 self.has_partial_answer = False
         except (asyncio.IncompleteReadError, ConnectionError):
-            self.has_ended = True
+            self.ended_at = asyncio.get_running_loop().time()
             self._answers.put_nowait(None)
 
     async def _read_answer(self) -> RawAnswer:
