--- a/mulleinreach/platform/tests/soak/callers.py
+++ b/mulleinreach/platform/tests/soak/callers.py
@@ -48,15 +48,23 @@
     ==========
 
     call_every_s : between two requests of all callers together, in seconds.
-    pieces : events of a stream.
+    pieces : events of a stream, at the most.
     kinds : of requests, each one drawn as often as it stands here.
     has_parts : whether requests name the parts of their prompts; then no two streams are alike.
+    least_pieces : events of a stream at the least; all streams have ``pieces`` by default.
     """
 
     call_every_s: float = 0.03
     pieces: int = 15
     kinds: tuple[str, ...] = ("stream", "stream", "order")
     has_parts: bool = False
+    least_pieces: int | None = None
+
+    def draw_pieces(self, rng: random.Random) -> int:
+        """Return the number of events of a stream."""
+        if self.least_pieces in (None, self.pieces):
+            return self.pieces
+        return rng.randint(self.least_pieces, self.pieces)
 
 
 USUAL_TRAFFIC = Traffic()
@@ -224,7 +232,7 @@
         }
         if self._traffic.has_parts and not is_fatal:
             headers[PROMPT_PREFIX] = self._prompt_parts(has_fatal_part)
-        pieces = FATAL_PIECES if is_fatal else self._traffic.pieces
+        pieces = FATAL_PIECES if is_fatal else self._traffic.draw_pieces(self._rng)
         body = str(pieces) if kind == "stream" else f"tins {request_id}"
         # Requests are alike but for those that name their parts.
         number = request_id if PROMPT_PREFIX in headers else "1"
@@ -285,7 +293,7 @@
         """Check that an answer is whole, and that it belongs to its request."""
         if kind == "stream":
             lines = [line for line in answer.splitlines() if line.startswith("id: ")]
-            if lines != [f"id: {number}" for number in range(1, self._traffic.pieces + 1)]:
+            if lines != [f"id: {number}" for number in range(1, int(body) + 1)]:
                 self._report.broken.append(f"{request_id}: a stream that is not whole: {lines}")
         elif answer != f"{request_id} {body}":
             self._report.broken.append(f"{request_id}: the answer {answer!r}")
--- a/mulleinreach/platform/tests/soak/run.py
+++ b/mulleinreach/platform/tests/soak/run.py
@@ -29,6 +29,7 @@
 from mulleinreach.platform.tests.soak.crash_checks import CrashChecks
 from mulleinreach.platform.tests.soak.crash_faults import CrashCause, CrashFaults
 from mulleinreach.platform.tests.soak.deadline_checks import DeadlineChecks
+from mulleinreach.platform.tests.soak.drain_faults import DrainFaults
 from mulleinreach.platform.tests.soak.failure_faults import FailureFaults
 from mulleinreach.platform.tests.soak.fault_log import write_fault_log
 from mulleinreach.platform.tests.soak.faults import Faults
@@ -68,6 +69,7 @@
     crash_framing : how the ends of streams are marked where requests crash domains.
     failures : whether first tries fail at the plain service, beside bursts of requests.
     stops : whether gateways are stopped as planned, while requests come in segments.
+    drains : whether hosts announce their ends, and are replaced.
     """
 
     processes: bool = True
@@ -81,10 +83,11 @@
     failures: bool = False
     crash_framing: BodyFraming = BodyFraming.CLOSE
     stops: bool = False
+    drains: bool = False
 
     def keeps_upstreams_sound(self) -> bool:
-        """Whether hosts and plain upstreams have no faults."""
-        return self == SoakKinds(processes=False, stops=self.stops)
+        """Whether hosts and plain upstreams have no faults, planned ends aside."""
+        return self == SoakKinds(processes=False, stops=self.stops, drains=self.drains)
 
 
 NO_KINDS = SoakKinds()
@@ -137,6 +140,9 @@
             self._calls.append(segmented.call_for_ever)
             stops = StopFaults(world, random.Random(f"stops {seed}"), self.report)
             self._harmers.append(stops)
+        if kinds.drains:
+            drains = DrainFaults(world, random.Random(f"drains {seed}"), self.report)
+            self._harmers.append(drains)
         self._notice_checks = NoticeChecks(world, self.callers, self.report)
         self._limit_checks = LimitChecks(world, self.callers, self.report)
         self._retry_checks = RetryChecks(world, self.callers, self.report)
@@ -195,10 +201,11 @@
         self.report.broken += [f"the soak itself failed: {each!r}" for each in failed]
 
 
-def make_traffic(kinds: SoakKinds, calls_per_s: float, pieces: int) -> Traffic:
+def make_traffic(kinds: SoakKinds, calls_per_s: float, pieces: int, least_pieces: int) -> Traffic:
     """Return what callers ask for under some kinds of faults."""
     requests = FAILING_REQUESTS if kinds.failures else USUAL_TRAFFIC.kinds
-    return Traffic(1 / calls_per_s, pieces, requests, kinds.crashes is CrashCause.PART)
+    has_parts = kinds.crashes is CrashCause.PART
+    return Traffic(1 / calls_per_s, pieces, requests, has_parts, least_pieces or pieces)
 
 
 async def soak_once(
@@ -289,8 +296,14 @@
     stops: Annotated[
         bool, typer.Option(help="Whether gateways are stopped as planned, in series.")
     ] = False,
+    drains: Annotated[
+        bool, typer.Option(help="Whether hosts announce their ends, and are replaced.")
+    ] = False,
     calls_per_s: Annotated[float, typer.Option(help="Requests of all callers together.")] = 33.0,
     pieces: Annotated[int, typer.Option(help="Events of a stream.")] = 15,
+    least_pieces: Annotated[
+        int, typer.Option(help="Streams have so many events or more, if they aren't all alike.")
+    ] = 0,
     gateways_from: Annotated[
         Path | None, typer.Option(help="Directory of another version whose gateways run.")
     ] = None,
@@ -316,8 +329,9 @@
             failures=failures,
             crash_framing=crash_framing,
             stops=stops,
+            drains=drains,
         )
-        traffic = make_traffic(kinds, calls_per_s, pieces)
+        traffic = make_traffic(kinds, calls_per_s, pieces, least_pieces)
         report = asyncio.run(
             soak_once(number, seconds, nodes, kinds, domains, backlog, traffic, gateways_from)
         )
