Log why and by whom each request without a whole answer was ended; lines of one request stay together

request_unanswered names the request, its phase, who ended it and why, and why it wasn't sent once more; it takes the places of request_cut, stream_cut and caller_left, and has a bound of its own. A caller that leaves while a plain answer is being sent is not told yet.

--- a/benchmarks/gateway_breakages.py
+++ b/benchmarks/gateway_breakages.py
@@ -68,7 +68,8 @@
         "BUDGET",
         "a request reaches a bounded number of upstreams",
         f"{GATEWAY}/request/send_policy.py",
-        "if job.sends >= self._max_sends(job):\n            return None",
+        "if job.sends >= self._max_sends(job):\n            "
+        'return self._end_sends(job, "attempts")',
         "",
         f"{GATEWAY}/request/tests/test_bounds.py -k reaches",
     ),
--- a/benchmarks/stop_breakages.py
+++ b/benchmarks/stop_breakages.py
@@ -69,8 +69,7 @@
         "LOST",
         "requests that still run at the end are answered",
         f"{REQUEST}/owed.py",
-        '                self._log_unfinished("request_given_up", request)\n'
-        "                request.end()\n",
+        "                self._log_given_up(request)\n                request.end()\n",
         "                pass\n",
         f"{TESTS} -k at_the_end",
     ),
--- a/mulleinreach/common/server/connections.py
+++ b/mulleinreach/common/server/connections.py
@@ -27,7 +27,7 @@
     def force_close(self) -> None:
         """Close now; a request in progress is cancelled."""
 
-    def abort(self) -> None:
+    def abort(self, reason: str) -> None:
         """Drop what isn't sent, and close."""
 
     def refuse_slow_head(self) -> None:
@@ -129,7 +129,7 @@
     def _drop(self, connection: Connection, reason: str) -> None:
         self._on_closed(reason)
         self.remove(connection)
-        connection.abort()
+        connection.abort(reason)
 
     def remove(self, connection: Connection) -> None:
         """Forget a connection that has ended."""
@@ -198,7 +198,7 @@
     def _close_unused(self, connection: Connection) -> None:
         """Close an idle connection; what its client doesn't take would keep it open."""
         if connection.unsent_bytes:
-            connection.abort()
+            connection.abort("idle")
         else:
             connection.force_close()
 
--- a/mulleinreach/common/server/handler.py
+++ b/mulleinreach/common/server/handler.py
@@ -43,6 +43,12 @@
         response.force_close()
 
 
+def end_reason(request: web.BaseRequest) -> str | None:
+    """Return why this process has ended a request's connection, ``None`` if it hasn't."""
+    protocol = request.protocol
+    return protocol.end_reason if isinstance(protocol, BoundedRequestHandler) else None
+
+
 class BoundedRequestHandler(RequestHandler):
     """Reads a request only once the previous one is answered.
 
@@ -90,6 +96,8 @@
         self._read_ahead = b""
         self._is_refused = False
         self._is_throttled = False
+        # Why this process has ended the connection, if it has.
+        self.end_reason: str | None = None
 
     # Phases of the connection.
 
@@ -308,7 +316,7 @@
     def _on_evicted(self) -> None:
         """Give up the request that is being read, or the answer that isn't taken."""
         if self.memory.state is not HoldState.PENDING:
-            self.abort()
+            self.abort("memory is needed for other requests")
         elif self._is_in_body():
             self._break_body(RequestEvicted("memory is needed for other requests"))
 
@@ -334,8 +342,9 @@
         """The bytes of answers that the client hasn't taken."""
         return 0 if self._connected is None else self._connected.get_write_buffer_size()
 
-    def abort(self) -> None:
+    def abort(self, reason: str) -> None:
         """Drop what isn't sent, and close."""
+        self.end_reason = reason
         if self._connected is not None:
             self._connected.abort()
         self.force_close()
--- a/mulleinreach/common/tests/test_log.py
+++ b/mulleinreach/common/tests/test_log.py
@@ -7,6 +7,7 @@
 from absl import logging
 
 from mulleinreach.common import RateLimitedEventLog
+from mulleinreach.common.log import MAX_LINES_PER_REQUEST
 
 FLOOD_SCRIPT = """
 import time
@@ -45,6 +46,34 @@
     assert lines[-1] == "event=often node=n left_out=7"
 
 
+# Guards against records in which a lost request has some of its lines, or none of its end.
+def test_lines_of_one_request_are_left_out_together_but_for_its_end_without_an_answer(monkeypatch):
+    lines = []
+    monkeypatch.setattr(logging, "info", lambda form, text: lines.append(text))
+    log = RateLimitedEventLog("n", FixedClock(), per_second=50, requests_per_second=10)
+    for number in range(20):
+        log.event("request_sent", id=f"r{number}")
+    for number in range(20):
+        log.event("send_failed", id=f"r{number}")
+        log.event("request_unanswered", id=f"r{number}")
+    written = {
+        number: [line.split()[0] for line in lines if f"id=r{number} " in f"{line} "]
+        for number in range(20)
+    }
+    whole = ["event=request_sent", "event=send_failed", "event=request_unanswered"]
+    assert [written[number] for number in range(10)] == 10 * [whole]
+    assert [written[number] for number in range(10, 20)] == 10 * [whole[-1:]]
+
+
+def test_lines_of_one_request_are_bounded(monkeypatch):
+    lines = []
+    monkeypatch.setattr(logging, "info", lambda form, text: lines.append(text))
+    log = RateLimitedEventLog("n", FixedClock())
+    for _ in range(1000):
+        log.event("retry_refused", id="r")
+    assert len(lines) == MAX_LINES_PER_REQUEST
+
+
 def test_full_pipe_drops_lines_without_blocking_the_process(tmp_path):
     done = tmp_path / "done"
     reading, writing = os.pipe()
--- a/mulleinreach/gateway/fleet/group_monitor.py
+++ b/mulleinreach/gateway/fleet/group_monitor.py
@@ -73,6 +73,8 @@
         self._rechecked_at: dict[str, float] = {}
         self._paces: dict[tuple[str, int], float] = {}
         self._unfinished_since: dict[tuple[str, int], float] = {}
+        # Groups that are known to serve with draining members.
+        self._kept: set[tuple[str, int]] = set()
 
     def pace(self, key: tuple[str, int]) -> float:
         """Return the pace of a group's slowest member, as of the latest probes."""
@@ -133,13 +135,30 @@
         self, key: tuple[str, int], group: Group, model: EngineModel, load: LoadReport | None
     ) -> None:
         """End a group with leaving or slow members that spare hosts can replace."""
-        if self._can_replace(group, model, self._draining_members(group)):
+        draining = self._draining_members(group)
+        if self._can_replace(group, model, draining):
             self._begin_retiring(key, group.head, RetirementReason.MEMBER_DRAINS)
         elif self._can_replace(group, model, self._slow_members(key, group, model)):
             if has_fixed_requests(load):
                 self._begin_retiring(key, group.head, RetirementReason.MEMBER_SLOW)
             else:
                 self._spawn_dissolve(group, model, "a member is slow")
+        elif draining:
+            self._log_kept(key, group, model, draining)
+
+    def _log_kept(
+        self, key: tuple[str, int], group: Group, model: EngineModel, draining: list[Upstream]
+    ) -> None:
+        """Log once that a group with draining members goes on serving."""
+        if key in self._kept:
+            return
+        self._kept.add(key)
+        self._log.event(
+            "group_kept",
+            group=group.name,
+            draining=",".join(member.id for member in draining),
+            spares=len(self._placement.spares(group, model)),
+        )
 
     def _begin_retiring(
         self, key: tuple[str, int], head: Upstream, reason: RetirementReason
--- a/mulleinreach/gateway/request/job.py
+++ b/mulleinreach/gateway/request/job.py
@@ -89,6 +89,9 @@
     # unlikely to have ended because of it.
     ended_runs: int = 0
     upstream_id: str = ""
+    # Why the latest answer broke off, and why the request wasn't sent once more.
+    broken_by: str = ""
+    not_resent: str = ""
     # The answer of which a part was passed on.
     response: web.StreamResponse | None = None
     # How the body of the latest answer ended.
--- a/mulleinreach/gateway/request/owed.py
+++ b/mulleinreach/gateway/request/owed.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from mulleinreach.common import Clock, EventLog
+from mulleinreach.common.log import UNANSWERED_EVENT
 from mulleinreach.gateway.request.job import RelayJob
 
 
@@ -25,6 +26,14 @@
     ANSWERING = "answering"
 
 
+class EndedBy(enum.StrEnum):
+    """Who ended a request that gets no whole answer."""
+
+    CALLER = "caller"
+    NODE = "node"
+    UPSTREAM = "upstream"
+
+
 @dataclass(eq=False)
 class OwedRequest:
     """A request whose head was read and whose answer isn't complete.
@@ -41,6 +50,7 @@
     limit: asyncio.Timeout
     deadline: float = float("inf")
     job: RelayJob | None = None
+    is_logged: bool = False
 
     def end(self) -> None:
         """End the request's handling."""
@@ -88,19 +98,44 @@
         """End all requests, but for those of which a part of an answer was passed on."""
         for request in self._requests:
             if request.phase is not RequestPhase.ANSWERING:
-                self._log_unfinished("request_given_up", request)
+                self._log_given_up(request)
                 request.end()
 
     def log_cut(self) -> None:
         """Log the requests that are about to end without a whole answer."""
         for request in self._requests:
-            self._log_unfinished("request_cut", request)
+            self.log_unanswered(request, EndedBy.NODE, "the node stops")
+
+    def log_unanswered(self, request: OwedRequest, by: EndedBy, why: str) -> None:
+        """Log once that a request ends without a whole answer."""
+        if request.is_logged:
+            return
+        request.is_logged = True
+        job = request.job
+        self._log.event(
+            UNANSWERED_EVENT,
+            id=request.request_id,
+            phase=request.phase.value,
+            by=by,
+            why=why,
+            route=job.admitted.route.name if job else "",
+            version=job.admitted.configuration.version if job else "",
+            upstream=job.upstream_id if job else "",
+            sends=job.sends if job else 0,
+            events=job.events_sent if job else 0,
+            not_resent=job.not_resent if job else "",
+            ms=self._age_ms(request),
+            left_ms=round((request.deadline - self._clock.now()) * 1000) if job else "",
+        )
 
-    def _log_unfinished(self, event: str, request: OwedRequest) -> None:
+    def _log_given_up(self, request: OwedRequest) -> None:
         self._log.event(
-            event,
+            "request_given_up",
             id=request.request_id,
             phase=request.phase.value,
             upstream=request.job.upstream_id if request.job else "",
-            ms=round((self._clock.now() - request.started_at) * 1000),
+            ms=self._age_ms(request),
         )
+
+    def _age_ms(self, request: OwedRequest) -> int:
+        return round((self._clock.now() - request.started_at) * 1000)
--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -10,7 +10,7 @@
 
 from mulleinreach.common import Clock, EventLog
 from mulleinreach.common.server.body import BodyRefusal, read_body
-from mulleinreach.common.server.handler import announce_end
+from mulleinreach.common.server.handler import announce_end, end_reason
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.model import RouteKind, Service
 from mulleinreach.gateway.ports import CallerHeaders, Dialect
@@ -24,7 +24,7 @@
 from mulleinreach.gateway.request.intake import StopIntake
 from mulleinreach.gateway.request.job import RelayJob, end_to_end_headers
 from mulleinreach.gateway.request.late import LateGate
-from mulleinreach.gateway.request.owed import OwedRequest, OwedRequests
+from mulleinreach.gateway.request.owed import EndedBy, OwedRequest, OwedRequests
 from mulleinreach.gateway.request.refusals import Refusals
 from mulleinreach.gateway.request.run_outcomes import RunOutcomeRecorder
 from mulleinreach.gateway.request.send_policy import MIN_REMAINING_S, SendPolicy
@@ -117,7 +117,12 @@
             async with self._owed.owe(headers.request_id) as owed:
                 response = await self._answer(request, headers, owed)
         except ConnectionError as error:
-            self._log.event("caller_left", id=headers.request_id, why=str(error))
+            self._owed.log_unanswered(owed, EndedBy.CALLER, str(error))
+            raise
+        except asyncio.CancelledError:
+            reason = end_reason(request)
+            by = EndedBy.CALLER if reason is None else EndedBy.NODE
+            self._owed.log_unanswered(owed, by, reason or "the connection was closed")
             raise
         except TimeoutError:
             if not owed.limit.expired():
@@ -134,7 +139,7 @@
         if owed.job is None:
             return self._refusals.stopping(headers)
         if owed.job.response is not None:
-            return self._cut_stream(owed.job, owed.job.response)
+            return self._cut_stream(owed, owed.job.response)
         owed.job.may_have_run |= owed.job.is_unresolved
         return self._final_failure(owed.job)
 
@@ -179,7 +184,7 @@
         await self._sender.wait_for_permit(job)
         try:
             if route.kind is RouteKind.STREAMING:
-                response = await self._relay_stream(job)
+                response = await self._relay_stream(owed, job)
             else:
                 response = await self._relay_plain(job)
         finally:
@@ -267,7 +272,7 @@
         """Whether a server error may be retried at another upstream."""
         return result.status >= 500 and job.admitted.route.is_repeatable
 
-    async def _relay_stream(self, job: RelayJob) -> web.StreamResponse:
+    async def _relay_stream(self, owed: OwedRequest, job: RelayJob) -> web.StreamResponse:
         response: web.StreamResponse | None = None
         if job.service.engine is not None and self._sender.is_late(job):
             self._sender.log_held_back(job)
@@ -299,13 +304,14 @@
                 break
         if response is None:
             return self._final_failure(job)
-        return self._cut_stream(job, response)
+        return self._cut_stream(owed, response)
 
-    def _cut_stream(self, job: RelayJob, response: web.StreamResponse) -> web.StreamResponse:
+    def _cut_stream(self, owed: OwedRequest, response: web.StreamResponse) -> web.StreamResponse:
         """End a stream without its end, so that its caller doesn't take it for whole."""
-        self._log.event("stream_cut", id=job.headers.request_id, events=job.events_sent)
-        if job.request.transport is not None:
-            job.request.transport.close()
+        self._owed.log_unanswered(owed, EndedBy.UPSTREAM, owed.job.broken_by)
+        transport = owed.job.request.transport
+        if transport is not None:
+            transport.close()
         return response
 
     async def _begin_response(self, job: RelayJob, result: Streaming) -> web.StreamResponse:
--- a/mulleinreach/gateway/request/send_policy.py
+++ b/mulleinreach/gateway/request/send_policy.py
@@ -44,19 +44,23 @@
     def next_upstream(self, job: RelayJob) -> Upstream | None:
         """Return the next upstream, or ``None`` if the request must not be sent again."""
         if job.deadline - self._clock.now() < MIN_REMAINING_S:
-            return None
+            return self._end_sends(job, "deadline")
         if job.sends >= self._max_sends(job):
-            return None
+            return self._end_sends(job, "attempts")
         if self.is_held(job):
-            return None
+            return self._end_sends(job, "held")
         upstream = self._chooser.choose(job.constraints, job.headers, job.tried, job.ended_halls)
         if upstream is None:
             self._log_shortage(job)
-            return None
+            return self._end_sends(job, "no upstream")
         if job.sends > 0 and job.retry_charge is None and not self._take_retry(job):
-            return None
+            return self._end_sends(job, "retry budget")
         return upstream
 
+    def _end_sends(self, job: RelayJob, reason: str) -> None:
+        """Note why a request isn't sent once more."""
+        job.not_resent = reason
+
     def may_leave(self, job: RelayJob, exchange: ActiveExchange, silent_s: float) -> bool:
         """Whether a stream that has begun leaves an upstream that has been silent for some time.
 
--- a/mulleinreach/gateway/request/stream_forwarder.py
+++ b/mulleinreach/gateway/request/stream_forwarder.py
@@ -56,6 +56,7 @@
             self._check_whole(result, splitter, has_events)
         except (AnswerCut, TimeoutError) as error:
             exchange.is_cut = isinstance(error, AnswerCut) and not isinstance(error, AnswerSilent)
+            job.broken_by = str(error) or "deadline"
             self._log.event(
                 "stream_broken",
                 id=job.headers.request_id,
@@ -63,7 +64,7 @@
                 content=format_digest(job.content),
                 after=job.last_event_id,
                 events_here=job.events_sent - events_before,
-                why=str(error) or "deadline",
+                why=job.broken_by,
             )
             return False
         finally:
