Groups with a member that leaves as planned take no stream that may outlast it, if others of the model last

What callers saw: all streams that a node had at one head broke off in one moment, some after a move to another group that ended next.

Each node learns of leaving members from the list itself. From the announcement's propagation time on it sends to such a group only if no other group of the model may take the request; the coordinator retires the group if another one lasts longer, spare hosts or not, and dissolves it once it is idle. Members that are removed from the list without an announcement count alike for the choice, but aren't retired, since they may be listed again. A group that works isn't dissolved because a member accepts no connection.

Ruled out: forgotten retirements.

--- a/mulleinreach/gateway/fleet/controller.py
+++ b/mulleinreach/gateway/fleet/controller.py
@@ -30,6 +30,7 @@
 from mulleinreach.gateway.fleet.hosts import HostRegistry
 from mulleinreach.gateway.fleet.placement import Placement
 from mulleinreach.gateway.model import Service
+from mulleinreach.gateway.state.announced_ends import AnnouncedEnds
 from mulleinreach.gateway.state.configuration_follower import ConfigurationInForce
 from mulleinreach.gateway.state.load import LoadReport
 from mulleinreach.gateway.state.upstreams import Head, collect_groups, open_heads
@@ -83,6 +84,7 @@
         nodes: Callable[[], list[RecentNode]],
         is_first_holder: Callable[[], bool],
         reread_hosts: Callable[[], Awaitable[bool]],
+        announced_ends: AnnouncedEnds,
         clock: Clock,
         log: EventLog,
     ):
@@ -106,7 +108,14 @@
         )
         self._hall_monitor = HallMonitor(hall, hosts, operator, self._host_tasks, nodes, clock, log)
         self._group_monitor = GroupMonitor(
-            hosts, operator, self._placement, self._host_tasks, loads, clock, log
+            hosts,
+            operator,
+            self._placement,
+            self._host_tasks,
+            announced_ends,
+            loads,
+            clock,
+            log,
         )
 
     def notify(self) -> None:
--- a/mulleinreach/gateway/fleet/group_monitor.py
+++ b/mulleinreach/gateway/fleet/group_monitor.py
@@ -20,6 +20,7 @@
 from mulleinreach.gateway.fleet.retirements import RetirementReason
 from mulleinreach.gateway.model import EngineModel, EngineProfile
 from mulleinreach.gateway.ports import Unavailable
+from mulleinreach.gateway.state.announced_ends import AnnouncedEnds
 from mulleinreach.gateway.state.load import LoadReport, has_fixed_requests
 from mulleinreach.gateway.state.upstreams import Group, open_heads
 from mulleinreach.gateway.upstream import MemberState, Upstream, UpstreamState
@@ -38,7 +39,13 @@
 # A store outage may remove a host from the list until its next heartbeat.
 MAX_HEAD_ABSENCE_S = 1.5
 # These end when the members respond and the head is listed.
-RECOVERABLE_REASONS = frozenset({RetirementReason.MEMBER_SILENT, RetirementReason.HEAD_DELISTED})
+RECOVERABLE_REASONS = frozenset(
+    {
+        RetirementReason.MEMBER_SILENT,
+        RetirementReason.MEMBER_UNHEARD,
+        RetirementReason.HEAD_DELISTED,
+    }
+)
 
 
 class GroupMonitor:
@@ -56,6 +63,7 @@
         operator: GroupOperator,
         placement: Placement,
         host_tasks: HostTasks,
+        announced_ends: AnnouncedEnds,
         loads: Callable[[], list[LoadReport]],
         clock: Clock,
         log: EventLog,
@@ -64,6 +72,7 @@
         self._operator = operator
         self._placement = placement
         self._host_tasks = host_tasks
+        self._announced_ends = announced_ends
         self._loads = loads
         self._clock = clock
         self._log = log
@@ -115,8 +124,7 @@
     ) -> None:
         """Keep, probe, retire or dissolve a group whose head is listed as serving."""
         if self._hosts.has_lost_member(group):
-            if not (self._may_continue(group, model) or self._may_finish(key, group, load)):
-                self._spawn_dissolve(group, model, "a member is lost")
+            self._check_with_lost(key, group, model, load)
             return
         is_silent = load is not None and load.stalled_s > SUSPECT_STALL_S
         is_missing = not (group.is_whole(model.size) or self._hosts.is_in_grace_period())
@@ -131,12 +139,25 @@
         elif not (is_silent or is_missing):
             self._retire_if_replaceable(key, group, model, load)
 
+    def _check_with_lost(
+        self, key: tuple[str, int], group: Group, model: EngineModel, load: LoadReport | None
+    ) -> None:
+        """Keep, retire or dissolve a group some members of which don't respond."""
+        if self._may_continue(group, model):
+            return
+        if self._makes_progress(group):
+            if self._retirements.get(key) is None:
+                self._begin_retiring(key, group.head, RetirementReason.MEMBER_UNHEARD)
+            self._end_when_idle(key, group, model, group.head, load)
+        elif not self._may_finish(key, group, load):
+            self._spawn_dissolve(group, model, "a member is lost")
+
     def _retire_if_replaceable(
         self, key: tuple[str, int], group: Group, model: EngineModel, load: LoadReport | None
     ) -> None:
-        """End a group with leaving or slow members that spare hosts can replace."""
+        """End a group with leaving or slow members, if other hosts or groups can replace it."""
         draining = self._draining_members(group)
-        if self._can_replace(group, model, draining):
+        if self._can_replace(group, model, draining) or self._is_due(key, group, model):
             self._begin_retiring(key, group.head, RetirementReason.MEMBER_DRAINS)
         elif self._can_replace(group, model, self._slow_members(key, group, model)):
             if has_fixed_requests(load):
@@ -146,6 +167,19 @@
         elif draining:
             self._log_kept(key, group, model, draining)
 
+    def _is_due(self, key: tuple[str, int], group: Group, model: EngineModel) -> bool:
+        """Whether a member may end at any time, and another group of the model lasts longer."""
+        due = self._announced_ends.due_groups()
+        if key not in due:
+            return False
+        others = self._hosts.usable(group.head.service)
+        return any(
+            self._retirements.get((head.group, head.epoch)) is None
+            and due.get((head.group, head.epoch), math.inf) > due[key]
+            for head in open_heads(others)
+            if head.model == model.name
+        )
+
     def _log_kept(
         self, key: tuple[str, int], group: Group, model: EngineModel, draining: list[Upstream]
     ) -> None:
@@ -363,7 +397,10 @@
         is_incomplete = len(members) < model.size and not self._makes_progress(group)
         # The next pass decides on a group that has only lost members that are listed.
         unlisted = [host for host in lost if not self._hosts.is_listed(host)]
-        must_end = moved or is_incomplete or (unlisted and not self._may_continue(group, model))
+        is_broken = unlisted and not (
+            self._may_continue(group, model) or self._makes_progress(group)
+        )
+        must_end = moved or is_incomplete or is_broken
         if must_end and not self._is_busy(group):
             self._spawn_dissolve(group, model, f"lost {lost} moved {moved}")
         self._host_tasks.wake.set()
--- a/mulleinreach/gateway/fleet/retirements.py
+++ b/mulleinreach/gateway/fleet/retirements.py
@@ -19,6 +19,7 @@
     """Why a group has to end, or may have to."""
 
     MEMBER_DRAINS = "a member drains"
+    MEMBER_UNHEARD = "a member doesn't respond, and the group works"
     MEMBER_SLOW = "a member is slow"
     MEMBER_SILENT = "a member is silent"
     HEAD_DELISTED = "the head is off the list"
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -41,6 +41,7 @@
 from mulleinreach.gateway.request.urgency import FirstWaitEstimator
 from mulleinreach.gateway.resources import share_resources
 from mulleinreach.gateway.shared_state import SharedState
+from mulleinreach.gateway.state.announced_ends import AnnouncedEnds
 from mulleinreach.gateway.state.cold import ColdRateLimit, ColdUpstreams
 from mulleinreach.gateway.state.configuration_follower import ConfigurationInForce
 from mulleinreach.gateway.state.crashes import CrashTracker
@@ -183,6 +184,9 @@
         )
 
     def _make_relay(self) -> None:
+        self.announced_ends = AnnouncedEnds(
+            self.directory, self.bounds.leaving_propagation_s, self.clock
+        )
         self.chooser = UpstreamChooser(
             self.directory,
             Router(self.loads, self.rng, self.identity.hall),
@@ -190,6 +194,7 @@
             self.eligibility,
             self.cold,
             self.permits,
+            self.announced_ends,
             self.clock,
         )
         self._sessions = [
@@ -275,6 +280,7 @@
             lambda: self.coordination.recent_nodes(),
             lambda: self.lease.is_first_term,
             self.follower.read_now,
+            self.announced_ends,
             self.clock,
             self.log,
         )
--- a/mulleinreach/gateway/state/notices.py
+++ b/mulleinreach/gateway/state/notices.py
@@ -63,7 +63,8 @@
 
     def record(self, upstream: Upstream, notice: Notice) -> None:
         """Record the notice in an upstream's response."""
-        is_newly_leaving = notice.is_leaving and self._directory.mark_leaving(upstream.id)
+        now = self._clock.now()
+        is_newly_leaving = notice.is_leaving and self._directory.mark_leaving(upstream.id, now)
         if notice.rest_s:
             self._note_rest(upstream.id, notice.rest_s)
         if is_newly_leaving or notice.rest_s:
--- a/mulleinreach/gateway/state/selection.py
+++ b/mulleinreach/gateway/state/selection.py
@@ -8,6 +8,7 @@
 from mulleinreach.common import Clock
 from mulleinreach.gateway.model import Service
 from mulleinreach.gateway.ports import CallerHeaders
+from mulleinreach.gateway.state.announced_ends import AnnouncedEnds
 from mulleinreach.gateway.state.arrivals import SendCharge
 from mulleinreach.gateway.state.cold import ColdUpstreams
 from mulleinreach.gateway.state.eligibility import Eligibility, Exclusion, RequestConstraints
@@ -110,6 +111,7 @@
         eligibility: Eligibility,
         cold: ColdUpstreams,
         permits: SendPermits,
+        announced_ends: AnnouncedEnds,
         clock: Clock,
     ):
         self._directory = directory
@@ -118,6 +120,7 @@
         self._eligibility = eligibility
         self._cold = cold
         self._permits = permits
+        self._announced_ends = announced_ends
         self._clock = clock
         self._coordinator_heads: list[Head] = []
         self._retiring: frozenset[str] = frozenset()
@@ -180,7 +183,8 @@
             return self._router.choose_plain(upstreams, suspects, cold)
         known = [h for h in self.heads(service.name, headers.model) if h.upstream.id not in tried]
         permitted = self._permitted(known, constraints, respects_limits)
-        heads = [h for h in permitted if h.upstream.hall not in avoided_halls] or permitted
+        lasting = self._without_due(permitted)
+        heads = [h for h in lasting if h.upstream.hall not in avoided_halls] or lasting
         cold = self._cold.ids([head.upstream for head in heads], service)
         tokens = headers.prompt_tokens or 0
         head = self._router.choose_head(heads, service.engine, tokens, suspects, cold)
@@ -189,6 +193,11 @@
         self._last_chosen[head.upstream.id] = head
         return head.upstream
 
+    def _without_due(self, heads: list[Head]) -> list[Head]:
+        """Return the heads whose groups last, or all if a member of each may end at any time."""
+        due = self._announced_ends.due_groups()
+        return [head for head in heads if (head.group, head.epoch) not in due] or heads
+
     async def wait_for_permit(
         self, constraints: RequestConstraints, headers: CallerHeaders
     ) -> PermitWait | None:
--- a/mulleinreach/gateway/state/upstreams.py
+++ b/mulleinreach/gateway/state/upstreams.py
@@ -5,6 +5,7 @@
 from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from typing import TypeVar
 
 from mulleinreach.common import Address
 from mulleinreach.gateway.upstream import (
@@ -70,7 +71,18 @@
     removed: list[str]
 
 
+@dataclass(frozen=True)
+class LeavingMember:
+    """A member of a group that leaves, or was removed from the list, and since when."""
+
+    group_key: tuple[str, int]
+    since: float
+
+
 NEVER = float("-inf")
+# A group ends within this time after a member has left, or the member is listed again.
+DEPARTED_MEMBER_RETENTION_S = 30.0
+Value = TypeVar("Value")
 # More than are replaced in an hour among 2,840 hosts. An upstream ends seconds after it announced
 # that, and a copy of the store that lists it again is only seconds old.
 MAX_REMEMBERED_IDS = 4096
@@ -123,10 +135,14 @@
         self._running: dict[str, str] = {}
         self._changed_at: dict[str, float] = {}
         self._cold_until: dict[str, float] = {}
-        self._retained: set[str] = set()
-        # Ids of leaving and of removed upstreams, oldest first.
-        self._leaving: dict[str, None] = {}
+        # Removed upstreams that may be listed again, and since when.
+        self._retained: dict[str, float] = {}
+        # Ids of listed upstreams that are leaving.
+        self._draining: set[str] = set()
+        # Since when upstreams are known to be leaving, and ids of removed ones; oldest first.
+        self._leaving: dict[str, float] = {}
         self._departed: dict[str, None] = {}
+        self._departed_members: dict[str, LeavingMember] = {}
         # The addresses of all upstreams; ``None`` since the latest change of the list.
         self._addresses: frozenset[Address] | None = None
         self._changes: deque[ListChange] = deque()
@@ -141,7 +157,7 @@
         keeps_removed: bool = False,
     ) -> None:
         """Replace the list by a complete one."""
-        upstreams = [self._with_leaving_state(u) for u in upstreams]
+        upstreams = [self._with_leaving_state(u, observed_at) for u in upstreams]
         listed = {upstream_name(u.id) for u in upstreams}
         changed = [u for u in upstreams if self._by_id.get(u.id) != u]
         removed = [name for name in self._running if name not in listed]
@@ -167,20 +183,23 @@
 
     def _apply_change(self, change: ListChange, observed_at: float, keeps_removed: bool) -> None:
         self._addresses = None
-        for upstream in map(self._with_leaving_state, change.upstreams):
+        for row in change.upstreams:
+            upstream = self._with_leaving_state(row, observed_at)
             self._replace_start(upstream.id)
             self._by_id[upstream.id] = upstream
+            if upstream.state is UpstreamState.DRAINING:
+                self._draining.add(upstream.id)
             self._changed_at[upstream.id] = observed_at
             self._note_cold(upstream, observed_at)
-            self._retained.discard(upstream.id)
+            self._retained.pop(upstream.id, None)
             self._departed.pop(upstream.id, None)
+            self._departed_members.pop(upstream.id, None)
         removed = [self._running[name] for name in change.removed if name in self._running]
         if keeps_removed:
-            self._retained.update(removed)
+            self._retained |= dict.fromkeys(removed, observed_at)
         else:
             for upstream_id in removed:
-                self._drop(upstream_id)
-                _add_bounded(self._departed, upstream_id)
+                self._depart(upstream_id, observed_at)
         self.revision = change.revision
 
     def reconcile(self, upstreams: list[Upstream]) -> list[Upstream]:
@@ -198,19 +217,29 @@
             if before is not None or listed.id not in self._departed
         ]
 
-    def mark_leaving(self, upstream_id: str) -> bool:
+    def mark_leaving(self, upstream_id: str, observed_at: float) -> bool:
         """Mark an upstream as leaving, as it announced itself; returns whether that was unknown."""
         if upstream_id in self._leaving:
             return False
-        _add_bounded(self._leaving, upstream_id)
+        _add_bounded(self._leaving, upstream_id, observed_at)
         if upstream_id in self._by_id:
-            self._by_id[upstream_id] = self._with_leaving_state(self._by_id[upstream_id])
+            upstream = self._by_id[upstream_id]
+            self._by_id[upstream_id] = self._with_leaving_state(upstream, observed_at)
+            self._draining.add(upstream_id)
         return True
 
-    def _with_leaving_state(self, upstream: Upstream) -> Upstream:
+    def draining(self) -> list[Upstream]:
+        """Return the listed upstreams that are leaving."""
+        return [self._by_id[upstream_id] for upstream_id in self._draining]
+
+    def leaving_since(self, upstream_id: str) -> float:
+        """Return since when an upstream is known to be leaving; infinite if it isn't."""
+        return self._leaving.get(upstream_id, float("inf"))
+
+    def _with_leaving_state(self, upstream: Upstream, observed_at: float) -> Upstream:
         """Return an upstream as its row shows it, but draining if it is known to be leaving."""
-        if upstream.state is UpstreamState.DRAINING:
-            _add_bounded(self._leaving, upstream.id)
+        if upstream.state is UpstreamState.DRAINING and upstream.id not in self._leaving:
+            _add_bounded(self._leaving, upstream.id, observed_at)
         if upstream.id not in self._leaving:
             return upstream
         return replace(upstream, state=UpstreamState.DRAINING)
@@ -232,19 +261,34 @@
 
     def drop_retained(self) -> int:
         """Remove the retained upstreams that were not listed again; returns how many."""
-        kept = list(self._retained)
-        for upstream_id in kept:
-            self._drop(upstream_id)
-            _add_bounded(self._departed, upstream_id)
+        kept = list(self._retained.items())
+        for upstream_id, since in kept:
+            self._depart(upstream_id, since)
         return len(kept)
 
+    def _depart(self, upstream_id: str, since: float) -> None:
+        """Drop an upstream that is no longer listed."""
+        upstream = self._by_id.get(upstream_id)
+        self._drop(upstream_id)
+        _add_bounded(self._departed, upstream_id, None)
+        oldest = since - DEPARTED_MEMBER_RETENTION_S
+        members = {u: m for u, m in self._departed_members.items() if m.since > oldest}
+        if upstream is not None and upstream.group_key is not None:
+            members[upstream_id] = LeavingMember(upstream.group_key, since)
+        self._departed_members = members
+
+    def departed_members(self) -> list[LeavingMember]:
+        """Return the members of groups that were removed from the list recently."""
+        return list(self._departed_members.values())
+
     def _drop(self, upstream_id: str) -> None:
         self._addresses = None
         self._by_id.pop(upstream_id, None)
         self._running.pop(upstream_name(upstream_id), None)
         self._changed_at.pop(upstream_id, None)
         self._cold_until.pop(upstream_id, None)
-        self._retained.discard(upstream_id)
+        self._retained.pop(upstream_id, None)
+        self._draining.discard(upstream_id)
 
     def _record_change(self, change: ListChange) -> None:
         if change.upstreams or change.removed:
@@ -338,9 +382,9 @@
         return len(self._by_id)
 
 
-def _add_bounded(ids: dict[str, None], upstream_id: str) -> None:
-    """Add an id, and evict the oldest one beyond the limit."""
-    ids[upstream_id] = None
+def _add_bounded(ids: dict[str, Value], upstream_id: str, value: Value) -> None:
+    """Add an id with its value, and evict the oldest one beyond the limit."""
+    ids[upstream_id] = value
     if len(ids) > MAX_REMEMBERED_IDS:
         del ids[next(iter(ids))]
 
