SIGHUP doesn't end a node that is starting, and SIGTERM ends it with status 0

What callers saw: connections that waited while a node started were reset, and its process had ended by itself, if SIGHUP came in the first half second. Cause: the handlers were set after the imports, though callers can connect before them. A node ignores SIGHUP from its first line on, and ends at SIGTERM with status 0, until it sets its own handlers; it has read nothing by then. A node of the product's own interface, which had no handler of SIGHUP at all, does the same.

--- a/mulleinreach/cli/main.py
+++ b/mulleinreach/cli/main.py
@@ -59,8 +59,11 @@
 async def _run_node(settings: NodeSettings) -> None:
     running = Node(settings)
     stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(signal_number, stopped.set)
+        loop.add_signal_handler(signal_number, stopped.set)
+    # A running node doesn't reload its settings; changes apply at the next start.
+    loop.add_signal_handler(signal.SIGHUP, lambda: logging.info("event=settings_changed"))
     await running.start()
     await stopped.wait()
     await running.stop(STOP_GRACE_S)
--- a/mulleinreach/platform/__main__.py
+++ b/mulleinreach/platform/__main__.py
@@ -3,14 +3,16 @@
 import os
 
 from mulleinreach.platform.early import SETTINGS_VARIABLE, listen_for_callers
+from mulleinreach.start_signals import prepare_signals
 
 
 def start() -> None:
-    """Listen for callers, then import and run the node.
+    """Prepare for signals, listen for callers, then import and run the node.
 
     On import, aiohttp loads the system's certificate authorities, which slows the start. The
     platform uses plain HTTP and needs none, so the certificate paths are set to an empty file.
     """
+    prepare_signals()
     path = os.environ.get(SETTINGS_VARIABLE, "")
     listener = listen_for_callers(path)
     os.environ["SSL_CERT_FILE"] = os.environ["SSL_CERT_DIR"] = os.devnull
--- a/mulleinreach/platform/early.py
+++ b/mulleinreach/platform/early.py
@@ -20,19 +20,8 @@
         with open(settings_path, encoding="utf-8") as file:
             fields = dict(line.strip().split("=", 1) for line in file if "=" in line)
         host, _, port = fields[LISTEN_ADDRESS_FIELD].rpartition(":")
-        return _listen(host, int(port))
+        listener = socket.create_server((host, int(port)), backlog=BACKLOG)
     except (OSError, KeyError, ValueError, OverflowError):
         return None
-
-
-def _listen(host: str, port: int) -> socket.socket:
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.setblocking(False)
-        listener.bind((host, port))
-        listener.listen(BACKLOG)
-    except OSError:
-        listener.close()
-        raise
+    listener.setblocking(False)
     return listener
