Guards of announced ends, of signals at a start and of the log: seven rules that are taken out, each noticed

Three tests more: a group of a leaving member frees its hosts once it is idle, nodes that hear no coordinator avoid groups that may end, and a member that misses a probe while its group works cuts nothing.

--- a/benchmarks/ending_breakages.py
+++ b/benchmarks/ending_breakages.py
@@ -3,7 +3,9 @@
 from benchmarks.breakage import Breakage
 
 FLEET = "mulleinreach/gateway/fleet"
+GATEWAY = "mulleinreach/gateway"
 ENDING_GROUPS = f"{FLEET}/tests/test_ending_groups.py"
+ANNOUNCED = f"{FLEET}/tests/test_announced_ends.py"
 
 ENDING_BREAKAGES = [
     Breakage(
@@ -46,4 +48,60 @@
         "elif False:",
         f"{ENDING_GROUPS} -k off_the_list",
     ),
+    Breakage(
+        "LOST",
+        "groups whose end is announced take no stream if others last",
+        f"{GATEWAY}/state/selection.py",
+        "        lasting = self._without_due(permitted)",
+        "        lasting = permitted",
+        f"{ANNOUNCED} -k hear_no_coordinator",
+    ),
+    Breakage(
+        "LOST",
+        "a member that was removed from the list may end at any time",
+        f"{GATEWAY}/state/announced_ends.py",
+        "leaving + self._directory.departed_members()",
+        "leaving",
+        f"{ANNOUNCED} -k stops_listening",
+    ),
+    Breakage(
+        "LOST",
+        "a group that works isn't dissolved, whatever its members answer",
+        f"{FLEET}/group_monitor.py",
+        "        if self._makes_progress(group):\n            if",
+        "        if False:\n            if",
+        f"{ANNOUNCED} -k taken_for_lost",
+    ),
+    Breakage(
+        "LOST",
+        "a group whose end is announced frees its hosts",
+        f"{FLEET}/group_monitor.py",
+        "self._can_replace(group, model, draining) or self._is_due(key, group, model)",
+        "self._can_replace(group, model, draining)",
+        f"{ANNOUNCED} -k frees",
+    ),
+    Breakage(
+        "LOST",
+        "a stream goes on behind its last event",
+        f"{GATEWAY}/request/stream_forwarder.py",
+        "self._check_whole(result, splitter, has_events or may_be_empty)",
+        "self._check_whole(result, splitter, has_events)",
+        f"{GATEWAY}/request/tests/test_streams_without_length.py -k nothing_is_left",
+    ),
+    Breakage(
+        "LOST",
+        "no signal ends a node that is starting",
+        "mulleinreach/platform/__main__.py",
+        "    prepare_signals()\n",
+        "",
+        "mulleinreach/platform/tests/test_start_signals.py",
+    ),
+    Breakage(
+        "LOST",
+        "each request without a whole answer leaves a line",
+        "mulleinreach/common/log.py",
+        " and name != UNANSWERED_EVENT:",
+        ":",
+        "mulleinreach/common/tests/test_log.py -k left_out_together",
+    ),
 ]
--- a/mulleinreach/gateway/fleet/tests/test_announced_ends.py
+++ b/mulleinreach/gateway/fleet/tests/test_announced_ends.py
@@ -140,3 +140,55 @@
         assert await streams.end() == []
 
     run_world(test, **FULL_DOMAINS, bounds=NO_RETRIES)
+
+
+# Guards against hosts that serve nobody until the member goes that their group can't do without.
+def test_group_of_a_leaving_member_frees_its_other_hosts_once_it_is_idle():
+    async def test(world):
+        streams = await begin(world)
+        leaving = member_of(world, LARGE, 1)
+        standing = leaving.standing
+        head = world.fabric.hosts[standing.members[0]]
+        leaving.drain()
+        await asyncio.sleep(SERVES_ON_S)
+        # Once its head has left a group, its members may join another one.
+        assert head.standing is None or head.standing.group != standing.group
+        assert await streams.end() == []
+
+    run_world(test, **FULL_DOMAINS, bounds=NO_RETRIES)
+
+
+# Guards against nodes that send to groups which are known to end, since no coordinator tells them.
+def test_nodes_that_hear_no_coordinator_avoid_groups_that_may_end():
+    async def test(world):
+        streams = await begin(world)
+        host = member_of(world, LARGE, 1)
+        head = host.standing.members[0]
+        for name in list(world.nodes):
+            for other in world.nodes:
+                if name < other:
+                    world.links.cut_both(name, other)
+        host.drain()
+        await asyncio.sleep(SERVES_ON_S)
+        runs_before = dict(world.fabric.checks.runs)
+        await asyncio.sleep(1.0)
+        runs = [run for run in world.fabric.checks.runs if run not in runs_before]
+        ran_at = {each for run in runs for each in world.fabric.checks.runs[run]}
+        assert ran_at and head not in ran_at
+        await streams.end()
+
+    run_world(test, **FULL_DOMAINS, bounds=NO_RETRIES)
+
+
+# Guards against a sound group that is dissolved under its answers, since a member missed a probe.
+def test_member_that_is_taken_for_lost_while_its_group_works_cuts_no_stream():
+    async def test(world):
+        streams = await begin(world)
+        host = member_of(world, LARGE, 2)
+        standing = host.standing
+        world.nodes[world.coordinator()].hosts.mark_lost(host.id, is_refused=True)
+        await asyncio.sleep(3.0)
+        assert host.standing is standing
+        assert await streams.end() == []
+
+    run_world(test, **FULL_DOMAINS, bounds=NO_RETRIES)
