--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -30,7 +30,7 @@
 from mulleinreach.gateway.request.send_policy import MIN_REMAINING_S, SendPolicy
 from mulleinreach.gateway.request.sending import Sender
 from mulleinreach.gateway.request.starting import StartGate
-from mulleinreach.gateway.request.stream_forwarder import StreamForwarder
+from mulleinreach.gateway.request.stream_forwarder import DEADLINE_REACHED, StreamForwarder
 from mulleinreach.gateway.request.urgency import FirstWaitEstimator
 from mulleinreach.gateway.state.content import content_digest
 
@@ -184,7 +184,7 @@
         await self._sender.wait_for_permit(job)
         try:
             if route.kind is RouteKind.STREAMING:
-                response = await self._relay_stream(owed, job)
+                response = await self._relay_stream(owed)
             else:
                 response = await self._relay_plain(job)
         finally:
@@ -272,7 +272,8 @@
         """Whether a server error may be retried at another upstream."""
         return result.status >= 500 and job.admitted.route.is_repeatable
 
-    async def _relay_stream(self, owed: OwedRequest, job: RelayJob) -> web.StreamResponse:
+    async def _relay_stream(self, owed: OwedRequest) -> web.StreamResponse:
+        job = owed.job
         response: web.StreamResponse | None = None
         if job.service.engine is not None and self._sender.is_late(job):
             self._sender.log_held_back(job)
@@ -309,7 +310,9 @@
 
     def _cut_stream(self, owed: OwedRequest, response: web.StreamResponse) -> web.StreamResponse:
         """End a stream without its end, so that its caller doesn't take it for whole."""
-        self._owed.log_unanswered(owed, EndedBy.UPSTREAM, owed.job.broken_by)
+        is_over = owed.job.broken_by == DEADLINE_REACHED
+        by = EndedBy.NODE if is_over or owed.limit.expired() else EndedBy.UPSTREAM
+        self._owed.log_unanswered(owed, by, owed.job.broken_by)
         transport = owed.job.request.transport
         if transport is not None:
             transport.close()
--- a/mulleinreach/gateway/request/stream_forwarder.py
+++ b/mulleinreach/gateway/request/stream_forwarder.py
@@ -23,6 +23,8 @@
 # Received bytes are split in pieces; one with no more events than this isn't paced.
 EVENT_PIECE_BYTES = 4096
 FREE_EVENTS = 100
+# Why a stream that its deadline ended broke off.
+DEADLINE_REACHED = "deadline"
 
 
 class StreamForwarder:
@@ -58,7 +60,7 @@
             self._check_whole(result, splitter, has_events or may_be_empty)
         except (AnswerCut, TimeoutError) as error:
             exchange.is_cut = isinstance(error, AnswerCut) and not isinstance(error, AnswerSilent)
-            job.broken_by = str(error) or "deadline"
+            job.broken_by = str(error) or DEADLINE_REACHED
             self._log.event(
                 "stream_broken",
                 id=job.headers.request_id,
