Reverted: a stream that goes on without any event isn't taken for whole

On the wire that is the same as a stream with nothing left to add, so the two can't be told apart; to cut a whole stream is the lesser fault.

--- a/benchmarks/body_breakages.py
+++ b/benchmarks/body_breakages.py
@@ -80,7 +80,7 @@
         "ORDER",
         "a stream without length and without events was broken off",
         FORWARDER,
-        "if result.body_end.framing is BodyFraming.CLOSE and not may_end:",
+        "if result.body_end.framing is BodyFraming.CLOSE and not has_events:",
         "if False:",
         STREAMS,
     ),
--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -287,9 +287,8 @@
                     if response is None:
                         response = await self._begin_response(job, result)
                     is_whole = await self._streams.forward(job, result, exchange, ticket, response)
-                    is_empty = not exchange.has_received_body
                     if is_whole and await self._outcomes.confirm_served(
-                        job, upstream, exchange, result.body_end, is_empty
+                        job, upstream, exchange, result.body_end
                     ):
                         await response.write_eof()
                         return response
--- a/mulleinreach/gateway/request/run_outcomes.py
+++ b/mulleinreach/gateway/request/run_outcomes.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Awaitable, Callable
 
 from mulleinreach.common import Address, Clock, EventLog
@@ -19,9 +18,6 @@
 # A replica that ends sooner after the first event may have crashed under that very request, which
 # must not go on to as many others as one that was hit by chance.
 MIN_MIDSTREAM_S = 0.3
-# A process that ends may accept connections for some hundredths of a second after it has closed
-# others. Without any part of a body, nothing else shows whether it ended before it wrote one.
-EMPTY_BODY_PROBE_DELAY_S = 0.1
 
 
 class RunOutcomeRecorder:
@@ -48,12 +44,7 @@
         self._log = log
 
     async def confirm_served(
-        self,
-        job: RelayJob,
-        upstream: Upstream,
-        exchange: ActiveExchange,
-        body_end: BodyEnd,
-        is_empty_stream: bool = False,
+        self, job: RelayJob, upstream: Upstream, exchange: ActiveExchange, body_end: BodyEnd
     ) -> bool:
         """Record that a request was served; returns whether its answer is complete.
 
@@ -63,8 +54,6 @@
         """
         state = ProcessState.RUNNING
         if body_end.framing is BodyFraming.CLOSE and not self._chooser.is_leaving(upstream):
-            if is_empty_stream:
-                await asyncio.sleep(EMPTY_BODY_PROBE_DELAY_S)
             state = await self._process_state(upstream.address)
         if state is ProcessState.ENDED:
             exchange.has_upstream_ended = True
--- a/mulleinreach/gateway/request/stream_forwarder.py
+++ b/mulleinreach/gateway/request/stream_forwarder.py
@@ -54,10 +54,8 @@
                     for begin in range(0, len(data), EVENT_PIECE_BYTES):
                         piece = data[begin : begin + EVENT_PIECE_BYTES]
                         await self._write_events(job, splitter, piece, response)
-            # A stream that goes on behind its last event has nothing to add.
-            may_be_empty = events_before > 0 and not exchange.has_received_body
             has_events = job.events_sent > events_before
-            self._check_whole(result, splitter, has_events or may_be_empty)
+            self._check_whole(result, splitter, has_events)
         except (AnswerCut, TimeoutError) as error:
             exchange.is_cut = isinstance(error, AnswerCut) and not isinstance(error, AnswerSilent)
             job.broken_by = str(error) or DEADLINE_REACHED
@@ -76,7 +74,7 @@
             result.close()
         return not exchange.is_aborted
 
-    def _check_whole(self, result: Streaming, splitter: EventSplitter, may_end: bool) -> None:
+    def _check_whole(self, result: Streaming, splitter: EventSplitter, has_events: bool) -> None:
         """Raise :class:`AnswerCut` if a stream ended before its end.
 
         A process that ends closes its connections, so a stream that ends with its connection and
@@ -84,7 +82,7 @@
         """
         if splitter.rest:
             raise AnswerCut("the stream ended inside an event")
-        if result.body_end.framing is BodyFraming.CLOSE and not may_end:
+        if result.body_end.framing is BodyFraming.CLOSE and not has_events:
             raise AnswerCut("the stream ended before any event")
 
     async def _write_events(
