--- a/mulleinreach/platform/tests/soak/loss_checks.py
+++ b/mulleinreach/platform/tests/soak/loss_checks.py
@@ -27,16 +27,16 @@
     Not counted are requests whose time was over, those that a connection's end crossed, and those
     of gateways that were stopped before they had read anything, or that were killed, frozen or cut
     off from the store meanwhile or just before. A stream of which a part came may have been broken
-    off by its host, so such streams count only if all upstreams are sound.
+    off by its host, so such streams count only if hosts' faults cut none.
     """
 
     def __init__(
-        self, world: SoakWorld, callers: Callers, report: SoakReport, are_upstreams_sound: bool
+        self, world: SoakWorld, callers: Callers, report: SoakReport, keeps_streams_whole: bool
     ):
         self._world = world
         self._callers = callers
         self._report = report
-        self._are_upstreams_sound = are_upstreams_sound
+        self._keeps_streams_whole = keeps_streams_whole
 
     def check(self) -> None:
         """LOST: a connection ends without an answer to a request that was read."""
@@ -70,7 +70,7 @@
         """Whether a request was read, and its time wasn't over."""
         if each.ended_at - each.began_at >= each.request.timeout_s:
             return False
-        if each.has_part and not self._are_upstreams_sound:
+        if each.has_part and not self._keeps_streams_whole:
             return False
         if not has_arrived and each.ended_at - each.sent_at <= LOSS_SLACK_S:
             return False
--- a/mulleinreach/platform/tests/soak/run.py
+++ b/mulleinreach/platform/tests/soak/run.py
@@ -32,6 +32,8 @@
 from mulleinreach.platform.tests.soak.failure_faults import FailureFaults
 from mulleinreach.platform.tests.soak.fault_log import write_fault_log
 from mulleinreach.platform.tests.soak.faults import Faults
+from mulleinreach.platform.tests.soak.host_loss_faults import HostLossFaults
+from mulleinreach.platform.tests.soak.kill_faults import KillFaults
 from mulleinreach.platform.tests.soak.limit_checks import LimitChecks
 from mulleinreach.platform.tests.soak.limit_faults import LimitFaults
 from mulleinreach.platform.tests.soak.loss_checks import LossChecks
@@ -69,6 +71,8 @@
     stops : whether gateways are stopped as planned.
     segments : whether requests come in segments, and ahead of answers, beside such stops.
     drains : whether hosts announce their ends, and are replaced.
+    kills : whether gateways are killed in series.
+    host_losses : whether hosts are lost without an announcement, and are replaced.
     """
 
     processes: bool = True
@@ -84,11 +88,21 @@
     stops: bool = False
     segments: bool = True
     drains: bool = False
+    kills: bool = False
+    host_losses: bool = False
 
-    def keeps_upstreams_sound(self) -> bool:
-        """Whether hosts and plain upstreams have no faults, planned ends aside."""
+    def keeps_streams_whole(self) -> bool:
+        """Whether hosts and plain upstreams have only faults that cut no stream.
+
+        A single host that ends, announced or not, leaves other groups of its model.
+        """
         return self == SoakKinds(
-            processes=False, stops=self.stops, segments=self.segments, drains=self.drains
+            processes=False,
+            stops=self.stops,
+            segments=self.segments,
+            drains=self.drains,
+            kills=self.kills,
+            host_losses=self.host_losses,
         )
 
 
@@ -146,6 +160,12 @@
         if kinds.drains:
             drains = DrainFaults(world, random.Random(f"drains {seed}"), self.report)
             self._harmers.append(drains)
+        if kinds.kills:
+            kills = KillFaults(world, random.Random(f"kills {seed}"), self.report)
+            self._harmers.append(kills)
+        if kinds.host_losses:
+            losses = HostLossFaults(world, random.Random(f"host losses {seed}"), self.report)
+            self._harmers.append(losses)
         self._notice_checks = NoticeChecks(world, self.callers, self.report)
         self._limit_checks = LimitChecks(world, self.callers, self.report)
         self._retry_checks = RetryChecks(world, self.callers, self.report)
@@ -153,7 +173,7 @@
         self._deadline_checks = DeadlineChecks(world, self.callers, self.report)
         self._crash_checks = CrashChecks(world, self.callers, self.report)
         self._loss_checks = LossChecks(
-            world, self.callers, self.report, kinds.keeps_upstreams_sound()
+            world, self.callers, self.report, kinds.keeps_streams_whole()
         )
         self._world = world
 
@@ -303,6 +323,10 @@
     drains: Annotated[
         bool, typer.Option(help="Whether hosts announce their ends, and are replaced.")
     ] = False,
+    kills: Annotated[bool, typer.Option(help="Whether gateways are killed in series.")] = False,
+    host_losses: Annotated[
+        bool, typer.Option(help="Whether hosts are lost without an announcement.")
+    ] = False,
     calls_per_s: Annotated[float, typer.Option(help="Requests of all callers together.")] = 33.0,
     pieces: Annotated[int, typer.Option(help="Events of a stream.")] = 15,
     least_pieces: Annotated[
@@ -335,6 +359,8 @@
             stops=stops,
             segments=segments,
             drains=drains,
+            kills=kills,
+            host_losses=host_losses,
         )
         traffic = make_traffic(kinds, calls_per_s, pieces, least_pieces)
         report = asyncio.run(
--- a/mulleinreach/platform/tests/test_soak_checks.py
+++ b/mulleinreach/platform/tests/test_soak_checks.py
@@ -455,7 +455,7 @@
 @pytest.mark.parametrize("is_sound", [False, True])
 def test_stream_that_breaks_off_is_found_where_upstreams_are_sound(is_sound):
     soak, world = make_soak()
-    soak._loss_checks._are_upstreams_sound = is_sound
+    soak._loss_checks._keeps_streams_whole = is_sound
     world.gateways[0].terminated_at.append(STOPPED_AT)
     note_unanswered(soak, world, 103.1, 104.0, has_arrived=True, has_part=True)
     assert bool(find_broken(soak)) is is_sound
