--- a/mulleinreach/gateway/coordination/hub.py
+++ b/mulleinreach/gateway/coordination/hub.py
@@ -13,9 +13,9 @@
 import asyncio
 import hmac
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import asdict, dataclass, replace
 
-from mulleinreach.common import Address, Clock, Network
+from mulleinreach.common import Address, Clock, EventLog, Network
 from mulleinreach.gateway.coordination.coordinator_messages import (
     encode_coordinator_report,
     encode_totals,
@@ -28,7 +28,7 @@
 from mulleinreach.gateway.coordination.node_numbers import NodeNumbers
 from mulleinreach.gateway.coordination.permit_allocation import PermitAllocator
 from mulleinreach.gateway.coordination.reports import CoordinatorReport, NodeReport
-from mulleinreach.gateway.coordination.share_ledger import ShareLedger
+from mulleinreach.gateway.coordination.share_ledger import ShareDivision, ShareLedger
 from mulleinreach.gateway.coordination.totals import TotalsCompactor, sum_loads
 from mulleinreach.gateway.coordination.tunnel_assignment import TunnelAssignment
 from mulleinreach.gateway.state.permits import PermitCount
@@ -108,7 +108,9 @@
         own_report: Callable[[], NodeReport],
         regions: Mapping[str, str],
         shared_window_s: float,
+        log: EventLog,
     ):
+        self._log = log
         self._lease = lease
         self._network = network
         self._address = address
@@ -126,6 +128,7 @@
         self._numbering = NodeNumbers(clock.now())
         self._allocator = PermitAllocator(clock.now())
         self._shares = ShareLedger(clock.now(), shared_window_s)
+        self._logged_division: ShareDivision | None = None
         self._encoded_list: tuple[int, bytes] = (0, b"")
         self._change_packer = ChangePacker()
         self._resignation: Resignation | None = None
@@ -245,7 +248,16 @@
         if not self._lease.is_held():
             return {}
         held = {report.incarnation: report.held_share for report in reports}
-        return self._shares.lease(held, self._clock.now())
+        leased = self._shares.lease(held, self._clock.now())
+        self._log_division(self._shares.division(leased, self._clock.now()).rounded())
+        return leased
+
+    def _log_division(self, division: ShareDivision) -> None:
+        """Log how the shared bounds are divided, if that has changed."""
+        if division == self._logged_division:
+            return
+        self._logged_division = division
+        self._log.event("shares_divided", token=self._lease.token, **asdict(division))
 
     def _report_to(
         self,
--- a/mulleinreach/gateway/coordination/membership.py
+++ b/mulleinreach/gateway/coordination/membership.py
@@ -80,6 +80,7 @@
             self._own_reports.current,
             identity.regions,
             shared_window_s,
+            log,
         )
         self._term = CoordinatorTerm(
             lease, self._hub, self._own_reports, knowledge, coordinate, clock, log
--- a/mulleinreach/gateway/coordination/share_ledger.py
+++ b/mulleinreach/gateway/coordination/share_ledger.py
@@ -58,6 +58,39 @@
         self.charges.append(_Charge(fraction, until))
 
 
+@dataclass(frozen=True)
+class ShareDivision:
+    """What of a bound is charged to whom, as fractions of it.
+
+    Parameters
+    ==========
+
+    nodes : the connected nodes.
+    least : the smallest share of any of them.
+    connected : what is charged to connected nodes.
+    departed : what is charged to nodes that aren't connected any more.
+    unknown : what shares of earlier coordinators may add, whose holders haven't reported.
+    """
+
+    nodes: int
+    least: float
+    connected: float
+    departed: float
+    unknown: float
+
+    def rounded(self) -> ShareDivision:
+        """Return the division in hundredths, which leaves small changes out.
+
+        Examples
+        ========
+
+        >>> ShareDivision(2, 0.101, 0.2, 0.0, 0.699).rounded()
+        ShareDivision(nodes=2, least=0.1, connected=0.2, departed=0.0, unknown=0.7)
+        """
+        fractions = (self.least, self.connected, self.departed, self.unknown)
+        return ShareDivision(self.nodes, *(round(fraction, 2) for fraction in fractions))
+
+
 class ShareLedger:
     """The shares of one coordinator's term.
 
@@ -118,6 +151,19 @@
         """Return the sum of all charged shares."""
         return sum(account.charged(now) for account in self._accounts.values())
 
+    def division(self, leased: Mapping[Holder, float], now: float) -> ShareDivision:
+        """Return what is charged to whom, given the latest share of each connected node."""
+        connected = sum(self._charged(holder, now) for holder in leased)
+        total = self.total(now)
+        is_unknown = now < self._leases_new_at
+        return ShareDivision(
+            nodes=len(leased),
+            least=min(leased.values(), default=0.0),
+            connected=connected,
+            departed=total - connected,
+            unknown=max(0.0, MAX_TOTAL - total) if is_unknown else 0.0,
+        )
+
     def _drop_expired(self, now: float) -> None:
         """Remove the accounts of nodes whose shares have ended."""
         self._accounts = {h: a for h, a in self._accounts.items() if a.charged(now)}
