A response without a final status is a broken answer, wherever it is read

Callers got 101, 600, 700 and 999 as answers; for 000 to 099 with an open connection they waited for their whole deadline and got 504, and a whole 200 behind such a response was taken for the answer. An order answered with 101 counted as rejected, though its host may have carried it out. The store's, orders' and reports' readers waited out their times.

Cause: aiohttp takes any three digits for a status, and our handler took everything below 200 but 101 for an interim response, and all else for the answer.

One place decides now, where heads are received: 100 to 599 are statuses, 1xx but 101 are interim and dropped, 101 is nothing that we ask for; anything else is broken off at once, named in send_failed (why="... no answer has status 0"), counted as Broken and retried as one. All sessions use that handler but those of the command line.

--- a/benchmarks/gateway_breakages.py
+++ b/benchmarks/gateway_breakages.py
@@ -24,6 +24,14 @@
 TESTS = f"{GATEWAY}/tests"
 
 GATEWAY_BREAKAGES = [
+    Breakage(
+        "MIXED",
+        "only what has the status of a final response is an answer",
+        "mulleinreach/common/response_bounds.py",
+        "        if not is_final(message.code):\n",
+        "        if False:\n",
+        f"{GATEWAY}/request/tests/test_status_codes.py",
+    ),
     Breakage(
         "MIXED",
         "an answer carries the request's id",
--- a/mulleinreach/common/response_bounds.py
+++ b/mulleinreach/common/response_bounds.py
@@ -1,13 +1,14 @@
-"""Bounds what a server may send beside the body of a response.
+"""Bounds what a server may send beside the body of a response, and what counts as a response.
 
 aiohttp bounds a line and the number of header fields, but neither the informational responses [1]_
 that may come before the final one, nor the framing of chunks, each of which takes as long to parse
-as hundreds of bytes of data.
+as hundreds of bytes of data. Its parsers take any three digits for a status.
 
 References
 ==========
 
 .. [1] RFC 9110, "HTTP Semantics", section 15.2, informational 1xx.
+.. [2] RFC 9110, "HTTP Semantics", section 15, status codes.
 """
 
 from __future__ import annotations
@@ -25,10 +26,32 @@
 MAX_FRAMING_BYTES = 8192
 # Received bytes are parsed in pieces, so that little is parsed beyond a bound.
 PIECE_BYTES = 4096
+# The classes of status codes [2]_.
+STATUSES = range(100, 600)
+
+
+def is_informational(status: int) -> bool:
+    """Whether a response comes before the final one.
+
+    101 doesn't: it ends the exchange, and is sent only to who has asked for an upgrade.
+    """
+    return status in range(100, 200) and status != HTTPStatus.SWITCHING_PROTOCOLS
+
+
+def is_final(status: int) -> bool:
+    """Whether a response with this status answers a request that asked for no upgrade.
+
+    Examples
+    ========
+
+    >>> [status for status in (0, 99, 101, 103, 200, 599, 600) if is_final(status)]
+    [200, 599]
+    """
+    return status in STATUSES and status >= HTTPStatus.OK
 
 
 class BoundedResponseHandler(ResponseHandler):
-    """Client protocol that closes a connection which sends little but heads or framing."""
+    """Client protocol that closes a connection which sends no answer, or little but framing."""
 
     _has_final_head = False
     _is_chunked = False
@@ -46,9 +69,14 @@
     def feed_data(self, data, size: int = 0) -> None:
         """Queue the head of a response; informational responses are dropped."""
         message, body = data
-        if message.code < HTTPStatus.OK and message.code != HTTPStatus.SWITCHING_PROTOCOLS:
+        if self.exception() is not None:
+            return
+        if is_informational(message.code):
             self._informational_count += 1
             return
+        if not is_final(message.code):
+            self._break_off_head(f"no answer has status {message.code}")
+            return
         self._has_final_head = True
         self._is_chunked = message.chunked
         self._body = body
--- a/mulleinreach/gateway/request/tests/test_relay.py
+++ b/mulleinreach/gateway/request/tests/test_relay.py
@@ -10,6 +10,7 @@
 from mulleinreach.gateway.tests.plain_upstreams import (
     NO_HOSTS,
     answer_unsigned,
+    answer_without_status,
     answer_wrong_request,
     echo_path,
     fail,
@@ -36,7 +37,15 @@
 
 
 @pytest.mark.parametrize(
-    "script", [fail, reset_connection, answer_wrong_request, answer_unsigned, truncate_response]
+    "script",
+    [
+        fail,
+        reset_connection,
+        answer_wrong_request,
+        answer_unsigned,
+        answer_without_status,
+        truncate_response,
+    ],
 )
 def test_safe_request_is_retried_at_another_upstream(script):
     async def test(world):
@@ -50,7 +59,14 @@
 
 
 @pytest.mark.parametrize(
-    "script", [reset_connection, answer_wrong_request, answer_unsigned, truncate_response]
+    "script",
+    [
+        reset_connection,
+        answer_wrong_request,
+        answer_unsigned,
+        answer_without_status,
+        truncate_response,
+    ],
 )
 def test_unsafe_request_is_never_sent_again_after_it_may_have_run(script):
     async def test(world):
--- a/mulleinreach/gateway/tests/plain_upstreams.py
+++ b/mulleinreach/gateway/tests/plain_upstreams.py
@@ -35,6 +35,14 @@
     return web.Response()
 
 
+async def answer_without_status(request):
+    """Answer with three digits that are no status, and leave the connection open."""
+    await request.read()
+    answer = f"{REQUEST_ID}: {request.headers[REQUEST_ID]}\r\n{SIGNATURE}: s\r\n"
+    request.transport.write(f"HTTP/1.1 000 X\r\n{answer}Content-Length: 1\r\n\r\nx".encode())
+    await asyncio.sleep(3600)
+
+
 async def answer_wrong_request(request):
     """Answer with the id of another request."""
     return web.Response(text="x", headers={REQUEST_ID: "another", SIGNATURE: "s"})
