--- a/mulleinreach/gateway/request/send_policy.py
+++ b/mulleinreach/gateway/request/send_policy.py
@@ -7,7 +7,7 @@
 from mulleinreach.common import Clock, EventLog
 from mulleinreach.gateway.metrics import GatewayMetrics
 from mulleinreach.gateway.request.active import ActiveExchange
-from mulleinreach.gateway.request.budget import WindowedRetryBudget
+from mulleinreach.gateway.request.budget import RetryDecision, WindowedRetryBudget
 from mulleinreach.gateway.request.job import RelayJob
 from mulleinreach.gateway.state.crashes import CrashTracker
 from mulleinreach.gateway.state.eligibility import Exclusion
@@ -109,6 +109,7 @@
         Other nodes may have the retry that it lacks, and another group may open. A stream that may
         have crashed an upstream doesn't wait for others.
         """
+        waits_since = self._clock.now()
         while job.not_resent in RESUMABLE and not job.has_lost_upstream and not self.is_held(job):
             await asyncio.sleep(RESUME_POLL_S)
             if job.deadline - self._clock.now() < MIN_REMAINING_S:
@@ -116,9 +117,19 @@
                 return False
             self._forget_ended_groups(job)
             if self.reserve_move(job):
+                self._log_resumed(job, self._clock.now() - waits_since)
+                job.not_resent = ""
                 return True
         return False
 
+    def _log_resumed(self, job: RelayJob, waited_s: float) -> None:
+        self._log.event(
+            "stream_resumed",
+            id=job.headers.request_id,
+            waited_for=job.not_resent,
+            ms=round(waited_s * 1000),
+        )
+
     def _forget_ended_groups(self, job: RelayJob) -> None:
         """Allow to send a request to a head once more that has left its group for another one."""
         service, model = job.constraints.service.name, job.headers.model
@@ -127,6 +138,13 @@
     def _take_retry(self, job: RelayJob) -> bool:
         """Take a retry from the service's budget; returns whether there was one left."""
         decision = self._budget.try_spend(job.service.name, job.headers.request_id)
+        job.retry_charge = decision.charge
+        # A stream that waits asks often; its first refusal was logged.
+        if decision.is_granted or not job.not_resent:
+            self._log_decision(job, decision)
+        return decision.is_granted
+
+    def _log_decision(self, job: RelayJob, decision: RetryDecision) -> None:
         if not decision.is_granted:
             self._metrics.count_refused_retry(job.service.name)
         self._log.event(
@@ -139,8 +157,6 @@
             share=round(decision.share, 4),
             share_age_s=round(decision.share_age_s, 2),
         )
-        job.retry_charge = decision.charge
-        return decision.is_granted
 
     def _log_shortage(self, job: RelayJob) -> None:
         """Log why no upstream is available for a request."""
--- a/mulleinreach/gateway/request/tests/test_streams_that_wait.py
+++ b/mulleinreach/gateway/request/tests/test_streams_that_wait.py
@@ -23,6 +23,11 @@
     return [world.fabric.hosts[standing.members[1]] for standing in standings]
 
 
+def runs_requests(node) -> bool:
+    """Whether a node has a request at any upstream."""
+    return any(load.running for load in node.loads.own_reports())
+
+
 async def lose_all_groups(world) -> None:
     """Lose a member of each group of the model that the streams use, at one moment."""
     await asyncio.gather(*(host.die() for host in members_of_all_groups(world, LARGE)))
@@ -73,3 +78,21 @@
 
     bounds = DeploymentBounds(retry_slack=slack, retry_ratio=0.0)
     run_world(test, **SPARE_HOSTS, bounds=bounds)
+
+
+# Guards against streams that are sent on though their callers left while they waited.
+def test_stream_whose_caller_leaves_while_it_waits_is_sent_no_more():
+    async def test(world):
+        await world.until_formed()
+        await asyncio.sleep(SETTLED_AFTER_S)
+        streams = [asyncio.create_task(world.stream(100)) for _ in range(8)]
+        await asyncio.sleep(1)
+        await lose_all_groups(world)
+        await world.until(lambda: not any(map(runs_requests, world.nodes.values())))
+        for stream in streams:
+            stream.cancel()
+        arrived = sum(len(host.arrivals) for host in world.fabric.hosts.values())
+        await asyncio.sleep(8)
+        assert sum(len(host.arrivals) for host in world.fabric.hosts.values()) == arrived
+
+    run_world(test, **ONE_DOMAIN)
