--- a/mulleinreach/gateway/coordination/tests/test_share_handover.py
+++ b/mulleinreach/gateway/coordination/tests/test_share_handover.py
@@ -13,11 +13,11 @@
 from mulleinreach.standins.gateway.world import LARGE
 
 NODES = 4
-EQUAL_PART = 0.75 / NODES
+PART_IN_CALM = 0.75 / NODES
 # For a new coordinator to be elected and for a started node to report to it.
 JOINED_AFTER_S = 2.0
 # What killed processes may have used stays charged, and leaves less to the others.
-LEAST_PART_BESIDE_KILLS = EQUAL_PART / 4
+LEAST_PART_BESIDE_KILLS = PART_IN_CALM / 4
 STREAMS_S = 3.0
 
 
@@ -48,7 +48,7 @@
         await asyncio.sleep(SETTLING_S + 2)
         name = next(name for name in world.nodes if name != world.coordinator())
         await kill_and_start(world, name)
-        assert smallest_share(world) >= EQUAL_PART / 2
+        assert smallest_share(world) >= PART_IN_CALM / 2
 
     run_world(test, nodes=NODES, domains=0)
 
@@ -58,7 +58,7 @@
     async def test(world):
         await asyncio.sleep(SETTLING_S + 2)
         await kill_and_start(world, world.coordinator())
-        assert smallest_share(world) >= EQUAL_PART / 2
+        assert smallest_share(world) >= PART_IN_CALM / 2
 
     run_world(test, nodes=NODES, domains=0)
 
@@ -69,7 +69,7 @@
         await asyncio.sleep(SETTLING_S + 2)
         for name in [*sorted(world.nodes), *sorted(world.nodes)]:
             await stop_and_start(world, name)
-            assert smallest_share(world) >= EQUAL_PART / 2
+            assert smallest_share(world) >= PART_IN_CALM / 2
 
     run_world(test, nodes=NODES, domains=0)
 
--- a/mulleinreach/gateway/coordination/tests/test_share_ledger.py
+++ b/mulleinreach/gateway/coordination/tests/test_share_ledger.py
@@ -36,8 +36,6 @@
 # Until then a share counts that was leased at time 0.
 CHARGED_UNTIL_S = SHARE_DURATION_S + MAX_UNREAD_S + WINDOW_S
 NODES = 8
-
-
 LATER_TOKEN = FIRST_TOKEN + 1
 
 
