--- a/benchmarks/control_traffic.py
+++ b/benchmarks/control_traffic.py
@@ -27,7 +27,9 @@
     Totals,
 )
 from mulleinreach.gateway.coordination.share_accounts import TARGET_TOTAL
+from mulleinreach.gateway.coordination.share_ledger import NUMBER_BITS
 from mulleinreach.gateway.coordination.totals import FULL_TOTALS_INTERVAL_ROUNDS
+from mulleinreach.gateway.state.leased_share import HeldShare, ShareLease
 from mulleinreach.gateway.state.load import LoadReport
 from mulleinreach.gateway.state.store_reading import READER_WAIT_S
 from mulleinreach.gateway.state.upstreams import ListChange
@@ -48,7 +50,9 @@
 ROUNDS, SETTLING_ROUNDS = 60, 20
 KIB = 1024
 # Of the size of a real one each.
-INCARNATION, SHARE = 0x7F3A91C2D04E, TARGET_TOTAL / NODES
+INCARNATION = 0x7F3A91C2D04E
+SHARE = ShareLease(TARGET_TOTAL / NODES, (7 << NUMBER_BITS) + 12)
+HELD_SHARE = HeldShare(SHARE.fraction, SHARE.number)
 
 
 class CountingWriter:
@@ -94,7 +98,7 @@
             hall="lagos-a",
             tunnel_address="10.200.100.40:7342",
             incarnation=INCARNATION,
-            held_share=SHARE,
+            held_share=HELD_SHARE,
         )
     )
 
