--- a/mulleinreach/platform/tests/soak/kill_faults.py
+++ b/mulleinreach/platform/tests/soak/kill_faults.py
@@ -19,10 +19,10 @@
     between_s = (1.0, 2.5)
 
     def _draw_faults(self) -> Iterator[Coroutine]:
-        running = [g for g in self._world.gateways if g.is_running() and not g.is_stopping()]
-        if len(running) > LEAST_RUNNING:
+        serving = self._world.serving_gateways()
+        if len(serving) > LEAST_RUNNING:
             self._report.note_fault("killed")
-            yield self._kill(self._rng.choice(running))
+            yield self._kill(self._rng.choice(serving))
 
     async def _kill(self, gateway: GatewayProcess) -> None:
         gateway.signal(signal.SIGKILL)
--- a/mulleinreach/platform/tests/soak/stop_faults.py
+++ b/mulleinreach/platform/tests/soak/stop_faults.py
@@ -20,10 +20,10 @@
     between_s = (1.0, 2.5)
 
     def _draw_faults(self) -> Iterator[Coroutine]:
-        running = [g for g in self._world.gateways if g.is_running() and not g.is_stopping()]
-        if len(running) > LEAST_RUNNING:
+        serving = self._world.serving_gateways()
+        if len(serving) > LEAST_RUNNING:
             self._report.note_fault("planned_stop")
-            yield self._stop(self._rng.choice(running))
+            yield self._stop(self._rng.choice(serving))
         if self._rng.random() < 0.5:
             self._report.note_fault("settings_changed")
             self._rng.choice(self._world.gateways).signal(signal.SIGHUP)
--- a/mulleinreach/platform/tests/soak/world.py
+++ b/mulleinreach/platform/tests/soak/world.py
@@ -357,6 +357,10 @@
 
     # Gateways.
 
+    def serving_gateways(self) -> list[GatewayProcess]:
+        """Return the gateways that run and weren't asked to stop."""
+        return [g for g in self.gateways if g.is_running() and not g.is_stopping()]
+
     def restart_ended(self) -> None:
         """Start the gateways that have ended, but for those of lost halls."""
         for gateway in self.gateways:
