The classes of statuses are ranges, and the latest lease of a share is a ShareLease

is_final compared a range from 100 with 200 once more; it is the range from 200. ShareAccount.latest returned a bare pair where the type of a lease exists. Behaviour is the same.

--- a/benchmarks/gateway_breakages.py
+++ b/benchmarks/gateway_breakages.py
@@ -28,7 +28,7 @@
         "MIXED",
         "only what has the status of a final response is an answer",
         "mulleinreach/common/response_bounds.py",
-        "        if not is_final(message.code):\n",
+        "        if message.code not in FINAL_STATUSES:\n",
         "        if False:\n",
         f"{GATEWAY}/request/tests/test_status_codes.py",
     ),
--- a/mulleinreach/common/response_bounds.py
+++ b/mulleinreach/common/response_bounds.py
@@ -27,7 +27,8 @@
 # Received bytes are parsed in pieces, so that little is parsed beyond a bound.
 PIECE_BYTES = 4096
 # The classes of status codes [2]_.
-STATUSES = range(100, 600)
+INFORMATIONAL_STATUSES = range(100, 200)
+FINAL_STATUSES = range(200, 600)
 
 
 def is_informational(status: int) -> bool:
@@ -35,19 +36,7 @@
 
     101 doesn't: it ends the exchange, and is sent only to who has asked for an upgrade.
     """
-    return status in range(100, 200) and status != HTTPStatus.SWITCHING_PROTOCOLS
-
-
-def is_final(status: int) -> bool:
-    """Whether a response with this status answers a request that asked for no upgrade.
-
-    Examples
-    ========
-
-    >>> [status for status in (0, 99, 101, 103, 200, 599, 600) if is_final(status)]
-    [200, 599]
-    """
-    return status in STATUSES and status >= HTTPStatus.OK
+    return status in INFORMATIONAL_STATUSES and status != HTTPStatus.SWITCHING_PROTOCOLS
 
 
 class BoundedResponseHandler(ResponseHandler):
@@ -74,7 +63,7 @@
         if is_informational(message.code):
             self._informational_count += 1
             return
-        if not is_final(message.code):
+        if message.code not in FINAL_STATUSES:
             self._break_off_head(f"no answer has status {message.code}")
             return
         self._has_final_head = True
--- a/mulleinreach/gateway/coordination/share_accounts.py
+++ b/mulleinreach/gateway/coordination/share_accounts.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from mulleinreach.gateway.model import ShareStatement
-from mulleinreach.gateway.state.leased_share import HeldShare
+from mulleinreach.gateway.state.leased_share import HeldShare, ShareLease
 
 # Bound on all charged shares; below 1 since requests arrive later than they are counted.
 MAX_TOTAL = 0.9
@@ -68,11 +68,12 @@
             self._leases.pop()
         self._leases.append(_IssuedLease(number, charge))
 
-    def latest(self) -> tuple[int, float] | None:
-        """Return the number and the fraction of the latest lease."""
+    def latest(self) -> ShareLease | None:
+        """Return the latest lease."""
         if not self._leases:
             return None
-        return self._leases[-1].number, self._leases[-1].charge.fraction
+        latest = self._leases[-1]
+        return ShareLease(latest.charge.fraction, latest.number)
 
     def note_use(self, held: HeldShare, used_until: float) -> None:
         """Record what the holder has used, up to the report.
--- a/mulleinreach/gateway/coordination/share_ledger.py
+++ b/mulleinreach/gateway/coordination/share_ledger.py
@@ -223,8 +223,9 @@
         """Lease a share; the latest lease is renewed if its fraction is the same."""
         account = self._accounts[holder]
         latest = account.latest()
-        if latest is not None and latest[0] > self._first_number and latest[1] == fraction:
-            number = latest[0]
+        is_own = latest is not None and latest.number > self._first_number
+        if is_own and latest.fraction == fraction:
+            number = latest.number
         else:
             number = self._last_number = self._last_number + 1
         account.lease(number, Charge(fraction, now + self._charged_for_s))
