--- a/mulleinreach/platform/tests/soak/callers.py
+++ b/mulleinreach/platform/tests/soak/callers.py
@@ -33,7 +33,7 @@
 
 # Seconds after the last fault within which every gateway has to serve again; only a hang takes it.
 RECOVERY_S = 90.0
-# How long callers wait for an answer.
+# How long callers wait for an answer by default.
 DEADLINE_S = 6.0
 # Parts of prompts that requests share: the first one with all, the second with some.
 SYSTEM_PART = "a1"
@@ -52,6 +52,7 @@
     kinds : of requests, each one drawn as often as it stands here.
     has_parts : whether requests name the parts of their prompts; then no two streams are alike.
     least_pieces : events of a stream at the least; all streams have ``pieces`` by default.
+    deadline_s : how long callers wait for an answer.
     """
 
     call_every_s: float = 0.03
@@ -59,6 +60,7 @@
     kinds: tuple[str, ...] = ("stream", "stream", "order")
     has_parts: bool = False
     least_pieces: int | None = None
+    deadline_s: float = DEADLINE_S
 
     def draw_pieces(self, rng: random.Random) -> int:
         """Return the number of events of a stream."""
@@ -78,6 +80,7 @@
     key: str
     gateway: str = ""
     service: str = ""
+    deadline_s: float = DEADLINE_S
 
 
 @dataclass(frozen=True)
@@ -219,13 +222,14 @@
         key = self._rng.choice(["key-1", "key-2"])
         now = asyncio.get_running_loop().time()
         service = MODEL_SERVICE if kind == "stream" else PLAIN_SERVICE
-        self.sent[request_id] = SentRequest(now, key, gateway.name, service)
+        deadline_s = self._traffic.deadline_s
+        self.sent[request_id] = SentRequest(now, key, gateway.name, service, deadline_s)
         if kind == "order":
             self.orders.add(request_id)
         headers = {
             "Host": CALLER_HOST,
             REQUEST_ID: request_id,
-            DEADLINE_MS: str(int(DEADLINE_S * 1000)),
+            DEADLINE_MS: str(int(deadline_s * 1000)),
             MODEL: self._rng.choice(["large", "small"]),
             TOKEN_USAGE: "300,75",
             "Authorization": f"Bearer {key}",
@@ -236,7 +240,7 @@
         body = str(pieces) if kind == "stream" else f"tins {request_id}"
         # Requests are alike but for those that name their parts.
         number = request_id if PROMPT_PREFIX in headers else "1"
-        timeout_s = DEADLINE_S if kind == "stream" else min(DEADLINE_S, PLAIN_TIMEOUT_S)
+        timeout_s = deadline_s if kind == "stream" else min(deadline_s, PLAIN_TIMEOUT_S)
         return CallerRequest(
             request_id, kind, gateway, f"/{kind}/{number}", headers, body, timeout_s
         )
--- a/mulleinreach/platform/tests/soak/deadline_checks.py
+++ b/mulleinreach/platform/tests/soak/deadline_checks.py
@@ -4,7 +4,7 @@
 
 from collections import defaultdict
 
-from mulleinreach.platform.tests.soak.callers import DEADLINE_S, Callers
+from mulleinreach.platform.tests.soak.callers import Callers
 from mulleinreach.platform.tests.soak.notices import Arrival
 from mulleinreach.platform.tests.soak.report import SoakReport
 from mulleinreach.platform.tests.soak.world import SoakWorld
@@ -28,11 +28,12 @@
         """BUDGET: few requests announce none, or more than their caller, or end later again."""
         excessive = told = 0
         for request_id, arrivals in self._by_request().items():
-            ends_at = self._callers.sent[request_id].at + DEADLINE_S
+            sent = self._callers.sent[request_id]
+            ends_at = sent.at + sent.deadline_s
             first = arrivals[0]
             for arrival in arrivals:
                 is_again = arrival.at - first.at > TOLERANCE_S
-                is_excessive = _is_excessive(arrival) or (
+                is_excessive = _is_excessive(arrival, sent.deadline_s) or (
                     is_again and _ends_late(arrival, first, ends_at)
                 )
                 excessive += is_excessive
@@ -52,9 +53,9 @@
         return arrivals
 
 
-def _is_excessive(arrival: Arrival) -> bool:
+def _is_excessive(arrival: Arrival, deadline_s: float) -> bool:
     """Whether a request announces no time, or more than its caller waits in all."""
-    return arrival.remaining_s is None or arrival.remaining_s > DEADLINE_S + TOLERANCE_S
+    return arrival.remaining_s is None or arrival.remaining_s > deadline_s + TOLERANCE_S
 
 
 def _ends_late(arrival: Arrival, first: Arrival, caller_ends_at: float) -> bool:
--- a/mulleinreach/platform/tests/soak/loss_checks.py
+++ b/mulleinreach/platform/tests/soak/loss_checks.py
@@ -14,6 +14,10 @@
 EXCUSED_SENT_S = 3.0
 EXCUSED_CUT_S = GRACE_S * 5 / 6
 STOP_S = GRACE_S + 1.0
+# So long after a changed configuration was sent a stop excuses no cut, unless the request has used
+# so much of its time.
+CONFIGURATION_S = 3.0
+USED_FRACTION = 0.7
 # So many requests may be lost without planned work; the clause is on more than three.
 MAX_LOST_IN_CALM = 3
 
@@ -27,7 +31,8 @@
     Not counted are requests whose time was over, those that a connection's end crossed, and those
     of gateways that were stopped before they had read anything, or that were killed, frozen or cut
     off from the store meanwhile or just before. A stream of which a part came may have been broken
-    off by its host, so such streams count only if hosts' faults cut none.
+    off by its host, so such streams count only if hosts' faults cut none. A stop excuses what its
+    own clause does, but for requests that are cut near a changed configuration.
     """
 
     def __init__(
@@ -100,5 +105,14 @@
 
     def _is_excused(self, each: Unanswered, stopped_at: float, has_arrived: bool) -> bool:
         """Whether a request's upstream was still at work near the end of the grace."""
+        if self._is_near_configuration(each):
+            return False
         is_early = each.sent_at <= stopped_at + EXCUSED_SENT_S
         return has_arrived and is_early and each.ended_at >= stopped_at + EXCUSED_CUT_S
+
+    def _is_near_configuration(self, each: Unanswered) -> bool:
+        """Whether a request was cut near a changed configuration, with much of its time left."""
+        used_s = each.ended_at - each.began_at
+        if used_s >= USED_FRACTION * each.request.timeout_s:
+            return False
+        return any(at <= each.ended_at <= at + CONFIGURATION_S for at in self._world.configured_at)
--- a/mulleinreach/platform/tests/soak/proxy.py
+++ b/mulleinreach/platform/tests/soak/proxy.py
@@ -26,13 +26,15 @@
     """The knobs of one proxied address.
 
     ``delay_s`` holds every piece up; ``is_silent`` lets nothing through either way
-    and keeps connections open; ``is_one_way`` loses what comes back.
+    and keeps connections open; ``is_one_way`` loses what comes back; ``refuses`` ends new
+    connections.
     """
 
     target: tuple[str, int]
     delay_s: float = 0.0
     is_silent: bool = False
     is_one_way: bool = False
+    refuses: bool = False
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
     port: int = 0
 
@@ -62,6 +64,9 @@
         return link
 
     async def _serve(self, link: Link, reader, writer) -> None:
+        if link.refuses:
+            reset(writer.transport)
+            return
         try:
             there, back = await asyncio.open_connection(*link.target)
         except OSError:
--- a/mulleinreach/platform/tests/soak/report.py
+++ b/mulleinreach/platform/tests/soak/report.py
@@ -28,6 +28,7 @@
     late_fatal : arrivals of requests that crash replicas, after these should have been known.
     retry_bound_used : by service, the largest part of the bound on retries that was used.
     lost : requests that were read and whose connections ended without an answer.
+    broken_runs : streams that the hosts of this process broke off before their last event.
     """
 
     seed: int
@@ -40,6 +41,7 @@
     late_fatal: int = 0
     retry_bound_used: dict[str, float] = field(default_factory=dict)
     lost: int = 0
+    broken_runs: int = 0
     begun_faults: list[BegunFault] = field(default_factory=list)
 
     def note_fault(self, name: str) -> None:
@@ -60,4 +62,5 @@
             "late_fatal": self.late_fatal,
             "retry_bound_used": self.retry_bound_used,
             "lost": self.lost,
+            "broken_runs": self.broken_runs,
         }
--- a/mulleinreach/platform/tests/soak/run.py
+++ b/mulleinreach/platform/tests/soak/run.py
@@ -23,7 +23,7 @@
 from mulleinreach.common.responses import BodyFraming
 from mulleinreach.platform.tests.soak.attempt_checks import AttemptChecks
 from mulleinreach.platform.tests.soak.body_faults import BodyFaults
-from mulleinreach.platform.tests.soak.callers import USUAL_TRAFFIC, Callers, Traffic
+from mulleinreach.platform.tests.soak.callers import DEADLINE_S, USUAL_TRAFFIC, Callers, Traffic
 from mulleinreach.platform.tests.soak.checks import RunChecks
 from mulleinreach.platform.tests.soak.crash_checks import CrashChecks
 from mulleinreach.platform.tests.soak.crash_faults import CrashCause, CrashFaults
@@ -39,6 +39,8 @@
 from mulleinreach.platform.tests.soak.loss_checks import LossChecks
 from mulleinreach.platform.tests.soak.notice_checks import NoticeChecks
 from mulleinreach.platform.tests.soak.notice_faults import NoticeFaults
+from mulleinreach.platform.tests.soak.release_checks import ReleaseChecks
+from mulleinreach.platform.tests.soak.release_faults import ReleaseFaults
 from mulleinreach.platform.tests.soak.replicas import USUAL_BACKLOG
 from mulleinreach.platform.tests.soak.report import SoakReport
 from mulleinreach.platform.tests.soak.restore_faults import RestoreFaults
@@ -73,6 +75,7 @@
     drains : whether hosts announce their ends, and are replaced.
     kills : whether gateways are killed in series.
     host_losses : whether hosts are lost without an announcement, and are replaced.
+    releases : whether hosts are replaced as planned each second, beside their groups' work.
     """
 
     processes: bool = True
@@ -90,6 +93,7 @@
     drains: bool = False
     kills: bool = False
     host_losses: bool = False
+    releases: bool = False
 
     def keeps_streams_whole(self) -> bool:
         """Whether hosts and plain upstreams have only faults that cut no stream.
@@ -106,10 +110,18 @@
             drains=self.drains,
             kills=self.kills,
             host_losses=self.host_losses,
+            releases=self.releases,
+        )
+
+    def is_planned(self) -> bool:
+        """Whether there is nothing but planned work."""
+        return self == SoakKinds(
+            processes=False, stops=self.stops, segments=self.segments, releases=self.releases
         )
 
 
 NO_KINDS = SoakKinds()
+HOSTS_PER_HALL = 8
 # Kinds of requests, nearly all of which may be retried.
 FAILING_REQUESTS = ("stock", "stock", "stock", "stream")
 
@@ -169,6 +181,9 @@
         if kinds.host_losses:
             losses = HostLossFaults(world, random.Random(f"host losses {seed}"), self.report)
             self._harmers.append(losses)
+        if kinds.releases:
+            releases = ReleaseFaults(world, random.Random(f"releases {seed}"), self.report)
+            self._harmers.append(releases)
         self._notice_checks = NoticeChecks(world, self.callers, self.report)
         self._limit_checks = LimitChecks(world, self.callers, self.report)
         self._retry_checks = RetryChecks(world, self.callers, self.report)
@@ -178,6 +193,7 @@
         self._loss_checks = LossChecks(
             world, self.callers, self.report, kinds.keeps_streams_whole()
         )
+        self._release_checks = ReleaseChecks(world, self.report, kinds.is_planned())
         self._world = world
 
     async def run(self, seconds: float) -> SoakReport:
@@ -207,6 +223,7 @@
         self._deadline_checks.check()
         self._crash_checks.check()
         self._loss_checks.check()
+        self._release_checks.check()
         self.report.broken += self._world.fabric.checks.broken
         return self.report
 
@@ -225,11 +242,13 @@
         self.report.broken += [f"the soak itself failed: {each!r}" for each in failed]
 
 
-def make_traffic(kinds: SoakKinds, calls_per_s: float, pieces: int, least_pieces: int) -> Traffic:
+def make_traffic(
+    kinds: SoakKinds, calls_per_s: float, pieces: int, least_pieces: int, deadline_s: float
+) -> Traffic:
     """Return what callers ask for under some kinds of faults."""
     requests = FAILING_REQUESTS if kinds.failures else USUAL_TRAFFIC.kinds
     has_parts = kinds.crashes is CrashCause.PART
-    return Traffic(1 / calls_per_s, pieces, requests, has_parts, least_pieces or pieces)
+    return Traffic(1 / calls_per_s, pieces, requests, has_parts, least_pieces or pieces, deadline_s)
 
 
 async def soak_once(
@@ -241,6 +260,7 @@
     backlog: int = USUAL_BACKLOG,
     traffic: Traffic = USUAL_TRAFFIC,
     gateways_from: Path | None = None,
+    hosts_per_hall: int = HOSTS_PER_HALL,
 ) -> SoakReport:
     """Run one soak in a directory of its own, which is kept if a promise was broken.
 
@@ -251,7 +271,7 @@
     gateways_from : the directory of the version whose gateways run; this one's by default.
     """
     directory = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    hosts = 0 if domains else 8
+    hosts = 0 if domains else hosts_per_hall
     framing = None if kinds.crashes is CrashCause.NONE else kinds.crash_framing
     world = SoakWorld(directory, nodes, hosts, seed, domains, backlog, framing, gateways_from)
     try:
@@ -330,11 +350,20 @@
     host_losses: Annotated[
         bool, typer.Option(help="Whether hosts are lost without an announcement.")
     ] = False,
+    releases: Annotated[
+        bool, typer.Option(help="Whether hosts are replaced as planned, one each second.")
+    ] = False,
+    hosts_per_hall: Annotated[
+        int, typer.Option(help="Hosts of each hall, unless they stand in processes of their own.")
+    ] = HOSTS_PER_HALL,
     calls_per_s: Annotated[float, typer.Option(help="Requests of all callers together.")] = 33.0,
     pieces: Annotated[int, typer.Option(help="Events of a stream.")] = 15,
     least_pieces: Annotated[
         int, typer.Option(help="Streams have so many events or more, if they aren't all alike.")
     ] = 0,
+    deadline_s: Annotated[
+        float, typer.Option(help="How long callers wait for an answer.")
+    ] = DEADLINE_S,
     gateways_from: Annotated[
         Path | None, typer.Option(help="Directory of another version whose gateways run.")
     ] = None,
@@ -364,10 +393,21 @@
             drains=drains,
             kills=kills,
             host_losses=host_losses,
+            releases=releases,
         )
-        traffic = make_traffic(kinds, calls_per_s, pieces, least_pieces)
+        traffic = make_traffic(kinds, calls_per_s, pieces, least_pieces, deadline_s)
         report = asyncio.run(
-            soak_once(number, seconds, nodes, kinds, domains, backlog, traffic, gateways_from)
+            soak_once(
+                number,
+                seconds,
+                nodes,
+                kinds,
+                domains,
+                backlog,
+                traffic,
+                gateways_from,
+                hosts_per_hall,
+            )
         )
         failed += bool(report.broken)
         reports.append(report.to_json())
@@ -379,7 +419,8 @@
             f" ({max(report.retry_bound_used.values(), default=0)} of the bound);"
             f" crashes {report.faults['crash']}, late crashing {report.late_fatal};"
             f" above their attempts {report.excessive_attempts};"
-            f" above their time {report.excessive_deadlines}; lost {report.lost}",
+            f" above their time {report.excessive_deadlines}; lost {report.lost};"
+            f" runs broken off {report.broken_runs}",
             flush=True,
         )
         for line in report.broken[:10]:
--- a/mulleinreach/platform/tests/soak/world.py
+++ b/mulleinreach/platform/tests/soak/world.py
@@ -97,6 +97,8 @@
         self.gateways: list[GatewayProcess] = []
         self.replicas: list[ReplicaProcess] = []
         self.version = 0
+        # When configurations were written.
+        self.configured_at: list[float] = []
         self.options = DocumentOptions()
         self.keys = ["key-1", "key-2"]
         self.revocations: list[Revocation] = []
@@ -167,6 +169,7 @@
         self.configure(self.keys)
 
     def _write_configuration(self) -> None:
+        self.configured_at.append(asyncio.get_running_loop().time())
         document = make_document(self.version, self.keys, self.options)
         self.memory.put(CONFIGURATION_TABLE, CONFIGURATION_KEY, document)
 
@@ -250,11 +253,11 @@
         if hall in self.lost_halls:
             return
         while len(self.hosts_of(hall)) < self._hosts_per_hall:
-            await self._add_host(hall, cold_s)
+            await self.add_host(hall, cold_s)
         if all(u.hall != hall or self.links[u.id].is_silent for u in self.plain_upstreams.values()):
             await self._add_plain(hall)
 
-    async def _add_host(self, hall: str, cold_s: float) -> None:
+    async def add_host(self, hall: str, cold_s: float = COLD_S) -> None:
         """Start an empty host behind a link of its own."""
         name = self._new_name("host")
         cell: list[HostStandIn] = []
@@ -311,6 +314,14 @@
         self.links[upstream_name(host.id)].is_silent = True
         self._ending.append(asyncio.create_task(host.die(LISTED_S)))
 
+    def end_leaving_host(self, host: HostStandIn) -> None:
+        """End a host that has announced its end: it refuses connections, and its row goes."""
+        if host.is_dark:
+            return
+        self.crash_host(host)
+        self.links[upstream_name(host.id)].refuses = True
+        self.memory.put(UPSTREAMS, upstream_name(host.id), None)
+
     async def replace_host(self, host: HostStandIn) -> None:
         """End a host, unless it has ended already, and start another one in its place."""
         if not host.is_dark:
--- a/mulleinreach/platform/tests/test_soak.py
+++ b/mulleinreach/platform/tests/test_soak.py
@@ -110,4 +110,5 @@
         "late_fatal": 0,
         "retry_bound_used": {},
         "lost": 0,
+        "broken_runs": 0,
     }
--- a/mulleinreach/platform/tests/test_soak_checks.py
+++ b/mulleinreach/platform/tests/test_soak_checks.py
@@ -1,16 +1,9 @@
 """Proof that the checks of the soak find what they look for."""
 
-from types import SimpleNamespace
-
 import pytest
 
-from mulleinreach.platform.tests.soak.callers import (
-    CallerRequest,
-    SentRequest,
-    ToldNotice,
-    Unanswered,
-)
-from mulleinreach.platform.tests.soak.notices import Arrival, Limited, Notices, Rest, Run
+from mulleinreach.platform.tests.soak.callers import SentRequest, ToldNotice
+from mulleinreach.platform.tests.soak.notices import Arrival, Limited, Rest, Run
 from mulleinreach.platform.tests.soak.plain import PlainRun
 from mulleinreach.platform.tests.soak.records import (
     Disturbance,
@@ -18,56 +11,10 @@
     Leaving,
     Revocation,
 )
-from mulleinreach.platform.tests.soak.run import Soak
-from mulleinreach.platform.tests.soak.world import SoakWorld
+from mulleinreach.platform.tests.soak_checks_support import find_broken, make_soak
 from mulleinreach.standins.gateway.standings import ColdStart
 
 
-def make_soak():
-    """Return a soak whose world has run nothing yet."""
-    checks = SimpleNamespace(runs={}, started_at={}, cold_starts=[])
-    world = SimpleNamespace(
-        plain=SimpleNamespace(runs=[]),
-        fabric=SimpleNamespace(checks=checks),
-        revocations=[],
-        evacuations=[],
-        leavings=[],
-        disturbances=[],
-        gateways=[
-            SimpleNamespace(
-                name="gateway-0",
-                started_at=[90.0],
-                terminated_at=[],
-                terminated_unstarted_at=[],
-                killed_at=[],
-            )
-        ],
-        notices=Notices(),
-        arrivals=lambda: world.notices.arrivals,
-        lasting_runs=lambda: world.host_runs,
-        host_runs=[],
-        resets=[],
-        domain_crashes=[],
-        is_out_of_touch=lambda *at: SoakWorld.is_out_of_touch(world, *at),
-        is_in_touch=lambda *at: SoakWorld.is_in_touch(world, *at),
-        hall_of={"desk-0": "hall-a", "desk-1": "hall-b", "host-1": "hall-a"}.get,
-    )
-    return Soak(world, seed=1), world
-
-
-def find_broken(soak):
-    """Run the checks; returns what they found."""
-    soak.checks.check()
-    soak._notice_checks.check()
-    soak._limit_checks.check()
-    soak._retry_checks.check()
-    soak._attempt_checks.check()
-    soak._deadline_checks.check()
-    soak._crash_checks.check()
-    soak._loss_checks.check()
-    return soak.report.broken
-
-
 def test_second_run_of_an_order_is_found():
     soak, world = make_soak()
     soak.callers.sent["r"] = SentRequest(0.0, "key-1")
@@ -376,86 +323,3 @@
     if disturbed_at is not None:
         world.disturbances.append(Disturbance(None, disturbed_at, disturbed_at + 0.5))
     assert bool(find_broken(soak)) == is_broken
-
-
-STOPPED_AT = 100.0
-
-
-def note_unanswered(soak, world, sent_at, ended_at, has_arrived=False, has_part=False):
-    """Let a request, sent in one piece, end without an answer."""
-    request = CallerRequest("r", "order", world.gateways[0], "/order/1", {}, "tins r", 6.0)
-    soak.callers.sent["r"] = SentRequest(sent_at, "key-1", "gateway-0")
-    soak.callers.unanswered.append(Unanswered(request, sent_at, sent_at, ended_at, has_part))
-    if has_arrived:
-        world.notices.arrivals.append(Arrival("desk-0", "r", sent_at + 0.1))
-
-
-@pytest.mark.parametrize(
-    ("sent_at", "ended_at", "has_arrived", "is_found"),
-    [
-        # Read, and closed without an answer.
-        (102.9, 107.2, False, True),
-        (103.1, 107.2, True, True),
-        # The connection's end crossed the request.
-        (102.9, 103.0, False, False),
-        # Passed on just before the connection's end.
-        (102.9, 103.0, True, True),
-        # Its upstream was still at work near the end of the grace.
-        (102.9, 106.7, True, False),
-        (102.9, 106.6, True, True),
-        # Its time was over.
-        (101.0, 107.1, True, False),
-    ],
-)
-def test_request_that_a_planned_stop_loses_is_found(sent_at, ended_at, has_arrived, is_found):
-    soak, world = make_soak()
-    world.gateways[0].terminated_at.append(STOPPED_AT)
-    note_unanswered(soak, world, sent_at, ended_at, has_arrived)
-    assert bool(find_broken(soak)) is is_found
-
-
-@pytest.mark.parametrize("disturbed", ["gateway-0", None])
-def test_loss_beside_a_disturbance_is_excused(disturbed):
-    soak, world = make_soak()
-    world.gateways[0].terminated_at.append(STOPPED_AT)
-    world.disturbances.append(Disturbance(disturbed, 101.0, 102.0))
-    note_unanswered(soak, world, 102.9, 107.2)
-    assert find_broken(soak) == []
-
-
-def test_loss_at_a_gateway_that_was_killed_is_excused():
-    soak, world = make_soak()
-    world.gateways[0].terminated_at.append(STOPPED_AT)
-    world.gateways[0].killed_at.append(107.1)
-    note_unanswered(soak, world, 102.9, 107.2)
-    assert find_broken(soak) == []
-
-
-# A process that listens and hasn't started yet has read nothing.
-@pytest.mark.parametrize("has_started", [False, True])
-def test_loss_at_a_gateway_that_was_stopped_before_it_started_is_excused(has_started):
-    soak, world = make_soak()
-    world.gateways[0].terminated_at.append(STOPPED_AT)
-    if not has_started:
-        world.gateways[0].terminated_unstarted_at.append(STOPPED_AT)
-    note_unanswered(soak, world, 102.9, 107.2)
-    assert bool(find_broken(soak)) is has_started
-
-
-# The clause on connections that end without planned work is on more than three.
-@pytest.mark.parametrize(("lost", "is_found"), [(3, False), (4, True)])
-def test_requests_lost_without_planned_work_are_found(lost, is_found):
-    soak, world = make_soak()
-    for _ in range(lost):
-        note_unanswered(soak, world, 100.0, 101.0, has_arrived=True)
-    assert bool(find_broken(soak)) is is_found
-
-
-# A host may have broken a stream off, unless all of them are sound.
-@pytest.mark.parametrize("is_sound", [False, True])
-def test_stream_that_breaks_off_is_found_where_upstreams_are_sound(is_sound):
-    soak, world = make_soak()
-    soak._loss_checks._keeps_streams_whole = is_sound
-    world.gateways[0].terminated_at.append(STOPPED_AT)
-    note_unanswered(soak, world, 103.1, 104.0, has_arrived=True, has_part=True)
-    assert bool(find_broken(soak)) is is_sound
--- a/mulleinreach/standins/gateway/hosts.py
+++ b/mulleinreach/standins/gateway/hosts.py
@@ -23,7 +23,7 @@
 )
 from mulleinreach.standins.gateway.bodies import BodyBreak, break_off, make_body
 from mulleinreach.standins.gateway.dialect import PRIORITY, HeaderNames
-from mulleinreach.standins.gateway.standings import ColdStart, HostFabric, Standing
+from mulleinreach.standins.gateway.standings import BrokenRun, ColdStart, HostFabric, Standing
 from mulleinreach.standins.gateway.store import UPSTREAMS
 
 ORDER_S = 0.002
@@ -329,9 +329,11 @@
         headers = {self._names.request_id: echoed, self._names.signature: self.id, **self.headers}
         body = make_body(self.framing, request, headers)
         has_begun = False
+        began_at = asyncio.get_running_loop().time()
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         for number in range(first, pieces + 1):
             if not await self._step(standing):
+                self._note_broken(standing, request_id, began_at, pieces + 1 - first)
                 # A close between two events would look like the end of a body without length.
                 self._fabric.reset_connection(request.transport)
                 request.transport.abort()
@@ -350,6 +352,15 @@
         await body.end()
         return body.response
 
+    def _note_broken(
+        self, standing: Standing, request_id: str, began_at: float, events: int
+    ) -> None:
+        """Record that a run is broken off before its last event."""
+        now = asyncio.get_running_loop().time()
+        would_end_at = began_at + events * EVENT_GAP_S * self._fabric.pace(standing)
+        run = BrokenRun(request_id, standing.members, began_at, now, would_end_at)
+        self._fabric.checks.broken_runs.append(run)
+
     async def _step(self, standing: Standing) -> bool:
         """Wait for the next event; a group that lacks a member stands still, then breaks."""
         await asyncio.sleep(EVENT_GAP_S * self._fabric.pace(standing))
--- a/mulleinreach/standins/gateway/standings.py
+++ b/mulleinreach/standins/gateway/standings.py
@@ -36,6 +36,24 @@
     told_for_s: float
 
 
+@dataclass(frozen=True)
+class BrokenRun:
+    """A run that its group broke off, since it lacked a member or was told to leave.
+
+    Parameters
+    ==========
+
+    began_at : the loop's time.
+    would_end_at : when its last event would have come at the pace of its group.
+    """
+
+    request_id: str
+    members: tuple[str, ...]
+    began_at: float
+    broken_at: float
+    would_end_at: float
+
+
 @dataclass
 class FabricChecks:
     """What broke a promise, which members were ever ready, and what ran or loaded when."""
@@ -47,6 +65,7 @@
     priorities: dict[str, list[str]] = field(default_factory=dict)
     cold_starts: list[ColdStart] = field(default_factory=list)
     loads_begun_at: list[float] = field(default_factory=list)
+    broken_runs: list[BrokenRun] = field(default_factory=list)
 
 
 class HostFabric(Protocol):
