Log with what a stopping node reckoned when it took a request that may outlast it

request_taken_in_stop tells apart three ways in which a stopping node takes what it then cuts: nothing is known of the route, too few answers are, or the usual time was too short.

--- a/mulleinreach/gateway/request/intake.py
+++ b/mulleinreach/gateway/request/intake.py
@@ -4,7 +4,7 @@
 
 from collections import deque
 
-from mulleinreach.common import Clock
+from mulleinreach.common import Clock, EventLog
 
 # Answers of a route that are remembered, of the routes that were answered last.
 MAX_TIMES_PER_ROUTE = 50
@@ -39,6 +39,10 @@
         if len(self._times) > MAX_ROUTES:
             del self._times[next(iter(self._times))]
 
+    def count(self, route: str) -> int:
+        """Return of how many of a route's answers the time is known."""
+        return len(self._times.get(route, ()))
+
     def usual_s(self, route: str) -> float | None:
         """Return a time that nearly all answers keep, ``None`` if too few are known."""
         times = sorted(self._times.get(route, ()))
@@ -56,8 +60,9 @@
     callers find another node at once, whereas an answer that is cut may have run.
     """
 
-    def __init__(self, clock: Clock):
+    def __init__(self, clock: Clock, log: EventLog):
         self._clock = clock
+        self._log = log
         self.finish_by = float("inf")
         self._is_closed = False
         self.times = AnswerTimes()
@@ -78,3 +83,17 @@
             return False
         usual_s = self.times.usual_s(route)
         return usual_s is None or self._clock.now() + usual_s <= self.finish_by
+
+    def log_taken(self, request_id: str, route: str, deadline: float) -> None:
+        """Log with what a request was reckoned that is taken though its deadline is too late."""
+        if deadline <= self.finish_by:
+            return
+        usual_s = self.times.usual_s(route)
+        self._log.event(
+            "request_taken_in_stop",
+            id=request_id,
+            route=route,
+            known=self.times.count(route),
+            usual_ms="" if usual_s is None else round(1000 * usual_s),
+            left_ms=round(1000 * (self.finish_by - self._clock.now())),
+        )
--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -85,7 +85,7 @@
         self._refusals = Refusals(dialect, metrics, log)
         self._streams = StreamForwarder(policy, clock, log)
         self._owed = OwedRequests(clock, log)
-        self._intake = StopIntake(clock)
+        self._intake = StopIntake(clock, log)
         self.is_stopping = False
 
     @property
@@ -176,6 +176,7 @@
             return self._refusals.lack_of_memory(headers)
         if not self._intake.may_take(route.name, owed.deadline):
             return self._refusals.stopping(headers)
+        self._intake.log_taken(headers.request_id, route.name, owed.deadline)
         job = owed.job = self._make_job(
             request, headers, decision, body, owed.started_at, owed.deadline
         )
