A stopping node takes only what no request of its route has outlasted

What callers saw: a stream that was taken up to 2.9 s after SIGTERM was cut 7.1 s after it, with up to half of its time left; two of one node at one replica in one moment. Cause: a request was taken if 95 in 100 of the last 50 answers of its route took less than what was left, and if fewer than ten answers were known, whatever was left. A node that has run for some seconds knows only the streams that have ended, the short ones; and 5 in 100 were cut by design. Evidence: request_taken_in_stop of 15 cut streams: nothing known 9, 11 to 17 answers known 6. Fix: at least 30 answers are known, and neither the longest of the last 100 nor the oldest one that still runs took longer than what is left; else 503 at once, which another node takes.

--- a/benchmarks/stop_breakages.py
+++ b/benchmarks/stop_breakages.py
@@ -7,6 +7,7 @@
 SERVER = "mulleinreach/common/server"
 REQUEST = "mulleinreach/gateway/request"
 TESTS = "mulleinreach/gateway/tests/test_owed_answers.py"
+INTAKE_TESTS = "mulleinreach/gateway/tests/test_stop_intake.py"
 
 STOP_BREAKAGES = [
     Breakage(
@@ -51,12 +52,36 @@
     ),
     Breakage(
         "LOST",
-        "in a stop, usual times decide what is taken",
+        "in a stop, known times decide what is taken",
         f"{REQUEST}/intake.py",
-        "return usual_s is None or self._clock.now() + usual_s <= self.finish_by",
+        "return longest_s is not None and self._clock.now() + longest_s <= self.finish_by",
         "return True",
         f"{TESTS} -k usually_quick",
     ),
+    Breakage(
+        "LOST",
+        "in a stop, nothing is taken of routes of which too little is known",
+        f"{REQUEST}/intake.py",
+        "return longest_s is not None and self._clock.now()",
+        "return longest_s is None or self._clock.now()",
+        f"{INTAKE_TESTS} -k few_answers",
+    ),
+    Breakage(
+        "LOST",
+        "in a stop, requests that still run tell how long others may take",
+        f"{REQUEST}/intake.py",
+        "max(longest_s, self._oldest_s(route))",
+        "longest_s",
+        f"{INTAKE_TESTS} -k still_run",
+    ),
+    Breakage(
+        "LOST",
+        "in a stop, the longest of the known answers tells how long others may take",
+        f"{REQUEST}/intake.py",
+        "return max(times) if",
+        "return sorted(times)[len(times) * 9 // 10] if",
+        f"{INTAKE_TESTS} -k longest_of",
+    ),
     Breakage(
         "LOST",
         "requests that are being read are refused at once",
--- a/mulleinreach/gateway/request/intake.py
+++ b/mulleinreach/gateway/request/intake.py
@@ -3,16 +3,15 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 
 from mulleinreach.common import Clock, EventLog
 
 # Answers of a route that are remembered, of the routes that were answered last.
-MAX_TIMES_PER_ROUTE = 50
+MAX_TIMES_PER_ROUTE = 100
 MAX_ROUTES = 1000
-# Nothing is known of a route with fewer answers.
-MIN_TIMES = 10
-# Of a route's answers, the part that took no longer than usual.
-USUAL_FRACTION = 0.95
+# With fewer answers known, too many requests take longer than all of these.
+MIN_TIMES = 30
 
 
 class AnswerTimes:
@@ -22,10 +21,10 @@
     ========
 
     >>> times = AnswerTimes()
-    >>> for tenths in range(1, 21):
+    >>> for tenths in range(1, 31):
     ...     times.note("order", tenths / 10)
-    >>> times.usual_s("order"), times.usual_s("stream")
-    (2.0, None)
+    >>> times.longest_s("order"), times.longest_s("stream")
+    (3.0, None)
     """
 
     def __init__(self) -> None:
@@ -43,10 +42,10 @@
         """Return of how many of a route's answers the time is known."""
         return len(self._times.get(route, ()))
 
-    def usual_s(self, route: str) -> float | None:
+    def longest_s(self, route: str) -> float | None:
         """Return a time that nearly all answers keep, ``None`` if too few are known."""
-        times = sorted(self._times.get(route, ()))
-        return times[int(USUAL_FRACTION * len(times))] if len(times) >= MIN_TIMES else None
+        times = self._times.get(route, ())
+        return max(times) if len(times) >= MIN_TIMES else None
 
 
 class StopIntake:
@@ -55,12 +54,20 @@
     Explanation
     ===========
 
-    While load balancers may open connections, a request is taken if its route's answers usually
-    come in time. What begins to arrive later is taken only if its own deadline is early enough:
-    callers find another node at once, whereas an answer that is cut may have run.
+    A request is taken if its own deadline is early enough. While load balancers may open
+    connections, it is also taken if no request of its route has taken longer than the time that
+    is left, ended or not: answers that have ended are the short ones where a node has just started
+    or upstreams have just become slow. Callers that are refused find another node at once, whereas
+    an answer that is cut may have run.
+
+    Parameters
+    ==========
+
+    oldest_s : returns for how long the oldest request of a route has been owed an answer.
     """
 
-    def __init__(self, clock: Clock, log: EventLog):
+    def __init__(self, oldest_s: Callable[[str], float], clock: Clock, log: EventLog):
+        self._oldest_s = oldest_s
         self._clock = clock
         self._log = log
         self.finish_by = float("inf")
@@ -68,7 +75,7 @@
         self.times = AnswerTimes()
 
     def begin_stopping(self, finish_by: float) -> None:
-        """Take only requests that are usually answered by then."""
+        """Take only requests that are answered by then, as far as this node knows."""
         self.finish_by = finish_by
 
     def close(self) -> None:
@@ -81,19 +88,24 @@
             return True
         if self._is_closed:
             return False
-        usual_s = self.times.usual_s(route)
-        return usual_s is None or self._clock.now() + usual_s <= self.finish_by
+        longest_s = self._longest_s(route)
+        return longest_s is not None and self._clock.now() + longest_s <= self.finish_by
+
+    def _longest_s(self, route: str) -> float | None:
+        """Return how long a request may take, ``None`` if too few answers are known."""
+        longest_s = self.times.longest_s(route)
+        return None if longest_s is None else max(longest_s, self._oldest_s(route))
 
     def log_taken(self, request_id: str, route: str, deadline: float) -> None:
         """Log with what a request was reckoned that is taken though its deadline is too late."""
         if deadline <= self.finish_by:
             return
-        usual_s = self.times.usual_s(route)
+        longest_s = self._longest_s(route)
         self._log.event(
             "request_taken_in_stop",
             id=request_id,
             route=route,
             known=self.times.count(route),
-            usual_ms="" if usual_s is None else round(1000 * usual_s),
+            longest_ms="" if longest_s is None else round(1000 * longest_s),
             left_ms=round(1000 * (self.finish_by - self._clock.now())),
         )
--- a/mulleinreach/gateway/request/owed.py
+++ b/mulleinreach/gateway/request/owed.py
@@ -88,6 +88,13 @@
             finally:
                 self._requests.discard(request)
 
+    def oldest_s(self, route: str) -> float:
+        """Return for how long the oldest request of a route has been owed an answer."""
+        jobs = [request.job for request in self._requests if request.job is not None]
+        started = [job.started_at for job in jobs if job.admitted.route.name == route]
+        now = self._clock.now()
+        return now - min(started, default=now)
+
     def end_unread(self, latest_deadline: float) -> None:
         """End the requests that aren't read whole and whose deadlines are later."""
         for request in self._requests:
--- a/mulleinreach/gateway/request/relay.py
+++ b/mulleinreach/gateway/request/relay.py
@@ -85,7 +85,7 @@
         self._refusals = Refusals(dialect, metrics, log)
         self._streams = StreamForwarder(policy, clock, log)
         self._owed = OwedRequests(clock, log)
-        self._intake = StopIntake(clock, log)
+        self._intake = StopIntake(self._owed.oldest_s, clock, log)
         self.is_stopping = False
 
     @property
@@ -94,7 +94,7 @@
         return len(self._owed)
 
     def begin_stopping(self, finish_by: float) -> None:
-        """Take only requests that are usually answered by then."""
+        """Take only requests that are answered by then, as far as this node knows."""
         self.is_stopping = True
         self._intake.begin_stopping(finish_by)
 
