--- a/benchmarks/stop_breakages.py
+++ b/benchmarks/stop_breakages.py
@@ -48,7 +48,7 @@
         f"{REQUEST}/intake.py",
         "        if self._is_closed:\n            return False\n",
         "",
-        f"{TESTS} -k outlast",
+        f"{INTAKE_TESTS} -k deadlines",
     ),
     Breakage(
         "LOST",
@@ -88,7 +88,7 @@
         f"{REQUEST}/owed.py",
         "if request.phase is RequestPhase.READING and request.deadline > latest_deadline:",
         "if False:",
-        f"{TESTS} -k outlast",
+        f"{INTAKE_TESTS} -k deadlines",
     ),
     Breakage(
         "LOST",
--- a/mulleinreach/gateway/tests/test_stop_intake.py
+++ b/mulleinreach/gateway/tests/test_stop_intake.py
@@ -10,8 +10,8 @@
 from mulleinreach.gateway.tests.support import run_world
 
 SOON_S = 0.1
-# So many events take 0.4, 4.4 and 5.2 s.
-SHORT, LONG, LONGEST = 10, 110, 130
+# So many events take 0.4, 3.2 and 5.2 s.
+SHORT, LONG, LONGEST = 10, 80, 130
 # Of so many answers the longest one tells how long others may take.
 KNOWN = 40
 # After SIGTERM; the node ends 4.5 s later.
@@ -93,3 +93,20 @@
         await stopping
 
     run_world(test, nodes=1)
+
+
+# Guards against requests that are taken as long as others were quick, up to the node's end.
+def test_stopping_node_decides_by_deadlines_once_no_connection_is_opened_any_more():
+    async def test(world):
+        await world.until_formed()
+        await answer_streams(world, SHORT, KNOWN)
+        node, began_at = world.nodes["node-0"], world.clock.now()
+        segments = [(began_at, make_stream(LONG)), (began_at + 0.3, make_stream(SHORT))]
+        calling = asyncio.create_task(send_segments(world, node, segments, answers=2))
+        await asyncio.sleep(0.2)
+        stopping = asyncio.create_task(node.stop())
+        first, second = await calling
+        assert (first.status, second.status) == (200, 503)
+        await stopping
+
+    run_world(test, nodes=1)
