A node that is stopped while it starts refuses what waits for it

What callers saw: connections that a starting node had accepted into its backlog, for up to seconds on a slow machine, were reset in the moment of its SIGTERM, without an answer. Cause: the listener opens before the imports, and SIGTERM ended the process by os._exit. Fix: the handler answers 503 with Retry-After 0 on each connection on which anything has come, closes the others, and waits 0.5 s at most for clients to close, as unread bytes would reset the answer. Weighed: to listen once requests can be read; where all nodes end at once callers' second tries then find refused connections, so what waits is refused instead.

--- a/benchmarks/stop_breakages.py
+++ b/benchmarks/stop_breakages.py
@@ -106,4 +106,12 @@
         "",
         f"{TESTS} -k runs_at_the_end",
     ),
+    Breakage(
+        "LOST",
+        "what waits at a node that is stopped while it starts is refused",
+        "mulleinreach/platform/__main__.py",
+        "        prepare_signals(on_stop=partial(refuse_waiting, listener))",
+        "        pass",
+        "mulleinreach/platform/tests/test_start_signals.py -k wait_at",
+    ),
 ]
--- a/mulleinreach/platform/__main__.py
+++ b/mulleinreach/platform/__main__.py
@@ -1,8 +1,10 @@
 """Starts a gateway node on the users' platform."""
 
 import os
+from functools import partial
 
 from mulleinreach.platform.early import SETTINGS_VARIABLE, listen_for_callers
+from mulleinreach.start_refusals import refuse_waiting
 from mulleinreach.start_signals import prepare_signals
 
 
@@ -15,6 +17,8 @@
     prepare_signals()
     path = os.environ.get(SETTINGS_VARIABLE, "")
     listener = listen_for_callers(path)
+    if listener is not None:
+        prepare_signals(on_stop=partial(refuse_waiting, listener))
     os.environ["SSL_CERT_FILE"] = os.environ["SSL_CERT_DIR"] = os.devnull
     from mulleinreach.platform.process import run
 
--- a/mulleinreach/platform/process.py
+++ b/mulleinreach/platform/process.py
@@ -20,6 +20,7 @@
     PlatformUpstreams,
 )
 from mulleinreach.platform.store import PlatformStore
+from mulleinreach.start_refusals import refuse_waiting
 
 EXIT_BAD_SETTINGS = 2
 
@@ -48,5 +49,7 @@
         settings = read_settings(settings_path)
     except SettingsError as error:
         print(f"{SETTINGS_VARIABLE}: {error}", file=sys.stderr)
+        if listener is not None:
+            refuse_waiting(listener)
         raise SystemExit(EXIT_BAD_SETTINGS) from error
     run_process(settings.identity, settings.bounds, partial(make_ports, settings), listener)
--- a/mulleinreach/platform/tests/test_start_signals.py
+++ b/mulleinreach/platform/tests/test_start_signals.py
@@ -91,3 +91,50 @@
         masks = [line.split()[1] for line in status if line.startswith("SigIgn:")]
         return bool(masks) and bool(int(masks[0], 16) & 1 << number - 1)
     return False
+
+
+def send_all(address, requests: list[bytes]) -> list[socket.socket]:
+    """Send each request on a connection of its own."""
+    connections = [socket.create_connection((address.host, address.port)) for _ in requests]
+    for connection, request in zip(connections, requests, strict=True):
+        connection.settimeout(PATIENCE_S)
+        connection.sendall(request)
+    return connections
+
+
+def read_to_end(connection: socket.socket) -> bytes:
+    """Return what comes until the connection's end; a reset is an error."""
+    data = b""
+    with connection:
+        while chunk := connection.recv(65_536):
+            data += chunk
+    return data
+
+
+HEAD = b"POST /stream/1 HTTP/1.1\r\nHost: soak.example\r\nContent-Length: 100000\r\n\r\n"
+
+
+# Guards against requests that are reset with a node that is stopped before it has read them.
+@pytest.mark.parametrize("request_bytes", [HEAD + b"x" * 100_000, HEAD + b"x", HEAD[:30]])
+def test_requests_that_wait_at_a_starting_node_are_refused_when_it_stops(
+    starting_gateway, request_bytes
+):
+    gateway, process = starting_gateway
+    process.send_signal(signal.SIGSTOP)
+    connections = send_all(gateway.callers, [request_bytes] * 20)
+    process.send_signal(signal.SIGTERM)
+    process.send_signal(signal.SIGCONT)
+    answers = [read_to_end(connection) for connection in connections]
+    assert [answer.split(b"\r\n")[0][:12] for answer in answers] == [b"HTTP/1.1 503"] * 20
+    assert process.wait(PATIENCE_S) == 0
+
+
+# Guards against resets of connections on which nothing was sent yet.
+def test_unused_connections_to_a_starting_node_are_closed_when_it_stops(starting_gateway):
+    gateway, process = starting_gateway
+    process.send_signal(signal.SIGSTOP)
+    connections = send_all(gateway.callers, [b""] * 20)
+    process.send_signal(signal.SIGTERM)
+    process.send_signal(signal.SIGCONT)
+    assert [read_to_end(connection) for connection in connections] == [b""] * 20
+    assert process.wait(PATIENCE_S) == 0
