A node waits for addresses that are in use, and names the one that stays so

What callers saw: where a port of the node's was in use at its start, the process ended with a bare traceback, and what it had taken into its backlog was reset. Cause: each address was bound once, and the error of any of them went through to the interpreter. Fix: addresses are bound in one loop, callers' last; one that is in use is tried for 5 s, unless the node is asked to stop; then start_failed names it with a code, what waits gets 503, exit code 3.

--- a/benchmarks/stop_breakages.py
+++ b/benchmarks/stop_breakages.py
@@ -114,4 +114,20 @@
         "        pass",
         "mulleinreach/platform/tests/test_start_signals.py -k wait_at",
     ),
+    Breakage(
+        "LOST",
+        "a starting node waits for addresses that are in use",
+        "mulleinreach/common/listening.py",
+        "is_over = loop.time() >= until or gives_up()",
+        "is_over = True",
+        "mulleinreach/platform/tests/test_addresses_in_use.py -k once_its",
+    ),
+    Breakage(
+        "LOST",
+        "a node that can't start refuses what waits for it",
+        "mulleinreach/gateway/process.py",
+        "            refuse_waiting(callers)",
+        "            pass",
+        "mulleinreach/platform/tests/test_addresses_in_use.py -k stays_in_use",
+    ),
 ]
--- a/mulleinreach/common/errors.py
+++ b/mulleinreach/common/errors.py
@@ -46,6 +46,7 @@
     UPSTREAM_INVALID = "upstream_invalid"
     PLATFORM_UNAVAILABLE = "platform_unavailable"
     BAD_SETTINGS = "bad_settings"
+    ADDRESS_UNAVAILABLE = "address_unavailable"
     INTERNAL = "internal"
 
 
@@ -71,6 +72,7 @@
     Code.UPSTREAM_INVALID: 502,
     Code.PLATFORM_UNAVAILABLE: 503,
     Code.BAD_SETTINGS: 400,
+    Code.ADDRESS_UNAVAILABLE: 503,
     Code.INTERNAL: 500,
 }
 
--- a/mulleinreach/gateway/node.py
+++ b/mulleinreach/gateway/node.py
@@ -7,11 +7,13 @@
 import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from functools import partial
 
 from aiohttp import web
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
-from mulleinreach.common import Clock, Network, TaskGroup
+from mulleinreach.common import Address, Clock, Network, TaskGroup
+from mulleinreach.common.listening import listen_when_free
 from mulleinreach.common.loop import suspended_s
 from mulleinreach.common.server.memory import MemoryLedger
 from mulleinreach.gateway.connectivity.tunnel_server import TunnelServer
@@ -315,19 +317,18 @@
             self.bounds.retry_window_s,
         )
 
-    async def start(self) -> None:
-        """Open all listening sockets, then start all tasks."""
-        await self.coordination.listen()
-        await self.tunnel_server.listen(self.identity.tunnel_address)
-        await self._servers.serve_callers(
-            self.relay.handle, self.identity.callers_address, self._callers_socket
-        )
-        for handler, address in (
-            (self._handle_readiness, self.identity.readiness_address),
-            (self._handle_metrics, self.identity.metrics_address),
-        ):
-            if address is not None:
-                await self._servers.serve_operators(handler, address)
+    async def start(self, gives_up: Callable[[], bool] = lambda: False) -> None:
+        """Open all listening sockets, that for callers last, then start all tasks.
+
+        Raises :class:`MulleinreachError` if an address can't be listened on.
+
+        Parameters
+        ==========
+
+        gives_up : whether to wait no more for addresses that are in use.
+        """
+        for address, listen in self._listeners():
+            await listen_when_free(address, listen, gives_up)
         suspension = SuspensionMonitor(suspended_s, self._describe_wake, self.log)
         duties: dict[str, Callable[[], Awaitable[None]]] = {
             **self._servers.duties(),
@@ -344,6 +345,33 @@
             "node_started", callers=self.identity.callers_address, hall=self.identity.hall
         )
 
+    def _listeners(self) -> list[tuple[Address, Callable[[], Awaitable[None]]]]:
+        """Return this node's addresses, and what listens on each."""
+        identity = self.identity
+        operators = [
+            (address, partial(self._servers.serve_operators, handler, address))
+            for handler, address in (
+                (self._handle_readiness, identity.readiness_address),
+                (self._handle_metrics, identity.metrics_address),
+            )
+            if address is not None
+        ]
+        serve_callers = partial(
+            self._servers.serve_callers,
+            self.relay.handle,
+            identity.callers_address,
+            self._callers_socket,
+        )
+        return [
+            (identity.peers_address, self.coordination.listen),
+            (
+                identity.tunnel_address,
+                partial(self.tunnel_server.listen, identity.tunnel_address),
+            ),
+            *operators,
+            (identity.callers_address, serve_callers),
+        ]
+
     # Callbacks of the components.
 
     def _request_limits(self) -> RequestLimits:
--- a/mulleinreach/gateway/process.py
+++ b/mulleinreach/gateway/process.py
@@ -8,12 +8,15 @@
 
 from absl import logging
 
-from mulleinreach.common import Clock, Network
+from mulleinreach.common import Clock, MulleinreachError, Network
 from mulleinreach.common.log import install_queued_logging
 from mulleinreach.common.loop import SuspendAwareEventLoop
 from mulleinreach.gateway.deployment import DeploymentBounds, GatewayIdentity
 from mulleinreach.gateway.node import GatewayNode
 from mulleinreach.gateway.ports import MakePorts
+from mulleinreach.start_refusals import refuse_waiting
+
+EXIT_START_FAILED = 3
 
 
 def run_process(
@@ -50,6 +53,13 @@
         loop.add_signal_handler(signal_number, stop_requested.set)
     # A running node doesn't reload its settings; changes apply at the next start.
     loop.add_signal_handler(signal.SIGHUP, lambda: node.log.event("settings_changed"))
-    await node.start()
+    try:
+        await node.start(gives_up=stop_requested.is_set)
+    except MulleinreachError as error:
+        node.log.event("start_failed", code=error.code, why=error.message)
+        if callers is not None and callers.fileno() >= 0:
+            refuse_waiting(callers)
+        await node.abort()
+        raise SystemExit(EXIT_START_FAILED) from error
     await stop_requested.wait()
     await node.stop()
