A new coordinator retires no group for a member that only left the list

What callers saw: beside a replaced coordinator a sound group took nothing new, and its streams moved after 3.5 s, for a member that was cut off from the store and served on. Cause: Substitutes.outlast asks the groups that may end, which hold removed members too; outside of the grace period such a group is checked as incomplete first, within it nothing stood in between. Fix: only groups with draining members are asked, which spares the reckoning for all others.

--- a/benchmarks/ending_breakages.py
+++ b/benchmarks/ending_breakages.py
@@ -104,4 +104,12 @@
         ":",
         "mulleinreach/common/tests/test_log.py -k left_out_together",
     ),
+    Breakage(
+        "LOST",
+        "a member that only left the list retires no group",
+        "mulleinreach/gateway/fleet/group_monitor.py",
+        "(draining and self._substitutes.outlast(key, group, model))",
+        "self._substitutes.outlast(key, group, model)",
+        "mulleinreach/gateway/fleet/tests/test_announced_ends.py -k only_left",
+    ),
 ]
--- a/mulleinreach/gateway/fleet/group_monitor.py
+++ b/mulleinreach/gateway/fleet/group_monitor.py
@@ -155,7 +155,7 @@
         """End a group with leaving or slow members, if other hosts or groups can replace it."""
         draining = self._substitutes.draining_members(group)
         has_substitutes = self._substitutes.suffice(group, model, draining)
-        if has_substitutes or self._substitutes.outlast(key, group, model):
+        if has_substitutes or (draining and self._substitutes.outlast(key, group, model)):
             self._begin_retiring(key, group.head, RetirementReason.MEMBER_DRAINS)
         elif self._substitutes.suffice(group, model, self._slow_members(key, group, model)):
             if has_fixed_requests(load):
--- a/mulleinreach/gateway/fleet/tests/test_announced_ends.py
+++ b/mulleinreach/gateway/fleet/tests/test_announced_ends.py
@@ -192,3 +192,22 @@
         assert await streams.end() == []
 
     run_world(test, **FULL_DOMAINS, bounds=NO_RETRIES)
+
+
+# Guards against groups that a new coordinator retires for a member that only left the list.
+@pytest.mark.parametrize("after_s", [0.5, 1.0, 1.5])
+def test_member_that_only_left_the_list_retires_no_group_at_a_new_coordinator(after_s):
+    async def test(world):
+        streams = await begin(world)
+        member_of(world, LARGE, 1).cut_from_list()
+        await asyncio.sleep(after_s)
+        stopping = asyncio.create_task(world.nodes.pop(world.coordinator()).stop())
+        # Beyond the announcement's propagation, and within the new coordinator's grace period.
+        await asyncio.sleep(2.4 - after_s)
+        successor = world.nodes[world.coordinator()]
+        assert successor.hosts.is_in_grace_period()
+        assert successor.hosts.retirements.current() == []
+        assert await streams.end() == []
+        await stopping
+
+    run_world(test, **FULL_DOMAINS, bounds=NO_RETRIES)
