--- /dev/null
+++ b/mulleinreach/platform/tests/soak/local_servers.py
@@ -0,0 +1,38 @@
+"""HTTP servers of the soak's own process, on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+from aiohttp import web
+
+from mulleinreach.platform.tests.soak.processes import LOCAL
+
+CLEAN_UP_S = 2.0
+
+
+class LocalServers:
+    """Serves applications on ports that the system chooses."""
+
+    def __init__(self) -> None:
+        self._runners: list[web.AppRunner] = []
+
+    async def serve(self, app: web.Application) -> int:
+        """Serve an application; returns its port."""
+        runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+        await runner.setup()
+        site = web.TCPSite(runner, LOCAL, 0)
+        await site.start()
+        self._runners.append(runner)
+        return site._server.sockets[0].getsockname()[1]
+
+    async def close(self) -> None:
+        """End all servers, and what they still answer."""
+        await asyncio.gather(*(_clean_up(runner) for runner in self._runners))
+
+
+async def _clean_up(runner: web.AppRunner) -> None:
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(CLEAN_UP_S):
+            await runner.cleanup()
--- a/mulleinreach/platform/tests/soak/world.py
+++ b/mulleinreach/platform/tests/soak/world.py
@@ -23,6 +23,7 @@
     make_document,
 )
 from mulleinreach.platform.tests.soak.host_app import NAMES, TIMES, host_app
+from mulleinreach.platform.tests.soak.local_servers import LocalServers
 from mulleinreach.platform.tests.soak.notices import Arrival, Notices, Run
 from mulleinreach.platform.tests.soak.plain import PlainService
 from mulleinreach.platform.tests.soak.processes import LOCAL, GatewayProcess, make_gateway
@@ -108,7 +109,7 @@
         self.notices = Notices()
         # Which hosts' connections were reset, and when.
         self.resets: list[tuple[str, float]] = []
-        self._runners: list[web.AppRunner] = []
+        self._servers = LocalServers()
         self._ending: list[asyncio.Task] = []
         self._next_upstream = 0
         # By the name of a host, what holds its latest start.
@@ -116,7 +117,7 @@
 
     async def start(self) -> None:
         """Start the stand-ins, write the configuration, start the gateways."""
-        self._store_port = await self._serve(self.store.app())
+        self._store_port = await self._servers.serve(self.store.app())
         self.configure(self.keys)
         for hall in self.halls:
             await self.fill_hall(hall, cold_s=0.0)
@@ -301,7 +302,7 @@
 
     async def _open_link(self, name: str, app: web.Application) -> Link:
         self.notices.attach(app, name)
-        self.links[name] = await self.proxy.open(LOCAL, await self._serve(app))
+        self.links[name] = await self.proxy.open(LOCAL, await self._servers.serve(app))
         return self.links[name]
 
     def reset_host(self, host: HostStandIn) -> None:
@@ -378,14 +379,6 @@
             if not gateway.is_running() and gateway.hall not in self.lost_halls:
                 gateway.start()
 
-    async def _serve(self, app: web.Application) -> int:
-        runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
-        await runner.setup()
-        site = web.TCPSite(runner, LOCAL, 0)
-        await site.start()
-        self._runners.append(runner)
-        return site._server.sockets[0].getsockname()[1]
-
     async def close(self) -> None:
         """End everything that was started, by its process."""
         for gateway in self.gateways:
@@ -398,10 +391,4 @@
             task.cancel()
         self.proxy.close()
         await self.fabric.close()
-        await asyncio.gather(*(_clean_up(runner) for runner in self._runners))
-
-
-async def _clean_up(runner: web.AppRunner) -> None:
-    with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(2):
-            await runner.cleanup()
+        await self._servers.close()
--- a/mulleinreach/platform/tests/soak_checks_support.py
+++ b/mulleinreach/platform/tests/soak_checks_support.py
@@ -4,8 +4,9 @@
 
 from types import SimpleNamespace
 
+from mulleinreach.platform.tests.soak.kinds import NO_KINDS, SoakKinds
 from mulleinreach.platform.tests.soak.notices import Notices
-from mulleinreach.platform.tests.soak.run import NO_KINDS, Soak, SoakKinds
+from mulleinreach.platform.tests.soak.run import Soak
 from mulleinreach.platform.tests.soak.world import SoakWorld
 
 
--- a/mulleinreach/platform/tests/test_soak.py
+++ b/mulleinreach/platform/tests/test_soak.py
@@ -7,8 +7,9 @@
 
 from mulleinreach.platform.tests.soak.callers import Traffic
 from mulleinreach.platform.tests.soak.crash_faults import CrashCause
+from mulleinreach.platform.tests.soak.kinds import SoakKinds
 from mulleinreach.platform.tests.soak.report import SoakReport
-from mulleinreach.platform.tests.soak.run import FAILING_REQUESTS, SoakKinds, soak_once
+from mulleinreach.platform.tests.soak.run import FAILING_REQUESTS, soak_once
 
 # Seeds that ever failed stay here, each with its cause.
 SEEDS = [
--- a/mulleinreach/platform/tests/test_soak_loss_checks.py
+++ b/mulleinreach/platform/tests/test_soak_loss_checks.py
@@ -3,9 +3,9 @@
 import pytest
 
 from mulleinreach.platform.tests.soak.callers import CallerRequest, SentRequest, Unanswered
+from mulleinreach.platform.tests.soak.kinds import SoakKinds
 from mulleinreach.platform.tests.soak.notices import Arrival
 from mulleinreach.platform.tests.soak.records import Disturbance, Leaving
-from mulleinreach.platform.tests.soak.run import SoakKinds
 from mulleinreach.platform.tests.soak_checks_support import find_broken, make_soak
 from mulleinreach.standins.gateway.standings import BrokenRun
 
