--- a/mulleinreach/platform/tests/test_soak.py
+++ b/mulleinreach/platform/tests/test_soak.py
@@ -79,6 +79,22 @@
     assert report.broken == []
 
 
+# Guards against streams that gateways take after they were asked to stop, and cut at their ends.
+def test_short_soak_in_which_long_streams_meet_stops_keeps_every_promise():
+    kinds = SoakKinds(processes=False, stops=True, segments=False)
+    traffic = Traffic(call_every_s=1 / 60, pieces=130, least_pieces=10, deadline_s=8.0)
+    report = asyncio.run(soak_once(9703, 6 * SECONDS, nodes=4, kinds=kinds, traffic=traffic))
+    assert report.broken == []
+
+
+# Guards against groups that are dissolved under streams which end before a leaving member does.
+def test_short_soak_in_which_hosts_are_released_keeps_every_promise():
+    kinds = SoakKinds(processes=False, stops=True, segments=False, releases=True)
+    traffic = Traffic(call_every_s=1 / 60, pieces=130, least_pieces=10, deadline_s=8.0)
+    report = asyncio.run(soak_once(97201, 4 * SECONDS, nodes=4, kinds=kinds, traffic=traffic))
+    assert report.broken == []
+
+
 # Guards against streams that are cut as hosts leave as planned, beside stops of gateways.
 def test_short_soak_in_which_hosts_leave_as_planned_keeps_every_promise():
     kinds = SoakKinds(processes=False, stops=True, segments=False, drains=True)
