--- a/mulleinreach/standins/gateway/standings.py
+++ b/mulleinreach/standins/gateway/standings.py
@@ -36,6 +36,50 @@
     told_for_s: float
 
 
+@dataclass
+class RunProgress:
+    """How far a run has come.
+
+    Parameters
+    ==========
+
+    began_at : the loop's time.
+    events : which it has to make in all.
+
+    Examples
+    ========
+
+    >>> progress = RunProgress(began_at=10.0, events=4)
+    >>> progress.would_end_at(gap_s=0.5)
+    12.0
+    >>> progress.note_event(11.0)
+    >>> progress.would_end_at(gap_s=0.5)
+    14.0
+    """
+
+    began_at: float
+    events: int
+    made: int = 0
+    latest_at: float = 0.0
+
+    def note_event(self, now: float) -> None:
+        """Note that an event was made."""
+        self.made += 1
+        self.latest_at = now
+
+    def would_end_at(self, gap_s: float) -> float:
+        """Return when the last event would come at the pace of those that were made.
+
+        Parameters
+        ==========
+
+        gap_s : the time between two events, as long as none was made.
+        """
+        if not self.made:
+            return self.began_at + self.events * gap_s
+        return self.began_at + (self.latest_at - self.began_at) * self.events / self.made
+
+
 @dataclass(frozen=True)
 class BrokenRun:
     """A run that its group broke off, since it lacked a member or was told to leave.
@@ -44,7 +88,7 @@
     ==========
 
     began_at : the loop's time.
-    would_end_at : when its last event would have come at the pace of its group.
+    would_end_at : when its last event would have come at the pace of the others.
     """
 
     request_id: str
