A leaving member whose announcement is remembered no more is never due

By reading once more: it looked the time of the announcement up without a default, so a listed member that leaves would have raised KeyError in each choice of an upstream once 4,096 others had left after it. test_leaving_members.py: KeyError before.

--- a/mulleinreach/gateway/state/upstreams.py
+++ b/mulleinreach/gateway/state/upstreams.py
@@ -250,7 +250,7 @@
     def draining_members(self) -> list[LeavingMember]:
         """Return the listed members of groups that have announced their ends."""
         return [
-            LeavingMember(member.group_key, self._leaving[member.id], is_announced=True)
+            LeavingMember(member.group_key, self.leaving_since(member.id), is_announced=True)
             for member in self.draining()
             if member.group_key is not None
         ]
