A reset amid an upload is not forgotten when the writer of the request ends

Callers got the part of an answer without length as a whole 200: the replica answered a long upload at once, sent a part and reset the connection while the upload was still being written, and the part was read only after the reset (a slow caller of a stream, a busy node).

Cause: Response asked aiohttp's protocol for its exception. At a reset aiohttp notes the error, then cancels the task that still writes the request; that task closes the connection, and ResponseHandler.close() sets the exception to None. A reader that was waiting was woken before that, so resets were held for readers in time; without a writer nothing closes the connection a second time, so they were held for answers to short requests, which is what was tested so far.

Why this works: the protocol keeps the first error that ended the connection in a field of its own, which nothing clears. A connection serves one request after an error, so the field is never stale.

Ruled out: the reader's framing (CLOSE in each case) and the order of recv and send at the socket (both report the reset).

--- a/mulleinreach/common/response_bounds.py
+++ b/mulleinreach/common/response_bounds.py
@@ -42,6 +42,9 @@
 class BoundedResponseHandler(ResponseHandler):
     """Client protocol that closes a connection which sends no answer, or little but framing."""
 
+    # The first error that ended the connection; ``None`` if it is open or was closed. aiohttp
+    # forgets its own record when it closes the connection.
+    connection_error: BaseException | None = None
     _has_final_head = False
     _is_chunked = False
     _body: StreamReader = EMPTY_PAYLOAD
@@ -55,6 +58,13 @@
         self._chunked_bytes = 0
         super().set_response_params(**params)
 
+    def set_exception(self, exc: BaseException, *cause: BaseException) -> None:
+        """Note an error; the mere end of the connection is none."""
+        is_error = not isinstance(exc, aiohttp.ServerDisconnectedError)
+        if self.connection_error is None and is_error:
+            self.connection_error = exc
+        super().set_exception(exc, *cause)
+
     def feed_data(self, data, size: int = 0) -> None:
         """Queue the head of a response; informational responses are dropped."""
         message, body = data
--- a/mulleinreach/common/responses.py
+++ b/mulleinreach/common/responses.py
@@ -75,8 +75,7 @@
     @property
     def connection_error(self) -> BaseException | None:
         """The error that ended the connection; ``None`` if it is open or was closed."""
-        error = self._connection_protocol.exception()
-        return None if isinstance(error, aiohttp.ServerDisconnectedError) else error
+        return self._connection_protocol.connection_error
 
     def check_complete(self) -> None:
         """Raise ``aiohttp.ClientPayloadError`` if the connection's end cut the body off.
--- /dev/null
+++ b/mulleinreach/standins/early_upstream.py
@@ -0,0 +1,68 @@
+"""An upstream on real sockets that answers a request before it has read it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import enum
+import socket
+import struct
+from collections.abc import AsyncIterator
+
+from mulleinreach.common import Address
+
+# A small window, so that most of a long request stays at its sender.
+RECEIVE_BUFFER_BYTES = 16_384
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class EarlyEnd(enum.Enum):
+    """How an upstream ends a connection after its answer.
+
+    ``RESET``: it resets it.
+    ``READ``: it reads the whole request and closes.
+    """
+
+    RESET = "reset"
+    READ = "read"
+
+
+def reset(transport: asyncio.BaseTransport) -> None:
+    """Reset a connection."""
+    sock = transport.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    transport.abort()
+
+
+@contextlib.asynccontextmanager
+async def early_upstream(
+    answer: bytes, end: EarlyEnd, body_bytes: int = 0
+) -> AsyncIterator[Address]:
+    """Serve each request with the same bytes once its head has arrived; yields the address.
+
+    Parameters
+    ==========
+
+    body_bytes : the length of the requests' bodies, for ``EarlyEnd.READ``.
+    """
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.transport.pause_reading()
+        writer.write(answer)
+        if end is EarlyEnd.READ:
+            writer.transport.resume_reading()
+            await reader.readexactly(body_bytes)
+            writer.close()
+            return
+        await writer.drain()
+        reset(writer.transport)
+
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    listener.bind(("127.0.0.1", 0))
+    server = await asyncio.start_server(serve, sock=listener)
+    try:
+        yield Address(*listener.getsockname())
+    finally:
+        server.close()
