A success that ends with its connection is whole only if its request had arrived

Callers got the part of an answer without length as a whole 200: the replica answered a long upload at once, sent a part, closed its side of the connection and reset it afterwards. A replica that merely closes after it has read what had come so far does the same: its system sends an end at once, and a reset for each byte that arrives later.

Cause: the end of the connection was the end of the body, whether or not the request had been written by then. aiohttp closes at the end and reads no further, so the reset is never seen.

Why this works: an end acknowledges all that had arrived before it was sent. If bytes of the request are unacknowledged when it is handled (unwritten, in the transport's buffer or in the system's), the server had not received them when it ended its answer.

Only successes whose body ends with the connection are concerned. Kept, with tests: an answer after the whole request was read, early answers with a length or a last chunk, early refusals.

Weighed: waiting for the acknowledgement or the reset would let through early successes of servers that read on after their end, but also those of servers whose system takes the upload and resets it unread, and it needs a bound. An early success without length can't be told from a cut one.

--- a/mulleinreach/common/response_bounds.py
+++ b/mulleinreach/common/response_bounds.py
@@ -9,6 +9,7 @@
 
 .. [1] RFC 9110, "HTTP Semantics", section 15.2, informational 1xx.
 .. [2] RFC 9110, "HTTP Semantics", section 15, status codes.
+.. [3] RFC 9112, "HTTP/1.1", section 9.6, tear-down.
 """
 
 from __future__ import annotations
@@ -20,6 +21,9 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 
+from mulleinreach.common.delivery import unreceived_bytes
+from mulleinreach.common.responses import BodyFraming, body_framing
+
 MAX_HEAD_BYTES = 65_536
 MAX_INFORMATIONAL_RESPONSES = 32
 # Framing of chunks beyond the size of the body so far.
@@ -28,6 +32,7 @@
 PIECE_BYTES = 4096
 # The classes of status codes [2]_.
 INFORMATIONAL_STATUSES = range(100, 200)
+SUCCESSFUL_STATUSES = range(200, 300)
 FINAL_STATUSES = range(200, 600)
 
 
@@ -47,6 +52,9 @@
     connection_error: BaseException | None = None
     _has_final_head = False
     _is_chunked = False
+    _is_request_written = False
+    # Whether the response is a success whose body ends with the connection.
+    _is_success_until_close = False
     _body: StreamReader = EMPTY_PAYLOAD
 
     def set_response_params(self, **params) -> None:
@@ -54,10 +62,32 @@
         self._head_bytes = 0
         self._informational_count = 0
         self._has_final_head = self._is_chunked = False
+        self._is_request_written = self._is_success_until_close = False
         self._body = EMPTY_PAYLOAD
         self._chunked_bytes = 0
         super().set_response_params(**params)
 
+    def start_timeout(self) -> None:
+        """Note that the request is written: aiohttp calls this once it is."""
+        self._is_request_written = True
+        super().start_timeout()
+
+    def eof_received(self) -> None:
+        """Break off a success that ends with its connection before its request has arrived.
+
+        A server that closes a connection with unread bytes of the request resets it later, so its
+        response may be cut off [3]_.
+        """
+        super().eof_received()
+        if self._is_success_until_close and not self._is_request_received():
+            error = aiohttp.ClientPayloadError("the response ended before its request had arrived")
+            self.set_exception(error)
+            self.transport.abort()
+
+    def _is_request_received(self) -> bool:
+        """Whether the server's system has received the whole request."""
+        return self._is_request_written and unreceived_bytes(self.transport) == 0
+
     def set_exception(self, exc: BaseException, *cause: BaseException) -> None:
         """Note an error; the mere end of the connection is none."""
         is_error = not isinstance(exc, aiohttp.ServerDisconnectedError)
@@ -78,6 +108,9 @@
             return
         self._has_final_head = True
         self._is_chunked = message.chunked
+        framing = body_framing(body is not EMPTY_PAYLOAD, message.headers)
+        is_success = message.code in SUCCESSFUL_STATUSES
+        self._is_success_until_close = is_success and framing is BodyFraming.CLOSE
         self._body = body
         super().feed_data(data, size)
 
--- a/mulleinreach/common/responses.py
+++ b/mulleinreach/common/responses.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from dataclasses import dataclass
 
 import aiohttp
@@ -31,6 +31,22 @@
     CLOSE = "close"
 
 
+def body_framing(has_body: bool, headers: Mapping[str, str]) -> BodyFraming:
+    """Return what delimits the body of a response with these headers.
+
+    Examples
+    ========
+
+    >>> body_framing(True, {}), body_framing(False, {})
+    (<BodyFraming.CLOSE: 'close'>, <BodyFraming.LENGTH: 'length'>)
+    """
+    if not has_body:
+        return BodyFraming.LENGTH
+    if "Transfer-Encoding" in headers:
+        return BodyFraming.CHUNKED
+    return BodyFraming.LENGTH if "Content-Length" in headers else BodyFraming.CLOSE
+
+
 @dataclass(frozen=True)
 class BodyEnd:
     """How the body of a response ended.
@@ -66,11 +82,8 @@
     @property
     def framing(self) -> BodyFraming:
         """What delimits the body."""
-        if self.method == "HEAD" or self.status in _STATUSES_WITHOUT_BODY:
-            return BodyFraming.LENGTH
-        if "Transfer-Encoding" in self.headers:
-            return BodyFraming.CHUNKED
-        return BodyFraming.LENGTH if "Content-Length" in self.headers else BodyFraming.CLOSE
+        has_body = self.method != "HEAD" and self.status not in _STATUSES_WITHOUT_BODY
+        return body_framing(has_body, self.headers)
 
     @property
     def connection_error(self) -> BaseException | None:
--- a/mulleinreach/common/tests/test_early_answers.py
+++ b/mulleinreach/common/tests/test_early_answers.py
@@ -76,7 +76,16 @@
     assert isinstance(result, aiohttp.ClientPayloadError)
 
 
-@pytest.mark.parametrize("end", [EarlyEnd.RESET])
+# Guards against an answer that is whole since its connection was closed before it was reset.
+@pytest.mark.parametrize("is_late", [False, True])
+@pytest.mark.parametrize("read", READERS)
+@pytest.mark.parametrize("body", UPLOADS)
+def test_close_amid_an_upload_breaks_a_body_without_length(body, read, is_late):
+    result = upload(UNTIL_CLOSE, EarlyEnd.CLOSE, body, read, is_late)
+    assert isinstance(result, aiohttp.ClientPayloadError)
+
+
+@pytest.mark.parametrize("end", [EarlyEnd.RESET, EarlyEnd.CLOSE])
 @pytest.mark.parametrize("body", UPLOADS)
 def test_call_whose_answer_ends_amid_its_upload_has_failed(body, end):
     async def run():
@@ -97,7 +106,7 @@
     assert upload(UNTIL_CLOSE, EarlyEnd.READ, body, read, is_late) == PART
 
 
-@pytest.mark.parametrize("end", [EarlyEnd.RESET])
+@pytest.mark.parametrize("end", [EarlyEnd.RESET, EarlyEnd.CLOSE])
 @pytest.mark.parametrize(
     "answer",
     [
@@ -108,3 +117,9 @@
 @pytest.mark.parametrize("body", UPLOADS)
 def test_whole_body_of_an_early_answer_is_whole(body, answer, end):
     assert upload(answer, end, body, read) == PART
+
+
+@pytest.mark.parametrize("status", [b"413", b"429", b"503"])
+def test_early_refusal_is_an_answer_though_the_upload_was_not_received(status):
+    refusal = b"HTTP/1.1 %s X\r\n\r\n" % status + PART
+    assert upload(refusal, EarlyEnd.CLOSE, bytes(900_000), read) == PART
--- a/mulleinreach/standins/early_upstream.py
+++ b/mulleinreach/standins/early_upstream.py
@@ -13,6 +13,8 @@
 
 # A small window, so that most of a long request stays at its sender.
 RECEIVE_BUFFER_BYTES = 16_384
+# Between the end of the upstream's side of a connection and its reset.
+RESET_DELAY_S = 0.02
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -20,10 +22,12 @@
     """How an upstream ends a connection after its answer.
 
     ``RESET``: it resets it.
+    ``CLOSE``: it ends its side, and resets the connection a little later.
     ``READ``: it reads the whole request and closes.
     """
 
     RESET = "reset"
+    CLOSE = "close"
     READ = "read"
 
 
@@ -56,6 +60,9 @@
             writer.close()
             return
         await writer.drain()
+        if end is EarlyEnd.CLOSE:
+            writer.write_eof()
+            await asyncio.sleep(RESET_DELAY_S)
         reset(writer.transport)
 
     listener = socket.socket()
