A tunnel's end tells how much of the request the upstream had received

Callers got the part of an answer without length as a whole 200 through a tunnel, too: the replica answered a long upload at once and closed, and the node that held the connection to it passed the close on as the end of the answer.

Cause: the asking node's connection leads to the other node, whose system takes an upload of 900 kB at once. So nothing was unacknowledged there, while most of it had not reached the replica.

Why this works: only the node that holds the connection can ask its system, at the moment of the end. It sends the number of received bytes with the mark of the end, and the asking node compares it with what it wrote. A count has no race with bytes that are still between the two nodes; a yes or no would have.

--- a/mulleinreach/gateway/connectivity/messages.py
+++ b/mulleinreach/gateway/connectivity/messages.py
@@ -14,6 +14,8 @@
 
 MAX_MESSAGE_BYTES = 4096
 LENGTH = struct.Struct(">I")
+# How many bytes the upstream had received when it ended the connection.
+RECEIVED = struct.Struct(">Q")
 
 capnp.remove_import_hook()
 _schema = capnp.load(str(Path(__file__).with_name("tunnel.capnp")))
--- a/mulleinreach/gateway/connectivity/tests/test_tunnels.py
+++ b/mulleinreach/gateway/connectivity/tests/test_tunnels.py
@@ -40,8 +40,13 @@
 class Tunnelled:
     """An upstream, a tunnel server, and the network of a node that reaches only the latter."""
 
-    def __init__(self, is_listed: bool = True, secrets: tuple[str, ...] = (SECRET,)):
-        self.upstream = free_address()
+    def __init__(
+        self,
+        is_listed: bool = True,
+        secrets: tuple[str, ...] = (SECRET,),
+        upstream: Address | None = None,
+    ):
+        self.upstream = upstream or free_address()
         self.server_address = free_address()
         log = EventLog("node")
         self.server = TunnelServer(
--- a/mulleinreach/gateway/connectivity/tunnel.py
+++ b/mulleinreach/gateway/connectivity/tunnel.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 
 from mulleinreach.common import Address, Network
+from mulleinreach.common.delivery import UNRECEIVED_BYTES
 from mulleinreach.gateway.connectivity.connector import ProtocolFactory, UpstreamConnection
 from mulleinreach.gateway.connectivity.messages import (
     LENGTH,
     MAX_MESSAGE_BYTES,
+    RECEIVED,
     TunnelError,
     TunnelOutcome,
     TunnelRequest,
@@ -26,15 +29,21 @@
     >>> decoder = BlockDecoder()
     >>> decoder.feed(LENGTH.pack(3) + b"ab"), decoder.feed(b"c" + LENGTH.pack(0))
     (b'ab', b'c')
-    >>> decoder.is_at_end
-    True
+    >>> decoder.is_at_end, decoder.feed(RECEIVED.pack(12)), decoder.is_at_end
+    (False, b'', True)
     """
 
     def __init__(self) -> None:
-        self._header = b""
+        self._field = b""
         self._remaining = 0
-        # Whether the upstream has closed the connection.
-        self.is_at_end = False
+        self._is_ending = False
+        # How many bytes the upstream had received when it closed the connection.
+        self.received_bytes: int | None = None
+
+    @property
+    def is_at_end(self) -> bool:
+        """Whether the upstream has closed the connection."""
+        return self.received_bytes is not None
 
     def feed(self, data: bytes) -> bytes:
         """Return the upstream's bytes in ``data``."""
@@ -45,14 +54,58 @@
                 data = data[self._remaining :]
                 self._remaining -= len(payload[-1])
                 continue
-            missing = LENGTH.size - len(self._header)
-            self._header, data = self._header + data[:missing], data[missing:]
-            if len(self._header) == LENGTH.size:
-                (self._remaining,) = LENGTH.unpack(self._header)
-                self._header = b""
-                self.is_at_end = self._remaining == 0
+            data = self._read_field(data)
         return b"".join(payload)
 
+    def _read_field(self, data: bytes) -> bytes:
+        """Read a part of the number that comes next; returns what follows it."""
+        number = RECEIVED if self._is_ending else LENGTH
+        missing = number.size - len(self._field)
+        self._field += data[:missing]
+        if len(self._field) == number.size:
+            (value,) = number.unpack(self._field)
+            self._field = b""
+            self._note_number(value)
+        return data[missing:]
+
+    def _note_number(self, value: int) -> None:
+        if self._is_ending:
+            self.received_bytes = value
+            return
+        self._remaining = value
+        self._is_ending = value == 0
+
+
+class TunnelTransport:
+    """The connection of a tunnel as the inner protocol uses it.
+
+    Its other side is another node, so it knows from the end of the tunnel only what the upstream
+    has received. All else is the connection's.
+    """
+
+    def __init__(self, transport: asyncio.Transport, blocks: BlockDecoder):
+        self._transport = transport
+        self._blocks = blocks
+        self._written_bytes = 0
+
+    def __getattr__(self, name: str):
+        return getattr(self._transport, name)
+
+    def write(self, data: bytes) -> None:
+        """Write to the connection."""
+        self._written_bytes += len(data)
+        self._transport.write(data)
+
+    def writelines(self, parts: Iterable[bytes]) -> None:
+        """Write several parts to the connection."""
+        self.write(b"".join(parts))
+
+    def get_extra_info(self, name: str, default: object = None) -> object:
+        """Return information about the connection."""
+        if name == UNRECEIVED_BYTES and self._blocks.is_at_end:
+            return self._written_bytes - self._blocks.received_bytes
+        return self._transport.get_extra_info(name, default)
+
 
 class TunnelProtocol(asyncio.Protocol):
     """Asks another node for a connection, then passes its bytes to an inner protocol.
@@ -119,7 +172,7 @@
         if self._is_lost:
             raise TunnelError("the tunnel was closed at once")
         self._inner = protocol_factory()
-        self._inner.connection_made(self._transport)
+        self._inner.connection_made(TunnelTransport(self._transport, self._blocks))
         self._receive(self._early_data)
         return self._inner
 
--- a/mulleinreach/gateway/connectivity/tunnel_server.py
+++ b/mulleinreach/gateway/connectivity/tunnel_server.py
@@ -8,9 +8,11 @@
 from dataclasses import dataclass
 
 from mulleinreach.common import Address, EventLog, Network, TaskGroup
+from mulleinreach.common.delivery import unreceived_bytes
 from mulleinreach.gateway.connectivity.messages import (
     LENGTH,
     MAX_MESSAGE_BYTES,
+    RECEIVED,
     TunnelError,
     TunnelOutcome,
     TunnelRequest,
@@ -107,7 +109,7 @@
             return
         self.open_count += 1
         try:
-            await _splice(node, upstream)
+            await _Splice(node, upstream).run()
         finally:
             self.open_count -= 1
             upstream.writer.close()
@@ -139,31 +141,43 @@
     return decode_request(await reader.readexactly(length))
 
 
-async def _splice(node: StreamPair, upstream: StreamPair) -> None:
-    """Copy both directions until one of them ends."""
-    to_upstream = asyncio.create_task(_copy(node.reader, upstream.writer))
-    to_node = asyncio.create_task(_copy_in_blocks(upstream.reader, node.writer))
-    copies = {to_upstream, to_node}
-    try:
-        done, _ = await asyncio.wait(copies, return_when=asyncio.FIRST_COMPLETED)
-        for copy in done:
-            copy.result()
-    finally:
-        for copy in copies:
-            copy.cancel()
-        await asyncio.gather(*copies, return_exceptions=True)
-
-
-async def _copy(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    while data := await reader.read(BLOCK_BYTES):
-        writer.write(data)
-        await writer.drain()
-
-
-async def _copy_in_blocks(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    """Copy an upstream's bytes in blocks; an empty block follows if it closes the connection."""
-    while data := await reader.read(BLOCK_BYTES):
-        writer.write(LENGTH.pack(len(data)) + data)
-        await writer.drain()
-    writer.write(LENGTH.pack(0))
-    await writer.drain()
+class _Splice:
+    """Copies both directions of a tunnel until one of them ends."""
+
+    def __init__(self, node: StreamPair, upstream: StreamPair):
+        self._node = node
+        self._upstream = upstream
+        self._sent_bytes = 0
+
+    async def run(self) -> None:
+        """Copy; raises ``OSError`` if a connection is reset."""
+        copies = {
+            asyncio.create_task(self._copy_to_upstream()),
+            asyncio.create_task(self._copy_to_node()),
+        }
+        try:
+            done, _ = await asyncio.wait(copies, return_when=asyncio.FIRST_COMPLETED)
+            for copy in done:
+                copy.result()
+        finally:
+            for copy in copies:
+                copy.cancel()
+            await asyncio.gather(*copies, return_exceptions=True)
+
+    async def _copy_to_upstream(self) -> None:
+        while data := await self._node.reader.read(BLOCK_BYTES):
+            self._upstream.writer.write(data)
+            self._sent_bytes += len(data)
+            await self._upstream.writer.drain()
+
+    async def _copy_to_node(self) -> None:
+        """Copy the upstream's bytes in blocks.
+
+        If it closes the connection, an empty block follows, and how much it had received.
+        """
+        while data := await self._upstream.reader.read(BLOCK_BYTES):
+            self._node.writer.write(LENGTH.pack(len(data)) + data)
+            await self._node.writer.drain()
+        received_bytes = self._sent_bytes - unreceived_bytes(self._upstream.writer.transport)
+        self._node.writer.write(LENGTH.pack(0) + RECEIVED.pack(received_bytes))
+        await self._node.writer.drain()
