A response with a malformed line in its head is no answer

Callers got answers in whose head the name of a field was followed by a blank: `Connection : close`, `Proxy-Connection : y` and `Upgrade : x` were passed on with the blank, and a line that begins with a blank became part of the value before it, of the replica's signature, too, or a field of its own.

Cause: aiohttp's C parser reads responses leniently. It acts on the names that it looks for itself although a blank parts them from the colon, while the headers keep the blank, so that our framing, and the list of fields that aren't passed on, don't know them. Both parsers fold lines. All other names with blanks, control bytes or separators are refused by both parsers already.

Why this works: the lines are checked before the parser acts on them, in one place for all readers (replicas, orders, reports, the store, our own interface, through tunnels, informational heads). What is malformed counts as no answer, like a status that is none. If the scanner and the parser don't agree on where the head ends, the response is broken off as well.

Weighed: the names in aiohttp's message would be simpler to check, but a folded line has left no trace there. Removing the blank [RFC 9112, 5.1] would guess what a faulty server meant.

--- a/mulleinreach/common/response_bounds.py
+++ b/mulleinreach/common/response_bounds.py
@@ -22,12 +22,15 @@
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 
 from mulleinreach.common.delivery import unreceived_bytes
+from mulleinreach.common.response_heads import HeadScanner
 from mulleinreach.common.responses import BodyFraming, body_framing
 
 MAX_HEAD_BYTES = 65_536
 MAX_INFORMATIONAL_RESPONSES = 32
 # Framing of chunks beyond the size of the body so far.
 MAX_FRAMING_BYTES = 8192
+# Of a malformed line in an error.
+MAX_SHOWN_BYTES = 80
 # Received bytes are parsed in pieces, so that little is parsed beyond a bound.
 PIECE_BYTES = 4096
 # The classes of status codes [2]_.
@@ -60,6 +63,7 @@
     def set_response_params(self, **params) -> None:
         """Prepare for the response to a request that is about to be sent."""
         self._head_bytes = 0
+        self._head_scanner = HeadScanner()
         self._informational_count = 0
         self._has_final_head = self._is_chunked = False
         self._is_request_written = self._is_success_until_close = False
@@ -128,6 +132,9 @@
         if self.exception() is not None or self._body.exception() is not None:
             return
         is_in_head = self._parser is not None and not self._has_final_head
+        if is_in_head and (malformed := self._head_scanner.feed(data)) is not None:
+            self._break_off_head(f"malformed line in the head: {malformed[:MAX_SHOWN_BYTES]!r}")
+            return
         super().data_received(data)
         if is_in_head:
             self._check_head(len(data))
@@ -141,7 +148,9 @@
             self._chunked_bytes = self._body.total_bytes
             return
         self._head_bytes += size
-        if self._head_bytes > MAX_HEAD_BYTES:
+        if self._head_scanner.is_done:
+            self._break_off_head("the head's end can't be told")
+        elif self._head_bytes > MAX_HEAD_BYTES:
             self._break_off_head(f"no response head in {MAX_HEAD_BYTES} bytes")
         elif self._informational_count > MAX_INFORMATIONAL_RESPONSES:
             self._break_off_head(f"{self._informational_count} informational responses")
