A control byte in the value of a field makes a response malformed, too

Callers got a closed connection without any answer, for a request that a replica had run and also for one that may be repeated: the replica's answer held a control byte (0x01 to 0x1f but tab and line ends, or 0x7f) in the value of a field.

Cause: both parsers read such values (only NUL and a bare CR are refused), and the server side of the same library can't send them: it raised ValueError while the answer to the caller was begun. An order so answered counted as accepted, a report was read.

Why this works: the same check, before the parser acts on the line. The exchange is broken, so a request that may be repeated goes on to another upstream, and any other ends with 502.

--- a/mulleinreach/common/response_heads.py
+++ b/mulleinreach/common/response_heads.py
@@ -14,8 +14,8 @@
 
 import re
 
-# RFC 9110, section 5.6.2: a name is a token.
-_FIELD_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:.*", re.DOTALL)
+# RFC 9110, sections 5.1 and 5.5: a name is a token, and a value holds no control bytes but tabs.
+_FIELD_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t\x20-\x7e\x80-\xff]*")
 _INFORMATIONAL_STATUS_LINE = re.compile(rb"HTTP/\d\.\d +1\d\d\b")
 
 
--- a/mulleinreach/gateway/request/tests/test_malformed_heads.py
+++ b/mulleinreach/gateway/request/tests/test_malformed_heads.py
@@ -35,7 +35,8 @@
     b" X-Odd: a",
     b"\tX-Odd: a",
 ]
-MALFORMED = [pytest.param(line, id=repr(line)) for line in ODD_NAMES]
+ODD_VALUES = [b"X-Odd: a\x01b", b"X-Odd: a\x0bb", b"X-Odd: a\x7fb", b"X-Odd: \x1b[1m"]
+MALFORMED = [pytest.param(line, id=repr(line)) for line in ODD_NAMES + ODD_VALUES]
 
 
 def answer_with(line: bytes, fields: bytes = FIELDS) -> bytes:
@@ -56,7 +57,8 @@
     return handle
 
 
-# Guards against callers that get the line, or fields that the upstream never sent.
+# Guards against callers that get the line, or fields that the upstream never sent, and against a
+# closed connection in place of an answer, since the line can't be passed on.
 @pytest.mark.parametrize("line", MALFORMED)
 def test_caller_gets_no_success(line):
     async def test(world):
