--- a/mulleinreach/common/tests/test_response_heads.py
+++ b/mulleinreach/common/tests/test_response_heads.py
@@ -10,6 +10,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 
 from mulleinreach.common.response_bounds import BoundedResponseHandler
+from mulleinreach.common.tests.head_lines import MALFORMED_LINES, PLACES, SOUND_LINES
 from mulleinreach.common.tests.test_response_bounds import make_handler
 
 SIGNATURE = b"X-Signature: s\r\n"
@@ -20,34 +21,6 @@
     "chunks": b"Transfer-Encoding: chunked\r\n\r\n4\r\nokay\r\n0\r\n\r\n",
     "close": b"\r\nokay",
 }
-PLACES = ["first", "between", "last"]
-CONTROLS = [*range(0x20), 0x7F]
-SEPARATORS = b' "(),/;<=>?@[\\]{}'
-NOT_ASCII = b"\x80\xff"
-NOT_IN_NAMES = [*CONTROLS, *SEPARATORS, *NOT_ASCII]
-# A line feed ends the line, and what follows it is no field.
-NOT_IN_VALUES = [byte for byte in CONTROLS if byte != ord("\t")]
-# aiohttp's C parser looks for these names itself.
-KNOWN_NAMES = [b"Connection", b"Proxy-Connection", b"Upgrade", b"Content-Length"]
-MALFORMED_LINES = [
-    *(b"X-O%cdd: a" % byte for byte in NOT_IN_NAMES),
-    *(b"%cX-Odd: a" % byte for byte in NOT_IN_NAMES if byte != ord("\n")),
-    *(b"X-Odd%c: a" % byte for byte in NOT_IN_NAMES),
-    *(name + blanks + b": 4" for name in KNOWN_NAMES for blanks in (b" ", b"  ", b"\t")),
-    *(b"X-Odd: a%cb" % byte for byte in NOT_IN_VALUES),
-    b"Transfer-Encoding : chunked",
-    b": a",
-    b"X-Odd",
-    b" ",
-]
-SOUND_LINES = [
-    b"!#$%&'*+-.^_`|~0Az: a",
-    b"X-Odd:",
-    b"X-Odd:a",
-    b"X-Odd: \t a : b \t",
-    b"X-Odd: caf\xe9",
-    b"connection: close",
-]
 
 
 @pytest.fixture(params=["HttpResponseParser", "HttpResponseParserPy"], autouse=True)
