Broken answers at a real gateway process

Eight kinds of broken answers, sent by the soak's plain service on real connections, each to requests that may run once and that may be repeated.

The service listens without the soak's proxy, and with a small receive buffer.

--- a/mulleinreach/platform/tests/crowds/gateway.py
+++ b/mulleinreach/platform/tests/crowds/gateway.py
@@ -10,15 +10,21 @@
 import tempfile
 from collections import Counter
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
+from aiohttp import web
+
+from mulleinreach.common import Address
 from mulleinreach.gateway.upstream import MemberState
 from mulleinreach.platform.tests.soak.callers import Callers
 from mulleinreach.platform.tests.soak.document import CallerLimits, DocumentOptions
-from mulleinreach.platform.tests.soak.processes import GatewayProcess, make_gateway
+from mulleinreach.platform.tests.soak.local_servers import LocalServers
+from mulleinreach.platform.tests.soak.processes import LOCAL, GatewayProcess, make_gateway
 from mulleinreach.platform.tests.soak.report import SoakReport
 from mulleinreach.platform.tests.soak.world import SoakWorld
+from mulleinreach.standins.early_upstream import RECEIVE_BUFFER_BYTES
+from mulleinreach.standins.gateway.store import UPSTREAMS
 
 SAMPLE_INTERVAL_S = 0.1
 # Only a hang takes so long.
@@ -115,17 +121,27 @@
 
 @contextlib.asynccontextmanager
 async def starting_gateway(
-    limits: MachineLimits, caller_limits: CallerLimits
+    limits: MachineLimits, caller_limits: CallerLimits, is_direct: bool = False
 ) -> AsyncIterator[CrowdedGateway]:
-    """Run a gateway that has just been started, with the limits of machine and configuration."""
+    """Run a gateway that has just been started, with the limits of machine and configuration.
+
+    Parameters
+    ==========
+
+    is_direct : whether it connects to the plain service without a proxy, which would take a long
+        request off its sender before the service has read it.
+    """
     with tempfile.TemporaryDirectory(prefix="crowd-") as directory:
         world = SoakWorld(Path(directory), nodes=0, hosts=HOSTS_PER_HALL, seed=1)
         world.options = DocumentOptions(
             idle_timeout_ms=PATIENT_MS, stream_timeout_ms=PATIENT_MS, limits=caller_limits
         )
+        servers = LocalServers()
         watcher = None
         try:
             await world.start()
+            if is_direct:
+                await _serve_directly(world, servers)
             process = await _start_gateway(world, Path(directory), limits)
             callers = Callers(world, random.Random(1), SoakReport(1))
             gateway = CrowdedGateway(world, process, callers, limits)
@@ -135,18 +151,29 @@
             if watcher is not None:
                 watcher.cancel()
             await world.close()
+            await servers.close()
 
 
 @contextlib.asynccontextmanager
 async def crowded_gateway(
-    limits: MachineLimits, caller_limits: CallerLimits
+    limits: MachineLimits, caller_limits: CallerLimits, is_direct: bool = False
 ) -> AsyncIterator[CrowdedGateway]:
     """Run a gateway that serves all models, like :func:`starting_gateway`."""
-    async with starting_gateway(limits, caller_limits) as gateway:
+    async with starting_gateway(limits, caller_limits, is_direct) as gateway:
         await gateway.until_served()
         yield gateway
 
 
+async def _serve_directly(world: SoakWorld, servers: LocalServers) -> None:
+    """Let the upstreams of the plain service listen without a proxy, and take little unread."""
+    for name, upstream in world.plain_upstreams.items():
+        app = web.Application()
+        app.router.add_route("*", "/{tail:.*}", world.plain.handler(name))
+        port = await servers.serve(app, RECEIVE_BUFFER_BYTES)
+        world.plain_upstreams[name] = replace(upstream, address=Address(LOCAL, port))
+        world.memory.put(UPSTREAMS, name, world.plain_upstreams[name])
+
+
 def _served_models(world: SoakWorld) -> set[str]:
     """Return the models of which a group is open."""
     standings = [host.standing for host in world.fabric.hosts.values()]
--- a/mulleinreach/platform/tests/soak/local_servers.py
+++ b/mulleinreach/platform/tests/soak/local_servers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 from aiohttp import web
 
@@ -18,14 +19,23 @@
     def __init__(self) -> None:
         self._runners: list[web.AppRunner] = []
 
-    async def serve(self, app: web.Application) -> int:
-        """Serve an application; returns its port."""
+    async def serve(self, app: web.Application, receive_buffer_bytes: int | None = None) -> int:
+        """Serve an application; returns its port.
+
+        Parameters
+        ==========
+
+        receive_buffer_bytes : how much the system takes of what isn't read; ``None`` for its usual.
+        """
         runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
         await runner.setup()
-        site = web.TCPSite(runner, LOCAL, 0)
-        await site.start()
+        listener = socket.socket()
+        if receive_buffer_bytes is not None:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
+        listener.bind((LOCAL, 0))
+        await web.SockSite(runner, listener).start()
         self._runners.append(runner)
-        return site._server.sockets[0].getsockname()[1]
+        return listener.getsockname()[1]
 
     async def close(self) -> None:
         """End all servers, and what they still answer."""
--- a/mulleinreach/platform/tests/soak/plain.py
+++ b/mulleinreach/platform/tests/soak/plain.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from mulleinreach.platform.dialect import EXPECT_INSTANCE, REQUEST_ID, SIGNATURE, TENANT
+from mulleinreach.platform.tests.soak.broken_answers import BrokenAnswer, send_broken
 from mulleinreach.platform.tests.soak.document import STOCK_PREFIX
 
 PLAIN_WORK_S = 0.05
@@ -15,6 +16,8 @@
 WORK_PARAMETER = "work_s"
 # In a request's query: its answer is a body in chunks of one byte, without end.
 FLOOD_PARAMETER = "floods"
+# In a request's query: the kind of its broken answer, which is sent before the body is read.
+BROKEN_PARAMETER = "broken"
 FLOOD_BLOCK = b"1\r\nx\r\n" * 10_000
 
 
@@ -51,6 +54,9 @@
             request_id = request.headers.get(REQUEST_ID, "")
             if request.headers.get(EXPECT_INSTANCE) != upstream_id:
                 return web.Response(status=421, headers={REQUEST_ID: request_id})
+            if (broken := request.query.get(BROKEN_PARAMETER)) is not None:
+                fields = f"{REQUEST_ID}: {request_id}\r\n{SIGNATURE}: {upstream_id}\r\n"
+                return await send_broken(BrokenAnswer(broken), request, fields)
             body = await request.read()
             now = asyncio.get_running_loop().time()
             organisation = request.headers.get(TENANT, "")
