Heads that scanner and parser tell apart differently are no answer

They now have to agree on the number of heads up to the final one.

Also a test of an upload that is still being made when its answer ends: it holds since the writer hasn't finished, though nothing is unacknowledged.

--- a/mulleinreach/common/response_bounds.py
+++ b/mulleinreach/common/response_bounds.py
@@ -110,6 +110,9 @@
         if message.code not in FINAL_STATUSES:
             self._break_off_head(f"no answer has status {message.code}")
             return
+        if not self._has_scanned_all_heads():
+            self._break_off_head("a response head that wasn't checked")
+            return
         self._has_final_head = True
         self._is_chunked = message.chunked
         framing = body_framing(body is not EMPTY_PAYLOAD, message.headers)
@@ -118,6 +121,11 @@
         self._body = body
         super().feed_data(data, size)
 
+    def _has_scanned_all_heads(self) -> bool:
+        """Whether scanner and parser have found the same heads up to the final one."""
+        head_count = self._informational_count + 1
+        return self._head_scanner.is_done and self._head_scanner.head_count == head_count
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
         # Bytes that come before any request are held back by aiohttp.
@@ -148,9 +156,7 @@
             self._chunked_bytes = self._body.total_bytes
             return
         self._head_bytes += size
-        if self._head_scanner.is_done:
-            self._break_off_head("the head's end can't be told")
-        elif self._head_bytes > MAX_HEAD_BYTES:
+        if self._head_bytes > MAX_HEAD_BYTES:
             self._break_off_head(f"no response head in {MAX_HEAD_BYTES} bytes")
         elif self._informational_count > MAX_INFORMATIONAL_RESPONSES:
             self._break_off_head(f"{self._informational_count} informational responses")
--- a/mulleinreach/common/response_heads.py
+++ b/mulleinreach/common/response_heads.py
@@ -36,7 +36,8 @@
         self._line = bytearray()
         self._is_in_fields = False
         self._is_informational = False
-        # Whether the end of the final head was received.
+        # The number of heads whose end was received, and whether the last of them is the final one.
+        self.head_count = 0
         self.is_done = False
 
     def feed(self, data: bytes) -> bytes | None:
@@ -58,6 +59,7 @@
             return _FIELD_LINE.fullmatch(line) is not None
         if self._is_in_fields:
             self._is_in_fields = False
+            self.head_count += 1
             self.is_done = not self._is_informational
         elif line:
             self._is_in_fields = True
--- a/mulleinreach/common/tests/test_early_answers.py
+++ b/mulleinreach/common/tests/test_early_answers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 import aiohttp
 import pytest
@@ -85,6 +85,26 @@
     assert isinstance(result, aiohttp.ClientPayloadError)
 
 
+# Guards against an upload of which everything has arrived that was written so far.
+@pytest.mark.parametrize("read", READERS)
+def test_close_before_the_rest_of_an_upload_is_written_breaks_a_body_without_length(read):
+    async def run() -> None:
+        ended = asyncio.Event()
+
+        async def parts() -> AsyncIterator[bytes]:
+            yield PART
+            await ended.wait()
+
+        async with early_upstream(UNTIL_CLOSE, EarlyEnd.READ) as address:
+            async with Network().http_client() as session, asyncio.timeout(HANG_S):
+                async with session.post(address.url, data=parts()) as response:
+                    with pytest.raises(aiohttp.ClientPayloadError):
+                        await read(response)
+                ended.set()
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("end", [EarlyEnd.RESET, EarlyEnd.CLOSE])
 @pytest.mark.parametrize("body", UPLOADS)
 def test_call_whose_answer_ends_amid_its_upload_has_failed(body, end):
--- a/mulleinreach/common/tests/test_response_heads.py
+++ b/mulleinreach/common/tests/test_response_heads.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import re
 
 import aiohttp.client_proto
 import aiohttp.http_parser
 import pytest
 from aiohttp.http_exceptions import HttpProcessingError
 
+from mulleinreach.common import response_heads
 from mulleinreach.common.response_bounds import BoundedResponseHandler
 from mulleinreach.common.tests.head_lines import MALFORMED_LINES, PLACES, SOUND_LINES
 from mulleinreach.common.tests.test_response_bounds import make_handler
@@ -112,6 +114,15 @@
     assert bodies_of([hints + response(line, "last")]) == [None]
 
 
+# Guards against later heads that are read unchecked.
+def test_response_is_none_if_scanner_and_parser_disagree_on_its_end(monkeypatch):
+    never = re.compile(rb"(?!)")
+    monkeypatch.setattr(response_heads, "_INFORMATIONAL_STATUS_LINE", never)
+    hint = HINT + SIGNATURE + b"\r\n"
+    assert bodies_of([hint + response(b"Connection : close", "last")]) == [None]
+    assert bodies_of([hint + response(b"X-Odd: a", "last")]) == [None]
+
+
 def test_lines_of_a_body_are_not_looked_at():
     body = b"a b\r\n c: d\r\n\r\n\x01 : \r\n"
     heads = [OK + b"Content-Length: %d\r\n\r\n" % len(body), OK + b"\r\n"]
