The command line reads its node's answers like all others

The command line printed answers of its node with status 000, with a blank before a colon or with a folded line in the head as sound ones: it opened sessions of its own, which the checks of what counts as an answer don't reach.

--- a/mulleinreach/cli/client.py
+++ b/mulleinreach/cli/client.py
@@ -13,7 +13,7 @@
 import aiohttp
 import typer
 
-from mulleinreach.common import Code
+from mulleinreach.common import Code, Network
 
 
 class Exit(enum.IntEnum):
@@ -45,6 +45,8 @@
 }
 
 TOKEN_ENV = "MULLEINREACH_TOKEN"
+CONNECT_TIMEOUT_S = 30.0
+CALL_TIMEOUT_S = 60.0
 
 
 class Output(enum.StrEnum):
@@ -54,6 +56,10 @@
     JSON = "json"
 
 
+def _open_session() -> aiohttp.ClientSession:
+    return Network("command line").http_client(connect_timeout_s=CONNECT_TIMEOUT_S)
+
+
 @dataclass
 class Connection:
     """Connection to the operator API of one node."""
@@ -80,10 +86,9 @@
         return answer
 
     async def _call(self, method: str, path: str, body: dict | None) -> tuple[int, dict]:
-        timeout = aiohttp.ClientTimeout(total=60)
-        async with aiohttp.ClientSession(headers=self._headers(), timeout=timeout) as session:
-            url = f"http://{self.server}{path}"
-            async with session.request(method, url, json=body) as response:
+        url = f"http://{self.server}{path}"
+        async with asyncio.timeout(CALL_TIMEOUT_S), _open_session() as session:
+            async with session.request(method, url, json=body, headers=self._headers()) as response:
                 return response.status, json.loads(await response.read())
 
     def _exit_with_error(self, error: dict) -> None:
@@ -95,9 +100,9 @@
 
     async def lines(self, path: str) -> AsyncIterator[dict]:
         """Yield the events of a stream until it ends."""
-        timeout = aiohttp.ClientTimeout(total=None)
-        async with aiohttp.ClientSession(headers=self._headers(), timeout=timeout) as session:
-            async with session.get(f"http://{self.server}{path}") as response:
+        url = f"http://{self.server}{path}"
+        async with _open_session() as session:
+            async with session.get(url, headers=self._headers()) as response:
                 async for line in response.content:
                     if line.startswith(b"data: "):
                         yield json.loads(line.removeprefix(b"data: "))
