A success that ends with its connection waits for a reset if its request was long

Callers got the part of an answer without length as a whole 200 where the replica's system had taken the whole upload: a large receive buffer, or one that grew while a replica read ahead. The replica closed its side and reset the connection some milliseconds later, since it had not read the request.

Cause: everything was acknowledged when the end arrived, so the request counted as received; a reset after the end is seen by nobody, since the connection is closed at once.

Why this works: a peer that closes with unread bytes in its system resets (RFC 2525, 2.17). Through a tunnel the node at the upstream does so. Only successes whose body ends with the connection are concerned, and only behind requests that may not have arrived with their head (over 14,600 bytes, or chunked).

--- a/mulleinreach/common/response_bounds.py
+++ b/mulleinreach/common/response_bounds.py
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from http import HTTPStatus
 
 import aiohttp
@@ -21,7 +22,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 
-from mulleinreach.common.delivery import unreceived_bytes
+from mulleinreach.common.delivery import is_reset_after_end, unreceived_bytes
 from mulleinreach.common.response_heads import HeadScanner
 from mulleinreach.common.responses import BodyFraming, body_framing
 
@@ -53,12 +54,16 @@
     # The first error that ended the connection; ``None`` if it is open or was closed. aiohttp
     # forgets its own record when it closes the connection.
     connection_error: BaseException | None = None
+    # Whether the request may still be on its way when its head has arrived.
+    has_long_request = False
     _has_final_head = False
     _is_chunked = False
     _is_request_written = False
     # Whether the response is a success whose body ends with the connection.
     _is_success_until_close = False
     _body: StreamReader = EMPTY_PAYLOAD
+    # Keeps the task that closes a connection.
+    _closing: asyncio.Future | None = None
 
     def set_response_params(self, **params) -> None:
         """Prepare for the response to a request that is about to be sent."""
@@ -76,17 +81,31 @@
         self._is_request_written = True
         super().start_timeout()
 
-    def eof_received(self) -> None:
-        """Break off a success that ends with its connection before its request has arrived.
+    def eof_received(self) -> bool:
+        """Find out whether a success that ends with its connection is whole.
 
-        A server that closes a connection with unread bytes of the request resets it later, so its
-        response may be cut off [3]_.
+        A server that ends a connection with unread bytes of the request resets it later, so its
+        response may be cut off [3]_. Returns whether the connection stays open for now.
         """
         super().eof_received()
-        if self._is_success_until_close and not self._is_request_received():
-            error = aiohttp.ClientPayloadError("the response ended before its request had arrived")
-            self.set_exception(error)
-            self.transport.abort()
+        if not self._is_success_until_close:
+            return False
+        if not self._is_request_received():
+            self._break_off_body("the response ended before its request had arrived")
+            return False
+        if self.has_long_request:
+            self._closing = asyncio.ensure_future(self._close_unless_reset(self.transport))
+        return self.has_long_request
+
+    async def _close_unless_reset(self, transport: asyncio.Transport) -> None:
+        if await is_reset_after_end(transport):
+            self._break_off_body("the connection was reset after the end of the response")
+        else:
+            transport.close()
+
+    def _break_off_body(self, reason: str) -> None:
+        self.set_exception(aiohttp.ClientPayloadError(reason))
+        self.transport.abort()
 
     def _is_request_received(self) -> bool:
         """Whether the server's system has received the whole request."""
--- a/mulleinreach/common/responses.py
+++ b/mulleinreach/common/responses.py
@@ -8,6 +8,9 @@
 
 import aiohttp
 
+from mulleinreach.common.delivery import FIRST_FLIGHT_BYTES
+from mulleinreach.common.http_fields import read_count
+
 # Twice the largest object of the platform's store.
 MAX_BODY_BYTES = 16_777_216
 _STATUSES_WITHOUT_BODY = (204, 304)
@@ -47,6 +50,19 @@
     return BodyFraming.LENGTH if "Content-Length" in headers else BodyFraming.CLOSE
 
 
+def is_long_request(headers: Mapping[str, str]) -> bool:
+    """Whether a request may still be on its way when its head has arrived.
+
+    Examples
+    ========
+
+    >>> is_long_request({"Content-Length": "800"}), is_long_request({"Content-Length": "800000"})
+    (False, True)
+    """
+    length = read_count(headers.get("Content-Length")) or 0
+    return "Transfer-Encoding" in headers or length > FIRST_FLIGHT_BYTES
+
+
 @dataclass(frozen=True)
 class BodyEnd:
     """How the body of a response ended.
@@ -76,6 +92,7 @@
     async def start(self, connection) -> Response:
         """Read the head of the response."""
         self._connection_protocol = connection.protocol
+        self._connection_protocol.has_long_request = is_long_request(self.request_info.headers)
         await super().start(connection)
         return self
 
--- a/mulleinreach/common/tests/test_early_answers.py
+++ b/mulleinreach/common/tests/test_early_answers.py
@@ -8,7 +8,7 @@
 import aiohttp
 import pytest
 
-from mulleinreach.common import Network
+from mulleinreach.common import Network, delivery
 from mulleinreach.common.calls import CallFailed, HttpClient
 from mulleinreach.common.responses import Response
 from mulleinreach.requests.answers import read_bounded
@@ -21,6 +21,10 @@
 # The first is taken by the kernel at once, the second isn't.
 UPLOADS = [pytest.param(bytes(900_000), id="short"), pytest.param(bytes(32_000_000), id="long")]
 HANG_S = 20
+# For a server whose system has taken the whole upload when it answers.
+TAKES_ALL = {"answers_after_s": 0.2, "receive_buffer_bytes": 4_000_000}
+# So many that the reset comes first on any machine.
+PATIENT_CHECKS = 1000
 Read = Callable[[Response], Awaitable[bytes]]
 
 
@@ -85,6 +89,21 @@
     assert isinstance(result, aiohttp.ClientPayloadError)
 
 
+# Guards against an upload that the server's system has taken whole, and resets unread.
+@pytest.mark.parametrize("read", READERS)
+def test_reset_after_a_close_breaks_a_body_without_length(read, monkeypatch):
+    monkeypatch.setattr(delivery, "RESET_CHECKS", PATIENT_CHECKS)
+
+    async def run() -> None:
+        async with early_upstream(UNTIL_CLOSE, EarlyEnd.CLOSE, **TAKES_ALL) as address:
+            async with Network().http_client() as session, asyncio.timeout(HANG_S):
+                async with session.post(address.url, data=bytes(900_000)) as response:
+                    with pytest.raises(aiohttp.ClientPayloadError):
+                        await read(response)
+
+    asyncio.run(run())
+
+
 # Guards against an upload of which everything has arrived that was written so far.
 @pytest.mark.parametrize("read", READERS)
 def test_close_before_the_rest_of_an_upload_is_written_breaks_a_body_without_length(read):
--- a/mulleinreach/gateway/connectivity/tunnel_server.py
+++ b/mulleinreach/gateway/connectivity/tunnel_server.py
@@ -8,7 +8,11 @@
 from dataclasses import dataclass
 
 from mulleinreach.common import Address, EventLog, Network, TaskGroup
-from mulleinreach.common.delivery import unreceived_bytes
+from mulleinreach.common.delivery import (
+    FIRST_FLIGHT_BYTES,
+    is_reset_after_end,
+    unreceived_bytes,
+)
 from mulleinreach.gateway.connectivity.messages import (
     LENGTH,
     MAX_MESSAGE_BYTES,
@@ -178,6 +182,9 @@
         while data := await self._upstream.reader.read(BLOCK_BYTES):
             self._node.writer.write(LENGTH.pack(len(data)) + data)
             await self._node.writer.drain()
-        received_bytes = self._sent_bytes - unreceived_bytes(self._upstream.writer.transport)
+        transport = self._upstream.writer.transport
+        received_bytes = self._sent_bytes - unreceived_bytes(transport)
+        if self._sent_bytes > FIRST_FLIGHT_BYTES and await is_reset_after_end(transport):
+            raise ConnectionResetError("the upstream reset the connection after its end")
         self._node.writer.write(LENGTH.pack(0) + RECEIVED.pack(received_bytes))
         await self._node.writer.drain()
--- a/mulleinreach/platform/tests/crowds/gateway.py
+++ b/mulleinreach/platform/tests/crowds/gateway.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import enum
 import random
 import resource
 import signal
@@ -35,6 +36,13 @@
 PATIENT_MS = 600_000
 
 
+class PlainBuffer(enum.Enum):
+    """Receive buffers of the plain service, in bytes; ``SMALL`` holds a part of a long request."""
+
+    SMALL = RECEIVE_BUFFER_BYTES
+    LARGE = 4_000_000
+
+
 @dataclass(frozen=True)
 class MachineLimits:
     """The limits of the machine that a gateway runs on."""
@@ -121,15 +129,15 @@
 
 @contextlib.asynccontextmanager
 async def starting_gateway(
-    limits: MachineLimits, caller_limits: CallerLimits, is_direct: bool = False
+    limits: MachineLimits, caller_limits: CallerLimits, plain_buffer: PlainBuffer | None = None
 ) -> AsyncIterator[CrowdedGateway]:
     """Run a gateway that has just been started, with the limits of machine and configuration.
 
     Parameters
     ==========
 
-    is_direct : whether it connects to the plain service without a proxy, which would take a long
-        request off its sender before the service has read it.
+    plain_buffer : how much the system takes of what the plain service doesn't read; ``None`` if
+        gateways connect to it through proxies, which take long requests off their senders.
     """
     with tempfile.TemporaryDirectory(prefix="crowd-") as directory:
         world = SoakWorld(Path(directory), nodes=0, hosts=HOSTS_PER_HALL, seed=1)
@@ -140,8 +148,8 @@
         watcher = None
         try:
             await world.start()
-            if is_direct:
-                await _serve_directly(world, servers)
+            if plain_buffer is not None:
+                await _serve_directly(world, servers, plain_buffer)
             process = await _start_gateway(world, Path(directory), limits)
             callers = Callers(world, random.Random(1), SoakReport(1))
             gateway = CrowdedGateway(world, process, callers, limits)
@@ -156,20 +164,20 @@
 
 @contextlib.asynccontextmanager
 async def crowded_gateway(
-    limits: MachineLimits, caller_limits: CallerLimits, is_direct: bool = False
+    limits: MachineLimits, caller_limits: CallerLimits, plain_buffer: PlainBuffer | None = None
 ) -> AsyncIterator[CrowdedGateway]:
     """Run a gateway that serves all models, like :func:`starting_gateway`."""
-    async with starting_gateway(limits, caller_limits, is_direct) as gateway:
+    async with starting_gateway(limits, caller_limits, plain_buffer) as gateway:
         await gateway.until_served()
         yield gateway
 
 
-async def _serve_directly(world: SoakWorld, servers: LocalServers) -> None:
-    """Let the upstreams of the plain service listen without a proxy, and take little unread."""
+async def _serve_directly(world: SoakWorld, servers: LocalServers, buffer: PlainBuffer) -> None:
+    """Let the upstreams of the plain service listen without a proxy."""
     for name, upstream in world.plain_upstreams.items():
         app = web.Application()
         app.router.add_route("*", "/{tail:.*}", world.plain.handler(name))
-        port = await servers.serve(app, RECEIVE_BUFFER_BYTES)
+        port = await servers.serve(app, buffer.value)
         world.plain_upstreams[name] = replace(upstream, address=Address(LOCAL, port))
         world.memory.put(UPSTREAMS, name, world.plain_upstreams[name])
 
--- a/mulleinreach/platform/tests/crowds/test_broken_answers.py
+++ b/mulleinreach/platform/tests/crowds/test_broken_answers.py
@@ -14,6 +14,7 @@
 from mulleinreach.platform.tests.crowds.gateway import (
     CrowdedGateway,
     MachineLimits,
+    PlainBuffer,
     crowded_gateway,
 )
 from mulleinreach.platform.tests.soak.broken_answers import BrokenAnswer
@@ -55,9 +56,10 @@
 
 
 # Guards against parts, spoilt heads and statuses that are none, each of which reached callers.
-def test_no_caller_gets_a_broken_answer():
+@pytest.mark.parametrize("buffer", PlainBuffer)
+def test_no_caller_gets_a_broken_answer(buffer):
     async def test():
-        async with crowded_gateway(MachineLimits(), CallerLimits(), is_direct=True) as gateway:
+        async with crowded_gateway(MachineLimits(), CallerLimits(), buffer) as gateway:
             passed_on = Counter()
             for how, path in itertools.product(BrokenAnswer, PATHS):
                 for body in bodies_for(how) * REPEATS:
--- a/mulleinreach/platform/tests/soak/broken_answers.py
+++ b/mulleinreach/platform/tests/soak/broken_answers.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 import enum
 
 from aiohttp import web
 
-from mulleinreach.standins.early_upstream import RESET_DELAY_S, reset
+from mulleinreach.standins.early_upstream import reset
 
 
 class BrokenAnswer(enum.StrEnum):
@@ -38,7 +37,7 @@
 _PART = "part"
 
 
-async def send_broken(how: BrokenAnswer, request: web.BaseRequest, fields: str) -> web.Response:
+def send_broken(how: BrokenAnswer, request: web.BaseRequest, fields: str) -> web.Response:
     """Send a broken answer, and end the connection.
 
     Parameters
@@ -55,7 +54,6 @@
     transport.write((head + _PART).encode())
     if how is BrokenAnswer.CLOSE:
         transport.write_eof()
-        await asyncio.sleep(RESET_DELAY_S)
     if is_cut:
         reset(transport)
     else:
--- a/mulleinreach/platform/tests/soak/plain.py
+++ b/mulleinreach/platform/tests/soak/plain.py
@@ -56,7 +56,7 @@
                 return web.Response(status=421, headers={REQUEST_ID: request_id})
             if (broken := request.query.get(BROKEN_PARAMETER)) is not None:
                 fields = f"{REQUEST_ID}: {request_id}\r\n{SIGNATURE}: {upstream_id}\r\n"
-                return await send_broken(BrokenAnswer(broken), request, fields)
+                return send_broken(BrokenAnswer(broken), request, fields)
             body = await request.read()
             now = asyncio.get_running_loop().time()
             organisation = request.headers.get(TENANT, "")
--- a/mulleinreach/standins/early_upstream.py
+++ b/mulleinreach/standins/early_upstream.py
@@ -40,7 +40,11 @@
 
 @contextlib.asynccontextmanager
 async def early_upstream(
-    answer: bytes, end: EarlyEnd, body_bytes: int = 0, answers_after_s: float = 0.0
+    answer: bytes,
+    end: EarlyEnd,
+    body_bytes: int = 0,
+    answers_after_s: float = 0.0,
+    receive_buffer_bytes: int = RECEIVE_BUFFER_BYTES,
 ) -> AsyncIterator[Address]:
     """Serve each request with the same bytes once its head has arrived; yields the address.
 
@@ -49,6 +53,7 @@
 
     body_bytes : the length of the requests' bodies, for ``EarlyEnd.READ``.
     answers_after_s : time between the head of a request and the answer.
+    receive_buffer_bytes : how much of a request the system takes though it isn't read.
     """
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -68,7 +73,7 @@
         reset(writer.transport)
 
     listener = socket.socket()
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
     listener.bind(("127.0.0.1", 0))
     server = await asyncio.start_server(serve, sock=listener)
     try:
