--- a/mulleinreach/common/tests/test_early_answers.py
+++ b/mulleinreach/common/tests/test_early_answers.py
@@ -80,12 +80,14 @@
     assert isinstance(result, aiohttp.ClientPayloadError)
 
 
-# Guards against an answer that is whole since its connection was closed before it was reset.
+# Guards against an answer that is whole since its connection was closed before it was reset, and
+# against a wait for a reset that doesn't come.
+@pytest.mark.parametrize("end", [EarlyEnd.CLOSE, EarlyEnd.HOLD])
 @pytest.mark.parametrize("is_late", [False, True])
 @pytest.mark.parametrize("read", READERS)
 @pytest.mark.parametrize("body", UPLOADS)
-def test_close_amid_an_upload_breaks_a_body_without_length(body, read, is_late):
-    result = upload(UNTIL_CLOSE, EarlyEnd.CLOSE, body, read, is_late)
+def test_close_amid_an_upload_breaks_a_body_without_length(body, read, is_late, end):
+    result = upload(UNTIL_CLOSE, end, body, read, is_late)
     assert isinstance(result, aiohttp.ClientPayloadError)
 
 
--- a/mulleinreach/gateway/connectivity/tests/test_tunnelled_uploads.py
+++ b/mulleinreach/gateway/connectivity/tests/test_tunnelled_uploads.py
@@ -42,7 +42,7 @@
 
 
 # Guards against an end that the tunnel passes on though the request is still on its way.
-@pytest.mark.parametrize("end", [EarlyEnd.RESET, EarlyEnd.CLOSE])
+@pytest.mark.parametrize("end", [EarlyEnd.RESET, EarlyEnd.CLOSE, EarlyEnd.HOLD])
 @pytest.mark.parametrize("body", UPLOADS)
 def test_end_amid_an_upload_breaks_a_body_without_length(body, end):
     assert isinstance(upload(UNTIL_CLOSE, end, body), aiohttp.ClientError)
@@ -50,7 +50,7 @@
 
 # Guards against bytes that the other node has handed to its system, which still keeps them.
 def test_close_before_what_was_passed_on_has_arrived_breaks_a_body_without_length():
-    result = upload(UNTIL_CLOSE, EarlyEnd.CLOSE, bytes(900_000), answers_after_s=0.2)
+    result = upload(UNTIL_CLOSE, EarlyEnd.HOLD, bytes(900_000), answers_after_s=0.2)
     assert isinstance(result, aiohttp.ClientError)
 
 
--- a/mulleinreach/standins/early_upstream.py
+++ b/mulleinreach/standins/early_upstream.py
@@ -23,11 +23,13 @@
 
     ``RESET``: it resets it.
     ``CLOSE``: it ends its side, and resets the connection a little later.
+    ``HOLD``: it ends its side, and leaves the rest of the request unread.
     ``READ``: it reads the whole request and closes.
     """
 
     RESET = "reset"
     CLOSE = "close"
+    HOLD = "hold"
     READ = "read"
 
 
@@ -67,11 +69,15 @@
             writer.close()
             return
         await writer.drain()
-        if end is EarlyEnd.CLOSE:
+        if end in (EarlyEnd.CLOSE, EarlyEnd.HOLD):
             writer.write_eof()
+        if end is EarlyEnd.CLOSE:
             await asyncio.sleep(RESET_DELAY_S)
+        if end is EarlyEnd.HOLD:
+            await is_over.wait()
         reset(writer.transport)
 
+    is_over = asyncio.Event()
     listener = socket.socket()
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
     listener.bind(("127.0.0.1", 0))
@@ -79,4 +85,5 @@
     try:
         yield Address(*listener.getsockname())
     finally:
+        is_over.set()
         server.close()
