--- a/mulleinreach/common/tests/test_responses.py
+++ b/mulleinreach/common/tests/test_responses.py
@@ -8,7 +8,6 @@
 import asyncio
 import contextlib
 import socket
-import struct
 from collections.abc import Awaitable, Callable
 from types import SimpleNamespace
 
@@ -22,6 +21,7 @@
 from mulleinreach.entry.relay import Answer, relay_plain
 from mulleinreach.requests.answers import read_bounded
 from mulleinreach.requests.call import CallerDisconnected
+from mulleinreach.standins.resets import reset
 from mulleinreach.stores.objects import ObjectStore
 
 NETWORK = Network("test")
@@ -38,13 +38,6 @@
 Read = Callable[[Response], Awaitable[bytes]]
 
 
-def reset(writer: asyncio.StreamWriter) -> None:
-    """Reset a connection."""
-    linger = struct.pack("ii", 1, 0)
-    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    writer.transport.abort()
-
-
 @contextlib.asynccontextmanager
 async def serving(framing: BodyFraming, is_reset: bool):
     """Serve answers of one framing; yields the address."""
@@ -54,7 +47,7 @@
         writer.write(HEADS[framing] + BODIES[framing])
         await writer.drain()
         if is_reset:
-            reset(writer)
+            reset(writer.transport)
         else:
             writer.close()
 
--- a/mulleinreach/gateway/connectivity/tests/test_tunnels.py
+++ b/mulleinreach/gateway/connectivity/tests/test_tunnels.py
@@ -6,7 +6,6 @@
 import contextlib
 import random
 import socket
-import struct
 
 import aiohttp
 import pytest
@@ -23,6 +22,7 @@
 from mulleinreach.gateway.connectivity.tunnel_server import TunnelServer
 from mulleinreach.gateway.connectivity.upstream_network import UpstreamNetwork
 from mulleinreach.gateway.metrics import GatewayMetrics
+from mulleinreach.standins.resets import reset
 
 SECRET = "secret"
 NETWORK = Network("test")
@@ -118,9 +118,7 @@
     writer.write(HEAD + b"\r\npart")
     await writer.drain()
     await asyncio.sleep(0.1)
-    linger = struct.pack("ii", 1, 0)
-    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    writer.close()
+    reset(writer.transport)
 
 
 @pytest.mark.parametrize("answer", [answer_with_length, answer_without_length])
--- a/mulleinreach/gateway/request/tests/test_exchange.py
+++ b/mulleinreach/gateway/request/tests/test_exchange.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import socket
-import struct
 
 import pytest
 from multidict import CIMultiDict
@@ -19,9 +18,9 @@
 )
 from mulleinreach.gateway.upstream import Upstream
 from mulleinreach.standins.gateway.dialect import PlainDialect
+from mulleinreach.standins.resets import reset
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Request-Id: r\r\n\r\n"
-ZERO_LINGER = struct.pack("ii", 1, 0)
 
 
 def ignore_notice(upstream, notice):
@@ -43,9 +42,7 @@
         await writer.drain()
         await asyncio.sleep(0.05)
         if ends_with_reset:
-            raw = writer.get_extra_info("socket")
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ZERO_LINGER)
-            writer.transport.abort()
+            reset(writer.transport)
         else:
             writer.close()
 
--- a/mulleinreach/platform/tests/soak/broken_answers.py
+++ b/mulleinreach/platform/tests/soak/broken_answers.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from mulleinreach.standins.early_upstream import reset
+from mulleinreach.standins.resets import reset
 
 
 class BrokenAnswer(enum.StrEnum):
--- a/mulleinreach/platform/tests/soak/proxy.py
+++ b/mulleinreach/platform/tests/soak/proxy.py
@@ -4,21 +4,11 @@
 
 import asyncio
 import contextlib
-import socket
-import struct
 from dataclasses import dataclass, field
 
-CHUNK_BYTES = 65_536
-# A socket that lingers for no time is reset when it closes, also if all was read.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-
+from mulleinreach.standins.resets import reset
 
-def reset(transport: asyncio.BaseTransport) -> None:
-    """End a connection by a reset."""
-    with contextlib.suppress(OSError):
-        connection = transport.get_extra_info("socket")
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-    transport.abort()
+CHUNK_BYTES = 65_536
 
 
 @dataclass
--- a/mulleinreach/platform/tests/soak/replica_process.py
+++ b/mulleinreach/platform/tests/soak/replica_process.py
@@ -29,12 +29,12 @@
 from mulleinreach.platform.tests.soak.host_app import NAMES, TIMES, host_app
 from mulleinreach.platform.tests.soak.notices import read_remaining_s
 from mulleinreach.platform.tests.soak.processes import LOCAL
-from mulleinreach.platform.tests.soak.proxy import reset
 from mulleinreach.platform.tests.soak.replicas import USUAL_BACKLOG
 from mulleinreach.platform.tests.standin import row_of
 from mulleinreach.standins.gateway.fabric import Fabric
 from mulleinreach.standins.gateway.hosts import HostStandIn, make_upstream
 from mulleinreach.standins.gateway.store import UPSTREAMS, MemoryStore
+from mulleinreach.standins.resets import reset
 
 # The table of the platform's store in which replicas keep themselves.
 SERVERS = "servers"
--- a/mulleinreach/platform/tests/soak/world.py
+++ b/mulleinreach/platform/tests/soak/world.py
@@ -27,7 +27,7 @@
 from mulleinreach.platform.tests.soak.notices import Arrival, Notices, Run
 from mulleinreach.platform.tests.soak.plain import PlainService
 from mulleinreach.platform.tests.soak.processes import LOCAL, GatewayProcess, make_gateway
-from mulleinreach.platform.tests.soak.proxy import Link, Proxy, reset
+from mulleinreach.platform.tests.soak.proxy import Link, Proxy
 from mulleinreach.platform.tests.soak.records import (
     Disturbance,
     Evacuation,
@@ -39,6 +39,7 @@
 from mulleinreach.standins.gateway.fabric import Fabric
 from mulleinreach.standins.gateway.hosts import HostStandIn, make_upstream
 from mulleinreach.standins.gateway.store import UPSTREAMS, MemoryStore
+from mulleinreach.standins.resets import reset
 
 HALLS = 3
 # The list names a host that has fallen silent for so many seconds more.
--- a/mulleinreach/standins/early_upstream.py
+++ b/mulleinreach/standins/early_upstream.py
@@ -6,16 +6,15 @@
 import contextlib
 import enum
 import socket
-import struct
 from collections.abc import AsyncIterator
 
 from mulleinreach.common import Address
+from mulleinreach.standins.resets import reset
 
 # A small window, so that most of a long request stays at its sender.
 RECEIVE_BUFFER_BYTES = 16_384
 # Between the end of the upstream's side of a connection and its reset.
 RESET_DELAY_S = 0.02
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class EarlyEnd(enum.Enum):
@@ -33,13 +32,6 @@
     READ = "read"
 
 
-def reset(transport: asyncio.BaseTransport) -> None:
-    """Reset a connection."""
-    sock = transport.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-    transport.abort()
-
-
 @contextlib.asynccontextmanager
 async def early_upstream(
     answer: bytes,
