A tunnel whose upstream resets after its end closes without the mark, and drops nothing

Found by reading: raising there aborted the connection to the asking node, which could lose the last bytes of an answer with a length. A missing mark is read as a reset already; the test of that end and its guard are as before.

--- a/mulleinreach/gateway/connectivity/tunnel_server.py
+++ b/mulleinreach/gateway/connectivity/tunnel_server.py
@@ -177,7 +177,8 @@
     async def _copy_to_node(self) -> None:
         """Copy the upstream's bytes in blocks.
 
-        If it closes the connection, an empty block follows, and how much it had received.
+        If it closes the connection, an empty block follows, and how much it had received. Without
+        them the asking node sees a reset.
         """
         while data := await self._upstream.reader.read(BLOCK_BYTES):
             self._node.writer.write(LENGTH.pack(len(data)) + data)
@@ -185,6 +186,6 @@
         transport = self._upstream.writer.transport
         received_bytes = self._sent_bytes - unreceived_bytes(transport)
         if self._sent_bytes > FIRST_FLIGHT_BYTES and await is_reset_after_end(transport):
-            raise ConnectionResetError("the upstream reset the connection after its end")
+            return
         self._node.writer.write(LENGTH.pack(0) + RECEIVED.pack(received_bytes))
         await self._node.writer.drain()
